Serve a request end to end through one entry process

Cause: there was no code. The thin path comes first so that every later part stands on something that runs. Change: schemas with generated structs, settings and manifest with their checks, an entry process (sanic and aiohttp on uvloop), stand-ins of the platform and the targets, the examples of both deployments, demo, check and entry commands. Ruled out: sanic's rewriting of its own classes at start (TOUCHUP); a second application in one process fails in it, so it is off.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/installed
+
+DEPLOYMENT ?= magnolia
+
+.PHONY: install test lint demo generate binary docs
+
+install: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $(STAMP)
+
+test: install
+	$(BIN)/python -m pytest tests
+
+lint: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/python tools/generate.py --check
+	$(BIN)/mkdocs build --strict --quiet --site-dir build/site
+
+demo: install
+	$(BIN)/pimentospool demo --deployment $(DEPLOYMENT)
+
+generate: install
+	$(BIN)/python tools/generate.py
+
+binary: install
+	$(BIN)/python tools/binary.py
+
+docs: install
+	$(BIN)/mkdocs build --strict --site-dir build/site
--- /dev/null
+++ b/pimentospool/__main__.py
@@ -0,0 +1,6 @@
+"""Program of the gateway."""
+
+from pimentospool.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/pimentospool/_generated/__init__.py
@@ -0,0 +1,1 @@
+"""Structs generated from the schemas; ``make generate`` writes them."""
--- /dev/null
+++ b/pimentospool/callers/__init__.py
@@ -0,0 +1,5 @@
+"""HTTP interface for callers and for hops from other entry VMs."""
+
+from pimentospool.callers._app import CallerServer
+
+__all__ = ["CallerServer"]
--- /dev/null
+++ b/pimentospool/callers/_app.py
@@ -0,0 +1,261 @@
+"""The sanic application that callers and hops use."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import msgspec
+from sanic import HTTPResponse, Sanic
+from sanic import Request as HttpRequest
+from sanic.exceptions import SanicException
+from sanic.server.async_server import AsyncioServer
+
+from pimentospool._generated.callers import (
+    EntryChoice,
+    EntryList,
+    ModelCard,
+    ModelList,
+)
+from pimentospool._generated.settings import Settings
+from pimentospool.callers._parsing import RequestParser
+from pimentospool.callers._sinks import HttpSink
+from pimentospool.dispatch import Dispatcher
+from pimentospool.errors import Reason, RequestFailure
+from pimentospool.fleet import Fleet
+from pimentospool.hops import HOP_PREFIX, HopSigner
+from pimentospool.ids import EntryId, RequestId
+from pimentospool.log import Event, log_event
+from pimentospool.requests import GatewayRequest
+from pimentospool.targets import REQUEST_ID_HEADER
+from pimentospool.verdicts import Verdict
+from pimentospool.views import View
+
+PROBLEM_TYPE = "application/problem+json"
+_POLL_SECONDS = 0.05
+_REASONS_BY_STATUS = {
+    400: Reason.BAD_REQUEST,
+    404: Reason.UNKNOWN_PATH,
+    405: Reason.METHOD_NOT_ALLOWED,
+    408: Reason.REQUEST_TIMEOUT,
+    413: Reason.BODY_TOO_LARGE,
+    431: Reason.HEADERS_TOO_LARGE,
+}
+
+
+class CallerServer:
+    """Serves callers and hops over HTTP.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Settings of the entry process.
+    view : View
+        Configuration in force.
+    fleet : Fleet
+        Entry VMs that callers may use.
+    dispatcher : Dispatcher
+        Serves verified requests.
+    """
+
+    def __init__(
+        self, *, cfg: Settings, view: View, fleet: Fleet, dispatcher: Dispatcher
+    ) -> None:
+        self.in_progress = 0
+        self.leaving = False
+        self._cfg = cfg
+        self._view = view
+        self._fleet = fleet
+        self._dispatcher = dispatcher
+        signer = HopSigner(key=cfg.peers.key)
+        self._parser = RequestParser(cfg=cfg.callers, signer=signer, view=view)
+        self._app = self._build_app()
+        self._server: AsyncioServer | None = None
+
+    async def start(self) -> None:
+        """Listen on the caller address."""
+        host, _, port = self._cfg.entry.caller_address.rpartition(":")
+        server = await self._app.create_server(
+            host, int(port), return_asyncio_server=True, access_log=False
+        )
+        assert server is not None
+        await server.startup()
+        await server.start_serving()
+        self._server = server
+
+    async def drain(self) -> None:
+        """Wait until every request in progress has ended, up to the drain limit."""
+        self.leaving = True
+        limit = self._cfg.callers.drain_seconds
+        try:
+            async with asyncio.timeout(limit):
+                while self.in_progress:
+                    await asyncio.sleep(_POLL_SECONDS)
+        except TimeoutError:
+            log_event(Event.ENTRY_DRAIN_EXPIRED, in_progress=self.in_progress)
+
+    async def close(self) -> None:
+        """Stop listening and close every connection."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def _build_app(self) -> Sanic:
+        name = f"callers-{self._cfg.entry.id}-{id(self):x}".replace(".", "-")
+        app: Sanic = Sanic(name, configure_logging=False)
+        app.config.REQUEST_MAX_SIZE = self._cfg.callers.max_body_bytes
+        app.config.REQUEST_TIMEOUT = self._cfg.callers.request_timeout_seconds
+        app.config.RESPONSE_TIMEOUT = self._cfg.callers.default_deadline_seconds * 2
+        app.config.ACCESS_LOG = False
+        app.config.TOUCHUP = False
+        for prefix in ("", HOP_PREFIX):
+            hopped = bool(prefix)
+            tag = "hop" if hopped else "caller"
+            app.add_route(
+                self._model_handler(self._parser.parse_chat, hopped=hopped),
+                f"{prefix}/v1/chat/completions",
+                methods=["POST"],
+                name=f"{tag}_chat",
+            )
+            app.add_route(
+                self._model_handler(self._parser.parse_completion, hopped=hopped),
+                f"{prefix}/v1/completions",
+                methods=["POST"],
+                name=f"{tag}_completion",
+            )
+            app.add_route(
+                self._service_handler(hopped=hopped),
+                f"{prefix}/v1/services/<service>/<path:path>",
+                methods=["GET", "POST", "PUT", "DELETE"],
+                name=f"{tag}_service",
+            )
+        app.add_route(self._models, "/v1/models", name="models")
+        app.add_route(self._entries, "/v1/entries", name="entries")
+        app.error_handler.add(Exception, _answer_error)
+        return app
+
+    def _model_handler(
+        self, parse: Callable[..., GatewayRequest], *, hopped: bool
+    ) -> Callable[[HttpRequest], Coroutine[Any, Any, HTTPResponse | None]]:
+        async def handle(http: HttpRequest) -> HTTPResponse | None:
+            return await self._serve(http, lambda: parse(http, hopped=hopped))
+
+        return handle
+
+    def _service_handler(
+        self, *, hopped: bool
+    ) -> Callable[[HttpRequest, str, str], Coroutine[Any, Any, HTTPResponse | None]]:
+        async def handle(
+            http: HttpRequest, service: str, path: str
+        ) -> HTTPResponse | None:
+            return await self._serve(
+                http,
+                lambda: self._parser.parse_service(http, service, path, hopped=hopped),
+            )
+
+        return handle
+
+    async def _serve(
+        self, http: HttpRequest, parse: Callable[[], GatewayRequest]
+    ) -> HTTPResponse | None:
+        self.in_progress += 1
+        request_id = RequestId("")
+        sink: HttpSink | None = None
+        try:
+            self._refuse_when_leaving()
+            req = parse()
+            request_id = req.id
+            sink = HttpSink(http=http, request_id=req.id)
+            await self._dispatcher.serve(req, sink)
+            return None
+        except RequestFailure as exc:
+            log_event(
+                Event.REQUEST_REFUSED,
+                request_id=request_id,
+                reason=exc.reason.slug,
+                verdict=exc.verdict.value,
+            )
+            if sink is None or not sink.started:
+                return problem_response(exc, request_id)
+            await _end_with_error(sink, exc, request_id)
+            return None
+        finally:
+            self.in_progress -= 1
+
+    def _refuse_when_leaving(self) -> None:
+        if self.leaving:
+            raise RequestFailure(
+                reason=Reason.LEAVING,
+                detail="this entry VM takes no new requests; ask another one",
+                verdict=Verdict.NOT_RUN,
+                retry_after_seconds=0.0,
+            )
+
+    async def _models(self, http: HttpRequest) -> HTTPResponse:
+        try:
+            customer = self._parser.customer(http, None)
+        except RequestFailure as exc:
+            return problem_response(exc, RequestId(""))
+        cards = [ModelCard(id=model) for model in customer.models]
+        return _json_response(ModelList(data=cards))
+
+    async def _entries(self, http: HttpRequest) -> HTTPResponse:
+        entry = self._cfg.entry
+        choices = [
+            EntryChoice(
+                id=EntryId(vm.id),
+                address=vm.caller_address,
+                region=vm.region,
+                zone=vm.zone,
+                weight=1.0,
+            )
+            for vm in self._fleet.entries(entry.region)
+        ]
+        return _json_response(
+            EntryList(
+                revision=self._view.number,
+                lifetime_seconds=self._cfg.callers.entries_lifetime_seconds,
+                entries=choices,
+            )
+        )
+
+
+def problem_response(exc: RequestFailure, request_id: RequestId) -> HTTPResponse:
+    """Return the problem document of `exc` as an HTTP response."""
+    headers = {"X-Verdict": exc.verdict.value, REQUEST_ID_HEADER: request_id}
+    if exc.retry_after_seconds is not None:
+        headers["Retry-After"] = str(max(1, round(exc.retry_after_seconds)))
+    return HTTPResponse(
+        msgspec.json.encode(exc.problem(request_id=request_id)),
+        status=exc.reason.status,
+        content_type=PROBLEM_TYPE,
+        headers=headers,
+    )
+
+
+async def _end_with_error(
+    sink: HttpSink, exc: RequestFailure, request_id: RequestId
+) -> None:
+    problem = msgspec.json.encode(exc.problem(request_id=request_id))
+    await sink.write(b"event: error\ndata: " + problem + b"\n\n")
+    await sink.finish()
+
+
+async def _answer_error(http: HttpRequest, exc: Exception) -> HTTPResponse:
+    status = exc.status_code if isinstance(exc, SanicException) else 500
+    reason = _REASONS_BY_STATUS.get(status, Reason.INTERNAL)
+    if reason is Reason.INTERNAL:
+        log_event(Event.REQUEST_ERROR, error=repr(exc))
+        failure = RequestFailure(
+            reason=reason,
+            detail="unexpected error in the gateway",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+    else:
+        failure = RequestFailure(
+            reason=reason, detail=str(exc), verdict=Verdict.NOT_RUN
+        )
+    return problem_response(failure, RequestId(""))
+
+
+def _json_response(value: msgspec.Struct) -> HTTPResponse:
+    return HTTPResponse(msgspec.json.encode(value), content_type="application/json")
--- /dev/null
+++ b/pimentospool/callers/_parsing.py
@@ -0,0 +1,194 @@
+"""From an HTTP request to a verified gateway request."""
+
+import asyncio
+import hashlib
+import hmac
+import uuid
+from typing import TypeVar
+
+import msgspec
+from sanic import Request as HttpRequest
+
+from pimentospool._generated.callers import (
+    ChatRequest,
+    CompletionRequest,
+    HopHeader,
+)
+from pimentospool._generated.manifest import Customer
+from pimentospool._generated.settings import CallerSettings
+from pimentospool.errors import Reason, RequestFailure
+from pimentospool.hops import HOP_HEADER, HopSigner
+from pimentospool.ids import ModelId, OperationId, RequestId, ServiceId
+from pimentospool.prompts import count_tokens, prefix_blocks, prompt_text
+from pimentospool.requests import GatewayRequest, RequestKind
+from pimentospool.verdicts import Verdict
+from pimentospool.views import View
+
+T = TypeVar("T")
+OPERATION_HEADER = "Operation-Id"
+DEADLINE_HEADER = "X-Deadline-Seconds"
+DEFAULT_MAX_TOKENS = 16
+_BEARER = "Bearer "
+
+
+class RequestParser:
+    """Verifies HTTP requests of callers and hops.
+
+    Parameters
+    ----------
+    cfg : CallerSettings
+        Bounds on what callers send.
+    signer : HopSigner
+        Verifies hop headers.
+    view : View
+        Configuration in force.
+    """
+
+    def __init__(self, *, cfg: CallerSettings, signer: HopSigner, view: View) -> None:
+        self._cfg = cfg
+        self._signer = signer
+        self._view = view
+
+    def parse_chat(self, http: HttpRequest, *, hopped: bool) -> GatewayRequest:
+        """Return the request of ``/v1/chat/completions``."""
+        body = _decode(http.body, ChatRequest)
+        limit = body.max_completion_tokens or body.max_tokens
+        return self._parse_model(http, body, limit, hopped=hopped)
+
+    def parse_completion(self, http: HttpRequest, *, hopped: bool) -> GatewayRequest:
+        """Return the request of ``/v1/completions``."""
+        body = _decode(http.body, CompletionRequest)
+        return self._parse_model(http, body, body.max_tokens, hopped=hopped)
+
+    def parse_service(
+        self, http: HttpRequest, service: str, path: str, *, hopped: bool
+    ) -> GatewayRequest:
+        """Return the request of a plain service's call."""
+        hop = self._verify_hop(http) if hopped else None
+        customer = self.customer(http, hop)
+        service_id = ServiceId(service)
+        if service_id not in customer.services:
+            raise _refuse(
+                Reason.UNKNOWN_SERVICE, f"no service {service!r} for this key"
+            )
+        call = self._view.index.call_of(service_id, path, http.method)
+        if call is None:
+            raise _refuse(Reason.UNKNOWN_PATH, f"{service} has no {http.method} {path}")
+        operation = http.headers.get(OPERATION_HEADER)
+        return GatewayRequest(
+            id=_request_id(hop),
+            customer=customer,
+            kind=RequestKind.SERVICE,
+            method=http.method,
+            path=path,
+            body=http.body,
+            content_type=http.headers.get("Content-Type", "application/json"),
+            deadline=self._deadline(http, hop, call.timeout_seconds),
+            idempotent=call.idempotent,
+            service=service_id,
+            call=call,
+            operation_id=OperationId(operation) if operation else None,
+            hop=hop,
+        )
+
+    def customer(self, http: HttpRequest, hop: HopHeader | None) -> Customer:
+        """Return the customer that sent the request.
+
+        Raises
+        ------
+        RequestFailure
+            If the key, or the customer of the hop, is not known.
+        """
+        if hop is not None:
+            known = self._view.index.customers.get(hop.customer)
+        else:
+            known = self._customer_of_key(http.headers.get("Authorization", ""))
+        if known is None:
+            raise _refuse(Reason.UNKNOWN_KEY, "the bearer key is missing or not known")
+        return known
+
+    def _customer_of_key(self, authorization: str) -> Customer | None:
+        if not authorization.startswith(_BEARER):
+            return None
+        key = authorization.removeprefix(_BEARER).encode()
+        digest = hashlib.sha256(key).hexdigest()
+        customer = self._view.index.customer_of(digest)
+        if customer is None:
+            return None
+        matches = [hmac.compare_digest(digest, known) for known in customer.key_digests]
+        return customer if any(matches) else None
+
+    def _parse_model(
+        self,
+        http: HttpRequest,
+        body: ChatRequest | CompletionRequest,
+        max_tokens: int | None,
+        *,
+        hopped: bool,
+    ) -> GatewayRequest:
+        hop = self._verify_hop(http) if hopped else None
+        customer = self.customer(http, hop)
+        name, _, adapter = body.model.partition(":")
+        model = ModelId(name)
+        if model not in customer.models:
+            raise _refuse(Reason.UNKNOWN_MODEL, f"no model {name!r} for this key")
+        text = prompt_text(body)
+        return GatewayRequest(
+            id=_request_id(hop),
+            customer=customer,
+            kind=RequestKind.MODEL,
+            method="POST",
+            path=http.path.removeprefix("/hop"),
+            body=http.body,
+            content_type="application/json",
+            deadline=self._deadline(http, hop, self._cfg.default_deadline_seconds),
+            idempotent=True,
+            streamed=body.stream,
+            model=model,
+            adapter=adapter,
+            prompt_tokens=count_tokens(text),
+            max_tokens=max_tokens or DEFAULT_MAX_TOKENS,
+            blocks=tuple(prefix_blocks(text)),
+            hop=hop,
+        )
+
+    def _verify_hop(self, http: HttpRequest) -> HopHeader:
+        hop = self._signer.verify(http.headers.get(HOP_HEADER, ""))
+        if hop is None:
+            raise _refuse(Reason.FORBIDDEN, "the hop is not signed by a peer")
+        if hop.revision > self._view.number:
+            raise _refuse(
+                Reason.STALE_VIEW,
+                "the hop follows a newer configuration than this side",
+            )
+        return hop
+
+    def _deadline(
+        self, http: HttpRequest, hop: HopHeader | None, default: float
+    ) -> float:
+        now = asyncio.get_running_loop().time()
+        if hop is not None:
+            return now + hop.deadline_seconds
+        asked = http.headers.get(DEADLINE_HEADER)
+        if asked is None:
+            return now + default
+        try:
+            return now + min(max(0.0, float(asked)), default)
+        except ValueError as exc:
+            detail = f"{DEADLINE_HEADER} must be a number of seconds"
+            raise _refuse(Reason.BAD_REQUEST, detail) from exc
+
+
+def _decode(data: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise _refuse(Reason.BAD_REQUEST, f"the body is refused: {exc}") from exc
+
+
+def _request_id(hop: HopHeader | None) -> RequestId:
+    return hop.request_id if hop is not None else RequestId(uuid.uuid4().hex)
+
+
+def _refuse(reason: Reason, detail: str) -> RequestFailure:
+    return RequestFailure(reason=reason, detail=detail, verdict=Verdict.NOT_RUN)
--- /dev/null
+++ b/pimentospool/callers/_sinks.py
@@ -0,0 +1,51 @@
+"""Answer sink over a sanic response."""
+
+from sanic import HTTPResponse
+from sanic import Request as HttpRequest
+
+from pimentospool.ids import RequestId
+from pimentospool.targets import REQUEST_ID_HEADER
+
+
+class HttpSink:
+    """Sends an answer as the response to an HTTP request.
+
+    Parameters
+    ----------
+    http : sanic.Request
+        Request that is answered.
+    request_id : RequestId
+        Identifier that the answer carries.
+    """
+
+    def __init__(self, *, http: HttpRequest, request_id: RequestId) -> None:
+        self.started = False
+        self._http = http
+        self._headers: dict[str, str] = {REQUEST_ID_HEADER: request_id}
+        self._resp: HTTPResponse | None = None
+
+    async def whole(self, *, status: int, content_type: str, body: bytes) -> None:
+        """Send a whole answer."""
+        self.started = True
+        resp = HTTPResponse(
+            body, status=status, content_type=content_type, headers=self._headers
+        )
+        await self._http.respond(resp)
+        await resp.eof()
+
+    async def start(self, *, status: int, content_type: str) -> None:
+        """Begin a streamed answer."""
+        self.started = True
+        self._resp = await self._http.respond(
+            status=status, content_type=content_type, headers=self._headers
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of a streamed answer."""
+        assert self._resp is not None
+        await self._resp.send(data)
+
+    async def finish(self) -> None:
+        """End a streamed answer."""
+        assert self._resp is not None
+        await self._resp.eof()
--- /dev/null
+++ b/pimentospool/commands/_check.py
@@ -0,0 +1,32 @@
+"""`pimentospool check`."""
+
+import sys
+from pathlib import Path
+
+import click
+
+from pimentospool.commands._common import EXIT_REFUSED, FILE
+from pimentospool.errors import DocumentErrors
+from pimentospool.manifest import read_manifest
+from pimentospool.settings import read_settings
+
+
+@click.command()
+@click.option("--settings", "settings", type=FILE, multiple=True, help="Settings file.")
+@click.option("--manifest", "manifests", type=FILE, multiple=True, help="Manifest.")
+def check(settings: tuple[Path, ...], manifests: tuple[Path, ...]) -> None:
+    """Check settings files and manifests, and print every fault with its place."""
+    refused = False
+    documents = [(path, read_settings) for path in settings]
+    documents += [(path, read_manifest) for path in manifests]  # type: ignore[misc]
+    for path, read in documents:
+        try:
+            read(path)
+        except DocumentErrors as exc:
+            refused = True
+            for fault in exc.exceptions:
+                click.echo(f"{path}: {fault}", err=True)
+        else:
+            click.echo(f"{path}: accepted")
+    if refused:
+        sys.exit(EXIT_REFUSED)
--- /dev/null
+++ b/pimentospool/commands/_common.py
@@ -0,0 +1,39 @@
+"""What several commands share."""
+
+import asyncio
+import sys
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any, NoReturn, TypeVar
+
+import click
+import uvloop
+
+from pimentospool.errors import DocumentErrors
+
+EXIT_FAILED = 1
+EXIT_REFUSED = 2
+T = TypeVar("T")
+
+FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+def run(main: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine on uvloop."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(main)
+
+
+def read_or_exit(read: Callable[[Path], T], path: Path) -> T:
+    """Return what `read` makes of the file, or print its faults and exit with 2."""
+    try:
+        return read(path)
+    except DocumentErrors as exc:
+        exit_refused(path, exc)
+
+
+def exit_refused(path: Path, exc: DocumentErrors) -> NoReturn:
+    """Print every fault of a document and exit with 2."""
+    for fault in exc.exceptions:
+        click.echo(f"{path}: {fault}", err=True)
+    sys.exit(EXIT_REFUSED)
--- /dev/null
+++ b/pimentospool/commands/_entry.py
@@ -0,0 +1,22 @@
+"""`pimentospool entry`."""
+
+from pathlib import Path
+
+import click
+
+from pimentospool.commands._common import FILE, read_or_exit, run
+from pimentospool.entry import run_entry
+from pimentospool.log import open_log
+from pimentospool.settings import read_settings
+
+
+@click.command()
+@click.argument("settings", type=FILE)
+def entry(settings: Path) -> None:
+    """Run one entry process with the SETTINGS file (TOML).
+
+    It serves until SIGTERM or SIGINT; requests in progress then end by themselves.
+    """
+    cfg = read_or_exit(read_settings, settings)
+    open_log(cfg.logs)
+    run(run_entry(cfg))
--- /dev/null
+++ b/pimentospool/dispatch.py
@@ -0,0 +1,236 @@
+"""The way of a request from its verification to its whole answer or refusal."""
+
+import asyncio
+import random
+
+import msgspec
+
+from pimentospool._generated.callers import HopHeader
+from pimentospool._generated.settings import Settings
+from pimentospool.errors import Problem, Reason, RequestFailure
+from pimentospool.fleet import Fleet
+from pimentospool.hops import HOP_HEADER, HOP_PREFIX, HopSigner
+from pimentospool.ids import RegionId, TargetId
+from pimentospool.policy import (
+    RegionRoute,
+    RouteQuery,
+    Router,
+    RouteRefusal,
+    TargetRoute,
+)
+from pimentospool.requests import AnswerSink, GatewayRequest, RequestKind
+from pimentospool.targets import Answer, AttemptFailure, Exchange, ExchangeClient
+from pimentospool.verdicts import Verdict
+from pimentospool.views import View
+
+
+class Dispatcher:
+    """Serves verified requests.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Settings of the entry process.
+    view : View
+        Configuration in force.
+    fleet : Fleet
+        Other entry VMs and leaving targets.
+    router : Router
+        Decides where requests go.
+    client : ExchangeClient
+        Client of targets and other entry VMs.
+    rng : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: Settings,
+        view: View,
+        fleet: Fleet,
+        router: Router,
+        client: ExchangeClient,
+        rng: random.Random,
+    ) -> None:
+        self._cfg = cfg
+        self._view = view
+        self._fleet = fleet
+        self._router = router
+        self._client = client
+        self._rng = rng
+        self._signer = HopSigner(key=cfg.peers.key)
+
+    async def serve(self, req: GatewayRequest, sink: AnswerSink) -> None:
+        """Send the whole answer of `req` to `sink`.
+
+        Raises
+        ------
+        RequestFailure
+            If the request ends without its answer.
+        """
+        self._check_region(req)
+        attempts = _Attempts()
+        while True:
+            route = self._router.choose(self._query(req, attempts))
+            if isinstance(route, RouteRefusal):
+                raise attempts.refusal(route)
+            try:
+                if isinstance(route, TargetRoute):
+                    await self._serve_at_target(req, route, sink)
+                else:
+                    await self._serve_at_region(req, route, sink)
+                return
+            except AttemptFailure as exc:
+                attempts.failed(route, exc)
+                if sink.started or not attempts.may_repeat(req):
+                    raise attempts.failure() from exc
+
+    def _check_region(self, req: GatewayRequest) -> None:
+        region = self._cfg.entry.region
+        if req.hop is not None and region not in req.allowed_regions:
+            raise RequestFailure(
+                reason=Reason.REGION_NOT_ALLOWED,
+                detail=f"region {region} may not see this customer's requests",
+                verdict=Verdict.NOT_RUN,
+            )
+
+    def _query(self, req: GatewayRequest, attempts: "_Attempts") -> RouteQuery:
+        return RouteQuery(
+            allowed_regions=req.allowed_regions,
+            model=req.model,
+            adapter=req.adapter,
+            service=req.service,
+            prompt_tokens=req.prompt_tokens,
+            max_tokens=req.max_tokens,
+            blocks=req.blocks,
+            hopped=req.hop is not None,
+            excluded_targets=frozenset(attempts.targets),
+            excluded_regions=frozenset(attempts.regions) | self._unreachable_regions(),
+        )
+
+    def _unreachable_regions(self) -> frozenset[RegionId]:
+        return frozenset(self._view.index.regions) - self._fleet.regions()
+
+    async def _serve_at_target(
+        self, req: GatewayRequest, route: TargetRoute, sink: AnswerSink
+    ) -> None:
+        target = route.target
+        if req.kind is RequestKind.SERVICE:
+            path = f"/{req.service}/{req.path}"
+        else:
+            path = req.path
+        self._router.request_started(target.id)
+        try:
+            exchange = self._exchange(req, f"http://{target.address}{path}")
+            async with self._client.open(exchange) as answer:
+                await _relay(req, answer, sink)
+        finally:
+            self._router.request_finished(target.id)
+
+    async def _serve_at_region(
+        self, req: GatewayRequest, route: RegionRoute, sink: AnswerSink
+    ) -> None:
+        peers = self._fleet.entries(route.region)
+        if not peers:
+            raise AttemptFailure(
+                detail=f"no entry VM of {route.region} is live", verdict=Verdict.NOT_RUN
+            )
+        peer = self._rng.choice(peers)
+        if req.kind is RequestKind.SERVICE:
+            path = f"/v1/services/{req.service}/{req.path}"
+        else:
+            path = req.path
+        exchange = self._exchange(
+            req, f"http://{peer.caller_address}{HOP_PREFIX}{path}"
+        )
+        exchange.headers[HOP_HEADER] = self._signer.sign(self._hop_header(req))
+        async with self._client.open(exchange) as answer:
+            if answer.content_type.startswith("application/problem+json"):
+                raise await _hop_failure(answer)
+            await _relay(req, answer, sink)
+
+    def _hop_header(self, req: GatewayRequest) -> HopHeader:
+        return HopHeader(
+            request_id=req.id,
+            customer=req.customer.id,
+            ingress=self._cfg.entry.id,
+            ingress_region=self._cfg.entry.region,
+            revision=self._view.number,
+            deadline_seconds=self._remaining(req),
+        )
+
+    def _exchange(self, req: GatewayRequest, url: str) -> Exchange:
+        headers = {"Content-Type": req.content_type, "X-Request-Id": req.id}
+        if req.operation_id is not None:
+            headers["Operation-Id"] = req.operation_id
+        return Exchange(
+            method=req.method,
+            url=url,
+            headers=headers,
+            body=req.body,
+            request_id=req.id,
+            timeout_seconds=self._remaining(req),
+            repeatable=req.idempotent,
+        )
+
+    def _remaining(self, req: GatewayRequest) -> float:
+        return max(0.0, req.deadline - asyncio.get_running_loop().time())
+
+
+class _Attempts:
+    """Failed attempts of one request."""
+
+    def __init__(self) -> None:
+        self.targets: set[TargetId] = set()
+        self.regions: set[RegionId] = set()
+        self._verdict = Verdict.NOT_RUN
+        self._detail = ""
+
+    def failed(self, route: TargetRoute | RegionRoute, exc: AttemptFailure) -> None:
+        if isinstance(route, TargetRoute):
+            self.targets.add(route.target.id)
+        else:
+            self.regions.add(route.region)
+        self._verdict = self._verdict.merge(exc.verdict)
+        self._detail = exc.detail
+
+    def may_repeat(self, req: GatewayRequest) -> bool:
+        return self._verdict is Verdict.NOT_RUN or req.idempotent
+
+    def failure(self) -> RequestFailure:
+        return RequestFailure(
+            reason=Reason.TARGET_FAILED, detail=self._detail, verdict=self._verdict
+        )
+
+    def refusal(self, route: RouteRefusal) -> RequestFailure:
+        return RequestFailure(
+            reason=route.reason,
+            detail=self._detail or route.detail,
+            verdict=self._verdict,
+            retry_after_seconds=route.retry_after_seconds,
+        )
+
+
+async def _relay(req: GatewayRequest, answer: Answer, sink: AnswerSink) -> None:
+    if not req.streamed:
+        body = await answer.body()
+        await sink.whole(
+            status=answer.status, content_type=answer.content_type, body=body
+        )
+        return
+    await sink.start(status=answer.status, content_type=answer.content_type)
+    async for piece in answer.pieces():
+        await sink.write(piece)
+    await sink.finish()
+
+
+async def _hop_failure(answer: Answer) -> AttemptFailure:
+    try:
+        problem = msgspec.json.decode(await answer.body(), type=Problem)
+    except msgspec.DecodeError:
+        return AttemptFailure(
+            detail="the hop answered with no readable problem",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+    return AttemptFailure(detail=problem.detail, verdict=problem.verdict)
--- /dev/null
+++ b/pimentospool/documents.py
@@ -0,0 +1,7 @@
+"""Base type of documents that people write."""
+
+import msgspec
+
+
+class Document(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Struct that refuses keys that its schema does not name."""
--- /dev/null
+++ b/pimentospool/entry.py
@@ -0,0 +1,134 @@
+"""One entry process: its parts and their start and end."""
+
+import asyncio
+import random
+import signal
+
+from pimentospool._generated.platform import RevisionIndex
+from pimentospool._generated.settings import Settings
+from pimentospool.callers import CallerServer
+from pimentospool.dispatch import Dispatcher
+from pimentospool.errors import DocumentErrors
+from pimentospool.fleet import ListedFleet
+from pimentospool.log import Event, log_event
+from pimentospool.platform import PlatformClient, PlatformError
+from pimentospool.policy import Router
+from pimentospool.revisions import Revision, index_digest, unpack_manifest
+from pimentospool.targets import ExchangeClient
+from pimentospool.views import View
+
+_RETRY_SECONDS = 0.5
+
+
+class Entry:
+    """An entry process, without the process.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Checked settings.
+    """
+
+    def __init__(self, *, cfg: Settings) -> None:
+        self.view = View()
+        self.fleet = ListedFleet()
+        self.router = Router(region=cfg.entry.region)
+        self._cfg = cfg
+        self._tasks: list[asyncio.Task[None]] = []
+        self.view.revision_adopted.connect(self._follow_revision)
+
+    async def start(self) -> None:
+        """Start every part and serve callers."""
+        cfg = self._cfg
+        self._platform = PlatformClient(cfg=cfg.platform)
+        self._client = ExchangeClient(cfg=cfg.targets)
+        dispatcher = Dispatcher(
+            cfg=cfg,
+            view=self.view,
+            fleet=self.fleet,
+            router=self.router,
+            client=self._client,
+            rng=random.Random(),
+        )
+        self.callers = CallerServer(
+            cfg=cfg, view=self.view, fleet=self.fleet, dispatcher=dispatcher
+        )
+        self._tasks.append(asyncio.create_task(self._watch_configuration()))
+        self._tasks.append(asyncio.create_task(self._watch_vms()))
+        await self.callers.start()
+        log_event(
+            Event.ENTRY_STARTED, entry=cfg.entry.id, address=cfg.entry.caller_address
+        )
+
+    async def stop(self) -> None:
+        """Take no new requests, end those in progress and stop."""
+        log_event(Event.ENTRY_LEAVING, entry=self._cfg.entry.id)
+        await self.callers.drain()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.callers.close()
+        await self._client.close()
+        await self._platform.close()
+        log_event(Event.ENTRY_STOPPED, entry=self._cfg.entry.id)
+
+    def _follow_revision(self, revision: Revision) -> None:
+        self.router.set_manifest(self.view.index)
+        log_event(
+            Event.REVISION_ADOPTED, revision=revision.number, digest=revision.digest
+        )
+
+    async def _watch_configuration(self) -> None:
+        version = 0
+        while True:
+            try:
+                published = await self._platform.watch_index(after=version)
+                if published is None:
+                    continue
+                version = published.version
+                await self._read_revision(published.index)
+            except PlatformError as exc:
+                log_event(Event.PLATFORM_UNREACHABLE, error=str(exc))
+                await asyncio.sleep(_RETRY_SECONDS)
+
+    async def _read_revision(self, index: RevisionIndex) -> None:
+        if index.revision <= self.view.number:
+            return
+        parts = {
+            ref.digest: await self._platform.read_part(ref.digest)
+            for ref in index.parts
+        }
+        try:
+            manifest = unpack_manifest(index, parts)
+        except DocumentErrors as exc:
+            faults = [str(fault) for fault in exc.exceptions]
+            log_event(Event.REVISION_REFUSED, revision=index.revision, faults=faults)
+            return
+        revision = Revision(
+            number=index.revision,
+            digest=index_digest(index),
+            index=index,
+            manifest=manifest,
+        )
+        self.view.adopt(revision)
+
+    async def _watch_vms(self) -> None:
+        while True:
+            try:
+                self.fleet.update(await self._platform.read_vms())
+                self.router.set_leaving(self.fleet.leaving_targets())
+            except PlatformError as exc:
+                log_event(Event.PLATFORM_UNREACHABLE, error=str(exc))
+            await asyncio.sleep(self._cfg.platform.vm_list_interval_seconds)
+
+
+async def run_entry(cfg: Settings) -> None:
+    """Run an entry process until SIGTERM or SIGINT, then end gracefully."""
+    entry = Entry(cfg=cfg)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await entry.start()
+    await stopping.wait()
+    await entry.stop()
--- /dev/null
+++ b/pimentospool/ids.py
@@ -0,0 +1,13 @@
+"""Identifier types."""
+
+from typing import NewType
+
+RegionId = NewType("RegionId", str)
+ZoneId = NewType("ZoneId", str)
+EntryId = NewType("EntryId", str)
+TargetId = NewType("TargetId", str)
+ModelId = NewType("ModelId", str)
+ServiceId = NewType("ServiceId", str)
+CustomerId = NewType("CustomerId", str)
+RequestId = NewType("RequestId", str)
+OperationId = NewType("OperationId", str)
--- /dev/null
+++ b/pimentospool/log.py
@@ -0,0 +1,78 @@
+"""Structured log with numbered events.
+
+Every event has a number that never changes; ``docs/events.md`` lists them all.
+"""
+
+import sys
+from enum import Enum
+from typing import Any
+
+import logbook
+import msgspec
+
+from pimentospool._generated.settings import LogSettings
+
+logger = logbook.Logger("pimentospool")
+
+
+class Event(Enum):
+    """Numbered log events: ``(number, level, message)``."""
+
+    ENTRY_STARTED = (1001, logbook.INFO, "entry process serves callers")
+    ENTRY_LEAVING = (1002, logbook.NOTICE, "entry process takes no new requests")
+    ENTRY_STOPPED = (1003, logbook.INFO, "entry process stopped")
+    ENTRY_DRAIN_EXPIRED = (1004, logbook.ERROR, "requests were cut at the drain limit")
+    SETTINGS_REFUSED = (1005, logbook.ERROR, "settings refused")
+    REQUEST_REFUSED = (2001, logbook.INFO, "request refused")
+    REQUEST_FAILED = (2002, logbook.WARNING, "request failed")
+    REQUEST_ERROR = (2003, logbook.ERROR, "unexpected error in a request")
+    REVISION_ADOPTED = (3001, logbook.NOTICE, "configuration revision in force")
+    REVISION_REFUSED = (3002, logbook.ERROR, "configuration revision refused")
+    PLATFORM_UNREACHABLE = (3003, logbook.WARNING, "configuration service unreachable")
+    PLATFORM_BACK = (3004, logbook.NOTICE, "configuration service reachable again")
+
+    @property
+    def number(self) -> int:
+        """Number that identifies the event."""
+        return self.value[0]
+
+    @property
+    def level(self) -> int:
+        """Level at which the event is logged."""
+        return self.value[1]
+
+    @property
+    def message(self) -> str:
+        """Fixed text of the event."""
+        return self.value[2]
+
+
+def log_event(event: Event, **fields: Any) -> None:
+    """Log `event` with its fields; values must be of types that JSON holds."""
+    logger.log(event.level, event.message, extra={"event": event, "fields": fields})
+
+
+def _format_record(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    event = record.extra["event"]
+    line = {
+        "time": record.time.isoformat(timespec="milliseconds"),
+        "level": record.level_name,
+        "event": event.number if event else 0,
+        "name": event.name if event else record.channel,
+        "message": record.message,
+    }
+    line.update(record.extra["fields"] or {})
+    return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def open_log(cfg: LogSettings) -> logbook.Handler:
+    """Return the handler that writes one JSON object a line, already pushed."""
+    level = logbook.lookup_level(cfg.level)
+    handler: logbook.Handler
+    if cfg.file:
+        handler = logbook.FileHandler(cfg.file, level=level)
+    else:
+        handler = logbook.StreamHandler(sys.stderr, level=level)
+    handler.formatter = _format_record
+    handler.push_application()
+    return handler
--- /dev/null
+++ b/pimentospool/requests.py
@@ -0,0 +1,68 @@
+"""A caller's request on its way through the gateway."""
+
+from enum import Enum
+from typing import Protocol
+
+import msgspec
+
+from pimentospool._generated.callers import HopHeader
+from pimentospool._generated.manifest import Customer, ServiceCall
+from pimentospool.ids import ModelId, OperationId, RegionId, RequestId, ServiceId
+
+
+class RequestKind(Enum):
+    """What serves a request."""
+
+    MODEL = "model"
+    SERVICE = "service"
+
+
+class GatewayRequest(msgspec.Struct, kw_only=True):
+    """A verified request; `deadline` is in seconds of the loop's clock."""
+
+    id: RequestId
+    customer: Customer
+    kind: RequestKind
+    method: str
+    path: str
+    body: bytes
+    content_type: str
+    deadline: float
+    idempotent: bool
+    streamed: bool = False
+    model: ModelId | None = None
+    adapter: str = ""
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    blocks: tuple[str, ...] = ()
+    service: ServiceId | None = None
+    call: ServiceCall | None = None
+    operation_id: OperationId | None = None
+    hop: HopHeader | None = None
+
+    @property
+    def allowed_regions(self) -> frozenset[RegionId]:
+        """Regions that may see the request and its data."""
+        return frozenset(self.customer.allowed_regions)
+
+
+class AnswerSink(Protocol):
+    """Where an answer goes: the caller, or the entry VM that sent a hop."""
+
+    started: bool
+
+    async def whole(self, *, status: int, content_type: str, body: bytes) -> None:
+        """Send a whole answer."""
+        ...
+
+    async def start(self, *, status: int, content_type: str) -> None:
+        """Begin a streamed answer."""
+        ...
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of a streamed answer."""
+        ...
+
+    async def finish(self) -> None:
+        """End a streamed answer."""
+        ...
--- /dev/null
+++ b/pimentospool/standins/__init__.py
@@ -0,0 +1,22 @@
+"""Small stand-ins of the systems around the gateway, for tests and demos."""
+
+from pimentospool.standins._configuration import ConfigurationService
+from pimentospool.standins._deployment import StandinDeployment
+from pimentospool.standins._directory import Directory, VmListService
+from pimentospool.standins._engine import EngineProfile, ModelEngine
+from pimentospool.standins._server import StandinServer, serve_standin
+from pimentospool.standins._service import PlainService
+from pimentospool.standins._weights import WeightStore
+
+__all__ = [
+    "ConfigurationService",
+    "Directory",
+    "EngineProfile",
+    "ModelEngine",
+    "PlainService",
+    "StandinDeployment",
+    "StandinServer",
+    "VmListService",
+    "WeightStore",
+    "serve_standin",
+]
--- /dev/null
+++ b/pimentospool/standins/_prefix_cache.py
@@ -0,0 +1,92 @@
+"""Prefix cache of the engine stand-in, with late and gappy events."""
+
+import random
+import time
+from collections import OrderedDict, deque
+
+import msgspec
+
+from pimentospool._generated.engine import CacheEvent, CacheEvents
+
+_KEPT_EVENTS = 4096
+
+
+class _TimedEvent(msgspec.Struct):
+    visible_at: float
+    event: CacheEvent
+
+
+class PrefixCache:
+    """Least-recently-used cache of prompt blocks.
+
+    Parameters
+    ----------
+    capacity : int
+        Blocks held.
+    event_delay_seconds : float
+        Time after which an event can be read.
+    event_loss : float
+        Share of events that are never published.
+    rng : random.Random
+        Source of losses.
+    """
+
+    def __init__(
+        self,
+        *,
+        capacity: int,
+        event_delay_seconds: float,
+        event_loss: float,
+        rng: random.Random,
+    ) -> None:
+        self._capacity = capacity
+        self._event_delay_seconds = event_delay_seconds
+        self._event_loss = event_loss
+        self._rng = rng
+        self._blocks: OrderedDict[str, None] = OrderedDict()
+        self._events: deque[_TimedEvent] = deque(maxlen=_KEPT_EVENTS)
+        self._sequence = 0
+
+    def match(self, blocks: list[str]) -> int:
+        """Return how many leading blocks are held, and mark them as used."""
+        hits = 0
+        for block in blocks:
+            if block not in self._blocks:
+                break
+            self._blocks.move_to_end(block)
+            hits += 1
+        return hits
+
+    def store(self, blocks: list[str]) -> None:
+        """Hold `blocks`, evicting the least recently used ones."""
+        for block in blocks:
+            if block not in self._blocks:
+                self._publish(block, stored=True)
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self._capacity:
+            evicted, _ = self._blocks.popitem(last=False)
+            self._publish(evicted, stored=False)
+
+    def export(self) -> list[str]:
+        """Return the held blocks, least recently used first."""
+        return list(self._blocks)
+
+    def events_after(self, sequence: int) -> CacheEvents:
+        """Return the visible events from `sequence` on."""
+        now = time.monotonic()
+        events = [
+            item.event
+            for item in self._events
+            if item.event.sequence >= sequence and item.visible_at <= now
+        ]
+        following = events[-1].sequence + 1 if events else sequence
+        return CacheEvents(events=events, next=following)
+
+    def _publish(self, block: str, *, stored: bool) -> None:
+        self._sequence += 1
+        if self._rng.random() < self._event_loss:
+            return
+        event = CacheEvent(sequence=self._sequence, stored=stored, block=block)
+        visible_at = time.monotonic() + self._event_delay_seconds
+        self._events.append(_TimedEvent(visible_at, event))
--- /dev/null
+++ b/tools/generate.py
@@ -0,0 +1,96 @@
+"""Generates typed structs from the JSON Schemas; ``--check`` only compares."""
+
+import argparse
+import json
+import sys
+import tempfile
+import warnings
+from pathlib import Path
+from typing import Any
+
+from datamodel_code_generator import (
+    DataModelType,
+    InputFileType,
+    PythonVersion,
+    generate,
+)
+
+ROOT = Path(__file__).resolve().parent.parent / "pimentospool"
+SCHEMAS = ROOT / "schema"
+OUTPUT = ROOT / "_generated"
+
+
+def require_defaulted(node: Any) -> Any:
+    """Mark every property with a default as required.
+
+    The generator then makes a plain field with that default, and no union with a
+    type for absent values.
+    """
+    if isinstance(node, list):
+        return [require_defaulted(item) for item in node]
+    if not isinstance(node, dict):
+        return node
+    node = {name: require_defaulted(value) for name, value in node.items()}
+    properties = node.get("properties", {})
+    defaulted = [
+        name
+        for name, value in properties.items()
+        if isinstance(value, dict) and "default" in value
+    ]
+    if defaulted:
+        node["required"] = [*node.get("required", []), *defaulted]
+    return node
+
+
+def generate_module(schema: Path, output: Path) -> None:
+    """Write the structs of one schema to `output`."""
+    raw = json.loads(schema.read_text())
+    strict = raw.get("additionalProperties") is False
+    generate(
+        json.dumps(require_defaulted(raw)),
+        input_file_type=InputFileType.JsonSchema,
+        input_filename=schema.name,
+        output=output,
+        output_model_type=DataModelType.MsgspecStruct,
+        target_python_version=PythonVersion.PY_311,
+        disable_timestamp=True,
+        field_constraints=True,
+        use_annotated=True,
+        use_schema_description=True,
+        use_standard_collections=True,
+        use_union_operator=True,
+        use_title_as_name=True,
+        set_default_enum_member=True,
+        capitalise_enum_members=True,
+        keyword_only=True,
+        apply_default_values_for_required_fields=True,
+        base_class="pimentospool.documents.Document" if strict else "msgspec.Struct",
+        use_default_kwarg=True,
+        use_double_quotes=True,
+    )
+
+
+def main() -> int:
+    """Generate every module, or say which are not current."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true")
+    warnings.simplefilter("ignore", FutureWarning)
+    check = parser.parse_args().check
+    stale = []
+    for schema in sorted(SCHEMAS.glob("*.json")):
+        target = OUTPUT / f"{schema.stem}.py"
+        with tempfile.TemporaryDirectory() as folder:
+            fresh = Path(folder) / target.name
+            generate_module(schema, fresh)
+            text = fresh.read_text()
+        if not check:
+            target.write_text(text)
+        elif not target.exists() or target.read_text() != text:
+            stale.append(target.name)
+    if stale:
+        print("not current, run make generate:", ", ".join(stale))
+    return 1 if stale else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
