--- /dev/null
+++ b/pimentospool/drill/_processes.py
@@ -0,0 +1,98 @@
+"""Real entry processes, started and signalled by a drill or a test."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+import aiohttp
+
+from pimentospool._generated.settings import Settings
+from pimentospool.settings import encode_settings
+
+_ROOT = Path(__file__).resolve().parents[2]
+_READY_SECONDS = 20.0
+_POLL_SECONDS = 0.05
+
+
+class EntryProcess:
+    """One ``pimentospool entry`` process.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Settings of the entry process.
+    folder : Path
+        Where its settings file and its log are written.
+    """
+
+    def __init__(self, *, cfg: Settings, folder: Path) -> None:
+        self.cfg = cfg
+        self._folder = folder
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def log_path(self) -> Path:
+        """Path of the process's log."""
+        return self._folder / f"{self.cfg.entry.id}.log"
+
+    async def start(self) -> None:
+        """Start the process; it is not ready yet."""
+        path = self._folder / f"{self.cfg.entry.id}.toml"
+        path.write_bytes(encode_settings(self.cfg))
+        with self.log_path.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "pimentospool",
+                "entry",
+                str(path),
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONPATH": str(_ROOT)},
+            )
+
+    async def wait_ready(self) -> None:
+        """Wait until the process answers callers with a revision in force."""
+        url = f"http://{self.cfg.entry.caller_address}/v1/entries"
+        async with asyncio.timeout(_READY_SECONDS), aiohttp.ClientSession() as session:
+            while True:
+                try:
+                    async with session.get(url) as resp:
+                        if (await resp.json())["revision"]:
+                            return
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(_POLL_SECONDS)
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        self._send(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        """Let a frozen process go on."""
+        self._send(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process to end gracefully."""
+        self._send(signal.SIGTERM)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._send(signal.SIGKILL)
+
+    async def wait(self) -> int:
+        """Wait for the end of the process and return its exit code."""
+        assert self._process is not None
+        return await self._process.wait()
+
+    async def close(self) -> None:
+        """End the process at once if it still runs."""
+        if self._process is not None and self._process.returncode is None:
+            self.kill()
+            await self.wait()
+
+    def _send(self, number: signal.Signals) -> None:
+        assert self._process is not None
+        self._process.send_signal(number)
