--- a/pimentospool/_generated/manifest.py
+++ b/pimentospool/_generated/manifest.py
@@ -17,8 +17,19 @@
     """
 
     tail_latency: Annotated[
-        float, Meta(description="Factor on expected time to first token.", ge=0.0)
+        float,
+        Meta(
+            description="Factor on a short request's expected time to first token.",
+            ge=0.0,
+        ),
     ] = 1.0
+    long_latency: Annotated[
+        float,
+        Meta(
+            description="Factor on a long request's expected time to first token.",
+            ge=0.0,
+        ),
+    ] = 0.25
     cost_ms: Annotated[
         float,
         Meta(description="Milliseconds charged per unit of a region's cost.", ge=0.0),
--- /dev/null
+++ b/pimentospool/policy/_routes.py
@@ -0,0 +1,68 @@
+"""Questions to the router and its answers."""
+
+import msgspec
+
+from pimentospool.errors import Reason
+from pimentospool.ids import ModelId, RegionId, ServiceId, TargetId
+from pimentospool.manifest import Target
+from pimentospool.policy._scores import RouteReason, Score
+
+
+class RouteQuery(msgspec.Struct, kw_only=True, frozen=True):
+    """What routing knows of a request."""
+
+    allowed_regions: frozenset[RegionId]
+    model: ModelId | None = None
+    adapter: str = ""
+    service: ServiceId | None = None
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    blocks: tuple[str, ...] = ()
+    hopped: bool = False
+    excluded_targets: frozenset[TargetId] = frozenset()
+    excluded_regions: frozenset[RegionId] = frozenset()
+    remaining_seconds: float | None = None
+
+    @property
+    def pool(self) -> str:
+        """Name of the pool that serves the request: its model or service."""
+        return self.service or self.model or ""
+
+
+class _Explained(msgspec.Struct, kw_only=True, frozen=True):
+    reason: RouteReason
+    scores: tuple[Score, ...] = ()
+
+    @property
+    def explanation(self) -> str:
+        """The reason and the score of each candidate, best first."""
+        ranked = sorted(self.scores, key=lambda score: score.total_ms)
+        return "; ".join([self.reason.value, *map(str, ranked)])
+
+
+class TargetRoute(_Explained, kw_only=True, frozen=True):
+    """Serve at a target of the own region."""
+
+    target: Target
+    score: Score
+
+
+class RegionRoute(_Explained, kw_only=True, frozen=True):
+    """Send one hop to an entry VM of another region."""
+
+    region: RegionId
+    score: Score
+
+
+class RouteRefusal(msgspec.Struct, kw_only=True, frozen=True):
+    """No target may serve the request now.
+
+    With `may_wait` set, a target is expected to have room within the request's
+    time; the request may wait for its turn at the entry VM.
+    """
+
+    reason: Reason
+    detail: str
+    retry_after_seconds: float | None = None
+    may_wait: bool = False
+    scores: tuple[Score, ...] = ()
--- a/pimentospool/policy/_routing.py
+++ b/pimentospool/policy/_routing.py
@@ -1,50 +1,32 @@
 """Choice of the target, or of the region, that serves a request."""
 
-from collections import Counter
-from collections.abc import Iterator
-
-import msgspec
+import random
+from collections.abc import Callable, Iterable
 
+from pimentospool._generated.engine import CacheEvents, EngineState, LoadReport
+from pimentospool._generated.loads import RegionSummary
 from pimentospool.errors import Reason
-from pimentospool.ids import ModelId, RegionId, ServiceId, TargetId
-from pimentospool.manifest import ManifestIndex, Target, TargetKind
-
-
-class RouteQuery(msgspec.Struct, kw_only=True, frozen=True):
-    """What routing knows of a request."""
-
-    allowed_regions: frozenset[RegionId]
-    model: ModelId | None = None
-    adapter: str = ""
-    service: ServiceId | None = None
-    prompt_tokens: int = 0
-    max_tokens: int = 0
-    blocks: tuple[str, ...] = ()
-    hopped: bool = False
-    excluded_targets: frozenset[TargetId] = frozenset()
-    excluded_regions: frozenset[RegionId] = frozenset()
-
-
-class TargetRoute(msgspec.Struct, kw_only=True, frozen=True):
-    """Serve at a target of the own region."""
-
-    target: Target
-    explanation: str
-
-
-class RegionRoute(msgspec.Struct, kw_only=True, frozen=True):
-    """Send one hop to an entry VM of another region."""
+from pimentospool.ids import EntryId, RegionId, TargetId
+from pimentospool.manifest import ManifestIndex, Target
+from pimentospool.policy._flights import RegionFlight, TargetFlight
+from pimentospool.policy._health import Circuit
+from pimentospool.policy._knowledge import Knowledge
+from pimentospool.policy._pools import TargetState
+from pimentospool.policy._prefixes import PrefixIndex
+from pimentospool.policy._routes import (
+    RegionRoute,
+    RouteQuery,
+    RouteRefusal,
+    TargetRoute,
+)
+from pimentospool.policy._scores import RouteReason, Score, near_equals
+from pimentospool.policy._scoring import Scorer
+from pimentospool.policy._shares import QuotaShares
+from pimentospool.policy._work import MILLISECONDS
 
-    region: RegionId
-    explanation: str
+RETRY_AFTER_SECONDS = 1.0
 
-
-class RouteRefusal(msgspec.Struct, kw_only=True, frozen=True):
-    """No target may serve the request now."""
-
-    reason: Reason
-    detail: str
-    retry_after_seconds: float | None = None
+Route = TargetRoute | RegionRoute
 
 
 class Router:
@@ -54,68 +36,259 @@
     ----------
     region : RegionId
         Region of the entry VM.
+    entry : EntryId
+        The entry VM.
+    clock : callable
+        Returns monotonic seconds.
+    rng : random.Random
+        Source of random choices.
+    shares : QuotaShares or None
+        Split of quotas, whose claims ride on the summaries.
     """
 
-    def __init__(self, *, region: RegionId) -> None:
+    def __init__(
+        self,
+        *,
+        region: RegionId,
+        entry: EntryId,
+        clock: Callable[[], float],
+        rng: random.Random,
+        shares: QuotaShares | None = None,
+    ) -> None:
         self._region = region
-        self._index: ManifestIndex | None = None
-        self._in_flight: Counter[TargetId] = Counter()
-        self._leaving: frozenset[TargetId] = frozenset()
+        self._entry = entry
+        self._clock = clock
+        self._rng = rng
+        self._shares = shares
+        self._prefixes = PrefixIndex()
+        self._scorer = Scorer(prefixes=self._prefixes)
+        self._known = Knowledge(region=region)
+
+    # Knowledge
 
     def set_manifest(self, index: ManifestIndex) -> None:
         """Route by the manifest behind `index` from now on."""
-        self._index = index
+        self._known.declare(index)
+        self._scorer.prices = self._known.prices
 
     def set_leaving(self, targets: frozenset[TargetId]) -> None:
-        """Give no new request to `targets`."""
-        self._leaving = targets
+        """Give no new request to `targets`; those that returned ramp up."""
+        now = self._clock()
+        for target in self._known.leaving - targets:
+            state = self._known.targets.get(target)
+            if state is not None:
+                self._prefixes.forget(target, now)
+                state.health.returned(now)
+        self._known.leaving = targets
+
+    def set_entry_count(self, count: int) -> None:
+        """Take `count` entry VMs of the own region to send as this one does."""
+        self._scorer.senders = max(1, count)
+
+    def own_targets(self) -> list[Target]:
+        """Return the declared targets of the own region."""
+        return [state.target for state in self._known.targets.values()]
+
+    def take_load(self, target: TargetId, report: LoadReport) -> None:
+        """Take over a load report that just arrived."""
+        state = self._known.targets.get(target)
+        if state is not None:
+            state.work.report(report, self._clock())
+            state.silent = False
+
+    def take_events(self, target: TargetId, events: CacheEvents) -> None:
+        """Take over cache events that just arrived."""
+        self._prefixes.take_events(target, events, self._clock())
+
+    def take_state(self, target: TargetId, engine: EngineState) -> None:
+        """Take over what an engine holds."""
+        state = self._known.targets.get(target)
+        if state is not None:
+            state.engine = engine
+
+    def set_silent(self, target: TargetId) -> None:
+        """Count a target that does not answer; it ramps up when it returns."""
+        state = self._known.targets.get(target)
+        if state is None:
+            return
+        now = self._clock()
+        state.health.failed(now)
+        if not state.silent and state.health.circuit(now) is Circuit.OPEN:
+            state.silent = True
+            self._prefixes.forget(target, now)
+
+    def region_summary(self) -> RegionSummary:
+        """Return what other entry VMs should know of this region."""
+        claims = self._shares.claims() if self._shares is not None else []
+        return RegionSummary(
+            region=self._region,
+            entry=self._entry,
+            pools=self._known.pool_summaries(
+                self._rng, self._scorer.short_share, self._clock()
+            ),
+            claims=claims,
+        )
+
+    def set_region_summary(self, summary: RegionSummary, now: float) -> None:
+        """Take over a summary of another entry VM that arrived at `now`."""
+        if summary.entry == self._entry:
+            return
+        if self._shares is not None:
+            self._shares.take(summary, now)
+        state = self._known.regions.get(summary.region)
+        if state is not None:
+            state.take(summary, now)
+
+    # Decisions
 
     def choose(self, query: RouteQuery) -> TargetRoute | RegionRoute | RouteRefusal:
         """Return where the request goes, or why it goes nowhere."""
-        if self._index is None:
+        if self._known.index is None:
             return RouteRefusal(
                 reason=Reason.NOT_READY, detail="no configuration is in force yet"
             )
-        local = [
-            target
-            for target in self._serving(query)
-            if self._index.region_of(target) == self._region
+        now = self._clock()
+        states = self._local_candidates(query, now)
+        scores = {s.target.id: self._scorer.target(s, query, now) for s in states}
+        away = self._region_scores(query, now)
+        everything = [*scores.values(), *away.values()]
+        if not everything:
+            return self._refuse_unserved(query)
+        best, reason = self._pick(everything)
+        if query.remaining_seconds is not None:
+            late = best.first_ms / MILLISECONDS - query.remaining_seconds
+            if late > 0.0:
+                return _refuse_late(late, everything)
+        if not best.has_room:
+            return _refuse_full(best, everything)
+        self._remember(query, states, scores)
+        listed = tuple(everything)
+        if best.candidate in scores:
+            target = self._known.targets[TargetId(best.candidate)].target
+            return TargetRoute(target=target, score=best, reason=reason, scores=listed)
+        if not scores:
+            reason = RouteReason.NOT_SERVED_HERE
+        region = RegionId(best.candidate)
+        return RegionRoute(region=region, score=best, reason=reason, scores=listed)
+
+    def start(self, route: Route, query: RouteQuery) -> TargetFlight | RegionFlight:
+        """Count a request that goes where `route` says; end it by its methods."""
+        now = self._clock()
+        self._scorer.seen(short=self._scorer.is_short(query))
+        if isinstance(route, RegionRoute):
+            region = self._known.regions[route.region]
+            return RegionFlight(
+                state=region, query=query, prefixes=self._prefixes, clock=self._clock
+            )
+        state = self._known.targets.get(route.target.id)
+        if state is None:
+            state = TargetState(target=route.target, cost=1.0)
+        tokens = max(0.0, query.prompt_tokens - route.score.hit_tokens)
+        self._prefixes.store(route.target.id, query.blocks, now)
+        return TargetFlight(
+            state=state,
+            tokens=tokens,
+            short=self._scorer.is_short(query),
+            clock=self._clock,
+        )
+
+    def _local_candidates(self, query: RouteQuery, now: float) -> list[TargetState]:
+        pool = self._known.pools.get(query.pool)
+        if pool is None or self._region not in query.allowed_regions:
+            return []
+        excluded = query.excluded_targets
+        holders = self._prefixes.holders(query.blocks) if query.blocks else ()
+        drawn = pool.candidates(self._rng, holders, excluded)
+        usable = self._usable(drawn, query, now)
+        if usable:
+            return usable
+        return self._usable(pool.all_candidates(excluded), query, now)
+
+    def _usable(
+        self, states: Iterable[TargetState], query: RouteQuery, now: float
+    ) -> list[TargetState]:
+        leaving = self._known.leaving
+        model = query.model or ""
+        return [
+            state
+            for state in states
+            if state.target.id not in leaving
+            and state.takes_work(now)
+            and (query.model is None or state.holds(model, query.adapter))
         ]
-        if local and self._region in query.allowed_regions:
-            best = min(local, key=lambda target: self._in_flight[target.id])
-            return TargetRoute(target=best, explanation="least requests in flight")
-        if not query.hopped:
-            for region in sorted(self._other_regions(query)):
-                return RegionRoute(region=region, explanation="not served here")
+
+    def _region_scores(self, query: RouteQuery, now: float) -> dict[RegionId, Score]:
+        if query.hopped:
+            return {}
+        scores = {}
+        for region in self._known.regions_of(query.pool):
+            if region not in query.allowed_regions or region in query.excluded_regions:
+                continue
+            state = self._known.regions[region]
+            if state.health.circuit(now) is not Circuit.OPEN:
+                scores[region] = self._scorer.region(state, query, now)
+        return scores
+
+    def _pick(self, scores: list[Score]) -> tuple[Score, RouteReason]:
+        if len(scores) == 1:
+            return scores[0], RouteReason.ONLY_CANDIDATE
+        near = near_equals(scores)
+        if len(near) == 1:
+            best = near[0]
+            most = max(score.hit_tokens for score in scores)
+            if best.hit_tokens and best.hit_tokens == most:
+                return best, RouteReason.PREFIX_HIT
+            return best, RouteReason.LOWEST_SCORE
+        pair = self._rng.sample(near, 2)
+        best = min(pair, key=lambda score: score.total_ms)
+        return best, RouteReason.NEAR_EQUAL
+
+    def _remember(
+        self,
+        query: RouteQuery,
+        states: list[TargetState],
+        scores: dict[TargetId, Score],
+    ) -> None:
+        pool = self._known.pools.get(query.pool)
+        if pool is not None and pool.samples:
+            states.sort(key=lambda state: scores[state.target.id].wait_ms)
+            pool.remember(states)
+
+    def _refuse_unserved(self, query: RouteQuery) -> RouteRefusal:
+        pool = self._known.pools.get(query.pool)
+        busy = pool is not None and any(
+            state.target.id not in query.excluded_targets
+            and state.target.id not in self._known.leaving
+            for state in pool.members
+        )
+        if busy and self._region in query.allowed_regions:
+            return RouteRefusal(
+                reason=Reason.OVERLOADED,
+                detail="every target is at its limit or failed lately",
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+                may_wait=True,
+            )
         return RouteRefusal(
             reason=Reason.NO_TARGET,
             detail="no target in an allowed region can serve the request",
-            retry_after_seconds=1.0,
+            retry_after_seconds=RETRY_AFTER_SECONDS,
         )
 
-    def request_started(self, target: TargetId) -> None:
-        """Count a request in flight at `target`."""
-        self._in_flight[target] += 1
 
-    def request_finished(self, target: TargetId) -> None:
-        """Count a request at `target` as ended."""
-        self._in_flight[target] -= 1
+def _refuse_late(late_seconds: float, scores: list[Score]) -> RouteRefusal:
+    return RouteRefusal(
+        reason=Reason.OVERLOADED,
+        detail="the first token is expected after the deadline",
+        retry_after_seconds=max(RETRY_AFTER_SECONDS, late_seconds),
+        scores=tuple(scores),
+    )
 
-    def _other_regions(self, query: RouteQuery) -> set[RegionId]:
-        assert self._index is not None
-        regions = {self._index.region_of(target) for target in self._serving(query)}
-        regions &= query.allowed_regions
-        return regions - query.excluded_regions - {self._region}
 
-    def _serving(self, query: RouteQuery) -> Iterator[Target]:
-        assert self._index is not None
-        for target in self._index.manifest.targets:
-            if target.id in self._leaving or target.id in query.excluded_targets:
-                continue
-            if query.service is not None:
-                if query.service in target.services:
-                    yield target
-            elif target.kind is TargetKind.ENGINE and query.model is not None:
-                region = self._index.region_of(target)
-                if region in self._index.serving_regions(query.model):
-                    yield target
+def _refuse_full(best: Score, scores: list[Score]) -> RouteRefusal:
+    return RouteRefusal(
+        reason=Reason.OVERLOADED,
+        detail="no target has room for a long request",
+        retry_after_seconds=max(RETRY_AFTER_SECONDS, best.wait_ms / MILLISECONDS),
+        may_wait=True,
+        scores=tuple(scores),
+    )
