Let an operation's owner guard the send and reach a named entry VM

Cause: a non-idempotent call needs a last check that stands directly before the first byte, a hop to one named entry VM, and a verdict for the operation as a whole beside the one for a single attempt; the dispatcher offered none of them. Change: `Exchange.before_sending` runs in the hook that sets the verdict to MAY_HAVE_RUN, `Dispatcher.serve_at_entry` sends to one entry VM, `stays` keeps a request in its region, and problems may carry `attempt_verdict`. Conclusion: no behaviour changes for requests that set none of these.

--- a/pimentospool/dispatch.py
+++ b/pimentospool/dispatch.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import random
+import time
+from functools import partial
 
 import msgspec
 
 from pimentospool._generated.callers import HopHeader
+from pimentospool._generated.platform import VmRecord
 from pimentospool._generated.settings import Settings
 from pimentospool.errors import Problem, Reason, RequestFailure
 from pimentospool.fleet import Fleet
@@ -104,7 +107,7 @@
             prompt_tokens=req.prompt_tokens,
             max_tokens=req.max_tokens,
             blocks=req.blocks,
-            hopped=req.hop is not None,
+            hopped=req.hop is not None or req.stays,
             excluded_targets=frozenset(attempts.targets),
             excluded_regions=frozenset(attempts.regions) | self._unreachable_regions(),
         )
@@ -123,6 +126,10 @@
         self._router.request_started(target.id)
         try:
             exchange = self._exchange(req, f"http://{target.address}{path}")
+            if req.send_guard is not None:
+                exchange.before_sending = partial(
+                    req.send_guard, decided_at=time.monotonic()
+                )
             async with self._client.open(exchange) as answer:
                 await _relay(req, answer, sink)
         finally:
@@ -136,7 +143,18 @@
             raise AttemptFailure(
                 detail=f"no entry VM of {route.region} is live", verdict=Verdict.NOT_RUN
             )
-        peer = self._rng.choice(peers)
+        await self.serve_at_entry(req, self._rng.choice(peers), sink)
+
+    async def serve_at_entry(
+        self, req: GatewayRequest, peer: VmRecord, sink: AnswerSink
+    ) -> None:
+        """Send `req` one hop to the entry VM `peer` and relay its answer.
+
+        Raises
+        ------
+        AttemptFailure
+            If the hop brings no whole answer.
+        """
         if req.kind is RequestKind.SERVICE:
             path = f"/v1/services/{req.service}/{req.path}"
         else:
@@ -233,4 +251,6 @@
             detail="the hop answered with no readable problem",
             verdict=Verdict.MAY_HAVE_RUN,
         )
-    return AttemptFailure(detail=problem.detail, verdict=problem.verdict)
+    return AttemptFailure(
+        detail=problem.detail, verdict=problem.verdict, problem=problem
+    )
--- a/pimentospool/errors.py
+++ b/pimentospool/errors.py
@@ -53,6 +53,7 @@
     METHOD_NOT_ALLOWED = ("method-not-allowed", 405)
     REQUEST_TIMEOUT = ("request-timeout", 408)
     OPERATION_CONFLICT = ("operation-conflict", 409)
+    OPERATION_EXPIRED = ("operation-expired", 410)
     BODY_TOO_LARGE = ("body-too-large", 413)
     HEADERS_TOO_LARGE = ("headers-too-large", 431)
     OPERATION_REQUIRED = ("operation-required", 428)
@@ -100,6 +101,7 @@
     request_id: str
     error: ProblemError
     retry_after_seconds: float | None = None
+    attempt_verdict: Verdict | None = None
 
 
 class RequestFailure(PimentospoolError):
@@ -115,6 +117,9 @@
         Whether the request may have run.
     retry_after_seconds : float or None
         When the caller may usefully ask again.
+    attempt_verdict : Verdict or None
+        For a request of an operation: whether this one request may have run.
+        `verdict` then speaks of the operation as a whole.
     """
 
     def __init__(
@@ -124,12 +129,14 @@
         detail: str,
         verdict: Verdict,
         retry_after_seconds: float | None = None,
+        attempt_verdict: Verdict | None = None,
     ) -> None:
         super().__init__(f"{reason.slug}: {detail} ({verdict.value})")
         self.reason = reason
         self.detail = detail
         self.verdict = verdict
         self.retry_after_seconds = retry_after_seconds
+        self.attempt_verdict = attempt_verdict
 
     def problem(self, *, request_id: str) -> Problem:
         """Return the document that the caller receives."""
@@ -145,4 +152,5 @@
                 message=self.detail, type=reason.slug, code=self.verdict.value
             ),
             retry_after_seconds=self.retry_after_seconds,
+            attempt_verdict=self.attempt_verdict,
         )
--- a/pimentospool/requests.py
+++ b/pimentospool/requests.py
@@ -17,8 +17,32 @@
     SERVICE = "service"
 
 
+class SendGuard(Protocol):
+    """Gives the last permission to send a request to a target."""
+
+    def __call__(self, *, decided_at: float) -> None:
+        """Return if the request may be sent now, otherwise raise.
+
+        Called with no await before the first byte is handed to a socket.
+
+        Parameters
+        ----------
+        decided_at : float
+            When the target was chosen, in seconds of the monotonic clock.
+
+        Raises
+        ------
+        RequestFailure
+            If the request must not be sent any more.
+        """
+        ...
+
+
 class GatewayRequest(msgspec.Struct, kw_only=True):
-    """A verified request; `deadline` is in seconds of the loop's clock."""
+    """A verified request; `deadline` is in seconds of the loop's clock.
+
+    A request with `stays` set is served in the own region or refused.
+    """
 
     id: RequestId
     customer: Customer
@@ -39,6 +63,8 @@
     call: ServiceCall | None = None
     operation_id: OperationId | None = None
     hop: HopHeader | None = None
+    stays: bool = False
+    send_guard: SendGuard | None = None
 
     @property
     def allowed_regions(self) -> frozenset[RegionId]:
--- a/pimentospool/targets/_exchange.py
+++ b/pimentospool/targets/_exchange.py
@@ -1,7 +1,7 @@
 """One HTTP exchange, and what is known of its execution when it fails."""
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from types import SimpleNamespace
 from typing import Any
@@ -10,7 +10,7 @@
 import msgspec
 
 from pimentospool._generated.settings import TargetSettings
-from pimentospool.errors import PimentospoolError
+from pimentospool.errors import PimentospoolError, Problem
 from pimentospool.verdicts import Verdict
 
 NOT_EXECUTED_HEADER = "X-Not-Executed"
@@ -27,16 +27,25 @@
         What failed.
     verdict : Verdict
         Whether the target may have run the request.
+    problem : Problem or None
+        What the entry VM of a hop answered.
     """
 
-    def __init__(self, *, detail: str, verdict: Verdict) -> None:
+    def __init__(
+        self, *, detail: str, verdict: Verdict, problem: Problem | None = None
+    ) -> None:
         super().__init__(f"{detail} ({verdict.value})")
         self.detail = detail
         self.verdict = verdict
+        self.problem = problem
 
 
 class Exchange(msgspec.Struct, kw_only=True):
-    """A request as it is sent to a target or to another entry VM."""
+    """A request as it is sent to a target or to another entry VM.
+
+    `before_sending` is called with no await before the first byte is handed to a
+    socket; what it raises ends the exchange unsent.
+    """
 
     method: str
     url: str
@@ -45,6 +54,7 @@
     request_id: str
     timeout_seconds: float
     repeatable: bool
+    before_sending: Callable[[], None] | None = None
 
 
 class Answer:
@@ -139,7 +149,7 @@
             With the verdict that the failure allows.
         """
         session = self._reusing if exchange.repeatable else self._fresh
-        progress = _SendProgress()
+        progress = _SendProgress(exchange.before_sending)
         resp = await self._send(session, exchange, progress)
         async with resp:
             _check_answer(resp, exchange)
@@ -173,8 +183,14 @@
 class _SendProgress:
     """Whether a byte may have been handed to a socket."""
 
-    def __init__(self) -> None:
+    def __init__(self, before_sending: Callable[[], None] | None) -> None:
         self.verdict = Verdict.NOT_RUN
+        self._before_sending = before_sending
+
+    def sending(self) -> None:
+        if self._before_sending is not None:
+            self._before_sending()
+        self.verdict = Verdict.MAY_HAVE_RUN
 
 
 def _sending_trace() -> aiohttp.TraceConfig:
@@ -183,7 +199,7 @@
     async def sending(
         session: aiohttp.ClientSession, ctx: SimpleNamespace, params: Any
     ) -> None:
-        ctx.trace_request_ctx.verdict = Verdict.MAY_HAVE_RUN
+        ctx.trace_request_ctx.sending()
 
     trace.on_connection_create_end.append(sending)
     trace.on_connection_reuseconn.append(sending)
