Emit one outcome per request and load commands lazily

Cause: metrics need one event per request with its verdict, reason and times, and every command's imports were paid by the entry process. Change: the dispatcher's request_ended signal carries a RequestOutcome; the command line and the new bench group import a command's module when it is used. Conclusion: a test sees one outcome for an answered and for a refused request.

--- /dev/null
+++ b/pimentospool/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches of the gateway, one module each."""
--- a/pimentospool/cli.py
+++ b/pimentospool/cli.py
@@ -3,7 +3,7 @@
 import click
 
 from pimentospool import __version__
-from pimentospool.commands import COMMANDS
+from pimentospool.commands import COMMANDS, LazyGroup
 
 EXIT_CODES = """\b
 Exit codes:
@@ -13,7 +13,13 @@
 """
 
 
-@click.group(epilog=EXIT_CODES, context_settings={"max_content_width": 88})
+@click.group(
+    cls=LazyGroup,
+    module_prefix="pimentospool.commands._",
+    names=COMMANDS,
+    epilog=EXIT_CODES,
+    context_settings={"max_content_width": 88},
+)
 @click.version_option(__version__)
 def main() -> None:
     """Multi-region inference gateway without shared state.
@@ -21,7 +27,3 @@
     Each entry VM runs `pimentospool entry` with its own settings file. The manifest
     is published through the platform's configuration service.
     """
-
-
-for command in COMMANDS:
-    main.add_command(command)
--- a/pimentospool/commands/__init__.py
+++ b/pimentospool/commands/__init__.py
@@ -1,12 +1,13 @@
-"""Commands of the program, one module each."""
+"""Commands of the program, one module each, imported when they are used."""
 
-import click
+from pimentospool.commands._lazy import LazyGroup
 
-from pimentospool.commands._check import check
-from pimentospool.commands._demo import demo
-from pimentospool.commands._entry import entry
-from pimentospool.commands._standin import standin
+COMMANDS = [
+    "bench",
+    "check",
+    "demo",
+    "entry",
+    "standin",
+]
 
-COMMANDS: list[click.Command] = [check, demo, entry, standin]
-
-__all__ = ["COMMANDS"]
+__all__ = ["COMMANDS", "LazyGroup"]
--- /dev/null
+++ b/pimentospool/commands/_bench.py
@@ -0,0 +1,14 @@
+"""`pimentospool bench`: the group of benches, each in a module of its own."""
+
+import click
+
+from pimentospool.commands._lazy import LazyGroup
+
+BENCHES: list[str] = []
+
+
+@click.group(
+    cls=LazyGroup, module_prefix="pimentospool.commands._bench_", names=BENCHES
+)
+def bench() -> None:
+    """Measure parts of the gateway; each bench prints and writes its figures."""
--- a/pimentospool/dispatch.py
+++ b/pimentospool/dispatch.py
@@ -11,6 +11,7 @@
 from pimentospool.fleet import Fleet
 from pimentospool.hops import HOP_HEADER, HOP_PREFIX, HopSigner
 from pimentospool.ids import RegionId, TargetId
+from pimentospool.outcomes import OutcomeRecorder, RequestOutcome
 from pimentospool.policy import (
     RegionRoute,
     RouteQuery,
@@ -19,6 +20,7 @@
     TargetRoute,
 )
 from pimentospool.requests import AnswerSink, GatewayRequest, RequestKind
+from pimentospool.signals import Signal
 from pimentospool.targets import Answer, AttemptFailure, Exchange, ExchangeClient
 from pimentospool.verdicts import Verdict
 from pimentospool.views import View
@@ -53,6 +55,7 @@
         client: ExchangeClient,
         rng: random.Random,
     ) -> None:
+        self.request_ended: Signal[RequestOutcome] = Signal(name="request_ended")
         self._cfg = cfg
         self._view = view
         self._fleet = fleet
@@ -69,21 +72,43 @@
         RequestFailure
             If the request ends without its answer.
         """
+        record = OutcomeRecorder(
+            req=req, sink=sink, clock=asyncio.get_running_loop().time
+        )
+        try:
+            await self._serve(req, record)
+            record.verdict = Verdict.RAN
+        except RequestFailure as exc:
+            record.fail(reason=exc.reason, verdict=exc.verdict)
+            raise
+        except asyncio.CancelledError:
+            record.fail(reason=Reason.CALLER_GONE, verdict=_sent_verdict(record))
+            raise
+        except Exception:
+            record.fail(reason=Reason.INTERNAL, verdict=_sent_verdict(record))
+            raise
+        finally:
+            self.request_ended.send(record.outcome())
+
+    async def _serve(self, req: GatewayRequest, record: OutcomeRecorder) -> None:
         self._check_region(req)
         attempts = _Attempts()
         while True:
             route = self._router.choose(self._query(req, attempts))
             if isinstance(route, RouteRefusal):
                 raise attempts.refusal(route)
+            record.attempts += 1
             try:
                 if isinstance(route, TargetRoute):
-                    await self._serve_at_target(req, route, sink)
+                    record.served_by = route.target.id
+                    await self._serve_at_target(req, route, record)
                 else:
-                    await self._serve_at_region(req, route, sink)
+                    record.sent_to = route.region
+                    await self._serve_at_region(req, route, record)
                 return
             except AttemptFailure as exc:
                 attempts.failed(route, exc)
-                if sink.started or not attempts.may_repeat(req):
+                if record.started or not attempts.may_repeat(req):
                     raise attempts.failure() from exc
 
     def _check_region(self, req: GatewayRequest) -> None:
@@ -212,6 +237,10 @@
         )
 
 
+def _sent_verdict(record: OutcomeRecorder) -> Verdict:
+    return Verdict.MAY_HAVE_RUN if record.attempts else Verdict.NOT_RUN
+
+
 async def _relay(req: GatewayRequest, answer: Answer, sink: AnswerSink) -> None:
     if not req.streamed:
         body = await answer.body()
--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -42,7 +42,7 @@
         cfg = self._cfg
         self._platform = PlatformClient(cfg=cfg.platform)
         self._client = ExchangeClient(cfg=cfg.targets)
-        dispatcher = Dispatcher(
+        self.dispatcher = Dispatcher(
             cfg=cfg,
             view=self.view,
             fleet=self.fleet,
@@ -51,7 +51,7 @@
             rng=random.Random(),
         )
         self.callers = CallerServer(
-            cfg=cfg, view=self.view, fleet=self.fleet, dispatcher=dispatcher
+            cfg=cfg, view=self.view, fleet=self.fleet, dispatcher=self.dispatcher
         )
         self._tasks.append(asyncio.create_task(self._watch_configuration()))
         self._tasks.append(asyncio.create_task(self._watch_vms()))
--- a/pimentospool/errors.py
+++ b/pimentospool/errors.py
@@ -68,6 +68,7 @@
     OWNER_GONE = ("owner-gone", 502)
     OUTCOME_UNKNOWN = ("outcome-unknown", 502)
     DEADLINE_EXCEEDED = ("deadline-exceeded", 504)
+    CALLER_GONE = ("caller-gone", 499)
     INTERNAL = ("internal", 500)
 
     @property
--- a/pimentospool/requests.py
+++ b/pimentospool/requests.py
@@ -49,7 +49,10 @@
 class AnswerSink(Protocol):
     """Where an answer goes: the caller, or the entry VM that sent a hop."""
 
-    started: bool
+    @property
+    def started(self) -> bool:
+        """Whether the start of an answer has been sent."""
+        ...
 
     async def whole(self, *, status: int, content_type: str, body: bytes) -> None:
         """Send a whole answer."""
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -9,7 +9,7 @@
 
 from pimentospool.demo import demo_key, wait_ready
 from pimentospool.entry import Entry
-from pimentospool.errors import Problem
+from pimentospool.errors import Problem, Reason
 from pimentospool.manifest import read_manifest
 from pimentospool.standins import StandinDeployment
 from pimentospool.standins._engine import token_text
@@ -19,7 +19,7 @@
 MESSAGES = [{"role": "user", "content": "Which stain is this?"}]
 
 
-async def with_deployment(name, check):
+async def with_deployment(name, check, on_outcome=None):
     manifest = read_manifest(EXAMPLES / name / "manifest.toml")
     deployment = StandinDeployment(manifest=manifest, speed=100.0)
     await deployment.start()
@@ -27,6 +27,8 @@
     entries = [Entry(cfg=cfg) for cfg in settings]
     for entry in entries:
         await entry.start()
+        if on_outcome is not None:
+            entry.dispatcher.request_ended.connect(on_outcome)
     try:
         await wait_ready(entries)
         customer = manifest.customers[0]
@@ -93,3 +95,25 @@
         assert problem.verdict is Verdict.NOT_RUN
 
     runner.run(with_deployment("magnolia", check))
+
+
+def test_every_request_ends_with_one_outcome(runner):
+    async def check(deployment, session, customer):
+        async with session.get("/v1/services/ticketing/tickets/lookup") as resp:
+            body = await resp.read()
+        for service in deployment.services.values():
+            service.refusing = True
+        async with session.get("/v1/services/ticketing/tickets/lookup") as resp:
+            assert resp.status == 503
+        served, refused = outcomes
+        assert served.verdict is Verdict.RAN
+        assert served.reason is None
+        assert served.served_by in deployment.services
+        assert served.answer_bytes == len(body)
+        assert served.first_seconds <= served.total_seconds
+        assert refused.verdict is Verdict.NOT_RUN
+        assert refused.reason is Reason.NO_TARGET
+        assert refused.attempts >= 1
+
+    outcomes = []
+    runner.run(with_deployment("magnolia", check, outcomes.append))
