Wire the admin interface and its status page into the entry process

Cause: the admin server existed but no entry process started it, so operators and scrapers had no page and extensions no place to add one. Change: Entry owns an AdminServer as 'admin' and serves /status, whose fields come from schema/status.json; each process has a 'life' number that is greater than that of an earlier process of the same entry VM. Conclusion: pages such as /metrics are added by entry.admin.add_page.

--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -3,9 +3,12 @@
 import asyncio
 import random
 import signal
+import time
 
 from pimentospool._generated.platform import RevisionIndex
 from pimentospool._generated.settings import Settings
+from pimentospool._generated.status import EntryStatus, RevisionStatus
+from pimentospool.admin import AdminServer
 from pimentospool.callers import CallerServer
 from pimentospool.dispatch import Dispatcher
 from pimentospool.errors import DocumentErrors
@@ -14,6 +17,7 @@
 from pimentospool.platform import PlatformClient, PlatformError
 from pimentospool.policy import Router
 from pimentospool.revisions import Revision, index_digest, unpack_manifest
+from pimentospool.status import STATUS_PATH, status_page
 from pimentospool.targets import ExchangeClient
 from pimentospool.views import View
 
@@ -27,12 +31,21 @@
     ----------
     cfg : Settings
         Checked settings.
+
+    Attributes
+    ----------
+    admin : AdminServer
+        Pages for operators and scrapers; extensions add theirs before `start`.
+    life : int
+        Number of this process's life: its start in microseconds since the epoch.
     """
 
     def __init__(self, *, cfg: Settings) -> None:
+        self.life = time.time_ns() // 1000
         self.view = View()
         self.fleet = ListedFleet()
         self.router = Router(region=cfg.entry.region)
+        self.admin = AdminServer(cfg=cfg.entry)
         self._cfg = cfg
         self._tasks: list[asyncio.Task[None]] = []
         self.view.revision_adopted.connect(self._follow_revision)
@@ -55,6 +68,8 @@
         )
         self._tasks.append(asyncio.create_task(self._watch_configuration()))
         self._tasks.append(asyncio.create_task(self._watch_vms()))
+        self.admin.add_page(STATUS_PATH, lambda: status_page(self.status()))
+        await self.admin.start()
         await self.callers.start()
         log_event(
             Event.ENTRY_STARTED, entry=cfg.entry.id, address=cfg.entry.caller_address
@@ -68,10 +83,24 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.close()
+        await self.admin.close()
         await self._client.close()
         await self._platform.close()
         log_event(Event.ENTRY_STOPPED, entry=self._cfg.entry.id)
 
+    def status(self) -> EntryStatus:
+        """Return what operators see of this process."""
+        entry = self._cfg.entry
+        return EntryStatus(
+            entry=entry.id,
+            region=entry.region,
+            zone=entry.zone,
+            life=self.life,
+            leaving=self.callers.leaving,
+            in_progress=self.callers.in_progress,
+            revision=RevisionStatus(number=self.view.number),
+        )
+
     def _follow_revision(self, revision: Revision) -> None:
         self.router.set_manifest(self.view.index)
         log_event(
