Route by expected time, admit by quota share and follow engines' reports

Cause: routing took the target with the fewest own requests in flight, whatever the engines reported or held, and nothing bounded what a customer may send.

Change: scores in milliseconds from own requests in flight, reports corrected by their age, expected prefix hits, links and the manifest's weights; circuit breaking and slow start; summaries between regions; quotas split by claims; a bounded queue by deadline; retry budgets; a poller of engines' reports. The dispatcher asks them.

--- a/pimentospool/_generated/loads.py
+++ b/pimentospool/_generated/loads.py
@@ -31,13 +31,14 @@
 
 class QuotaClaim(Struct, kw_only=True):
     """
-    Share of a customer's quota that the sender uses.
+    Part of a customer's quota that the sender may use; absent means an even part.
     """
 
     customer: CustomerId
-    share: Annotated[
-        float, Meta(description="Part of the claimable quota, from 0 to 1.")
-    ]
+    share: Annotated[float, Meta(description="Claimed part of the quota, from 0 to 1.")]
+    wanted: Annotated[
+        float, Meta(description="Part that the sender's requests would use.")
+    ] = 0
 
 
 class RegionSummary(Struct, kw_only=True):
--- a/pimentospool/_generated/manifest.py
+++ b/pimentospool/_generated/manifest.py
@@ -201,7 +201,9 @@
     allowed_regions: Annotated[list[RegionId], Meta(min_length=1)]
     models: list[ModelId] = field(default_factory=list)
     services: list[ServiceId] = field(default_factory=list)
-    priority: Annotated[int, Meta(ge=0, le=9)] = 0
+    priority: Annotated[
+        int, Meta(description="0 is refused last under load.", ge=0, le=9)
+    ] = 0
     quota: Quota = field(default_factory=lambda: convert({}, type=Quota))
 
 
--- a/pimentospool/dispatch.py
+++ b/pimentospool/dispatch.py
@@ -10,16 +10,21 @@
 from pimentospool._generated.callers import HopHeader
 from pimentospool._generated.platform import VmRecord
 from pimentospool._generated.settings import Settings
+from pimentospool.admission import Admission
 from pimentospool.errors import Problem, Reason, RequestFailure
 from pimentospool.fleet import Fleet
 from pimentospool.hops import HOP_HEADER, HOP_PREFIX, HopSigner
 from pimentospool.ids import RegionId, TargetId
 from pimentospool.outcomes import OutcomeRecorder, RequestOutcome
 from pimentospool.policy import (
+    RegionFlight,
     RegionRoute,
+    RetryDecision,
+    RetryPolicy,
     RouteQuery,
     Router,
     RouteRefusal,
+    TargetFlight,
     TargetRoute,
 )
 from pimentospool.requests import AnswerSink, GatewayRequest, RequestKind
@@ -28,6 +33,9 @@
 from pimentospool.verdicts import Verdict
 from pimentospool.views import View
 
+PRIORITY_HEADER = "X-Priority"
+LONG_PRIORITY = 10
+
 
 class Dispatcher:
     """Serves verified requests.
@@ -42,6 +50,8 @@
         Other entry VMs and leaving targets.
     router : Router
         Decides where requests go.
+    admission : Admission
+        Limits of customers, and the queue of long requests.
     client : ExchangeClient
         Client of targets and other entry VMs.
     rng : random.Random
@@ -55,6 +65,7 @@
         view: View,
         fleet: Fleet,
         router: Router,
+        admission: Admission,
         client: ExchangeClient,
         rng: random.Random,
     ) -> None:
@@ -63,6 +74,8 @@
         self._view = view
         self._fleet = fleet
         self._router = router
+        self._admission = admission
+        self._retries = RetryPolicy()
         self._client = client
         self._rng = rng
         self._signer = HopSigner(key=cfg.peers.key)
@@ -95,25 +108,83 @@
 
     async def _serve(self, req: GatewayRequest, record: OutcomeRecorder) -> None:
         self._check_region(req)
+        with self._admission.admitted(req):
+            await self._serve_admitted(req, record)
+
+    async def _serve_admitted(
+        self, req: GatewayRequest, record: OutcomeRecorder
+    ) -> None:
         attempts = _Attempts()
         while True:
-            route = self._router.choose(self._query(req, attempts))
-            if isinstance(route, RouteRefusal):
-                raise attempts.refusal(route)
+            route = await self._route(req, attempts)
             record.attempts += 1
             try:
-                if isinstance(route, TargetRoute):
-                    record.served_by = route.target.id
-                    await self._serve_at_target(req, route, record)
-                else:
-                    record.sent_to = route.region
-                    await self._serve_at_region(req, route, record)
+                await self._attempt(req, route, record)
                 return
             except AttemptFailure as exc:
                 attempts.failed(route, exc)
-                if record.started or not attempts.may_repeat(req):
+                if record.started or not self._may_repeat(req, route, attempts):
                     raise attempts.failure() from exc
 
+    async def _route(
+        self, req: GatewayRequest, attempts: "_Attempts"
+    ) -> TargetRoute | RegionRoute:
+        waited = False
+        while True:
+            route = self._router.choose(self._query(req, attempts))
+            if not isinstance(route, RouteRefusal):
+                break
+            if not route.may_wait or attempts.count:
+                raise attempts.refusal(route)
+            await self._admission.wait_turn(req, route)
+            waited = True
+        if waited:
+            self._admission.turn_used()
+        return route
+
+    async def _attempt(
+        self,
+        req: GatewayRequest,
+        route: TargetRoute | RegionRoute,
+        record: OutcomeRecorder,
+    ) -> None:
+        flight = self._router.start(route, self._query(req, _Attempts()))
+        sink = _FlightSink(sink=record, flight=flight)
+        try:
+            if isinstance(route, TargetRoute):
+                record.served_by = route.target.id
+                await self._serve_at_target(req, route, sink)
+            else:
+                record.sent_to = route.region
+                await self._serve_at_region(req, route, sink)
+        except AttemptFailure as exc:
+            if exc.problem is None:
+                flight.failed()
+            raise
+        finally:
+            flight.finish()
+            self._admission.wake()
+
+    def _may_repeat(
+        self,
+        req: GatewayRequest,
+        route: TargetRoute | RegionRoute,
+        attempts: "_Attempts",
+    ) -> bool:
+        self._retries.ratio = self._view.index.manifest.limits.retry_ratio
+        holder = route.target.id if isinstance(route, TargetRoute) else route.region
+        if attempts.count == 1:
+            self._retries.attempted(req.customer.id, holder)
+        decision = self._retries.decide(
+            customer=req.customer.id,
+            holder=holder,
+            verdict=attempts.verdict,
+            idempotent=req.idempotent,
+            attempts=attempts.count,
+            remaining_seconds=self._remaining(req),
+        )
+        return decision is RetryDecision.RETRY
+
     def _check_region(self, req: GatewayRequest) -> None:
         region = self._cfg.entry.region
         if req.hop is not None and region not in req.allowed_regions:
@@ -135,6 +206,7 @@
             hopped=req.hop is not None or req.stays,
             excluded_targets=frozenset(attempts.targets),
             excluded_regions=frozenset(attempts.regions) | self._unreachable_regions(),
+            remaining_seconds=self._remaining(req),
         )
 
     def _unreachable_regions(self) -> frozenset[RegionId]:
@@ -148,17 +220,15 @@
             path = f"/{req.service}/{req.path}"
         else:
             path = req.path
-        self._router.request_started(target.id)
-        try:
-            exchange = self._exchange(req, f"http://{target.address}{path}")
-            if req.send_guard is not None:
-                exchange.before_sending = partial(
-                    req.send_guard, decided_at=time.monotonic()
-                )
-            async with self._client.open(exchange) as answer:
-                await _relay(req, answer, sink)
-        finally:
-            self._router.request_finished(target.id)
+        exchange = self._exchange(req, f"http://{target.address}{path}")
+        if req.kind is RequestKind.MODEL:
+            exchange.headers[PRIORITY_HEADER] = str(self._priority(req))
+        if req.send_guard is not None:
+            exchange.before_sending = partial(
+                req.send_guard, decided_at=time.monotonic()
+            )
+        async with self._client.open(exchange) as answer:
+            await _relay(req, answer, sink)
 
     async def _serve_at_region(
         self, req: GatewayRequest, route: RegionRoute, sink: AnswerSink
@@ -193,6 +263,11 @@
                 raise await _hop_failure(answer)
             await _relay(req, answer, sink)
 
+    def _priority(self, req: GatewayRequest) -> int:
+        limits = self._view.index.manifest.limits
+        short = req.prompt_tokens <= limits.short_prompt_tokens
+        return req.customer.priority + (0 if short else LONG_PRIORITY)
+
     def _hop_header(self, req: GatewayRequest) -> HopHeader:
         return HopHeader(
             request_id=req.id,
@@ -227,7 +302,8 @@
     def __init__(self) -> None:
         self.targets: set[TargetId] = set()
         self.regions: set[RegionId] = set()
-        self._verdict = Verdict.NOT_RUN
+        self.count = 0
+        self.verdict = Verdict.NOT_RUN
         self._detail = ""
 
     def failed(self, route: TargetRoute | RegionRoute, exc: AttemptFailure) -> None:
@@ -235,26 +311,52 @@
             self.targets.add(route.target.id)
         else:
             self.regions.add(route.region)
-        self._verdict = self._verdict.merge(exc.verdict)
+        self.count += 1
+        self.verdict = self.verdict.merge(exc.verdict)
         self._detail = exc.detail
 
-    def may_repeat(self, req: GatewayRequest) -> bool:
-        return self._verdict is Verdict.NOT_RUN or req.idempotent
-
     def failure(self) -> RequestFailure:
         return RequestFailure(
-            reason=Reason.TARGET_FAILED, detail=self._detail, verdict=self._verdict
+            reason=Reason.TARGET_FAILED, detail=self._detail, verdict=self.verdict
         )
 
     def refusal(self, route: RouteRefusal) -> RequestFailure:
         return RequestFailure(
             reason=route.reason,
             detail=self._detail or route.detail,
-            verdict=self._verdict,
+            verdict=self.verdict,
             retry_after_seconds=route.retry_after_seconds,
         )
 
 
+class _FlightSink:
+    """Tells routing of the first bytes of an answer on its way to the sink."""
+
+    def __init__(
+        self, *, sink: AnswerSink, flight: TargetFlight | RegionFlight
+    ) -> None:
+        self._sink = sink
+        self._flight = flight
+
+    @property
+    def started(self) -> bool:
+        return self._sink.started
+
+    async def whole(self, *, status: int, content_type: str, body: bytes) -> None:
+        self._flight.first_token()
+        await self._sink.whole(status=status, content_type=content_type, body=body)
+
+    async def start(self, *, status: int, content_type: str) -> None:
+        await self._sink.start(status=status, content_type=content_type)
+
+    async def write(self, data: bytes) -> None:
+        self._flight.first_token()
+        await self._sink.write(data)
+
+    async def finish(self) -> None:
+        await self._sink.finish()
+
+
 def _sent_verdict(record: OutcomeRecorder) -> Verdict:
     return Verdict.MAY_HAVE_RUN if record.attempts else Verdict.NOT_RUN
 
--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -9,13 +9,15 @@
 from pimentospool._generated.settings import Settings
 from pimentospool._generated.status import EntryStatus, RevisionStatus
 from pimentospool.admin import AdminServer
+from pimentospool.admission import Admission
 from pimentospool.callers import CallerServer
 from pimentospool.dispatch import Dispatcher
 from pimentospool.errors import DocumentErrors
 from pimentospool.fleet import ListedFleet
 from pimentospool.log import Event, log_event
 from pimentospool.platform import PlatformClient, PlatformError
-from pimentospool.policy import Router
+from pimentospool.policy import QuotaShares, Router
+from pimentospool.reports import ReportPoller
 from pimentospool.revisions import Revision, index_digest, unpack_manifest
 from pimentospool.status import STATUS_PATH, status_page
 from pimentospool.targets import ExchangeClient
@@ -44,7 +46,15 @@
         self.life = time.time_ns() // 1000
         self.view = View()
         self.fleet = ListedFleet()
-        self.router = Router(region=cfg.entry.region)
+        self.shares = QuotaShares(entry=cfg.entry.id, clock=time.monotonic)
+        self.router = Router(
+            region=cfg.entry.region,
+            entry=cfg.entry.id,
+            clock=time.monotonic,
+            rng=random.Random(),
+            shares=self.shares,
+        )
+        self._admission = Admission(shares=self.shares)
         self.admin = AdminServer(cfg=cfg.entry)
         self._cfg = cfg
         self._tasks: list[asyncio.Task[None]] = []
@@ -60,6 +70,7 @@
             view=self.view,
             fleet=self.fleet,
             router=self.router,
+            admission=self._admission,
             client=self._client,
             rng=random.Random(),
         )
@@ -68,6 +79,8 @@
         )
         self._tasks.append(asyncio.create_task(self._watch_configuration()))
         self._tasks.append(asyncio.create_task(self._watch_vms()))
+        self._reports = ReportPoller(cfg=cfg.targets, router=self.router)
+        self._tasks.append(asyncio.create_task(self._reports.run()))
         self.admin.add_page(STATUS_PATH, lambda: status_page(self.status()))
         await self.admin.start()
         await self.callers.start()
@@ -84,6 +97,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.close()
         await self.admin.close()
+        await self._reports.close()
         await self._client.close()
         await self._platform.close()
         log_event(Event.ENTRY_STOPPED, entry=self._cfg.entry.id)
@@ -103,6 +117,7 @@
 
     def _follow_revision(self, revision: Revision) -> None:
         self.router.set_manifest(self.view.index)
+        self._admission.set_manifest(self.view.index)
         log_event(
             Event.REVISION_ADOPTED, revision=revision.number, digest=revision.digest
         )
@@ -146,6 +161,9 @@
             try:
                 self.fleet.update(await self._platform.read_vms())
                 self.router.set_leaving(self.fleet.leaving_targets())
+                own = self.fleet.entries(self._cfg.entry.region)
+                self.router.set_entry_count(len(own))
+                self.shares.set_entries(self.fleet.entry_ids())
             except PlatformError as exc:
                 log_event(Event.PLATFORM_UNREACHABLE, error=str(exc))
             await asyncio.sleep(self._cfg.platform.vm_list_interval_seconds)
--- a/pimentospool/fleet.py
+++ b/pimentospool/fleet.py
@@ -17,6 +17,10 @@
         """Return an entry VM that is not gone."""
         ...
 
+    def entry_ids(self) -> set[EntryId]:
+        """Return all entry VMs that are not gone, reachable or not."""
+        ...
+
     def regions(self) -> set[RegionId]:
         """Return the regions with an entry VM that takes requests."""
         ...
@@ -56,6 +60,10 @@
         """Return an entry VM that is not gone."""
         return self._entries.get(entry)
 
+    def entry_ids(self) -> set[EntryId]:
+        """Return all entry VMs that are not gone, reachable or not."""
+        return set(self._entries)
+
     def regions(self) -> set[RegionId]:
         """Return the regions with an entry VM that takes requests."""
         return {vm.region for vm in self._entries.values() if vm.state is VmState.LIVE}
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -26,6 +26,8 @@
     REQUEST_REFUSED = (2001, logbook.INFO, "request refused")
     REQUEST_FAILED = (2002, logbook.WARNING, "request failed")
     REQUEST_ERROR = (2003, logbook.ERROR, "unexpected error in a request")
+    TARGET_SILENT = (2101, logbook.WARNING, "target does not report")
+    TARGET_REPORTS = (2102, logbook.NOTICE, "target reports again")
     REVISION_ADOPTED = (3001, logbook.NOTICE, "configuration revision in force")
     REVISION_REFUSED = (3002, logbook.ERROR, "configuration revision refused")
     PLATFORM_UNREACHABLE = (3003, logbook.WARNING, "configuration service unreachable")
--- a/pimentospool/manifest.py
+++ b/pimentospool/manifest.py
@@ -120,6 +120,10 @@
                 return call
         return None
 
+    def link(self, a: RegionId, b: RegionId) -> Link | None:
+        """Return the declared link between two regions, if any."""
+        return self._links.get(frozenset((a, b)))
+
     def delay_ms(self, a: RegionId, b: RegionId) -> float:
         """Return the one-way delay between two regions in milliseconds."""
         if a == b:
--- a/pimentospool/policy/_knowledge.py
+++ b/pimentospool/policy/_knowledge.py
@@ -61,6 +61,7 @@
 
     def _declare_targets(self, index: ManifestIndex) -> None:
         kept = self.targets
+        pools = pool_names(index)
         self.targets = {}
         members: dict[str, list[TargetState]] = {}
         cost = index.regions[self._region].cost if self._region in index.regions else 1
@@ -72,7 +73,7 @@
                 state = TargetState(target=target, cost=cost)
             state.declare(target, cost)
             self.targets[target.id] = state
-            for name in pool_names(index, target):
+            for name in pools(target):
                 members.setdefault(name, []).append(state)
         engines = [
             state
@@ -84,6 +85,7 @@
 
     def _declare_regions(self, index: ManifestIndex) -> None:
         kept = self.regions
+        pools = pool_names(index)
         self.regions = {}
         self._regions_of = {}
         rates = _rates_by_region(index)
@@ -107,7 +109,7 @@
             region_id = index.region_of(target)
             if region_id == self._region:
                 continue
-            for name in pool_names(index, target):
+            for name in pools(target):
                 regions = self._regions_of.setdefault(name, [])
                 if region_id not in regions:
                     regions.append(region_id)
--- a/pimentospool/policy/_pools.py
+++ b/pimentospool/policy/_pools.py
@@ -2,10 +2,10 @@
 
 import random
 import zlib
-from collections.abc import Container, Iterable
+from collections.abc import Callable, Container, Iterable
 
 from pimentospool._generated.engine import EngineState
-from pimentospool.ids import TargetId
+from pimentospool.ids import RegionId, TargetId
 from pimentospool.manifest import ManifestIndex, Target, TargetKind
 from pimentospool.policy._concurrency import ConcurrencyLimit
 from pimentospool.policy._health import Circuit, Health
@@ -83,6 +83,11 @@
         self._by_id = {state.target.id: state for state in members}
         self._best: list[TargetState] = []
 
+    @property
+    def samples(self) -> bool:
+        """Whether decisions look at a part of the targets only."""
+        return len(self.members) > EVALUATE_ALL
+
     def candidates(
         self,
         rng: random.Random,
@@ -94,7 +99,7 @@
         They are random ones, those with the longest prefix, and the best ones of
         the last decisions.
         """
-        if len(self.members) <= EVALUATE_ALL:
+        if not self.samples:
             return [s for s in self.members if s.target.id not in excluded]
         drawn = {id(state): state for state in self._best}
         found = 0
@@ -134,9 +139,15 @@
         state.short_lane = number < count
 
 
-def pool_names(index: ManifestIndex, target: Target) -> list[str]:
-    """Return the names of the pools that `target` belongs to."""
-    if target.kind is TargetKind.SERVICE:
-        return list(target.services)
-    region = index.region_of(target)
-    return [item.model for item in index.manifest.serving if item.region == region]
+def pool_names(index: ManifestIndex) -> Callable[[Target], list[str]]:
+    """Return a function that names the pools of a target."""
+    served: dict[RegionId, list[str]] = {}
+    for item in index.manifest.serving:
+        served.setdefault(item.region, []).append(item.model)
+
+    def names(target: Target) -> list[str]:
+        if target.kind is TargetKind.SERVICE:
+            return list(target.services)
+        return served.get(index.region_of(target), [])
+
+    return names
--- a/pimentospool/policy/_routes.py
+++ b/pimentospool/policy/_routes.py
@@ -58,11 +58,13 @@
     """No target may serve the request now.
 
     With `may_wait` set, a target is expected to have room within the request's
-    time; the request may wait for its turn at the entry VM.
+    time; the request may wait for its turn at the entry VM, as long as
+    `work_seconds` are left to serve it.
     """
 
     reason: Reason
     detail: str
     retry_after_seconds: float | None = None
     may_wait: bool = False
+    work_seconds: float = 0.0
     scores: tuple[Score, ...] = ()
--- a/pimentospool/policy/_routing.py
+++ b/pimentospool/policy/_routing.py
@@ -160,7 +160,7 @@
             if late > 0.0:
                 return _refuse_late(late, everything)
         if not best.has_room:
-            return _refuse_full(best, everything)
+            return self._refuse_full(best, everything, query)
         self._remember(query, states, scores)
         listed = tuple(everything)
         if best.candidate in scores:
@@ -274,6 +274,20 @@
             retry_after_seconds=RETRY_AFTER_SECONDS,
         )
 
+    def _refuse_full(
+        self, best: Score, scores: list[Score], query: RouteQuery
+    ) -> RouteRefusal:
+        target = self._known.targets[TargetId(best.candidate)].target
+        decode_seconds = query.max_tokens / target.decode_tokens_per_second
+        return RouteRefusal(
+            reason=Reason.OVERLOADED,
+            detail="no target has room for a long request",
+            retry_after_seconds=max(RETRY_AFTER_SECONDS, best.wait_ms / MILLISECONDS),
+            may_wait=True,
+            work_seconds=best.prefill_ms / MILLISECONDS + decode_seconds,
+            scores=tuple(scores),
+        )
+
 
 def _refuse_late(late_seconds: float, scores: list[Score]) -> RouteRefusal:
     return RouteRefusal(
@@ -282,13 +296,3 @@
         retry_after_seconds=max(RETRY_AFTER_SECONDS, late_seconds),
         scores=tuple(scores),
     )
-
-
-def _refuse_full(best: Score, scores: list[Score]) -> RouteRefusal:
-    return RouteRefusal(
-        reason=Reason.OVERLOADED,
-        detail="no target has room for a long request",
-        retry_after_seconds=max(RETRY_AFTER_SECONDS, best.wait_ms / MILLISECONDS),
-        may_wait=True,
-        scores=tuple(scores),
-    )
--- /dev/null
+++ b/pimentospool/reports.py
@@ -0,0 +1,148 @@
+"""Reading of load reports, cache events and held models from the own region's engines.
+
+One loop reads all targets, spread evenly over the interval. A target that does not
+answer is asked less and less often, and routing hears of its silence.
+"""
+
+import asyncio
+import time
+
+import aiohttp
+import msgspec
+
+from pimentospool._generated.engine import CacheEvents, EngineState, LoadReport
+from pimentospool._generated.settings import TargetSettings
+from pimentospool.ids import TargetId
+from pimentospool.log import Event, log_event
+from pimentospool.manifest import Target, TargetKind
+from pimentospool.policy import Router
+
+MOST_AT_ONCE = 64
+STATE_EVERY = 4
+LONGEST_BACKOFF = 16
+_IDLE_SECONDS = 0.1
+
+
+class _Polled(msgspec.Struct):
+    """Progress of the reading of one target."""
+
+    due_at: float
+    next_event: int = 0
+    rounds: int = 0
+    failures: int = 0
+    busy: bool = False
+
+
+class ReportPoller:
+    """Reads what engines report and feeds the router.
+
+    Parameters
+    ----------
+    cfg : TargetSettings
+        Interval and timeouts.
+    router : Router
+        Receives the reports.
+    """
+
+    def __init__(self, *, cfg: TargetSettings, router: Router) -> None:
+        self._cfg = cfg
+        self._router = router
+        self._polled: dict[TargetId, _Polled] = {}
+        self._reading: set[asyncio.Task[None]] = set()
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=MOST_AT_ONCE, limit_per_host=1),
+            timeout=aiohttp.ClientTimeout(
+                total=cfg.connect_timeout_seconds + cfg.report_interval_seconds
+            ),
+        )
+
+    async def run(self) -> None:
+        """Read for ever."""
+        while True:
+            targets = self._engines()
+            due = self._due(targets)
+            for target in due:
+                self._start(target)
+            await asyncio.sleep(self._pause(len(targets)))
+
+    async def close(self) -> None:
+        """End the reading and close the connections."""
+        for task in self._reading:
+            task.cancel()
+        await asyncio.gather(*self._reading, return_exceptions=True)
+        await self._session.close()
+
+    def _engines(self) -> dict[TargetId, Target]:
+        return {
+            target.id: target
+            for target in self._router.own_targets()
+            if target.kind is TargetKind.ENGINE
+        }
+
+    def _pause(self, count: int) -> float:
+        if not count:
+            return _IDLE_SECONDS
+        return min(_IDLE_SECONDS, self._cfg.report_interval_seconds / count)
+
+    def _due(self, targets: dict[TargetId, Target]) -> list[Target]:
+        now = time.monotonic()
+        for gone in self._polled.keys() - targets.keys():
+            del self._polled[gone]
+        for number, target_id in enumerate(targets):
+            if target_id not in self._polled:
+                offset = number / len(targets) * self._cfg.report_interval_seconds
+                self._polled[target_id] = _Polled(due_at=now + offset)
+        return [
+            targets[target_id]
+            for target_id, polled in self._polled.items()
+            if polled.due_at <= now and not polled.busy
+        ][:MOST_AT_ONCE]
+
+    def _start(self, target: Target) -> None:
+        polled = self._polled[target.id]
+        polled.busy = True
+        task = asyncio.create_task(self._read(target, polled))
+        self._reading.add(task)
+        task.add_done_callback(self._reading.discard)
+
+    async def _read(self, target: Target, polled: _Polled) -> None:
+        try:
+            await self._read_reports(target, polled)
+        except (
+            aiohttp.ClientError,
+            OSError,
+            TimeoutError,
+            msgspec.DecodeError,
+        ) as exc:
+            polled.failures += 1
+            if polled.failures == 1:
+                log_event(Event.TARGET_SILENT, target=target.id, error=repr(exc))
+            self._router.set_silent(target.id)
+        else:
+            if polled.failures:
+                log_event(Event.TARGET_REPORTS, target=target.id)
+            polled.failures = 0
+        finally:
+            factor = min(LONGEST_BACKOFF, 2**polled.failures)
+            interval = self._cfg.report_interval_seconds
+            polled.due_at = time.monotonic() + interval * factor
+            polled.busy = False
+
+    async def _read_reports(self, target: Target, polled: _Polled) -> None:
+        base = f"http://{target.address}"
+        load = await self._get(f"{base}/load")
+        self._router.take_load(target.id, msgspec.json.decode(load, type=LoadReport))
+        if polled.rounds % STATE_EVERY == 0:
+            state = await self._get(f"{base}/orders")
+            engine = msgspec.json.decode(state, type=EngineState)
+            self._router.take_state(target.id, engine)
+        data = await self._get(f"{base}/events?after={polled.next_event}")
+        events = msgspec.json.decode(data, type=CacheEvents)
+        polled.next_event = events.next
+        self._router.take_events(target.id, events)
+        polled.rounds += 1
+
+    async def _get(self, url: str) -> bytes:
+        async with self._session.get(url) as resp:
+            resp.raise_for_status()
+            return await resp.read()
