Add metrics of an entry process and open-loop load

Cause: an entry VM published no figures, and nothing could send a deployment's traffic without hiding the gateway's own stalls.

--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -14,6 +14,12 @@
 from pimentospool.errors import DocumentErrors
 from pimentospool.fleet import ListedFleet
 from pimentospool.log import Event, log_event
+from pimentospool.metrics import (
+    METRICS_PATH,
+    EntryMetrics,
+    ProcessReadings,
+    add_process_gauges,
+)
 from pimentospool.platform import PlatformClient, PlatformError
 from pimentospool.policy import Router
 from pimentospool.revisions import Revision, index_digest, unpack_manifest
@@ -47,6 +53,7 @@
         self.router = Router(region=cfg.entry.region)
         self.admin = AdminServer(cfg=cfg.entry)
         self._cfg = cfg
+        self._adopted_at = time.monotonic()
         self._tasks: list[asyncio.Task[None]] = []
         self.view.revision_adopted.connect(self._follow_revision)
 
@@ -68,6 +75,7 @@
         )
         self._tasks.append(asyncio.create_task(self._watch_configuration()))
         self._tasks.append(asyncio.create_task(self._watch_vms()))
+        self._publish_metrics()
         self.admin.add_page(STATUS_PATH, lambda: status_page(self.status()))
         await self.admin.start()
         await self.callers.start()
@@ -101,7 +109,20 @@
             revision=RevisionStatus(number=self.view.number),
         )
 
+    def _publish_metrics(self) -> None:
+        metrics = EntryMetrics(region=self._cfg.entry.region)
+        self.dispatcher.request_ended.connect(metrics.record)
+        readings = ProcessReadings(
+            revision=lambda: self.view.number,
+            revision_age_seconds=lambda: time.monotonic() - self._adopted_at,
+            in_progress=lambda: self.callers.in_progress,
+            leaving=lambda: self.callers.leaving,
+        )
+        add_process_gauges(metrics, readings)
+        self.admin.add_page(METRICS_PATH, metrics.render)
+
     def _follow_revision(self, revision: Revision) -> None:
+        self._adopted_at = time.monotonic()
         self.router.set_manifest(self.view.index)
         log_event(
             Event.REVISION_ADOPTED, revision=revision.number, digest=revision.digest
--- /dev/null
+++ b/pimentospool/load/__init__.py
@@ -0,0 +1,46 @@
+"""Open-loop load: arrivals, requests, callers, and what they saw."""
+
+from pimentospool._generated.records import (
+    AttemptRecord,
+    CallerRecord,
+    CallKind,
+    CallOutcome,
+)
+from pimentospool.load._arrivals import Arrival, ArrivalCurve, plan_arrivals
+from pimentospool.load._callers import Callers, EntryAddress, EntryDirectory
+from pimentospool.load._checks import AnswerCheck, AnyAnswer, StandinAnswers
+from pimentospool.load._generator import LoadGenerator
+from pimentospool.load._histograms import LatencySummary, summarize
+from pimentospool.load._traffic import (
+    Call,
+    KeyOf,
+    TrafficMix,
+    TrafficSource,
+    deployment_mix,
+    example_key,
+)
+
+__all__ = [
+    "AnswerCheck",
+    "AnyAnswer",
+    "Arrival",
+    "ArrivalCurve",
+    "AttemptRecord",
+    "Call",
+    "CallKind",
+    "CallOutcome",
+    "CallerRecord",
+    "Callers",
+    "EntryAddress",
+    "EntryDirectory",
+    "KeyOf",
+    "LatencySummary",
+    "LoadGenerator",
+    "StandinAnswers",
+    "TrafficMix",
+    "TrafficSource",
+    "deployment_mix",
+    "example_key",
+    "plan_arrivals",
+    "summarize",
+]
--- a/pimentospool/standins/__init__.py
+++ b/pimentospool/standins/__init__.py
@@ -3,20 +3,23 @@
 from pimentospool.standins._configuration import ConfigurationService
 from pimentospool.standins._deployment import StandinDeployment
 from pimentospool.standins._directory import Directory, VmListService
-from pimentospool.standins._engine import EngineProfile, ModelEngine
+from pimentospool.standins._engine import EngineProfile, ModelEngine, token_text
 from pimentospool.standins._server import StandinServer, serve_standin
-from pimentospool.standins._service import PlainService
+from pimentospool.standins._service import Execution, PlainService, ServiceAnswer
 from pimentospool.standins._weights import WeightStore
 
 __all__ = [
     "ConfigurationService",
     "Directory",
     "EngineProfile",
+    "Execution",
     "ModelEngine",
     "PlainService",
+    "ServiceAnswer",
     "StandinDeployment",
     "StandinServer",
     "VmListService",
     "WeightStore",
     "serve_standin",
+    "token_text",
 ]
--- /dev/null
+++ b/tests/load/test_checks.py
@@ -0,0 +1,71 @@
+"""Answers are told apart from cut, altered and crossed ones."""
+
+import random
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from pimentospool.ids import RegionId
+from pimentospool.load import AnyAnswer, CallKind, StandinAnswers, TrafficMix
+from pimentospool.load._traffic import TrafficSource
+from pimentospool.manifest import read_manifest
+from pimentospool.standins import ServiceAnswer, token_text
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+
+
+def make_call(**mix):
+    shares = dict.fromkeys(("short", "long", "idempotent", "non_idempotent"), 0.0)
+    source = TrafficSource(
+        manifest=read_manifest(EXAMPLES / "magnolia" / "manifest.toml"),
+        mix=TrafficMix(**{**shares, **mix}),
+        rng=random.Random(1),
+        run="t",
+    )
+    return source.make(RegionId("gulf"))
+
+
+def stream(texts, *, done=True):
+    chunks = [
+        b"data: "
+        + msgspec.json.encode({"choices": [{"delta": {"content": text}}]})
+        + b"\n\n"
+        for text in texts
+    ]
+    return b"".join(chunks) + (b"data: [DONE]\n\n" if done else b"")
+
+
+def test_streams():
+    call = make_call(short=1.0)
+    texts = [token_text(call.prompt, number) for number in range(call.max_tokens)]
+    check = StandinAnswers()
+    assert call.kind is CallKind.SHORT
+    assert check.is_whole(call, stream(texts), "r")
+    assert not check.is_whole(call, stream(texts, done=False), "r")
+    assert not check.is_whole(call, stream(texts[:-1]), "r")
+    assert not check.is_whole(call, stream([*texts, texts[-1]]), "r")
+    other = [token_text("other", number) for number in range(call.max_tokens)]
+    assert not check.is_whole(call, stream(other), "r")
+    assert AnyAnswer().is_whole(call, stream(other), "r")
+
+
+@pytest.mark.parametrize(
+    "change", [{}, {"body_digest": "x"}, {"request_id": "other"}, {"path": "other"}]
+)
+def test_service_answers(change):
+    call = make_call(non_idempotent=1.0)
+    fields = {
+        "service": "payment",
+        "path": call.path.split("/", 4)[4],
+        "execution": 1,
+        "request_id": "r",
+        "body_digest": call.body_digest,
+    }
+    body = msgspec.json.encode(ServiceAnswer(**{**fields, **change}))
+    assert StandinAnswers().is_whole(call, body, "r") is (not change)
+
+
+def test_calls_are_the_same_for_the_same_seed():
+    assert make_call(long=1.0) == make_call(long=1.0)
+    assert make_call(long=1.0) != make_call(short=1.0)
--- /dev/null
+++ b/tests/load/test_load_callers.py
@@ -0,0 +1,172 @@
+"""Callers against a deployment of stand-ins."""
+
+import asyncio
+import random
+import time
+from pathlib import Path
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from pimentospool.demo import wait_ready
+from pimentospool.entry import Entry
+from pimentospool.errors import Reason, RequestFailure
+from pimentospool.ids import EntryId, RegionId
+from pimentospool.load import (
+    Arrival,
+    Callers,
+    CallKind,
+    CallOutcome,
+    EntryAddress,
+    LoadGenerator,
+    StandinAnswers,
+    TrafficMix,
+    TrafficSource,
+    example_key,
+    summarize,
+)
+from pimentospool.manifest import read_manifest
+from pimentospool.metrics import METRICS_PATH
+from pimentospool.standins import StandinDeployment
+from pimentospool.standins._server import serve_standin
+from pimentospool.verdicts import Verdict
+
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
+GULF = RegionId("gulf")
+
+
+class FixedEntries:
+    def __init__(self, addresses):
+        self.addresses = addresses
+
+    def entries(self):
+        return [
+            EntryAddress(id=EntryId(f"e{number}"), region=GULF, address=address)
+            for number, address in enumerate(self.addresses)
+        ]
+
+
+def make_callers(addresses):
+    return Callers(
+        directory=FixedEntries(addresses),
+        check=StandinAnswers(),
+        key_of=example_key,
+        rng=random.Random(1),
+        deadline_seconds=5.0,
+    )
+
+
+def make_source(**mix):
+    return TrafficSource(
+        manifest=read_manifest(EXAMPLES / "magnolia" / "manifest.toml"),
+        mix=TrafficMix(**mix),
+        rng=random.Random(1),
+        run="t",
+    )
+
+
+async def send_all(callers, source, count):
+    records = []
+    arrivals = [Arrival(at=0.01 * number, region=GULF) for number in range(count)]
+    generator = LoadGenerator(callers=callers, source=source)
+    await generator.run(arrivals, records.append)
+    return records
+
+
+def test_whole_answers_of_every_kind(runner):
+    async def check():
+        manifest = read_manifest(EXAMPLES / "magnolia" / "manifest.toml")
+        deployment = StandinDeployment(manifest=manifest, speed=50.0)
+        await deployment.start()
+        settings = deployment.entry_settings({manifest.zones[0].id: 1})
+        entry = Entry(cfg=settings[0])
+        await entry.start()
+        callers = make_callers([settings[0].entry.caller_address])
+        try:
+            await wait_ready([entry])
+            records = await send_all(callers, make_source(), 40)
+            url = f"http://{settings[0].entry.admin_address}{METRICS_PATH}"
+            async with aiohttp.ClientSession() as session, session.get(url) as resp:
+                page = await resp.text()
+        finally:
+            await callers.close()
+            await entry.stop()
+            await deployment.close()
+        assert {record.outcome for record in records} == {CallOutcome.WHOLE}
+        assert {record.kind for record in records} == set(CallKind)
+        assert sum(item.sent for item in summarize(records)) == 40
+        assert "pimentospool_revision 1.0" in page
+        assert 'pimentospool_request_seconds_count{customer="stores-gulf"' in page
+
+    runner.run(check())
+
+
+class Refusing:
+    """Answers like an entry VM that refuses everything."""
+
+    def __init__(self, *, verdict, stall=0.0):
+        self.calls = 0
+        self.stall = stall
+        self.failure = RequestFailure(
+            reason=Reason.TARGET_FAILED, detail="no", verdict=verdict
+        )
+
+    def routes(self):
+        return [
+            web.post("/v1/operations", self.no_operations),
+            web.route("*", "/{path:.+}", self.refuse),
+        ]
+
+    async def no_operations(self, req):
+        return web.Response(status=404)
+
+    async def refuse(self, req):
+        self.calls += 1
+        await asyncio.sleep(self.stall)
+        problem = self.failure.problem(request_id="r")
+        return web.json_response(
+            text=msgspec.json.encode(problem).decode(),
+            status=502,
+            content_type="application/problem+json",
+        )
+
+
+def send_refused(runner, verdict, **mix):
+    async def check():
+        made = [Refusing(verdict=verdict) for _ in range(2)]
+        servers = [await serve_standin(item, "127.0.0.1:0") for item in made]
+        callers = make_callers([server.address for server in servers])
+        try:
+            call = make_source(**mix).make(GULF)
+            record = await callers.send(call, intended_at=time.time())
+        finally:
+            await callers.close()
+            for server in servers:
+                await server.close()
+        assert record.outcome is CallOutcome.REFUSED
+        return sum(item.calls for item in made)
+
+    return runner.run(check())
+
+
+ONCE = {"short": 0, "long": 0, "idempotent": 0, "non_idempotent": 1}
+AGAIN = {**ONCE, "idempotent": 1, "non_idempotent": 0}
+
+
+def test_only_what_may_run_twice_is_sent_again(runner):
+    assert send_refused(runner, Verdict.NOT_RUN, **ONCE) == 2
+    assert send_refused(runner, Verdict.MAY_HAVE_RUN, **ONCE) == 1
+    assert send_refused(runner, Verdict.MAY_HAVE_RUN, **AGAIN) == 2
+
+
+def test_latency_counts_from_the_due_time(runner):
+    async def check():
+        callers = make_callers([])
+        due = time.time() - 3.0
+        record = await callers.send(make_source().make(GULF), intended_at=due)
+        await callers.close()
+        record.outcome = CallOutcome.WHOLE
+        assert summarize([record])[0].total.p50_ms >= 3000
+
+    runner.run(check())
