--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -15,6 +15,12 @@
 from pimentospool.errors import DocumentErrors
 from pimentospool.fleet import ListedFleet
 from pimentospool.log import Event, log_event
+from pimentospool.metrics import (
+    METRICS_PATH,
+    EntryMetrics,
+    ProcessReadings,
+    add_process_gauges,
+)
 from pimentospool.platform import PlatformClient, PlatformError
 from pimentospool.policy import QuotaShares, Router
 from pimentospool.reports import ReportPoller
@@ -57,6 +63,7 @@
         self._admission = Admission(shares=self.shares)
         self.admin = AdminServer(cfg=cfg.entry)
         self._cfg = cfg
+        self._adopted_at = time.monotonic()
         self._tasks: list[asyncio.Task[None]] = []
         self.view.revision_adopted.connect(self._follow_revision)
 
@@ -81,6 +88,7 @@
         self._tasks.append(asyncio.create_task(self._watch_vms()))
         self._reports = ReportPoller(cfg=cfg.targets, router=self.router)
         self._tasks.append(asyncio.create_task(self._reports.run()))
+        self._publish_metrics()
         self.admin.add_page(STATUS_PATH, lambda: status_page(self.status()))
         await self.admin.start()
         await self.callers.start()
@@ -115,7 +123,20 @@
             revision=RevisionStatus(number=self.view.number),
         )
 
+    def _publish_metrics(self) -> None:
+        metrics = EntryMetrics(region=self._cfg.entry.region)
+        self.dispatcher.request_ended.connect(metrics.record)
+        readings = ProcessReadings(
+            revision=lambda: self.view.number,
+            revision_age_seconds=lambda: time.monotonic() - self._adopted_at,
+            in_progress=lambda: self.callers.in_progress,
+            leaving=lambda: self.callers.leaving,
+        )
+        add_process_gauges(metrics, readings)
+        self.admin.add_page(METRICS_PATH, metrics.render)
+
     def _follow_revision(self, revision: Revision) -> None:
+        self._adopted_at = time.monotonic()
         self.router.set_manifest(self.view.index)
         self._admission.set_manifest(self.view.index)
         log_event(
