Add the policy bench over a queue model of the engine

Change: virtual time, the engine stand-in's queue model, daily peaks, faults and four baselines on the same arrivals.

--- /dev/null
+++ b/pimentospool/bench/_policy.py
@@ -0,0 +1,203 @@
+"""The policy bench: the gateway's decisions against baselines in virtual time."""
+
+from enum import Enum
+
+import msgspec
+
+from pimentospool.bench._policy_baselines import BASELINES
+from pimentospool.bench._policy_gateway import GatewayPolicy
+from pimentospool.bench._policy_simulation import (
+    WARM_UP_SECONDS,
+    Fault,
+    Request,
+    Simulation,
+)
+from pimentospool.bench._policy_traffic import make_arrivals
+from pimentospool.manifest import Manifest, ManifestIndex
+
+GATEWAY = "gateway"
+MOST_WORSE_WITHOUT_FAULT = 1.02
+MAGNOLIA_SHORT_P99 = 0.5
+TSUZUMI_PART = 0.7
+TSUZUMI_SHORT_P99 = 1.1
+
+
+class Measure(Enum):
+    """Figures that are compared; the lowest is best."""
+
+    SHORT_P50 = "short_p50_ms"
+    SHORT_P95 = "short_p95_ms"
+    SHORT_P99 = "short_p99_ms"
+    LONG_P50 = "long_p50_ms"
+    LONG_P95 = "long_p95_ms"
+    LONG_P99 = "long_p99_ms"
+    COST = "cost_per_1000"
+    AWAY = "away_share"
+    MISSES = "miss_share"
+    REFUSALS = "refused_share"
+
+
+class PolicyFigures(msgspec.Struct, kw_only=True):
+    """Figures of one policy in one run.
+
+    A refused request counts in the percentiles with its deadline as its time.
+    ``unservable`` requests, none of whose allowed regions is up, are the same for
+    every policy and count nowhere else.
+    ``cost_per_1000`` is the cost of all engine work by 1,000 whole answers, in
+    engine seconds times the region's cost; ``miss_share`` is the share of prompt
+    tokens that was prefilled.
+    """
+
+    policy: str
+    requests: int
+    unservable: int
+    short_p50_ms: float
+    short_p95_ms: float
+    short_p99_ms: float
+    long_p50_ms: float
+    long_p95_ms: float
+    long_p99_ms: float
+    cost_per_1000: float
+    away_share: float
+    miss_share: float
+    refused_share: float
+
+
+class Target(msgspec.Struct, kw_only=True):
+    """One comparison with the best baseline."""
+
+    name: str
+    gateway: float
+    baseline: float
+    bound: float
+    met: bool
+
+
+class PolicyRun(msgspec.Struct, kw_only=True):
+    """Result of the bench for one seed."""
+
+    deployment: str
+    fault: str
+    seed: int
+    figures: list[PolicyFigures]
+    best_baseline: str
+    targets: list[Target]
+
+
+def run_policy_bench(manifest: Manifest, *, fault: Fault, seed: int) -> PolicyRun:
+    """Run the gateway and every baseline on the same arrivals."""
+    index = ManifestIndex(manifest=manifest)
+    arrivals = make_arrivals(index, seed)
+    figures = []
+    for name in (GATEWAY, *BASELINES):
+        sim = Simulation(index=index, fault=fault, seed=seed)
+        for node in sim.nodes:
+            if name == GATEWAY:
+                rng_seed = f"{seed}/{node.entry}"
+                node.policy = GatewayPolicy(sim=sim, node=node, seed=rng_seed)
+            else:
+                node.policy = BASELINES[name](sim=sim, node=node)
+        sim.run(arrivals)
+        figures.append(_figures(name, sim))
+    baselines = figures[1:]
+    best = min(baselines, key=lambda item: (item.short_p99_ms, item.refused_share))
+    return PolicyRun(
+        deployment=manifest.deployment,
+        fault=fault.value,
+        seed=seed,
+        figures=figures,
+        best_baseline=best.policy,
+        targets=_targets(manifest.deployment, fault, figures[0], best, baselines),
+    )
+
+
+def _figures(name: str, sim: Simulation) -> PolicyFigures:
+    arrived = [req for req in sim.requests if req.arrival.at >= WARM_UP_SECONDS]
+    requests = [req for req in arrived if req.servable]
+    short = _latencies([req for req in requests if req.arrival.short])
+    long = _latencies([req for req in requests if not req.arrival.short])
+    whole = sum(not req.refused and req.ended for req in sim.requests)
+    cost = sum(
+        engine.totals.seconds * sim.index.regions[engine.region].cost
+        for engine in sim.engines.values()
+    )
+    prompt = sum(engine.totals.prompt_tokens for engine in sim.engines.values())
+    cached = sum(engine.totals.cached_tokens for engine in sim.engines.values())
+    return PolicyFigures(
+        policy=name,
+        requests=len(requests),
+        unservable=len(arrived) - len(requests),
+        short_p50_ms=_percentile(short, 0.50),
+        short_p95_ms=_percentile(short, 0.95),
+        short_p99_ms=_percentile(short, 0.99),
+        long_p50_ms=_percentile(long, 0.50),
+        long_p95_ms=_percentile(long, 0.95),
+        long_p99_ms=_percentile(long, 0.99),
+        cost_per_1000=1000.0 * cost / max(1, whole),
+        away_share=sum(req.away for req in requests) / max(1, len(requests)),
+        miss_share=1.0 - cached / max(1, prompt),
+        refused_share=sum(_refused(req) for req in requests) / max(1, len(requests)),
+    )
+
+
+def _refused(req: Request) -> bool:
+    return req.refused or not req.ended
+
+
+def _latencies(requests: list[Request]) -> list[float]:
+    times = []
+    for req in requests:
+        seconds = req.first_seconds
+        if _refused(req) or seconds is None:
+            seconds = req.arrival.deadline_seconds
+        times.append(seconds * 1000.0)
+    return sorted(times)
+
+
+def _percentile(ordered: list[float], share: float) -> float:
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _targets(
+    deployment: str,
+    fault: Fault,
+    gateway: PolicyFigures,
+    best: PolicyFigures,
+    baselines: list[PolicyFigures],
+) -> list[Target]:
+    if fault is Fault.NONE:
+        return [
+            _target(
+                measure.value,
+                getattr(gateway, measure.value),
+                min(getattr(item, measure.value) for item in baselines),
+                MOST_WORSE_WITHOUT_FAULT,
+            )
+            for measure in Measure
+        ]
+    if deployment == "tsuzumi":
+        bounds = {
+            Measure.COST: TSUZUMI_PART,
+            Measure.AWAY: TSUZUMI_PART,
+            Measure.SHORT_P99: TSUZUMI_SHORT_P99,
+        }
+    else:
+        bounds = {Measure.SHORT_P99: MAGNOLIA_SHORT_P99}
+    return [
+        _target(
+            measure.value,
+            getattr(gateway, measure.value),
+            getattr(best, measure.value),
+            bound,
+        )
+        for measure, bound in bounds.items()
+    ]
+
+
+def _target(name: str, gateway: float, baseline: float, bound: float) -> Target:
+    met = gateway <= baseline * bound
+    return Target(
+        name=name, gateway=gateway, baseline=baseline, bound=bound, met=met
+    )
--- a/pimentospool/policy/_concurrency.py
+++ b/pimentospool/policy/_concurrency.py
@@ -5,7 +5,8 @@
 SMOOTHING = 0.2
 TOLERANCE = 2.0
 LOWEST_GRADIENT = 0.5
-LONGEST_FACTOR = 4
+HIGHEST_SHARE = 4.0
+LOWEST_SHARE = 0.5
 FLOOR_SECONDS = 0.05
 
 
@@ -23,7 +24,8 @@
 
     def __init__(self, *, slots: int) -> None:
         self._value = 2.0 * slots
-        self._highest = float(LONGEST_FACTOR * slots)
+        self._highest = HIGHEST_SHARE * slots
+        self._lowest = max(1.0, LOWEST_SHARE * slots)
 
     @property
     def value(self) -> int:
@@ -40,9 +42,9 @@
         if gradient == 1.0 and in_flight < self._value / 2:
             return
         aim = self._value * gradient + math.sqrt(self._value)
-        aim = min(self._highest, aim)
+        aim = max(self._lowest, min(self._highest, aim))
         self._value += SMOOTHING * (aim - self._value)
 
     def failed(self) -> None:
         """Follow a refusal or failure of the target."""
-        self._value = max(1.0, self._value * LOWEST_GRADIENT)
+        self._value = max(self._lowest, self._value * LOWEST_GRADIENT)
--- a/pimentospool/policy/_flights.py
+++ b/pimentospool/policy/_flights.py
@@ -20,8 +20,10 @@
     ----------
     state : TargetState
         The target.
-    tokens : float
-        Prompt tokens expected to be prefilled.
+    query : RouteQuery
+        The request.
+    hit_tokens : float
+        Prompt tokens that the target is expected to have cached.
     short : bool
         Whether the request goes before long ones.
     clock : callable
@@ -32,7 +34,8 @@
         self,
         *,
         state: TargetState,
-        tokens: float,
+        query: RouteQuery,
+        hit_tokens: float,
         short: bool,
         clock: Callable[[], float],
     ) -> None:
@@ -41,7 +44,12 @@
         self._id = next(_ids)
         self._open = True
         self._answered = False
-        self._flight = Flight(started_at=clock(), short=short, prefill_tokens=tokens)
+        self._flight = Flight(
+            started_at=clock(),
+            short=short,
+            prompt_tokens=query.prompt_tokens,
+            prefill_tokens=max(0.0, query.prompt_tokens - hit_tokens),
+        )
         state.health.started(self._flight.started_at)
         state.work.start(self._id, self._flight)
 
--- a/pimentospool/policy/_routing.py
+++ b/pimentospool/policy/_routing.py
@@ -183,11 +183,11 @@
         state = self._known.targets.get(route.target.id)
         if state is None:
             state = TargetState(target=route.target, cost=1.0)
-        tokens = max(0.0, query.prompt_tokens - route.score.hit_tokens)
         self._prefixes.store(route.target.id, query.blocks, now)
         return TargetFlight(
             state=state,
-            tokens=tokens,
+            query=query,
+            hit_tokens=route.score.hit_tokens,
             short=self._scorer.is_short(query),
             clock=self._clock,
         )
--- a/pimentospool/policy/_work.py
+++ b/pimentospool/policy/_work.py
@@ -15,6 +15,7 @@
 _KEPT_SECONDS = 10.0
 _MEAN_GAIN = 0.2
 _HOLD_GAIN = 0.1
+_MISS_GAIN = 0.05
 
 
 class Flight(msgspec.Struct, kw_only=True):
@@ -22,6 +23,7 @@
 
     started_at: float
     short: bool
+    prompt_tokens: float
     prefill_tokens: float
     first_at: float | None = None
     ended_at: float | None = None
@@ -40,7 +42,8 @@
 
     A report is taken at the time of its measurement: own requests of that time are
     known exactly and subtracted, and what is left, the work of other entry VMs,
-    returns to its mean as the report ages.
+    returns to its mean as the report ages. Their prompts are taken to have the same
+    share of cached tokens as own ones.
 
     Parameters
     ----------
@@ -61,6 +64,7 @@
         self._others = 0.0
         self._others_mean = 0.0
         self._others_tokens = 0.0
+        self._miss_share = 1.0
 
     @property
     def own(self) -> int:
@@ -72,6 +76,8 @@
         self._flights[flight_id] = flight
         self._pending += 1
         self._pending_tokens += flight.prefill_tokens
+        miss = flight.prefill_tokens / max(1.0, flight.prompt_tokens)
+        self._miss_share += _MISS_GAIN * (miss - self._miss_share)
         begin = max(flight.started_at, self._prefill_until)
         self._prefill_until = begin + flight.prefill_tokens / self._rate
 
@@ -103,7 +109,8 @@
             return
         own, own_tokens = self._own_at(measured_at)
         self._others = max(0.0, report.running + report.waiting - own)
-        self._others_tokens = max(0.0, report.waiting_tokens - own_tokens)
+        waiting = max(0.0, report.waiting_tokens - own_tokens)
+        self._others_tokens = waiting * self._miss_share
         if self.reported_at is None:
             self._others_mean = self._others
         self._others_mean += _MEAN_GAIN * (self._others - self._others_mean)
@@ -177,5 +184,5 @@
             count += 1
             first = flight.first_at
             if first is None or first > time:
-                tokens += flight.prefill_tokens
+                tokens += flight.prompt_tokens
         return count, tokens
--- a/pimentospool/standins/_prefix_cache.py
+++ b/pimentospool/standins/_prefix_cache.py
@@ -3,6 +3,7 @@
 import random
 import time
 from collections import OrderedDict, deque
+from collections.abc import Callable
 
 import msgspec
 
@@ -29,6 +30,8 @@
         Share of events that are never published.
     rng : random.Random
         Source of losses.
+    clock : callable
+        Returns seconds.
     """
 
     def __init__(
@@ -38,11 +41,13 @@
         event_delay_seconds: float,
         event_loss: float,
         rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._capacity = capacity
         self._event_delay_seconds = event_delay_seconds
         self._event_loss = event_loss
         self._rng = rng
+        self._clock = clock
         self._blocks: OrderedDict[str, None] = OrderedDict()
         self._events: deque[_TimedEvent] = deque(maxlen=_KEPT_EVENTS)
         self._sequence = 0
@@ -74,7 +79,7 @@
 
     def events_after(self, sequence: int) -> CacheEvents:
         """Return the visible events from `sequence` on."""
-        now = time.monotonic()
+        now = self._clock()
         events = [
             item.event
             for item in self._events
@@ -88,5 +93,5 @@
         if self._rng.random() < self._event_loss:
             return
         event = CacheEvent(sequence=self._sequence, stored=stored, block=block)
-        visible_at = time.monotonic() + self._event_delay_seconds
+        visible_at = self._clock() + self._event_delay_seconds
         self._events.append(_TimedEvent(visible_at, event))
