Let claims follow the VM list and price blocking prefills

Cause: claims of a lost region's entry VMs stayed reserved, so shares were too small; cold prefills were free for those behind them. Change: set_entries takes the VMs that are not known to be gone; a prefill is priced for the requests behind it.

--- a/pimentospool/admission.py
+++ b/pimentospool/admission.py
@@ -77,7 +77,7 @@
         try:
             yield
         finally:
-            self._limiter.finished(req.customer.id)
+            self._limiter.finished(req.customer)
 
     async def wait_turn(self, req: GatewayRequest, refusal: RouteRefusal) -> None:
         """Wait until a target may have room for `req`.
--- a/pimentospool/bench/_policy.py
+++ b/pimentospool/bench/_policy.py
@@ -98,7 +98,7 @@
             else:
                 node.policy = BASELINES[name](sim=sim, node=node)
         sim.run(arrivals)
-        figures.append(_figures(name, sim))
+        figures.append(_figures(name, sim)); print(getattr(sim, "whys", None))
     baselines = figures[1:]
     best = min(baselines, key=lambda item: (item.short_p99_ms, item.refused_share))
     return PolicyRun(
--- a/pimentospool/bench/_policy_baselines.py
+++ b/pimentospool/bench/_policy_baselines.py
@@ -65,6 +65,9 @@
     def poll(self, engine: ModelledEngine) -> None:
         """Read nothing."""
 
+    def read_vm_list(self) -> None:
+        """Read nothing."""
+
     def exchange(self) -> None:
         """Send nothing."""
 
--- a/pimentospool/bench/_policy_gateway.py
+++ b/pimentospool/bench/_policy_gateway.py
@@ -53,19 +53,19 @@
         self._sim = sim
         self._node = node
         clock = sim.time.clock
-        shares = QuotaShares(entry=node.entry, clock=clock)
-        shares.set_entries(peer.entry for peer in sim.nodes)
+        self._shares = QuotaShares(entry=node.entry, clock=clock)
+        self.read_vm_list()
         self.router = Router(
             region=node.region,
             entry=node.entry,
             clock=clock,
             rng=random.Random(seed),
-            shares=shares,
+            shares=self._shares,
         )
         self.router.set_manifest(sim.index)
         mine = [peer for peer in sim.nodes if peer.region == node.region]
         self.router.set_entry_count(len(mine))
-        self._limiter = CustomerLimiter(shares=shares, clock=clock)
+        self._limiter = CustomerLimiter(shares=self._shares, clock=clock)
         self._queue = WaitQueue(length=sim.index.manifest.limits.queue_length)
         self._held: dict[int, _Held] = {}
         self._waiting: dict[Ticket, Request] = {}
@@ -85,7 +85,7 @@
                 arrival.customer, tokens=tokens, pressure=pressure
             )
             if refused is not None:
-                self._sim.refuse(req)
+                self._sim.refuse(req, refused.detail)
                 return
         self._held[id(req)] = held
         self._route(req, held)
@@ -107,7 +107,7 @@
             self._queue.cancel(held.ticket)
             self._waiting.pop(held.ticket, None)
         if held.admitted:
-            self._limiter.finished(req.arrival.customer.id)
+            self._limiter.finished(req.arrival.customer)
         self._wake()
 
     def poll(self, engine: ModelledEngine) -> None:
@@ -118,6 +118,10 @@
         self._next_events[target] = events.next
         self.router.take_events(target, events)
 
+    def read_vm_list(self) -> None:
+        """Take over which entry VMs there are."""
+        self._shares.set_entries(peer.entry for peer in self._sim.nodes if peer.alive)
+
     def exchange(self) -> None:
         """Send the summary to every entry VM that can be reached."""
         summary = self.router.region_summary()
@@ -169,6 +173,7 @@
                 deadline=held.deadline, work_seconds=refusal.work_seconds, now=now
             )
         if place is None or isinstance(place, QueueRefusal):
+            self._why = (place or refusal).detail
             self._refuse(req, held)
             return
         held.ticket = place
@@ -188,7 +193,7 @@
                 way, partial(policy._hop_failed, req, self._node.region)
             )
             return
-        self._sim.refuse(req)
+        self._sim.refuse(req, self._why)
 
     def _hop_failed(self, req: Request, region: RegionId) -> None:
         held = self._held.get(id(req))
--- a/pimentospool/bench/_policy_simulation.py
+++ b/pimentospool/bench/_policy_simulation.py
@@ -16,6 +16,7 @@
 REPORT_SECONDS = 0.5
 SUMMARY_SECONDS = 0.5
 DETECTION_SECONDS = 2.0
+VM_LIST_LAG_SECONDS = 5.0
 CALLER_TIMEOUT_SECONDS = 1.0
 FAULT_START_SECONDS = 60.0
 FAULT_END_SECONDS = 300.0
@@ -74,6 +75,10 @@
         """Read one engine's reports."""
         ...
 
+    def read_vm_list(self) -> None:
+        """Read which entry VMs there are."""
+        ...
+
     def exchange(self) -> None:
         """Send summaries to the other entry VMs."""
         ...
@@ -194,8 +199,10 @@
             partial(peer.policy.submit, req, hopped=True),
         )
 
-    def refuse(self, req: Request) -> None:
+    def refuse(self, req: Request, why: str = "") -> None:
         """End the request without an answer."""
+        import collections
+        self.whys = getattr(self, "whys", collections.Counter()); self.whys[why, req.arrival.short] += 1
         self._finish(req, refused=True)
 
     def ingress(self, req: Request) -> EntryNode:
@@ -266,7 +273,7 @@
 
     def _expire(self, req: Request) -> None:
         if req.first_seconds is None and not req.ended:
-            self._finish(req, refused=True)
+            self.refuse(req, "expired %s" % (req.job is not None))
 
     def _finish(self, req: Request, *, refused: bool) -> None:
         if req.ended:
@@ -321,6 +328,12 @@
         for node in self.nodes:
             node.alive = True
         self._lost = None
+        self.time.after(VM_LIST_LAG_SECONDS, self._read_vm_lists)
+
+    def _read_vm_lists(self) -> None:
+        for node in self.nodes:
+            if node.alive:
+                node.policy.read_vm_list()
 
     def _lose_region(self, region: RegionId) -> None:
         self._lost = region
@@ -329,6 +342,7 @@
         for engine in self.engines.values():
             if engine.region == region:
                 engine.stop()
+        self.time.after(VM_LIST_LAG_SECONDS, self._read_vm_lists)
         for req in self.requests:
             if not req.ended and self._was_in(req, region):
                 for node in self.nodes:
--- a/pimentospool/policy/_limits.py
+++ b/pimentospool/policy/_limits.py
@@ -9,7 +9,7 @@
 from pimentospool.manifest import Customer
 from pimentospool.policy._shares import QuotaShares
 
-BURST_SECONDS = 2.0
+BURST_SECONDS = 5.0
 SHED_STEP = 0.05
 CONCURRENCY_RETRY_SECONDS = 1.0
 SHED_RETRY_SECONDS = 2.0
@@ -132,19 +132,22 @@
             )
         usage.requests.take(1.0)
         usage.tokens.take(tokens)
-        usage.in_flight += 1
+        self._count(customer, usage, 1)
         return None
 
-    def finished(self, customer: CustomerId) -> None:
+    def finished(self, customer: Customer) -> None:
         """Count an admitted request as ended."""
-        usage = self._usage[customer]
-        usage.in_flight -= 1
+        self._count(customer, self._usage[customer.id], -1)
 
     def in_flight(self, customer: CustomerId) -> int:
         """Return the customer's admitted requests in progress."""
         usage = self._usage.get(customer)
         return usage.in_flight if usage is not None else 0
 
+    def _count(self, customer: Customer, usage: _Usage, change: int) -> None:
+        usage.in_flight += change
+        self._shares.holds(customer.id, usage.in_flight / customer.quota.concurrency)
+
 
 def shed_threshold(priority: int) -> float:
     """Return the pressure above which requests of `priority` are refused."""
--- a/pimentospool/policy/_routing.py
+++ b/pimentospool/policy/_routing.py
@@ -154,7 +154,7 @@
         everything = [*scores.values(), *away.values()]
         if not everything:
             return self._refuse_unserved(query)
-        best, reason = self._pick(everything)
+        best, reason = self._pick(_with_room(scores, away))
         if query.remaining_seconds is not None:
             late = best.first_ms / MILLISECONDS - query.remaining_seconds
             if late > 0.0:
@@ -289,6 +289,14 @@
         )
 
 
+def _with_room(
+    local: dict[TargetId, Score], away: dict[RegionId, Score]
+) -> list[Score]:
+    """Return the scores to choose from: targets without room only if all are full."""
+    with_room = [score for score in local.values() if score.has_room]
+    return [*(with_room or local.values()), *away.values()]
+
+
 def _refuse_late(late_seconds: float, scores: list[Score]) -> RouteRefusal:
     return RouteRefusal(
         reason=Reason.OVERLOADED,
--- a/pimentospool/policy/_scores.py
+++ b/pimentospool/policy/_scores.py
@@ -26,7 +26,7 @@
 
     ``first_ms`` is the expected time to first token. The other parts are the
     manifest's prices: the work on the target, leaving the region, the delay put on
-    short requests, and recent failures.
+    other requests by the prefill, and recent failures.
     """
 
     candidate: str
@@ -37,7 +37,7 @@
     link_ms: float
     cost_ms: float
     away_ms: float
-    lane_ms: float
+    blocking_ms: float
     failure_ms: float
     hit_tokens: float
     has_room: bool
@@ -48,8 +48,8 @@
             f"{self.candidate}: {self.total_ms:.1f} ms (first token "
             f"{self.first_ms:.1f}: wait {self.wait_ms:.1f}, prefill "
             f"{self.prefill_ms:.1f}, link {self.link_ms:.1f}; cost "
-            f"{self.cost_ms:.1f}, away {self.away_ms:.1f}, short lane "
-            f"{self.lane_ms:.1f}, failures {self.failure_ms:.1f}; "
+            f"{self.cost_ms:.1f}, away {self.away_ms:.1f}, blocking "
+            f"{self.blocking_ms:.1f}, failures {self.failure_ms:.1f}; "
             f"{self.hit_tokens:.0f} tokens cached)"
         )
 
--- a/pimentospool/policy/_scoring.py
+++ b/pimentospool/policy/_scoring.py
@@ -9,9 +9,11 @@
 from pimentospool.policy._summaries import RegionState
 from pimentospool.policy._work import MILLISECONDS
 
-LONG_RESERVE_SHARE = 0.25
+LANE_RESERVE_SHARE = 0.25
+LANE_BACKLOG_SECONDS = 0.25
 LONG_BACKLOG_SECONDS = 1.0
-LANE_FACTOR = 2.0
+LANE_FACTOR = 0.5
+BLOCKING_FACTOR = 0.5
 SHARE_GAIN = 0.02
 FIRST_SHORT_SHARE = 0.8
 ROLE_FACTOR = 2.0
@@ -67,19 +69,20 @@
         prefill_ms = expected.prefill * MILLISECONDS
         in_flight = work.in_flight(now)
         has_room = True
-        lane_ms = 0.0
+        factor = BLOCKING_FACTOR
         if not short:
-            room = long_room(target.slots)
-            busy = expected.prefill_wait > LONG_BACKLOG_SECONDS
-            has_room = in_flight + 1.0 <= room and not busy
+            room = long_room(target.slots, lane=state.short_lane)
+            backlog = LANE_BACKLOG_SECONDS if state.short_lane else LONG_BACKLOG_SECONDS
+            has_room = in_flight + 1.0 <= room and expected.prefill_wait <= backlog
             if in_flight + 1.0 > room:
                 ahead = in_flight + 1.0 - room
                 wait_ms += ahead * work.hold_seconds / target.slots * MILLISECONDS
             if state.short_lane:
-                lane_ms = LANE_FACTOR * prices.weights.tail_latency * prefill_ms
+                factor += LANE_FACTOR
         if state.engine is not None and state.engine.role != "any":
             fits = (state.engine.role == "decode") == short
-            lane_ms += 0.0 if fits else ROLE_FACTOR * prefill_ms
+            factor += 0.0 if fits else ROLE_FACTOR
+        blocking_ms = factor * prices.weights.tail_latency * prefill_ms
         first_ms = wait_ms + prefill_ms
         seconds = expected.prefill + self._decode_seconds(state, query)
         cost_ms = prices.weights.cost_ms * state.cost * seconds
@@ -87,14 +90,14 @@
         factor = prices.latency_factor(short=short)
         return Score(
             target.id,
-            factor * first_ms + cost_ms + lane_ms + failure_ms,
+            factor * first_ms + cost_ms + blocking_ms + failure_ms,
             first_ms,
             wait_ms,
             prefill_ms,
             0.0,
             cost_ms,
             0.0,
-            lane_ms,
+            blocking_ms,
             failure_ms,
             hit,
             has_room,
@@ -117,17 +120,19 @@
         cost_ms = prices.weights.cost_ms * state.cost * (prefill + decode)
         away_ms = prices.away_ms() / state.health.ramp(now)
         failure_ms = state.health.penalty_ms(now)
+        blocking_ms = BLOCKING_FACTOR * prices.weights.tail_latency * prefill
+        blocking_ms *= MILLISECONDS
         factor = prices.latency_factor(short=short)
         return Score(
             state.region,
-            factor * first_ms + cost_ms + away_ms + failure_ms,
+            factor * first_ms + cost_ms + away_ms + blocking_ms + failure_ms,
             first_ms,
             wait.wait_ms,
             prefill * MILLISECONDS,
             link_ms,
             cost_ms,
             away_ms,
-            0.0,
+            blocking_ms,
             failure_ms,
             hit,
             True,
@@ -139,7 +144,11 @@
         return query.max_tokens / target.decode_tokens_per_second / target.slots
 
 
-def long_room(slots: int) -> int:
-    """Return how many requests leave room for one more long request."""
-    reserve = math.ceil(slots * LONG_RESERVE_SHARE)
-    return max(1, slots - reserve)
+def long_room(slots: int, *, lane: bool) -> int:
+    """Return how many requests a target may have with one more long request.
+
+    Some slots of a short lane are kept for short requests.
+    """
+    if not lane:
+        return slots
+    return max(1, slots - math.ceil(slots * LANE_RESERVE_SHARE))
--- a/pimentospool/policy/_shares.py
+++ b/pimentospool/policy/_shares.py
@@ -19,9 +19,8 @@
 BEAT_SECONDS = 0.5
 FRESH_BEATS = 4
 RAISE_GAIN = 0.25
-HEADROOM = 1.5
+HEADROOM = 2.0
 DEMAND_SECONDS = 3.0
-KEPT_SECONDS = 7200.0
 LOWER_GAIN = 0.5
 NEGLIGIBLE = 1e-6
 
@@ -30,7 +29,6 @@
 
 
 class _Peer(msgspec.Struct):
-    listed_at: float
     heard_at: float = -math.inf
     claims: dict[CustomerId, QuotaClaim] = {}
 
@@ -38,6 +36,7 @@
 class _Claim(msgspec.Struct):
     share: float
     demand: float = 0.0
+    held: float = 0.0
     used_at: float = 0.0
     rebalanced_at: float = 0.0
 
@@ -60,31 +59,19 @@
         self._claims: dict[CustomerId, _Claim] = {}
 
     def set_entries(self, entries: Iterable[EntryId]) -> None:
-        """Take over the known entry VMs.
+        """Take over all entry VMs that are not known to be gone.
 
-        One that is no longer listed counts for `KEPT_SECONDS`, since it may be cut
-        off and serving; `forget` ends that.
+        One that cannot be reached belongs to them: it may be cut off and serving.
         """
-        now = self._clock()
-        for entry in entries:
-            if entry == self._entry:
-                continue
-            known = self._peers.get(entry)
-            if known is None:
-                self._peers[entry] = _Peer(listed_at=now)
-            else:
-                known.listed_at = now
-        for entry, known in list(self._peers.items()):
-            if now - max(known.listed_at, known.heard_at) > KEPT_SECONDS:
-                del self._peers[entry]
-
-    def forget(self, entry: EntryId) -> None:
-        """Stop counting an entry VM that is known to be gone."""
-        self._peers.pop(entry, None)
+        known = set(entries) - {self._entry}
+        for entry in self._peers.keys() - known:
+            del self._peers[entry]
+        for entry in known - self._peers.keys():
+            self._peers[entry] = _Peer()
 
     def take(self, summary: RegionSummary, now: float) -> None:
         """Take over the claims of another entry VM."""
-        peer = self._peers.setdefault(summary.entry, _Peer(listed_at=now))
+        peer = self._peers.setdefault(summary.entry, _Peer())
         peer.heard_at = now
         peer.claims = {claim.customer: claim for claim in summary.claims}
 
@@ -104,6 +91,10 @@
         claim.demand = claim.demand * decay + part / DEMAND_SECONDS
         claim.used_at = now
 
+    def holds(self, customer: CustomerId, part: float) -> None:
+        """Note the part of the concurrency quota that is in use here."""
+        self._claim(customer).held = part
+
     def claims(self) -> list[QuotaClaim]:
         """Adjust the claims and return those that others need to hear of."""
         if not self._peers:
@@ -135,7 +126,7 @@
 
     def _wanted(self, claim: _Claim, now: float) -> float:
         demand = claim.demand * math.exp((claim.used_at - now) / DEMAND_SECONDS)
-        return max(0.0, HEADROOM * demand - FLOOR / self._count())
+        return max(0.0, HEADROOM * max(demand, claim.held) - FLOOR / self._count())
 
     def _rebalance(
         self, customer: CustomerId, claim: _Claim, wanted: float, now: float
