Prefer one target for a cold prefix and wait for a warm one

Cause: long prompts went cold to any target with room, which cost capacity. Change: a ring names the target to warm; a target without room is kept if its score with the wait is best.

--- a/pimentospool/policy/_pools.py
+++ b/pimentospool/policy/_pools.py
@@ -2,7 +2,8 @@
 
 import random
 import zlib
-from collections.abc import Callable, Container, Iterable
+from bisect import bisect
+from collections.abc import Callable, Container, Iterable, Sequence
 
 from pimentospool._generated.engine import EngineState
 from pimentospool.ids import RegionId, TargetId
@@ -17,6 +18,8 @@
 KEPT_BEST = 3
 SERVICE_HOLD_SECONDS = 0.1
 SHORT_LANE_SHARE = 1 / 3
+RING_POINTS = 16
+AFFINITY_BLOCKS = 16
 
 
 class TargetState:
@@ -82,12 +85,29 @@
         self.members = members
         self._by_id = {state.target.id: state for state in members}
         self._best: list[TargetState] = []
+        self._ring = sorted(
+            (zlib.crc32(f"{state.target.id}/{number}".encode()), state.target.id)
+            for state in members
+            for number in range(RING_POINTS)
+        )
 
     @property
     def samples(self) -> bool:
         """Whether decisions look at a part of the targets only."""
         return len(self.members) > EVALUATE_ALL
 
+    def preferred(self, blocks: Sequence[str]) -> TargetId | None:
+        """Return the target to warm with a long prompt, by a hash of its start.
+
+        Every entry VM prefers the same one, so that a prompt whose prefix is known
+        nowhere is not made warm at several targets.
+        """
+        if len(blocks) < AFFINITY_BLOCKS:
+            return None
+        point = zlib.crc32(blocks[AFFINITY_BLOCKS - 1].encode())
+        position = bisect(self._ring, (point, ""))
+        return self._ring[position % len(self._ring)][1]
+
     def candidates(
         self,
         rng: random.Random,
--- a/pimentospool/policy/_routing.py
+++ b/pimentospool/policy/_routing.py
@@ -149,12 +149,17 @@
             )
         now = self._clock()
         states = self._local_candidates(query, now)
-        scores = {s.target.id: self._scorer.target(s, query, now) for s in states}
+        pool = self._known.pools.get(query.pool)
+        preferred = pool.preferred(query.blocks) if pool is not None else None
+        scores = {
+            state.target.id: self._scorer.target(state, query, now, preferred)
+            for state in states
+        }
         away = self._region_scores(query, now)
         everything = [*scores.values(), *away.values()]
         if not everything:
             return self._refuse_unserved(query)
-        best, reason = self._pick(_with_room(scores, away))
+        best, reason = self._pick(everything)
         if query.remaining_seconds is not None:
             late = best.first_ms / MILLISECONDS - query.remaining_seconds
             if late > 0.0:
@@ -197,7 +202,10 @@
         if pool is None or self._region not in query.allowed_regions:
             return []
         excluded = query.excluded_targets
-        holders = self._prefixes.holders(query.blocks) if query.blocks else ()
+        holders = list(self._prefixes.holders(query.blocks))
+        preferred = pool.preferred(query.blocks)
+        if preferred is not None:
+            holders.insert(0, preferred)
         drawn = pool.candidates(self._rng, holders, excluded)
         usable = self._usable(drawn, query, now)
         if usable:
--- a/pimentospool/policy/_scoring.py
+++ b/pimentospool/policy/_scoring.py
@@ -2,6 +2,7 @@
 
 import math
 
+from pimentospool.ids import TargetId
 from pimentospool.policy._pools import TargetState
 from pimentospool.policy._prefixes import PrefixIndex
 from pimentospool.policy._routes import RouteQuery
@@ -11,9 +12,10 @@
 
 LANE_RESERVE_SHARE = 0.25
 LANE_BACKLOG_SECONDS = 0.25
-LONG_BACKLOG_SECONDS = 1.0
+LONG_BACKLOG_SECONDS = 0.5
 LANE_FACTOR = 0.5
 BLOCKING_FACTOR = 0.5
+AFFINITY_SHARE = 0.5
 SHARE_GAIN = 0.02
 FIRST_SHORT_SHARE = 0.8
 ROLE_FACTOR = 2.0
@@ -53,8 +55,17 @@
         """Share of short requests, smoothed."""
         return self._short_share
 
-    def target(self, state: TargetState, query: RouteQuery, now: float) -> Score:
-        """Return the score of a target of the own region."""
+    def target(
+        self,
+        state: TargetState,
+        query: RouteQuery,
+        now: float,
+        preferred: TargetId | None = None,
+    ) -> Score:
+        """Return the score of a target of the own region.
+
+        A long prompt costs less at the `preferred` target.
+        """
         prices = self.prices
         assert prices is not None
         short = self.is_short(query)
@@ -82,6 +93,8 @@
         if state.engine is not None and state.engine.role != "any":
             fits = (state.engine.role == "decode") == short
             factor += 0.0 if fits else ROLE_FACTOR
+        if target.id == preferred:
+            factor -= AFFINITY_SHARE
         blocking_ms = factor * prices.weights.tail_latency * prefill_ms
         first_ms = wait_ms + prefill_ms
         seconds = expected.prefill + self._decode_seconds(state, query)
