Let engines queue two long requests and keep pools of two whole

Cause: under overload long requests waited while engines had idle slots, and one of two targets was kept as a short lane. Change: room for two queued long requests beside lanes; no lane in a pool of two.

--- a/pimentospool/policy/_pools.py
+++ b/pimentospool/policy/_pools.py
@@ -149,10 +149,10 @@
     """Mark the targets that long requests should leave to short ones.
 
     Every entry VM marks the same targets, since the order is by a hash of their
-    ids. A pool of one target has none.
+    ids. A pool of two targets has none.
     """
     count = int(len(members) * SHORT_LANE_SHARE)
-    if len(members) > 1:
+    if len(members) > 2:
         count = max(1, count)
     order = sorted(members, key=lambda state: zlib.crc32(state.target.id.encode()))
     for number, state in enumerate(order):
--- a/pimentospool/policy/_scoring.py
+++ b/pimentospool/policy/_scoring.py
@@ -10,6 +10,7 @@
 from pimentospool.policy._summaries import RegionState
 from pimentospool.policy._work import MILLISECONDS
 
+LONG_QUEUED = 2
 LANE_RESERVE_SHARE = 0.25
 LANE_BACKLOG_SECONDS = 0.25
 LONG_BACKLOG_SECONDS = 0.5
@@ -163,5 +164,5 @@
     Some slots of a short lane are kept for short requests.
     """
     if not lane:
-        return slots
+        return slots + LONG_QUEUED
     return max(1, slots - math.ceil(slots * LANE_RESERVE_SHARE))
