--- a/pimentospool/_generated/settings.py
+++ b/pimentospool/_generated/settings.py
@@ -41,7 +41,7 @@
     weight_store_address: str = ""
     request_timeout_seconds: Annotated[float, Meta(gt=0.0)] = 2.0
     watch_seconds: Annotated[float, Meta(gt=0.0)] = 20.0
-    vm_list_interval_seconds: Annotated[float, Meta(gt=0.0)] = 2.0
+    vm_list_interval_seconds: Annotated[float, Meta(gt=0.0)] = 1.0
     readers_per_zone: Annotated[int, Meta(ge=1)] = 2
 
 
--- /dev/null
+++ b/pimentospool/peers/_gossip.py
@@ -0,0 +1,142 @@
+"""What one node tells its peers, and what it takes in from them."""
+
+import random
+from collections.abc import Callable
+
+from pimentospool._generated.peers import (
+    Gossip,
+    Member,
+    MemberState,
+    Report,
+    RevisionHead,
+)
+from pimentospool.policy import MemberChange, Membership, ReportBook
+from pimentospool.signals import Signal
+
+_RUMOURS_PER_MESSAGE = 8
+_REPORT_BYTES_PER_MESSAGE = 256 * 1024
+
+
+class GossipState:
+    """Everything that spreads by gossip, at one node.
+
+    Parameters
+    ----------
+    own : Member
+        Record of this process.
+    gone_seconds : float
+        Time after which a suspect is gone.
+    head : callable
+        Returns the revision in force.
+    clock : callable
+        Monotonic time in seconds.
+    rng : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Member,
+        gone_seconds: float,
+        head: Callable[[], RevisionHead],
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.members = Membership(own=own, gone_seconds=gone_seconds, rng=rng)
+        self.reports = ReportBook()
+        self.contact_at: float | None = None
+        self.member_changed: Signal[MemberChange] = Signal(name="member_changed")
+        self.report_changed: Signal[Report] = Signal(name="report_changed")
+        self.revision_heard: Signal[RevisionHead, str] = Signal(name="revision_heard")
+        self._head = head
+        self._clock = clock
+
+    def outgoing(self) -> Gossip:
+        """Return a heartbeat."""
+        gossip = self._base()
+        gossip.members = self.members.rumours(limit=_RUMOURS_PER_MESSAGE)
+        gossip.numbers = self.reports.numbers()
+        return gossip
+
+    def receive(self, gossip: Gossip) -> Gossip:
+        """Take in a peer's message and return the answer to it."""
+        self._absorb(gossip)
+        answer = self._base()
+        if gossip.numbers or not gossip.whole_zone:
+            answer.reports = _bounded(self.reports.missing_from(gossip.numbers))
+            answer.wants = self.reports.wanted_from(gossip.numbers)
+        if self._same_view(gossip):
+            answer.members = self.members.rumours(limit=_RUMOURS_PER_MESSAGE)
+        else:
+            answer.members = self.members.records()
+            answer.whole_zone = True
+        self._add_record_of(gossip.sender, answer)
+        return answer
+
+    def absorb(self, answer: Gossip) -> Gossip | None:
+        """Take in the answer to a message; return what to send next, if anything."""
+        self._absorb(answer)
+        wanted = [self.reports.get(key) for key in answer.wants]
+        if not wanted and (not answer.whole_zone or self._same_view(answer)):
+            return None
+        gossip = self._base()
+        gossip.reports = _bounded([report for report in wanted if report is not None])
+        gossip.whole_zone = True
+        if answer.sender.zone == self.members.own.zone:
+            gossip.members = self.members.records()
+        return gossip
+
+    def contact(self) -> None:
+        """Note that the platform was heard from."""
+        self.contact_at = self._clock()
+
+    @property
+    def contact_age(self) -> float:
+        """Time since the platform was last heard from; -1 if never."""
+        return -1.0 if self.contact_at is None else self._clock() - self.contact_at
+
+    def _base(self) -> Gossip:
+        return Gossip(
+            sender=self.members.own,
+            revision=self._head(),
+            contact_age_seconds=self.contact_age,
+            members_digest=self.members.digest,
+        )
+
+    def _same_view(self, gossip: Gossip) -> bool:
+        if gossip.sender.zone != self.members.own.zone:
+            return True
+        return gossip.members_digest == self.members.digest
+
+    def _absorb(self, gossip: Gossip) -> None:
+        now = self._clock()
+        for record in [*gossip.members, gossip.sender]:
+            change = self.members.merge(record, now=now)
+            if change is not None:
+                self.member_changed.send(change)
+        for report in gossip.reports:
+            if self.reports.merge(report, now=now):
+                self.report_changed.send(report)
+        age = gossip.contact_age_seconds
+        if age >= 0 and (self.contact_at is None or now - age > self.contact_at):
+            self.contact_at = now - age
+        self.revision_heard.send(gossip.revision, gossip.sender.peer_address)
+
+    def _add_record_of(self, sender: Member, answer: Gossip) -> None:
+        held = self.members.record(sender.id)
+        if held is None or held.state in (MemberState.LIVE, MemberState.LEAVING):
+            return
+        if held not in answer.members:
+            answer.members.append(held)
+
+
+def _bounded(reports: list[Report]) -> list[Report]:
+    size = 0
+    chosen: list[Report] = []
+    for report in reports:
+        size += len(report.data)
+        if chosen and size > _REPORT_BYTES_PER_MESSAGE:
+            break
+        chosen.append(report)
+    return chosen
--- /dev/null
+++ b/pimentospool/peers/_links.py
@@ -0,0 +1,164 @@
+"""Requests to peers, over connections that are kept and replaced when silent."""
+
+from collections import OrderedDict
+from pathlib import Path
+
+import msgspec
+import pynng
+
+from pimentospool._generated.peers import PeerAnswer, PeerRequest
+from pimentospool._generated.settings import TlsSettings
+from pimentospool.errors import PimentospoolError
+from pimentospool.peers._codec import CodecError, PeerCodec
+
+_MAX_LINKS = 64
+_RECONNECT_MIN_MS = 50
+_RECONNECT_MAX_MS = 1000
+_NO_RESEND_MS = 3_600_000
+
+
+class PeerError(PimentospoolError):
+    """A peer that did not answer as the protocol says."""
+
+
+class Traffic(msgspec.Struct, kw_only=True):
+    """Messages and bytes that one node sent and received."""
+
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    received_messages: int = 0
+    received_bytes: int = 0
+
+    def sent(self, data: bytes) -> None:
+        """Count a message that was sent."""
+        self.sent_messages += 1
+        self.sent_bytes += len(data)
+
+    def received(self, data: bytes) -> None:
+        """Count a message that was received."""
+        self.received_messages += 1
+        self.received_bytes += len(data)
+
+
+class PeerTls:
+    """TLS of control messages; both sides show a certificate.
+
+    Parameters
+    ----------
+    cfg : TlsSettings
+        PEM files; empty paths turn TLS off.
+    server_name : str
+        DNS name in every peer's certificate.
+    """
+
+    def __init__(self, *, cfg: TlsSettings, server_name: str) -> None:
+        self.enabled = bool(cfg.peer_certificate)
+        self.scheme = "tls+tcp" if self.enabled else "tcp"
+        self._cfg = cfg
+        self._server_name = server_name
+
+    def server(self) -> pynng.TLSConfig | None:
+        """Return the listener's configuration, read from the files now."""
+        return self._config(pynng.TLSConfig.MODE_SERVER, None)
+
+    def client(self) -> pynng.TLSConfig | None:
+        """Return a dialer's configuration, read from the files now."""
+        return self._config(pynng.TLSConfig.MODE_CLIENT, self._server_name)
+
+    def _config(self, mode: int, server_name: str | None) -> pynng.TLSConfig | None:
+        if not self.enabled:
+            return None
+        cfg = self._cfg
+        return pynng.TLSConfig(
+            mode,
+            server_name=server_name,
+            ca_string=Path(cfg.peer_authority).read_text(),
+            own_key_string=Path(cfg.peer_key).read_text(),
+            own_cert_string=Path(cfg.peer_certificate).read_text(),
+            auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+        )
+
+
+class PeerLinks:
+    """Sends requests to peers by their address.
+
+    Parameters
+    ----------
+    codec : PeerCodec
+        Signs and checks messages.
+    tls : PeerTls
+        TLS of the connections.
+    timeout_seconds : float
+        Longest wait for an answer.
+    """
+
+    def __init__(
+        self, *, codec: PeerCodec, tls: PeerTls, timeout_seconds: float
+    ) -> None:
+        self.traffic = Traffic()
+        self._codec = codec
+        self._tls = tls
+        self._timeout_ms = round(timeout_seconds * 1000)
+        self._socks: OrderedDict[str, pynng.Req0] = OrderedDict()
+
+    async def request(
+        self, address: str, req: PeerRequest, *, fresh: bool = False
+    ) -> PeerAnswer:
+        """Send `req` and return its answer.
+
+        Parameters
+        ----------
+        fresh : bool
+            Whether to replace the connection first, since the one in use may be
+            silent for good.
+
+        Raises
+        ------
+        PeerError
+            If no valid answer comes within the timeout.
+        """
+        if fresh:
+            self.drop(address)
+        data = self._codec.encode(req)
+        try:
+            sock = self._sock(address)
+            with sock.new_context() as ctx:
+                await ctx.asend(data)
+                self.traffic.sent(data)
+                answer = await ctx.arecv()
+        except (pynng.NNGException, OSError) as exc:
+            raise PeerError(f"{address}: {type(exc).__name__} {exc}") from exc
+        self.traffic.received(answer)
+        try:
+            return self._codec.decode(answer, PeerAnswer)
+        except CodecError as exc:
+            raise PeerError(f"{address}: {exc}") from exc
+
+    def drop(self, address: str) -> None:
+        """Close the connection to a peer; the next request opens a new one."""
+        sock = self._socks.pop(address, None)
+        if sock is not None:
+            sock.close()
+
+    def close(self) -> None:
+        """Close every connection."""
+        for address in list(self._socks):
+            self.drop(address)
+
+    def _sock(self, address: str) -> pynng.Req0:
+        sock = self._socks.get(address)
+        if sock is None:
+            sock = pynng.Req0(
+                send_timeout=self._timeout_ms,
+                recv_timeout=self._timeout_ms,
+                resend_time=_NO_RESEND_MS,
+                reconnect_time_min=_RECONNECT_MIN_MS,
+                reconnect_time_max=_RECONNECT_MAX_MS,
+                tls_config=self._tls.client(),
+            )
+            self._socks[address] = sock
+            sock.dial(f"{self._tls.scheme}://{address}", block=False)
+            while len(self._socks) > _MAX_LINKS:
+                self.drop(next(iter(self._socks)))
+        self._socks.move_to_end(address)
+        return sock
--- /dev/null
+++ b/pimentospool/peers/_listener.py
@@ -0,0 +1,88 @@
+"""Answers to peers' requests."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pynng
+
+from pimentospool._generated.peers import PeerAnswer, PeerRequest
+from pimentospool.log import Event, log_event
+from pimentospool.peers._codec import CodecError, PeerCodec
+from pimentospool.peers._links import PeerTls, Traffic
+
+_WORKERS = 4
+_MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
+Handler = Callable[[PeerRequest], Awaitable[PeerAnswer]]
+
+
+class PeerListener:
+    """Serves requests of peers on one address.
+
+    Parameters
+    ----------
+    address : str
+        IP:port to listen on.
+    codec : PeerCodec
+        Checks and signs messages.
+    tls : PeerTls
+        TLS of the connections.
+    traffic : Traffic
+        Where messages are counted.
+    handle : callable
+        Answers one request.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        codec: PeerCodec,
+        tls: PeerTls,
+        traffic: Traffic,
+        handle: Handler,
+    ) -> None:
+        self._address = address
+        self._codec = codec
+        self._tls = tls
+        self._traffic = traffic
+        self._handle = handle
+        self._sock: pynng.Rep0 | None = None
+        self._workers: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Listen and answer."""
+        sock = pynng.Rep0(
+            recv_max_size=_MAX_MESSAGE_BYTES, tls_config=self._tls.server()
+        )
+        sock.listen(f"{self._tls.scheme}://{self._address}")
+        self._sock = sock
+        self._workers = [
+            asyncio.create_task(self._work(sock.new_context())) for _ in range(_WORKERS)
+        ]
+
+    async def close(self) -> None:
+        """Stop listening."""
+        for worker in self._workers:
+            worker.cancel()
+        await asyncio.gather(*self._workers, return_exceptions=True)
+        if self._sock is not None:
+            self._sock.close()
+
+    async def _work(self, ctx: pynng.Context) -> None:
+        with ctx:
+            while True:
+                try:
+                    await self._answer_one(ctx)
+                except pynng.Closed:
+                    return
+                except (pynng.NNGException, CodecError) as exc:
+                    log_event(Event.PEER_MESSAGE_REFUSED, error=str(exc))
+
+    async def _answer_one(self, ctx: pynng.Context) -> None:
+        data = await ctx.arecv()
+        self._traffic.received(data)
+        answer = await self._handle(self._codec.decode(data, PeerRequest))
+        encoded = self._codec.encode(answer)
+        self._traffic.sent(encoded)
+        await ctx.asend(encoded)
--- /dev/null
+++ b/pimentospool/peers/_zones.py
@@ -0,0 +1,118 @@
+"""What is known of other availability zones, from their summaries and the VM list."""
+
+import math
+
+import msgspec
+
+from pimentospool._generated.peers import Member, Report, ZoneSummary
+from pimentospool._generated.platform import VmKind, VmRecord
+from pimentospool.ids import RegionId, ZoneId
+from pimentospool.policy import ReportBook
+
+SUMMARY_PREFIX = "zone/"
+BEAT_PREFIX = "beat/"
+
+
+class ZoneView:
+    """Other zones as one entry VM sees them.
+
+    Parameters
+    ----------
+    own_zone : ZoneId
+        Zone of this entry VM.
+    reports : ReportBook
+        Where zones' summaries and beats arrive.
+    heartbeat_seconds, gone_after_seconds : float
+        Times from the settings.
+    """
+
+    def __init__(
+        self,
+        *,
+        own_zone: ZoneId,
+        reports: ReportBook,
+        heartbeat_seconds: float,
+        gone_after_seconds: float,
+    ) -> None:
+        self._own_zone = own_zone
+        self._reports = reports
+        self._heartbeat_seconds = heartbeat_seconds
+        self._gone_after_seconds = gone_after_seconds
+        self._hints: list[VmRecord] = []
+        self._summaries: dict[str, tuple[Report, ZoneSummary]] = {}
+
+    def set_hints(self, vms: list[VmRecord]) -> None:
+        """Take over the entry VMs of the platform's list."""
+        self._hints = [vm for vm in vms if vm.kind is VmKind.ENTRY]
+
+    @property
+    def hints(self) -> list[VmRecord]:
+        """Entry VMs of the platform's list."""
+        return self._hints
+
+    def summaries(self) -> list[ZoneSummary]:
+        """Return the latest summary of each other zone."""
+        summaries = []
+        for report in self._reports.with_prefix(SUMMARY_PREFIX):
+            summary = self._decode(report)
+            if summary is not None and summary.zone != self._own_zone:
+                summaries.append(summary)
+        return summaries
+
+    def zones(self) -> list[ZoneId]:
+        """Return every other zone that is known of."""
+        zones = {summary.zone for summary in self.summaries()}
+        zones |= {vm.zone for vm in self._hints}
+        return sorted(zones - {self._own_zone})
+
+    def age(self, zone: ZoneId, *, now: float) -> float | None:
+        """Return the time since a zone's last sign of life."""
+        return self._reports.age(BEAT_PREFIX + zone, now=now)
+
+    def timeout(self) -> float:
+        """Return the age in seconds at which a zone counts as unreachable.
+
+        Beats pass from zone to zone, in a number of steps that grows with the
+        logarithm of the number of zones.
+        """
+        steps = math.ceil(math.log2(len(self.zones()) + 2))
+        return self._gone_after_seconds + 2 * steps * self._heartbeat_seconds
+
+    def reachable(self, zone: ZoneId, *, now: float) -> bool:
+        """Return whether a zone gave a sign of life lately."""
+        age = self.age(zone, now=now)
+        return age is not None and age < self.timeout()
+
+    def gateways(self, zone: ZoneId) -> list[Member]:
+        """Return the entry VMs by which a zone is used from here."""
+        report = self._reports.get(SUMMARY_PREFIX + zone)
+        summary = self._decode(report) if report else None
+        return summary.gateways if summary else []
+
+    def addresses(self, zone: ZoneId, *, now: float) -> list[str]:
+        """Return peer addresses at which a zone may be reached."""
+        found = [member.peer_address for member in self.gateways(zone)]
+        if not self.reachable(zone, now=now):
+            found += [vm.peer_address for vm in self._hints if vm.zone == zone]
+        return found
+
+    def region_of(self, zone: ZoneId) -> RegionId | None:
+        """Return the region of another zone, if it is known."""
+        for summary in self.summaries():
+            if summary.zone == zone:
+                return summary.region
+        for vm in self._hints:
+            if vm.zone == zone:
+                return vm.region
+        return None
+
+    def _decode(self, report: Report) -> ZoneSummary | None:
+        held = self._summaries.get(report.key)
+        if held is not None and held[0] is report:
+            return held[1]
+        try:
+            summary = msgspec.msgpack.decode(report.data, type=ZoneSummary)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return None
+        self._summaries[report.key] = (report, summary)
+        return summary
--- /dev/null
+++ b/pimentospool/policy/_membership.py
@@ -0,0 +1,248 @@
+"""Membership of one availability zone as one entry VM sees it.
+
+Records merge by a total order, so that views that heard the same rumours agree,
+whatever their order, loss or repetition. Source of the probing and the piggybacked
+rumours: SWIM (Das, Gupta, Motivala, 2002).
+"""
+
+import hashlib
+import math
+import random
+from enum import Enum
+
+import msgspec
+
+from pimentospool._generated.peers import Member, MemberState
+from pimentospool.ids import EntryId
+
+TOMBSTONE_SECONDS = 300.0
+_RUMOUR_FACTOR = 3
+_SEVERITY = {
+    MemberState.LIVE: 0,
+    MemberState.SUSPECT: 1,
+    MemberState.LEAVING: 2,
+    MemberState.GONE: 3,
+}
+
+
+class ChangeKind(Enum):
+    """What a merge changed."""
+
+    JOINED = "joined"
+    UPDATED = "updated"
+    SUSPECTED = "suspected"
+    LEAVING = "leaving"
+    GONE = "gone"
+    REFUTED = "refuted"
+    REPLACED = "replaced"
+
+
+class MemberChange(msgspec.Struct, kw_only=True, frozen=True):
+    """A change of the view and the record after it."""
+
+    kind: ChangeKind
+    member: Member
+
+
+def newer_member(a: Member, b: Member) -> Member:
+    """Return the record of the two that wins; both are of one entry VM."""
+    return max(a, b, key=_rank)
+
+
+def _rank(member: Member) -> tuple[int, int, int, str, str]:
+    return (
+        member.incarnation,
+        _SEVERITY[member.state],
+        member.life,
+        member.caller_address,
+        member.peer_address,
+    )
+
+
+class Membership:
+    """View of one zone.
+
+    Parameters
+    ----------
+    own : Member
+        Record of this process.
+    gone_seconds : float
+        Time after which a suspect that was not heard of is gone.
+    rng : random.Random
+        Source of the order of probes.
+    """
+
+    def __init__(self, *, own: Member, gone_seconds: float, rng: random.Random) -> None:
+        self._own_id = own.id
+        self._gone_seconds = gone_seconds
+        self._rng = rng
+        self._records: dict[EntryId, Member] = {own.id: own}
+        self._changed_at: dict[EntryId, float] = {}
+        self._sends_left: dict[EntryId, int] = {}
+        self._probe_order: list[EntryId] = []
+        self._digest: int | None = None
+
+    @property
+    def own(self) -> Member:
+        """Record of this process."""
+        return self._records[self._own_id]
+
+    def record(self, entry: EntryId) -> Member | None:
+        """Return the record of an entry VM, if one is held."""
+        return self._records.get(entry)
+
+    def records(self) -> list[Member]:
+        """Return every record, those of gone members included."""
+        return list(self._records.values())
+
+    def present(self) -> list[Member]:
+        """Return the members that are not gone."""
+        return [
+            member
+            for member in self._records.values()
+            if member.state is not MemberState.GONE
+        ]
+
+    def live(self) -> list[Member]:
+        """Return the members that take requests."""
+        return [
+            member
+            for member in self._records.values()
+            if member.state is MemberState.LIVE
+        ]
+
+    def others(self) -> list[Member]:
+        """Return the members that are not gone, without this process."""
+        return [member for member in self.present() if member.id != self._own_id]
+
+    @property
+    def digest(self) -> int:
+        """Digest of the members that are not gone; equal views have equal ones."""
+        if self._digest is None:
+            self._digest = 0
+            for member in self.present():
+                self._digest ^= _member_digest(member)
+        return self._digest
+
+    def merge(self, record: Member, *, now: float) -> MemberChange | None:
+        """Take in what a peer says of an entry VM; return what it changed."""
+        if record.zone != self.own.zone:
+            return None
+        if record.id == self._own_id:
+            return self._merge_own(record, now=now)
+        held = self._records.get(record.id)
+        if held is None:
+            self._store(record, now=now)
+            if record.state is MemberState.GONE:
+                return None
+            return MemberChange(kind=ChangeKind.JOINED, member=record)
+        if newer_member(held, record) == held:
+            return None
+        self._store(record, now=now)
+        return MemberChange(kind=_change_kind(held, record), member=record)
+
+    def suspect(self, entry: EntryId, *, now: float) -> MemberChange | None:
+        """Note that an entry VM did not answer over any connection."""
+        held = self._records.get(entry)
+        if held is None or entry == self._own_id:
+            return None
+        if held.state is MemberState.LIVE:
+            return self._change_state(held, MemberState.SUSPECT, now=now)
+        if held.state is MemberState.LEAVING:
+            return self._change_state(held, MemberState.GONE, now=now)
+        return None
+
+    def expire(self, *, now: float) -> list[MemberChange]:
+        """Turn old suspects into gone members and forget those long gone."""
+        changes = []
+        for entry, member in list(self._records.items()):
+            age = now - self._changed_at.get(entry, now)
+            if member.state is MemberState.SUSPECT and age >= self._gone_seconds:
+                changes.append(self._change_state(member, MemberState.GONE, now=now))
+            elif member.state is MemberState.GONE and age >= TOMBSTONE_SECONDS:
+                del self._records[entry]
+                self._changed_at.pop(entry, None)
+                self._sends_left.pop(entry, None)
+        return changes
+
+    def restart_timers(self, *, now: float) -> None:
+        """Count suspicions from `now`, after this process was paused."""
+        for entry in self._changed_at:
+            self._changed_at[entry] = now
+
+    def raise_incarnation(self, *, at_least: int = 0, now: float) -> Member:
+        """Contradict every rumour about this process; return its new record."""
+        number = max(self.own.incarnation + 1, at_least)
+        self._store(msgspec.structs.replace(self.own, incarnation=number), now=now)
+        return self.own
+
+    def leave(self, *, now: float) -> Member:
+        """Say that this process takes no new requests; return its new record."""
+        left = msgspec.structs.replace(self.own, state=MemberState.LEAVING)
+        self._store(left, now=now)
+        return self.raise_incarnation(now=now)
+
+    def next_probe(self) -> Member | None:
+        """Return the member to probe next; all have their turn in random order."""
+        while True:
+            if not self._probe_order:
+                self._probe_order = [member.id for member in self.others()]
+                self._rng.shuffle(self._probe_order)
+            if not self._probe_order:
+                return None
+            member = self._records.get(self._probe_order.pop())
+            if member is not None and member.state is not MemberState.GONE:
+                return member
+
+    def rumours(self, *, limit: int) -> list[Member]:
+        """Return the records to piggyback, those sent least often first."""
+        ranked = sorted(
+            self._sends_left, key=lambda entry: (-self._sends_left[entry], entry)
+        )
+        chosen = ranked[:limit]
+        for entry in chosen:
+            self._sends_left[entry] -= 1
+            if not self._sends_left[entry]:
+                del self._sends_left[entry]
+        return [self._records[entry] for entry in chosen]
+
+    def _merge_own(self, record: Member, *, now: float) -> MemberChange | None:
+        own = self.own
+        if record.life > own.life:
+            return MemberChange(kind=ChangeKind.REPLACED, member=record)
+        if newer_member(own, record) == own:
+            return None
+        self.raise_incarnation(at_least=record.incarnation + 1, now=now)
+        return MemberChange(kind=ChangeKind.REFUTED, member=self.own)
+
+    def _change_state(
+        self, member: Member, state: MemberState, *, now: float
+    ) -> MemberChange:
+        record = msgspec.structs.replace(member, state=state)
+        self._store(record, now=now)
+        return MemberChange(kind=_change_kind(member, record), member=record)
+
+    def _store(self, record: Member, *, now: float) -> None:
+        self._records[record.id] = record
+        self._changed_at[record.id] = now
+        size = len(self._records)
+        self._sends_left[record.id] = _RUMOUR_FACTOR * math.ceil(math.log2(size + 1))
+        self._digest = None
+
+
+def _change_kind(before: Member, after: Member) -> ChangeKind:
+    if after.state is MemberState.GONE:
+        return ChangeKind.GONE
+    if after.state is MemberState.LEAVING:
+        return ChangeKind.LEAVING
+    if after.state is MemberState.SUSPECT:
+        return ChangeKind.SUSPECTED
+    if before.state is MemberState.GONE:
+        return ChangeKind.JOINED
+    return ChangeKind.UPDATED
+
+
+def _member_digest(member: Member) -> int:
+    text = f"{member.id}/{member.incarnation}/{member.state}/{member.life}"
+    raw = hashlib.blake2b(text.encode(), digest_size=7).digest()
+    return int.from_bytes(raw, "big")
