--- a/pimentospool/_generated/settings.py
+++ b/pimentospool/_generated/settings.py
@@ -40,7 +40,7 @@
     directory_address: str
     weight_store_address: str = ""
     request_timeout_seconds: Annotated[float, Meta(gt=0.0)] = 2.0
-    watch_seconds: Annotated[float, Meta(gt=0.0)] = 20.0
+    watch_seconds: Annotated[float, Meta(gt=0.0)] = 5.0
     vm_list_interval_seconds: Annotated[float, Meta(gt=0.0)] = 1.0
     readers_per_zone: Annotated[int, Meta(ge=1)] = 2
 
@@ -70,6 +70,13 @@
             gt=0.0,
         ),
     ] = 2.0
+    leave_seconds: Annotated[
+        float,
+        Meta(
+            description="Time between the notice that this process leaves and its refusal of new requests.",
+            ge=0.0,
+        ),
+    ] = 1.5
 
 
 class TlsSettings(Document, kw_only=True):
--- a/pimentospool/fleet.py
+++ b/pimentospool/fleet.py
@@ -1,9 +1,20 @@
 """What an entry VM knows of other entry VMs and of targets that leave."""
 
+import contextlib
+import math
+from collections.abc import Callable
 from typing import Protocol
 
+import msgspec
+
+from pimentospool._generated.peers import LeavingTargets, Member, MemberState
 from pimentospool._generated.platform import VmKind, VmList, VmRecord, VmState
 from pimentospool.ids import EntryId, RegionId, TargetId, ZoneId
+from pimentospool.peers import PeerNode
+from pimentospool.policy import DrillView
+
+LEAVING_PREFIX = "leaving/"
+_SNAPSHOT_SECONDS = 0.1
 
 
 class Fleet(Protocol):
@@ -67,3 +78,136 @@
     def leaving_targets(self) -> frozenset[TargetId]:
         """Return the targets that take no new request."""
         return self._leaving
+
+
+class PeerFleet:
+    """Fleet as peers' heartbeats, zones' summaries and the VM list show it.
+
+    Parameters
+    ----------
+    node : PeerNode
+        This node among its peers.
+    drills : callable
+        Returns the drill windows of the revision in force.
+    clock, wall : callable
+        Monotonic and Unix time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: PeerNode,
+        drills: Callable[[], DrillView],
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+    ) -> None:
+        self._node = node
+        self._drills = drills
+        self._clock = clock
+        self._wall = wall
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._members: dict[EntryId, Member] = {}
+        self._read_at = -math.inf
+        node.state.member_changed.connect(lambda change: self._forget())
+        node.state.report_changed.connect(lambda report: self._forget())
+
+    def update(self, vms: VmList) -> None:
+        """Take over a list read from the platform."""
+        self._listed_leaving = frozenset(
+            vm.id for vm in vms.vms if vm.state is VmState.LEAVING
+        )
+        self._node.set_hints(vms.vms)
+        self._forget()
+
+    def members(self) -> list[Member]:
+        """Return the entry VMs that take requests, as far as they are known."""
+        return list(self._usable().values())
+
+    def entries(self, region: RegionId) -> list[VmRecord]:
+        """Return the entry VMs of `region` that take requests."""
+        if region in self.lost_regions():
+            return []
+        return [
+            _vm_record(member)
+            for member in self._usable().values()
+            if member.region == region
+        ]
+
+    def entry(self, entry: EntryId) -> VmRecord | None:
+        """Return an entry VM that is not gone."""
+        member = self.member(entry)
+        return _vm_record(member) if member else None
+
+    def member(self, entry: EntryId) -> Member | None:
+        """Return the record of an entry VM that is not gone, with its life."""
+        held = self._node.state.members.record(entry)
+        if held is not None and held.state is not MemberState.GONE:
+            return held
+        return self._usable().get(entry)
+
+    def regions(self) -> set[RegionId]:
+        """Return the regions with an entry VM that takes requests."""
+        regions = {member.region for member in self._usable().values()}
+        return regions - self.lost_regions()
+
+    def lost_regions(self) -> frozenset[RegionId]:
+        """Return the regions that a drill declares lost from here."""
+        return self._drills().lost_regions(time=self._wall())
+
+    def leaving_targets(self) -> frozenset[TargetId]:
+        """Return the targets that take no new request."""
+        leaving = {TargetId(vm) for vm in self._listed_leaving}
+        for report in self._node.state.reports.with_prefix(LEAVING_PREFIX):
+            with contextlib.suppress(msgspec.DecodeError):
+                decoded = msgspec.msgpack.decode(report.data, type=LeavingTargets)
+                leaving |= set(decoded.targets)
+        return frozenset(leaving)
+
+    def _forget(self) -> None:
+        self._read_at = -math.inf
+
+    def _usable(self) -> dict[EntryId, Member]:
+        now = self._clock()
+        if now - self._read_at >= _SNAPSHOT_SECONDS:
+            self._members = self._read(now)
+            self._read_at = now
+        return self._members
+
+    def _read(self, now: float) -> dict[EntryId, Member]:
+        members = list(self._node.state.members.live())
+        zones = self._node.zones
+        for zone in zones.zones():
+            if zones.reachable(zone, now=now):
+                members += zones.gateways(zone)
+            elif zones.age(zone, now=now) is None:
+                members += [_listed_member(vm) for vm in zones.hints if vm.zone == zone]
+        return {
+            member.id: member
+            for member in members
+            if member.id not in self._listed_leaving
+        }
+
+
+def _vm_record(member: Member) -> VmRecord:
+    leaving = member.state is MemberState.LEAVING
+    return VmRecord(
+        id=member.id,
+        kind=VmKind.ENTRY,
+        state=VmState.LEAVING if leaving else VmState.LIVE,
+        region=member.region,
+        zone=member.zone,
+        caller_address=member.caller_address,
+        peer_address=member.peer_address,
+    )
+
+
+def _listed_member(vm: VmRecord) -> Member:
+    return Member(
+        id=EntryId(vm.id),
+        region=vm.region,
+        zone=vm.zone,
+        caller_address=vm.caller_address,
+        peer_address=vm.peer_address,
+        life=0,
+        incarnation=0,
+    )
--- /dev/null
+++ b/pimentospool/loading.py
@@ -0,0 +1,92 @@
+"""Decoding and checking of a revision in short steps between which others run."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from pimentospool._generated.manifest import Customer, Manifest, Target
+from pimentospool._generated.platform import RevisionIndex
+from pimentospool.documents import Document
+from pimentospool.errors import DocumentError
+from pimentospool.manifest import check_steps
+from pimentospool.readers import raise_document_errors
+from pimentospool.revisions import digest_of, unpack_manifest
+
+
+class _Shard(Document):
+    """A part that holds targets or customers only."""
+
+    targets: list[Target] = msgspec.field(default_factory=list)
+    customers: list[Customer] = msgspec.field(default_factory=list)
+
+
+class ManifestLoader:
+    """Joins parts into a checked manifest; parts seen before are not decoded again."""
+
+    def __init__(self) -> None:
+        self._shards: dict[str, _Shard] = {}
+
+    async def load(self, index: RevisionIndex, parts: dict[str, bytes]) -> Manifest:
+        """Return the checked manifest of `index`.
+
+        Raises
+        ------
+        DocumentErrors
+            If a part does not match its digest or the manifest is refused.
+        """
+        manifest = await self._join(index, parts)
+        if manifest is None:
+            return unpack_manifest(index, parts)
+        faults: list[DocumentError] = []
+        for found in check_steps(manifest):
+            faults += found
+            await asyncio.sleep(0)
+        raise_document_errors("manifest refused", faults)
+        return manifest
+
+    def keep(self, index: RevisionIndex) -> None:
+        """Forget the parts that `index` does not name."""
+        named = {ref.digest for ref in index.parts}
+        self._shards = {
+            digest: shard for digest, shard in self._shards.items() if digest in named
+        }
+
+    async def _join(
+        self, index: RevisionIndex, parts: dict[str, bytes]
+    ) -> Manifest | None:
+        """Return the unchecked manifest, or None if its structure has faults."""
+        core: dict[str, Any] = {}
+        targets: list[Target] = []
+        customers: list[Customer] = []
+        try:
+            for ref in index.parts:
+                data = parts[ref.digest]
+                if "/" not in ref.name:
+                    _check_digest(ref.digest, data)
+                    core |= msgspec.json.decode(data, type=dict[str, Any])
+                    continue
+                shard = self._shards.get(ref.digest)
+                if shard is None:
+                    shard = self._decode_shard(ref.digest, data)
+                    await asyncio.sleep(0)
+                targets += shard.targets
+                customers += shard.customers
+            core = {"targets": [], "customers": []} | core
+            manifest = msgspec.convert(core, Manifest)
+        except (KeyError, msgspec.MsgspecError, UnicodeDecodeError):
+            return None
+        manifest.targets += targets
+        manifest.customers += customers
+        return manifest
+
+    def _decode_shard(self, digest: str, data: bytes) -> _Shard:
+        _check_digest(digest, data)
+        shard = msgspec.json.decode(data, type=_Shard)
+        self._shards[digest] = shard
+        return shard
+
+
+def _check_digest(digest: str, data: bytes) -> None:
+    if digest_of(data) != digest:
+        raise msgspec.DecodeError("content does not match its digest")
--- a/pimentospool/manifest.py
+++ b/pimentospool/manifest.py
@@ -1,7 +1,7 @@
 """The manifest: reading, checking and look-ups."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from collections.abc import Set as AbstractSet
 from pathlib import Path
 from typing import cast
@@ -51,6 +51,8 @@
     "read_manifest",
 ]
 
+_ITEMS_PER_STEP = 250
+
 
 def read_manifest(path: Path) -> Manifest:
     """Read and check a manifest from a ``.toml`` or ``.json`` file.
@@ -142,16 +144,52 @@
 
 def check_manifest(manifest: Manifest) -> list[DocumentError]:
     """Return every fault of meaning; the same on every node for the same document."""
-    faults = _duplicate_ids(manifest)
-    faults += _dangling_references(manifest)
-    faults += _unserved_customers(manifest)
-    for number, target in enumerate(manifest.targets):
-        faults += check_address(f"targets[{number}].address", target.address)
-    for number, window in enumerate(manifest.drill):
-        if window.end <= window.start:
-            message = "must be later than start"
-            faults.append(DocumentError(path=f"drill[{number}].end", message=message))
-    return faults
+    return [fault for found in check_steps(manifest) for fault in found]
+
+
+def check_steps(manifest: Manifest) -> Iterator[list[DocumentError]]:
+    """Check `manifest` in short steps and yield the faults of each step."""
+    yield _duplicate_ids(manifest)
+    yield _duplicate_keys(manifest)
+    known = _Known(manifest)
+    yield _dangling_references(manifest, known)
+    for start in range(0, len(manifest.targets), _ITEMS_PER_STEP):
+        yield _check_targets(manifest, known, start)
+    yield _check_windows(manifest, known)
+    offers = _Offers(manifest)
+    for start in range(0, len(manifest.customers), _ITEMS_PER_STEP):
+        yield _check_customers(manifest, known, offers, start)
+
+
+class _Known:
+    """Ids that a manifest declares."""
+
+    def __init__(self, manifest: Manifest) -> None:
+        self.regions = {region.id for region in manifest.regions}
+        self.zones = {zone.id for zone in manifest.zones}
+        self.models = {model.id for model in manifest.models}
+        self.services = {service.id for service in manifest.services}
+
+
+class _Offers:
+    """Regions that serve each model and each service."""
+
+    def __init__(self, manifest: Manifest) -> None:
+        zones = {zone.id: zone.region for zone in manifest.zones}
+        engine_regions = {
+            zones.get(target.zone)
+            for target in manifest.targets
+            if target.kind is TargetKind.ENGINE
+        }
+        self.models: dict[str, set[str]] = {}
+        for item in manifest.serving:
+            if item.region in engine_regions:
+                self.models.setdefault(item.model, set()).add(item.region)
+        self.services: dict[str, set[str]] = {}
+        for target in manifest.targets:
+            region = cast(str, zones.get(target.zone, ""))
+            for service in target.services:
+                self.services.setdefault(service, set()).add(region)
 
 
 def _duplicate_ids(manifest: Manifest) -> list[DocumentError]:
@@ -164,7 +202,7 @@
                 message = f"duplicate id {item.id!r}; each id must be unique"
                 path = f"{section}[{number}].id"
                 faults.append(DocumentError(path=path, message=message))
-    return faults + _duplicate_keys(manifest)
+    return faults
 
 
 def _duplicate_keys(manifest: Manifest) -> list[DocumentError]:
@@ -182,33 +220,59 @@
     ]
 
 
-def _dangling_references(manifest: Manifest) -> list[DocumentError]:
-    regions = {region.id for region in manifest.regions}
-    zones = {zone.id for zone in manifest.zones}
-    models = {model.id for model in manifest.models}
-    services = {service.id for service in manifest.services}
+def _dangling_references(manifest: Manifest, known: _Known) -> list[DocumentError]:
     faults = []
     for number, zone in enumerate(manifest.zones):
-        faults += _check_reference(f"zones[{number}].region", zone.region, regions)
+        path = f"zones[{number}].region"
+        faults += _check_reference(path, zone.region, known.regions)
     for number, link in enumerate(manifest.links):
-        faults += _check_reference(f"links[{number}].a", link.a, regions)
-        faults += _check_reference(f"links[{number}].b", link.b, regions)
+        faults += _check_reference(f"links[{number}].a", link.a, known.regions)
+        faults += _check_reference(f"links[{number}].b", link.b, known.regions)
     for number, item in enumerate(manifest.serving):
-        faults += _check_reference(f"serving[{number}].model", item.model, models)
-        faults += _check_reference(f"serving[{number}].region", item.region, regions)
-    for number, target in enumerate(manifest.targets):
+        path = f"serving[{number}]"
+        faults += _check_reference(f"{path}.model", item.model, known.models)
+        faults += _check_reference(f"{path}.region", item.region, known.regions)
+    return faults
+
+
+def _check_targets(
+    manifest: Manifest, known: _Known, start: int
+) -> list[DocumentError]:
+    faults = []
+    step = manifest.targets[start : start + _ITEMS_PER_STEP]
+    for number, target in enumerate(step, start):
         path = f"targets[{number}]"
-        faults += _check_reference(f"{path}.zone", target.zone, zones)
-        faults += _check_references(f"{path}.services", target.services, services)
-    for number, customer in enumerate(manifest.customers):
+        faults += _check_reference(f"{path}.zone", target.zone, known.zones)
+        faults += _check_references(f"{path}.services", target.services, known.services)
+        faults += check_address(f"{path}.address", target.address)
+    return faults
+
+
+def _check_customers(
+    manifest: Manifest, known: _Known, offers: _Offers, start: int
+) -> list[DocumentError]:
+    faults = []
+    step = manifest.customers[start : start + _ITEMS_PER_STEP]
+    for number, customer in enumerate(step, start):
         path = f"customers[{number}]"
-        faults += _check_references(
-            f"{path}.allowed_regions", customer.allowed_regions, regions
-        )
-        faults += _check_references(f"{path}.models", customer.models, models)
-        faults += _check_references(f"{path}.services", customer.services, services)
+        allowed = customer.allowed_regions
+        models, services = customer.models, customer.services
+        faults += _check_references(f"{path}.allowed_regions", allowed, known.regions)
+        faults += _check_references(f"{path}.models", models, known.models)
+        faults += _check_references(f"{path}.services", services, known.services)
+        faults += _check_served(f"{path}.models", models, offers.models, allowed)
+        faults += _check_served(f"{path}.services", services, offers.services, allowed)
+    return faults
+
+
+def _check_windows(manifest: Manifest, known: _Known) -> list[DocumentError]:
+    faults = []
     for number, window in enumerate(manifest.drill):
-        faults += _check_references(f"drill[{number}].regions", window.regions, regions)
+        path = f"drill[{number}]"
+        faults += _check_references(f"{path}.regions", window.regions, known.regions)
+        if window.end <= window.start:
+            message = "must be later than start"
+            faults.append(DocumentError(path=f"{path}.end", message=message))
     return faults
 
 
@@ -232,31 +296,6 @@
     ]
 
 
-def _unserved_customers(manifest: Manifest) -> list[DocumentError]:
-    zones = {zone.id: zone.region for zone in manifest.zones}
-    engine_regions = {
-        zones.get(target.zone)
-        for target in manifest.targets
-        if target.kind is TargetKind.ENGINE
-    }
-    served: dict[str, set[str]] = {}
-    for item in manifest.serving:
-        if item.region in engine_regions:
-            served.setdefault(item.model, set()).add(item.region)
-    offered: dict[str, set[str]] = {}
-    for target in manifest.targets:
-        region = cast(str, zones.get(target.zone, ""))
-        for service in target.services:
-            offered.setdefault(service, set()).add(region)
-    faults = []
-    for number, customer in enumerate(manifest.customers):
-        path = f"customers[{number}]"
-        allowed = customer.allowed_regions
-        faults += _check_served(f"{path}.models", customer.models, served, allowed)
-        faults += _check_served(f"{path}.services", customer.services, offered, allowed)
-    return faults
-
-
 def _check_served(
     path: str,
     wanted: Iterable[str],
--- a/pimentospool/platform.py
+++ b/pimentospool/platform.py
@@ -13,6 +13,7 @@
 
 T = TypeVar("T")
 _VERSION_HEADER = "Version"
+_NOT_MODIFIED = 304
 
 
 class PlatformError(PimentospoolError):
@@ -29,6 +30,7 @@
 class _PlatformAnswer(msgspec.Struct, kw_only=True):
     status: int
     version: int
+    tag: str
     data: bytes
 
 
@@ -44,12 +46,16 @@
     def __init__(self, *, cfg: PlatformSettings) -> None:
         self._cfg = cfg
         self._session = aiohttp.ClientSession()
+        self._vm_list_tag = ""
+        self.reads = 0
 
     async def close(self) -> None:
         """Close every connection."""
         await self._session.close()
 
-    async def watch_index(self, *, after: int) -> PublishedIndex | None:
+    async def watch_index(
+        self, *, after: int, wait_seconds: float | None = None
+    ) -> PublishedIndex | None:
         """Return the index once its version is above `after`, or None at the limit.
 
         Raises
@@ -57,7 +63,7 @@
         PlatformError
             If the service does not answer as its protocol says.
         """
-        wait = self._cfg.watch_seconds
+        wait = self._cfg.watch_seconds if wait_seconds is None else wait_seconds
         address = self._cfg.configuration_address
         url = f"http://{address}/v1/values/{INDEX_KEY}?after={after}&wait={wait}"
         answer = await self._get(url, extra_seconds=wait)
@@ -81,8 +87,8 @@
             raise PlatformError(f"part {digest} is not published")
         return answer.data
 
-    async def read_vms(self) -> VmList:
-        """Return the list of live and leaving VMs.
+    async def read_vms(self) -> VmList | None:
+        """Return the list of live and leaving VMs, or None if it did not change.
 
         Raises
         ------
@@ -90,19 +96,35 @@
             If the service does not answer as its protocol says.
         """
         url = f"http://{self._cfg.vm_list_address}/v1/vms"
-        answer = await self._get(url)
-        return _decode(answer.data, VmList)
+        answer = await self._get(url, known_tag=self._vm_list_tag)
+        if answer.status == _NOT_MODIFIED:
+            return None
+        vms = _decode(answer.data, VmList)
+        self._vm_list_tag = answer.tag
+        return vms
 
-    async def _get(self, url: str, *, extra_seconds: float = 0.0) -> "_PlatformAnswer":
+    async def _get(
+        self, url: str, *, extra_seconds: float = 0.0, known_tag: str = ""
+    ) -> "_PlatformAnswer":
         limit = self._cfg.request_timeout_seconds + extra_seconds
+        headers = {"If-None-Match": known_tag} if known_tag else {}
+        self.reads += 1
         try:
-            async with asyncio.timeout(limit), self._session.get(url) as resp:
-                if resp.status not in (200, 304, 404):
+            async with (
+                asyncio.timeout(limit),
+                self._session.get(url, headers=headers) as resp,
+            ):
+                if resp.status not in (200, _NOT_MODIFIED, 404):
                     raise PlatformError(f"{url} answered {resp.status}")
                 version = int(resp.headers.get(_VERSION_HEADER, "0"))
                 data = await resp.read()
-                return _PlatformAnswer(status=resp.status, version=version, data=data)
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+                return _PlatformAnswer(
+                    status=resp.status,
+                    version=version,
+                    tag=resp.headers.get("ETag", ""),
+                    data=data,
+                )
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as exc:
             raise PlatformError(f"{url}: {type(exc).__name__} {exc}") from exc
 
 
--- a/pimentospool/standins/_directory.py
+++ b/pimentospool/standins/_directory.py
@@ -1,6 +1,7 @@
 """Stand-ins of the clients' directory and of the platform's VM list."""
 
 import asyncio
+import zlib
 
 import msgspec
 from aiohttp import web
@@ -26,7 +27,7 @@
 
 
 class VmListService:
-    """VM list whose changes are seen after a lag: ``GET /v1/vms``.
+    """VM list whose changes are seen after a lag: ``GET /v1/vms``, with an ETag.
 
     Parameters
     ----------
@@ -61,9 +62,12 @@
         loop.call_later(self._lag_seconds, self._visible.pop, vm_id, None)
 
     async def _read(self, req: web.Request) -> web.Response:
-        answer = VmList(vms=list(self._visible.values()))
+        body = msgspec.json.encode(VmList(vms=list(self._visible.values())))
+        tag = f'"{zlib.crc32(body):08x}"'
+        if req.headers.get("If-None-Match") == tag:
+            return web.Response(status=304, headers={"ETag": tag})
         return web.Response(
-            body=msgspec.json.encode(answer), content_type="application/json"
+            body=body, headers={"ETag": tag}, content_type="application/json"
         )
 
     async def _write(self, req: web.Request) -> web.Response:
--- a/pimentospool/views.py
+++ b/pimentospool/views.py
@@ -1,6 +1,9 @@
 """The configuration in force at one entry VM."""
 
+from collections.abc import Awaitable, Callable
+
 from pimentospool.errors import Reason, RequestFailure
+from pimentospool.ids import EntryId
 from pimentospool.manifest import ManifestIndex
 from pimentospool.revisions import Revision
 from pimentospool.signals import Signal
@@ -12,6 +15,7 @@
 
     def __init__(self) -> None:
         self.revision_adopted: Signal[Revision] = Signal(name="revision_adopted")
+        self.fetch: Callable[[int, EntryId], Awaitable[None]] | None = None
         self._revision: Revision | None = None
         self._index: ManifestIndex | None = None
 
@@ -25,6 +29,19 @@
         """Number of the revision in force; 0 before the first."""
         return self._revision.number if self._revision else 0
 
+    async def ensure(self, number: int, ingress: EntryId) -> None:
+        """Try to have a revision of at least `number` in force, within a short time.
+
+        Parameters
+        ----------
+        number : int
+            Revision that a hop was sent under.
+        ingress : EntryId
+            Entry VM that sent the hop, which has that revision.
+        """
+        if number > self.number and self.fetch is not None:
+            await self.fetch(number, ingress)
+
     @property
     def index(self) -> ManifestIndex:
         """Look-ups over the manifest in force.
@@ -45,7 +62,8 @@
 
     def adopt(self, revision: Revision) -> bool:
         """Put a higher revision in force; return whether it was higher."""
-        if revision.number <= self.number:
+        held = self._revision
+        if held and (revision.number, revision.digest) <= (held.number, held.digest):
             return False
         self._revision = revision
         self._index = ManifestIndex(manifest=revision.manifest)
