--- a/pimentospool/_generated/manifest.py
+++ b/pimentospool/_generated/manifest.py
@@ -17,8 +17,19 @@
     """
 
     tail_latency: Annotated[
-        float, Meta(description="Factor on expected time to first token.", ge=0.0)
+        float,
+        Meta(
+            description="Factor on a short request's expected time to first token.",
+            ge=0.0,
+        ),
     ] = 1.0
+    long_latency: Annotated[
+        float,
+        Meta(
+            description="Factor on a long request's expected time to first token.",
+            ge=0.0,
+        ),
+    ] = 0.25
     cost_ms: Annotated[
         float,
         Meta(description="Milliseconds charged per unit of a region's cost.", ge=0.0),
@@ -190,7 +201,9 @@
     allowed_regions: Annotated[list[RegionId], Meta(min_length=1)]
     models: list[ModelId] = field(default_factory=list)
     services: list[ServiceId] = field(default_factory=list)
-    priority: Annotated[int, Meta(ge=0, le=9)] = 0
+    priority: Annotated[
+        int, Meta(description="0 is refused last under load.", ge=0, le=9)
+    ] = 0
     quota: Quota = field(default_factory=lambda: convert({}, type=Quota))
 
 
--- a/pimentospool/_generated/peers.py
+++ b/pimentospool/_generated/peers.py
@@ -72,12 +72,13 @@
     ]
 
 
-class LeavingTargets(Struct, kw_only=True):
+class LeavingVms(Struct, kw_only=True):
     """
-    Targets that take no new request.
+    VMs of one region that the platform's list shows as leaving.
     """
 
-    targets: list[TargetId]
+    targets: list[TargetId] = field(default_factory=list)
+    entries: list[EntryId] = field(default_factory=list)
 
 
 class Gossip(Struct, kw_only=True):
@@ -182,4 +183,4 @@
     request: PeerRequest | UnsetType = UNSET
     answer: PeerAnswer | UnsetType = UNSET
     summary: ZoneSummary | UnsetType = UNSET
-    leaving: LeavingTargets | UnsetType = UNSET
+    leaving: LeavingVms | UnsetType = UNSET
--- a/pimentospool/control.py
+++ b/pimentospool/control.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from pimentospool._generated.manifest import DrillWindow
-from pimentospool._generated.peers import LeavingTargets, Member, RevisionHead
-from pimentospool._generated.platform import VmKind, VmList, VmState
+from pimentospool._generated.peers import LeavingVms, Member, RevisionHead
+from pimentospool._generated.platform import RevisionIndex, VmKind, VmList, VmRecord, VmState
 from pimentospool._generated.settings import EntrySettings, Settings
 from pimentospool.fleet import LEAVING_PREFIX, PeerFleet
 from pimentospool.ids import EntryId, TargetId
@@ -106,7 +106,9 @@
         self._settled = asyncio.Event()
         self._settled.set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._listed_leaving: frozenset[TargetId] | None = None
+        self._joined = False
+        self._listed = VmList(vms=[])
+        self._reported_leaving = msgspec.msgpack.encode(LeavingVms())
         self._connect()
 
     async def start(self) -> None:
@@ -115,6 +117,7 @@
         self._spawn(self.sync.run())
         await self.watch.read_vms_once()
         await self._join()
+        self._joined = True
         if self._platform_allowed():
             await self.watch.read_once()
         await _bounded(self.sync.wait_idle(), _FIRST_REVISION_SECONDS)
@@ -244,23 +247,44 @@
             log_event(Event.ENTRY_ID_TAKEN, life=change.member.life)
 
     def _follow_vms(self, vms: VmList) -> None:
+        self._listed = vms
         self.fleet.update(vms)
-        leaving = frozenset(
-            TargetId(vm.id)
-            for vm in vms.vms
-            if vm.kind is VmKind.TARGET and vm.state is VmState.LEAVING
-        )
-        if leaving == (self._listed_leaving or frozenset()):
-            return
-        self._listed_leaving = leaving
-        report = LeavingTargets(targets=sorted(leaving))
-        key = LEAVING_PREFIX + self._cfg.entry.zone
-        self.node.publish(key, msgspec.msgpack.encode(report))
 
     def _note_vms(self) -> None:
         self.vms_read_at = self._clock()
-
-    def _note_stale(self, index: Any) -> None:
+        if self._joined and self.node.is_reader:
+            self._report_leaving()
+
+    def _report_leaving(self) -> None:
+        leaving = [vm for vm in self._listed.vms if vm.state is VmState.LEAVING]
+        report = LeavingVms(
+            targets=sorted(
+                TargetId(vm.id)
+                for vm in leaving
+                if vm.kind is VmKind.TARGET and self._is_near(vm)
+            ),
+            entries=sorted(
+                EntryId(vm.id)
+                for vm in leaving
+                if vm.kind is VmKind.ENTRY and self._is_near(vm)
+            ),
+        )
+        data = msgspec.msgpack.encode(report)
+        if data != self._reported_leaving:
+            self._reported_leaving = data
+            self.node.publish(LEAVING_PREFIX + self._cfg.entry.zone, data)
+
+    def _is_near(self, vm: VmRecord) -> bool:
+        """Return whether a VM is of this region, or of an unknown one."""
+        region = vm.region
+        revision = self._view.revision
+        if not region and vm.kind is VmKind.TARGET and revision is not None:
+            index = self._view.index
+            target = index.targets.get(TargetId(vm.id))
+            region = index.region_of(target) if target else region
+        return region in ("", self._cfg.entry.region)
+
+    def _note_stale(self, index: RevisionIndex) -> None:
         if index.revision < self._view.number:
             log_event(
                 Event.PLATFORM_STALE,
--- a/pimentospool/fleet.py
+++ b/pimentospool/fleet.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from pimentospool._generated.peers import LeavingTargets, Member, MemberState
+from pimentospool._generated.peers import LeavingVms, Member, MemberState
 from pimentospool._generated.platform import VmKind, VmList, VmRecord, VmState
 from pimentospool.ids import EntryId, RegionId, TargetId, ZoneId
 from pimentospool.peers import PeerNode
@@ -28,6 +28,10 @@
         """Return an entry VM that is not gone."""
         ...
 
+    def entry_ids(self) -> set[EntryId]:
+        """Return all entry VMs that are not gone, reachable or not."""
+        ...
+
     def regions(self) -> set[RegionId]:
         """Return the regions with an entry VM that takes requests."""
         ...
@@ -67,6 +71,10 @@
         """Return an entry VM that is not gone."""
         return self._entries.get(entry)
 
+    def entry_ids(self) -> set[EntryId]:
+        """Return all entry VMs that are not gone, reachable or not."""
+        return set(self._entries)
+
     def regions(self) -> set[RegionId]:
         """Return the regions with an entry VM that takes requests."""
         return {vm.region for vm in self._entries.values() if vm.state is VmState.LIVE}
@@ -105,7 +113,6 @@
         self._drills = drills
         self._clock = clock
         self._wall = wall
-        self._listed_leaving: frozenset[str] = frozenset()
         self._members: dict[EntryId, Member] = {}
         self._read_at = -math.inf
         node.state.member_changed.connect(lambda change: self._forget())
@@ -113,9 +120,6 @@
 
     def update(self, vms: VmList) -> None:
         """Take over a list read from the platform."""
-        self._listed_leaving = frozenset(
-            vm.id for vm in vms.vms if vm.state is VmState.LEAVING
-        )
         self._node.set_hints(vms.vms)
         self._forget()
 
@@ -156,12 +160,25 @@
 
     def leaving_targets(self) -> frozenset[TargetId]:
         """Return the targets that take no new request."""
-        leaving = {TargetId(vm) for vm in self._listed_leaving}
+        targets: set[TargetId] = set()
+        for leaving in self._leaving():
+            targets |= set(leaving.targets)
+        return frozenset(targets)
+
+    def _leaving(self) -> list[LeavingVms]:
+        """Return what the reachable zones of this region report as leaving."""
+        own = self._node.state.members.own
+        zones = self._node.zones
+        now = self._clock()
+        found = []
         for report in self._node.state.reports.with_prefix(LEAVING_PREFIX):
-            with contextlib.suppress(msgspec.DecodeError):
-                decoded = msgspec.msgpack.decode(report.data, type=LeavingTargets)
-                leaving |= set(decoded.targets)
-        return frozenset(leaving)
+            zone = ZoneId(report.key.removeprefix(LEAVING_PREFIX))
+            reachable = zones.reachable(zone, now=now)
+            near = reachable and zones.region_of(zone) == own.region
+            if zone == own.zone or near:
+                with contextlib.suppress(msgspec.DecodeError, UnicodeDecodeError):
+                    found.append(msgspec.msgpack.decode(report.data, type=LeavingVms))
+        return found
 
     def _forget(self) -> None:
         self._read_at = -math.inf
@@ -181,11 +198,8 @@
                 members += zones.gateways(zone)
             elif zones.age(zone, now=now) is None:
                 members += [_listed_member(vm) for vm in zones.hints if vm.zone == zone]
-        return {
-            member.id: member
-            for member in members
-            if member.id not in self._listed_leaving
-        }
+        leaving = {entry for listed in self._leaving() for entry in listed.entries}
+        return {member.id: member for member in members if member.id not in leaving}
 
 
 def _vm_record(member: Member) -> VmRecord:
--- a/pimentospool/peers/_node.py
+++ b/pimentospool/peers/_node.py
@@ -137,6 +137,7 @@
         seeds = set(self._cfg.peers.seeds)
         zone = self.state.members.own.zone
         near = {vm.peer_address for vm in self.zones.hints if vm.zone == zone}
+        near |= {member.peer_address for member in self.state.members.others()}
         far = (seeds | {vm.peer_address for vm in self.zones.hints}) - near
         own = self._own_address()
         chosen = self._sample(near - {own}, _JOIN_PEERS // 2)
--- a/pimentospool/platform_watch.py
+++ b/pimentospool/platform_watch.py
@@ -74,18 +74,19 @@
             if not self._may_read():
                 await asyncio.sleep(_IDLE_SECONDS)
                 continue
+            wait = asyncio.create_task(self._read_index())
+            self._wait = wait
             try:
-                self._wait = asyncio.create_task(self._read_index())
-                await asyncio.wait([self._wait])
-                if not self._wait.cancelled():
-                    self._wait.result()
+                await asyncio.wait([wait])
+                if not wait.cancelled():
+                    wait.result()
             except PlatformError as exc:
                 self._note_error(exc)
                 await asyncio.sleep(
                     self._rng.uniform(_RETRY_MIN_SECONDS, _RETRY_MAX_SECONDS)
                 )
             finally:
-                self._wait.cancel()
+                wait.cancel()
 
     async def run_vms(self) -> None:
         """Read the VM list over and over while this process may read."""
