Run non-idempotent calls at most once by operation tickets

Cause: a retry of a charge after a lost reply ran it again, because nothing named the operation; a diskless entry VM can't know what another one sent. Ruled out: an owner by rendezvous hash (two views, two owners) and keys fenced by start time (needs bounded clock skew). Change: POST /v1/operations issues a signed ticket that names its owner's incarnation, whose ledger alone may send it; other entry VMs hop to it once. NOT_RUN closes a ticket, answers are held within bounds, and a refusal that does not come from the owner says so by its attempt verdict. A problem document is known as the gateway's own by its verdict header, since a target's answer may have the same content type.

--- a/pimentospool/_generated/callers.py
+++ b/pimentospool/_generated/callers.py
@@ -12,6 +12,7 @@
     OperationId,
     RegionId,
     RequestId,
+    ServiceId,
     ZoneId,
 )
 
@@ -77,6 +78,18 @@
     entries: list[EntryChoice]
 
 
+class TicketRequest(Struct, kw_only=True):
+    """
+    Asks for a ticket for one call of a plain service.
+    """
+
+    service: ServiceId
+    path: Annotated[
+        str, Meta(description="Path below the service, with no leading slash.")
+    ]
+    method: str = "POST"
+
+
 class OperationTicket(Struct, kw_only=True):
     operation_id: OperationId
 
@@ -106,4 +119,5 @@
     entries: EntryList | UnsetType = UNSET
     models: ModelList | UnsetType = UNSET
     ticket: OperationTicket | UnsetType = UNSET
+    ticket_request: TicketRequest | UnsetType = UNSET
     hop: HopHeader | UnsetType = UNSET
--- a/pimentospool/callers/_app.py
+++ b/pimentospool/callers/_app.py
@@ -17,15 +17,15 @@
     ModelList,
 )
 from pimentospool._generated.settings import Settings
-from pimentospool.callers._parsing import RequestParser
+from pimentospool.callers._parsing import OPERATION_HEADER, TICKET_PATH, RequestParser
 from pimentospool.callers._sinks import HttpSink
-from pimentospool.dispatch import Dispatcher
 from pimentospool.errors import Reason, RequestFailure
 from pimentospool.fleet import Fleet
 from pimentospool.hops import HOP_PREFIX, HopSigner
 from pimentospool.ids import EntryId, RequestId
 from pimentospool.log import Event, log_event
-from pimentospool.requests import GatewayRequest
+from pimentospool.operations import for_operation
+from pimentospool.requests import GatewayRequest, RequestServer
 from pimentospool.targets import REQUEST_ID_HEADER
 from pimentospool.verdicts import Verdict
 from pimentospool.views import View
@@ -53,12 +53,12 @@
         Configuration in force.
     fleet : Fleet
         Entry VMs that callers may use.
-    dispatcher : Dispatcher
+    dispatcher : RequestServer
         Serves verified requests.
     """
 
     def __init__(
-        self, *, cfg: Settings, view: View, fleet: Fleet, dispatcher: Dispatcher
+        self, *, cfg: Settings, view: View, fleet: Fleet, dispatcher: RequestServer
     ) -> None:
         self.in_progress = 0
         self.leaving = False
@@ -122,6 +122,12 @@
                 methods=["POST"],
                 name=f"{tag}_completion",
             )
+            app.add_route(
+                self._model_handler(self._parser.parse_ticket, hopped=hopped),
+                f"{prefix}{TICKET_PATH}",
+                methods=["POST"],
+                name=f"{tag}_ticket",
+            )
             app.add_route(
                 self._service_handler(hopped=hopped),
                 f"{prefix}/v1/services/<service>/<path:path>",
@@ -161,13 +167,14 @@
         request_id = RequestId("")
         sink: HttpSink | None = None
         try:
-            self._refuse_when_leaving()
+            self._refuse_when_leaving(http)
             req = parse()
             request_id = req.id
             sink = HttpSink(http=http, request_id=req.id)
             await self._dispatcher.serve(req, sink)
             return None
-        except RequestFailure as exc:
+        except RequestFailure as failure:
+            exc = _for_request(http, failure)
             log_event(
                 Event.REQUEST_REFUSED,
                 request_id=request_id,
@@ -181,8 +188,8 @@
         finally:
             self.in_progress -= 1
 
-    def _refuse_when_leaving(self) -> None:
-        if self.leaving:
+    def _refuse_when_leaving(self, http: HttpRequest) -> None:
+        if self.leaving and OPERATION_HEADER not in http.headers:
             raise RequestFailure(
                 reason=Reason.LEAVING,
                 detail="this entry VM takes no new requests; ask another one",
@@ -254,7 +261,11 @@
         failure = RequestFailure(
             reason=reason, detail=str(exc), verdict=Verdict.NOT_RUN
         )
-    return problem_response(failure, RequestId(""))
+    return problem_response(_for_request(http, failure), RequestId(""))
+
+
+def _for_request(http: HttpRequest, exc: RequestFailure) -> RequestFailure:
+    return for_operation(exc) if OPERATION_HEADER in http.headers else exc
 
 
 def _json_response(value: msgspec.Struct) -> HTTPResponse:
--- a/pimentospool/callers/_parsing.py
+++ b/pimentospool/callers/_parsing.py
@@ -13,6 +13,7 @@
     ChatRequest,
     CompletionRequest,
     HopHeader,
+    TicketRequest,
 )
 from pimentospool._generated.manifest import Customer
 from pimentospool._generated.settings import CallerSettings
@@ -26,6 +27,7 @@
 
 T = TypeVar("T")
 OPERATION_HEADER = "Operation-Id"
+TICKET_PATH = "/v1/operations"
 DEADLINE_HEADER = "X-Deadline-Seconds"
 DEFAULT_MAX_TOKENS = 16
 _BEARER = "Bearer "
@@ -64,6 +66,11 @@
         self, http: HttpRequest, service: str, path: str, *, hopped: bool
     ) -> GatewayRequest:
         """Return the request of a plain service's call."""
+        return self._parse_call(http, service, path, http.method, hopped)
+
+    def _parse_call(
+        self, http: HttpRequest, service: str, path: str, method: str, hopped: bool
+    ) -> GatewayRequest:
         hop = self._verify_hop(http) if hopped else None
         customer = self.customer(http, hop)
         service_id = ServiceId(service)
@@ -71,15 +78,15 @@
             raise _refuse(
                 Reason.UNKNOWN_SERVICE, f"no service {service!r} for this key"
             )
-        call = self._view.index.call_of(service_id, path, http.method)
+        call = self._view.index.call_of(service_id, path, method)
         if call is None:
-            raise _refuse(Reason.UNKNOWN_PATH, f"{service} has no {http.method} {path}")
+            raise _refuse(Reason.UNKNOWN_PATH, f"{service} has no {method} {path}")
         operation = http.headers.get(OPERATION_HEADER)
         return GatewayRequest(
             id=_request_id(hop),
             customer=customer,
             kind=RequestKind.SERVICE,
-            method=http.method,
+            method=method,
             path=path,
             body=http.body,
             content_type=http.headers.get("Content-Type", "application/json"),
@@ -91,6 +98,17 @@
             hop=hop,
         )
 
+    def parse_ticket(self, http: HttpRequest, *, hopped: bool) -> GatewayRequest:
+        """Return the request of ``/v1/operations``."""
+        body = _decode(http.body, TicketRequest)
+        req = self._parse_call(http, body.service, body.path, body.method, hopped)
+        req.kind = RequestKind.TICKET
+        req.method = http.method
+        req.path = TICKET_PATH
+        req.idempotent = True
+        req.operation_id = None
+        return req
+
     def customer(self, http: HttpRequest, hop: HopHeader | None) -> Customer:
         """Return the customer that sent the request.
 
--- a/pimentospool/dispatch.py
+++ b/pimentospool/dispatch.py
@@ -24,7 +24,13 @@
 )
 from pimentospool.requests import AnswerSink, GatewayRequest, RequestKind
 from pimentospool.signals import Signal
-from pimentospool.targets import Answer, AttemptFailure, Exchange, ExchangeClient
+from pimentospool.targets import (
+    VERDICT_HEADER,
+    Answer,
+    AttemptFailure,
+    Exchange,
+    ExchangeClient,
+)
 from pimentospool.verdicts import Verdict
 from pimentospool.views import View
 
@@ -111,6 +117,8 @@
                 return
             except AttemptFailure as exc:
                 attempts.failed(route, exc)
+                if req.send_guard is not None:
+                    req.send_guard.attempt_failed(exc.verdict)
                 if record.started or not attempts.may_repeat(req):
                     raise attempts.failure() from exc
 
@@ -153,7 +161,7 @@
             exchange = self._exchange(req, f"http://{target.address}{path}")
             if req.send_guard is not None:
                 exchange.before_sending = partial(
-                    req.send_guard, decided_at=time.monotonic()
+                    req.send_guard.sending, decided_at=time.monotonic()
                 )
             async with self._client.open(exchange) as answer:
                 await _relay(req, answer, sink)
@@ -189,7 +197,7 @@
         )
         exchange.headers[HOP_HEADER] = self._signer.sign(self._hop_header(req))
         async with self._client.open(exchange) as answer:
-            if answer.content_type.startswith("application/problem+json"):
+            if VERDICT_HEADER in answer.headers:
                 raise await _hop_failure(answer)
             await _relay(req, answer, sink)
 
--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -14,6 +14,7 @@
 from pimentospool.errors import DocumentErrors
 from pimentospool.fleet import ListedFleet
 from pimentospool.log import Event, log_event
+from pimentospool.operations import OperationServer
 from pimentospool.platform import PlatformClient, PlatformError
 from pimentospool.policy import Router
 from pimentospool.revisions import Revision, index_digest, unpack_manifest
@@ -63,8 +64,16 @@
             client=self._client,
             rng=random.Random(),
         )
+        self.operations = OperationServer(
+            cfg=cfg,
+            view=self.view,
+            fleet=self.fleet,
+            router=self.router,
+            dispatcher=self.dispatcher,
+            rng=random.Random(),
+        )
         self.callers = CallerServer(
-            cfg=cfg, view=self.view, fleet=self.fleet, dispatcher=self.dispatcher
+            cfg=cfg, view=self.view, fleet=self.fleet, dispatcher=self.operations
         )
         self._tasks.append(asyncio.create_task(self._watch_configuration()))
         self._tasks.append(asyncio.create_task(self._watch_vms()))
@@ -79,6 +88,7 @@
         """Take no new requests, end those in progress and stop."""
         log_event(Event.ENTRY_LEAVING, entry=self._cfg.entry.id)
         await self.callers.drain()
+        await self.operations.drain()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/pimentospool/operations/__init__.py
@@ -0,0 +1,7 @@
+"""Calls that run at most once: tickets, their owners and held answers."""
+
+from pimentospool.operations._failures import for_operation
+from pimentospool.operations._server import OperationServer
+from pimentospool.operations._tickets import TicketSigner
+
+__all__ = ["OperationServer", "TicketSigner", "for_operation"]
--- /dev/null
+++ b/pimentospool/operations/_server.py
@@ -0,0 +1,345 @@
+"""Serving of operations: calls that run at most once.
+
+An entry VM issues tickets for operations that it then owns, executes its own ones
+and sends requests for other owners' tickets one hop to them.
+"""
+
+import asyncio
+import hashlib
+import random
+import time
+import uuid
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from pimentospool._generated.callers import OperationTicket, TicketRequest
+from pimentospool._generated.settings import Settings
+from pimentospool.dispatch import Dispatcher
+from pimentospool.errors import Reason, RequestFailure
+from pimentospool.fleet import Fleet
+from pimentospool.ids import Incarnation, RegionId
+from pimentospool.log import Event, log_event
+from pimentospool.operations._execution import HeldSink, LedgerGuard
+from pimentospool.operations._failures import (
+    INTERNAL_REFUSAL,
+    RETRY_SECONDS,
+    attempt_not_run,
+    failure_of,
+    peer_failure,
+    refusal_of,
+    unreachable,
+)
+from pimentospool.operations._tickets import TicketSigner
+from pimentospool.policy import (
+    HeldAnswer,
+    OperationCall,
+    OperationLedger,
+    Refusal,
+    RegionRoute,
+    Replay,
+    RouteQuery,
+    Router,
+    RouteRefusal,
+    Start,
+    Ticket,
+    owner_gone,
+)
+from pimentospool.requests import AnswerSink, GatewayRequest, RequestKind
+from pimentospool.targets import AttemptFailure
+from pimentospool.verdicts import Verdict
+from pimentospool.views import View
+
+ANSWER_GRACE_SECONDS = 30.0
+_HOPS_TO_OWNER = 2
+
+Outcome = Replay | Refusal
+
+
+class OperationServer:
+    """Serves every request and sees that operations run at most once.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Settings of the entry process.
+    view : View
+        Configuration in force.
+    fleet : Fleet
+        Other entry VMs.
+    router : Router
+        Decides in which region a ticket is issued.
+    dispatcher : Dispatcher
+        Sends requests to targets and other entry VMs.
+    rng : random.Random
+        Source of random choices.
+    ledger : OperationLedger or None
+        Operations of this process; a new incarnation by default.
+    clock : callable
+        Monotonic time in seconds; unlike the loop's time it is not cached, so
+        that it shows a pause within one turn of the loop.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: Settings,
+        view: View,
+        fleet: Fleet,
+        router: Router,
+        dispatcher: Dispatcher,
+        rng: random.Random,
+        ledger: OperationLedger | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.ledger = ledger or OperationLedger(
+            owner=cfg.entry.id,
+            region=cfg.entry.region,
+            incarnation=Incarnation(uuid.uuid4().hex),
+        )
+        self._region = cfg.entry.region
+        self._view = view
+        self._fleet = fleet
+        self._router = router
+        self._dispatcher = dispatcher
+        self._rng = rng
+        self._clock = clock
+        self._signer = TicketSigner(key=cfg.peers.key)
+        self._running: dict[Ticket, asyncio.Task[Outcome]] = {}
+
+    async def serve(self, req: GatewayRequest, sink: AnswerSink) -> None:
+        """Send the whole answer of `req` to `sink`.
+
+        Raises
+        ------
+        RequestFailure
+            If the request ends without its answer.
+        """
+        if req.kind is RequestKind.TICKET:
+            await self._serve_ticket(req, sink)
+        elif req.operation_id is not None:
+            await self._serve_operation(req, req.operation_id, sink)
+        elif req.idempotent:
+            await self._dispatcher.serve(req, sink)
+        else:
+            raise RequestFailure(
+                reason=Reason.OPERATION_REQUIRED,
+                detail="take a ticket from POST /v1/operations and send its "
+                "operation_id in the Operation-Id header",
+                verdict=Verdict.NOT_RUN,
+            )
+
+    async def drain(self) -> None:
+        """Wait until every execution in progress has ended."""
+        await asyncio.gather(*self._running.values(), return_exceptions=True)
+
+    async def _serve_ticket(self, req: GatewayRequest, sink: AnswerSink) -> None:
+        _check_region(req, self._region, hopped=req.hop is not None)
+        excluded: set[RegionId] = set(self._view.index.regions) - self._fleet.regions()
+        while True:
+            route = self._router.choose(self._query(req, excluded))
+            if isinstance(route, RouteRefusal):
+                raise RequestFailure(
+                    reason=route.reason,
+                    detail=route.detail,
+                    verdict=Verdict.NOT_RUN,
+                    retry_after_seconds=route.retry_after_seconds,
+                )
+            if not isinstance(route, RegionRoute):
+                await self._issue(req, sink)
+                return
+            if await self._issued_in(route.region, req, sink):
+                return
+            excluded.add(route.region)
+
+    def _query(self, req: GatewayRequest, excluded: set[RegionId]) -> RouteQuery:
+        return RouteQuery(
+            allowed_regions=req.allowed_regions,
+            service=req.service,
+            hopped=req.hop is not None,
+            excluded_regions=frozenset(excluded),
+        )
+
+    async def _issue(self, req: GatewayRequest, sink: AnswerSink) -> None:
+        asked = msgspec.json.decode(req.body, type=TicketRequest)
+        ticket = self.ledger.issue(
+            OperationCall(
+                customer=req.customer.id,
+                service=asked.service,
+                method=asked.method,
+                path=asked.path,
+            )
+        )
+        body = OperationTicket(operation_id=self._signer.sign(ticket))
+        await sink.whole(
+            status=200,
+            content_type="application/json",
+            body=msgspec.json.encode(body),
+        )
+
+    async def _issued_in(
+        self, region: RegionId, req: GatewayRequest, sink: AnswerSink
+    ) -> bool:
+        peers = self._fleet.entries(region)
+        for peer in self._rng.sample(peers, min(len(peers), _HOPS_TO_OWNER)):
+            try:
+                await self._dispatcher.serve_at_entry(req, peer, sink)
+                return True
+            except AttemptFailure:
+                if sink.started:
+                    raise
+        return False
+
+    async def _serve_operation(
+        self, req: GatewayRequest, operation_id: str, sink: AnswerSink
+    ) -> None:
+        ticket = self._signer.verify(operation_id)
+        if ticket is None:
+            raise attempt_not_run(
+                Reason.UNKNOWN_OPERATION, "the operation id was not issued here"
+            )
+        if self.ledger.owns(ticket):
+            await self._serve_owned(req, ticket, sink)
+        elif req.hop is not None or ticket.owner == self.ledger.owner:
+            raise failure_of(owner_gone("the owner of the ticket was replaced"))
+        else:
+            await self._forward(req, ticket, sink)
+
+    async def _serve_owned(
+        self, req: GatewayRequest, ticket: Ticket, sink: AnswerSink
+    ) -> None:
+        self._check_regions(req)
+        decision = self.ledger.begin(
+            ticket,
+            call=_call_of(req),
+            digest=hashlib.sha256(req.body).hexdigest(),
+            send_by=self._clock() + _remaining(req),
+        )
+        if isinstance(decision, Refusal):
+            raise failure_of(decision)
+        if isinstance(decision, Replay):
+            await _send(decision.answer, sink)
+            return
+        if isinstance(decision, Start):
+            self._start(req, ticket)
+        outcome = await self._wait(req, ticket)
+        self._check_regions(req)
+        if isinstance(outcome, Refusal):
+            raise failure_of(outcome)
+        await _send(outcome.answer, sink)
+
+    def _check_regions(self, req: GatewayRequest) -> None:
+        """Check the regions again, by the newest configuration."""
+        customer = self._view.index.customers.get(req.customer.id)
+        allowed = frozenset(customer.allowed_regions) if customer else frozenset()
+        regions = {self._region}
+        if req.hop is not None:
+            regions.add(req.hop.ingress_region)
+        if not regions <= allowed:
+            raise RequestFailure(
+                reason=Reason.REGION_NOT_ALLOWED,
+                detail="the customer's data may not be in this region any more",
+                verdict=Verdict.MAY_HAVE_RUN,
+                attempt_verdict=Verdict.MAY_HAVE_RUN,
+            )
+
+    def _start(self, req: GatewayRequest, ticket: Ticket) -> None:
+        task = asyncio.create_task(self._execute(req, ticket))
+        self._running[ticket] = task
+        task.add_done_callback(lambda _: self._running.pop(ticket))
+
+    async def _wait(self, req: GatewayRequest, ticket: Ticket) -> Outcome:
+        try:
+            async with asyncio.timeout(_remaining(req)):
+                return await asyncio.shield(self._running[ticket])
+        except TimeoutError as exc:
+            raise RequestFailure(
+                reason=Reason.DEADLINE_EXCEEDED,
+                detail="the operation is still in progress; ask for its answer later",
+                verdict=Verdict.MAY_HAVE_RUN,
+                attempt_verdict=Verdict.MAY_HAVE_RUN,
+                retry_after_seconds=RETRY_SECONDS,
+            ) from exc
+
+    async def _execute(self, req: GatewayRequest, ticket: Ticket) -> Outcome:
+        sink = HeldSink()
+        try:
+            await self._dispatcher.serve(self._execution(req, ticket), sink)
+            assert sink.answer is not None
+            self.ledger.answered(ticket, sink.answer)
+            return Replay(answer=sink.answer)
+        except RequestFailure as exc:
+            self.ledger.failed(ticket, refusal_of(exc))
+        except Exception as exc:
+            log_event(Event.REQUEST_ERROR, request_id=req.id, error=repr(exc))
+            self.ledger.failed(ticket, INTERNAL_REFUSAL)
+        return self.ledger.outcome(ticket)
+
+    def _execution(self, req: GatewayRequest, ticket: Ticket) -> GatewayRequest:
+        """Return the request as the owner sends it.
+
+        It outlives the requests that wait for it, so that a late answer is held.
+        """
+        assert req.call is not None
+        limit = req.call.timeout_seconds + ANSWER_GRACE_SECONDS
+        return msgspec.structs.replace(
+            req,
+            idempotent=False,
+            streamed=False,
+            stays=True,
+            deadline=asyncio.get_running_loop().time() + limit,
+            send_guard=LedgerGuard(
+                ledger=self.ledger, ticket=ticket, clock=self._clock
+            ),
+        )
+
+    async def _forward(
+        self, req: GatewayRequest, ticket: Ticket, sink: AnswerSink
+    ) -> None:
+        _check_region(req, self._region, hopped=True)
+        _check_region(req, ticket.region, hopped=True)
+        peer = self._fleet.entry(ticket.owner)
+        if peer is None:
+            raise failure_of(owner_gone("the owner of the ticket is not known here"))
+        attempted = Verdict.NOT_RUN
+        for _ in self._hop_attempts(req):
+            try:
+                await self._dispatcher.serve_at_entry(req, peer, sink)
+                return
+            except AttemptFailure as exc:
+                if sink.started:
+                    raise
+                if exc.problem is not None:
+                    raise peer_failure(exc.problem, attempted) from exc
+                attempted = attempted.merge(exc.verdict)
+        raise unreachable(peer, attempted)
+
+    def _hop_attempts(self, req: GatewayRequest) -> Iterator[int]:
+        for number in range(_HOPS_TO_OWNER):
+            if _remaining(req) > 0:
+                yield number
+
+
+async def _send(answer: HeldAnswer, sink: AnswerSink) -> None:
+    await sink.whole(
+        status=answer.status, content_type=answer.content_type, body=answer.body
+    )
+
+
+def _remaining(req: GatewayRequest) -> float:
+    return max(0.0, req.deadline - asyncio.get_running_loop().time())
+
+
+def _call_of(req: GatewayRequest) -> OperationCall:
+    assert req.service is not None
+    return OperationCall(
+        customer=req.customer.id, service=req.service, method=req.method, path=req.path
+    )
+
+
+def _check_region(req: GatewayRequest, region: RegionId, *, hopped: bool) -> None:
+    if hopped and region not in req.allowed_regions:
+        raise attempt_not_run(
+            Reason.REGION_NOT_ALLOWED,
+            f"region {region} may not see this customer's requests",
+        )
--- /dev/null
+++ b/pimentospool/policy/_operations.py
@@ -0,0 +1,372 @@
+"""Ledger of the operations that one incarnation of an entry VM owns.
+
+A ticket names the only incarnation that may ever send its operation to a target.
+The ledger decides what that incarnation does with each request for the ticket.
+"""
+
+from collections import OrderedDict
+from enum import Enum
+
+import msgspec
+
+from pimentospool.ids import CustomerId, EntryId, Incarnation, RegionId, ServiceId
+from pimentospool.policy._refusals import (
+    Refusal,
+    answer_lost,
+    conflict,
+    expired,
+    not_sent,
+    overloaded,
+    owner_gone,
+    unknown,
+)
+from pimentospool.verdicts import Verdict
+
+_EVICTED_SHARE = 16
+
+
+class OperationCall(msgspec.Struct, kw_only=True, frozen=True):
+    """The customer and the call that a ticket is good for."""
+
+    customer: CustomerId
+    service: ServiceId
+    method: str
+    path: str
+
+
+class Ticket(msgspec.Struct, kw_only=True, frozen=True):
+    """Names an operation and the one incarnation that may send it."""
+
+    owner: EntryId
+    region: RegionId
+    incarnation: Incarnation
+    sequence: int
+    call: OperationCall
+
+
+class HeldAnswer(msgspec.Struct, kw_only=True, frozen=True):
+    """The target's whole answer to an operation."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class OperationState(Enum):
+    """How far an operation has come; all but the first two are final."""
+
+    RUNNING = "running"
+    SENT = "sent"
+    ANSWERED = "answered"
+    ANSWER_LOST = "answer-lost"
+    UNKNOWN = "unknown"
+    REFUSED = "refused"
+
+    @property
+    def final(self) -> bool:
+        """Whether the operation has ended."""
+        return self not in (OperationState.RUNNING, OperationState.SENT)
+
+    @property
+    def verdict(self) -> Verdict:
+        """Verdict of the operation as a whole."""
+        return _VERDICTS[self]
+
+
+_VERDICTS = {
+    OperationState.RUNNING: Verdict.MAY_HAVE_RUN,
+    OperationState.SENT: Verdict.MAY_HAVE_RUN,
+    OperationState.ANSWERED: Verdict.RAN,
+    OperationState.ANSWER_LOST: Verdict.RAN,
+    OperationState.UNKNOWN: Verdict.MAY_HAVE_RUN,
+    OperationState.REFUSED: Verdict.NOT_RUN,
+}
+
+
+class Start(msgspec.Struct, kw_only=True, frozen=True):
+    """Begin the operation."""
+
+
+class Join(msgspec.Struct, kw_only=True, frozen=True):
+    """Wait for the execution that is in progress."""
+
+
+class Replay(msgspec.Struct, kw_only=True, frozen=True):
+    """Answer with the held answer."""
+
+    answer: HeldAnswer
+
+
+Decision = Start | Join | Replay | Refusal
+
+
+class LedgerLimits(msgspec.Struct, kw_only=True, frozen=True):
+    """Bounds on the ledger's memory.
+
+    Parameters
+    ----------
+    window : int
+        Sequence numbers of one customer that are remembered.
+    records : int
+        Operations remembered in all.
+    answer_bytes : int
+        Bytes of held answers in all.
+    answer_bytes_each : int
+        Longest answer that is held.
+    pause_seconds : float
+        Time between a decision and its send that counts as a pause.
+    """
+
+    window: int = 4096
+    records: int = 65536
+    answer_bytes: int = 32 * 1024 * 1024
+    answer_bytes_each: int = 1024 * 1024
+    pause_seconds: float = 2.0
+
+
+class _Record(msgspec.Struct, kw_only=True):
+    """One operation; `send_by` is in seconds of the monotonic clock."""
+
+    digest: str
+    send_by: float
+    state: OperationState = OperationState.RUNNING
+    answer: HeldAnswer | None = None
+    refusal: Refusal | None = None
+
+
+class _Book(msgspec.Struct, kw_only=True):
+    """Operations of one customer; nothing up to `floor` is started any more.
+
+    `late` holds the operations up to `floor` that were still in progress.
+    """
+
+    next_sequence: int = 1
+    floor: int = 0
+    records: dict[int, _Record] = msgspec.field(default_factory=dict)
+    late: set[int] = msgspec.field(default_factory=set)
+
+
+class OperationLedger:
+    """Decides over the operations of one incarnation of an entry VM.
+
+    Parameters
+    ----------
+    owner : EntryId
+        The entry VM.
+    region : RegionId
+        Its region.
+    incarnation : Incarnation
+        Unique to this start of the process.
+    limits : LedgerLimits
+        Bounds on memory.
+    """
+
+    def __init__(
+        self,
+        *,
+        owner: EntryId,
+        region: RegionId,
+        incarnation: Incarnation,
+        limits: LedgerLimits | None = None,
+    ) -> None:
+        self.owner = owner
+        self.region = region
+        self.incarnation = incarnation
+        self._limits = limits or LedgerLimits()
+        self._books: dict[CustomerId, _Book] = {}
+        self._held: OrderedDict[tuple[CustomerId, int], int] = OrderedDict()
+        self._held_bytes = 0
+        self._records = 0
+
+    @property
+    def records(self) -> int:
+        """Operations remembered."""
+        return self._records
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of held answers."""
+        return self._held_bytes
+
+    def issue(self, call: OperationCall) -> Ticket:
+        """Return a new ticket; nothing runs and no record is made."""
+        book = self._books.setdefault(call.customer, _Book())
+        sequence = book.next_sequence
+        book.next_sequence += 1
+        self._raise_floor(call.customer, book, sequence - self._limits.window)
+        return Ticket(
+            owner=self.owner,
+            region=self.region,
+            incarnation=self.incarnation,
+            sequence=sequence,
+            call=call,
+        )
+
+    def owns(self, ticket: Ticket) -> bool:
+        """Return whether this incarnation issued `ticket`."""
+        return ticket.owner == self.owner and ticket.incarnation == self.incarnation
+
+    def state(self, ticket: Ticket) -> OperationState | None:
+        """Return how far the operation has come, or None without a record."""
+        record = self._find(ticket)
+        return record.state if record else None
+
+    def begin(
+        self, ticket: Ticket, *, call: OperationCall, digest: str, send_by: float
+    ) -> Decision:
+        """Decide over one request for `ticket`.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            A ticket whose signature is verified.
+        call : OperationCall
+            What the request asks for.
+        digest : str
+            Digest of the request's content.
+        send_by : float
+            When the request may no longer be sent, by the monotonic clock.
+        """
+        if not self.owns(ticket):
+            return owner_gone("the ticket belongs to an earlier start of its owner")
+        if call != ticket.call:
+            return conflict(
+                "the ticket was issued for another call", Verdict.MAY_HAVE_RUN
+            )
+        record = self._find(ticket)
+        if record is None:
+            return self._start(ticket, digest=digest, send_by=send_by)
+        if record.digest != digest:
+            return conflict(
+                "the ticket was used with other content", record.state.verdict
+            )
+        if not record.state.final:
+            record.send_by = max(record.send_by, send_by)
+            return Join()
+        return self._ended(record)
+
+    def outcome(self, ticket: Ticket) -> Replay | Refusal:
+        """Return what every request for an ended operation is told."""
+        record = self._find(ticket)
+        if record is None:
+            return expired()
+        if not record.state.final:
+            return unknown("the operation is still in progress", retry=True)
+        return self._ended(record)
+
+    def may_send(
+        self, ticket: Ticket, *, decided_at: float, now: float
+    ) -> Refusal | None:
+        """Mark the operation as sent, or return why it must not be sent.
+
+        Called directly before the first byte is handed to a socket.
+        """
+        record = self._find(ticket)
+        if record is None or record.state is not OperationState.RUNNING:
+            return unknown("the operation was already sent")
+        if now >= record.send_by:
+            return not_sent("the deadline passed before the operation was sent")
+        if now - decided_at > self._limits.pause_seconds:
+            return not_sent("the process was paused before the operation was sent")
+        record.state = OperationState.SENT
+        return None
+
+    def not_executed(self, ticket: Ticket) -> None:
+        """Take back `may_send` after proof that the target did not run it."""
+        record = self._find(ticket)
+        if record is not None and record.state is OperationState.SENT:
+            record.state = OperationState.RUNNING
+
+    def answered(self, ticket: Ticket, answer: HeldAnswer) -> None:
+        """Hold the target's whole answer."""
+        record = self._find(ticket)
+        if record is None or record.state.final:
+            return
+        record.state = OperationState.ANSWERED
+        size = len(answer.body)
+        if size > self._limits.answer_bytes_each:
+            record.state = OperationState.ANSWER_LOST
+            return
+        record.answer = answer
+        self._held[(ticket.call.customer, ticket.sequence)] = size
+        self._held_bytes += size
+        while self._held_bytes > self._limits.answer_bytes:
+            self._drop_oldest_answer()
+
+    def failed(self, ticket: Ticket, refusal: Refusal) -> None:
+        """End the operation without an answer.
+
+        A ``NOT_RUN`` refusal closes the ticket. Once sent, an operation without
+        proof to the contrary may have run, whatever `refusal` says.
+        """
+        record = self._find(ticket)
+        if record is None or record.state.final:
+            return
+        if refusal.verdict is Verdict.RAN:
+            record.state = OperationState.ANSWER_LOST
+        elif (
+            record.state is OperationState.SENT
+            or refusal.verdict is Verdict.MAY_HAVE_RUN
+        ):
+            record.state = OperationState.UNKNOWN
+        else:
+            record.state = OperationState.REFUSED
+            record.refusal = refusal
+
+    def _find(self, ticket: Ticket) -> _Record | None:
+        book = self._books.get(ticket.call.customer)
+        if book is None or not self.owns(ticket):
+            return None
+        return book.records.get(ticket.sequence)
+
+    def _start(self, ticket: Ticket, *, digest: str, send_by: float) -> Decision:
+        book = self._books.setdefault(ticket.call.customer, _Book())
+        if self._records >= self._limits.records:
+            self._evict()
+        if ticket.sequence <= book.floor:
+            return expired()
+        if self._records >= self._limits.records:
+            return overloaded()
+        book.records[ticket.sequence] = _Record(digest=digest, send_by=send_by)
+        self._records += 1
+        return Start()
+
+    def _ended(self, record: _Record) -> Replay | Refusal:
+        if record.answer is not None:
+            return Replay(answer=record.answer)
+        if record.refusal is not None:
+            return record.refusal
+        if record.state is OperationState.ANSWER_LOST:
+            return answer_lost()
+        return unknown("the operation was sent and its outcome is not known")
+
+    def _evict(self) -> None:
+        customer = max(self._books, key=lambda name: len(self._books[name].records))
+        book = self._books[customer]
+        oldest = sorted(book.records)
+        last = oldest[max(1, len(oldest) // _EVICTED_SHARE) - 1]
+        self._raise_floor(customer, book, last)
+
+    def _raise_floor(self, customer: CustomerId, book: _Book, floor: int) -> None:
+        if floor <= book.floor:
+            return
+        passed = book.late.union(range(book.floor + 1, floor + 1))
+        book.floor = floor
+        book.late = set()
+        for sequence in passed & book.records.keys():
+            if book.records[sequence].state.final:
+                self._forget(customer, book, sequence)
+            else:
+                book.late.add(sequence)
+
+    def _forget(self, customer: CustomerId, book: _Book, sequence: int) -> None:
+        del book.records[sequence]
+        self._records -= 1
+        self._held_bytes -= self._held.pop((customer, sequence), 0)
+
+    def _drop_oldest_answer(self) -> None:
+        (customer, sequence), size = self._held.popitem(last=False)
+        self._held_bytes -= size
+        record = self._books[customer].records[sequence]
+        record.answer = None
+        record.state = OperationState.ANSWER_LOST
--- a/pimentospool/requests.py
+++ b/pimentospool/requests.py
@@ -8,6 +8,7 @@
 from pimentospool._generated.callers import HopHeader
 from pimentospool._generated.manifest import Customer, ServiceCall
 from pimentospool.ids import ModelId, OperationId, RegionId, RequestId, ServiceId
+from pimentospool.verdicts import Verdict
 
 
 class RequestKind(Enum):
@@ -15,12 +16,13 @@
 
     MODEL = "model"
     SERVICE = "service"
+    TICKET = "ticket"
 
 
 class SendGuard(Protocol):
-    """Gives the last permission to send a request to a target."""
+    """Follows the attempts of a request that may run at most once."""
 
-    def __call__(self, *, decided_at: float) -> None:
+    def sending(self, *, decided_at: float) -> None:
         """Return if the request may be sent now, otherwise raise.
 
         Called with no await before the first byte is handed to a socket.
@@ -37,6 +39,24 @@
         """
         ...
 
+    def attempt_failed(self, verdict: Verdict) -> None:
+        """Take note of an attempt that brought no whole answer."""
+        ...
+
+
+class RequestServer(Protocol):
+    """Serves verified requests."""
+
+    async def serve(self, req: "GatewayRequest", sink: "AnswerSink") -> None:
+        """Send the whole answer of `req` to `sink`.
+
+        Raises
+        ------
+        RequestFailure
+            If the request ends without its answer.
+        """
+        ...
+
 
 class GatewayRequest(msgspec.Struct, kw_only=True):
     """A verified request; `deadline` is in seconds of the loop's clock.
--- a/pimentospool/targets/__init__.py
+++ b/pimentospool/targets/__init__.py
@@ -2,6 +2,7 @@
 
 from pimentospool.targets._exchange import (
     REQUEST_ID_HEADER,
+    VERDICT_HEADER,
     Answer,
     AttemptFailure,
     Exchange,
@@ -10,6 +11,7 @@
 
 __all__ = [
     "REQUEST_ID_HEADER",
+    "VERDICT_HEADER",
     "Answer",
     "AttemptFailure",
     "Exchange",
--- /dev/null
+++ b/tests/policy/test_operations.py
@@ -0,0 +1,198 @@
+"""Decisions of the operations' ledger, one by one."""
+
+import pytest
+
+from pimentospool.errors import Reason
+from pimentospool.ids import CustomerId, EntryId, Incarnation, RegionId, ServiceId
+from pimentospool.policy import (
+    HeldAnswer,
+    Join,
+    LedgerLimits,
+    OperationCall,
+    OperationLedger,
+    OperationState,
+    Refusal,
+    Replay,
+    Start,
+    owner_gone,
+)
+from pimentospool.verdicts import Verdict
+
+CALL = OperationCall(
+    customer=CustomerId("stores"),
+    service=ServiceId("payment"),
+    method="POST",
+    path="cards/charge",
+)
+ANSWER = HeldAnswer(status=200, content_type="application/json", body=b"{}")
+LATER = 100.0
+
+
+def make_ledger(incarnation="a", **limits):
+    return OperationLedger(
+        owner=EntryId("gulf-1"),
+        region=RegionId("gulf"),
+        incarnation=Incarnation(incarnation),
+        limits=LedgerLimits(**limits),
+    )
+
+
+def begin(ledger, ticket, *, call=CALL, digest="d", send_by=LATER):
+    return ledger.begin(ticket, call=call, digest=digest, send_by=send_by)
+
+
+def send(ledger, ticket, *, decided_at=0.0, now=0.0):
+    return ledger.may_send(ticket, decided_at=decided_at, now=now)
+
+
+def run(ledger, call=CALL, answer=ANSWER):
+    ticket = ledger.issue(call)
+    assert begin(ledger, ticket, call=call) == Start()
+    assert send(ledger, ticket) is None
+    ledger.answered(ticket, answer)
+    return ticket
+
+
+def test_first_request_starts_and_others_join_and_replay():
+    ledger = make_ledger()
+    ticket = ledger.issue(CALL)
+    assert begin(ledger, ticket) == Start()
+    assert begin(ledger, ticket) == Join()
+    assert send(ledger, ticket) is None
+    assert begin(ledger, ticket) == Join()
+    ledger.answered(ticket, ANSWER)
+    assert begin(ledger, ticket) == Replay(answer=ANSWER)
+    assert ledger.outcome(ticket) == Replay(answer=ANSWER)
+
+
+def test_second_send_is_refused_until_the_first_is_proved_unexecuted():
+    ledger = make_ledger()
+    ticket = ledger.issue(CALL)
+    begin(ledger, ticket)
+    assert send(ledger, ticket) is None
+    assert send(ledger, ticket).verdict is Verdict.MAY_HAVE_RUN
+    ledger.not_executed(ticket)
+    assert send(ledger, ticket) is None
+
+
+def test_not_run_closes_the_ticket():
+    ledger = make_ledger()
+    ticket = ledger.issue(CALL)
+    begin(ledger, ticket)
+    refusal = send(ledger, ticket, now=LATER)
+    assert refusal.verdict is Verdict.NOT_RUN
+    ledger.failed(ticket, refusal)
+    assert begin(ledger, ticket) == refusal
+    assert send(ledger, ticket).verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_pause_between_decision_and_send_is_refused():
+    ledger = make_ledger(pause_seconds=2.0)
+    ticket = ledger.issue(CALL)
+    begin(ledger, ticket)
+    assert send(ledger, ticket, decided_at=0.0, now=2.5).verdict is Verdict.NOT_RUN
+    assert send(ledger, ticket, decided_at=2.5, now=2.6) is None
+
+
+def test_refusal_after_an_unproved_send_may_have_run():
+    ledger = make_ledger()
+    ticket = ledger.issue(CALL)
+    begin(ledger, ticket)
+    send(ledger, ticket)
+    refused = Refusal(
+        reason=Reason.NO_TARGET,
+        detail="",
+        verdict=Verdict.NOT_RUN,
+        attempt_verdict=Verdict.NOT_RUN,
+    )
+    ledger.failed(ticket, refused)
+    assert ledger.outcome(ticket).verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_ticket_of_an_earlier_incarnation_is_never_run():
+    ticket = make_ledger("a").issue(CALL)
+    replaced = make_ledger("b")
+    refusal = begin(replaced, ticket)
+    assert refusal.reason is Reason.OWNER_GONE
+    assert refusal.verdict is Verdict.MAY_HAVE_RUN
+    assert refusal.attempt_verdict is Verdict.NOT_RUN
+    assert send(replaced, ticket) is not None
+    assert owner_gone("").reason is Reason.OWNER_GONE
+
+
+@pytest.mark.parametrize("change", ["digest", "path", "customer"])
+def test_reuse_for_something_else_is_a_conflict(change):
+    ledger = make_ledger()
+    ticket = run(ledger)
+    digest, call = "d", CALL
+    if change == "digest":
+        digest = "other"
+    elif change == "path":
+        call = OperationCall(
+            customer=CALL.customer,
+            service=CALL.service,
+            method="POST",
+            path="pickups/book",
+        )
+    else:
+        call = OperationCall(
+            customer=CustomerId("other"),
+            service=CALL.service,
+            method="POST",
+            path=CALL.path,
+        )
+    refusal = begin(ledger, ticket, call=call, digest=digest)
+    assert refusal.reason is Reason.OPERATION_CONFLICT
+    assert refusal.verdict is not Verdict.NOT_RUN
+
+
+def test_tickets_below_the_window_are_never_run():
+    ledger = make_ledger(window=4)
+    unused = ledger.issue(CALL)
+    finished = run(ledger)
+    running = ledger.issue(CALL)
+    begin(ledger, running)
+    for _ in range(8):
+        ledger.issue(CALL)
+    for ticket in (unused, finished):
+        refusal = begin(ledger, ticket)
+        assert refusal.reason is Reason.OPERATION_EXPIRED
+        assert refusal.verdict is Verdict.MAY_HAVE_RUN
+        assert ledger.state(ticket) is None
+    assert begin(ledger, running) == Join()
+    ledger.answered(running, ANSWER)
+    assert begin(ledger, running) == Replay(answer=ANSWER)
+    ledger.issue(CALL)
+    assert ledger.records == 0
+
+
+def test_held_bytes_are_bounded_and_the_verdict_stays():
+    ledger = make_ledger(answer_bytes=100, answer_bytes_each=60)
+    large = HeldAnswer(status=200, content_type="", body=b"x" * 50)
+    tickets = [run(ledger, answer=large) for _ in range(5)]
+    assert ledger.held_bytes <= 100
+    assert begin(ledger, tickets[0]).verdict is Verdict.RAN
+    assert begin(ledger, tickets[4]) == Replay(answer=large)
+    huge = HeldAnswer(status=200, content_type="", body=b"x" * 61)
+    assert ledger.state(run(ledger, answer=huge)) is OperationState.ANSWER_LOST
+
+
+def test_records_are_bounded_and_taken_from_the_largest_customer():
+    ledger = make_ledger(records=50)
+    other = OperationCall(
+        customer=CustomerId("other"), service=CALL.service, method="POST", path="p"
+    )
+    kept = run(ledger, call=other)
+    for _ in range(500):
+        run(ledger)
+    assert ledger.records <= 50
+    assert begin(ledger, kept, call=other) == Replay(answer=ANSWER)
+
+
+def test_no_room_for_more_running_operations():
+    ledger = make_ledger(records=3)
+    tickets = [ledger.issue(CALL) for _ in range(4)]
+    decisions = [begin(ledger, ticket) for ticket in reversed(tickets)]
+    assert decisions[:3] == [Start()] * 3
+    assert decisions[3].attempt_verdict is Verdict.NOT_RUN
+    assert decisions[3].verdict is Verdict.MAY_HAVE_RUN
