Take tickets in load callers and accept a held answer

Cause: the load caller asked for a ticket without naming the call, so every non-idempotent call was refused 428 once tickets were required. Its check also held that an answer carries the id of the last HTTP request; a retry under a ticket gets the answer of the request that ran. Change: the ticket request names the call, NOT_RUN takes a new ticket, and the body's digest, which no other call shares, identifies a non-idempotent answer.

--- a/pimentospool/load/_callers.py
+++ b/pimentospool/load/_callers.py
@@ -8,7 +8,7 @@
 import aiohttp
 import msgspec
 
-from pimentospool._generated.callers import OperationTicket
+from pimentospool._generated.callers import OperationTicket, TicketRequest
 from pimentospool._generated.records import (
     AttemptRecord,
     CallerRecord,
@@ -16,7 +16,7 @@
     CallOutcome,
 )
 from pimentospool.errors import Problem
-from pimentospool.ids import EntryId, OperationId, RegionId, RequestId
+from pimentospool.ids import EntryId, OperationId, RegionId, RequestId, ServiceId
 from pimentospool.load._checks import AnswerCheck
 from pimentospool.load._traffic import Call, KeyOf
 from pimentospool.verdicts import Verdict
@@ -24,6 +24,7 @@
 MAX_ATTEMPTS = 3
 _PROBLEM_TYPE = "application/problem+json"
 _OPERATIONS_PATH = "/v1/operations"
+SERVICES_PREFIX = "/v1/services/"
 _OPERATION_HEADER = "Operation-Id"
 _DEADLINE_HEADER = "X-Deadline-Seconds"
 _REQUEST_ID_HEADER = "X-Request-Id"
@@ -127,6 +128,8 @@
             sent += answer.outcome is not CallOutcome.UNREACHABLE
             if not _may_repeat(call, record, answer):
                 break
+            if answer.verdict == Verdict.NOT_RUN.value:
+                record.operation_id = OperationId("")
             await asyncio.sleep(min(answer.retry_after_seconds, _MAX_PAUSE_SECONDS))
         record.ended_at = time.time()
         return record
@@ -172,7 +175,7 @@
         }
         if call.kind is CallKind.NON_IDEMPOTENT:
             try:
-                await self._open_operation(record, entry, headers)
+                await self._open_operation(call, record, entry, headers)
             except (aiohttp.ClientError, OSError, TimeoutError) as exc:
                 return _Answer(outcome=CallOutcome.UNREACHABLE, reason=repr(exc))
             if record.operation_id:
@@ -194,14 +197,21 @@
             return _Answer(outcome=CallOutcome.BROKEN, reason=repr(exc))
 
     async def _open_operation(
-        self, record: CallerRecord, entry: EntryAddress, headers: dict[str, str]
+        self,
+        call: Call,
+        record: CallerRecord,
+        entry: EntryAddress,
+        headers: dict[str, str],
     ) -> None:
         if record.operation_id:
             return
         url = f"http://{entry.address}{_OPERATIONS_PATH}"
+        service, _, path = call.path.removeprefix(SERVICES_PREFIX).partition("/")
+        asked = TicketRequest(service=ServiceId(service), path=path, method=call.method)
+        body = msgspec.json.encode(asked)
         async with (
             asyncio.timeout(_TICKET_SECONDS),
-            self._session.post(url, headers=headers) as resp,
+            self._session.post(url, data=body, headers=headers) as resp,
         ):
             data = await resp.read()
             if resp.ok:
--- a/pimentospool/load/_checks.py
+++ b/pimentospool/load/_checks.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from pimentospool._generated.records import CallKind
 from pimentospool.load._traffic import Call
 from pimentospool.standins import ServiceAnswer, token_text
 
@@ -41,7 +42,7 @@
         return (
             answer.body_digest == call.body_digest
             and call.path.endswith(answer.path)
-            and answer.request_id == request_id
+            and (_may_be_held(call) or answer.request_id == request_id)
         )
 
     def _is_whole_stream(self, call: Call, body: bytes) -> bool:
@@ -59,6 +60,14 @@
         return done and "".join(texts) == expected
 
 
+def _may_be_held(call: Call) -> bool:
+    """Return whether an answer may be that of an earlier request for its operation.
+
+    The digest of the call's body, which no other call has, then identifies it.
+    """
+    return call.kind is CallKind.NON_IDEMPOTENT
+
+
 class _Delta(msgspec.Struct):
     content: str = ""
 
