--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -9,6 +9,7 @@
 from pimentospool._generated.settings import Settings
 from pimentospool._generated.status import EntryStatus, RevisionStatus
 from pimentospool.admin import AdminServer
+from pimentospool.admission import Admission
 from pimentospool.callers import CallerServer
 from pimentospool.dispatch import Dispatcher
 from pimentospool.errors import DocumentErrors
@@ -22,7 +23,8 @@
 )
 from pimentospool.operations import OperationServer
 from pimentospool.platform import PlatformClient, PlatformError
-from pimentospool.policy import Router
+from pimentospool.policy import QuotaShares, Router
+from pimentospool.reports import ReportPoller
 from pimentospool.revisions import Revision, index_digest, unpack_manifest
 from pimentospool.status import STATUS_PATH, status_page
 from pimentospool.targets import ExchangeClient
@@ -51,7 +53,15 @@
         self.life = time.time_ns() // 1000
         self.view = View()
         self.fleet = ListedFleet()
-        self.router = Router(region=cfg.entry.region)
+        self.shares = QuotaShares(entry=cfg.entry.id, clock=time.monotonic)
+        self.router = Router(
+            region=cfg.entry.region,
+            entry=cfg.entry.id,
+            clock=time.monotonic,
+            rng=random.Random(),
+            shares=self.shares,
+        )
+        self._admission = Admission(shares=self.shares)
         self.admin = AdminServer(cfg=cfg.entry)
         self._cfg = cfg
         self._adopted_at = time.monotonic()
@@ -68,6 +78,7 @@
             view=self.view,
             fleet=self.fleet,
             router=self.router,
+            admission=self._admission,
             client=self._client,
             rng=random.Random(),
         )
@@ -84,6 +95,8 @@
         )
         self._tasks.append(asyncio.create_task(self._watch_configuration()))
         self._tasks.append(asyncio.create_task(self._watch_vms()))
+        self._reports = ReportPoller(cfg=cfg.targets, router=self.router)
+        self._tasks.append(asyncio.create_task(self._reports.run()))
         self._publish_metrics()
         self.admin.add_page(STATUS_PATH, lambda: status_page(self.status()))
         await self.admin.start()
@@ -102,6 +115,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.close()
         await self.admin.close()
+        await self._reports.close()
         await self._client.close()
         await self._platform.close()
         log_event(Event.ENTRY_STOPPED, entry=self._cfg.entry.id)
@@ -134,6 +148,7 @@
     def _follow_revision(self, revision: Revision) -> None:
         self._adopted_at = time.monotonic()
         self.router.set_manifest(self.view.index)
+        self._admission.set_manifest(self.view.index)
         log_event(
             Event.REVISION_ADOPTED, revision=revision.number, digest=revision.digest
         )
@@ -177,6 +192,9 @@
             try:
                 self.fleet.update(await self._platform.read_vms())
                 self.router.set_leaving(self.fleet.leaving_targets())
+                own = self.fleet.entries(self._cfg.entry.region)
+                self.router.set_entry_count(len(own))
+                self.shares.set_entries(self.fleet.entry_ids())
             except PlatformError as exc:
                 log_event(Event.PLATFORM_UNREACHABLE, error=str(exc))
             await asyncio.sleep(self._cfg.platform.vm_list_interval_seconds)
--- a/pimentospool/operations/_execution.py
+++ b/pimentospool/operations/_execution.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from pimentospool.operations._failures import failure_of
-from pimentospool.policy import HeldAnswer, OperationLedger, Ticket
+from pimentospool.policy import HeldAnswer, OperationLedger, OperationRef
 from pimentospool.verdicts import Verdict
 
 
@@ -11,7 +11,11 @@
     """Asks the ledger before an operation is sent."""
 
     def __init__(
-        self, *, ledger: OperationLedger, ticket: Ticket, clock: Callable[[], float]
+        self,
+        *,
+        ledger: OperationLedger,
+        ticket: OperationRef,
+        clock: Callable[[], float],
     ) -> None:
         self._ledger = ledger
         self._ticket = ticket
--- a/pimentospool/operations/_server.py
+++ b/pimentospool/operations/_server.py
@@ -35,6 +35,7 @@
     HeldAnswer,
     OperationCall,
     OperationLedger,
+    OperationRef,
     Refusal,
     RegionRoute,
     Replay,
@@ -42,7 +43,6 @@
     Router,
     RouteRefusal,
     Start,
-    Ticket,
     owner_gone,
 )
 from pimentospool.requests import AnswerSink, GatewayRequest, RequestKind
@@ -105,7 +105,7 @@
         self._rng = rng
         self._clock = clock
         self._signer = TicketSigner(key=cfg.peers.key)
-        self._running: dict[Ticket, asyncio.Task[Outcome]] = {}
+        self._running: dict[OperationRef, asyncio.Task[Outcome]] = {}
 
     async def serve(self, req: GatewayRequest, sink: AnswerSink) -> None:
         """Send the whole answer of `req` to `sink`.
@@ -206,7 +206,7 @@
             await self._forward(req, ticket, sink)
 
     async def _serve_owned(
-        self, req: GatewayRequest, ticket: Ticket, sink: AnswerSink
+        self, req: GatewayRequest, ticket: OperationRef, sink: AnswerSink
     ) -> None:
         self._check_regions(req)
         decision = self.ledger.begin(
@@ -243,12 +243,12 @@
                 attempt_verdict=Verdict.MAY_HAVE_RUN,
             )
 
-    def _start(self, req: GatewayRequest, ticket: Ticket) -> None:
+    def _start(self, req: GatewayRequest, ticket: OperationRef) -> None:
         task = asyncio.create_task(self._execute(req, ticket))
         self._running[ticket] = task
         task.add_done_callback(lambda _: self._running.pop(ticket))
 
-    async def _wait(self, req: GatewayRequest, ticket: Ticket) -> Outcome:
+    async def _wait(self, req: GatewayRequest, ticket: OperationRef) -> Outcome:
         try:
             async with asyncio.timeout(_remaining(req)):
                 return await asyncio.shield(self._running[ticket])
@@ -261,7 +261,7 @@
                 retry_after_seconds=RETRY_SECONDS,
             ) from exc
 
-    async def _execute(self, req: GatewayRequest, ticket: Ticket) -> Outcome:
+    async def _execute(self, req: GatewayRequest, ticket: OperationRef) -> Outcome:
         sink = HeldSink()
         try:
             await self._dispatcher.serve(self._execution(req, ticket), sink)
@@ -275,7 +275,7 @@
             self.ledger.failed(ticket, INTERNAL_REFUSAL)
         return self.ledger.outcome(ticket)
 
-    def _execution(self, req: GatewayRequest, ticket: Ticket) -> GatewayRequest:
+    def _execution(self, req: GatewayRequest, ticket: OperationRef) -> GatewayRequest:
         """Return the request as the owner sends it.
 
         It outlives the requests that wait for it, so that a late answer is held.
@@ -294,7 +294,7 @@
         )
 
     async def _forward(
-        self, req: GatewayRequest, ticket: Ticket, sink: AnswerSink
+        self, req: GatewayRequest, ticket: OperationRef, sink: AnswerSink
     ) -> None:
         _check_region(req, self._region, hopped=True)
         _check_region(req, ticket.region, hopped=True)
--- a/pimentospool/operations/_tickets.py
+++ b/pimentospool/operations/_tickets.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from pimentospool.ids import OperationId
-from pimentospool.policy import Ticket
+from pimentospool.policy import OperationRef
 
 
 class TicketSigner:
@@ -23,12 +23,12 @@
     def __init__(self, *, key: str) -> None:
         self._key = key.encode()
 
-    def sign(self, ticket: Ticket) -> OperationId:
+    def sign(self, ticket: OperationRef) -> OperationId:
         """Return the operation id that names `ticket`."""
         payload = base64.urlsafe_b64encode(msgspec.json.encode(ticket))
         return OperationId(f"{payload.decode()}.{self._mac(payload)}")
 
-    def verify(self, value: str) -> Ticket | None:
+    def verify(self, value: str) -> OperationRef | None:
         """Return the ticket, or None if it was not signed with the key."""
         payload, _, mac = value.partition(".")
         expected = self._mac(payload.encode(errors="replace"))
@@ -36,7 +36,7 @@
             return None
         try:
             data = base64.urlsafe_b64decode(payload)
-            return msgspec.json.decode(data, type=Ticket)
+            return msgspec.json.decode(data, type=OperationRef)
         except (binascii.Error, msgspec.DecodeError):
             return None
 
--- a/pimentospool/policy/_operations.py
+++ b/pimentospool/policy/_operations.py
@@ -34,7 +34,7 @@
     path: str
 
 
-class Ticket(msgspec.Struct, kw_only=True, frozen=True):
+class OperationRef(msgspec.Struct, kw_only=True, frozen=True):
     """Names an operation and the one incarnation that may send it."""
 
     owner: EntryId
@@ -188,13 +188,13 @@
         """Bytes of held answers."""
         return self._held_bytes
 
-    def issue(self, call: OperationCall) -> Ticket:
+    def issue(self, call: OperationCall) -> OperationRef:
         """Return a new ticket; nothing runs and no record is made."""
         book = self._books.setdefault(call.customer, _Book())
         sequence = book.next_sequence
         book.next_sequence += 1
         self._raise_floor(call.customer, book, sequence - self._limits.window)
-        return Ticket(
+        return OperationRef(
             owner=self.owner,
             region=self.region,
             incarnation=self.incarnation,
@@ -202,23 +202,23 @@
             call=call,
         )
 
-    def owns(self, ticket: Ticket) -> bool:
+    def owns(self, ticket: OperationRef) -> bool:
         """Return whether this incarnation issued `ticket`."""
         return ticket.owner == self.owner and ticket.incarnation == self.incarnation
 
-    def state(self, ticket: Ticket) -> OperationState | None:
+    def state(self, ticket: OperationRef) -> OperationState | None:
         """Return how far the operation has come, or None without a record."""
         record = self._find(ticket)
         return record.state if record else None
 
     def begin(
-        self, ticket: Ticket, *, call: OperationCall, digest: str, send_by: float
+        self, ticket: OperationRef, *, call: OperationCall, digest: str, send_by: float
     ) -> Decision:
         """Decide over one request for `ticket`.
 
         Parameters
         ----------
-        ticket : Ticket
+        ticket : OperationRef
             A ticket whose signature is verified.
         call : OperationCall
             What the request asks for.
@@ -245,7 +245,7 @@
             return Join()
         return self._ended(record)
 
-    def outcome(self, ticket: Ticket) -> Replay | Refusal:
+    def outcome(self, ticket: OperationRef) -> Replay | Refusal:
         """Return what every request for an ended operation is told."""
         record = self._find(ticket)
         if record is None:
@@ -255,7 +255,7 @@
         return self._ended(record)
 
     def may_send(
-        self, ticket: Ticket, *, decided_at: float, now: float
+        self, ticket: OperationRef, *, decided_at: float, now: float
     ) -> Refusal | None:
         """Mark the operation as sent, or return why it must not be sent.
 
@@ -271,13 +271,13 @@
         record.state = OperationState.SENT
         return None
 
-    def not_executed(self, ticket: Ticket) -> None:
+    def not_executed(self, ticket: OperationRef) -> None:
         """Take back `may_send` after proof that the target did not run it."""
         record = self._find(ticket)
         if record is not None and record.state is OperationState.SENT:
             record.state = OperationState.RUNNING
 
-    def answered(self, ticket: Ticket, answer: HeldAnswer) -> None:
+    def answered(self, ticket: OperationRef, answer: HeldAnswer) -> None:
         """Hold the target's whole answer."""
         record = self._find(ticket)
         if record is None or record.state.final:
@@ -293,7 +293,7 @@
         while self._held_bytes > self._limits.answer_bytes:
             self._drop_oldest_answer()
 
-    def failed(self, ticket: Ticket, refusal: Refusal) -> None:
+    def failed(self, ticket: OperationRef, refusal: Refusal) -> None:
         """End the operation without an answer.
 
         A ``NOT_RUN`` refusal closes the ticket. Once sent, an operation without
@@ -313,13 +313,13 @@
             record.state = OperationState.REFUSED
             record.refusal = refusal
 
-    def _find(self, ticket: Ticket) -> _Record | None:
+    def _find(self, ticket: OperationRef) -> _Record | None:
         book = self._books.get(ticket.call.customer)
         if book is None or not self.owns(ticket):
             return None
         return book.records.get(ticket.sequence)
 
-    def _start(self, ticket: Ticket, *, digest: str, send_by: float) -> Decision:
+    def _start(self, ticket: OperationRef, *, digest: str, send_by: float) -> Decision:
         book = self._books.setdefault(ticket.call.customer, _Book())
         if self._records >= self._limits.records:
             self._evict()
