--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -2,7 +2,19 @@
 
 from pimentospool.policy._flights import RegionFlight, TargetFlight
 from pimentospool.policy._limits import CustomerLimiter, LimitRefusal
+from pimentospool.policy._operations import (
+    HeldAnswer,
+    Join,
+    LedgerLimits,
+    OperationCall,
+    OperationLedger,
+    OperationRef,
+    OperationState,
+    Replay,
+    Start,
+)
 from pimentospool.policy._queue import QueueRefusal, Ticket, WaitQueue
+from pimentospool.policy._refusals import Refusal, owner_gone
 from pimentospool.policy._retries import RetryDecision, RetryPolicy
 from pimentospool.policy._routes import (
     RegionRoute,
@@ -16,11 +28,20 @@
 
 __all__ = [
     "CustomerLimiter",
+    "HeldAnswer",
+    "Join",
+    "LedgerLimits",
     "LimitRefusal",
+    "OperationCall",
+    "OperationLedger",
+    "OperationRef",
+    "OperationState",
     "QueueRefusal",
     "QuotaShares",
+    "Refusal",
     "RegionFlight",
     "RegionRoute",
+    "Replay",
     "RetryDecision",
     "RetryPolicy",
     "Route",
@@ -29,8 +50,10 @@
     "RouteRefusal",
     "Router",
     "Score",
+    "Start",
     "TargetFlight",
     "TargetRoute",
     "Ticket",
     "WaitQueue",
+    "owner_gone",
 ]
