--- a/pimentospool/dispatch.py
+++ b/pimentospool/dispatch.py
@@ -29,7 +29,13 @@
 )
 from pimentospool.requests import AnswerSink, GatewayRequest, RequestKind
 from pimentospool.signals import Signal
-from pimentospool.targets import Answer, AttemptFailure, Exchange, ExchangeClient
+from pimentospool.targets import (
+    VERDICT_HEADER,
+    Answer,
+    AttemptFailure,
+    Exchange,
+    ExchangeClient,
+)
 from pimentospool.verdicts import Verdict
 from pimentospool.views import View
 
@@ -123,6 +129,8 @@
                 return
             except AttemptFailure as exc:
                 attempts.failed(route, exc)
+                if req.send_guard is not None:
+                    req.send_guard.attempt_failed(exc.verdict)
                 if record.started or not self._may_repeat(req, route, attempts):
                     raise attempts.failure() from exc
 
@@ -225,7 +233,7 @@
             exchange.headers[PRIORITY_HEADER] = str(self._priority(req))
         if req.send_guard is not None:
             exchange.before_sending = partial(
-                req.send_guard, decided_at=time.monotonic()
+                req.send_guard.sending, decided_at=time.monotonic()
             )
         async with self._client.open(exchange) as answer:
             await _relay(req, answer, sink)
@@ -259,7 +267,7 @@
         )
         exchange.headers[HOP_HEADER] = self._signer.sign(self._hop_header(req))
         async with self._client.open(exchange) as answer:
-            if answer.content_type.startswith("application/problem+json"):
+            if VERDICT_HEADER in answer.headers:
                 raise await _hop_failure(answer)
             await _relay(req, answer, sink)
 
--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -21,6 +21,7 @@
     ProcessReadings,
     add_process_gauges,
 )
+from pimentospool.operations import OperationServer
 from pimentospool.platform import PlatformClient, PlatformError
 from pimentospool.policy import QuotaShares, Router
 from pimentospool.reports import ReportPoller
@@ -81,8 +82,16 @@
             client=self._client,
             rng=random.Random(),
         )
+        self.operations = OperationServer(
+            cfg=cfg,
+            view=self.view,
+            fleet=self.fleet,
+            router=self.router,
+            dispatcher=self.dispatcher,
+            rng=random.Random(),
+        )
         self.callers = CallerServer(
-            cfg=cfg, view=self.view, fleet=self.fleet, dispatcher=self.dispatcher
+            cfg=cfg, view=self.view, fleet=self.fleet, dispatcher=self.operations
         )
         self._tasks.append(asyncio.create_task(self._watch_configuration()))
         self._tasks.append(asyncio.create_task(self._watch_vms()))
@@ -100,6 +109,7 @@
         """Take no new requests, end those in progress and stop."""
         log_event(Event.ENTRY_LEAVING, entry=self._cfg.entry.id)
         await self.callers.drain()
+        await self.operations.drain()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
