--- a/pimentospool/control.py
+++ b/pimentospool/control.py
@@ -10,7 +10,13 @@
 
 from pimentospool._generated.manifest import DrillWindow
 from pimentospool._generated.peers import LeavingVms, Member, RevisionHead
-from pimentospool._generated.platform import RevisionIndex, VmKind, VmList, VmRecord, VmState
+from pimentospool._generated.platform import (
+    RevisionIndex,
+    VmKind,
+    VmList,
+    VmRecord,
+    VmState,
+)
 from pimentospool._generated.settings import EntrySettings, Settings
 from pimentospool.fleet import LEAVING_PREFIX, PeerFleet
 from pimentospool.ids import EntryId, TargetId
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -2,39 +2,81 @@
 
 from pimentospool.policy._drills import DrillView
 from pimentospool.policy._entries import rank_entries
+from pimentospool.policy._flights import RegionFlight, TargetFlight
+from pimentospool.policy._limits import CustomerLimiter, LimitRefusal
 from pimentospool.policy._membership import (
     ChangeKind,
     MemberChange,
     Membership,
     newer_member,
 )
+from pimentospool.policy._operations import (
+    HeldAnswer,
+    Join,
+    LedgerLimits,
+    OperationCall,
+    OperationLedger,
+    OperationRef,
+    OperationState,
+    Replay,
+    Start,
+)
+from pimentospool.policy._queue import QueueRefusal, Ticket, WaitQueue
 from pimentospool.policy._readers import rank_members
+from pimentospool.policy._refusals import Refusal, owner_gone
 from pimentospool.policy._reports import ReportBook, newer_report
+from pimentospool.policy._retries import RetryDecision, RetryPolicy
 from pimentospool.policy._revisions import RefusedRevision, RevisionBook, is_newer
-from pimentospool.policy._routing import (
+from pimentospool.policy._routes import (
     RegionRoute,
     RouteQuery,
-    Router,
     RouteRefusal,
     TargetRoute,
 )
+from pimentospool.policy._routing import Route, Router
+from pimentospool.policy._scores import RouteReason, Score
+from pimentospool.policy._shares import QuotaShares
 
 __all__ = [
     "ChangeKind",
+    "CustomerLimiter",
     "DrillView",
+    "HeldAnswer",
+    "Join",
+    "LedgerLimits",
+    "LimitRefusal",
     "MemberChange",
     "Membership",
+    "OperationCall",
+    "OperationLedger",
+    "OperationRef",
+    "OperationState",
+    "QueueRefusal",
+    "QuotaShares",
+    "Refusal",
     "RefusedRevision",
+    "RegionFlight",
     "RegionRoute",
+    "Replay",
     "ReportBook",
+    "RetryDecision",
+    "RetryPolicy",
     "RevisionBook",
+    "Route",
     "RouteQuery",
+    "RouteReason",
     "RouteRefusal",
     "Router",
+    "Score",
+    "Start",
+    "TargetFlight",
     "TargetRoute",
+    "Ticket",
+    "WaitQueue",
     "is_newer",
     "newer_member",
     "newer_report",
+    "owner_gone",
     "rank_entries",
     "rank_members",
 ]
