Share membership, configuration and entry choice between peers

Cause: every entry process read the platform by itself and knew the other entry VMs only from the lagging VM list, so platform reads grew with the fleet, a process without the platform had no configuration, and a fresh process took whatever revision a stale platform showed. Revisions are ordered by number and digest, fetched by digest from the peer that named them, and checked in short steps. /v1/entries ranks entry VMs by the caller's zone. Conclusion: merge rules have property tests, each shown to fail by a break.

--- a/pimentospool/callers/_app.py
+++ b/pimentospool/callers/_app.py
@@ -11,18 +11,17 @@
 from sanic.server.async_server import AsyncioServer
 
 from pimentospool._generated.callers import (
-    EntryChoice,
-    EntryList,
     ModelCard,
     ModelList,
 )
 from pimentospool._generated.settings import Settings
 from pimentospool.callers._parsing import OPERATION_HEADER, TICKET_PATH, RequestParser
 from pimentospool.callers._sinks import HttpSink
+from pimentospool.control import ControlPlane
+from pimentospool.entry_choice import EntryChooser
 from pimentospool.errors import Reason, RequestFailure
-from pimentospool.fleet import Fleet
-from pimentospool.hops import HOP_PREFIX, HopSigner
-from pimentospool.ids import EntryId, RequestId
+from pimentospool.hops import HOP_HEADER, HOP_PREFIX, HopSigner
+from pimentospool.ids import RegionId, RequestId, ZoneId
 from pimentospool.log import Event, log_event
 from pimentospool.operations import for_operation
 from pimentospool.requests import GatewayRequest, RequestServer
@@ -51,23 +50,29 @@
         Settings of the entry process.
     view : View
         Configuration in force.
-    fleet : Fleet
-        Entry VMs that callers may use.
+    control : ControlPlane
+        Entry VMs that callers may use, and whether the view is current.
     dispatcher : RequestServer
         Serves verified requests.
     """
 
     def __init__(
-        self, *, cfg: Settings, view: View, fleet: Fleet, dispatcher: RequestServer
+        self,
+        *,
+        cfg: Settings,
+        view: View,
+        control: ControlPlane,
+        dispatcher: RequestServer,
     ) -> None:
         self.in_progress = 0
         self.leaving = False
         self._cfg = cfg
         self._view = view
-        self._fleet = fleet
+        self._control = control
+        self._chooser = EntryChooser(cfg=cfg, view=view, fleet=control.fleet)
         self._dispatcher = dispatcher
-        signer = HopSigner(key=cfg.peers.key)
-        self._parser = RequestParser(cfg=cfg.callers, signer=signer, view=view)
+        self._signer = HopSigner(key=cfg.peers.key)
+        self._parser = RequestParser(cfg=cfg.callers, signer=self._signer, view=view)
         self._app = self._build_app()
         self._server: AsyncioServer | None = None
 
@@ -168,6 +173,8 @@
         sink: HttpSink | None = None
         try:
             self._refuse_when_leaving(http)
+            self._refuse_when_lost(http)
+            await self._settle_view(http)
             req = parse()
             request_id = req.id
             sink = HttpSink(http=http, request_id=req.id)
@@ -197,6 +204,23 @@
                 retry_after_seconds=0.0,
             )
 
+    def _refuse_when_lost(self, http: HttpRequest) -> None:
+        region = self._cfg.entry.region
+        lost = region in self._control.fleet.lost_regions()
+        if lost and OPERATION_HEADER not in http.headers:
+            raise RequestFailure(
+                reason=Reason.REGION_LOST,
+                detail=f"a drill declares region {region} lost; ask another entry VM",
+                verdict=Verdict.NOT_RUN,
+                retry_after_seconds=0.0,
+            )
+
+    async def _settle_view(self, http: HttpRequest) -> None:
+        await self._control.settle()
+        hop = self._signer.verify(http.headers.get(HOP_HEADER, ""))
+        if hop is not None:
+            await self._view.ensure(hop.revision, hop.ingress)
+
     async def _models(self, http: HttpRequest) -> HTTPResponse:
         try:
             customer = self._parser.customer(http, None)
@@ -206,24 +230,13 @@
         return _json_response(ModelList(data=cards))
 
     async def _entries(self, http: HttpRequest) -> HTTPResponse:
-        entry = self._cfg.entry
-        choices = [
-            EntryChoice(
-                id=EntryId(vm.id),
-                address=vm.caller_address,
-                region=vm.region,
-                zone=vm.zone,
-                weight=1.0,
-            )
-            for vm in self._fleet.entries(entry.region)
-        ]
-        return _json_response(
-            EntryList(
-                revision=self._view.number,
-                lifetime_seconds=self._cfg.callers.entries_lifetime_seconds,
-                entries=choices,
-            )
+        zone, region = http.args.get("zone"), http.args.get("region")
+        choice = self._chooser.choose(
+            zone=ZoneId(zone) if zone else None,
+            region=RegionId(region) if region else None,
+            caller=http.args.get("caller") or f"{http.ip}:{http.port}",
         )
+        return _json_response(choice)
 
 
 def problem_response(exc: RequestFailure, request_id: RequestId) -> HTTPResponse:
--- a/pimentospool/control.py
+++ b/pimentospool/control.py
@@ -36,6 +36,7 @@
 _FIRST_REVISION_SECONDS = 5.0
 _ENSURE_SECONDS = 0.5
 _SETTLE_SECONDS = 1.5
+_NEVER = -1.0
 _TICK_SECONDS = 0.25
 
 
@@ -104,8 +105,8 @@
         self.fleet = PeerFleet(
             node=self.node, drills=lambda: self.drills, clock=clock, wall=wall
         )
-        self.adopted_at = clock()
-        self.vms_read_at: float | None = None
+        self._adopted_at = clock()
+        self._vms_read_at: float | None = None
         self._pauses = PauseDetector(limit_seconds=cfg.peers.pause_seconds, clock=clock)
         self.paused: Signal[float] = self._pauses.paused
         self._windows: list[DrillWindow] = []
@@ -149,6 +150,21 @@
         """Whether a pause was noticed and the view is not yet checked."""
         return not self._settled.is_set()
 
+    @property
+    def revision_age(self) -> float:
+        """Time since the revision in force was adopted here."""
+        return self._clock() - self._adopted_at
+
+    @property
+    def vm_list_age(self) -> float:
+        """Time since this process last read the VM list; -1 if never."""
+        read_at = self._vms_read_at
+        return _NEVER if read_at is None else self._clock() - read_at
+
+    def now(self) -> float:
+        """Return monotonic time in seconds, as the control plane counts it."""
+        return self._clock()
+
     async def settle(self) -> None:
         """Return at once, or after a pause when the view was checked.
 
@@ -235,7 +251,7 @@
                 log_event(Event.DRILL_WINDOWS_CHANGED, windows=names)
 
     def _follow_revision(self, revision: Revision) -> None:
-        self.adopted_at = self._clock()
+        self._adopted_at = self._clock()
         self.drills = DrillView(
             region=self._cfg.entry.region, windows=revision.manifest.drill
         )
@@ -257,7 +273,7 @@
         self.fleet.update(vms)
 
     def _note_vms(self) -> None:
-        self.vms_read_at = self._clock()
+        self._vms_read_at = self._clock()
         if self._joined and self.node.is_reader:
             self._report_leaving()
 
--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -5,15 +5,13 @@
 import signal
 import time
 
-from pimentospool._generated.platform import RevisionIndex
 from pimentospool._generated.settings import Settings
-from pimentospool._generated.status import EntryStatus, RevisionStatus
+from pimentospool._generated.status import EntryStatus
 from pimentospool.admin import AdminServer
 from pimentospool.admission import Admission
 from pimentospool.callers import CallerServer
+from pimentospool.control import ControlPlane
 from pimentospool.dispatch import Dispatcher
-from pimentospool.errors import DocumentErrors
-from pimentospool.fleet import ListedFleet
 from pimentospool.log import Event, log_event
 from pimentospool.metrics import (
     METRICS_PATH,
@@ -22,16 +20,15 @@
     add_process_gauges,
 )
 from pimentospool.operations import OperationServer
-from pimentospool.platform import PlatformClient, PlatformError
+from pimentospool.platform import PlatformClient
 from pimentospool.policy import QuotaShares, Router
 from pimentospool.reports import ReportPoller
-from pimentospool.revisions import Revision, index_digest, unpack_manifest
-from pimentospool.status import STATUS_PATH, status_page
+from pimentospool.revisions import Revision
+from pimentospool.status import STATUS_PATH, control_status, status_page
+from pimentospool.summaries import SummaryExchange
 from pimentospool.targets import ExchangeClient
 from pimentospool.views import View
 
-_RETRY_SECONDS = 0.5
-
 
 class Entry:
     """An entry process, without the process.
@@ -52,7 +49,15 @@
     def __init__(self, *, cfg: Settings) -> None:
         self.life = time.time_ns() // 1000
         self.view = View()
-        self.fleet = ListedFleet()
+        self._platform = PlatformClient(cfg=cfg.platform)
+        self.control = ControlPlane(
+            cfg=cfg,
+            view=self.view,
+            platform=self._platform,
+            life=self.life,
+            rng=random.Random(),
+        )
+        self.fleet = self.control.fleet
         self.shares = QuotaShares(entry=cfg.entry.id, clock=time.monotonic)
         self.router = Router(
             region=cfg.entry.region,
@@ -71,7 +76,6 @@
     async def start(self) -> None:
         """Start every part and serve callers."""
         cfg = self._cfg
-        self._platform = PlatformClient(cfg=cfg.platform)
         self._client = ExchangeClient(cfg=cfg.targets)
         self.dispatcher = Dispatcher(
             cfg=cfg,
@@ -91,10 +95,16 @@
             rng=random.Random(),
         )
         self.callers = CallerServer(
-            cfg=cfg, view=self.view, fleet=self.fleet, dispatcher=self.operations
+            cfg=cfg, view=self.view, control=self.control, dispatcher=self.operations
+        )
+        self._summaries = SummaryExchange(
+            control=self.control,
+            router=self.router,
+            shares=self.shares,
+            clock=time.monotonic,
         )
-        self._tasks.append(asyncio.create_task(self._watch_configuration()))
-        self._tasks.append(asyncio.create_task(self._watch_vms()))
+        await self.control.start()
+        self._tasks.append(asyncio.create_task(self._summaries.run()))
         self._reports = ReportPoller(cfg=cfg.targets, router=self.router)
         self._tasks.append(asyncio.create_task(self._reports.run()))
         self._publish_metrics()
@@ -108,6 +118,8 @@
     async def stop(self) -> None:
         """Take no new requests, end those in progress and stop."""
         log_event(Event.ENTRY_LEAVING, entry=self._cfg.entry.id)
+        await self.control.leave()
+        await asyncio.sleep(self._cfg.peers.leave_seconds)
         await self.callers.drain()
         await self.operations.drain()
         for task in self._tasks:
@@ -117,20 +129,17 @@
         await self.admin.close()
         await self._reports.close()
         await self._client.close()
+        await self.control.close()
         await self._platform.close()
         log_event(Event.ENTRY_STOPPED, entry=self._cfg.entry.id)
 
     def status(self) -> EntryStatus:
         """Return what operators see of this process."""
-        entry = self._cfg.entry
-        return EntryStatus(
-            entry=entry.id,
-            region=entry.region,
-            zone=entry.zone,
-            life=self.life,
-            leaving=self.callers.leaving,
+        return control_status(
+            control=self.control,
+            view=self.view,
+            cfg=self._cfg.entry,
             in_progress=self.callers.in_progress,
-            revision=RevisionStatus(number=self.view.number),
         )
 
     def _publish_metrics(self) -> None:
@@ -153,52 +162,6 @@
             Event.REVISION_ADOPTED, revision=revision.number, digest=revision.digest
         )
 
-    async def _watch_configuration(self) -> None:
-        version = 0
-        while True:
-            try:
-                published = await self._platform.watch_index(after=version)
-                if published is None:
-                    continue
-                version = published.version
-                await self._read_revision(published.index)
-            except PlatformError as exc:
-                log_event(Event.PLATFORM_UNREACHABLE, error=str(exc))
-                await asyncio.sleep(_RETRY_SECONDS)
-
-    async def _read_revision(self, index: RevisionIndex) -> None:
-        if index.revision <= self.view.number:
-            return
-        parts = {
-            ref.digest: await self._platform.read_part(ref.digest)
-            for ref in index.parts
-        }
-        try:
-            manifest = unpack_manifest(index, parts)
-        except DocumentErrors as exc:
-            faults = [str(fault) for fault in exc.exceptions]
-            log_event(Event.REVISION_REFUSED, revision=index.revision, faults=faults)
-            return
-        revision = Revision(
-            number=index.revision,
-            digest=index_digest(index),
-            index=index,
-            manifest=manifest,
-        )
-        self.view.adopt(revision)
-
-    async def _watch_vms(self) -> None:
-        while True:
-            try:
-                self.fleet.update(await self._platform.read_vms())
-                self.router.set_leaving(self.fleet.leaving_targets())
-                own = self.fleet.entries(self._cfg.entry.region)
-                self.router.set_entry_count(len(own))
-                self.shares.set_entries(self.fleet.entry_ids())
-            except PlatformError as exc:
-                log_event(Event.PLATFORM_UNREACHABLE, error=str(exc))
-            await asyncio.sleep(self._cfg.platform.vm_list_interval_seconds)
-
 
 async def run_entry(cfg: Settings) -> None:
     """Run an entry process until SIGTERM or SIGINT, then end gracefully."""
--- a/pimentospool/errors.py
+++ b/pimentospool/errors.py
@@ -61,6 +61,7 @@
     OVERLOADED = ("overloaded", 503)
     NO_TARGET = ("no-target", 503)
     LEAVING = ("leaving", 503)
+    REGION_LOST = ("region-lost", 503)
     NOT_READY = ("not-ready", 503)
     REGION_NOT_ALLOWED = ("region-not-allowed", 403)
     HOP_REFUSED = ("hop-refused", 503)
--- a/pimentospool/fleet.py
+++ b/pimentospool/fleet.py
@@ -41,53 +41,6 @@
         ...
 
 
-class ListedFleet:
-    """Fleet as the platform's VM list shows it."""
-
-    def __init__(self) -> None:
-        self._entries: dict[EntryId, VmRecord] = {}
-        self._leaving: frozenset[TargetId] = frozenset()
-
-    def update(self, vms: VmList) -> None:
-        """Take over a list read from the platform."""
-        self._entries = {
-            EntryId(vm.id): vm for vm in vms.vms if vm.kind is VmKind.ENTRY
-        }
-        self._leaving = frozenset(
-            TargetId(vm.id)
-            for vm in vms.vms
-            if vm.kind is VmKind.TARGET and vm.state is VmState.LEAVING
-        )
-
-    def entries(self, region: RegionId) -> list[VmRecord]:
-        """Return the entry VMs of `region` that take requests."""
-        return [
-            vm
-            for vm in self._entries.values()
-            if vm.region == region and vm.state is VmState.LIVE
-        ]
-
-    def entry(self, entry: EntryId) -> VmRecord | None:
-        """Return an entry VM that is not gone."""
-        return self._entries.get(entry)
-
-    def entry_ids(self) -> set[EntryId]:
-        """Return all entry VMs that are not gone, reachable or not."""
-        return set(self._entries)
-
-    def regions(self) -> set[RegionId]:
-        """Return the regions with an entry VM that takes requests."""
-        return {vm.region for vm in self._entries.values() if vm.state is VmState.LIVE}
-
-    def zones(self) -> set[ZoneId]:
-        """Return the zones with an entry VM."""
-        return {vm.zone for vm in self._entries.values()}
-
-    def leaving_targets(self) -> frozenset[TargetId]:
-        """Return the targets that take no new request."""
-        return self._leaving
-
-
 class PeerFleet:
     """Fleet as peers' heartbeats, zones' summaries and the VM list show it.
 
@@ -149,6 +102,13 @@
             return held
         return self._usable().get(entry)
 
+    def entry_ids(self) -> set[EntryId]:
+        """Return all entry VMs that are not gone, reachable or not."""
+        ids = {member.id for member in self._node.state.members.present()}
+        for summary in self._node.zones.summaries():
+            ids |= {member.id for member in summary.gateways}
+        return ids | set(self._usable())
+
     def regions(self) -> set[RegionId]:
         """Return the regions with an entry VM that takes requests."""
         regions = {member.region for member in self._usable().values()}
--- a/pimentospool/peers/_gossip.py
+++ b/pimentospool/peers/_gossip.py
@@ -13,6 +13,8 @@
 from pimentospool.policy import MemberChange, Membership, ReportBook
 from pimentospool.signals import Signal
 
+LOAD_PREFIX = "load/"
+_LOAD_EXPIRY_SECONDS = 30.0
 _RUMOURS_PER_MESSAGE = 8
 _REPORT_BYTES_PER_MESSAGE = 256 * 1024
 
@@ -28,8 +30,8 @@
         Time after which a suspect is gone.
     head : callable
         Returns the revision in force.
-    clock : callable
-        Monotonic time in seconds.
+    clock, wall : callable
+        Monotonic and Unix time in seconds.
     rng : random.Random
         Source of random choices.
     """
@@ -41,6 +43,7 @@
         gone_seconds: float,
         head: Callable[[], RevisionHead],
         clock: Callable[[], float],
+        wall: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self.members = Membership(own=own, gone_seconds=gone_seconds, rng=rng)
@@ -51,6 +54,7 @@
         self.revision_heard: Signal[RevisionHead, str] = Signal(name="revision_heard")
         self._head = head
         self._clock = clock
+        self._wall = wall
 
     def outgoing(self) -> Gossip:
         """Return a heartbeat."""
@@ -96,6 +100,16 @@
         """Time since the platform was last heard from; -1 if never."""
         return -1.0 if self.contact_at is None else self._clock() - self.contact_at
 
+    def drop_expired(self) -> None:
+        """Drop the load reports of nodes that no longer send any."""
+        for report in self.reports.with_prefix(LOAD_PREFIX):
+            if self._expired(report):
+                self.reports.drop(report.key)
+
+    def _expired(self, report: Report) -> bool:
+        age = self._wall() - report.number / 1000
+        return report.key.startswith(LOAD_PREFIX) and age > _LOAD_EXPIRY_SECONDS
+
     def _base(self) -> Gossip:
         return Gossip(
             sender=self.members.own,
@@ -116,7 +130,7 @@
             if change is not None:
                 self.member_changed.send(change)
         for report in gossip.reports:
-            if self.reports.merge(report, now=now):
+            if not self._expired(report) and self.reports.merge(report, now=now):
                 self.report_changed.send(report)
         age = gossip.contact_age_seconds
         if age >= 0 and (self.contact_at is None or now - age > self.contact_at):
--- a/pimentospool/peers/_node.py
+++ b/pimentospool/peers/_node.py
@@ -41,7 +41,7 @@
 _JOIN_PEERS = 8
 _GATEWAYS = 8
 _JITTER = 0.1
-_LINK_BEATS = 2
+_LINK_BEATS = 1
 _URGENT_KINDS = (ChangeKind.JOINED, ChangeKind.LEAVING, ChangeKind.REFUTED)
 _URGENT_PREFIXES = (SUMMARY_PREFIX, "leaving/")
 T = TypeVar("T", bound=str)
@@ -91,6 +91,7 @@
             gone_seconds=peers.gone_after_seconds - peers.suspect_after_seconds,
             head=head,
             clock=clock,
+            wall=wall,
             rng=rng,
         )
         self.zones = ZoneView(
@@ -259,6 +260,7 @@
             await asyncio.sleep(self._cfg.peers.heartbeat_seconds * spread)
             for change in self.state.members.expire(now=self._clock()):
                 self.state.member_changed.send(change)
+            self.state.drop_expired()
             member = self.state.members.next_probe()
             if member is not None and member.id not in self._probing:
                 self._spawn(self._probe(member))
--- a/pimentospool/platform.py
+++ b/pimentospool/platform.py
@@ -45,13 +45,14 @@
 
     def __init__(self, *, cfg: PlatformSettings) -> None:
         self._cfg = cfg
-        self._session = aiohttp.ClientSession()
+        self._session: aiohttp.ClientSession | None = None
         self._vm_list_tag = ""
         self.reads = 0
 
     async def close(self) -> None:
         """Close every connection."""
-        await self._session.close()
+        if self._session is not None:
+            await self._session.close()
 
     async def watch_index(
         self, *, after: int, wait_seconds: float | None = None
@@ -107,6 +108,8 @@
         self, url: str, *, extra_seconds: float = 0.0, known_tag: str = ""
     ) -> "_PlatformAnswer":
         limit = self._cfg.request_timeout_seconds + extra_seconds
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
         headers = {"If-None-Match": known_tag} if known_tag else {}
         self.reads += 1
         try:
--- a/pimentospool/policy/_reports.py
+++ b/pimentospool/policy/_reports.py
@@ -54,6 +54,10 @@
         self._held[report.key] = _Held(report=report, risen_at=now)
         return True
 
+    def drop(self, key: str) -> None:
+        """Forget the report of `key`."""
+        self._held.pop(key, None)
+
     def publish(
         self, key: str, data: bytes, *, producer: EntryId, number: int, now: float
     ) -> Report:
--- /dev/null
+++ b/tests/policy/test_entries.py
@@ -0,0 +1,102 @@
+"""Ranking of entry VMs for callers, choice of readers and drill windows."""
+
+from collections import Counter
+
+from pimentospool._generated.manifest import DrillKind, DrillWindow
+from pimentospool._generated.peers import Member
+from pimentospool.ids import EntryId, RegionId, ZoneId
+from pimentospool.policy import DrillView, rank_entries, rank_members
+
+DELAYS = {"south": 55.0, "west": 20.0}
+
+
+def members(*places):
+    return [
+        Member(
+            id=EntryId(f"{zone}-{number}"),
+            region=RegionId(region),
+            zone=ZoneId(zone),
+            caller_address=f"10.0.0.{number}:80",
+            peer_address=f"10.0.0.{number}:81",
+            life=1,
+            incarnation=1,
+        )
+        for region, zone, count in places
+        for number in range(count)
+    ]
+
+
+def rank(known, *, caller="c", zone="north-a", lost=frozenset()):
+    return rank_entries(
+        known,
+        zone=ZoneId(zone),
+        region=RegionId("north"),
+        caller=caller,
+        lost_regions=lost,
+        delay_ms=DELAYS.__getitem__,
+        limit=16,
+    )
+
+
+KNOWN = members(
+    ("south", "south-a", 2),
+    ("north", "north-b", 2),
+    ("west", "west-a", 1),
+    ("north", "north-a", 3),
+)
+
+
+def test_own_zone_goes_first_then_region_then_others_by_delay():
+    ranked = rank(KNOWN)
+    zones = [choice.zone for choice in ranked]
+    assert zones == ["north-a"] * 3 + ["north-b"] * 2 + ["west-a"] + ["south-a"] * 2
+    assert [choice.weight for choice in ranked] == [1.0] * 3 + [0.0] * 5
+
+
+def test_nearest_zone_with_an_entry_vm_has_the_weight():
+    ranked = rank([item for item in KNOWN if item.region != "north"])
+    assert ranked[0].zone == "west-a"
+    assert [choice.weight for choice in ranked] == [1.0, 0.0, 0.0]
+
+
+def test_lost_region_is_left_out():
+    ranked = rank(KNOWN, lost=frozenset({RegionId("north")}))
+    assert {choice.region for choice in ranked} == {"west", "south"}
+
+
+def test_callers_spread_evenly_and_keep_their_order():
+    firsts = Counter(rank(KNOWN, caller=f"c{n}")[0].id for n in range(3000))
+    assert all(800 < count < 1200 for count in firsts.values())
+    assert rank(KNOWN, caller="x") == rank(KNOWN, caller="x")
+
+
+def test_readers_are_the_same_in_any_order_and_few_move():
+    ids = [EntryId(f"e{number}") for number in range(20)]
+    ranked = rank_members(ids, purpose="reader")
+    assert rank_members(ids[::-1], purpose="reader") == ranked
+    assert rank_members(ids, purpose="gateway") != ranked
+    without = [entry for entry in ids if entry != ranked[0]]
+    assert rank_members(without, purpose="reader") == ranked[1:]
+
+
+def window(kind, *regions, start=100.0, end=200.0):
+    return DrillWindow(kind=kind, regions=list(regions), start=start, end=end)
+
+
+def test_drill_windows_hold_between_their_times_only():
+    view = DrillView(
+        region=RegionId("north"),
+        windows=[
+            window(DrillKind.REGION, "south"),
+            window(DrillKind.LINK, "north", "west", start=150.0),
+            window(DrillKind.LINK, "south", "east"),
+            window(DrillKind.CONFIGURATION, start=180.0, end=190.0),
+        ],
+    )
+    assert view.lost_regions(time=99.9) == set()
+    assert view.lost_regions(time=100.0) == {"south"}
+    assert view.lost_regions(time=150.0) == {"south", "west"}
+    assert view.lost_regions(time=200.0) == set()
+    times = (179.0, 185.0, 190.0)
+    lost = [view.configuration_lost(time=time) for time in times]
+    assert lost == [False, True, False]
--- /dev/null
+++ b/tests/policy/test_revisions.py
@@ -0,0 +1,79 @@
+"""The revision in force never goes back, whatever is heard in which order."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pimentospool._generated.peers import RevisionHead
+from pimentospool.policy import RevisionBook, _revisions, is_newer
+
+heads = st.builds(RevisionHead, number=st.integers(1, 6), digest=st.sampled_from("abc"))
+
+
+def is_good(head):
+    """The check of a revision: pure, so the same on every node."""
+    return (head.number + ord(head.digest)) % 3 != 0
+
+
+def hear(book, head):
+    if book.wants(head):
+        if is_good(head):
+            book.accept(head)
+        else:
+            book.refuse(head, ["models[0].id: wrong"])
+
+
+def check_nodes_agree(heard, order):
+    """Nodes that heard the same revisions in any order have the same in force."""
+    first, second = RevisionBook(), RevisionBook()
+    for head in heard:
+        hear(first, head)
+    for head in order:
+        before = second.in_force
+        hear(second, head)
+        assert not is_newer(before, second.in_force)
+    assert first.in_force == second.in_force
+    good = [(head.number, head.digest) for head in heard if is_good(head)]
+    expected = max(good, default=(0, ""))
+    assert (first.in_force.number, first.in_force.digest) == expected
+
+
+@given(
+    st.lists(heads, max_size=12).flatmap(
+        lambda heard: st.tuples(st.just(heard), st.permutations(heard + heard[:3]))
+    )
+)
+@settings(max_examples=400, derandomize=True, deadline=None)
+def test_revision_in_force_is_the_highest_accepted_one(case):
+    check_nodes_agree(*case)
+
+
+def test_agreement_check_fails_when_digests_are_ignored(monkeypatch):
+    monkeypatch.setattr(_revisions, "is_newer", lambda a, b: a.number > b.number)
+    heard = [RevisionHead(number=1, digest="c"), RevisionHead(number=1, digest="a")]
+    with pytest.raises(AssertionError):
+        check_nodes_agree(heard, heard[::-1])
+
+
+def test_agreement_check_fails_when_a_lower_revision_is_taken(monkeypatch):
+    monkeypatch.setattr(_revisions, "is_newer", lambda a, b: True)
+    heard = [RevisionHead(number=6, digest="a"), RevisionHead(number=1, digest="a")]
+    with pytest.raises(AssertionError):
+        check_nodes_agree(heard, heard)
+
+
+def test_refused_revision_is_not_wanted_again():
+    book = RevisionBook()
+    head = RevisionHead(number=2, digest="a")
+    book.refuse(head, ["targets[0].zone: 'x' is not declared"])
+    assert not book.wants(head)
+    assert book.wants(RevisionHead(number=2, digest="b"))
+    assert book.refused[0].faults
+
+
+def test_conflict_is_one_number_with_two_digests():
+    book = RevisionBook()
+    book.accept(RevisionHead(number=2, digest="a"))
+    assert book.conflicts(RevisionHead(number=2, digest="b"))
+    assert not book.conflicts(RevisionHead(number=2, digest="a"))
+    assert not book.conflicts(RevisionHead(number=3, digest="b"))
