Add the caller library

Change: pimentospool.client finds entry VMs by the directory and their lists, fails over, retries within a budget and by Retry-After, takes tickets for calls that are not idempotent, and raises typed errors with the verdict over all attempts. A ticket is renewed only when it is known that nothing runs under it. An owner that is merely unknown here asks the caller to come back.

--- /dev/null
+++ b/pimentospool/client/__init__.py
@@ -0,0 +1,30 @@
+"""Caller library: finds entry VMs, fails over and keeps the rules on retries."""
+
+from pimentospool.client._attempts import CallAnswer
+from pimentospool.client._budget import RetryBudget
+from pimentospool.client._client import ClientSettings, GatewayClient
+from pimentospool.client._entries import EntryFinder
+from pimentospool.client._errors import (
+    BrokenStreamError,
+    ClientError,
+    NoEntryError,
+    RefusedError,
+    UnansweredError,
+)
+from pimentospool.client._history import AttemptEnd, NextStep, OperationHistory
+
+__all__ = [
+    "AttemptEnd",
+    "BrokenStreamError",
+    "CallAnswer",
+    "ClientError",
+    "ClientSettings",
+    "EntryFinder",
+    "GatewayClient",
+    "NextStep",
+    "NoEntryError",
+    "OperationHistory",
+    "RefusedError",
+    "RetryBudget",
+    "UnansweredError",
+]
--- /dev/null
+++ b/pimentospool/client/_entries.py
@@ -0,0 +1,119 @@
+"""Finding entry VMs by the directory and by the entry VMs' own lists."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+
+from pimentospool._generated.callers import EntryChoice, EntryList
+from pimentospool._generated.platform import DirectoryAnswer
+
+AVOID_SECONDS = 2.0
+_READ_SECONDS = 2.0
+
+
+class EntryFinder:
+    """Chooses the entry VM of each attempt.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Session for reading the lists.
+    directory : str
+        IP:port of the clients' directory.
+    rng : random.Random
+        Source of weighted choices.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        session: aiohttp.ClientSession,
+        directory: str,
+        rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.revision = 0
+        self._session = session
+        self._directory = directory
+        self._rng = rng
+        self._clock = clock
+        self._choices: list[EntryChoice] = []
+        self._seeds: list[str] = []
+        self._valid_until = 0.0
+        self._avoided: dict[str, float] = {}
+        self._refreshing = asyncio.Lock()
+
+    async def choose(self) -> str | None:
+        """Return the IP:port of an entry VM, or None where none is known."""
+        async with self._refreshing:
+            if self._clock() >= self._valid_until:
+                await self._refresh()
+        choices = [item for item in self._choices if not self._avoids(item.address)]
+        if choices:
+            weights = [item.weight for item in choices]
+            if any(weights):
+                return self._rng.choices(choices, weights=weights)[0].address
+            return choices[0].address
+        known = [item.address for item in self._choices] or self._seeds
+        return min(known, key=lambda name: self._avoided.get(name, 0.0), default=None)
+
+    def avoid(self, address: str) -> None:
+        """Prefer others to the entry VM at `address` for a while."""
+        self._avoided[address] = self._clock() + AVOID_SECONDS
+
+    def _avoids(self, address: str) -> bool:
+        return self._avoided.get(address, 0.0) > self._clock()
+
+    async def _refresh(self) -> None:
+        """Read the list from an entry VM; keep the last one if none answers."""
+        if not self._seeds:
+            await self._read_directory()
+        known = [item.address for item in self._choices]
+        known.sort(key=self._avoids)
+        seeds = [address for address in self._seeds if address not in known]
+        self._rng.shuffle(seeds)
+        for address in known + seeds:
+            if await self._read_list(address):
+                return
+            self.avoid(address)
+        await self._read_directory()
+
+    async def _read_list(self, address: str) -> bool:
+        data = await self._get(f"http://{address}/v1/entries")
+        if data is None:
+            return False
+        try:
+            answer = msgspec.json.decode(data, type=EntryList)
+        except msgspec.DecodeError:
+            return False
+        if not answer.entries or answer.revision < self.revision:
+            return False
+        self.revision = answer.revision
+        self._choices = answer.entries
+        self._valid_until = self._clock() + answer.lifetime_seconds
+        return True
+
+    async def _read_directory(self) -> None:
+        data = await self._get(f"http://{self._directory}/v1/directory")
+        if data is None:
+            return
+        try:
+            self._seeds = msgspec.json.decode(data, type=DirectoryAnswer).addresses
+        except msgspec.DecodeError:
+            return
+
+    async def _get(self, url: str) -> bytes | None:
+        try:
+            async with (
+                asyncio.timeout(_READ_SECONDS),
+                self._session.get(url) as resp,
+            ):
+                return await resp.read() if resp.ok else None
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return None
--- /dev/null
+++ b/pimentospool/client/_errors.py
@@ -0,0 +1,49 @@
+"""Errors of the caller library; each carries the verdict of the call."""
+
+from pimentospool.errors import PimentospoolError, Problem
+from pimentospool.verdicts import Verdict
+
+
+class ClientError(PimentospoolError):
+    """A call that ended without its whole answer.
+
+    Parameters
+    ----------
+    detail : str
+        What happened.
+    verdict : Verdict
+        Whether the call may have run, over all its attempts.
+    """
+
+    def __init__(self, *, detail: str, verdict: Verdict) -> None:
+        super().__init__(f"{detail} ({verdict.value})")
+        self.detail = detail
+        self.verdict = verdict
+
+
+class NoEntryError(ClientError):
+    """No entry VM could be found or reached."""
+
+
+class UnansweredError(ClientError):
+    """The last attempt brought no answer."""
+
+
+class RefusedError(ClientError):
+    """The gateway answered with a problem document.
+
+    Parameters
+    ----------
+    problem : Problem
+        The document; its own verdict speaks of the last attempt's ticket.
+    verdict : Verdict
+        Whether the call may have run, over all its attempts.
+    """
+
+    def __init__(self, *, problem: Problem, verdict: Verdict) -> None:
+        super().__init__(detail=problem.detail, verdict=verdict)
+        self.problem = problem
+
+
+class BrokenStreamError(ClientError):
+    """A streamed answer that ended before its end mark."""
--- a/pimentospool/operations/_server.py
+++ b/pimentospool/operations/_server.py
@@ -300,7 +300,9 @@
         _check_region(req, ticket.region, hopped=True)
         peer = self._fleet.entry(ticket.owner)
         if peer is None:
-            raise failure_of(owner_gone("the owner of the ticket is not known here"))
+            raise failure_of(
+                owner_gone("the owner of the ticket is not known here", retry=True)
+            )
         attempted = Verdict.NOT_RUN
         for _ in self._hop_attempts(req):
             try:
--- a/pimentospool/policy/_refusals.py
+++ b/pimentospool/policy/_refusals.py
@@ -23,13 +23,14 @@
     retry_after_seconds: float | None = None
 
 
-def owner_gone(detail: str) -> Refusal:
+def owner_gone(detail: str, *, retry: bool = False) -> Refusal:
     """Return the refusal of a request that reached no incarnation that may send."""
     return Refusal(
         reason=Reason.OWNER_GONE,
         detail=detail,
         verdict=Verdict.MAY_HAVE_RUN,
         attempt_verdict=Verdict.NOT_RUN,
+        retry_after_seconds=BUSY_RETRY_SECONDS if retry else None,
     )
 
 
