--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -30,6 +30,8 @@
     REVISION_REFUSED = (3002, logbook.ERROR, "configuration revision refused")
     PLATFORM_UNREACHABLE = (3003, logbook.WARNING, "configuration service unreachable")
     PLATFORM_BACK = (3004, logbook.NOTICE, "configuration service reachable again")
+    ORDER_SENT = (4001, logbook.NOTICE, "order sent to an engine")
+    ORDER_HELD = (4002, logbook.WARNING, "order to an engine held back")
 
     @property
     def number(self) -> int:
--- a/pimentospool/manifest.py
+++ b/pimentospool/manifest.py
@@ -18,6 +18,7 @@
     Serving,
     Target,
     TargetKind,
+    TargetRole,
     Zone,
 )
 from pimentospool.errors import DocumentError
@@ -45,6 +46,7 @@
     "Serving",
     "Target",
     "TargetKind",
+    "TargetRole",
     "Zone",
     "check_manifest",
     "parse_manifest",
--- a/pimentospool/standins/_engine.py
+++ b/pimentospool/standins/_engine.py
@@ -4,7 +4,8 @@
 ``Last-Event-ID`` resumes a stream after that token, ``GET /load`` reports load with a
 lag, ``GET /events`` cache events, ``GET`` and ``POST /orders`` take orders, and
 ``GET`` and ``POST /kv`` export and import the KV cache. A refusal that ran nothing
-carries ``X-Not-Executed``.
+carries ``X-Not-Executed``. A load runs beside the versions that serve. An engine
+that does not check fencing numbers neither refuses old ones nor reports any.
 """
 
 import asyncio
@@ -152,10 +153,12 @@
 
     def _holds(self, name: str) -> bool:
         model, _, adapter = name.partition(":")
-        for loaded in self.state.models:
-            if loaded.model == model and loaded.ready:
-                return not adapter or adapter in loaded.adapters
-        return False
+        return any(
+            loaded.model == model
+            and loaded.ready
+            and (not adapter or adapter in loaded.adapters)
+            for loaded in self.state.models
+        )
 
     async def _stream(self, req: web.Request, gen: _Generation) -> web.StreamResponse:
         answer = web.StreamResponse(
@@ -230,30 +233,35 @@
         order = msgspec.json.decode(await req.read(), type=EngineOrder)
         if self.profile.checks_fencing and order.fencing < self.state.fencing:
             return _json(self.state, status=409)
-        self.state.fencing = max(self.state.fencing, order.fencing)
+        if self.profile.checks_fencing:
+            self.state.fencing = max(self.state.fencing, order.fencing)
         self.orders.append(order)
         self._apply(order)
         return _json(self.state)
 
     def _apply(self, order: EngineOrder) -> None:
-        loaded = next((m for m in self.state.models if m.model == order.model), None)
+        held = self._find(order)
         match order.action:
-            case OrderAction.LOAD:
-                if loaded is None or loaded.version != order.version:
-                    self._start_load(order)
-            case OrderAction.UNLOAD if loaded is not None:
-                self.state.models.remove(loaded)
-            case OrderAction.LOAD_ADAPTER if loaded is not None:
-                if order.adapter not in loaded.adapters:
-                    loaded.adapters.append(order.adapter)
-            case OrderAction.UNLOAD_ADAPTER if loaded is not None:
+            case OrderAction.LOAD if held is None:
+                self._start_load(order)
+            case OrderAction.UNLOAD if held is not None:
+                self.state.models.remove(held)
+            case OrderAction.LOAD_ADAPTER if held is not None:
+                if order.adapter not in held.adapters:
+                    held.adapters.append(order.adapter)
+            case OrderAction.UNLOAD_ADAPTER if held is not None:
                 with suppress(ValueError):
-                    loaded.adapters.remove(order.adapter)
+                    held.adapters.remove(order.adapter)
             case OrderAction.SET_ROLE:
                 self.state.role = order.role
 
+    def _find(self, order: EngineOrder) -> LoadedModel | None:
+        for held in self.state.models:
+            if held.model == order.model and held.version == order.version:
+                return held
+        return None
+
     def _start_load(self, order: EngineOrder) -> None:
-        self.state.models = [m for m in self.state.models if m.model != order.model]
         loaded = LoadedModel(model=order.model, version=order.version, ready=False)
         self.state.models.append(loaded)
         task = asyncio.create_task(self._fetch_weights(order, loaded))
