--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -13,6 +13,19 @@
     Replay,
     Start,
 )
+from pimentospool.policy._orders import (
+    FencingTerms,
+    OrderPlan,
+    PlannedOrder,
+    fencing_number,
+    fencing_revision,
+    plan_orders,
+)
+from pimentospool.policy._placement import (
+    DesiredEngine,
+    DesiredModel,
+    place_models,
+)
 from pimentospool.policy._queue import QueueRefusal, Ticket, WaitQueue
 from pimentospool.policy._refusals import Refusal, owner_gone
 from pimentospool.policy._retries import RetryDecision, RetryPolicy
@@ -28,6 +41,9 @@
 
 __all__ = [
     "CustomerLimiter",
+    "DesiredEngine",
+    "DesiredModel",
+    "FencingTerms",
     "HeldAnswer",
     "Join",
     "LedgerLimits",
@@ -36,6 +52,8 @@
     "OperationLedger",
     "OperationRef",
     "OperationState",
+    "OrderPlan",
+    "PlannedOrder",
     "QueueRefusal",
     "QuotaShares",
     "Refusal",
@@ -55,5 +73,9 @@
     "TargetRoute",
     "Ticket",
     "WaitQueue",
+    "fencing_number",
+    "fencing_revision",
     "owner_gone",
+    "place_models",
+    "plan_orders",
 ]
