--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -21,6 +21,19 @@
     Replay,
     Start,
 )
+from pimentospool.policy._orders import (
+    FencingTerms,
+    OrderPlan,
+    PlannedOrder,
+    fencing_number,
+    fencing_revision,
+    plan_orders,
+)
+from pimentospool.policy._placement import (
+    DesiredEngine,
+    DesiredModel,
+    place_models,
+)
 from pimentospool.policy._queue import QueueRefusal, Ticket, WaitQueue
 from pimentospool.policy._readers import rank_members
 from pimentospool.policy._refusals import Refusal, owner_gone
@@ -40,7 +53,10 @@
 __all__ = [
     "ChangeKind",
     "CustomerLimiter",
+    "DesiredEngine",
+    "DesiredModel",
     "DrillView",
+    "FencingTerms",
     "HeldAnswer",
     "Join",
     "LedgerLimits",
@@ -51,6 +67,8 @@
     "OperationLedger",
     "OperationRef",
     "OperationState",
+    "OrderPlan",
+    "PlannedOrder",
     "QueueRefusal",
     "QuotaShares",
     "Refusal",
@@ -73,10 +91,14 @@
     "TargetRoute",
     "Ticket",
     "WaitQueue",
+    "fencing_number",
+    "fencing_revision",
     "is_newer",
     "newer_member",
     "newer_report",
     "owner_gone",
+    "place_models",
+    "plan_orders",
     "rank_entries",
     "rank_members",
 ]
