--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -32,19 +32,16 @@
     REVISION_REFUSED = (3002, logbook.ERROR, "configuration revision refused")
     PLATFORM_UNREACHABLE = (3003, logbook.WARNING, "configuration service unreachable")
     PLATFORM_BACK = (3004, logbook.NOTICE, "configuration service reachable again")
-<<<<<<< HEAD
     PLATFORM_STALE = (3005, logbook.WARNING, "configuration service shows an old state")
     REVISION_CONFLICT = (3006, logbook.ERROR, "two revisions bear the same number")
     REVISION_FETCH_FAILED = (3007, logbook.WARNING, "revision could not be fetched")
     DRILL_WINDOWS_CHANGED = (3008, logbook.NOTICE, "drill windows in force changed")
-    MEMBER_CHANGED = (4001, logbook.NOTICE, "entry VM changed state")
-    PEER_MESSAGE_REFUSED = (4002, logbook.WARNING, "message of a peer refused")
-    PROCESS_PAUSED = (4003, logbook.WARNING, "process was paused; its view is checked")
-    ENTRY_ID_TAKEN = (4004, logbook.ERROR, "a newer process bears this entry id")
-=======
     ORDER_SENT = (4001, logbook.NOTICE, "order sent to an engine")
     ORDER_HELD = (4002, logbook.WARNING, "order to an engine held back")
->>>>>>> main
+    MEMBER_CHANGED = (5001, logbook.NOTICE, "entry VM changed state")
+    PEER_MESSAGE_REFUSED = (5002, logbook.WARNING, "message of a peer refused")
+    PROCESS_PAUSED = (5003, logbook.WARNING, "process was paused; its view is checked")
+    ENTRY_ID_TAKEN = (5004, logbook.ERROR, "a newer process bears this entry id")
 
     @property
     def number(self) -> int:
