--- a/pimentospool/_generated/settings.py
+++ b/pimentospool/_generated/settings.py
@@ -109,6 +109,13 @@
     """
 
     connect_timeout_seconds: Annotated[float, Meta(gt=0.0)] = 1.0
+    answer_timeout_seconds: Annotated[
+        float,
+        Meta(
+            description="Longest wait for the first byte of the answer to an idempotent request, before another target is tried.",
+            gt=0.0,
+        ),
+    ] = 15.0
     progress_timeout_seconds: Annotated[
         float, Meta(description="Longest silence on a stream.", gt=0.0)
     ] = 5.0
--- a/pimentospool/requests.py
+++ b/pimentospool/requests.py
@@ -18,7 +18,10 @@
 
 
 class GatewayRequest(msgspec.Struct, kw_only=True):
-    """A verified request; `deadline` is in seconds of the loop's clock."""
+    """A verified request; `deadline` is in seconds of the loop's clock.
+
+    `resume_after` is the number of the last event that the caller already has.
+    """
 
     id: RequestId
     customer: Customer
@@ -39,6 +42,7 @@
     call: ServiceCall | None = None
     operation_id: OperationId | None = None
     hop: HopHeader | None = None
+    resume_after: int | None = None
 
     @property
     def allowed_regions(self) -> frozenset[RegionId]:
--- a/pimentospool/targets/__init__.py
+++ b/pimentospool/targets/__init__.py
@@ -1,17 +1,31 @@
 """HTTP exchanges with targets and with entry VMs of other regions."""
 
+from pimentospool.targets._client import ExchangeClient
+from pimentospool.targets._events import EventBatch, EventSplitter
 from pimentospool.targets._exchange import (
+    EVENT_STREAM,
+    LAST_EVENT_HEADER,
+    NOT_EXECUTED_HEADER,
+    PROBLEM_TYPE,
     REQUEST_ID_HEADER,
+    VERDICT_HEADER,
     Answer,
-    AttemptFailure,
     Exchange,
-    ExchangeClient,
 )
+from pimentospool.targets._failures import AttemptFailure, FailureCause
 
 __all__ = [
+    "EVENT_STREAM",
+    "LAST_EVENT_HEADER",
+    "NOT_EXECUTED_HEADER",
+    "PROBLEM_TYPE",
     "REQUEST_ID_HEADER",
+    "VERDICT_HEADER",
     "Answer",
     "AttemptFailure",
+    "EventBatch",
+    "EventSplitter",
     "Exchange",
     "ExchangeClient",
+    "FailureCause",
 ]
--- a/pimentospool/targets/_exchange.py
+++ b/pimentospool/targets/_exchange.py
@@ -1,50 +1,49 @@
-"""One HTTP exchange, and what is known of its execution when it fails."""
+"""One HTTP exchange and the reading of its answer."""
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager, contextmanager
-from types import SimpleNamespace
-from typing import Any
+from types import TracebackType
+from typing import Self
 
 import aiohttp
 import msgspec
 
-from pimentospool._generated.settings import TargetSettings
-from pimentospool.errors import PimentospoolError
+from pimentospool.targets._events import MAX_EVENT_BYTES, EventBatch, EventSplitter
+from pimentospool.targets._failures import (
+    TRANSPORT_ERRORS,
+    AttemptFailure,
+    FailureCause,
+    transport_failure,
+)
+from pimentospool.targets._watchdog import SilenceWatchdog
 from pimentospool.verdicts import Verdict
 
 NOT_EXECUTED_HEADER = "X-Not-Executed"
 VERDICT_HEADER = "X-Verdict"
 REQUEST_ID_HEADER = "X-Request-Id"
+LAST_EVENT_HEADER = "Last-Event-ID"
+EVENT_STREAM = "text/event-stream"
+PROBLEM_TYPE = "application/problem+json"
+_TOO_MANY_REQUESTS = 429
+_SERVER_ERROR = 500
 
 
-class AttemptFailure(PimentospoolError):
-    """An exchange that brought no whole answer.
+class Exchange(msgspec.Struct, kw_only=True):
+    """A request as it is sent to a target or to another entry VM.
 
-    Parameters
-    ----------
-    detail : str
-        What failed.
-    verdict : Verdict
-        Whether the target may have run the request.
+    `timeout_seconds` bounds the whole exchange, `answer_seconds` the wait for the
+    first byte of its answer. A `repeatable` exchange may run twice; one `to_entry`
+    may be answered with a problem document, which carries its own verdict.
     """
 
-    def __init__(self, *, detail: str, verdict: Verdict) -> None:
-        super().__init__(f"{detail} ({verdict.value})")
-        self.detail = detail
-        self.verdict = verdict
-
-
-class Exchange(msgspec.Struct, kw_only=True):
-    """A request as it is sent to a target or to another entry VM."""
-
     method: str
     url: str
     headers: dict[str, str]
     body: bytes
     request_id: str
     timeout_seconds: float
+    answer_seconds: float
     repeatable: bool
+    to_entry: bool = False
 
 
 class Answer:
@@ -54,18 +53,54 @@
     ----------
     resp : aiohttp.ClientResponse
         Response whose body is still to be read.
+    exchange : Exchange
+        The request.
+    deadline : float
+        Time of the loop's clock at which the answer is given up.
     progress_timeout_seconds : float
-        Longest silence while the body is read.
+        Longest silence after the first piece of the body.
     """
 
     def __init__(
-        self, *, resp: aiohttp.ClientResponse, progress_timeout_seconds: float
+        self,
+        *,
+        resp: aiohttp.ClientResponse,
+        exchange: Exchange,
+        deadline: float,
+        progress_timeout_seconds: float,
     ) -> None:
         self.status = resp.status
         self.content_type = resp.headers.get("Content-Type", "application/json")
-        self.headers = resp.headers
         self._resp = resp
-        self._progress_timeout_seconds = progress_timeout_seconds
+        self._splitter = EventSplitter()
+        self._watchdog = SilenceWatchdog(
+            on_silence=resp.close,
+            first_seconds=exchange.answer_seconds,
+            later_seconds=progress_timeout_seconds,
+            deadline=deadline,
+        )
+
+    def __enter__(self) -> Self:
+        self._watchdog.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._watchdog.stop()
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether the answer is a stream of events."""
+        return self.content_type.startswith(EVENT_STREAM)
+
+    @property
+    def is_problem(self) -> bool:
+        """Whether the answer is a problem document."""
+        return self.content_type.startswith(PROBLEM_TYPE)
 
     async def body(self) -> bytes:
         """Return the whole body.
@@ -73,144 +108,101 @@
         Raises
         ------
         AttemptFailure
-            If the body ends early.
+            If the body ends early, stays silent, or cannot be known to be whole.
         """
-        with _failures(Verdict.RAN):
-            return await self._resp.read()
+        self._check_length_known()
+        pieces = []
+        while piece := await self._read():
+            pieces.append(piece)
+        return b"".join(pieces)
 
-    async def pieces(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives.
+    async def next_events(self) -> EventBatch | None:
+        """Return the events that arrive next, or None at the end of the body.
 
         Raises
         ------
         AttemptFailure
-            If the body ends early or stays silent for too long.
+            If the body ends within an event or stays silent for too long.
         """
-        with _failures(Verdict.RAN):
-            while True:
-                async with asyncio.timeout(self._progress_timeout_seconds):
-                    piece = await self._resp.content.readany()
-                if not piece:
-                    return
-                yield piece
-
-
-class ExchangeClient:
-    """Client of targets and of other regions' entry VMs.
-
-    Parameters
-    ----------
-    cfg : TargetSettings
-        Timeouts and connection bounds.
-    """
-
-    def __init__(self, *, cfg: TargetSettings) -> None:
-        self._cfg = cfg
-        self._reusing = self._open_session(force_close=False)
-        self._fresh = self._open_session(force_close=True)
-
-    def _open_session(self, *, force_close: bool) -> aiohttp.ClientSession:
-        connector = aiohttp.TCPConnector(
-            limit=0,
-            limit_per_host=self._cfg.connections_per_target,
-            force_close=force_close,
-        )
-        return aiohttp.ClientSession(
-            connector=connector,
-            trace_configs=[_sending_trace()],
-            auto_decompress=False,
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=self._cfg.connect_timeout_seconds
-            ),
-        )
-
-    async def close(self) -> None:
-        """Close every connection."""
-        await self._reusing.close()
-        await self._fresh.close()
-
-    @asynccontextmanager
-    async def open(self, exchange: Exchange) -> AsyncIterator[Answer]:
-        """Send `exchange` and yield its answer once the status has arrived.
-
-        Raises
-        ------
-        AttemptFailure
-            With the verdict that the failure allows.
-        """
-        session = self._reusing if exchange.repeatable else self._fresh
-        progress = _SendProgress()
-        resp = await self._send(session, exchange, progress)
-        async with resp:
-            _check_answer(resp, exchange)
-            yield Answer(
-                resp=resp,
-                progress_timeout_seconds=self._cfg.progress_timeout_seconds,
-            )
-
-    async def _send(
-        self,
-        session: aiohttp.ClientSession,
-        exchange: Exchange,
-        progress: "_SendProgress",
-    ) -> aiohttp.ClientResponse:
+        splitter = self._splitter
+        while piece := await self._read():
+            batch = splitter.feed(piece)
+            if batch is not None:
+                return batch
+            if splitter.pending_bytes > MAX_EVENT_BYTES:
+                raise _broken("an event of the stream is too long")
+        if splitter.pending_bytes:
+            raise _broken("the stream ended within an event")
+        return None
+
+    async def _read(self) -> bytes:
+        watchdog = self._watchdog
+        watchdog.reading = True
         try:
-            async with asyncio.timeout(exchange.timeout_seconds):
-                return await session.request(
-                    exchange.method,
-                    exchange.url,
-                    data=exchange.body,
-                    headers=exchange.headers,
-                    allow_redirects=False,
-                    trace_request_ctx=progress,
-                )
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise AttemptFailure(
-                detail=_describe(exc), verdict=progress.verdict
-            ) from exc
-
-
-class _SendProgress:
-    """Whether a byte may have been handed to a socket."""
-
-    def __init__(self) -> None:
-        self.verdict = Verdict.NOT_RUN
-
-
-def _sending_trace() -> aiohttp.TraceConfig:
-    trace = aiohttp.TraceConfig()
+            piece: bytes = await self._resp.content.readany()
+        except TRANSPORT_ERRORS as exc:
+            raise self._failure(exc) from exc
+        watchdog.progressed()
+        return piece
+
+    def _failure(self, exc: Exception) -> AttemptFailure:
+        cause = self._watchdog.expired
+        if cause is None:
+            return transport_failure(exc, Verdict.MAY_HAVE_RUN)
+        return AttemptFailure(
+            detail="the answer stopped without an end",
+            verdict=Verdict.MAY_HAVE_RUN,
+            cause=cause,
+        )
 
-    async def sending(
-        session: aiohttp.ClientSession, ctx: SimpleNamespace, params: Any
-    ) -> None:
-        ctx.trace_request_ctx.verdict = Verdict.MAY_HAVE_RUN
+    def _check_length_known(self) -> None:
+        headers = self._resp.headers
+        if "Content-Length" in headers or "Transfer-Encoding" in headers:
+            return
+        if self._resp.status not in (204, 304):
+            raise _broken("the answer does not say how long it is")
 
-    trace.on_connection_create_end.append(sending)
-    trace.on_connection_reuseconn.append(sending)
-    return trace
 
+def check_answer(resp: aiohttp.ClientResponse, exchange: Exchange) -> None:
+    """Raise unless `resp` is an answer to `exchange` that may be passed on.
 
-def _check_answer(resp: aiohttp.ClientResponse, exchange: Exchange) -> None:
+    Raises
+    ------
+    AttemptFailure
+        For a proven refusal (``NOT_RUN``), for an answer to another request, for
+        an answer that is encoded though nothing asked for that, and for a server
+        error without proof that nothing ran (all ``MAY_HAVE_RUN``).
+    """
     answered = resp.headers.get(REQUEST_ID_HEADER)
     if answered and answered != exchange.request_id:
-        resp.close()
         raise AttemptFailure(
-            detail="the answer belongs to another request", verdict=Verdict.MAY_HAVE_RUN
+            detail="the answer belongs to another request",
+            verdict=Verdict.MAY_HAVE_RUN,
+            cause=FailureCause.FOREIGN_ANSWER,
+        )
+    content_type = resp.headers.get("Content-Type", "")
+    if exchange.to_entry and content_type.startswith(PROBLEM_TYPE):
+        return
+    if resp.status >= 400 and NOT_EXECUTED_HEADER in resp.headers:
+        raise AttemptFailure(
+            detail=f"the target refused the request with status {resp.status}",
+            verdict=Verdict.NOT_RUN,
+            cause=FailureCause.REFUSED,
         )
-    if resp.status in (429, 503) and NOT_EXECUTED_HEADER in resp.headers:
+    if resp.status >= _SERVER_ERROR or resp.status == _TOO_MANY_REQUESTS:
         raise AttemptFailure(
-            detail="the target refused the request", verdict=Verdict.NOT_RUN
+            detail=f"the target answered with status {resp.status}",
+            verdict=Verdict.MAY_HAVE_RUN,
+            cause=FailureCause.TARGET_ERROR,
         )
+    if resp.headers.get("Content-Encoding", "identity") != "identity":
+        raise _broken("the target encoded its answer though nothing asked for it")
 
 
-@contextmanager
-def _failures(verdict: Verdict) -> Iterator[None]:
-    """Turn transport errors into `AttemptFailure` with a fixed verdict."""
-    try:
-        yield
-    except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-        raise AttemptFailure(detail=_describe(exc), verdict=verdict) from exc
+def _broken(detail: str) -> AttemptFailure:
+    return AttemptFailure(detail=detail, verdict=Verdict.MAY_HAVE_RUN)
 
 
-def _describe(exc: BaseException) -> str:
-    return f"{type(exc).__name__}: {exc}" if str(exc) else type(exc).__name__
+def deadline_after(seconds: float) -> float:
+    """Return the time of the loop's clock `seconds` from now."""
+    return asyncio.get_running_loop().time() + seconds
--- /dev/null
+++ b/pimentospool/targets/_failures.py
@@ -0,0 +1,72 @@
+"""Failures of an exchange, with what each says of its execution."""
+
+from enum import Enum
+
+import aiohttp
+
+from pimentospool.errors import PimentospoolError, Reason
+from pimentospool.verdicts import Verdict
+
+
+class FailureCause(Enum):
+    """How an exchange failed."""
+
+    UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    SILENT = "silent"
+    LATE = "late"
+    FOREIGN_ANSWER = "foreign-answer"
+    TARGET_ERROR = "target-error"
+
+
+class AttemptFailure(PimentospoolError):
+    """An exchange that brought no whole answer.
+
+    Parameters
+    ----------
+    detail : str
+        What failed.
+    verdict : Verdict
+        Whether the target may have run the request.
+    cause : FailureCause
+        How the exchange failed.
+    reason : Reason or None
+        Reason that another entry VM gave in its refusal.
+    retry_after_seconds : float or None
+        When the one that refused may usefully be asked again.
+    """
+
+    def __init__(
+        self,
+        *,
+        detail: str,
+        verdict: Verdict,
+        cause: FailureCause = FailureCause.BROKEN,
+        reason: Reason | None = None,
+        retry_after_seconds: float | None = None,
+    ) -> None:
+        super().__init__(f"{detail} ({verdict.value})")
+        self.detail = detail
+        self.verdict = verdict
+        self.cause = cause
+        self.reason = reason
+        self.retry_after_seconds = retry_after_seconds
+
+
+def transport_failure(exc: Exception, verdict: Verdict) -> AttemptFailure:
+    """Return the failure that a transport error stands for."""
+    if verdict is Verdict.NOT_RUN:
+        cause = FailureCause.UNREACHABLE
+    elif isinstance(exc, TimeoutError):
+        cause = FailureCause.SILENT
+    else:
+        cause = FailureCause.BROKEN
+    return AttemptFailure(detail=_describe(exc), verdict=verdict, cause=cause)
+
+
+TRANSPORT_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
+
+
+def _describe(exc: BaseException) -> str:
+    return f"{type(exc).__name__}: {exc}" if str(exc) else type(exc).__name__
