--- a/pimentospool/attempts.py
+++ b/pimentospool/attempts.py
@@ -7,7 +7,6 @@
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
-MAX_ATTEMPTS = 8
 RETRY_AFTER_SECONDS = 1.0
 _TRANSPORT_CAUSES = (
     FailureCause.UNREACHABLE,
@@ -28,14 +27,14 @@
         self.regions: set[RegionId] = set()
         self.entries: set[EntryId] = set()
         self.verdict = Verdict.NOT_RUN
-        self._count = 0
+        self.count = 0
         self._detail = ""
         self._transport_failed = False
         self._second_round = False
 
     def failed(self, route: TargetRoute | RegionRoute, exc: AttemptFailure) -> None:
         """Record that the attempt at `route` failed."""
-        self._count += 1
+        self.count += 1
         self.verdict = self.verdict.merge(exc.verdict)
         self._detail = exc.detail
         transport = exc.cause in _TRANSPORT_CAUSES
@@ -51,17 +50,11 @@
         else:
             self.regions.add(route.region)
 
-    def may_repeat(self, req: GatewayRequest) -> bool:
-        """Whether another attempt is permitted."""
-        if self._count >= MAX_ATTEMPTS:
-            return False
-        return self.verdict is Verdict.NOT_RUN or req.idempotent
-
     def start_second_round(self, req: GatewayRequest) -> bool:
         """Permit everything once more after failures of connections alone."""
         if self._second_round or not self._transport_failed:
             return False
-        if not self.may_repeat(req):
+        if self.verdict is not Verdict.NOT_RUN and not req.idempotent:
             return False
         self._second_round = True
         self.targets.clear()
--- a/pimentospool/dispatch.py
+++ b/pimentospool/dispatch.py
@@ -8,6 +8,7 @@
 from pimentospool._generated.callers import HopHeader
 from pimentospool._generated.platform import VmRecord
 from pimentospool._generated.settings import Settings
+from pimentospool.admission import Admission
 from pimentospool.attempts import Attempts
 from pimentospool.errors import Reason, RequestFailure
 from pimentospool.fleet import Fleet
@@ -16,12 +17,14 @@
 from pimentospool.outcomes import OutcomeRecorder, RequestOutcome
 from pimentospool.policy import (
     RegionRoute,
+    RetryDecision,
+    RetryPolicy,
     RouteQuery,
     Router,
     RouteRefusal,
     TargetRoute,
 )
-from pimentospool.relaying import StreamRelay, hop_failure, relay_whole
+from pimentospool.relaying import FlightSink, StreamRelay, hop_failure, relay_whole
 from pimentospool.requests import AnswerSink, GatewayRequest, RequestKind
 from pimentospool.signals import Signal
 from pimentospool.targets import (
@@ -37,6 +40,9 @@
 from pimentospool.verdicts import Verdict
 from pimentospool.views import View
 
+PRIORITY_HEADER = "X-Priority"
+LONG_PRIORITY = 10
+
 
 class Dispatcher:
     """Serves verified requests.
@@ -51,6 +57,8 @@
         Other entry VMs and leaving targets.
     router : Router
         Decides where requests go.
+    admission : Admission
+        Limits of customers, and the queue of long requests.
     client : ExchangeClient
         Client of targets and other entry VMs.
     rng : random.Random
@@ -64,6 +72,7 @@
         view: View,
         fleet: Fleet,
         router: Router,
+        admission: Admission,
         client: ExchangeClient,
         rng: random.Random,
     ) -> None:
@@ -72,6 +81,8 @@
         self._view = view
         self._fleet = fleet
         self._router = router
+        self._admission = admission
+        self._retries = RetryPolicy()
         self._client = client
         self._rng = rng
         self._signer = HopSigner(key=cfg.peers.key)
@@ -105,43 +116,32 @@
 
     async def _serve(self, req: GatewayRequest, record: OutcomeRecorder) -> None:
         self._check_region(req)
-        relay = StreamRelay(sink=record, resume_after=req.resume_after)
+        with self._admission.admitted(req):
+            await self._serve_admitted(req, record)
+
+    async def _serve_admitted(
+        self, req: GatewayRequest, record: OutcomeRecorder
+    ) -> None:
+        relay = StreamRelay(resume_after=req.resume_after)
         attempts = Attempts()
         while True:
-            route = self._route(req, attempts, relay)
+            route = await self._route(req, attempts, relay)
             record.attempts += 1
+            if record.attempts == 1:
+                self._retries.attempted(req.customer.id, _holder(route))
             try:
-                if isinstance(route, TargetRoute):
-                    record.served_by = route.target.id
-                    await self._serve_at_target(req, route, record, relay)
-                else:
-                    record.sent_to = route.region
-                    await self._serve_at_region(req, route, record, relay, attempts)
+                await self._attempt(req, route, record, relay, attempts)
                 return
             except AttemptFailure as exc:
                 attempts.failed(route, exc)
-                if not self._may_go_on(req, attempts, relay):
+                if req.send_guard is not None:
+                    req.send_guard.attempt_failed(exc.verdict)
+                if record.started and not relay.resumable:
+                    raise attempts.failure(req) from exc
+                if not self._may_repeat(req, route, attempts):
                     raise attempts.failure(req) from exc
 
-    def _check_region(self, req: GatewayRequest) -> None:
-        region = self._cfg.entry.region
-        allowed = self._allowed_regions(req)
-        if region not in allowed:
-            raise RequestFailure(
-                reason=Reason.REGION_NOT_ALLOWED,
-                detail=(
-                    f"region {region} may not see this customer's requests; "
-                    f"allowed are: {', '.join(sorted(allowed)) or 'none'}"
-                ),
-                verdict=Verdict.NOT_RUN,
-            )
-
-    def _allowed_regions(self, req: GatewayRequest) -> frozenset[RegionId]:
-        """Return the regions of the revision in force now, not at verification."""
-        customer = self._view.index.customers.get(req.customer.id)
-        return frozenset(customer.allowed_regions) if customer else frozenset()
-
-    def _route(
+    async def _route(
         self, req: GatewayRequest, attempts: Attempts, relay: StreamRelay
     ) -> TargetRoute | RegionRoute:
         """Return where the next attempt goes.
@@ -151,18 +151,86 @@
         RequestFailure
             If it goes nowhere.
         """
+        waited = False
         while True:
             if self._remaining(req) <= 0:
                 raise attempts.late()
             route = self._router.choose(self._query(req, attempts))
             if isinstance(route, RouteRefusal):
-                if not attempts.start_second_round(req):
+                if attempts.start_second_round(req):
+                    continue
+                if not route.may_wait or attempts.count:
                     raise attempts.refusal(route)
-            elif _continues(route, relay):
-                self._check_route(req, route, attempts.verdict)
-                return route
+                await self._admission.wait_turn(req, route)
+                waited = True
+            elif relay.continues_at(route):
+                break
             else:
                 attempts.exclude(route)
+        if waited:
+            self._admission.turn_used()
+        self._check_route(req, route, attempts.verdict)
+        return route
+
+    async def _attempt(
+        self,
+        req: GatewayRequest,
+        route: TargetRoute | RegionRoute,
+        record: OutcomeRecorder,
+        relay: StreamRelay,
+        attempts: Attempts,
+    ) -> None:
+        flight = self._router.start(route, self._query(req, Attempts()))
+        sink = FlightSink(sink=record, flight=flight)
+        try:
+            if isinstance(route, TargetRoute):
+                record.served_by = route.target.id
+                await self._serve_at_target(req, route, sink, relay)
+            else:
+                record.sent_to = route.region
+                await self._serve_at_region(req, route, sink, relay, attempts)
+        except AttemptFailure as exc:
+            if exc.problem is None:
+                flight.failed()
+            raise
+        finally:
+            flight.finish()
+            self._admission.wake()
+
+    def _may_repeat(
+        self,
+        req: GatewayRequest,
+        route: TargetRoute | RegionRoute,
+        attempts: Attempts,
+    ) -> bool:
+        self._retries.ratio = self._view.index.manifest.limits.retry_ratio
+        decision = self._retries.decide(
+            customer=req.customer.id,
+            holder=_holder(route),
+            verdict=attempts.verdict,
+            idempotent=req.idempotent,
+            attempts=attempts.count,
+            remaining_seconds=self._remaining(req),
+        )
+        return decision is RetryDecision.RETRY
+
+    def _check_region(self, req: GatewayRequest) -> None:
+        region = self._cfg.entry.region
+        allowed = self._allowed_regions(req)
+        if region not in allowed:
+            raise RequestFailure(
+                reason=Reason.REGION_NOT_ALLOWED,
+                detail=(
+                    f"region {region} may not see this customer's requests; "
+                    f"allowed are: {', '.join(sorted(allowed)) or 'none'}"
+                ),
+                verdict=Verdict.NOT_RUN,
+            )
+
+    def _allowed_regions(self, req: GatewayRequest) -> frozenset[RegionId]:
+        """Return the regions of the revision in force now, not at verification."""
+        customer = self._view.index.customers.get(req.customer.id)
+        return frozenset(customer.allowed_regions) if customer else frozenset()
 
     def _check_route(
         self,
@@ -185,13 +253,6 @@
                 verdict=verdict,
             )
 
-    def _may_go_on(
-        self, req: GatewayRequest, attempts: Attempts, relay: StreamRelay
-    ) -> bool:
-        if relay.sink_started and not (req.streamed and relay.resumable):
-            return False
-        return attempts.may_repeat(req)
-
     def _query(self, req: GatewayRequest, attempts: Attempts) -> RouteQuery:
         return RouteQuery(
             allowed_regions=self._allowed_regions(req),
@@ -204,6 +265,7 @@
             hopped=req.hop is not None or req.stays,
             excluded_targets=frozenset(attempts.targets),
             excluded_regions=frozenset(attempts.regions) | self._unreachable_regions(),
+            remaining_seconds=self._remaining(req),
         )
 
     def _unreachable_regions(self) -> frozenset[RegionId]:
@@ -221,17 +283,15 @@
             path = f"/{req.service}/{req.path}"
         else:
             path = req.path
-        self._router.request_started(target.id)
-        try:
-            exchange = self._exchange(req, f"http://{target.address}{path}", relay)
-            if req.send_guard is not None:
-                exchange.before_sending = partial(
-                    req.send_guard, decided_at=time.monotonic()
-                )
-            async with self._client.open(exchange) as answer:
-                await self._relay(req, answer, sink, relay)
-        finally:
-            self._router.request_finished(target.id)
+        exchange = self._exchange(req, f"http://{target.address}{path}", relay)
+        if req.kind is RequestKind.MODEL:
+            exchange.headers[PRIORITY_HEADER] = str(self._priority(req))
+        if req.send_guard is not None:
+            exchange.before_sending = partial(
+                req.send_guard.sending, decided_at=time.monotonic()
+            )
+        async with self._client.open(exchange) as answer:
+            await self._relay(req, answer, sink, relay)
 
     async def _serve_at_region(
         self,
@@ -271,7 +331,7 @@
             If the hop brings no whole answer.
         """
         if relay is None:
-            relay = StreamRelay(sink=sink, resume_after=req.resume_after)
+            relay = StreamRelay(resume_after=req.resume_after)
         if req.kind is RequestKind.SERVICE:
             path = f"/v1/services/{req.service}/{req.path}"
         else:
@@ -282,18 +342,23 @@
         exchange.answer_seconds = self._answer_seconds(req, patience=HOP_PATIENCE)
         exchange.headers[HOP_HEADER] = self._signer.sign(self._hop_header(req))
         async with self._client.open(exchange) as answer:
-            if answer.is_problem:
+            if answer.is_refusal:
                 raise await hop_failure(answer)
             await self._relay(req, answer, sink, relay)
 
     async def _relay(
         self, req: GatewayRequest, answer: Answer, sink: AnswerSink, relay: StreamRelay
     ) -> None:
-        if req.streamed and (answer.is_stream or relay.sink_started):
-            await relay.run(answer)
+        if req.streamed and (answer.is_stream or sink.started):
+            await relay.run(answer, sink)
         else:
             await relay_whole(answer, sink)
 
+    def _priority(self, req: GatewayRequest) -> int:
+        limits = self._view.index.manifest.limits
+        short = req.prompt_tokens <= limits.short_prompt_tokens
+        return req.customer.priority + (0 if short else LONG_PRIORITY)
+
     def _hop_header(self, req: GatewayRequest) -> HopHeader:
         return HopHeader(
             request_id=req.id,
@@ -337,8 +402,5 @@
     return Verdict.MAY_HAVE_RUN if record.attempts else Verdict.NOT_RUN
 
 
-def _continues(route: TargetRoute | RegionRoute, relay: StreamRelay) -> bool:
-    """Whether `route` can go on with what the caller already has of the stream."""
-    if relay.last_id is None or isinstance(route, RegionRoute):
-        return True
-    return route.target.resumes
+def _holder(route: TargetRoute | RegionRoute) -> str:
+    return route.target.id if isinstance(route, TargetRoute) else route.region
--- a/pimentospool/relaying.py
+++ b/pimentospool/relaying.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from pimentospool.errors import Problem
+from pimentospool.policy import RegionFlight, RegionRoute, TargetFlight, TargetRoute
 from pimentospool.requests import AnswerSink
 from pimentospool.targets import Answer, AttemptFailure, EventBatch, FailureCause
 from pimentospool.verdicts import Verdict
@@ -15,28 +16,26 @@
 
     Parameters
     ----------
-    sink : AnswerSink
-        Where the events go.
     resume_after : int or None
         Number of the last event that the caller already has.
     """
 
-    def __init__(self, *, sink: AnswerSink, resume_after: int | None) -> None:
+    def __init__(self, *, resume_after: int | None) -> None:
         self.last_id = resume_after
-        self._sink = sink
-
-    @property
-    def sink_started(self) -> bool:
-        """Whether the caller has received the start of the answer."""
-        return self._sink.started
 
     @property
     def resumable(self) -> bool:
         """Whether another source can continue after the last event sent."""
-        return not self._sink.started or self.last_id is not None
+        return self.last_id is not None
+
+    def continues_at(self, route: TargetRoute | RegionRoute) -> bool:
+        """Whether `route` can go on with what the caller already has."""
+        if self.last_id is None or isinstance(route, RegionRoute):
+            return True
+        return route.target.resumes
 
-    async def run(self, answer: Answer) -> None:
-        """Relay the events of `answer` up to the end event.
+    async def run(self, answer: Answer, sink: AnswerSink) -> None:
+        """Relay the events of `answer` to `sink` up to the end event.
 
         Raises
         ------
@@ -53,22 +52,61 @@
             if resumed_from is not None and batch.first_id is not None:
                 batch = _continue_after(resumed_from, batch)
                 resumed_from = None
-            await self._send(answer, batch)
+            await self._send(answer, batch, sink)
             if batch.done:
-                await self._sink.finish()
+                await sink.finish()
                 await _read_to_end(answer)
                 return
         raise _failure("the stream ended before its end event")
 
-    async def _send(self, answer: Answer, batch: EventBatch) -> None:
-        if not self._sink.started:
-            await self._sink.start(
-                status=answer.status, content_type=answer.content_type
-            )
+    async def _send(self, answer: Answer, batch: EventBatch, sink: AnswerSink) -> None:
+        if not sink.started:
+            await sink.start(status=answer.status, content_type=answer.content_type)
         last_id = batch.last_id
         if last_id is not None:
             self.last_id = last_id
-        await self._sink.write(batch.data)
+        await sink.write(batch.data)
+
+
+class FlightSink:
+    """Tells routing of the first bytes of an answer on its way to the sink.
+
+    Parameters
+    ----------
+    sink : AnswerSink
+        Where the answer goes.
+    flight : TargetFlight or RegionFlight
+        The attempt, as routing follows it.
+    """
+
+    def __init__(
+        self, *, sink: AnswerSink, flight: TargetFlight | RegionFlight
+    ) -> None:
+        self._sink = sink
+        self._flight = flight
+
+    @property
+    def started(self) -> bool:
+        """Whether the start of an answer has been sent."""
+        return self._sink.started
+
+    async def whole(self, *, status: int, content_type: str, body: bytes) -> None:
+        """Send a whole answer."""
+        self._flight.first_token()
+        await self._sink.whole(status=status, content_type=content_type, body=body)
+
+    async def start(self, *, status: int, content_type: str) -> None:
+        """Begin a streamed answer."""
+        await self._sink.start(status=status, content_type=content_type)
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of a streamed answer."""
+        self._flight.first_token()
+        await self._sink.write(data)
+
+    async def finish(self) -> None:
+        """End a streamed answer."""
+        await self._sink.finish()
 
 
 async def relay_whole(answer: Answer, sink: AnswerSink) -> None:
--- a/pimentospool/targets/_exchange.py
+++ b/pimentospool/targets/_exchange.py
@@ -102,9 +102,9 @@
         return self.content_type.startswith(EVENT_STREAM)
 
     @property
-    def is_problem(self) -> bool:
-        """Whether the answer is a problem document."""
-        return self.content_type.startswith(PROBLEM_TYPE)
+    def is_refusal(self) -> bool:
+        """Whether an entry VM answered with a problem document of its own."""
+        return VERDICT_HEADER in self._resp.headers
 
     async def body(self) -> bytes:
         """Return the whole body.
@@ -184,8 +184,7 @@
             verdict=Verdict.MAY_HAVE_RUN,
             cause=FailureCause.FOREIGN_ANSWER,
         )
-    content_type = resp.headers.get("Content-Type", "")
-    if exchange.to_entry and content_type.startswith(PROBLEM_TYPE):
+    if exchange.to_entry and VERDICT_HEADER in resp.headers:
         return
     if resp.status >= 400 and NOT_EXECUTED_HEADER in resp.headers:
         raise AttemptFailure(
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -207,10 +207,15 @@
                 running.proxies[name].state = LinkState(
                     cut_after={Direction.TO_CLIENT: 20}
                 )
-            async with (
-                running.session() as session,
-                session.post("/v1/services/payment/cards/charge", json={}) as resp,
-            ):
+            call = {"service": "payment", "path": "cards/charge", "method": "POST"}
+            async with running.session() as session:
+                async with session.post("/v1/operations", json=call) as resp:
+                    ticket = (await resp.json())["operation_id"]
+                resp = await session.post(
+                    "/v1/services/payment/cards/charge",
+                    json={},
+                    headers={"Operation-Id": ticket},
+                )
                 problem = await resp.json(content_type=None)
                 assert resp.status == 502
                 assert "Retry-After" not in resp.headers
