--- /dev/null
+++ b/tests/targets/test_exchange_client.py
@@ -0,0 +1,341 @@
+"""Every way an exchange can fail, on real sockets, and what it says of execution."""
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+
+import pytest
+from raw_server import RawServer, answering, whole
+
+from pimentospool._generated.settings import TargetSettings
+from pimentospool.addresses import free_addresses
+from pimentospool.faults import FaultProxy
+from pimentospool.targets import (
+    AttemptFailure,
+    Exchange,
+    ExchangeClient,
+    FailureCause,
+    _client,
+)
+from pimentospool.verdicts import Verdict
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+GARBAGE = [
+    b"not http at all\r\n\r\n",
+    b"\x00\xff\x00\xff" * 50 + b"\r\n\r\n",
+    b"HTTP/9.9 abc\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+    b"HTTP/1.1 200 OK\r\n" + b"X: " + b"y" * 100_000 + b"\r\n\r\n",
+    CHUNKED + b"zz\r\nbody\r\n0\r\n\r\n",
+]
+
+
+def exchange(url, *, repeatable=False, **options):
+    values = {
+        "method": "POST",
+        "url": url,
+        "headers": {"X-Request-Id": "mine"},
+        "body": b"{}",
+        "request_id": "mine",
+        "timeout_seconds": 5.0,
+        "answer_seconds": 2.0,
+        "repeatable": repeatable,
+    }
+    return Exchange(**values | options)
+
+
+@asynccontextmanager
+async def client(**options):
+    cfg = TargetSettings(connect_timeout_seconds=0.3, **options)
+    made = ExchangeClient(cfg=cfg)
+    try:
+        yield made
+    finally:
+        await made.close()
+
+
+async def fail(made, asked):
+    with pytest.raises(AttemptFailure) as caught:
+        async with made.open(asked) as answer:
+            await answer.body()
+    return caught.value
+
+
+def failure_of(runner, script, **options):
+    """Return how an exchange with a scripted server fails, and the server."""
+
+    async def check():
+        async with RawServer(script) as server, client() as made:
+            return await fail(made, exchange(server.url, **options)), server
+
+    return runner.run(check())
+
+
+async def reset_at_once(server, reader, writer):
+    writer.transport.abort()
+
+
+async def reset_after_request(server, reader, writer):
+    await server.read_request(reader)
+    writer.transport.abort()
+
+
+async def reset_within_request(server, reader, writer):
+    server.requests.append(await reader.readexactly(65536))
+    writer.transport.abort()
+
+
+async def silent(server, reader, writer):
+    await server.read_request(reader)
+    await asyncio.sleep(30)
+
+
+def test_refused_connect_did_not_run(runner):
+    async def check():
+        async with client() as made:
+            url = f"http://{free_addresses(1)[0]}/call"
+            return await fail(made, exchange(url))
+
+    failure = runner.run(check())
+    assert failure.verdict is Verdict.NOT_RUN
+    assert failure.cause is FailureCause.UNREACHABLE
+
+
+def test_connect_timeout_did_not_run(runner):
+    async def check(listener, fillers):
+        async with client() as made:
+            for filler in fillers:
+                filler.setblocking(False)
+                filler.connect_ex(listener.getsockname())
+            await asyncio.sleep(0.05)
+            host, port = listener.getsockname()
+            return await fail(made, exchange(f"http://{host}:{port}/call"))
+
+    fillers = [socket.socket() for _ in range(4)]
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        failure = runner.run(check(listener, fillers))
+        for filler in fillers:
+            filler.close()
+    assert failure.verdict is Verdict.NOT_RUN
+    assert failure.cause is FailureCause.UNREACHABLE
+
+
+@pytest.mark.parametrize(
+    ("script", "body"),
+    [
+        (reset_at_once, b"{}"),
+        (reset_after_request, b"{}"),
+        (reset_within_request, b"x" * 8_000_000),
+    ],
+)
+def test_reset_may_have_run(runner, script, body):
+    failure, _ = failure_of(runner, script, body=body)
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+    assert failure.cause is FailureCause.BROKEN
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nshort",
+        CHUNKED + b"5\r\nshort\r\n",
+        CHUNKED + b"ff\r\nshort",
+        b"HTTP/1.1 200 OK\r\n\r\nwith no length",
+        whole(headers=b"Content-Encoding: gzip\r\n"),
+        whole(status=b"500 Oops"),
+        whole(status=b"503 Busy"),
+        whole(status=b"429 Slow down"),
+        *GARBAGE,
+    ],
+)
+def test_no_whole_answer_may_have_run(runner, answer):
+    failure, _ = failure_of(runner, answering(answer))
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize("status", [b"429 Slow", b"503 Busy", b"409 Old", b"500 No"])
+def test_refusal_by_protocol_did_not_run(runner, status):
+    answer = whole(status=status, headers=b"X-Not-Executed: true\r\n")
+    failure, _ = failure_of(runner, answering(answer))
+    assert failure.verdict is Verdict.NOT_RUN
+    assert failure.cause is FailureCause.REFUSED
+
+
+def test_refusal_before_the_whole_body_arrived_did_not_run(runner):
+    async def script(server, reader, writer):
+        await reader.readexactly(65536)
+        writer.write(whole(status=b"413 No", headers=b"X-Not-Executed: true\r\n"))
+        await writer.drain()
+        await asyncio.sleep(1)
+
+    failure, _ = failure_of(runner, script, body=b"x" * 8_000_000)
+    assert failure.verdict is Verdict.NOT_RUN
+
+
+def test_answer_of_another_request_is_dropped(runner):
+    answer = whole(b'"other"', headers=b"X-Request-Id: other\r\n")
+    failure, _ = failure_of(runner, answering(answer))
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+    assert failure.cause is FailureCause.FOREIGN_ANSWER
+
+
+def test_silence_before_the_status_is_given_up(runner):
+    failure, _ = failure_of(runner, silent, answer_seconds=0.2)
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+    assert failure.cause is FailureCause.SILENT
+
+
+@pytest.mark.parametrize(
+    ("options", "cause"),
+    [({}, FailureCause.SILENT), ({"timeout_seconds": 0.2}, FailureCause.LATE)],
+)
+def test_silence_within_the_body_is_given_up(runner, options, cause):
+    async def script(server, reader, writer):
+        await server.read_request(reader)
+        writer.write(CHUNKED + b"5\r\nshort\r\n")
+        await asyncio.sleep(30)
+
+    async def check():
+        async with (
+            RawServer(script) as server,
+            client(progress_timeout_seconds=0.4) as made,
+        ):
+            return await fail(made, exchange(server.url, **options))
+
+    failure = runner.run(check())
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+    assert failure.cause is cause
+
+
+def test_late_answer_reaches_no_other_request(runner):
+    async def script(server, reader, writer):
+        number = server.connections
+        await server.read_request(reader)
+        if number == 1:
+            await asyncio.sleep(0.4)
+        writer.write(whole(b"%d" % number))
+        await asyncio.sleep(2)
+
+    async def check():
+        async with RawServer(script) as server, client() as made:
+            first = exchange(server.url, repeatable=True, answer_seconds=0.2)
+            await fail(made, first)
+            await asyncio.sleep(0.4)
+            async with made.open(exchange(server.url, repeatable=True)) as answer:
+                return await answer.body()
+
+    assert runner.run(check()) == b"2"
+
+
+def test_guard_that_refuses_leaves_the_request_unsent(runner):
+    class Refused(Exception):
+        pass
+
+    def refuse():
+        raise Refused
+
+    async def check():
+        async with RawServer(answering(whole())) as server, client() as made:
+            with pytest.raises(Refused):
+                async with made.open(exchange(server.url, before_sending=refuse)):
+                    pass
+            await asyncio.sleep(0.05)
+            return server
+
+    assert runner.run(check()).requests == []
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+def test_no_method_is_sent_twice_behind_our_back(runner, method):
+    _, server = failure_of(runner, reset_after_request, method=method)
+    assert len(server.requests) == 1
+
+
+def test_the_guard_against_sending_twice_is_needed(runner, monkeypatch):
+    async def send(req, handler):
+        return await handler(req)
+
+    monkeypatch.setattr(_client, "_send_once", send)
+    _, server = failure_of(runner, reset_after_request, method="PUT")
+    assert len(server.requests) == 2
+
+
+def test_pooled_connections_serve_only_repeatable_exchanges(runner):
+    async def script(server, reader, writer):
+        while True:
+            await server.read_request(reader)
+            writer.write(whole())
+
+    async def check(repeatable):
+        async with RawServer(script) as server, client() as made:
+            for _ in range(3):
+                asked = exchange(server.url, repeatable=repeatable)
+                async with made.open(asked) as answer:
+                    await answer.body()
+            return server.connections
+
+    assert runner.run(check(True)) == 1
+    assert runner.run(check(False)) == 3
+
+
+async def answer_and_drop(server, reader, writer):
+    number = server.connections
+    await server.read_request(reader)
+    writer.write(whole(b"%d" % number))
+    await server.read_request(reader)
+
+
+def test_closed_pooled_connection_is_replaced(runner):
+    async def check():
+        async with RawServer(answer_and_drop) as server, client() as made:
+            bodies = []
+            for _ in range(2):
+                async with made.open(exchange(server.url, repeatable=True)) as answer:
+                    bodies.append(await answer.body())
+            return bodies, len(server.requests)
+
+    assert runner.run(check()) == ([b"1", b"2"], 3)
+
+
+def test_silent_pooled_connection_is_replaced(runner):
+    async def script(server, reader, writer):
+        number = server.connections
+        while True:
+            await server.read_request(reader)
+            writer.write(whole(b"%d" % number))
+
+    async def check():
+        async with RawServer(script) as server, client() as made:
+            proxy = FaultProxy(upstream=server.url.split("/")[2])
+            await proxy.start()
+            url = f"http://{proxy.address}/call"
+            asked = exchange(url, repeatable=True, answer_seconds=0.3)
+            bodies = []
+            for _ in range(4):
+                async with made.open(asked) as answer:
+                    bodies.append(await answer.body())
+                if len(bodies) == 1:
+                    proxy.lose_connections()
+            await proxy.close()
+            return bodies
+
+    assert runner.run(check()) == [b"1", b"2", b"3", b"3"]
+
+
+def test_silent_exchange_leaves_no_open_connection(runner):
+    async def script(server, reader, writer):
+        await server.read_request(reader)
+        closed.append(await reader.read())
+
+    async def check():
+        async with RawServer(script) as server, client() as made:
+            await fail(made, exchange(server.url, answer_seconds=0.1))
+            await asyncio.sleep(0.1)
+
+    closed = []
+    runner.run(check())
+    assert closed == [b""]
