--- a/pimentospool/requests.py
+++ b/pimentospool/requests.py
@@ -61,7 +61,8 @@
 class GatewayRequest(msgspec.Struct, kw_only=True):
     """A verified request; `deadline` is in seconds of the loop's clock.
 
-    A request with `stays` set is served in the own region or refused.
+    `resume_after` is the number of the last event that the caller already has. A
+    request with `stays` set is served in the own region or refused.
     """
 
     id: RequestId
@@ -83,6 +84,7 @@
     call: ServiceCall | None = None
     operation_id: OperationId | None = None
     hop: HopHeader | None = None
+    resume_after: int | None = None
     stays: bool = False
     send_guard: SendGuard | None = None
 
--- /dev/null
+++ b/tests/targets/test_events.py
@@ -0,0 +1,54 @@
+"""Whole events out of any cutting of a stream."""
+
+from itertools import pairwise
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pimentospool.targets import EventBatch, EventSplitter
+
+TEXTS = st.text(alphabet="ab \n\r:", max_size=8).map(
+    lambda text: text.replace("\n", "").replace("\r", "").encode()
+)
+
+
+@settings(max_examples=200, derandomize=True)
+@given(
+    texts=st.lists(TEXTS, max_size=8),
+    cuts=st.lists(st.integers(0, 200), max_size=10),
+)
+def test_any_cutting_gives_the_same_events(texts, cuts):
+    events = [b"id: %d\ndata: x%b\n\n" % item for item in enumerate(texts)]
+    stream = b"".join(events)
+    edges = sorted({min(cut, len(stream)) for cut in cuts} | {0, len(stream)})
+    splitter = EventSplitter()
+    received = b""
+    for start, end in pairwise(edges):
+        batch = splitter.feed(stream[start:end])
+        if batch is None:
+            continue
+        received += batch.data
+        whole = received.count(b"\n\n")
+        assert received == b"".join(events[:whole])
+        assert batch.last_id == whole - 1
+    assert received == stream
+    assert not splitter.pending_bytes
+
+
+def test_ids_and_end_are_read_from_fields_only():
+    batch = EventBatch(data=b'id: 4\ndata: "id: 9 event: error [DONE]"\n\n')
+    assert (batch.first_id, batch.last_id) == (4, 4)
+    assert batch.error is None
+    assert not batch.done
+    assert EventBatch(data=b"id: 5\r\ndata: x\r\n\r\ndata: [DONE]\r\n\r\n").done
+
+
+def test_error_event_is_found_behind_others():
+    batch = EventBatch(data=b"id: 4\ndata: x\n\nevent: error\ndata: {}\n\n")
+    assert batch.error == b"{}"
+
+
+def test_first_event_can_be_dropped():
+    batch = EventBatch(data=b"id: 4\ndata: x\n\nid: 5\ndata: y\n\n")
+    assert batch.without_event(4).data == b"id: 5\ndata: y\n\n"
+    assert batch.without_event(5) is batch
