--- a/pimentospool/commands/__init__.py
+++ b/pimentospool/commands/__init__.py
@@ -9,6 +9,7 @@
     "entry",
     "load",
     "standin",
+    "status",
 ]
 
 __all__ = ["COMMANDS", "LazyGroup"]
