Add bench policy, bench policy-cost and explain, and make decisions cheaper

Cause: a decision scored every region and computed the same estimates twice. Change: regions that cannot win get no score, fewer candidates in large pools, no repeated work; commands that print the comparison, the cost and one request's scores.

--- a/pimentospool/bench/_policy.py
+++ b/pimentospool/bench/_policy.py
@@ -61,9 +61,10 @@
     away_share: float
     miss_share: float
     refused_share: float
+    refusals: dict[str, int]
 
 
-class Target(msgspec.Struct, kw_only=True):
+class Comparison(msgspec.Struct, kw_only=True):
     """One comparison with the best baseline."""
 
     name: str
@@ -81,7 +82,7 @@
     seed: int
     figures: list[PolicyFigures]
     best_baseline: str
-    targets: list[Target]
+    comparisons: list[Comparison]
 
 
 def run_policy_bench(manifest: Manifest, *, fault: Fault, seed: int) -> PolicyRun:
@@ -98,16 +99,18 @@
             else:
                 node.policy = BASELINES[name](sim=sim, node=node)
         sim.run(arrivals)
-        figures.append(_figures(name, sim)); print(getattr(sim, "whys", None))
+        figures.append(_figures(name, sim))
     baselines = figures[1:]
-    best = min(baselines, key=lambda item: (item.short_p99_ms, item.refused_share))
+    best = min(baselines, key=lambda item: item.short_p99_ms)
     return PolicyRun(
         deployment=manifest.deployment,
         fault=fault.value,
         seed=seed,
         figures=figures,
         best_baseline=best.policy,
-        targets=_targets(manifest.deployment, fault, figures[0], best, baselines),
+        comparisons=_compare_all(
+            manifest.deployment, fault, figures[0], best, baselines
+        ),
     )
 
 
@@ -137,6 +140,7 @@
         away_share=sum(req.away for req in requests) / max(1, len(requests)),
         miss_share=1.0 - cached / max(1, prompt),
         refused_share=sum(_refused(req) for req in requests) / max(1, len(requests)),
+        refusals=dict(sim.refusals),
     )
 
 
@@ -160,16 +164,16 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
-def _targets(
+def _compare_all(
     deployment: str,
     fault: Fault,
     gateway: PolicyFigures,
     best: PolicyFigures,
     baselines: list[PolicyFigures],
-) -> list[Target]:
+) -> list[Comparison]:
     if fault is Fault.NONE:
         return [
-            _target(
+            _compare(
                 measure.value,
                 getattr(gateway, measure.value),
                 min(getattr(item, measure.value) for item in baselines),
@@ -177,6 +181,8 @@
             )
             for measure in Measure
         ]
+    if fault is not Fault.REGION:
+        return []
     if deployment == "tsuzumi":
         bounds = {
             Measure.COST: TSUZUMI_PART,
@@ -186,7 +192,7 @@
     else:
         bounds = {Measure.SHORT_P99: MAGNOLIA_SHORT_P99}
     return [
-        _target(
+        _compare(
             measure.value,
             getattr(gateway, measure.value),
             getattr(best, measure.value),
@@ -196,8 +202,8 @@
     ]
 
 
-def _target(name: str, gateway: float, baseline: float, bound: float) -> Target:
+def _compare(name: str, gateway: float, baseline: float, bound: float) -> Comparison:
     met = gateway <= baseline * bound
-    return Target(
+    return Comparison(
         name=name, gateway=gateway, baseline=baseline, bound=bound, met=met
     )
--- a/pimentospool/bench/_policy_gateway.py
+++ b/pimentospool/bench/_policy_gateway.py
@@ -163,9 +163,7 @@
             remaining_seconds=max(0.0, held.deadline - sim.time.now),
         )
 
-    def _wait_or_refuse(
-        self, req: Request, held: _Held, refusal: RouteRefusal
-    ) -> None:
+    def _wait_or_refuse(self, req: Request, held: _Held, refusal: RouteRefusal) -> None:
         now = self._sim.time.now
         place = None
         if refusal.may_wait:
@@ -173,8 +171,8 @@
                 deadline=held.deadline, work_seconds=refusal.work_seconds, now=now
             )
         if place is None or isinstance(place, QueueRefusal):
-            self._why = (place or refusal).detail
-            self._refuse(req, held)
+            detail = place.detail if place is not None else refusal.detail
+            self._refuse(req, held, detail)
             return
         held.ticket = place
         self._waiting[place] = req
@@ -182,7 +180,7 @@
             self._polling = True
             self._sim.time.after(POLL_SECONDS, self._poll_queue)
 
-    def _refuse(self, req: Request, held: _Held) -> None:
+    def _refuse(self, req: Request, held: _Held, detail: str) -> None:
         if held.hopped:
             ingress = self._sim.ingress(req)
             self._held.pop(id(req), None)
@@ -193,7 +191,7 @@
                 way, partial(policy._hop_failed, req, self._node.region)
             )
             return
-        self._sim.refuse(req, self._why)
+        self._sim.refuse(req, detail)
 
     def _hop_failed(self, req: Request, region: RegionId) -> None:
         held = self._held.get(id(req))
--- a/pimentospool/bench/_policy_simulation.py
+++ b/pimentospool/bench/_policy_simulation.py
@@ -1,6 +1,7 @@
 """One run of the policy bench: entry VMs, engines, delays, faults and outcomes."""
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from enum import Enum
 from functools import partial
@@ -116,6 +117,7 @@
         self.time = VirtualTime()
         self.rng = random.Random(seed)
         self.requests: list[Request] = []
+        self.refusals: Counter[str] = Counter()
         deployment = index.manifest.deployment
         self._zone_delay = ZONE_DELAY_SECONDS.get(deployment, 0.001)
         self._caller_delay = CALLER_DELAY_SECONDS.get(deployment, 0.002)
@@ -199,10 +201,10 @@
             partial(peer.policy.submit, req, hopped=True),
         )
 
-    def refuse(self, req: Request, why: str = "") -> None:
+    def refuse(self, req: Request, why: str) -> None:
         """End the request without an answer."""
-        import collections
-        self.whys = getattr(self, "whys", collections.Counter()); self.whys[why, req.arrival.short] += 1
+        if req.servable and not req.ended:
+            self.refusals[why] += 1
         self._finish(req, refused=True)
 
     def ingress(self, req: Request) -> EntryNode:
@@ -220,7 +222,7 @@
         choices = home or others
         if not any(node.region in allowed for node in choices):
             req.servable = False
-            self.refuse(req)
+            self.refuse(req, "no allowed region is up")
             return
         node = self.rng.choice(choices)
         req.entry = node.entry
@@ -273,7 +275,7 @@
 
     def _expire(self, req: Request) -> None:
         if req.first_seconds is None and not req.ended:
-            self.refuse(req, "expired %s" % (req.job is not None))
+            self.refuse(req, "no first token before the deadline")
 
     def _finish(self, req: Request, *, refused: bool) -> None:
         if req.ended:
--- a/pimentospool/bench/_policy_traffic.py
+++ b/pimentospool/bench/_policy_traffic.py
@@ -89,7 +89,7 @@
     def arrivals(self) -> list[Arrival]:
         peak = self._peak_rate()
         offset = self._index.regions[self._region].utc_offset_hours
-        made = []
+        made: list[Arrival] = []
         at = 0.0
         while True:
             at += self._rng.expovariate(peak)
@@ -150,9 +150,9 @@
     def _customer(self) -> Customer:
         customers = self._index.customers
         bound = customers.get(CustomerId("home-bound"))
-        if bound is not None and bound.allowed_regions == [self._region]:
-            if self._rng.random() < HOME_BOUND_SHARE:
-                return bound
+        mine_only = bound is not None and bound.allowed_regions == [self._region]
+        if bound is not None and mine_only and self._rng.random() < HOME_BOUND_SHARE:
+            return bound
         mine = [
             customer
             for customer in customers.values()
--- a/pimentospool/commands/__init__.py
+++ b/pimentospool/commands/__init__.py
@@ -7,6 +7,7 @@
     "check",
     "demo",
     "entry",
+    "explain",
     "load",
     "standin",
     "status",
--- a/pimentospool/commands/_bench.py
+++ b/pimentospool/commands/_bench.py
@@ -4,7 +4,10 @@
 
 from pimentospool.commands._lazy import LazyGroup
 
-BENCHES: list[str] = []
+BENCHES: list[str] = [
+    "policy",
+    "policy-cost",
+]
 
 
 @click.group(
--- a/pimentospool/policy/_concurrency.py
+++ b/pimentospool/policy/_concurrency.py
@@ -20,18 +20,19 @@
     ----------
     slots : int
         Requests that the target batches at once.
+
+    Attributes
+    ----------
+    value : int
+        Own requests that may be in flight.
     """
 
     def __init__(self, *, slots: int) -> None:
+        self.value = 2 * slots
         self._value = 2.0 * slots
         self._highest = HIGHEST_SHARE * slots
         self._lowest = max(1.0, LOWEST_SHARE * slots)
 
-    @property
-    def value(self) -> int:
-        """Own requests that may be in flight."""
-        return max(1, int(self._value))
-
     def measured(
         self, *, first_seconds: float, prefill_seconds: float, in_flight: int
     ) -> None:
@@ -43,8 +44,12 @@
             return
         aim = self._value * gradient + math.sqrt(self._value)
         aim = max(self._lowest, min(self._highest, aim))
-        self._value += SMOOTHING * (aim - self._value)
+        self._set(self._value + SMOOTHING * (aim - self._value))
 
     def failed(self) -> None:
         """Follow a refusal or failure of the target."""
-        self._value = max(self._lowest, self._value * LOWEST_GRADIENT)
+        self._set(max(self._lowest, self._value * LOWEST_GRADIENT))
+
+    def _set(self, value: float) -> None:
+        self._value = value
+        self.value = max(1, int(value))
--- a/pimentospool/policy/_health.py
+++ b/pimentospool/policy/_health.py
@@ -10,6 +10,7 @@
 PENALTY_DECAY_SECONDS = 5.0
 RAMP_SECONDS = 10.0
 RAMP_START = 0.1
+NEGLIGIBLE_SCORE = 0.01
 
 
 class Circuit(Enum):
@@ -21,9 +22,16 @@
 
 
 class Health:
-    """Recent failures of one target or region as seen from here."""
+    """Recent failures of one target or region as seen from here.
+
+    Attributes
+    ----------
+    quiet : bool
+        Whether nothing at all is held against it.
+    """
 
     def __init__(self) -> None:
+        self.quiet = True
         self._failures = 0
         self._openings = 0
         self._score = 0.0
@@ -52,6 +60,8 @@
         self._failures = 0
         self._openings = 0
         self._probing = False
+        if not self.quiet:
+            self._settle(now)
 
     def ended(self) -> None:
         """Count a request that showed neither health nor failure."""
@@ -59,6 +69,7 @@
 
     def failed(self, now: float) -> None:
         """Count a failure; the third in a row opens the circuit."""
+        self.quiet = False
         self._score = self._decayed_score(now) + 1.0
         self._scored_at = now
         self._failures += 1
@@ -70,6 +81,7 @@
 
     def returned(self, now: float) -> None:
         """Begin the slow start of a target that was away."""
+        self.quiet = False
         self._ramp_from = now
 
     def penalty_ms(self, now: float) -> float:
@@ -85,5 +97,11 @@
             return 1.0
         return RAMP_START + (1.0 - RAMP_START) * age / RAMP_SECONDS
 
+    def _settle(self, now: float) -> None:
+        ramped = now - self._ramp_from >= RAMP_SECONDS
+        if ramped and self._decayed_score(now) < NEGLIGIBLE_SCORE:
+            self.quiet = True
+            self._score = 0.0
+
     def _decayed_score(self, now: float) -> float:
         return self._score * math.exp((self._scored_at - now) / PENALTY_DECAY_SECONDS)
--- a/pimentospool/policy/_knowledge.py
+++ b/pimentospool/policy/_knowledge.py
@@ -35,6 +35,7 @@
         self.regions: dict[RegionId, RegionState] = {}
         self.pools: dict[str, Pool] = {}
         self.leaving: frozenset[TargetId] = frozenset()
+        self.least_round_trip_ms = 0.0
         self._region = region
         self._regions_of: dict[str, list[RegionId]] = {}
 
@@ -105,6 +106,9 @@
             state = kept.get(region.id, fresh)
             state.declare(fresh)
             self.regions[region.id] = state
+        self.least_round_trip_ms = min(
+            (state.round_trip_ms for state in self.regions.values()), default=0.0
+        )
         for target in index.manifest.targets:
             region_id = index.region_of(target)
             if region_id == self._region:
--- a/pimentospool/policy/_pools.py
+++ b/pimentospool/policy/_pools.py
@@ -12,10 +12,10 @@
 from pimentospool.policy._health import Circuit, Health
 from pimentospool.policy._work import DEFAULT_HOLD_SECONDS, TargetWork
 
-EVALUATE_ALL = 8
-RANDOM_CANDIDATES = 4
-HOLDER_CANDIDATES = 3
-KEPT_BEST = 3
+EVALUATE_ALL = 6
+RANDOM_CANDIDATES = 2
+HOLDER_CANDIDATES = 2
+KEPT_BEST = 2
 SERVICE_HOLD_SECONDS = 0.1
 SHORT_LANE_SHARE = 1 / 3
 RING_POINTS = 16
@@ -66,7 +66,11 @@
     def takes_work(self, now: float) -> bool:
         """Return whether neither its circuit nor its bounds keep requests away."""
         own = self.work.own
-        if own >= self.limit.value or self.health.circuit(now) is Circuit.OPEN:
+        if own >= self.limit.value:
+            return False
+        if self.health.quiet:
+            return True
+        if self.health.circuit(now) is Circuit.OPEN:
             return False
         ramp = self.health.ramp(now)
         return ramp >= 1.0 or own < max(1.0, ramp * self.target.slots)
--- a/pimentospool/policy/_routing.py
+++ b/pimentospool/policy/_routing.py
@@ -1,5 +1,6 @@
 """Choice of the target, or of the region, that serves a request."""
 
+import math
 import random
 from collections.abc import Callable, Iterable
 
@@ -19,7 +20,7 @@
     RouteRefusal,
     TargetRoute,
 )
-from pimentospool.policy._scores import RouteReason, Score, near_equals
+from pimentospool.policy._scores import RouteReason, Score, near_bound, near_equals
 from pimentospool.policy._scoring import Scorer
 from pimentospool.policy._shares import QuotaShares
 from pimentospool.policy._work import MILLISECONDS
@@ -141,21 +142,33 @@
 
     # Decisions
 
-    def choose(self, query: RouteQuery) -> TargetRoute | RegionRoute | RouteRefusal:
-        """Return where the request goes, or why it goes nowhere."""
+    def choose(
+        self, query: RouteQuery, *, score_all: bool = False
+    ) -> TargetRoute | RegionRoute | RouteRefusal:
+        """Return where the request goes, or why it goes nowhere.
+
+        Regions that cannot be better than the best target get no score, unless
+        `score_all` is set; that changes no decision.
+        """
         if self._known.index is None:
             return RouteRefusal(
                 reason=Reason.NOT_READY, detail="no configuration is in force yet"
             )
         now = self._clock()
+        short = self._scorer.is_short(query)
         states = self._local_candidates(query, now)
         pool = self._known.pools.get(query.pool)
         preferred = pool.preferred(query.blocks) if pool is not None else None
         scores = {
-            state.target.id: self._scorer.target(state, query, now, preferred)
+            state.target.id: self._scorer.target(
+                state, query, now, short=short, preferred=preferred
+            )
             for state in states
         }
-        away = self._region_scores(query, now)
+        bound = math.inf
+        if scores and not score_all:
+            bound = near_bound(min(score.total_ms for score in scores.values()))
+        away = self._region_scores(query, now, bound, short=short)
         everything = [*scores.values(), *away.values()]
         if not everything:
             return self._refuse_unserved(query)
@@ -225,16 +238,21 @@
             and (query.model is None or state.holds(model, query.adapter))
         ]
 
-    def _region_scores(self, query: RouteQuery, now: float) -> dict[RegionId, Score]:
-        if query.hopped:
+    def _region_scores(
+        self, query: RouteQuery, now: float, bound: float, *, short: bool
+    ) -> dict[RegionId, Score]:
+        nearest = self._known.least_round_trip_ms
+        if query.hopped or self._scorer.least_away(nearest, short=short) > bound:
             return {}
         scores = {}
         for region in self._known.regions_of(query.pool):
             if region not in query.allowed_regions or region in query.excluded_regions:
                 continue
             state = self._known.regions[region]
+            if self._scorer.least_away(state.round_trip_ms, short=short) > bound:
+                continue
             if state.health.circuit(now) is not Circuit.OPEN:
-                scores[region] = self._scorer.region(state, query, now)
+                scores[region] = self._scorer.region(state, query, now, short=short)
         return scores
 
     def _pick(self, scores: list[Score]) -> tuple[Score, RouteReason]:
--- a/pimentospool/policy/_scores.py
+++ b/pimentospool/policy/_scores.py
@@ -69,8 +69,12 @@
         return self.weights.sent_away_ms + self.limits.away_margin_ms
 
 
+def near_bound(best_ms: float) -> float:
+    """Return the highest score that cannot be told from the best one."""
+    return best_ms + max(NEAR_EQUAL_MS, NEAR_EQUAL_SHARE * best_ms)
+
+
 def near_equals(scores: list[Score]) -> list[Score]:
     """Return the scores that are too close to the best one to tell apart."""
-    best = min(score.total_ms for score in scores)
-    bound = best + max(NEAR_EQUAL_MS, NEAR_EQUAL_SHARE * best)
+    bound = near_bound(min(score.total_ms for score in scores))
     return [score for score in scores if score.total_ms <= bound]
--- a/pimentospool/policy/_scoring.py
+++ b/pimentospool/policy/_scoring.py
@@ -61,6 +61,8 @@
         state: TargetState,
         query: RouteQuery,
         now: float,
+        *,
+        short: bool,
         preferred: TargetId | None = None,
     ) -> Score:
         """Return the score of a target of the own region.
@@ -69,7 +71,6 @@
         """
         prices = self.prices
         assert prices is not None
-        short = self.is_short(query)
         target = state.target
         hit = self._prefixes.hit_tokens(target.id, query.blocks, now)
         tokens = max(0.0, query.prompt_tokens - hit)
@@ -79,7 +80,7 @@
         )
         wait_ms = (expected.slot_wait + expected.prefill_wait) * MILLISECONDS
         prefill_ms = expected.prefill * MILLISECONDS
-        in_flight = work.in_flight(now)
+        in_flight = expected.in_flight
         has_room = True
         factor = BLOCKING_FACTOR
         if not short:
@@ -100,7 +101,7 @@
         first_ms = wait_ms + prefill_ms
         seconds = expected.prefill + self._decode_seconds(state, query)
         cost_ms = prices.weights.cost_ms * state.cost * seconds
-        failure_ms = state.health.penalty_ms(now)
+        failure_ms = 0.0 if state.health.quiet else state.health.penalty_ms(now)
         factor = prices.latency_factor(short=short)
         return Score(
             target.id,
@@ -118,11 +119,18 @@
             in_flight,
         )
 
-    def region(self, state: RegionState, query: RouteQuery, now: float) -> Score:
+    def least_away(self, round_trip_ms: float, *, short: bool) -> float:
+        """Return a bound below the score of a region at this distance."""
+        assert self.prices is not None
+        factor = self.prices.latency_factor(short=short)
+        return factor * round_trip_ms + self.prices.away_ms()
+
+    def region(
+        self, state: RegionState, query: RouteQuery, now: float, *, short: bool
+    ) -> Score:
         """Return the score of another region."""
         prices = self.prices
         assert prices is not None
-        short = self.is_short(query)
         holder = region_holder(state.region)
         hit = self._prefixes.hit_tokens(holder, query.blocks, now)
         wait = state.wait(query.pool, short=short, senders=self.senders, now=now)
--- a/pimentospool/policy/_summaries.py
+++ b/pimentospool/policy/_summaries.py
@@ -86,6 +86,11 @@
         self._delay_ms = other._delay_ms
         self._bits_per_ms = other._bits_per_ms
 
+    @property
+    def round_trip_ms(self) -> float:
+        """Delay of the link in both directions."""
+        return 2.0 * self._delay_ms
+
     def take(self, summary: RegionSummary, now: float) -> None:
         """Take over a summary that arrived at `now`."""
         self._received[summary.entry] = _Received(now, self._started, summary)
--- a/pimentospool/policy/_work.py
+++ b/pimentospool/policy/_work.py
@@ -30,11 +30,12 @@
 
 
 class Expectation(msgspec.Struct):
-    """Expected times of a request at a target, in seconds."""
+    """Expected times of a request at a target, in seconds, and requests there."""
 
     slot_wait: float
     prefill_wait: float
     prefill: float
+    in_flight: float
 
 
 class TargetWork:
@@ -145,7 +146,7 @@
         backlog = self._backlog_seconds(now)
         if count > self.slots:
             backlog *= self.slots / count
-        return Expectation(slot_wait, backlog, tokens / self._rate)
+        return Expectation(slot_wait, backlog, tokens / self._rate, count)
 
     def _others_now(self, now: float) -> float:
         if self.reported_at is None:
