Explore the once rule exhaustively over the real policy code

Cause: single tests of the ledger and of the caller's rules can't show that no course of delays, losses, restarts and pauses runs a call twice. Ruled out: a separate specification language, whose model could differ from the code that runs. Change: modelcheck holds a breadth-first explorer and a small world that runs the real OperationLedger and OperationHistory; `pimentospool modelcheck once` prints what it covered.

--- a/pimentospool/commands/__init__.py
+++ b/pimentospool/commands/__init__.py
@@ -7,6 +7,7 @@
     "check",
     "demo",
     "entry",
+    "modelcheck",
     "load",
     "standin",
 ]
--- a/pimentospool/policy/_operations.py
+++ b/pimentospool/policy/_operations.py
@@ -188,6 +188,11 @@
         """Bytes of held answers."""
         return self._held_bytes
 
+    def fingerprint(self) -> bytes:
+        """Return bytes that are equal for ledgers that decide alike."""
+        held = list(self._held)
+        return msgspec.msgpack.encode((self.incarnation, self._books, held))
+
     def issue(self, call: OperationCall) -> OperationRef:
         """Return a new ticket; nothing runs and no record is made."""
         book = self._books.setdefault(call.customer, _Book())
