--- a/pimentospool/commands/__init__.py
+++ b/pimentospool/commands/__init__.py
@@ -10,6 +10,7 @@
     "modelcheck",
     "load",
     "standin",
+    "status",
 ]
 
 __all__ = ["COMMANDS", "LazyGroup"]
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,245 @@
+"""Streams that break on their way, through entry VMs and real sockets."""
+
+import asyncio
+
+import msgspec
+import pytest
+from gateway import chat, expected_text, gateway, streamed_text
+
+from pimentospool.faults import Direction, LinkState
+from pimentospool.verdicts import Verdict
+
+TOKENS = 40
+
+
+def serving_in(manifest, *regions):
+    """Return `manifest` with the model in `regions`, for customers of all regions."""
+    return msgspec.structs.replace(
+        manifest,
+        serving=[item for item in manifest.serving if item.region in regions],
+        customers=[
+            item for item in manifest.customers if len(item.allowed_regions) > 2
+        ],
+    )
+
+
+async def read_while(resp, act, after):
+    """Read a stream to its end and call `act` once, `after` some bytes."""
+    data = b""
+    async for piece in resp.content.iter_any():
+        data += piece
+        if act is not None and len(data) >= after:
+            act()
+            act = None
+    return data
+
+
+def busy_proxies(running):
+    return [
+        running.proxies[name]
+        for name, engine in running.deployment.engines.items()
+        if engine._slots.running
+    ]
+
+
+def break_streams(running, how):
+    def act():
+        for proxy in busy_proxies(running):
+            getattr(proxy, how)()
+
+    return act
+
+
+async def stream_with_fault(running, how, **asked):
+    async with (
+        running.session() as session,
+        session.post("/v1/chat/completions", json=chat(**asked)) as resp,
+    ):
+        assert resp.status == 200
+        return await read_while(resp, break_streams(running, how), 1000)
+
+
+@pytest.mark.parametrize("how", ["cut", "lose_connections", "reset_connections"])
+@pytest.mark.parametrize("zones", [1, 2])
+def test_broken_stream_is_resumed_byte_for_byte(runner, how, zones):
+    async def check():
+        def home_elsewhere(manifest):
+            return manifest if zones == 1 else serving_in(manifest, "piedmont")
+
+        async with gateway(zones=zones, change=home_elsewhere) as running:
+            data = await stream_with_fault(running, how, max_tokens=TOKENS)
+            attempts = [outcome.attempts for outcome in running.outcomes]
+            hopped = [outcome.hopped for outcome in running.outcomes]
+        return data, attempts, hopped
+
+    data, attempts, hopped = runner.run(check())
+    text, ids, done = streamed_text(data)
+    assert done
+    assert text == expected_text(TOKENS)
+    assert ids == list(range(TOKENS + 1))
+    assert max(attempts) == 2
+    assert any(hopped) == (zones == 2)
+
+
+def test_broken_hop_is_resumed_through_another_region(runner):
+    async def check():
+        async with (
+            gateway(zones=3, change=not_in_gulf) as running,
+            running.session() as session,
+            session.post("/v1/chat/completions", json=chat()) as resp,
+        ):
+            return await read_while(resp, lambda: cut_hops(running), 1000)
+
+    def not_in_gulf(manifest):
+        return serving_in(manifest, "piedmont", "delta")
+
+    def cut_hops(running):
+        for entry in running.entries[1:]:
+            for conn in list(entry.callers._server.connections):
+                conn.transport.abort()
+
+    text, ids, done = streamed_text(runner.run(check()))
+    assert done
+    assert text == expected_text(TOKENS)
+    assert ids == list(range(TOKENS + 1))
+
+
+def test_stream_without_resuming_targets_ends_in_an_honest_error(runner):
+    async def check():
+        def not_resuming(manifest):
+            targets = [
+                msgspec.structs.replace(target, resumes=False)
+                for target in manifest.targets
+            ]
+            return msgspec.structs.replace(manifest, targets=targets)
+
+        async with gateway(change=not_resuming) as running:
+            return await stream_with_fault(running, "cut", max_tokens=TOKENS)
+
+    data = runner.run(check())
+    text, _, done = streamed_text(data)
+    assert not done
+    assert b"event: error\n" in data
+    assert expected_text(TOKENS).startswith(text)
+    problem = msgspec.json.decode(data.split(b"event: error\ndata: ")[1])
+    assert problem["verdict"] == Verdict.MAY_HAVE_RUN.value
+
+
+def test_stream_cut_for_good_ends_in_an_honest_error(runner):
+    async def check():
+        async with gateway() as running:
+
+            def act():
+                for proxy in running.proxies.values():
+                    proxy.cut()
+
+            async with (
+                running.session() as session,
+                session.post("/v1/chat/completions", json=chat()) as resp,
+            ):
+                return await read_while(resp, act, 1000)
+
+    data = runner.run(check())
+    assert b"event: error\n" in data
+    assert not streamed_text(data)[2]
+
+
+def test_silent_engine_is_left_before_the_first_token(runner):
+    async def check():
+        async with gateway() as running:
+            first, *_ = running.engine_proxies("gulf")
+            first.blackhole(Direction.TO_CLIENT)
+            async with running.session() as session:
+                texts = []
+                for _ in range(3):
+                    body = chat(max_tokens=3)
+                    async with session.post("/v1/chat/completions", json=body) as resp:
+                        texts.append(streamed_text(await resp.read())[0])
+                return texts
+
+    assert runner.run(check()) == [expected_text(3)] * 3
+
+
+def test_whole_answer_cut_half_way_is_asked_for_again(runner):
+    async def check():
+        async with gateway() as running:
+            for proxy in running.engine_proxies("gulf")[:2]:
+                proxy.state = LinkState(cut_after={Direction.TO_CLIENT: 250})
+            async with running.session() as session:
+                texts = []
+                for _ in range(3):
+                    body = chat(stream=False, max_tokens=3)
+                    async with session.post("/v1/chat/completions", json=body) as resp:
+                        answer = await resp.json()
+                        texts.append(answer["choices"][0]["message"]["content"])
+                return texts
+
+    assert runner.run(check()) == [expected_text(3)] * 3
+
+
+def test_caller_that_goes_away_frees_the_engine(runner):
+    async def check():
+        async with gateway(speed=1.0) as running:
+            engines = running.deployment.engines.values()
+            async with running.session() as session:
+                resp = await session.post(
+                    "/v1/chat/completions", json=chat(max_tokens=2000)
+                )
+                await resp.content.readany()
+                assert sum(engine._slots.running for engine in engines) == 1
+                resp.close()
+            async with asyncio.timeout(5):
+                while any(engine._slots.running for engine in engines):
+                    await asyncio.sleep(0.01)
+            async with asyncio.timeout(5):
+                while not running.outcomes:
+                    await asyncio.sleep(0.01)
+            return running.outcomes[0].reason.slug
+
+    assert runner.run(check()) == "caller-gone"
+
+
+def test_non_idempotent_call_cut_after_sending_runs_once(runner):
+    async def check():
+        async with gateway() as running:
+            services = running.deployment.services
+            for name in services:
+                running.proxies[name].state = LinkState(
+                    cut_after={Direction.TO_CLIENT: 20}
+                )
+            call = {"service": "payment", "path": "cards/charge", "method": "POST"}
+            async with running.session() as session:
+                async with session.post("/v1/operations", json=call) as resp:
+                    ticket = (await resp.json())["operation_id"]
+                resp = await session.post(
+                    "/v1/services/payment/cards/charge",
+                    json={},
+                    headers={"Operation-Id": ticket},
+                )
+                problem = await resp.json(content_type=None)
+                assert resp.status == 502
+                assert "Retry-After" not in resp.headers
+            ran = sum(len(service.executions) for service in services.values())
+            return problem["verdict"], ran
+
+    assert runner.run(check()) == (Verdict.MAY_HAVE_RUN.value, 1)
+
+
+def test_request_given_up_is_answered_at_once(runner):
+    async def check():
+        async with gateway() as running:
+            for proxy in running.proxies.values():
+                proxy.cut()
+            started = asyncio.get_running_loop().time()
+            async with (
+                running.session() as session,
+                session.post("/v1/chat/completions", json=chat()) as resp,
+            ):
+                problem = await resp.json(content_type=None)
+                waited = asyncio.get_running_loop().time() - started
+                return problem["verdict"], resp.headers["Retry-After"], waited
+
+    verdict, retry_after, waited = runner.run(check())
+    assert verdict == Verdict.MAY_HAVE_RUN.value
+    assert retry_after == "1"
+    assert waited < 20
