--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -20,6 +20,7 @@
     add_process_gauges,
 )
 from pimentospool.operations import OperationServer
+from pimentospool.orders import ORDERS, EngineControl, Orderer
 from pimentospool.platform import PlatformClient
 from pimentospool.policy import QuotaShares, Router
 from pimentospool.reports import ReportPoller
@@ -104,6 +105,9 @@
             clock=time.monotonic,
         )
         await self.control.start()
+        self._engines = EngineControl()
+        self.orderer = self._make_orderer(self._engines)
+        self._tasks.append(asyncio.create_task(self.orderer.run()))
         self._tasks.append(asyncio.create_task(self._summaries.run()))
         self._reports = ReportPoller(cfg=cfg.targets, router=self.router)
         self._tasks.append(asyncio.create_task(self._reports.run()))
@@ -127,6 +131,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.callers.close()
         await self.admin.close()
+        await self._engines.close()
         await self._reports.close()
         await self._client.close()
         await self.control.close()
@@ -135,12 +140,29 @@
 
     def status(self) -> EntryStatus:
         """Return what operators see of this process."""
-        return control_status(
+        status = control_status(
             control=self.control,
             view=self.view,
             cfg=self._cfg.entry,
             in_progress=self.callers.in_progress,
         )
+        status.orderer = self.control.ranks_first(ORDERS)
+        status.orders = self.orderer.statuses()
+        return status
+
+    def _make_orderer(self, engines: EngineControl) -> Orderer:
+        control = self.control
+        return Orderer(
+            region=self._cfg.entry.region,
+            zone=self._cfg.entry.zone,
+            view=self.view,
+            weight_store_address=self._cfg.platform.weight_store_address,
+            is_orderer=lambda: control.ranks_first(ORDERS),
+            is_confirmed=lambda: control.confirmed,
+            leaving_targets=self.fleet.leaving_targets,
+            clock=control.now,
+            control=engines,
+        )
 
     def _publish_metrics(self) -> None:
         metrics = EntryMetrics(region=self._cfg.entry.region)
--- a/pimentospool/orders.py
+++ b/pimentospool/orders.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from pimentospool._generated.engine import EngineOrder, EngineState
+from pimentospool._generated.status import OrderStatus
 from pimentospool.errors import PimentospoolError
 from pimentospool.ids import RegionId, TargetId, ZoneId
 from pimentospool.log import Event, log_event
@@ -22,6 +23,7 @@
 )
 from pimentospool.views import View
 
+ORDERS = "orders"
 ORDER_INTERVAL_SECONDS = 1.0
 ORDER_VALIDITY_SECONDS = 1.0
 REQUEST_TIMEOUT_SECONDS = 2.0
@@ -155,6 +157,25 @@
                 await self.step()
             await asyncio.sleep(ORDER_INTERVAL_SECONDS)
 
+    def statuses(self) -> list[OrderStatus]:
+        """Return the last orders and what waits, for operators."""
+        statuses = [
+            OrderStatus(
+                target=record.target,
+                action=record.order.action.value,
+                model=record.order.model,
+                version=record.order.version,
+                result=record.result.value,
+                explanation=record.explanation,
+            )
+            for record in self.records.values()
+        ]
+        statuses += [
+            OrderStatus(target=target, result="waits", explanation=explanation)
+            for target, explanation in self.holds.items()
+        ]
+        return sorted(statuses, key=lambda item: item.target)
+
     async def step(self) -> None:
         """Read the zone's engines once and order the difference."""
         index = self._view.index
