Tell sources apart in the fault-injecting proxy and record executions

Cause: a link between two regions could not be cut while a third region kept its own, because all connections to one address shared one state; delays of a connection's pieces added up; engines kept no record of what they ran.

Change: link state, lasting delay and a tap by source; pieces pass through a delay line; engine stand-ins record request id and body digest as services do.

--- a/pimentospool/faults/_proxy.py
+++ b/pimentospool/faults/_proxy.py
@@ -1,12 +1,17 @@
 """A TCP proxy that cuts, delays and silences what passes through it."""
 
 import asyncio
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from enum import Enum
 
 import msgspec
 
 _READ_BYTES = 64 * 1024
+_QUEUED_PIECES = 256
+
+SourceFinder = Callable[[int], str]
+Tap = Callable[[str, bytes], None]
 
 
 class Direction(Enum):
@@ -41,8 +46,9 @@
     """One relayed connection; `lost` drops all further bytes without a sign."""
 
     def __init__(
-        self, client: asyncio.StreamWriter, server: asyncio.StreamWriter
+        self, source: str, client: asyncio.StreamWriter, server: asyncio.StreamWriter
     ) -> None:
+        self.source = source
         self.lost = False
         self.writers = {Direction.TO_CLIENT: client, Direction.TO_SERVER: server}
 
@@ -51,22 +57,50 @@
             writer.transport.abort()
 
 
+class _Piece(msgspec.Struct):
+    """Bytes that are due at a time of the loop's clock; None ends the stream."""
+
+    due: float
+    data: bytes | None
+
+
 class FaultProxy:
     """Relays TCP connections from its own address to `upstream`.
 
+    Connections may be told apart by their source; every method that changes the
+    state of the link changes it for one source, or by default for all.
+
     Parameters
     ----------
     upstream : str
         IP:port of the server behind the proxy.
     listen : str
         IP:port to listen on; port 0 takes a free one.
+    source_of : callable, optional
+        Returns the name of the source of a connection from its local TCP port.
+    tap : callable, optional
+        Called with the source and with each piece on its way to the server.
+    delays : dict of str to float, optional
+        Lasting one-way delay of each source in seconds.
     """
 
-    def __init__(self, *, upstream: str, listen: str = "127.0.0.1:0") -> None:
+    def __init__(
+        self,
+        *,
+        upstream: str,
+        listen: str = "127.0.0.1:0",
+        source_of: SourceFinder | None = None,
+        tap: Tap | None = None,
+        delays: dict[str, float] | None = None,
+    ) -> None:
         self.upstream = upstream
         self.address = listen
         self.state = LinkState()
         self.accepted = 0
+        self._source_of = source_of
+        self._tap = tap
+        self._delays = delays or {}
+        self._source_states: dict[str, LinkState] = {}
         self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
@@ -87,29 +121,46 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def heal(self) -> None:
+    def set_state(self, state: LinkState, *, source: str | None = None) -> None:
+        """Treat connections of `source`, or all, as `state` says from now on."""
+        if source is None:
+            self.state = state
+            self._source_states.clear()
+        else:
+            self._source_states[source] = state
+
+    def heal(self, *, source: str | None = None) -> None:
         """Pass everything again; lost connections stay lost."""
-        self.state = LinkState()
+        self.set_state(LinkState(), source=source)
 
-    def cut(self) -> None:
+    def cut(self, *, source: str | None = None) -> None:
         """Reset every connection and refuse new ones."""
-        self.state = LinkState(refuse=True)
-        self.reset_connections()
+        self.set_state(LinkState(refuse=True), source=source)
+        self.reset_connections(source=source)
 
-    def blackhole(self, *directions: Direction) -> None:
+    def blackhole(self, *directions: Direction, source: str | None = None) -> None:
         """Drop bytes without a sign, both ways by default."""
-        self.state = LinkState(silent=frozenset(directions or Direction))
+        silent = frozenset(directions or Direction)
+        self.set_state(LinkState(silent=silent), source=source)
 
-    def lose_connections(self) -> None:
+    def lose_connections(self, *, source: str | None = None) -> None:
         """Make open connections silent for good while new ones work."""
-        for conn in self._connections:
+        for conn in self._of(source):
             conn.lost = True
 
-    def reset_connections(self) -> None:
+    def reset_connections(self, *, source: str | None = None) -> None:
         """Reset every open connection."""
-        for conn in list(self._connections):
+        for conn in list(self._of(source)):
             conn.reset()
 
+    def _of(self, source: str | None) -> Iterator[_Connection]:
+        for conn in self._connections:
+            if source is None or conn.source == source:
+                yield conn
+
+    def _state_of(self, source: str) -> LinkState:
+        return self._source_states.get(source, self.state)
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -118,7 +169,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         self.accepted += 1
-        if self.state.refuse:
+        source = ""
+        if self._source_of is not None:
+            peer = writer.get_extra_info("peername")
+            source = self._source_of(peer[1]) if peer else ""
+        if self._state_of(source).refuse:
             writer.transport.abort()
             return
         host, _, port = self.upstream.rpartition(":")
@@ -127,7 +182,7 @@
         except OSError:
             writer.transport.abort()
             return
-        conn = _Connection(writer, upstream[1])
+        conn = _Connection(source, writer, upstream[1])
         self._connections.add(conn)
         try:
             await asyncio.gather(
@@ -141,22 +196,56 @@
     async def _relay(
         self, conn: _Connection, reader: asyncio.StreamReader, direction: Direction
     ) -> None:
+        pieces: asyncio.Queue[_Piece] = asyncio.Queue(maxsize=_QUEUED_PIECES)
+        reading = asyncio.create_task(self._receive(conn, reader, direction, pieces))
+        try:
+            await self._pass_on(conn, direction, pieces)
+        finally:
+            reading.cancel()
+            await asyncio.gather(reading, return_exceptions=True)
+
+    async def _receive(
+        self,
+        conn: _Connection,
+        reader: asyncio.StreamReader,
+        direction: Direction,
+        pieces: "asyncio.Queue[_Piece]",
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        lasting = self._delays.get(conn.source, 0.0)
+        with suppress(OSError):
+            while data := await reader.read(_READ_BYTES):
+                if self._tap is not None and direction is Direction.TO_SERVER:
+                    self._tap(conn.source, data)
+                delay = lasting + self._state_of(conn.source).delay_seconds
+                await pieces.put(_Piece(loop.time() + delay, data))
+        await pieces.put(_Piece(loop.time() + lasting, None))
+
+    async def _pass_on(
+        self, conn: _Connection, direction: Direction, pieces: "asyncio.Queue[_Piece]"
+    ) -> None:
+        loop = asyncio.get_running_loop()
         writer = conn.writers[direction]
         passed = 0
         with suppress(OSError):
-            while data := await reader.read(_READ_BYTES):
-                if self.state.delay_seconds:
-                    await asyncio.sleep(self.state.delay_seconds)
-                if conn.lost or direction in self.state.silent:
+            while True:
+                piece = await pieces.get()
+                if piece.due > loop.time():
+                    await asyncio.sleep(piece.due - loop.time())
+                state = self._state_of(conn.source)
+                dropped = conn.lost or direction in state.silent
+                if piece.data is None:
+                    break
+                if dropped:
                     continue
-                limit = self.state.cut_after.get(direction)
-                if limit is not None and passed + len(data) > limit:
-                    writer.write(data[: max(0, limit - passed)])
+                limit = state.cut_after.get(direction)
+                if limit is not None and passed + len(piece.data) > limit:
+                    writer.write(piece.data[: max(0, limit - passed)])
                     await writer.drain()
                     conn.reset()
                     return
-                passed += len(data)
-                writer.write(data)
+                passed += len(piece.data)
+                writer.write(piece.data)
                 await writer.drain()
-            if not conn.lost and direction not in self.state.silent:
+            if not dropped:
                 writer.write_eof()
--- a/pimentospool/standins/__init__.py
+++ b/pimentospool/standins/__init__.py
@@ -4,8 +4,9 @@
 from pimentospool.standins._deployment import StandinDeployment
 from pimentospool.standins._directory import Directory, VmListService
 from pimentospool.standins._engine import EngineProfile, ModelEngine, token_text
+from pimentospool.standins._executions import Execution
 from pimentospool.standins._server import StandinServer, serve_standin
-from pimentospool.standins._service import Execution, PlainService, ServiceAnswer
+from pimentospool.standins._service import PlainService, ServiceAnswer
 from pimentospool.standins._weights import WeightStore
 
 __all__ = [
--- a/pimentospool/standins/_deployment.py
+++ b/pimentospool/standins/_deployment.py
@@ -55,7 +55,7 @@
         self.servers: dict[str, StandinServer] = {}
         self._speed = speed
 
-    async def start(self) -> None:
+    async def start(self, *, publish: bool = True) -> None:
         """Serve every stand-in and publish the manifest as revision 1."""
         index = ManifestIndex(manifest=self.manifest)
         targets = []
@@ -67,9 +67,10 @@
         await self._serve("vm-list", self.vm_list)
         await self._serve("directory", self.directory)
         await self._serve("weight-store", self.weight_store)
-        await self.configuration.publish_manifest(
-            self.manifest, revision=_FIRST_REVISION
-        )
+        if publish:
+            await self.configuration.publish_manifest(
+                self.manifest, revision=_FIRST_REVISION
+            )
 
     async def close(self) -> None:
         """Stop every stand-in."""
--- a/pimentospool/standins/_engine.py
+++ b/pimentospool/standins/_engine.py
@@ -32,7 +32,9 @@
     prefix_blocks,
     prompt_text,
 )
+from pimentospool.revisions import digest_of
 from pimentospool.standins._batching import SlotQueue
+from pimentospool.standins._executions import Execution
 from pimentospool.standins._prefix_cache import PrefixCache
 from pimentospool.standins._service import NOT_EXECUTED_HEADER
 
@@ -91,6 +93,7 @@
         self.profile = profile
         self.refusing = False
         self.served = 0
+        self.executions: list[Execution] = []
         self.orders: list[EngineOrder] = []
         self.state = EngineState(fencing=0, models=models or [])
         self._slots = SlotQueue(slots=profile.slots)
@@ -146,10 +149,28 @@
             chat=isinstance(body, ChatRequest),
         )
         self.served += 1
+        self._record(req, generation, await req.read())
         if body.stream:
             return await self._stream(req, generation)
         return await self._whole(generation)
 
+    def _record(self, req: web.Request, gen: _Generation, body: bytes) -> None:
+        self.executions.append(
+            Execution(
+                path=req.path,
+                method=req.method,
+                request_id=gen.request_id,
+                operation_id="",
+                body_digest=digest_of(body),
+                at=time.time(),
+                first_token=gen.first_token,
+            )
+        )
+
+    def clear_cache(self) -> None:
+        """Forget every cached prefix, as after a restart."""
+        self._cache.clear()
+
     def _holds(self, name: str) -> bool:
         model, _, adapter = name.partition(":")
         for loaded in self.state.models:
--- a/pimentospool/standins/_prefix_cache.py
+++ b/pimentospool/standins/_prefix_cache.py
@@ -68,6 +68,12 @@
             evicted, _ = self._blocks.popitem(last=False)
             self._publish(evicted, stored=False)
 
+    def clear(self) -> None:
+        """Evict every block."""
+        for block in self._blocks:
+            self._publish(block, stored=False)
+        self._blocks.clear()
+
     def export(self) -> list[str]:
         """Return the held blocks, least recently used first."""
         return list(self._blocks)
--- a/pimentospool/standins/_service.py
+++ b/pimentospool/standins/_service.py
@@ -7,21 +7,11 @@
 from aiohttp import web
 
 from pimentospool.revisions import digest_of
+from pimentospool.standins._executions import Execution
 
 NOT_EXECUTED_HEADER = "X-Not-Executed"
 
 
-class Execution(msgspec.Struct, kw_only=True):
-    """One execution of a call."""
-
-    path: str
-    method: str
-    request_id: str
-    operation_id: str
-    body_digest: str
-    at: float
-
-
 class ServiceAnswer(msgspec.Struct, kw_only=True):
     """Body that a call answers with."""
 
