--- /dev/null
+++ b/pimentospool/drill/_actions.py
@@ -0,0 +1,256 @@
+"""Brings failures about in a drill's fleet, and undoes them."""
+
+import asyncio
+import time
+
+import msgspec
+
+from pimentospool._generated.platform import VmKind, VmRecord, VmState
+from pimentospool._generated.scenario import FaultKind
+from pimentospool.drill._evidence import FaultWindow
+from pimentospool.drill._fleet import VM_LAG_SECONDS, DrillFleet
+from pimentospool.drill._publisher import Publisher
+from pimentospool.drill._scenarios import MOMENT_KINDS, PlannedFault
+from pimentospool.faults import Direction, FaultProxy
+from pimentospool.ids import EntryId, RegionId
+
+
+class FaultRunner:
+    """Carries out the planned faults of one scenario after the other.
+
+    Parameters
+    ----------
+    fleet : DrillFleet
+        What fails.
+    publisher : Publisher
+        Publishes configurations.
+    """
+
+    def __init__(self, *, fleet: DrillFleet, publisher: Publisher) -> None:
+        self.windows: list[FaultWindow] = []
+        self._fleet = fleet
+        self._publisher = publisher
+
+    def current(self) -> list[FaultWindow]:
+        """Return the failures that hold now."""
+        now = time.time()
+        return [window for window in self.windows if window.covers(now)]
+
+    async def run(self, scenario: str, faults: list[PlannedFault]) -> None:
+        """Bring about all `faults`, each at its time, and undo each at its end."""
+        started = asyncio.get_running_loop().time()
+        async with asyncio.TaskGroup() as group:
+            for fault in faults:
+                group.create_task(self._run_fault(scenario, fault, started))
+
+    async def _run_fault(
+        self, scenario: str, fault: PlannedFault, started: float
+    ) -> None:
+        await _sleep_until(started + fault.start)
+        now = time.time()
+        window = FaultWindow(
+            kind=fault.kind,
+            scenario=scenario,
+            start=now,
+            end=now + fault.end - fault.start,
+            region=fault.region,
+            other_region=fault.other_region,
+            entry=fault.entry,
+            target=fault.target,
+        )
+        self.windows.append(window)
+        await self._begin(fault, window)
+        if fault.kind in MOMENT_KINDS:
+            return
+        await _sleep_until(started + fault.end)
+        await self._undo(fault, window)
+        window.end = time.time()
+
+    async def _begin(self, fault: PlannedFault, window: FaultWindow) -> None:
+        fleet = self._fleet
+        match fault.kind:
+            case FaultKind.REGION_LOST:
+                for target in fleet.targets_of(fault.region):
+                    fleet.target_links[target].cut()
+                for entry in fleet.entries_of(fault.region):
+                    await self._kill(entry)
+            case FaultKind.CAPACITY_LOST:
+                for link in self._spare_engines(fault.region):
+                    link.cut()
+            case FaultKind.REGION_ISOLATED:
+                self._isolate(fault.region)
+            case FaultKind.LINK_CUT:
+                for end in self._links(fault):
+                    end.proxy.cut(source=end.source)
+            case FaultKind.LINK_SILENT:
+                for end in self._links(fault):
+                    end.proxy.blackhole(source=end.source)
+            case FaultKind.LINK_ONE_WAY:
+                for end in self._links(fault):
+                    end.proxy.blackhole(end.direction, source=end.source)
+            case FaultKind.CONNECTIONS_SILENT:
+                for proxy in self._links_in(fault.region):
+                    proxy.lose_connections()
+            case FaultKind.CACHES_COLD:
+                self._clear_caches(fault.region)
+            case FaultKind.CONFIGURATION_DOWN:
+                for links in fleet.platform_links.values():
+                    links["configuration"].cut()
+            case FaultKind.CONFIGURATION_STALE:
+                await self._publisher.go_stale()
+            case FaultKind.MANIFEST_PUBLISHED:
+                await self._publisher.publish()
+            case FaultKind.MANIFEST_REFUSED:
+                await self._publisher.publish_unacceptable()
+            case FaultKind.ENTRY_KILLED:
+                assert fault.entry is not None
+                await self._kill(fault.entry)
+            case FaultKind.ENTRY_PAUSED:
+                assert fault.entry is not None
+                fleet.processes[fault.entry].pause()
+            case FaultKind.ENTRY_REPLACED:
+                await self._replace(window)
+            case FaultKind.TARGET_LEAVING:
+                self._set_leaving(window, leaving=True)
+                # The window begins once the lagging VM list shows it.
+                window.start = time.time() + VM_LAG_SECONDS
+
+    async def _undo(self, fault: PlannedFault, window: FaultWindow) -> None:
+        fleet = self._fleet
+        match fault.kind:
+            case FaultKind.REGION_LOST:
+                self._clear_caches(fault.region)
+                for target in fleet.targets_of(fault.region):
+                    fleet.target_links[target].heal()
+                entries = fleet.entries_of(fault.region)
+                await asyncio.gather(*(self._restart(entry) for entry in entries))
+            case FaultKind.CAPACITY_LOST:
+                self._clear_caches(fault.region)
+                for link in self._spare_engines(fault.region):
+                    link.heal()
+            case FaultKind.REGION_ISOLATED:
+                self._rejoin(fault.region)
+            case FaultKind.LINK_CUT | FaultKind.LINK_SILENT | FaultKind.LINK_ONE_WAY:
+                for end in self._links(fault):
+                    end.proxy.heal(source=end.source)
+            case FaultKind.CONFIGURATION_DOWN:
+                for links in fleet.platform_links.values():
+                    links["configuration"].heal()
+            case FaultKind.CONFIGURATION_STALE:
+                await self._publisher.recover()
+            case FaultKind.ENTRY_KILLED:
+                assert fault.entry is not None
+                await self._restart(fault.entry)
+            case FaultKind.ENTRY_PAUSED:
+                assert fault.entry is not None
+                fleet.processes[fault.entry].wake()
+            case FaultKind.ENTRY_REPLACED:
+                assert fault.entry is not None
+                await fleet.processes[fault.entry].wait_ready()
+            case FaultKind.TARGET_LEAVING:
+                self._set_leaving(window, leaving=False)
+
+    async def _kill(self, entry: EntryId) -> None:
+        process = self._fleet.processes[entry]
+        process.kill()
+        self._fleet.deployment.vm_list.remove(entry)
+        await process.wait()
+
+    async def _restart(self, entry: EntryId) -> None:
+        await self._fleet.start_entry(entry)
+        self._fleet.deployment.vm_list.update(self._fleet.vm_record(entry))
+        await self._fleet.processes[entry].wait_ready()
+
+    async def _replace(self, window: FaultWindow) -> None:
+        assert window.entry is not None
+        vm_list = self._fleet.deployment.vm_list
+        vm_list.update(self._fleet.vm_record(window.entry, leaving=True))
+        process = self._fleet.processes[window.entry]
+        window.start = time.time()
+        process.terminate()
+        window.exit_code = await process.wait()
+        await self._restart(window.entry)
+
+    def _set_leaving(self, window: FaultWindow, *, leaving: bool) -> None:
+        assert window.target is not None
+        vm_list = self._fleet.deployment.vm_list
+        if not leaving:
+            vm_list.remove(window.target)
+            return
+        vm_list.update(
+            VmRecord(
+                id=window.target,
+                kind=VmKind.TARGET,
+                state=VmState.LEAVING,
+                region=window.region,
+            )
+        )
+
+    def _spare_engines(self, region: RegionId) -> list[FaultProxy]:
+        """Return the links to all engines of `region` but the first."""
+        fleet = self._fleet
+        engines = [
+            target
+            for target in fleet.targets_of(region)
+            if target in fleet.deployment.engines
+        ]
+        return [fleet.target_links[target] for target in engines[1:]]
+
+    def _clear_caches(self, region: RegionId) -> None:
+        for target in self._fleet.targets_of(region):
+            engine = self._fleet.deployment.engines.get(target)
+            if engine is not None:
+                engine.clear_cache()
+
+    def _isolate(self, region: RegionId) -> None:
+        for other in self._fleet.regions():
+            if other != region:
+                for end in self._pair(region, other):
+                    end.proxy.blackhole(source=end.source)
+        for proxy in self._fleet.platform_links[region].values():
+            proxy.blackhole()
+
+    def _rejoin(self, region: RegionId) -> None:
+        for other in self._fleet.regions():
+            if other != region:
+                for end in self._pair(region, other):
+                    end.proxy.heal(source=end.source)
+        for proxy in self._fleet.platform_links[region].values():
+            proxy.heal()
+
+    def _links(self, fault: PlannedFault) -> list["SourceLink"]:
+        assert fault.other_region is not None
+        return self._pair(fault.region, fault.other_region)
+
+    def _pair(self, region: RegionId, other: RegionId) -> list["SourceLink"]:
+        """Return both regions' links, each with its direction away from `region`."""
+        fleet = self._fleet
+        links = []
+        for near in fleet.entries_of(region):
+            for far in fleet.entries_of(other):
+                for proxy in fleet.entry_links[far].all():
+                    links.append(SourceLink(proxy, near, Direction.TO_SERVER))
+                for proxy in fleet.entry_links[near].all():
+                    links.append(SourceLink(proxy, far, Direction.TO_CLIENT))
+        return links
+
+    def _links_in(self, region: RegionId) -> list[FaultProxy]:
+        """Return the links of `region`'s entry VMs, targets and platform."""
+        fleet = self._fleet
+        links = [fleet.target_links[target] for target in fleet.targets_of(region)]
+        links += fleet.platform_links[region].values()
+        for entry in fleet.entries_of(region):
+            links += fleet.entry_links[entry].all()
+        return links
+
+
+class SourceLink(msgspec.Struct):
+    """A link's proxy, one source behind it and a direction."""
+
+    proxy: FaultProxy
+    source: EntryId
+    direction: Direction
+
+
+async def _sleep_until(at: float) -> None:
+    await asyncio.sleep(max(0.0, at - asyncio.get_running_loop().time()))
--- a/pimentospool/drill/_processes.py
+++ b/pimentospool/drill/_processes.py
@@ -37,6 +37,13 @@
         """Path of the process's log."""
         return self._folder / f"{self.cfg.entry.id}.log"
 
+    @property
+    def pid(self) -> int | None:
+        """Process id while the process runs."""
+        if self._process is None or self._process.returncode is not None:
+            return None
+        return self._process.pid
+
     async def start(self) -> None:
         """Start the process; it is not ready yet."""
         path = self._folder / f"{self.cfg.entry.id}.toml"
--- a/pimentospool/faults/_proxy.py
+++ b/pimentospool/faults/_proxy.py
@@ -185,10 +185,12 @@
         conn = _Connection(source, writer, upstream[1])
         self._connections.add(conn)
         try:
-            await asyncio.gather(
-                self._relay(conn, reader, Direction.TO_SERVER),
-                self._relay(conn, upstream[0], Direction.TO_CLIENT),
-            )
+            # The stream server logs a cancelled handler as an error.
+            with suppress(asyncio.CancelledError):
+                await asyncio.gather(
+                    self._relay(conn, reader, Direction.TO_SERVER),
+                    self._relay(conn, upstream[0], Direction.TO_CLIENT),
+                )
         finally:
             self._connections.discard(conn)
             conn.reset()
