--- a/pimentospool/callers/_parsing.py
+++ b/pimentospool/callers/_parsing.py
@@ -22,6 +22,7 @@
 from pimentospool.ids import ModelId, OperationId, RequestId, ServiceId
 from pimentospool.prompts import count_tokens, prefix_blocks, prompt_text
 from pimentospool.requests import GatewayRequest, RequestKind
+from pimentospool.targets import LAST_EVENT_HEADER
 from pimentospool.verdicts import Verdict
 from pimentospool.views import View
 
@@ -168,6 +169,7 @@
             max_tokens=max_tokens or DEFAULT_MAX_TOKENS,
             blocks=tuple(prefix_blocks(text)),
             hop=hop,
+            resume_after=_resume_after(http) if hop is not None else None,
         )
 
     def _verify_hop(self, http: HttpRequest) -> HopHeader:
@@ -204,6 +206,15 @@
         raise _refuse(Reason.BAD_REQUEST, f"the body is refused: {exc}") from exc
 
 
+def _resume_after(http: HttpRequest) -> int | None:
+    value = http.headers.get(LAST_EVENT_HEADER)
+    if value is None:
+        return None
+    if not value.isdecimal():
+        raise _refuse(Reason.BAD_REQUEST, f"{LAST_EVENT_HEADER} must be a number")
+    return int(value)
+
+
 def _request_id(hop: HopHeader | None) -> RequestId:
     return hop.request_id if hop is not None else RequestId(uuid.uuid4().hex)
 
