Add the drill command, its report and its terminal view

Cause: operators had no way to show that the service survives the loss of a region, a link or its configuration.

Ruled out: a state of each link by address, since entry VMs spread one address for all regions; connections are told apart by the process that opened them.

--- a/pimentospool/client/__init__.py
+++ b/pimentospool/client/__init__.py
@@ -11,7 +11,12 @@
     RefusedError,
     UnansweredError,
 )
-from pimentospool.client._history import AttemptEnd, NextStep, OperationHistory
+from pimentospool.client._history import (
+    AttemptEnd,
+    NextStep,
+    OperationHistory,
+    RepeatHistory,
+)
 
 __all__ = [
     "AttemptEnd",
@@ -25,6 +30,7 @@
     "NoEntryError",
     "OperationHistory",
     "RefusedError",
+    "RepeatHistory",
     "RetryBudget",
     "UnansweredError",
 ]
--- a/pimentospool/commands/__init__.py
+++ b/pimentospool/commands/__init__.py
@@ -6,6 +6,7 @@
     "bench",
     "check",
     "demo",
+    "drill",
     "entry",
     "load",
     "standin",
--- a/pimentospool/drill/__init__.py
+++ b/pimentospool/drill/__init__.py
@@ -1,5 +1,50 @@
-"""Failures on demand against real processes on loopback."""
+"""Failures on demand against real processes on loopback, and what is judged of them."""
 
+from pimentospool.drill._evidence import (
+    Evidence,
+    FaultWindow,
+    HopSeen,
+    Promise,
+    PromiseResult,
+    Publication,
+    RevisionSample,
+    TargetExecution,
+)
+from pimentospool.drill._judge import Judge, all_held
+from pimentospool.drill._live import LiveWatch, declared_faults
 from pimentospool.drill._processes import EntryProcess
+from pimentospool.drill._report import DrillReport, make_report, write_report
+from pimentospool.drill._runner import Drill, DrillProgress
+from pimentospool.drill._scenarios import (
+    PlannedFault,
+    ScenarioPlanner,
+    parse_scenario,
+    read_scenario,
+)
+from pimentospool.drill._view import DrillView
 
-__all__ = ["EntryProcess"]
+__all__ = [
+    "Drill",
+    "DrillProgress",
+    "DrillReport",
+    "DrillView",
+    "EntryProcess",
+    "Evidence",
+    "FaultWindow",
+    "HopSeen",
+    "Judge",
+    "LiveWatch",
+    "PlannedFault",
+    "Promise",
+    "PromiseResult",
+    "Publication",
+    "RevisionSample",
+    "ScenarioPlanner",
+    "TargetExecution",
+    "all_held",
+    "declared_faults",
+    "make_report",
+    "parse_scenario",
+    "read_scenario",
+    "write_report",
+]
--- /dev/null
+++ b/pimentospool/drill/_live.py
@@ -0,0 +1,108 @@
+"""A drill of the real service: its status and its callers' records are watched.
+
+Nothing is brought about here; the manifest declares what is lost, and when.
+"""
+
+import asyncio
+import time
+from collections.abc import Iterable
+
+import aiohttp
+import msgspec
+
+from pimentospool._generated.manifest import DrillKind, DrillWindow
+from pimentospool._generated.records import CallerRecord
+from pimentospool._generated.scenario import FaultKind
+from pimentospool._generated.status import EntryStatus
+from pimentospool.drill._evidence import (
+    Evidence,
+    FaultWindow,
+    RevisionSample,
+    TargetExecution,
+)
+from pimentospool.manifest import Manifest
+from pimentospool.status import STATUS_PATH
+
+_INTERVAL_SECONDS = 0.5
+_TIMEOUT_SECONDS = 2.0
+_SCENARIO = "manifest"
+
+
+class LiveWatch:
+    """Watches the status pages of a real service's entry VMs.
+
+    Parameters
+    ----------
+    manifest : Manifest
+        Manifest in force, with its drill windows.
+    admin_addresses : list of str
+        IP:port of the entry VMs' admin interfaces.
+    """
+
+    def __init__(self, *, manifest: Manifest, admin_addresses: list[str]) -> None:
+        self.evidence = Evidence(
+            manifest=manifest,
+            entry_regions={},
+            executions_known=False,
+            faults=[
+                fault for window in manifest.drill for fault in declared_faults(window)
+            ],
+        )
+        self._admin_addresses = admin_addresses
+
+    async def run(self, seconds: float) -> None:
+        """Watch for a time."""
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS)
+        end = time.monotonic() + seconds
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while time.monotonic() < end:
+                await asyncio.gather(
+                    *(self._ask(session, address) for address in self._admin_addresses)
+                )
+                await asyncio.sleep(_INTERVAL_SECONDS)
+
+    def add_records(self, records: Iterable[CallerRecord]) -> None:
+        """Take over what callers saw."""
+        self.evidence.records.extend(records)
+
+    def add_executions(self, executions: Iterable[TargetExecution]) -> None:
+        """Take over what targets recorded."""
+        self.evidence.executions.extend(executions)
+        self.evidence.executions_known = True
+
+    async def _ask(self, session: aiohttp.ClientSession, address: str) -> None:
+        try:
+            async with session.get(f"http://{address}{STATUS_PATH}") as resp:
+                status = msgspec.json.decode(await resp.read(), type=EntryStatus)
+        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError):
+            return
+        self.evidence.entry_regions[status.entry] = status.region
+        self.evidence.samples.append(
+            RevisionSample(
+                entry=status.entry, at=time.time(), revision=status.revision.number
+            )
+        )
+
+
+def declared_faults(window: DrillWindow) -> list[FaultWindow]:
+    """Return the failures that a manifest's drill window declares."""
+    kind = {
+        DrillKind.REGION: FaultKind.REGION_LOST,
+        DrillKind.LINK: FaultKind.LINK_CUT,
+        DrillKind.CONFIGURATION: FaultKind.CONFIGURATION_DOWN,
+    }[window.kind]
+    if window.kind is DrillKind.LINK and len(window.regions) > 1:
+        pairs = [(window.regions[0], window.regions[1])]
+    else:
+        pairs = [(region, None) for region in window.regions or ["everywhere"]]  # type: ignore[misc, list-item]
+    return [
+        FaultWindow(
+            kind=kind,
+            scenario=_SCENARIO,
+            start=window.start,
+            end=window.end,
+            region=region,
+            other_region=other,
+        )
+        for region, other in pairs
+    ]
--- a/pimentospool/drill/_runner.py
+++ b/pimentospool/drill/_runner.py
@@ -32,7 +32,7 @@
 
 ENGINE_SPEED = 8.0
 CALL_DEADLINE_SECONDS = 10.0
-SETTLE_SECONDS = 3.0
+SETTLE_SECONDS = 2.0
 
 
 class DrillProgress(msgspec.Struct, kw_only=True):
--- a/pimentospool/faults/_proxy.py
+++ b/pimentospool/faults/_proxy.py
@@ -236,6 +236,8 @@
                     await asyncio.sleep(piece.due - loop.time())
                 state = self._state_of(conn.source)
                 dropped = conn.lost or direction in state.silent
+                if writer.transport.is_closing():
+                    return
                 if piece.data is None:
                     break
                 if dropped:
--- a/pimentospool/load/_callers.py
+++ b/pimentospool/load/_callers.py
@@ -15,16 +15,21 @@
     CallKind,
     CallOutcome,
 )
+from pimentospool.client import (
+    AttemptEnd,
+    NextStep,
+    OperationHistory,
+    RepeatHistory,
+)
 from pimentospool.errors import Problem
 from pimentospool.ids import EntryId, OperationId, RegionId, RequestId, ServiceId
 from pimentospool.load._checks import AnswerCheck
-from pimentospool.load._traffic import Call, KeyOf
+from pimentospool.load._traffic import SERVICES_PREFIX, Call, KeyOf
 from pimentospool.verdicts import Verdict
 
 MAX_ATTEMPTS = 3
 _PROBLEM_TYPE = "application/problem+json"
 _OPERATIONS_PATH = "/v1/operations"
-SERVICES_PREFIX = "/v1/services/"
 _OPERATION_HEADER = "Operation-Id"
 _DEADLINE_HEADER = "X-Deadline-Seconds"
 _REQUEST_ID_HEADER = "X-Request-Id"
@@ -33,7 +38,6 @@
 _MAX_PAUSE_SECONDS = 1.0
 _GRACE_SECONDS = 2.0
 _ERROR_EVENT = b"event: error\ndata: "
-_PASSING_STATUSES = (429, 502, 503, 504)
 
 
 class EntryAddress(msgspec.Struct, kw_only=True, frozen=True):
@@ -57,6 +61,7 @@
     status: int = 0
     request_id: str = ""
     verdict: str = ""
+    attempt_verdict: str = ""
     reason: str = ""
     first_at: float | None = None
     retry_after_seconds: float = 0.0
@@ -119,16 +124,22 @@
             body_digest=call.body_digest,
         )
         deadline = time.time() + self._deadline_seconds
+        once = call.kind is CallKind.NON_IDEMPOTENT
+        history = OperationHistory() if once else RepeatHistory()
         sent = 0
         for entry in self._candidates(call):
             remaining = deadline - time.time()
             if remaining <= 0 or sent >= MAX_ATTEMPTS:
                 break
+            history.started()
             answer = await self._attempt(call, record, entry, remaining)
+            if answer.outcome in (CallOutcome.WHOLE, CallOutcome.WRONG):
+                break
             sent += answer.outcome is not CallOutcome.UNREACHABLE
-            if not _may_repeat(call, record, answer):
+            step = history.ended(_end_of(answer))
+            if step is NextStep.STOP:
                 break
-            if answer.verdict == Verdict.NOT_RUN.value:
+            if step is NextStep.NEW_TICKET:
                 record.operation_id = OperationId("")
             await asyncio.sleep(min(answer.retry_after_seconds, _MAX_PAUSE_SECONDS))
         record.ended_at = time.time()
@@ -175,7 +186,7 @@
         }
         if call.kind is CallKind.NON_IDEMPOTENT:
             try:
-                await self._open_operation(call, record, entry, headers)
+                await self._take_ticket(call, record, entry, headers)
             except (aiohttp.ClientError, OSError, TimeoutError) as exc:
                 return _Answer(outcome=CallOutcome.UNREACHABLE, reason=repr(exc))
             if record.operation_id:
@@ -196,7 +207,7 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             return _Answer(outcome=CallOutcome.BROKEN, reason=repr(exc))
 
-    async def _open_operation(
+    async def _take_ticket(
         self,
         call: Call,
         record: CallerRecord,
@@ -205,13 +216,14 @@
     ) -> None:
         if record.operation_id:
             return
-        url = f"http://{entry.address}{_OPERATIONS_PATH}"
         service, _, path = call.path.removeprefix(SERVICES_PREFIX).partition("/")
         asked = TicketRequest(service=ServiceId(service), path=path, method=call.method)
-        body = msgspec.json.encode(asked)
+        url = f"http://{entry.address}{_OPERATIONS_PATH}"
         async with (
             asyncio.timeout(_TICKET_SECONDS),
-            self._session.post(url, data=body, headers=headers) as resp,
+            self._session.post(
+                url, data=msgspec.json.encode(asked), headers=headers
+            ) as resp,
         ):
             data = await resp.read()
             if resp.ok:
@@ -258,18 +270,21 @@
         status=status,
         request_id=problem.request_id,
         verdict=problem.verdict.value,
+        attempt_verdict=(problem.attempt_verdict or problem.verdict).value,
         reason=problem.error.type,
         retry_after_seconds=problem.retry_after_seconds or 0.0,
     )
 
 
-def _may_repeat(call: Call, record: CallerRecord, answer: _Answer) -> bool:
-    if answer.outcome is CallOutcome.UNREACHABLE:
-        return True
-    if answer.outcome in (CallOutcome.WHOLE, CallOutcome.WRONG):
-        return False
-    if answer.verdict == Verdict.NOT_RUN.value:
-        return answer.status in _PASSING_STATUSES
-    if call.kind is CallKind.NON_IDEMPOTENT:
-        return answer.outcome is CallOutcome.BROKEN and bool(record.operation_id)
-    return True
+def _end_of(answer: _Answer) -> AttemptEnd:
+    if answer.outcome is CallOutcome.REFUSED:
+        verdict = Verdict(answer.verdict)
+        return AttemptEnd(
+            verdict=verdict,
+            attempt_verdict=Verdict(answer.attempt_verdict or answer.verdict),
+            reason=answer.reason,
+            retry_after_seconds=answer.retry_after_seconds or None,
+        )
+    sent = answer.outcome is CallOutcome.BROKEN
+    attempt = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN
+    return AttemptEnd(verdict=Verdict.MAY_HAVE_RUN, attempt_verdict=attempt)
--- a/pimentospool/load/_traffic.py
+++ b/pimentospool/load/_traffic.py
@@ -13,6 +13,7 @@
 
 KeyOf = Callable[[Customer], str]
 CHAT_PATH = "/v1/chat/completions"
+SERVICES_PREFIX = "/v1/services/"
 _PREFIXES = 8
 _WORD = "care label and history "
 
@@ -157,7 +158,7 @@
             region=region,
             kind=kind,
             method=call.method.value,
-            path=f"/v1/services/{service}/{call.path}",
+            path=f"{SERVICES_PREFIX}{service}/{call.path}",
             body=msgspec.json.encode({"call": call_id}),
         )
 
