--- a/pimentospool/commands/__init__.py
+++ b/pimentospool/commands/__init__.py
@@ -10,6 +10,7 @@
     "entry",
     "load",
     "standin",
+    "status",
 ]
 
 __all__ = ["COMMANDS", "LazyGroup"]
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -1,7 +1,15 @@
 """Decisions of the gateway: no input or output, no clock and no global random."""
 
+from pimentospool.policy._drills import DrillView
+from pimentospool.policy._entries import rank_entries
 from pimentospool.policy._flights import RegionFlight, TargetFlight
 from pimentospool.policy._limits import CustomerLimiter, LimitRefusal
+from pimentospool.policy._membership import (
+    ChangeKind,
+    MemberChange,
+    Membership,
+    newer_member,
+)
 from pimentospool.policy._operations import (
     HeldAnswer,
     Join,
@@ -27,8 +35,11 @@
     place_models,
 )
 from pimentospool.policy._queue import QueueRefusal, Ticket, WaitQueue
+from pimentospool.policy._readers import rank_members
 from pimentospool.policy._refusals import Refusal, owner_gone
+from pimentospool.policy._reports import ReportBook, newer_report
 from pimentospool.policy._retries import RetryDecision, RetryPolicy
+from pimentospool.policy._revisions import RefusedRevision, RevisionBook, is_newer
 from pimentospool.policy._routes import (
     RegionRoute,
     RouteQuery,
@@ -40,14 +51,18 @@
 from pimentospool.policy._shares import QuotaShares
 
 __all__ = [
+    "ChangeKind",
     "CustomerLimiter",
     "DesiredEngine",
     "DesiredModel",
+    "DrillView",
     "FencingTerms",
     "HeldAnswer",
     "Join",
     "LedgerLimits",
     "LimitRefusal",
+    "MemberChange",
+    "Membership",
     "OperationCall",
     "OperationLedger",
     "OperationRef",
@@ -57,11 +72,14 @@
     "QueueRefusal",
     "QuotaShares",
     "Refusal",
+    "RefusedRevision",
     "RegionFlight",
     "RegionRoute",
     "Replay",
+    "ReportBook",
     "RetryDecision",
     "RetryPolicy",
+    "RevisionBook",
     "Route",
     "RouteQuery",
     "RouteReason",
@@ -75,7 +93,12 @@
     "WaitQueue",
     "fencing_number",
     "fencing_revision",
+    "is_newer",
+    "newer_member",
+    "newer_report",
     "owner_gone",
     "place_models",
     "plan_orders",
+    "rank_entries",
+    "rank_members",
 ]
