--- a/pimentospool/drill/_processes.py
+++ b/pimentospool/drill/_processes.py
@@ -9,11 +9,18 @@
 import aiohttp
 
 from pimentospool._generated.settings import Settings
+from pimentospool.errors import PimentospoolError
 from pimentospool.settings import encode_settings
 
 _ROOT = Path(__file__).resolve().parents[2]
 _READY_SECONDS = 20.0
 _POLL_SECONDS = 0.05
+_ANSWER_SECONDS = 2.0
+_SHOWN_LOG_LINES = 20
+
+
+class NotReadyError(PimentospoolError):
+    """An entry process did not serve in time."""
 
 
 class EntryProcess:
@@ -61,18 +68,37 @@
             )
 
     async def wait_ready(self) -> None:
-        """Wait until the process answers callers with a revision in force."""
+        """Wait until the process answers callers with a revision in force.
+
+        Raises
+        ------
+        NotReadyError
+            If it does not within 20 s; it holds the end of the process's log.
+        """
+        try:
+            async with asyncio.timeout(_READY_SECONDS):
+                await self._poll_until_ready()
+        except TimeoutError as exc:
+            lines = self.log_path.read_text().splitlines()[-_SHOWN_LOG_LINES:]
+            detail = f"{self.cfg.entry.id} (exit code {self._exit_code()})"
+            raise NotReadyError("\n".join([detail, *lines])) from exc
+
+    async def _poll_until_ready(self) -> None:
         url = f"http://{self.cfg.entry.caller_address}/v1/entries"
-        async with asyncio.timeout(_READY_SECONDS), aiohttp.ClientSession() as session:
+        timeout = aiohttp.ClientTimeout(total=_ANSWER_SECONDS)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 try:
                     async with session.get(url) as resp:
                         if (await resp.json())["revision"]:
                             return
-                except aiohttp.ClientError:
+                except (aiohttp.ClientError, OSError, TimeoutError):
                     pass
                 await asyncio.sleep(_POLL_SECONDS)
 
+    def _exit_code(self) -> int | None:
+        return None if self._process is None else self._process.returncode
+
     def pause(self) -> None:
         """Freeze the process."""
         self._send(signal.SIGSTOP)
--- a/pimentospool/load/_callers.py
+++ b/pimentospool/load/_callers.py
@@ -186,11 +186,12 @@
         }
         if call.kind is CallKind.NON_IDEMPOTENT:
             try:
-                await self._take_ticket(call, record, entry, headers)
+                refused = await self._take_ticket(call, record, entry, headers)
             except (aiohttp.ClientError, OSError, TimeoutError) as exc:
                 return _Answer(outcome=CallOutcome.UNREACHABLE, reason=repr(exc))
-            if record.operation_id:
-                headers[_OPERATION_HEADER] = record.operation_id
+            if refused is not None:
+                return refused
+            headers[_OPERATION_HEADER] = record.operation_id
         try:
             async with (
                 asyncio.timeout(remaining + _GRACE_SECONDS),
@@ -213,9 +214,10 @@
         record: CallerRecord,
         entry: EntryAddress,
         headers: dict[str, str],
-    ) -> None:
+    ) -> _Answer | None:
+        """Take a ticket unless there is one; return the answer of a refusal."""
         if record.operation_id:
-            return
+            return None
         service, _, path = call.path.removeprefix(SERVICES_PREFIX).partition("/")
         asked = TicketRequest(service=ServiceId(service), path=path, method=call.method)
         url = f"http://{entry.address}{_OPERATIONS_PATH}"
@@ -226,9 +228,11 @@
             ) as resp,
         ):
             data = await resp.read()
-            if resp.ok:
-                ticket = msgspec.json.decode(data, type=OperationTicket)
-                record.operation_id = OperationId(ticket.operation_id)
+        if not resp.ok:
+            return _refusal(resp.status, data)
+        ticket = msgspec.json.decode(data, type=OperationTicket)
+        record.operation_id = OperationId(ticket.operation_id)
+        return None
 
     async def _read(self, call: Call, resp: aiohttp.ClientResponse) -> _Answer:
         first_at = None
--- a/tests/load/test_load_callers.py
+++ b/tests/load/test_load_callers.py
@@ -1,6 +1,5 @@
 """Callers against a deployment of stand-ins."""
 
-import asyncio
 import random
 import time
 from pathlib import Path
@@ -103,38 +102,43 @@
 
 
 class Refusing:
-    """Answers like an entry VM that refuses everything."""
+    """Answers like an entry VM that gives tickets and refuses every call."""
 
-    def __init__(self, *, verdict, stall=0.0):
-        self.calls = 0
-        self.stall = stall
+    def __init__(self, *, verdict, tickets):
+        self.tickets = tickets
+        self.used = []
         self.failure = RequestFailure(
             reason=Reason.TARGET_FAILED, detail="no", verdict=verdict
         )
 
     def routes(self):
         return [
-            web.post("/v1/operations", self.no_operations),
+            web.post("/v1/operations", self.give_ticket),
             web.route("*", "/{path:.+}", self.refuse),
         ]
 
-    async def no_operations(self, req):
-        return web.Response(status=404)
+    async def give_ticket(self, req):
+        if not self.tickets:
+            return self.problem()
+        return web.json_response({"operation_id": self.tickets.pop()})
 
     async def refuse(self, req):
-        self.calls += 1
-        await asyncio.sleep(self.stall)
-        problem = self.failure.problem(request_id="r")
-        return web.json_response(
-            text=msgspec.json.encode(problem).decode(),
-            status=502,
-            content_type="application/problem+json",
+        self.used.append(req.headers.get("Operation-Id"))
+        return self.problem()
+
+    def problem(self):
+        body = msgspec.json.encode(self.failure.problem(request_id="r"))
+        return web.Response(
+            body=body, status=502, content_type="application/problem+json"
         )
 
 
-def send_refused(runner, verdict, **mix):
+def send_refused(runner, verdict, *, tickets=("t2", "t1"), **mix):
+    """Send one call to two entry VMs; return the tickets of what reached them."""
+
     async def check():
-        made = [Refusing(verdict=verdict) for _ in range(2)]
+        left = list(tickets)
+        made = [Refusing(verdict=verdict, tickets=left) for _ in range(2)]
         servers = [await serve_standin(item, "127.0.0.1:0") for item in made]
         callers = make_callers([server.address for server in servers])
         try:
@@ -145,7 +149,7 @@
             for server in servers:
                 await server.close()
         assert record.outcome is CallOutcome.REFUSED
-        return sum(item.calls for item in made)
+        return sorted(made[0].used + made[1].used, key=str)
 
     return runner.run(check())
 
@@ -154,10 +158,15 @@
 AGAIN = {**ONCE, "idempotent": 1, "non_idempotent": 0}
 
 
-def test_only_what_may_run_twice_is_sent_again(runner):
-    assert send_refused(runner, Verdict.NOT_RUN, **ONCE) == 2
-    assert send_refused(runner, Verdict.MAY_HAVE_RUN, **ONCE) == 1
-    assert send_refused(runner, Verdict.MAY_HAVE_RUN, **AGAIN) == 2
+def test_a_call_that_may_run_once_is_sent_again_only_under_its_ticket(runner):
+    assert send_refused(runner, Verdict.NOT_RUN, **ONCE) == ["t1", "t2"]
+    assert send_refused(runner, Verdict.MAY_HAVE_RUN, **ONCE) == ["t1", "t1"]
+    assert send_refused(runner, Verdict.RAN, **ONCE) == ["t1"]
+    assert send_refused(runner, Verdict.NOT_RUN, tickets=(), **ONCE) == []
+
+
+def test_an_idempotent_call_is_sent_again(runner):
+    assert send_refused(runner, Verdict.MAY_HAVE_RUN, **AGAIN) == [None, None]
 
 
 def test_latency_counts_from_the_due_time(runner):
