--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -72,6 +72,7 @@
         proxied = change(proxied)
     settings = deployment.entry_settings(counts)
     for cfg in settings:
+        cfg.peers.leave_seconds = 0.05
         cfg.targets.progress_timeout_seconds = 0.5
         cfg.targets.answer_timeout_seconds = 1.0
     entries = [Entry(cfg=cfg) for cfg in settings]
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -24,6 +24,8 @@
     deployment = StandinDeployment(manifest=manifest, speed=100.0)
     await deployment.start()
     settings = deployment.entry_settings({manifest.zones[0].id: 1})
+    for cfg in settings:
+        cfg.peers.leave_seconds = 0.05
     entries = [Entry(cfg=cfg) for cfg in settings]
     for entry in entries:
         await entry.start()
