Bound slow callers and end every connection whole when leaving

Cause: sanic counts the request timeout from the last byte and not at all for the body, so one byte now and then held a connection for ever; a refusal of an unparsed header was reported as an oversized body; an answer still in the send buffer was cut when the entry process stopped; keys and hop headers with bytes beyond ASCII ended in status 500. Change: the header and the body each have the request timeout from their first byte; connections are closed once their answer is sent; refusals of the parser are told apart.

--- a/pimentospool/callers/_app.py
+++ b/pimentospool/callers/_app.py
@@ -7,7 +7,6 @@
 import msgspec
 from sanic import HTTPResponse, Sanic
 from sanic import Request as HttpRequest
-from sanic.exceptions import SanicException
 from sanic.server.async_server import AsyncioServer
 
 from pimentospool._generated.callers import (
@@ -15,7 +14,19 @@
     ModelList,
 )
 from pimentospool._generated.settings import Settings
+from pimentospool.callers._connections import (
+    CallerProtocol,
+    CallerRequest,
+    ConnectionDrain,
+    close_after_answer,
+)
 from pimentospool.callers._parsing import OPERATION_HEADER, TICKET_PATH, RequestParser
+from pimentospool.callers._problems import (
+    answer_error,
+    end_with_error,
+    for_request,
+    problem_response,
+)
 from pimentospool.callers._sinks import HttpSink
 from pimentospool.control import ControlPlane
 from pimentospool.entry_choice import EntryChooser
@@ -23,22 +34,12 @@
 from pimentospool.hops import HOP_HEADER, HOP_PREFIX, HopSigner
 from pimentospool.ids import RegionId, RequestId, ZoneId
 from pimentospool.log import Event, log_event
-from pimentospool.operations import for_operation
 from pimentospool.requests import GatewayRequest, RequestServer
-from pimentospool.targets import REQUEST_ID_HEADER
 from pimentospool.verdicts import Verdict
 from pimentospool.views import View
 
-PROBLEM_TYPE = "application/problem+json"
 _POLL_SECONDS = 0.05
-_REASONS_BY_STATUS = {
-    400: Reason.BAD_REQUEST,
-    404: Reason.UNKNOWN_PATH,
-    405: Reason.METHOD_NOT_ALLOWED,
-    408: Reason.REQUEST_TIMEOUT,
-    413: Reason.BODY_TOO_LARGE,
-    431: Reason.HEADERS_TOO_LARGE,
-}
+_KEEP_ALIVE_SECONDS = 75
 
 
 class CallerServer:
@@ -80,7 +81,11 @@
         """Listen on the caller address."""
         host, _, port = self._cfg.entry.caller_address.rpartition(":")
         server = await self._app.create_server(
-            host, int(port), return_asyncio_server=True, access_log=False
+            host,
+            int(port),
+            protocol=CallerProtocol,
+            return_asyncio_server=True,
+            access_log=False,
         )
         assert server is not None
         await server.startup()
@@ -99,17 +104,20 @@
             log_event(Event.ENTRY_DRAIN_EXPIRED, in_progress=self.in_progress)
 
     async def close(self) -> None:
-        """Stop listening and close every connection."""
-        if self._server is not None:
-            self._server.close()
-            await self._server.wait_closed()
+        """Stop listening; close each connection once its answer is sent."""
+        if self._server is None:
+            return
+        self._server.close()
+        drain = ConnectionDrain(server=self._server)
+        await drain.run(self._cfg.callers.drain_seconds)
 
     def _build_app(self) -> Sanic:
         name = f"callers-{self._cfg.entry.id}-{id(self):x}".replace(".", "-")
-        app: Sanic = Sanic(name, configure_logging=False)
+        app: Sanic = Sanic(name, configure_logging=False, request_class=CallerRequest)
         app.config.REQUEST_MAX_SIZE = self._cfg.callers.max_body_bytes
         app.config.REQUEST_TIMEOUT = self._cfg.callers.request_timeout_seconds
         app.config.RESPONSE_TIMEOUT = self._cfg.callers.default_deadline_seconds * 2
+        app.config.KEEP_ALIVE_TIMEOUT = _KEEP_ALIVE_SECONDS
         app.config.ACCESS_LOG = False
         app.config.TOUCHUP = False
         for prefix in ("", HOP_PREFIX):
@@ -141,7 +149,7 @@
             )
         app.add_route(self._models, "/v1/models", name="models")
         app.add_route(self._entries, "/v1/entries", name="entries")
-        app.error_handler.add(Exception, _answer_error)
+        app.error_handler.add(Exception, answer_error)
         return app
 
     def _model_handler(
@@ -181,7 +189,7 @@
             await self._dispatcher.serve(req, sink)
             return None
         except RequestFailure as failure:
-            exc = _for_request(http, failure)
+            exc = for_request(http, failure)
             log_event(
                 Event.REQUEST_REFUSED,
                 request_id=request_id,
@@ -190,12 +198,14 @@
             )
             if sink is None or not sink.started:
                 return problem_response(exc, request_id)
-            await _end_with_error(sink, exc, request_id)
+            await end_with_error(sink, exc, request_id)
             return None
         finally:
             self.in_progress -= 1
 
     def _refuse_when_leaving(self, http: HttpRequest) -> None:
+        if self.leaving:
+            close_after_answer(http)
         if self.leaving and OPERATION_HEADER not in http.headers:
             raise RequestFailure(
                 reason=Reason.LEAVING,
@@ -239,47 +249,5 @@
         return _json_response(choice)
 
 
-def problem_response(exc: RequestFailure, request_id: RequestId) -> HTTPResponse:
-    """Return the problem document of `exc` as an HTTP response."""
-    headers = {"X-Verdict": exc.verdict.value, REQUEST_ID_HEADER: request_id}
-    if exc.retry_after_seconds is not None:
-        headers["Retry-After"] = str(max(1, round(exc.retry_after_seconds)))
-    return HTTPResponse(
-        msgspec.json.encode(exc.problem(request_id=request_id)),
-        status=exc.reason.status,
-        content_type=PROBLEM_TYPE,
-        headers=headers,
-    )
-
-
-async def _end_with_error(
-    sink: HttpSink, exc: RequestFailure, request_id: RequestId
-) -> None:
-    problem = msgspec.json.encode(exc.problem(request_id=request_id))
-    await sink.write(b"event: error\ndata: " + problem + b"\n\n")
-    await sink.finish()
-
-
-async def _answer_error(http: HttpRequest, exc: Exception) -> HTTPResponse:
-    status = exc.status_code if isinstance(exc, SanicException) else 500
-    reason = _REASONS_BY_STATUS.get(status, Reason.INTERNAL)
-    if reason is Reason.INTERNAL:
-        log_event(Event.REQUEST_ERROR, error=repr(exc))
-        failure = RequestFailure(
-            reason=reason,
-            detail="unexpected error in the gateway",
-            verdict=Verdict.MAY_HAVE_RUN,
-        )
-    else:
-        failure = RequestFailure(
-            reason=reason, detail=str(exc), verdict=Verdict.NOT_RUN
-        )
-    return problem_response(_for_request(http, failure), RequestId(""))
-
-
-def _for_request(http: HttpRequest, exc: RequestFailure) -> RequestFailure:
-    return for_operation(exc) if OPERATION_HEADER in http.headers else exc
-
-
 def _json_response(value: msgspec.Struct) -> HTTPResponse:
     return HTTPResponse(msgspec.json.encode(value), content_type="application/json")
--- a/pimentospool/callers/_parsing.py
+++ b/pimentospool/callers/_parsing.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import hmac
+import re
 import uuid
 from typing import TypeVar
 
@@ -32,6 +33,8 @@
 DEADLINE_HEADER = "X-Deadline-Seconds"
 DEFAULT_MAX_TOKENS = 16
 _BEARER = "Bearer "
+_JSON = "application/json"
+_SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 class RequestParser:
@@ -54,13 +57,13 @@
 
     def parse_chat(self, http: HttpRequest, *, hopped: bool) -> GatewayRequest:
         """Return the request of ``/v1/chat/completions``."""
-        body = _decode(http.body, ChatRequest)
+        body = _decode(http, ChatRequest)
         limit = body.max_completion_tokens or body.max_tokens
         return self._parse_model(http, body, limit, hopped=hopped)
 
     def parse_completion(self, http: HttpRequest, *, hopped: bool) -> GatewayRequest:
         """Return the request of ``/v1/completions``."""
-        body = _decode(http.body, CompletionRequest)
+        body = _decode(http, CompletionRequest)
         return self._parse_model(http, body, body.max_tokens, hopped=hopped)
 
     def parse_service(
@@ -82,7 +85,7 @@
         call = self._view.index.call_of(service_id, path, method)
         if call is None:
             raise _refuse(Reason.UNKNOWN_PATH, f"{service} has no {method} {path}")
-        operation = http.headers.get(OPERATION_HEADER)
+        operation = _text_header(http, OPERATION_HEADER, "")
         return GatewayRequest(
             id=_request_id(hop),
             customer=customer,
@@ -90,7 +93,7 @@
             method=method,
             path=path,
             body=http.body,
-            content_type=http.headers.get("Content-Type", "application/json"),
+            content_type=_text_header(http, "Content-Type", _JSON),
             deadline=self._deadline(http, hop, call.timeout_seconds),
             idempotent=call.idempotent,
             service=service_id,
@@ -101,7 +104,7 @@
 
     def parse_ticket(self, http: HttpRequest, *, hopped: bool) -> GatewayRequest:
         """Return the request of ``/v1/operations``."""
-        body = _decode(http.body, TicketRequest)
+        body = _decode(http, TicketRequest)
         req = self._parse_call(http, body.service, body.path, body.method, hopped)
         req.kind = RequestKind.TICKET
         req.method = http.method
@@ -129,7 +132,7 @@
     def _customer_of_key(self, authorization: str) -> Customer | None:
         if not authorization.startswith(_BEARER):
             return None
-        key = authorization.removeprefix(_BEARER).encode()
+        key = authorization.removeprefix(_BEARER).encode(errors="surrogateescape")
         digest = hashlib.sha256(key).hexdigest()
         customer = self._view.index.customer_of(digest)
         if customer is None:
@@ -192,25 +195,35 @@
         asked = http.headers.get(DEADLINE_HEADER)
         if asked is None:
             return now + default
-        try:
-            return now + min(max(0.0, float(asked)), default)
-        except ValueError as exc:
+        if not _SECONDS.fullmatch(asked):
             detail = f"{DEADLINE_HEADER} must be a number of seconds"
-            raise _refuse(Reason.BAD_REQUEST, detail) from exc
+            raise _refuse(Reason.BAD_REQUEST, detail)
+        return now + min(float(asked), default)
 
 
-def _decode(data: bytes, kind: type[T]) -> T:
+def _decode(http: HttpRequest, kind: type[T]) -> T:
+    content_type = http.headers.get("Content-Type", _JSON)
+    if content_type.partition(";")[0].strip().lower() != _JSON:
+        raise _refuse(Reason.UNSUPPORTED_MEDIA_TYPE, f"the body must be {_JSON}")
     try:
-        return msgspec.json.decode(data, type=kind)
+        return msgspec.json.decode(http.body, type=kind)
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         raise _refuse(Reason.BAD_REQUEST, f"the body is refused: {exc}") from exc
 
 
+def _text_header(http: HttpRequest, name: str, default: str) -> str:
+    """Return a header that is passed on, refusing what a header may not hold."""
+    value: str = http.headers.get(name, default)
+    if not (value.isascii() and value.isprintable()):
+        raise _refuse(Reason.BAD_REQUEST, f"{name} must be printable ASCII")
+    return value
+
+
 def _resume_after(http: HttpRequest) -> int | None:
     value = http.headers.get(LAST_EVENT_HEADER)
     if value is None:
         return None
-    if not value.isdecimal():
+    if not (value.isascii() and value.isdecimal()):
         raise _refuse(Reason.BAD_REQUEST, f"{LAST_EVENT_HEADER} must be a number")
     return int(value)
 
--- /dev/null
+++ b/pimentospool/callers/_problems.py
@@ -0,0 +1,69 @@
+"""Problem documents as HTTP responses."""
+
+import msgspec
+from sanic import HTTPResponse
+from sanic import Request as HttpRequest
+from sanic.exceptions import SanicException
+
+from pimentospool.callers._parsing import OPERATION_HEADER
+from pimentospool.callers._sinks import HttpSink
+from pimentospool.errors import Reason, RequestFailure
+from pimentospool.ids import RequestId
+from pimentospool.log import Event, log_event
+from pimentospool.operations import for_operation
+from pimentospool.targets import PROBLEM_TYPE, REQUEST_ID_HEADER, VERDICT_HEADER
+from pimentospool.verdicts import Verdict
+
+_UNPARSED_METHOD = "NONE"
+_REASONS_BY_STATUS = {
+    404: Reason.UNKNOWN_PATH,
+    405: Reason.METHOD_NOT_ALLOWED,
+    408: Reason.REQUEST_TIMEOUT,
+    413: Reason.BODY_TOO_LARGE,
+}
+
+
+def problem_response(exc: RequestFailure, request_id: RequestId) -> HTTPResponse:
+    """Return the problem document of `exc` as an HTTP response."""
+    headers = {VERDICT_HEADER: exc.verdict.value, REQUEST_ID_HEADER: request_id}
+    if exc.retry_after_seconds is not None:
+        headers["Retry-After"] = str(max(1, round(exc.retry_after_seconds)))
+    return HTTPResponse(
+        msgspec.json.encode(exc.problem(request_id=request_id)),
+        status=exc.reason.status,
+        content_type=PROBLEM_TYPE,
+        headers=headers,
+    )
+
+
+async def end_with_error(
+    sink: HttpSink, exc: RequestFailure, request_id: RequestId
+) -> None:
+    """End a stream that has begun with an error event instead of its end event."""
+    problem = msgspec.json.encode(exc.problem(request_id=request_id))
+    await sink.write(b"event: error\ndata: " + problem + b"\n\n")
+    await sink.finish()
+
+
+async def answer_error(http: HttpRequest, exc: Exception) -> HTTPResponse:
+    """Answer what sanic refuses by itself and what the gateway did not expect."""
+    return problem_response(for_request(http, _failure(http, exc)), RequestId(""))
+
+
+def for_request(http: HttpRequest, exc: RequestFailure) -> RequestFailure:
+    """Return `exc` as the answer to `http`, which may belong to an operation."""
+    return for_operation(exc) if OPERATION_HEADER in http.headers else exc
+
+
+def _failure(http: HttpRequest, exc: Exception) -> RequestFailure:
+    if not isinstance(exc, SanicException) or exc.status_code >= 500:
+        log_event(Event.REQUEST_ERROR, error=repr(exc))
+        return RequestFailure(
+            reason=Reason.INTERNAL,
+            detail="unexpected error in the gateway",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+    reason = _REASONS_BY_STATUS.get(exc.status_code, Reason.BAD_REQUEST)
+    if reason is Reason.BODY_TOO_LARGE and http.method == _UNPARSED_METHOD:
+        reason = Reason.HEADERS_TOO_LARGE
+    return RequestFailure(reason=reason, detail=str(exc), verdict=Verdict.NOT_RUN)
--- a/pimentospool/errors.py
+++ b/pimentospool/errors.py
@@ -55,6 +55,7 @@
     OPERATION_CONFLICT = ("operation-conflict", 409)
     OPERATION_EXPIRED = ("operation-expired", 410)
     BODY_TOO_LARGE = ("body-too-large", 413)
+    UNSUPPORTED_MEDIA_TYPE = ("unsupported-media-type", 415)
     HEADERS_TOO_LARGE = ("headers-too-large", 431)
     OPERATION_REQUIRED = ("operation-required", 428)
     QUOTA_EXCEEDED = ("quota-exceeded", 429)
--- a/pimentospool/hops.py
+++ b/pimentospool/hops.py
@@ -32,6 +32,8 @@
 
     def verify(self, value: str) -> HopHeader | None:
         """Return the header, or None if it was not signed with the key."""
+        if not value.isascii():
+            return None
         payload, _, mac = value.partition(".")
         if not hmac.compare_digest(mac.encode(), self._mac(payload.encode()).encode()):
             return None
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -55,8 +55,11 @@
 
 
 @asynccontextmanager
-async def gateway(*, zones=1, speed=20.0, change=None, name="magnolia"):
-    """Run one entry VM in each of `zones` zones; `change` alters a manifest."""
+async def gateway(*, zones=1, speed=20.0, change=None, settings=None, name="magnolia"):
+    """Run one entry VM in each of `zones` zones.
+
+    `change` alters the manifest, `settings` those of each entry VM.
+    """
     manifest = read_manifest(EXAMPLES / name / "manifest.toml")
     deployment = StandinDeployment(manifest=manifest, speed=speed)
     await deployment.start()
@@ -70,12 +73,14 @@
     proxied = msgspec.structs.replace(deployment.manifest, targets=targets)
     if change is not None:
         proxied = change(proxied)
-    settings = deployment.entry_settings(counts)
-    for cfg in settings:
+    configured = deployment.entry_settings(counts)
+    for cfg in configured:
         cfg.peers.leave_seconds = 0.05
         cfg.targets.progress_timeout_seconds = 0.5
         cfg.targets.answer_timeout_seconds = 1.0
-    entries = [Entry(cfg=cfg) for cfg in settings]
+        if settings is not None:
+            settings(cfg)
+    entries = [Entry(cfg=cfg) for cfg in configured]
     try:
         for entry in entries:
             await entry.start()
