--- a/pimentospool/addresses.py
+++ b/pimentospool/addresses.py
@@ -4,23 +4,29 @@
 import socket
 
 LOOPBACK = "127.0.0.1"
-_PORTS = range(15000, 32000)
-"""Below the ports that the kernel gives to outgoing connections."""
+# Below the range from which the kernel takes the ports of outgoing connections and
+# of listeners on port 0, so that none of these takes an address before its owner.
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
 
 
 def free_addresses(count: int) -> list[str]:
     """Return `count` different IP:port on loopback that nothing listens on."""
     rng = random.SystemRandom()
-    sockets: list[socket.socket] = []
-    try:
-        while len(sockets) < count:
-            sock = socket.socket()
-            sockets.append(sock)
-            try:
-                sock.bind((LOOPBACK, rng.choice(_PORTS)))
-            except OSError:
-                sockets.pop().close()
-        return [f"{LOOPBACK}:{sock.getsockname()[1]}" for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    ports = range(_FIRST_PORT, _LAST_PORT + 1)
+    found: list[str] = []
+    for port in rng.sample(ports, len(ports)):
+        if len(found) == count:
+            break
+        if _is_free(port):
+            found.append(f"{LOOPBACK}:{port}")
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
