--- /dev/null
+++ b/tests/policy/test_queue.py
@@ -0,0 +1,74 @@
+"""The bounded queue of long requests."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pimentospool.policy import QueueRefusal, WaitQueue, _queue
+from tests.policy._seeded import SEEDED
+
+
+def test_the_queue_is_bounded_and_goes_by_deadline():
+    queue = WaitQueue(length=2)
+    late = queue.offer(deadline=50.0, work_seconds=1.0, now=0.0)
+    soon = queue.offer(deadline=20.0, work_seconds=1.0, now=0.0)
+    full = queue.offer(deadline=20.0, work_seconds=1.0, now=0.0)
+    assert isinstance(full, QueueRefusal)
+    assert full.retry_after_seconds > 0
+    assert queue.pop() == soon
+    queue.cancel(late)
+    assert queue.pop() is None
+    assert len(queue) == 0
+
+
+def test_a_wait_in_vain_is_refused_at_once():
+    queue = WaitQueue(length=100)
+    now = 0.0
+    for _ in range(40):
+        now += 0.5
+        queue.served(now)
+    for _ in range(20):
+        assert not isinstance(
+            queue.offer(deadline=now + 60, work_seconds=1.0, now=now), QueueRefusal
+        )
+    refused = queue.offer(deadline=now + 60.1, work_seconds=55.0, now=now)
+    assert isinstance(refused, QueueRefusal)
+    assert refused.retry_after_seconds == pytest.approx(5.0, abs=2.0)
+    soon = queue.offer(deadline=now + 3, work_seconds=1.0, now=now)
+    assert not isinstance(soon, QueueRefusal)
+
+
+def popped_in_order(seed):
+    rng = random.Random(seed)
+    queue = WaitQueue(length=30)
+    waiting = []
+    for _ in range(200):
+        if rng.random() < 0.6:
+            ticket = queue.offer(deadline=rng.random(), work_seconds=0.0, now=0.0)
+            if not isinstance(ticket, QueueRefusal):
+                waiting.append(ticket)
+        elif waiting and rng.random() < 0.3:
+            queue.cancel(waiting.pop(rng.randrange(len(waiting))))
+        else:
+            first = min(waiting, default=None)
+            assert queue.pop() == first
+            waiting = [ticket for ticket in waiting if ticket is not first]
+        assert len(queue) == len(waiting) <= 30
+
+
+def test_the_earliest_deadline_is_always_first():
+    @SEEDED
+    @given(st.integers(0, 2**32))
+    def check(seed):
+        popped_in_order(seed)
+
+    check()
+
+
+def test_a_queue_in_order_of_arrival_is_found(monkeypatch):
+    monkeypatch.setattr(_queue.heapq, "heappush", lambda heap, item: heap.append(item))
+    monkeypatch.setattr(_queue.heapq, "heappop", lambda heap: heap.pop(0))
+    with pytest.raises(AssertionError):
+        test_the_earliest_deadline_is_always_first()
