--- a/pimentospool/fleet.py
+++ b/pimentospool/fleet.py
@@ -36,6 +36,10 @@
         """Return the regions with an entry VM that takes requests."""
         ...
 
+    def lost_regions(self) -> frozenset[RegionId]:
+        """Return the regions that a drill declares lost from here."""
+        ...
+
     def leaving_targets(self) -> frozenset[TargetId]:
         """Return the targets that take no new request."""
         ...
--- a/pimentospool/operations/_server.py
+++ b/pimentospool/operations/_server.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from pimentospool._generated.callers import OperationTicket, TicketRequest
+from pimentospool._generated.platform import VmKind, VmRecord, VmState
 from pimentospool._generated.settings import Settings
 from pimentospool.dispatch import Dispatcher
 from pimentospool.errors import Reason, RequestFailure
@@ -76,8 +77,7 @@
     ledger : OperationLedger or None
         Operations of this process; a new incarnation by default.
     clock : callable
-        Monotonic time in seconds; unlike the loop's time it is not cached, so
-        that it shows a pause within one turn of the loop.
+        Monotonic time in seconds.
     """
 
     def __init__(
@@ -96,6 +96,7 @@
             owner=cfg.entry.id,
             region=cfg.entry.region,
             incarnation=Incarnation(uuid.uuid4().hex),
+            address=cfg.entry.advertised_caller_address or cfg.entry.caller_address,
         )
         self._region = cfg.entry.region
         self._view = view
@@ -298,11 +299,10 @@
     ) -> None:
         _check_region(req, self._region, hopped=True)
         _check_region(req, ticket.region, hopped=True)
-        peer = self._fleet.entry(ticket.owner)
-        if peer is None:
-            raise failure_of(
-                owner_gone("the owner of the ticket is not known here", retry=True)
-            )
+        if ticket.region in self._fleet.lost_regions():
+            detail = f"region {ticket.region} is declared lost"
+            raise failure_of(owner_gone(detail, retry=True))
+        peer = _owner_of(ticket)
         attempted = Verdict.NOT_RUN
         for _ in self._hop_attempts(req):
             try:
@@ -322,6 +322,16 @@
                 yield number
 
 
+def _owner_of(ticket: OperationRef) -> VmRecord:
+    return VmRecord(
+        id=ticket.owner,
+        kind=VmKind.ENTRY,
+        state=VmState.LIVE,
+        region=ticket.region,
+        caller_address=ticket.address,
+    )
+
+
 async def _send(answer: HeldAnswer, sink: AnswerSink) -> None:
     await sink.whole(
         status=answer.status, content_type=answer.content_type, body=answer.body
--- a/pimentospool/policy/_operations.py
+++ b/pimentospool/policy/_operations.py
@@ -35,9 +35,15 @@
 
 
 class OperationRef(msgspec.Struct, kw_only=True, frozen=True):
-    """Names an operation and the one incarnation that may send it."""
+    """Names an operation and the one incarnation that may send it.
+
+    `address` is the IP:port at which that incarnation serves callers and hops. It
+    needs no look-up, so that an entry VM that only has a summary of the owner's
+    zone reaches the owner too.
+    """
 
     owner: EntryId
+    address: str
     region: RegionId
     incarnation: Incarnation
     sequence: int
@@ -157,6 +163,8 @@
         Its region.
     incarnation : Incarnation
         Unique to this start of the process.
+    address : str
+        IP:port at which it serves callers and hops.
     limits : LedgerLimits
         Bounds on memory.
     """
@@ -167,11 +175,13 @@
         owner: EntryId,
         region: RegionId,
         incarnation: Incarnation,
+        address: str = "",
         limits: LedgerLimits | None = None,
     ) -> None:
         self.owner = owner
         self.region = region
         self.incarnation = incarnation
+        self.address = address
         self._limits = limits or LedgerLimits()
         self._books: dict[CustomerId, _Book] = {}
         self._held: OrderedDict[tuple[CustomerId, int], int] = OrderedDict()
@@ -201,6 +211,7 @@
         self._raise_floor(call.customer, book, sequence - self._limits.window)
         return OperationRef(
             owner=self.owner,
+            address=self.address,
             region=self.region,
             incarnation=self.incarnation,
             sequence=sequence,
