--- a/pimentospool/policy/_prefixes.py
+++ b/pimentospool/policy/_prefixes.py
@@ -71,6 +71,8 @@
         costs accuracy and never more time.
         """
         since = self._since.get(holder, -math.inf)
+        if not blocks:
+            return 0.0
         low, high = 0, len(blocks)
         seen_at = 0.0
         while low < high:
