Show cost and the share sent away in the demo, and reuse the load's traffic

Cause: the demo's table lacked cost and the share sent to another region, and its traffic stood beside a second one in pimentospool.load, without the calls that may not be repeated.

Change: the demo sends the load's traffic and reads both columns from what the targets recorded; executions carry the time spent at the target.

--- a/pimentospool/commands/_demo.py
+++ b/pimentospool/commands/_demo.py
@@ -25,8 +25,8 @@
     path = manifest or _EXAMPLES / deployment / "manifest.toml"
     checked = read_or_exit(read_manifest, path)
     rows = run(_run(Demo(manifest=checked, requests=requests, seed=seed)))
-    Console(width=120).print(_table(deployment, rows))
-    if any(row.tally.sent != row.tally.whole for row in rows):
+    Console(width=132).print(_table(deployment, rows))
+    if not rows or any(row.latencies.sent != row.whole for row in rows):
         sys.exit(EXIT_FAILED)
 
 
@@ -35,25 +35,29 @@
 
 
 def _table(title: str, rows: list[DemoRow]) -> Table:
-    table = Table(title=title)
+    table = Table(title=f"{title}; times in ms from when each request was due")
     for name in ("region", "kind", "sent", "whole", "refused"):
         table.add_column(name)
-    for name in ("first p50", "p95", "p99 ms", "total p50", "p95", "p99 ms"):
+    for name in ("first p50", "p95", "p99", "total p50", "p95", "p99"):
+        table.add_column(name, justify="right")
+    for name in ("sent away", "cost"):
         table.add_column(name, justify="right")
     for row in rows:
-        tally = row.tally
-        refused = ", ".join(f"{name} {n}" for name, n in tally.refused.items()) or "0"
+        seen = row.latencies
+        refused = ", ".join(f"{name} {n}" for name, n in row.refused.items()) or "0"
         times = [
-            f"{histogram.get_value_at_percentile(share) / 1000:.1f}"
-            for histogram in (tally.first, tally.total)
-            for share in (50, 95, 99)
+            f"{value:.1f}"
+            for part in (seen.first, seen.total)
+            for value in (part.p50_ms, part.p95_ms, part.p99_ms)
         ]
         table.add_row(
-            row.region,
-            row.kind.value,
-            str(tally.sent),
-            str(tally.whole),
+            seen.region,
+            seen.kind.value,
+            str(seen.sent),
+            str(row.whole),
             refused,
             *times,
+            f"{row.sent_away / seen.sent:.1%}",
+            f"{row.cost:.2f}",
         )
     return table
--- a/pimentospool/standins/_engine.py
+++ b/pimentospool/standins/_engine.py
@@ -150,23 +150,26 @@
             chat=isinstance(body, ChatRequest),
         )
         self.served += 1
-        self._record(req, generation, await req.read())
-        if body.stream:
-            return await self._stream(req, generation)
-        return await self._whole(generation)
-
-    def _record(self, req: web.Request, gen: _Generation, body: bytes) -> None:
-        self.executions.append(
-            Execution(
-                path=req.path,
-                method=req.method,
-                request_id=gen.request_id,
-                operation_id="",
-                body_digest=digest_of(body),
-                at=time.time(),
-                first_token=gen.first_token,
-            )
+        execution = self._record(req, generation, await req.read())
+        try:
+            if body.stream:
+                return await self._stream(req, generation)
+            return await self._whole(generation)
+        finally:
+            execution.seconds = time.time() - execution.at
+
+    def _record(self, req: web.Request, gen: _Generation, body: bytes) -> Execution:
+        execution = Execution(
+            path=req.path,
+            method=req.method,
+            request_id=gen.request_id,
+            operation_id="",
+            body_digest=digest_of(body),
+            at=time.time(),
+            first_token=gen.first_token,
         )
+        self.executions.append(execution)
+        return execution
 
     def clear_cache(self) -> None:
         """Forget every cached prefix, as after a restart."""
--- a/pimentospool/standins/_service.py
+++ b/pimentospool/standins/_service.py
@@ -71,6 +71,7 @@
         self.executions.append(execution)
         number = len(self.executions)
         await asyncio.sleep(self._service_seconds)
+        execution.seconds = time.time() - execution.at
         answer = ServiceAnswer(
             service=req.match_info["service"],
             path=execution.path,
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,25 @@
+"""The demo's outcomes."""
+
+from pathlib import Path
+
+import pytest
+
+from pimentospool.demo import Demo
+from pimentospool.load import CallKind
+from pimentospool.manifest import read_manifest
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+
+
+@pytest.mark.parametrize("deployment", ["magnolia", "tsuzumi"])
+def test_every_kind_of_every_region_is_answered_whole(runner, deployment):
+    manifest = read_manifest(EXAMPLES / deployment / "manifest.toml")
+    rows = runner.run(Demo(manifest=manifest, requests=150, seed=1).run())
+    seen = {(row.latencies.region, row.latencies.kind) for row in rows}
+    assert {kind for _, kind in seen} == set(CallKind)
+    assert {region for region, _ in seen} == {item.id for item in manifest.regions}
+    for row in rows:
+        assert row.whole == row.latencies.sent, row
+        assert not row.refused
+        assert 0 <= row.sent_away <= row.latencies.sent
+        assert row.cost > 0
