--- a/pimentospool/_generated/scenario.py
+++ b/pimentospool/_generated/scenario.py
@@ -17,6 +17,7 @@
 
     REGION_LOST = "region-lost"
     CAPACITY_LOST = "capacity-lost"
+    TARGETS_REFUSING = "targets-refusing"
     REGION_ISOLATED = "region-isolated"
     LINK_CUT = "link-cut"
     LINK_SILENT = "link-silent"
--- a/pimentospool/drill/_actions.py
+++ b/pimentospool/drill/_actions.py
@@ -77,6 +77,8 @@
             case FaultKind.CAPACITY_LOST:
                 for link in self._spare_engines(fault.region):
                     link.cut()
+            case FaultKind.TARGETS_REFUSING:
+                self._set_refusing(fault.region, refusing=True)
             case FaultKind.REGION_ISOLATED:
                 self._isolate(fault.region)
             case FaultKind.LINK_CUT:
@@ -128,6 +130,8 @@
                 self._clear_caches(fault.region)
                 for link in self._spare_engines(fault.region):
                     link.heal()
+            case FaultKind.TARGETS_REFUSING:
+                self._set_refusing(fault.region, refusing=False)
             case FaultKind.REGION_ISOLATED:
                 self._rejoin(fault.region)
             case FaultKind.LINK_CUT | FaultKind.LINK_SILENT | FaultKind.LINK_ONE_WAY:
@@ -186,6 +190,12 @@
             )
         )
 
+    def _set_refusing(self, region: RegionId, *, refusing: bool) -> None:
+        deployment = self._fleet.deployment
+        for target in self._fleet.targets_of(region):
+            standin = deployment.engines.get(target) or deployment.services[target]
+            standin.refusing = refusing
+
     def _spare_engines(self, region: RegionId) -> list[FaultProxy]:
         """Return the links to all engines of `region` but the first."""
         fleet = self._fleet
