--- a/tests/drill/test_drill.py
+++ b/tests/drill/test_drill.py
@@ -1,11 +1,14 @@
 """A short drill with real entry processes, and its report."""
 
+import io
 from pathlib import Path
 
 import msgspec
+from rich.console import Console
 
 from pimentospool.drill import (
     Drill,
+    DrillView,
     Promise,
     make_report,
     parse_scenario,
@@ -37,8 +40,14 @@
 def test_short_drill(runner, tmp_path):
     manifest = read_manifest(EXAMPLES / "magnolia" / "manifest.toml")
     drill = Drill(manifest=manifest, scenarios=[parse_scenario(SHORT)], seed=1)
-    evidence = runner.run(drill.run())
+    shown = []
+    evidence = runner.run(drill.run(shown.append))
     report = make_report(evidence, seed=1)
+    console = Console(width=120, record=True, file=io.StringIO())
+    console.print(DrillView(console=console, progress=shown[0]).render())
+    text = console.export_text()
+    assert "A link is cut while an entry VM is killed" in text
+    assert all(promise.value in text for promise in Promise)
     results = {item.promise: item for item in report.promises}
     assert not [item for item in report.promises if item.broken], report.promises
     for promise in TRIED:
--- a/tests/drill/test_judge.py
+++ b/tests/drill/test_judge.py
@@ -1,8 +1,7 @@
 """Each promise is judged as held, and as broken by a deliberate break."""
 
-from pathlib import Path
-
 import pytest
+from drill_records import ENTRIES, MANIFEST, make_record
 
 from pimentospool._generated.scenario import FaultKind
 from pimentospool.drill import (
@@ -16,41 +15,9 @@
     TargetExecution,
     all_held,
 )
-from pimentospool.load import AttemptRecord, CallerRecord, CallKind, CallOutcome
-from pimentospool.manifest import read_manifest
+from pimentospool.load import CallKind, CallOutcome
 from pimentospool.standins import Execution
 
-EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
-MANIFEST = read_manifest(EXAMPLES / "magnolia" / "manifest.toml")
-ENTRIES = {"g1": "gulf", "g2": "gulf", "p1": "piedmont", "d1": "delta"}
-
-
-def make_record(name, *, at=0.0, customer="stores-gulf", **changes):
-    entry = changes.pop("entry", "g1")
-    seconds = changes.pop("seconds", 0.1)
-    verdict = changes.pop("verdict", "")
-    outcome = changes.pop("outcome", CallOutcome.WHOLE)
-    attempt = AttemptRecord(
-        entry=entry,
-        sent_at=at,
-        ended_at=at + seconds,
-        outcome=outcome,
-        request_id=f"r-{name}",
-        verdict=verdict,
-    )
-    fields = {
-        "id": name,
-        "customer": customer,
-        "region": "gulf",
-        "kind": CallKind.SHORT,
-        "intended_at": at,
-        "ended_at": at + seconds,
-        "outcome": outcome,
-        "body_digest": f"d-{name}",
-        "attempts": [attempt],
-    }
-    return CallerRecord(**{**fields, **changes})
-
 
 def make_execution(name, target, *, at=0.0, first_token=0):
     execution = Execution(
