Serve callers and hops over TLS and renew certificates in place

Cause: the settings named PEM files that nothing read. Change: one context for callers and one for hops, from the settings; changed files are tried on a scratch context first and then loaded into the context in use; with a peers' authority a hop without a certificate of it is refused.

--- a/pimentospool/callers/_app.py
+++ b/pimentospool/callers/_app.py
@@ -19,6 +19,7 @@
     CallerRequest,
     ConnectionDrain,
     close_after_answer,
+    peer_certificate,
 )
 from pimentospool.callers._parsing import OPERATION_HEADER, TICKET_PATH, RequestParser
 from pimentospool.callers._problems import (
@@ -35,6 +36,7 @@
 from pimentospool.ids import RegionId, RequestId, ZoneId
 from pimentospool.log import Event, log_event
 from pimentospool.requests import GatewayRequest, RequestServer
+from pimentospool.tls import TlsContexts
 from pimentospool.verdicts import Verdict
 from pimentospool.views import View
 
@@ -55,6 +57,8 @@
         Entry VMs that callers may use, and whether the view is current.
     dispatcher : RequestServer
         Serves verified requests.
+    tls : TlsContexts
+        Contexts for callers and hops.
     """
 
     def __init__(
@@ -64,6 +68,7 @@
         view: View,
         control: ControlPlane,
         dispatcher: RequestServer,
+        tls: TlsContexts,
     ) -> None:
         self.in_progress = 0
         self.leaving = False
@@ -72,6 +77,7 @@
         self._control = control
         self._chooser = EntryChooser(cfg=cfg, view=view, fleet=control.fleet)
         self._dispatcher = dispatcher
+        self._tls = tls
         self._signer = HopSigner(key=cfg.peers.key)
         self._parser = RequestParser(cfg=cfg.callers, signer=self._signer, view=view)
         self._app = self._build_app()
@@ -84,6 +90,7 @@
             host,
             int(port),
             protocol=CallerProtocol,
+            ssl=self._tls.server,
             return_asyncio_server=True,
             access_log=False,
         )
@@ -229,8 +236,17 @@
         await self._control.settle()
         hop = self._signer.verify(http.headers.get(HOP_HEADER, ""))
         if hop is not None:
+            self._check_peer(http)
             await self._view.ensure(hop.revision, hop.ingress)
 
+    def _check_peer(self, http: HttpRequest) -> None:
+        if self._tls.hops_show_certificates and not peer_certificate(http):
+            raise RequestFailure(
+                reason=Reason.FORBIDDEN,
+                detail="a hop must show a certificate of the peers' authority",
+                verdict=Verdict.NOT_RUN,
+            )
+
     async def _models(self, http: HttpRequest) -> HTTPResponse:
         try:
             customer = self._parser.customer(http, None)
--- a/pimentospool/callers/_connections.py
+++ b/pimentospool/callers/_connections.py
@@ -55,6 +55,12 @@
         http.stream.keep_alive = False
 
 
+def peer_certificate(http: HttpRequest) -> bool:
+    """Whether the other side of the connection has shown a trusted certificate."""
+    connection = http.transport.get_extra_info("ssl_object")
+    return connection is not None and bool(connection.getpeercert())
+
+
 class ConnectionDrain:
     """Ends the connections of a server without cutting what is in progress.
 
--- a/pimentospool/commands/_entry.py
+++ b/pimentospool/commands/_entry.py
@@ -4,8 +4,9 @@
 
 import click
 
-from pimentospool.commands._common import FILE, read_or_exit, run
+from pimentospool.commands._common import FILE, exit_refused, read_or_exit, run
 from pimentospool.entry import run_entry
+from pimentospool.errors import DocumentErrors
 from pimentospool.log import open_log
 from pimentospool.settings import read_settings
 
@@ -19,4 +20,7 @@
     """
     cfg = read_or_exit(read_settings, settings)
     open_log(cfg.logs)
-    run(run_entry(cfg))
+    try:
+        run(run_entry(cfg))
+    except DocumentErrors as exc:
+        exit_refused(settings, exc)
--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -28,6 +28,7 @@
 from pimentospool.status import STATUS_PATH, control_status, status_page
 from pimentospool.summaries import SummaryExchange
 from pimentospool.targets import ExchangeClient
+from pimentospool.tls import TlsContexts
 from pimentospool.views import View
 
 
@@ -77,7 +78,9 @@
     async def start(self) -> None:
         """Start every part and serve callers."""
         cfg = self._cfg
-        self._client = ExchangeClient(cfg=cfg.targets)
+        self._tls = TlsContexts(cfg=cfg.tls)
+        self._tasks.append(asyncio.create_task(self._tls.watch()))
+        self._client = ExchangeClient(cfg=cfg.targets, tls=self._tls.hops)
         self.dispatcher = Dispatcher(
             cfg=cfg,
             view=self.view,
@@ -96,7 +99,11 @@
             rng=random.Random(),
         )
         self.callers = CallerServer(
-            cfg=cfg, view=self.view, control=self.control, dispatcher=self.operations
+            cfg=cfg,
+            view=self.view,
+            control=self.control,
+            dispatcher=self.operations,
+            tls=self._tls,
         )
         self._summaries = SummaryExchange(
             control=self.control,
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -95,6 +95,17 @@
         await deployment.close()
 
 
+def serving_in(manifest, *regions):
+    """Return `manifest` with the model in `regions`, for customers of all regions."""
+    return msgspec.structs.replace(
+        manifest,
+        serving=[item for item in manifest.serving if item.region in regions],
+        customers=[
+            item for item in manifest.customers if len(item.allowed_regions) > 2
+        ],
+    )
+
+
 def chat(model="care-assistant", *, stream=True, max_tokens=40, prompt=PROMPT):
     """Return the body of a chat request."""
     return {
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import pytest
-from gateway import chat, expected_text, gateway, streamed_text
+from gateway import chat, expected_text, gateway, serving_in, streamed_text
 
 from pimentospool.faults import Direction, LinkState
 from pimentospool.verdicts import Verdict
@@ -12,17 +12,6 @@
 TOKENS = 40
 
 
-def serving_in(manifest, *regions):
-    """Return `manifest` with the model in `regions`, for customers of all regions."""
-    return msgspec.structs.replace(
-        manifest,
-        serving=[item for item in manifest.serving if item.region in regions],
-        customers=[
-            item for item in manifest.customers if len(item.allowed_regions) > 2
-        ],
-    )
-
-
 async def read_while(resp, act, after):
     """Read a stream to its end and call `act` once, `after` some bytes."""
     data = b""
