--- a/pimentospool/bench/_relay_load.py
+++ b/pimentospool/bench/_relay_load.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from pimentospool.errors import Problem
 from pimentospool.standins import token_text
 
 MODEL = "bench"
@@ -69,8 +70,11 @@
         except aiohttp.ClientError as exc:
             result.error = repr(exc)
         data = b"".join(pieces)
+        if result.status not in (0, _OK):
+            problem = msgspec.json.decode(data, type=Problem)
+            result.error = f"{problem.error.type}: {problem.detail}"
         result.chunks = data.count(b"\n\n")
-        result.whole = _is_whole(data, f"{_PROMPT_PREFIX}{content}\n", tokens)
+        result.whole = is_whole(data, f"{_PROMPT_PREFIX}{content}\n", tokens)
         return result
 
     async def call(self, path: str) -> bool:
@@ -91,7 +95,8 @@
     choices: list[_Choice]
 
 
-def _is_whole(data: bytes, prompt: str, tokens: int) -> bool:
+def is_whole(data: bytes, prompt: str, tokens: int) -> bool:
+    """Whether `data` is the engine's whole stream, in order and to the byte."""
     events = data.split(b"\n\n")
     if len(events) != tokens + 3 or events[-2] != b"data: [DONE]" or events[-1]:
         return False
--- a/pimentospool/callers/_app.py
+++ b/pimentospool/callers/_app.py
@@ -237,7 +237,8 @@
 
     async def _settle_view(self, http: HttpRequest) -> None:
         await self._control.settle()
-        hop = self._signer.verify(http.headers.get(HOP_HEADER, ""))
+        signed = http.headers.get(HOP_HEADER)
+        hop = self._signer.verify(signed) if signed else None
         if hop is not None:
             self._check_peer(http)
             await self._view.ensure(hop.revision, hop.ingress)
