--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -80,7 +80,8 @@
         )
         if not authority:
             address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
-            names = x509.SubjectAlternativeName([address])
+            deployment = x509.DNSName("magnolia")
+            names = x509.SubjectAlternativeName([address, deployment])
             builder = builder.add_extension(names, critical=False)
         return builder.sign(self.key, hashes.SHA256())
 
