--- a/pimentospool/callers/_parsing.py
+++ b/pimentospool/callers/_parsing.py
@@ -24,6 +24,7 @@
 from pimentospool.prompts import count_tokens, prefix_blocks, prompt_text
 from pimentospool.requests import GatewayRequest, RequestKind
 from pimentospool.targets import LAST_EVENT_HEADER
+from pimentospool.traces import TRACEPARENT_HEADER
 from pimentospool.verdicts import Verdict
 from pimentospool.views import View
 
@@ -34,6 +35,7 @@
 DEFAULT_MAX_TOKENS = 16
 _BEARER = "Bearer "
 _JSON = "application/json"
+_TRACEPARENT = re.compile(r"00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
 _SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
@@ -100,6 +102,7 @@
             call=call,
             operation_id=OperationId(operation) if operation else None,
             hop=hop,
+            traceparent=_traceparent(http),
         )
 
     def parse_ticket(self, http: HttpRequest, *, hopped: bool) -> GatewayRequest:
@@ -172,6 +175,7 @@
             max_tokens=max_tokens or DEFAULT_MAX_TOKENS,
             blocks=tuple(prefix_blocks(text)),
             hop=hop,
+            traceparent=_traceparent(http),
             resume_after=_resume_after(http) if hop is not None else None,
         )
 
@@ -219,6 +223,12 @@
     return value
 
 
+def _traceparent(http: HttpRequest) -> str:
+    """Return the trace parent, or nothing where the header is not one."""
+    value: str = http.headers.get(TRACEPARENT_HEADER, "")
+    return value if _TRACEPARENT.fullmatch(value) else ""
+
+
 def _resume_after(http: HttpRequest) -> int | None:
     value = http.headers.get(LAST_EVENT_HEADER)
     if value is None:
--- a/pimentospool/dispatch.py
+++ b/pimentospool/dispatch.py
@@ -2,17 +2,14 @@
 
 import asyncio
 import random
-import time
-from functools import partial
 
-from pimentospool._generated.callers import HopHeader
 from pimentospool._generated.platform import VmRecord
 from pimentospool._generated.settings import Settings
 from pimentospool.admission import Admission
 from pimentospool.attempts import Attempts
 from pimentospool.errors import Reason, RequestFailure
+from pimentospool.exchanges import ExchangeFactory, remaining_seconds
 from pimentospool.fleet import Fleet
-from pimentospool.hops import HOP_HEADER, HOP_PREFIX, HopSigner
 from pimentospool.ids import EntryId, RegionId
 from pimentospool.outcomes import OutcomeRecorder, RequestOutcome
 from pimentospool.policy import (
@@ -25,24 +22,18 @@
     TargetRoute,
 )
 from pimentospool.relaying import FlightSink, StreamRelay, hop_failure, relay_whole
-from pimentospool.requests import AnswerSink, GatewayRequest, RequestKind
+from pimentospool.requests import AnswerSink, GatewayRequest
 from pimentospool.signals import Signal
 from pimentospool.targets import (
-    HOP_PATIENCE,
-    LAST_EVENT_HEADER,
-    REQUEST_ID_HEADER,
     Answer,
     AttemptFailure,
-    Exchange,
     ExchangeClient,
     FailureCause,
 )
+from pimentospool.traces import SilentTracer, Span, SpanAttribute, SpanName, Tracer
 from pimentospool.verdicts import Verdict
 from pimentospool.views import View
 
-PRIORITY_HEADER = "X-Priority"
-LONG_PRIORITY = 10
-
 
 class Dispatcher:
     """Serves verified requests.
@@ -63,6 +54,8 @@
         Client of targets and other entry VMs.
     rng : random.Random
         Source of random choices.
+    tracer : Tracer or None
+        Begins the spans of requests; None traces nothing.
     """
 
     def __init__(
@@ -75,6 +68,7 @@
         admission: Admission,
         client: ExchangeClient,
         rng: random.Random,
+        tracer: Tracer | None = None,
     ) -> None:
         self.request_ended: Signal[RequestOutcome] = Signal(name="request_ended")
         self._cfg = cfg
@@ -85,8 +79,8 @@
         self._retries = RetryPolicy()
         self._client = client
         self._rng = rng
-        self._signer = HopSigner(key=cfg.peers.key)
-        self._hop_scheme = "https" if cfg.tls.caller_certificate else "http"
+        self._tracer = SilentTracer() if tracer is None else tracer
+        self._exchanges = ExchangeFactory(cfg=cfg, view=view)
 
     async def serve(self, req: GatewayRequest, sink: AnswerSink) -> None:
         """Send the whole answer of `req` to `sink`.
@@ -99,6 +93,8 @@
         record = OutcomeRecorder(
             req=req, sink=sink, clock=asyncio.get_running_loop().time
         )
+        span = self._tracer.begin(SpanName.ENTRY, parent=req.traceparent)
+        req.traceparent = span.traceparent
         try:
             await self._serve(req, record)
             record.verdict = Verdict.RAN
@@ -112,7 +108,10 @@
             record.fail(reason=Reason.INTERNAL, verdict=_sent_verdict(record))
             raise
         finally:
-            self.request_ended.send(record.outcome())
+            outcome = record.outcome()
+            _describe_request(span, outcome)
+            span.end()
+            self.request_ended.send(outcome)
 
     async def _serve(self, req: GatewayRequest, record: OutcomeRecorder) -> None:
         self._check_region(req)
@@ -153,7 +152,7 @@
         """
         waited = False
         while True:
-            if self._remaining(req) <= 0:
+            if remaining_seconds(req) <= 0:
                 raise attempts.late()
             route = self._router.choose(self._query(req, attempts))
             if isinstance(route, RouteRefusal):
@@ -180,23 +179,40 @@
         relay: StreamRelay,
         attempts: Attempts,
     ) -> None:
-        flight = self._router.start(route, self._query(req, Attempts()))
+        flight = self._router.start(route, self._query(req, attempts))
         sink = FlightSink(sink=record, flight=flight)
+        span = self._begin_attempt(req, route)
         try:
             if isinstance(route, TargetRoute):
                 record.served_by = route.target.id
-                await self._serve_at_target(req, route, sink, relay)
+                await self._serve_at_target(req, route, sink, relay, span)
             else:
                 record.sent_to = route.region
-                await self._serve_at_region(req, route, sink, relay, attempts)
+                await self._serve_at_region(req, route, sink, relay, attempts, span)
+            span.set(SpanAttribute.VERDICT, Verdict.RAN.value)
         except AttemptFailure as exc:
+            span.set(SpanAttribute.VERDICT, exc.verdict.value)
+            span.set(SpanAttribute.CAUSE, exc.cause.value)
             if exc.problem is None:
                 flight.failed()
             raise
         finally:
+            span.end()
             flight.finish()
             self._admission.wake()
 
+    def _begin_attempt(
+        self, req: GatewayRequest, route: TargetRoute | RegionRoute
+    ) -> Span:
+        if isinstance(route, RegionRoute):
+            span = self._tracer.begin(SpanName.HOP, parent=req.traceparent)
+            span.set(SpanAttribute.REGION, route.region)
+            return span
+        span = self._tracer.begin(SpanName.TARGET, parent=req.traceparent)
+        span.set(SpanAttribute.TARGET, route.target.id)
+        span.set(SpanAttribute.REGION, self._cfg.entry.region)
+        return span
+
     def _may_repeat(
         self,
         req: GatewayRequest,
@@ -210,7 +226,7 @@
             verdict=attempts.verdict,
             idempotent=req.idempotent,
             attempts=attempts.count,
-            remaining_seconds=self._remaining(req),
+            remaining_seconds=remaining_seconds(req),
         )
         return decision is RetryDecision.RETRY
 
@@ -265,7 +281,7 @@
             hopped=req.hop is not None or req.stays,
             excluded_targets=frozenset(attempts.targets),
             excluded_regions=frozenset(attempts.regions) | self._unreachable_regions(),
-            remaining_seconds=self._remaining(req),
+            remaining_seconds=remaining_seconds(req),
         )
 
     def _unreachable_regions(self) -> frozenset[RegionId]:
@@ -277,19 +293,9 @@
         route: TargetRoute,
         sink: AnswerSink,
         relay: StreamRelay,
+        span: Span,
     ) -> None:
-        target = route.target
-        if req.kind is RequestKind.SERVICE:
-            path = f"/{req.service}/{req.path}"
-        else:
-            path = req.path
-        exchange = self._exchange(req, f"http://{target.address}{path}", relay)
-        if req.kind is RequestKind.MODEL:
-            exchange.headers[PRIORITY_HEADER] = str(self._priority(req))
-        if req.send_guard is not None:
-            exchange.before_sending = partial(
-                req.send_guard.sending, decided_at=time.monotonic()
-            )
+        exchange = self._exchanges.to_target(req, route.target, relay, span.traceparent)
         async with self._client.open(exchange) as answer:
             await self._relay(req, answer, sink, relay)
 
@@ -300,6 +306,7 @@
         sink: AnswerSink,
         relay: StreamRelay,
         attempts: Attempts,
+        span: Span,
     ) -> None:
         peers = [
             peer
@@ -314,7 +321,7 @@
             )
         peer = self._rng.choice(peers)
         attempts.entries.add(EntryId(peer.id))
-        await self.serve_at_entry(req, peer, sink, relay)
+        await self.serve_at_entry(req, peer, sink, relay, span)
 
     async def serve_at_entry(
         self,
@@ -322,6 +329,7 @@
         peer: VmRecord,
         sink: AnswerSink,
         relay: StreamRelay | None = None,
+        span: Span | None = None,
     ) -> None:
         """Send `req` one hop to the entry VM `peer` and relay its answer.
 
@@ -332,15 +340,8 @@
         """
         if relay is None:
             relay = StreamRelay(resume_after=req.resume_after)
-        if req.kind is RequestKind.SERVICE:
-            path = f"/v1/services/{req.service}/{req.path}"
-        else:
-            path = req.path
-        url = f"{self._hop_scheme}://{peer.caller_address}{HOP_PREFIX}{path}"
-        exchange = self._exchange(req, url, relay)
-        exchange.to_entry = True
-        exchange.answer_seconds = self._answer_seconds(req, patience=HOP_PATIENCE)
-        exchange.headers[HOP_HEADER] = self._signer.sign(self._hop_header(req))
+        parent = req.traceparent if span is None else span.traceparent
+        exchange = self._exchanges.to_entry(req, peer, relay, parent)
         async with self._client.open(exchange) as answer:
             if answer.is_refusal:
                 raise await hop_failure(answer)
@@ -354,53 +355,23 @@
         else:
             await relay_whole(answer, sink)
 
-    def _priority(self, req: GatewayRequest) -> int:
-        limits = self._view.index.manifest.limits
-        short = req.prompt_tokens <= limits.short_prompt_tokens
-        return req.customer.priority + (0 if short else LONG_PRIORITY)
-
-    def _hop_header(self, req: GatewayRequest) -> HopHeader:
-        return HopHeader(
-            request_id=req.id,
-            customer=req.customer.id,
-            ingress=self._cfg.entry.id,
-            ingress_region=self._cfg.entry.region,
-            revision=self._view.number,
-            deadline_seconds=self._remaining(req),
-        )
-
-    def _exchange(self, req: GatewayRequest, url: str, relay: StreamRelay) -> Exchange:
-        headers = {"Content-Type": req.content_type, REQUEST_ID_HEADER: req.id}
-        if relay.last_id is not None:
-            headers[LAST_EVENT_HEADER] = str(relay.last_id)
-        if req.operation_id is not None:
-            headers["Operation-Id"] = req.operation_id
-        return Exchange(
-            method=req.method,
-            url=url,
-            headers=headers,
-            body=req.body,
-            request_id=req.id,
-            timeout_seconds=self._remaining(req),
-            answer_seconds=self._answer_seconds(req),
-            repeatable=req.idempotent,
-        )
-
-    def _answer_seconds(self, req: GatewayRequest, *, patience: int = 1) -> float:
-        """Return the wait for an answer to begin that leaves time to go elsewhere."""
-        remaining = self._remaining(req)
-        if not req.idempotent:
-            return remaining
-        limit = self._cfg.targets.answer_timeout_seconds * patience
-        return min(limit, remaining / 2)
-
-    def _remaining(self, req: GatewayRequest) -> float:
-        return max(0.0, req.deadline - asyncio.get_running_loop().time())
-
 
 def _sent_verdict(record: OutcomeRecorder) -> Verdict:
     return Verdict.MAY_HAVE_RUN if record.attempts else Verdict.NOT_RUN
 
 
+def _describe_request(span: Span, outcome: RequestOutcome) -> None:
+    span.set(SpanAttribute.REQUEST_ID, outcome.request_id)
+    span.set(SpanAttribute.CUSTOMER, outcome.customer)
+    span.set(SpanAttribute.KIND, outcome.kind.value)
+    span.set(SpanAttribute.VERDICT, outcome.verdict.value)
+    span.set(SpanAttribute.HOPPED, outcome.hopped)
+    span.set(SpanAttribute.ATTEMPTS, outcome.attempts)
+    if outcome.reason is not None:
+        span.set(SpanAttribute.REASON, outcome.reason.slug)
+    if outcome.sent_to is not None:
+        span.set(SpanAttribute.REGION, outcome.sent_to)
+
+
 def _holder(route: TargetRoute | RegionRoute) -> str:
     return route.target.id if isinstance(route, TargetRoute) else route.region
--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import time
+from typing import TYPE_CHECKING
 
 from pimentospool._generated.settings import Settings
 from pimentospool._generated.status import EntryStatus
@@ -29,8 +30,12 @@
 from pimentospool.summaries import SummaryExchange
 from pimentospool.targets import ExchangeClient
 from pimentospool.tls import TlsContexts
+from pimentospool.traces import SilentTracer, Tracer
 from pimentospool.views import View
 
+if TYPE_CHECKING:
+    from pimentospool.trace_export import ExportingTracer
+
 
 class Entry:
     """An entry process, without the process.
@@ -72,6 +77,7 @@
         self.admin = AdminServer(cfg=cfg.entry)
         self._cfg = cfg
         self._adopted_at = time.monotonic()
+        self._exporter: ExportingTracer | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self.view.revision_adopted.connect(self._follow_revision)
 
@@ -89,6 +95,7 @@
             admission=self._admission,
             client=self._client,
             rng=random.Random(),
+            tracer=self._open_tracer(),
         )
         self.operations = OperationServer(
             cfg=cfg,
@@ -143,8 +150,22 @@
         await self._client.close()
         await self.control.close()
         await self._platform.close()
+        if self._exporter is not None:
+            await self._exporter.flush()
         log_event(Event.ENTRY_STOPPED, entry=self._cfg.entry.id)
 
+    def _open_tracer(self) -> Tracer:
+        traces = self._cfg.traces
+        if not (traces.file or traces.otlp_endpoint):
+            return SilentTracer()
+        # Spares the entry process the SDK's memory where nothing is exported.
+        from pimentospool.trace_export import ExportingTracer
+
+        self._exporter = ExportingTracer(cfg=traces, entry=self._cfg.entry)
+        self._platform.tracer = self._exporter
+        self._tasks.append(asyncio.create_task(self._exporter.run()))
+        return self._exporter
+
     def status(self) -> EntryStatus:
         """Return what operators see of this process."""
         status = control_status(
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -24,6 +24,7 @@
     ENTRY_DRAIN_EXPIRED = (1004, logbook.ERROR, "requests were cut at the drain limit")
     CERTIFICATE_LOADED = (1006, logbook.NOTICE, "changed certificate in force")
     CERTIFICATE_REFUSED = (1007, logbook.ERROR, "changed certificate refused")
+    TRACES_LOST = (1008, logbook.WARNING, "spans could not be exported")
     REQUEST_REFUSED = (2001, logbook.INFO, "request refused")
     REQUEST_ERROR = (2003, logbook.ERROR, "unexpected error in a request")
     TARGET_SILENT = (2101, logbook.WARNING, "target does not report")
--- a/pimentospool/platform.py
+++ b/pimentospool/platform.py
@@ -10,6 +10,7 @@
 from pimentospool._generated.settings import PlatformSettings
 from pimentospool.errors import PimentospoolError
 from pimentospool.revisions import INDEX_KEY, part_key
+from pimentospool.traces import SilentTracer, SpanAttribute, SpanName, Tracer
 
 T = TypeVar("T")
 _VERSION_HEADER = "Version"
@@ -48,6 +49,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._vm_list_tag = ""
         self.reads = 0
+        self.tracer: Tracer = SilentTracer()
 
     async def close(self) -> None:
         """Close every connection."""
@@ -112,6 +114,7 @@
             self._session = aiohttp.ClientSession()
         headers = {"If-None-Match": known_tag} if known_tag else {}
         self.reads += 1
+        span = self.tracer.begin(SpanName.PLATFORM, parent="")
         try:
             async with (
                 asyncio.timeout(limit),
@@ -128,7 +131,10 @@
                     data=data,
                 )
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as exc:
+            span.set(SpanAttribute.CAUSE, type(exc).__name__)
             raise PlatformError(f"{url}: {type(exc).__name__} {exc}") from exc
+        finally:
+            span.end()
 
 
 def _decode(data: bytes, kind: type[T]) -> T:
--- a/pimentospool/requests.py
+++ b/pimentospool/requests.py
@@ -85,6 +85,7 @@
     operation_id: OperationId | None = None
     hop: HopHeader | None = None
     resume_after: int | None = None
+    traceparent: str = ""
     stays: bool = False
     send_guard: SendGuard | None = None
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -350,7 +350,7 @@
         node = world.nodes["gulf"]
         headers = {
             HOP_HEADER: HopSigner(key=KEY).sign(
-                node.dispatcher._hop_header(
+                node.dispatcher._exchanges.hop_header(
                     node.parser.parse_service(
                         _http({"Authorization": "Bearer stores-gulf-key"}),
                         "ticketing",
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -128,7 +128,7 @@
             async with caller.post("/v1/chat/completions", json=chat()) as resp:
                 text = streamed_text(await resp.read())[0]
             hopped = [outcome.hopped for outcome in running.outcomes]
-            sent = running.entries[0].dispatcher
+            sent = running.entries[0].dispatcher._exchanges
             header = {"X-Hop": sent._signer.sign(hop_header(running))}
             path = "/hop/v1/services/ticketing/tickets/lookup"
             async with caller.get(path, headers=header) as resp:
@@ -151,7 +151,7 @@
     req.id = "one"
     req.customer = entry.view.index.customers["stores-gulf"]
     req.deadline = asyncio.get_running_loop().time() + 5
-    return entry.dispatcher._hop_header(req)
+    return entry.dispatcher._exchanges.hop_header(req)
 
 
 def test_changed_certificate_comes_in_force_and_cuts_nothing(runner, authority):
