--- a/pimentospool/callers/_app.py
+++ b/pimentospool/callers/_app.py
@@ -15,10 +15,12 @@
 )
 from pimentospool._generated.settings import Settings
 from pimentospool.callers._connections import (
+    CallerApp,
     CallerProtocol,
     CallerRequest,
     ConnectionDrain,
     close_after_answer,
+    peer_certificate,
 )
 from pimentospool.callers._parsing import OPERATION_HEADER, TICKET_PATH, RequestParser
 from pimentospool.callers._problems import (
@@ -35,11 +37,13 @@
 from pimentospool.ids import RegionId, RequestId, ZoneId
 from pimentospool.log import Event, log_event
 from pimentospool.requests import GatewayRequest, RequestServer
+from pimentospool.tls import TlsContexts
 from pimentospool.verdicts import Verdict
 from pimentospool.views import View
 
 _POLL_SECONDS = 0.05
 _KEEP_ALIVE_SECONDS = 75
+_BACKLOG = 4096
 
 
 class CallerServer:
@@ -55,6 +59,8 @@
         Entry VMs that callers may use, and whether the view is current.
     dispatcher : RequestServer
         Serves verified requests.
+    tls : TlsContexts
+        Contexts for callers and hops.
     """
 
     def __init__(
@@ -64,6 +70,7 @@
         view: View,
         control: ControlPlane,
         dispatcher: RequestServer,
+        tls: TlsContexts,
     ) -> None:
         self.in_progress = 0
         self.leaving = False
@@ -72,6 +79,7 @@
         self._control = control
         self._chooser = EntryChooser(cfg=cfg, view=view, fleet=control.fleet)
         self._dispatcher = dispatcher
+        self._tls = tls
         self._signer = HopSigner(key=cfg.peers.key)
         self._parser = RequestParser(cfg=cfg.callers, signer=self._signer, view=view)
         self._app = self._build_app()
@@ -84,6 +92,8 @@
             host,
             int(port),
             protocol=CallerProtocol,
+            backlog=_BACKLOG,
+            ssl=self._tls.server,
             return_asyncio_server=True,
             access_log=False,
         )
@@ -113,7 +123,7 @@
 
     def _build_app(self) -> Sanic:
         name = f"callers-{self._cfg.entry.id}-{id(self):x}".replace(".", "-")
-        app: Sanic = Sanic(name, configure_logging=False, request_class=CallerRequest)
+        app = CallerApp(name, configure_logging=False, request_class=CallerRequest)
         app.config.REQUEST_MAX_SIZE = self._cfg.callers.max_body_bytes
         app.config.REQUEST_TIMEOUT = self._cfg.callers.request_timeout_seconds
         app.config.RESPONSE_TIMEOUT = self._cfg.callers.default_deadline_seconds * 2
@@ -227,10 +237,20 @@
 
     async def _settle_view(self, http: HttpRequest) -> None:
         await self._control.settle()
-        hop = self._signer.verify(http.headers.get(HOP_HEADER, ""))
+        signed = http.headers.get(HOP_HEADER)
+        hop = self._signer.verify(signed) if signed else None
         if hop is not None:
+            self._check_peer(http)
             await self._view.ensure(hop.revision, hop.ingress)
 
+    def _check_peer(self, http: HttpRequest) -> None:
+        if self._tls.hops_show_certificates and not peer_certificate(http):
+            raise RequestFailure(
+                reason=Reason.FORBIDDEN,
+                detail="a hop must show a certificate of the peers' authority",
+                verdict=Verdict.NOT_RUN,
+            )
+
     async def _models(self, http: HttpRequest) -> HTTPResponse:
         try:
             customer = self._parser.customer(http, None)
--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import time
+from typing import TYPE_CHECKING
 
 from pimentospool._generated.settings import Settings
 from pimentospool._generated.status import EntryStatus
@@ -28,8 +29,13 @@
 from pimentospool.status import STATUS_PATH, control_status, status_page
 from pimentospool.summaries import SummaryExchange
 from pimentospool.targets import ExchangeClient
+from pimentospool.tls import TlsContexts
+from pimentospool.traces import SilentTracer, Tracer
 from pimentospool.views import View
 
+if TYPE_CHECKING:
+    from pimentospool.trace_export import ExportingTracer
+
 
 class Entry:
     """An entry process, without the process.
@@ -71,13 +77,16 @@
         self.admin = AdminServer(cfg=cfg.entry)
         self._cfg = cfg
         self._adopted_at = time.monotonic()
+        self._exporter: ExportingTracer | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self.view.revision_adopted.connect(self._follow_revision)
 
     async def start(self) -> None:
         """Start every part and serve callers."""
         cfg = self._cfg
-        self._client = ExchangeClient(cfg=cfg.targets)
+        self._tls = TlsContexts(cfg=cfg.tls)
+        self._tasks.append(asyncio.create_task(self._tls.watch()))
+        self._client = ExchangeClient(cfg=cfg.targets, tls=self._tls.hops)
         self.dispatcher = Dispatcher(
             cfg=cfg,
             view=self.view,
@@ -86,6 +95,7 @@
             admission=self._admission,
             client=self._client,
             rng=random.Random(),
+            tracer=self._open_tracer(),
         )
         self.operations = OperationServer(
             cfg=cfg,
@@ -96,7 +106,11 @@
             rng=random.Random(),
         )
         self.callers = CallerServer(
-            cfg=cfg, view=self.view, control=self.control, dispatcher=self.operations
+            cfg=cfg,
+            view=self.view,
+            control=self.control,
+            dispatcher=self.operations,
+            tls=self._tls,
         )
         self._summaries = SummaryExchange(
             control=self.control,
@@ -136,8 +150,22 @@
         await self._client.close()
         await self.control.close()
         await self._platform.close()
+        if self._exporter is not None:
+            await self._exporter.flush()
         log_event(Event.ENTRY_STOPPED, entry=self._cfg.entry.id)
 
+    def _open_tracer(self) -> Tracer:
+        traces = self._cfg.traces
+        if not (traces.file or traces.otlp_endpoint):
+            return SilentTracer()
+        # Spares the entry process the SDK's memory where nothing is exported.
+        from pimentospool.trace_export import ExportingTracer
+
+        self._exporter = ExportingTracer(cfg=traces, entry=self._cfg.entry)
+        self._platform.tracer = self._exporter
+        self._tasks.append(asyncio.create_task(self._exporter.run()))
+        return self._exporter
+
     def status(self) -> EntryStatus:
         """Return what operators see of this process."""
         status = control_status(
