--- a/pimentospool/commands/_bench.py
+++ b/pimentospool/commands/_bench.py
@@ -4,9 +4,10 @@
 
 from pimentospool.commands._lazy import LazyGroup
 
-BENCHES: list[str] = [
+BENCHES = [
     "policy",
     "policy-cost",
+    "relay",
 ]
 
 
