Bound the reading of engines' reports

Cause: each entry VM read every engine of its region twice a second, which would take more than a core at 800 engines a region. Change: at most 20 targets a second, the longest due first. Figures: 400 targets, 30 reads at most in the first second (test); up to 10 targets are read as before. Conclusion: bounded; at the planned size reports get old and must be shared in a zone.

--- a/pimentospool/reports.py
+++ b/pimentospool/reports.py
@@ -1,11 +1,14 @@
 """Reading of load reports, cache events and held models from the own region's engines.
 
-One loop reads all targets, spread evenly over the interval. A target that does not
-answer is asked less and less often, and routing hears of its silence.
+One loop reads all targets, spread evenly over the interval, and at most a fixed number
+a second: with more targets than that allows, each is read less often. A target that
+does not answer is asked less and less often, and routing hears of its silence.
 """
 
 import asyncio
+import math
 import time
+from heapq import nsmallest
 
 import aiohttp
 import msgspec
@@ -18,6 +21,7 @@
 from pimentospool.policy import Router
 
 MOST_AT_ONCE = 64
+MOST_TARGETS_PER_SECOND = 20.0
 STATE_EVERY = 4
 LONGEST_BACKOFF = 16
 _IDLE_SECONDS = 0.1
@@ -60,10 +64,11 @@
         """Read for ever."""
         while True:
             targets = self._engines()
-            due = self._due(targets)
-            for target in due:
+            pause = self._pause(len(targets))
+            most = math.ceil(pause * MOST_TARGETS_PER_SECOND)
+            for target in self._due(targets, most):
                 self._start(target)
-            await asyncio.sleep(self._pause(len(targets)))
+            await asyncio.sleep(pause)
 
     async def close(self) -> None:
         """End the reading and close the connections."""
@@ -82,9 +87,10 @@
     def _pause(self, count: int) -> float:
         if not count:
             return _IDLE_SECONDS
-        return min(_IDLE_SECONDS, self._cfg.report_interval_seconds / count)
+        spread = self._cfg.report_interval_seconds / count
+        return min(_IDLE_SECONDS, max(spread, 1.0 / MOST_TARGETS_PER_SECOND))
 
-    def _due(self, targets: dict[TargetId, Target]) -> list[Target]:
+    def _due(self, targets: dict[TargetId, Target], most: int) -> list[Target]:
         now = time.monotonic()
         for gone in self._polled.keys() - targets.keys():
             del self._polled[gone]
@@ -92,11 +98,13 @@
             if target_id not in self._polled:
                 offset = number / len(targets) * self._cfg.report_interval_seconds
                 self._polled[target_id] = _Polled(due_at=now + offset)
-        return [
-            targets[target_id]
+        due = [
+            (polled.due_at, target_id)
             for target_id, polled in self._polled.items()
             if polled.due_at <= now and not polled.busy
-        ][:MOST_AT_ONCE]
+        ]
+        free = MOST_AT_ONCE - len(self._reading)
+        return [targets[target_id] for _, target_id in nsmallest(min(most, free), due)]
 
     def _start(self, target: Target) -> None:
         polled = self._polled[target.id]
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -12,7 +12,7 @@
 from pimentospool.ids import EntryId
 from pimentospool.manifest import ManifestIndex, read_manifest
 from pimentospool.policy import RouteQuery, Router
-from pimentospool.reports import ReportPoller
+from pimentospool.reports import MOST_TARGETS_PER_SECOND, ReportPoller
 from pimentospool.standins import StandinDeployment
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
@@ -70,3 +70,31 @@
             await deployment.close()
 
     runner.run(check())
+
+
+def test_many_targets_are_read_in_turn_within_the_budget(runner):
+    async def check():
+        manifest = read_manifest(EXAMPLES / "tsuzumi/manifest.toml")
+        first = manifest.targets[0]
+        targets = [
+            msgspec.structs.replace(first, id=f"engine-{number}")
+            for number in range(400)
+        ]
+        router = Router(
+            region=manifest.regions[0].id,
+            entry=EntryId("e"),
+            clock=time.monotonic,
+            rng=random.Random(1),
+        )
+        many = msgspec.structs.replace(manifest, targets=targets)
+        router.set_manifest(ManifestIndex(manifest=many))
+        poller = ReportPoller(cfg=TargetSettings(), router=router)
+        read = []
+        poller._start = lambda target: read.append(target.id)
+        task = asyncio.create_task(poller.run())
+        await asyncio.sleep(1.0)
+        task.cancel()
+        await poller.close()
+        assert 0 < len(read) <= MOST_TARGETS_PER_SECOND * 1.5
+
+    runner.run(check())
