--- a/tools/binary.py
+++ b/tools/binary.py
@@ -1,33 +1,44 @@
 """Builds the program as one file that runs on a VM's CPython 3.11."""
 
+import argparse
+import shutil
 import subprocess
 import sys
+import tempfile
+import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-OUTPUT = ROOT / "dist" / "pimentospool"
-
-
-def main() -> int:
-    """Build ``dist/pimentospool``."""
-    OUTPUT.parent.mkdir(exist_ok=True)
-    command = [
-        sys.executable,
-        "-m",
-        "pex",
-        str(ROOT),
-        "--constraints",
-        str(ROOT / "constraints.txt"),
-        "--console-script",
-        "pimentospool",
-        "--python",
-        sys.executable,
-        "--sh-boot",
-        "--output-file",
-        str(OUTPUT),
-    ]
-    return subprocess.run(command, check=False).returncode
+DEFAULT_OUTPUT = ROOT / "dist" / "pimentospool"
+
+
+def build(output: Path) -> None:
+    """Write the one-file program to `output`, with what the venv has installed."""
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    output.parent.mkdir(parents=True, exist_ok=True)
+    with tempfile.TemporaryDirectory() as folder:
+        shutil.copytree(
+            ROOT / "pimentospool",
+            Path(folder) / "pimentospool",
+            ignore=shutil.ignore_patterns("__pycache__"),
+        )
+        command = [
+            *(sys.executable, "-m", "pex"),
+            *(name.replace(" ", "") for name in project["dependencies"]),
+            *("--pre", "--venv-repository", sys.prefix),
+            *("--sources-directory", folder),
+            *("--entry-point", "pimentospool.__main__:main"),
+            *("--sh-boot", "--output-file", str(output)),
+        ]
+        subprocess.run(command, check=True, cwd=ROOT)
+
+
+def main() -> None:
+    """Build the program."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--output", type=Path, default=DEFAULT_OUTPUT)
+    build(parser.parse_args().output)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
