Build the program as one file and prove that it starts no child

Change: pex from the installed environment with the examples inside; tools that start entry processes use the one file too. Tests build it, start every command and list processes. Ruled out: PyInstaller (starts a child), zipapp (no compiled extensions).

--- a/pimentospool/commands/_demo.py
+++ b/pimentospool/commands/_demo.py
@@ -10,9 +10,9 @@
 from pimentospool.commands._common import EXIT_FAILED, FILE, read_or_exit, run
 from pimentospool.demo import Demo, DemoRow
 from pimentospool.manifest import read_manifest
+from pimentospool.paths import EXAMPLES
 
 DEPLOYMENTS = ["magnolia", "tsuzumi"]
-_EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 
 
 @click.command()
@@ -22,7 +22,7 @@
 @click.option("--seed", default=1, show_default=True)
 def demo(deployment: str, manifest: Path | None, requests: int, seed: int) -> None:
     """Bring up a deployment with its stand-ins on loopback and send it traffic."""
-    path = manifest or _EXAMPLES / deployment / "manifest.toml"
+    path = manifest or EXAMPLES / deployment / "manifest.toml"
     checked = read_or_exit(read_manifest, path)
     rows = run(_run(Demo(manifest=checked, requests=requests, seed=seed)))
     Console(width=120).print(_table(deployment, rows))
--- a/pimentospool/commands/_drill.py
+++ b/pimentospool/commands/_drill.py
@@ -26,10 +26,10 @@
     write_report,
 )
 from pimentospool.manifest import read_manifest
+from pimentospool.paths import EXAMPLES
 
 DEPLOYMENTS = ["magnolia", "tsuzumi"]
-_EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
-_SCENARIOS = _EXAMPLES / "scenarios"
+_SCENARIOS = EXAMPLES / "scenarios"
 _FOLDER = click.Path(file_okay=False, path_type=Path)
 T = TypeVar("T")
 
@@ -92,9 +92,7 @@
             watch.add_executions(_read_lines(executions_path, TargetExecution))
         reports = [_report(watch.evidence, None, report_folder)]
     else:
-        paths = scenario_paths or tuple(
-            sorted((_EXAMPLES / "scenarios").glob("*.toml"))
-        )
+        paths = scenario_paths or tuple(sorted((EXAMPLES / "scenarios").glob("*.toml")))
         scenarios = [read_or_exit(read_scenario, path) for path in paths]
         reports = [
             _run_deployment(name, scenarios, seed, report_folder / name)
@@ -107,7 +105,7 @@
 def _run_deployment(
     name: str, scenarios: list[Scenario], seed: int, folder: Path
 ) -> DrillReport:
-    manifest = read_or_exit(read_manifest, _EXAMPLES / name / "manifest.toml")
+    manifest = read_or_exit(read_manifest, EXAMPLES / name / "manifest.toml")
     made = Drill(manifest=manifest, scenarios=scenarios, seed=seed)
     console = Console()
     evidence = run(_run_viewed(made, console))
--- a/pimentospool/drill/_processes.py
+++ b/pimentospool/drill/_processes.py
@@ -1,18 +1,16 @@
 """Real entry processes, started and signalled by a drill or a test."""
 
 import asyncio
-import os
 import signal
-import sys
 from pathlib import Path
 
 import aiohttp
 
 from pimentospool._generated.settings import Settings
 from pimentospool.errors import PimentospoolError
+from pimentospool.paths import program_command, program_environment
 from pimentospool.settings import encode_settings
 
-_ROOT = Path(__file__).resolve().parents[2]
 _READY_SECONDS = 20.0
 _POLL_SECONDS = 0.05
 _ANSWER_SECONDS = 2.0
@@ -57,14 +55,12 @@
         path.write_bytes(encode_settings(self.cfg))
         with self.log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "pimentospool",
+                *program_command(),
                 "entry",
                 str(path),
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "PYTHONPATH": str(_ROOT)},
+                env=program_environment(),
             )
 
     async def wait_ready(self) -> None:
--- /dev/null
+++ b/tests/binary/test_binary.py
@@ -0,0 +1,118 @@
+"""The program as one file: every command starts, and an entry has no child."""
+
+import asyncio
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from pimentospool.manifest import read_manifest
+from pimentospool.settings import encode_settings
+from pimentospool.standins import StandinDeployment
+
+ROOT = Path(__file__).resolve().parents[2]
+MANIFEST = ROOT / "examples/magnolia/manifest.toml"
+COMMANDS = ["bench", "check", "demo", "drill", "entry", "load", "standin", "status"]
+READY_SECONDS = 60.0
+
+
+@pytest.fixture(scope="module")
+def binary(tmp_path_factory):
+    output = tmp_path_factory.mktemp("binary") / "pimentospool"
+    command = [sys.executable, "tools/binary.py", "--output", str(output)]
+    subprocess.run(command, check=True, cwd=ROOT)
+    return output
+
+
+@pytest.fixture(scope="module")
+def environment(tmp_path_factory):
+    """Environment in which only the file itself provides the package."""
+    cleared = {
+        name: value for name, value in os.environ.items() if name != "PYTHONPATH"
+    }
+    return {**cleared, "PEX_ROOT": str(tmp_path_factory.mktemp("pex"))}
+
+
+def children_of(pid):
+    """Return the processes whose parent is `pid`."""
+    found = []
+    for stat in Path("/proc").glob("[0-9]*/stat"):
+        try:
+            fields = stat.read_text().rpartition(")")[2].split()
+        except OSError:
+            continue
+        if int(fields[1]) == pid:
+            found.append(int(stat.parent.name))
+    return found
+
+
+def test_every_command_starts(binary, environment, tmp_path):
+    for command in COMMANDS:
+        done = subprocess.run(
+            [binary, command, "--help"], env=environment, cwd=tmp_path, check=False
+        )
+        assert done.returncode == 0, command
+
+
+def test_check_accepts_an_example_and_refuses_a_faulty_one(
+    binary, environment, tmp_path
+):
+    faulty = tmp_path / "manifest.toml"
+    faulty.write_text(MANIFEST.read_text().replace('zone = "gulf-a"', 'zone = "none"'))
+    for path, expected in ((MANIFEST, 0), (faulty, 2)):
+        done = subprocess.run(
+            [binary, "check", "--manifest", str(path)],
+            env=environment,
+            cwd=tmp_path,
+            check=False,
+        )
+        assert done.returncode == expected
+
+
+def test_entry_of_the_file_serves_and_has_no_child(
+    runner, binary, environment, tmp_path
+):
+    async def check():
+        deployment = StandinDeployment(manifest=read_manifest(MANIFEST))
+        await deployment.start()
+        cfg = deployment.entry_settings({deployment.manifest.zones[0].id: 1})[0]
+        path = tmp_path / "entry.toml"
+        path.write_bytes(encode_settings(cfg))
+        process = await asyncio.create_subprocess_exec(
+            binary, "entry", path, env=environment, cwd=tmp_path
+        )
+        try:
+            await wait_serving(cfg.entry.caller_address)
+            assert children_of(process.pid) == []
+            process.terminate()
+            assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            await deployment.close()
+
+    runner.run(check())
+
+
+def test_process_listing_finds_a_child():
+    child = subprocess.Popen([sys.executable, "-c", "input()"], stdin=subprocess.PIPE)
+    try:
+        assert child.pid in children_of(os.getpid())
+    finally:
+        child.communicate()
+
+
+async def wait_serving(address):
+    async with asyncio.timeout(READY_SECONDS), aiohttp.ClientSession() as session:
+        while True:
+            try:
+                async with session.get(f"http://{address}/v1/entries") as resp:
+                    if resp.status == 200 and (await resp.json())["revision"]:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0.1)
