--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from pimentospool.entry import Entry
 from pimentospool.ids import RegionId, ZoneId
 from pimentospool.manifest import Manifest, read_manifest
 from pimentospool.orders import EngineControl, Orderer, OrderResult
@@ -16,6 +17,7 @@
 REGION = RegionId("gulf")
 ZONE = ZoneId("gulf-a")
 STEPS = 40
+READY_SECONDS = 60.0
 
 
 class Clock:
@@ -189,3 +191,33 @@
         assert set(map(tuple, versions.values())) == {("2",)}
 
     run_bench(runner, check)
+
+
+def test_rollout_goes_on_when_the_orderer_is_replaced(runner):
+    async def check(bench):
+        settings = bench.deployment.entry_settings({ZONE: 2})
+        entries = {cfg.entry.id: Entry(cfg=cfg) for cfg in settings}
+        await asyncio.gather(*(entry.start() for entry in entries.values()))
+        try:
+            await publish_version(bench, "2")
+            await until(lambda: ["2"] in bench.versions().values())
+            orderers = [name for name in entries if entries[name].status().orderer]
+            assert len(orderers) == 1
+            await entries.pop(orderers[0]).stop()
+            await publish_version(bench, "3", revision=3)
+            await until(lambda: set(map(tuple, bench.versions().values())) == {("3",)})
+        finally:
+            await asyncio.gather(*(entry.stop() for entry in entries.values()))
+
+    run_bench(runner, check)
+
+
+async def publish_version(bench, version, revision=2):
+    manifest = with_version(bench.deployment.manifest, version)
+    await bench.deployment.configuration.publish_manifest(manifest, revision=revision)
+
+
+async def until(condition):
+    async with asyncio.timeout(READY_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.05)
