--- a/pimentospool/commands/_bench_policy.py
+++ b/pimentospool/commands/_bench_policy.py
@@ -10,8 +10,9 @@
 from pimentospool.bench._policy import PolicyRun, run_policy_bench
 from pimentospool.bench._policy_simulation import Fault
 from pimentospool.commands._common import FILE, read_or_exit
-from pimentospool.commands._demo import DEPLOYMENTS, EXAMPLES
+from pimentospool.commands._demo import DEPLOYMENTS
 from pimentospool.manifest import read_manifest
+from pimentospool.paths import EXAMPLES
 
 _FIGURES = [
     "short_p50_ms",
--- a/pimentospool/commands/_demo.py
+++ b/pimentospool/commands/_demo.py
@@ -10,9 +10,9 @@
 from pimentospool.commands._common import EXIT_FAILED, FILE, read_or_exit, run
 from pimentospool.demo import Demo, DemoRow
 from pimentospool.manifest import read_manifest
+from pimentospool.paths import EXAMPLES
 
 DEPLOYMENTS = ["magnolia", "tsuzumi"]
-EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 
 
 @click.command()
