--- a/pimentospool/policy/_pools.py
+++ b/pimentospool/policy/_pools.py
@@ -2,7 +2,8 @@
 
 import random
 import zlib
-from collections.abc import Callable, Container, Iterable
+from bisect import bisect
+from collections.abc import Callable, Container, Iterable, Sequence
 
 from pimentospool._generated.engine import EngineState
 from pimentospool.ids import RegionId, TargetId
@@ -11,12 +12,14 @@
 from pimentospool.policy._health import Circuit, Health
 from pimentospool.policy._work import DEFAULT_HOLD_SECONDS, TargetWork
 
-EVALUATE_ALL = 8
-RANDOM_CANDIDATES = 4
-HOLDER_CANDIDATES = 3
-KEPT_BEST = 3
+EVALUATE_ALL = 6
+RANDOM_CANDIDATES = 2
+HOLDER_CANDIDATES = 2
+KEPT_BEST = 1
 SERVICE_HOLD_SECONDS = 0.1
 SHORT_LANE_SHARE = 1 / 3
+RING_POINTS = 16
+AFFINITY_BLOCKS = 16
 
 
 class TargetState:
@@ -63,7 +66,11 @@
     def takes_work(self, now: float) -> bool:
         """Return whether neither its circuit nor its bounds keep requests away."""
         own = self.work.own
-        if own >= self.limit.value or self.health.circuit(now) is Circuit.OPEN:
+        if own >= self.limit.value:
+            return False
+        if self.health.quiet:
+            return True
+        if self.health.circuit(now) is Circuit.OPEN:
             return False
         ramp = self.health.ramp(now)
         return ramp >= 1.0 or own < max(1.0, ramp * self.target.slots)
@@ -82,12 +89,29 @@
         self.members = members
         self._by_id = {state.target.id: state for state in members}
         self._best: list[TargetState] = []
+        self._ring = sorted(
+            (zlib.crc32(f"{state.target.id}/{number}".encode()), state.target.id)
+            for state in members
+            for number in range(RING_POINTS)
+        )
 
     @property
     def samples(self) -> bool:
         """Whether decisions look at a part of the targets only."""
         return len(self.members) > EVALUATE_ALL
 
+    def preferred(self, blocks: Sequence[str]) -> TargetId | None:
+        """Return the target to warm with a long prompt, by a hash of its start.
+
+        Every entry VM prefers the same one, so that a prompt whose prefix is known
+        nowhere is not made warm at several targets.
+        """
+        if len(blocks) < AFFINITY_BLOCKS:
+            return None
+        point = zlib.crc32(blocks[AFFINITY_BLOCKS - 1].encode())
+        position = bisect(self._ring, (point, ""))
+        return self._ring[position % len(self._ring)][1]
+
     def candidates(
         self,
         rng: random.Random,
@@ -129,10 +153,10 @@
     """Mark the targets that long requests should leave to short ones.
 
     Every entry VM marks the same targets, since the order is by a hash of their
-    ids. A pool of one target has none.
+    ids. A pool of two targets has none.
     """
     count = int(len(members) * SHORT_LANE_SHARE)
-    if len(members) > 1:
+    if len(members) > 2:
         count = max(1, count)
     order = sorted(members, key=lambda state: zlib.crc32(state.target.id.encode()))
     for number, state in enumerate(order):
