Keep a region's pools over revisions that change none of its targets

Change: a pool whose members are the same ones stays. Conclusion: kept; what is left is the pass over all targets.

--- a/pimentospool/bench/_policy_cost.py
+++ b/pimentospool/bench/_policy_cost.py
@@ -29,7 +29,10 @@
 
 
 class DecisionCost(msgspec.Struct, kw_only=True):
-    """Time of decisions at one size, in microseconds."""
+    """Time of decisions at one size, in microseconds.
+
+    ``manifest_ms`` is the time to take over a revision that changes no target.
+    """
 
     targets: int
     own_targets: int
@@ -55,6 +58,7 @@
         clock=time.perf_counter,
         rng=rng,
     )
+    router.set_manifest(index)
     began = time.perf_counter()
     router.set_manifest(index)
     manifest_ms = (time.perf_counter() - began) * 1e3
--- a/pimentospool/policy/_knowledge.py
+++ b/pimentospool/policy/_knowledge.py
@@ -82,7 +82,10 @@
             if state.target.kind is TargetKind.ENGINE
         ]
         mark_short_lanes(engines)
-        self.pools = {name: Pool(members=states) for name, states in members.items()}
+        held = self.pools
+        self.pools = {
+            name: _kept_pool(held.get(name), states) for name, states in members.items()
+        }
 
     def _declare_regions(self, index: ManifestIndex) -> None:
         kept = self.regions
@@ -150,6 +153,13 @@
         )
 
 
+def _kept_pool(held: Pool | None, members: list[TargetState]) -> Pool:
+    """Return the pool held so far if its members are the same ones."""
+    if held is not None and held.members == members:
+        return held
+    return Pool(members=members)
+
+
 def _low_wait(
     states: list[TargetState], now: float, short_share: float, *, short: bool
 ) -> float:
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -382,3 +382,19 @@
     damage(monkeypatch)
     with pytest.raises(AssertionError):
         test_decisions_keep_to_regions_exclusions_and_one_hop(magnolia, clock)
+
+
+def test_a_revision_keeps_what_is_known_of_its_targets(router, magnolia):
+    flight = router.start(router.choose(query()), query())
+    held = router._known.pools[MODEL]
+    router.set_manifest(magnolia)
+    assert router._known.pools[MODEL] is held
+    flight.finish()
+    fields = {
+        f: getattr(magnolia.manifest, f) for f in magnolia.manifest.__struct_fields__
+    }
+    targets = [t for t in magnolia.manifest.targets if t.id != "gulf-engine-2"]
+    fewer = magnolia.manifest.__class__(**(fields | {"targets": targets}))
+    router.set_manifest(type(magnolia)(manifest=fewer))
+    members = {state.target.id for state in router._known.pools[MODEL].members}
+    assert members == {"gulf-engine-1", "gulf-engine-3"}
