Explore the never-back rule exhaustively over the revision book

Cause: the merge rules of revisions were property-tested over orders of messages, not over every course with a stale platform, a restart and a healed partition. Change: `pimentospool modelcheck revisions` explores two and three nodes that run the real RevisionBook.

--- a/pimentospool/commands/_modelcheck.py
+++ b/pimentospool/commands/_modelcheck.py
@@ -10,9 +10,11 @@
 from pimentospool.commands._common import EXIT_FAILED
 from pimentospool.modelcheck import (
     ONCE_CASES,
+    REVISIONS_CASES,
     Exploration,
     Model,
     OnceModel,
+    RevisionsModel,
     explore,
 )
 
@@ -33,6 +35,15 @@
     _check(models, depth=depth, max_states=max_states)
 
 
+@modelcheck.command()
+@click.option("--depth", default=60, show_default=True, help="Longest course.")
+@click.option("--max-states", default=200_000, show_default=True, help="For each case.")
+def revisions(depth: int, max_states: int) -> None:
+    """Configuration that never goes back, through stale platforms and partitions."""
+    models = {name: RevisionsModel(case=case) for name, case in REVISIONS_CASES.items()}
+    _check(models, depth=depth, max_states=max_states)
+
+
 def _check(models: Mapping[str, Model], *, depth: int, max_states: int) -> None:
     console = Console(width=100)
     table = Table(*_COLUMNS)
--- a/pimentospool/modelcheck/__init__.py
+++ b/pimentospool/modelcheck/__init__.py
@@ -9,13 +9,21 @@
     walk,
 )
 from pimentospool.modelcheck._once import ONCE_CASES, OnceCase, OnceModel
+from pimentospool.modelcheck._revisions import (
+    REVISIONS_CASES,
+    RevisionsCase,
+    RevisionsModel,
+)
 
 __all__ = [
     "ONCE_CASES",
+    "REVISIONS_CASES",
     "Exploration",
     "Model",
     "OnceCase",
     "OnceModel",
+    "RevisionsCase",
+    "RevisionsModel",
     "Step",
     "Violation",
     "explore",
