Run operations under faults at scale and find a customer's regions

Ruled out: the retry budget, which no such call had used up. Change: the library leaves a region that refuses the customer and asks elsewhere. `pimentospool bench operations` sends operations through 8 processes while replies are lost, links cut or silent and entry VMs killed or paused, and judges by the services' records; a small run is a test, and callers that start anew on a lost reply are found by it.

--- /dev/null
+++ b/pimentospool/bench/_operations.py
@@ -0,0 +1,267 @@
+"""Calls that are not idempotent, through real processes under faults."""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum
+from pathlib import Path
+
+import msgspec
+
+from pimentospool.bench._fleet import ServiceFleet
+from pimentospool.client import ClientError, ClientSettings, GatewayClient
+from pimentospool.faults import Direction, FaultProxy, LinkState
+from pimentospool.ids import CustomerId, ServiceId
+from pimentospool.load import example_key
+from pimentospool.manifest import Customer, Manifest, ServiceCall
+from pimentospool.revisions import digest_of
+from pimentospool.standins import ServiceAnswer
+from pimentospool.verdicts import Verdict
+
+_ENTRIES_PER_ZONE = [3, 3, 2]
+_LOST_REPLY = LinkState(cut_after={Direction.TO_CLIENT: 20})
+_SHORTEST_FAULT_SECONDS = 0.3
+_LONGEST_FAULT_SECONDS = 1.5
+_DEADLINE_SECONDS = 8.0
+_ATTEMPT_SECONDS = 2.0
+_SETTLE_SECONDS = 2.0
+
+
+class OperationFault(Enum):
+    """What goes wrong for a while."""
+
+    LOST_REPLIES = "replies of the services lost"
+    TARGETS_CUT = "services cut off"
+    ENTRY_CUT = "an entry VM cut off"
+    ENTRY_SILENT = "an entry VM's link silent"
+    ENTRY_KILLED = "an entry VM killed and replaced"
+    ENTRY_PAUSED = "an entry VM paused"
+
+
+class OperationsReport(msgspec.Struct, kw_only=True):
+    """What the callers were told, against what the services ran.
+
+    `repeated` calls ran more than once, `denied` ones ran after their caller was
+    told that they had not, `wrong` ones were answered with another call's answer,
+    and `unfounded` ones were answered though none ran.
+    """
+
+    seed: int
+    operations: int
+    answered: int
+    failed: dict[str, int]
+    executions: int
+    repeated: int
+    denied: int
+    wrong: int
+    unfounded: int
+    faults: dict[str, int]
+    seconds: float
+
+    @property
+    def held(self) -> bool:
+        """Whether no promise was broken."""
+        return not (self.repeated or self.denied or self.wrong or self.unfounded)
+
+
+class _Call(msgspec.Struct, kw_only=True):
+    """One thing that a caller wants done once."""
+
+    customer: CustomerId
+    service: ServiceId
+    call: ServiceCall
+    body: bytes
+    answered: bool = False
+    wrong: bool = False
+    verdict: Verdict = Verdict.RAN
+
+
+class OperationsBench:
+    """Sends operations through a fleet of real processes while faults come and go.
+
+    Parameters
+    ----------
+    manifest : Manifest
+        One of the example manifests.
+    folder : Path
+        Where settings and logs of the entry processes are written.
+    operations : int
+        Operations to send.
+    concurrency : int
+        Operations in progress at a time.
+    seed : int
+        Seed of the traffic and the faults.
+    """
+
+    def __init__(
+        self,
+        *,
+        manifest: Manifest,
+        folder: Path,
+        operations: int,
+        concurrency: int,
+        seed: int,
+    ) -> None:
+        self._manifest = manifest
+        self._fleet = ServiceFleet(
+            manifest=manifest, folder=folder, counts=_ENTRIES_PER_ZONE
+        )
+        self._rng = random.Random(seed)
+        self._seed = seed
+        self._concurrency = concurrency
+        self._calls = [self._make_call(number) for number in range(operations)]
+        self._faults: Counter[OperationFault] = Counter()
+
+    async def run(self) -> OperationsReport:
+        """Bring the fleet up, send everything and judge it by the services."""
+        async with self._fleet:
+            started = time.monotonic()
+            breaking = asyncio.create_task(self._break_things())
+            try:
+                await self._send_all()
+            finally:
+                breaking.cancel()
+                await asyncio.gather(breaking, return_exceptions=True)
+            seconds = time.monotonic() - started
+            await asyncio.sleep(_SETTLE_SECONDS)
+            return self._judge(seconds)
+
+    def _make_call(self, number: int) -> _Call:
+        manifest = self._manifest
+        customer = self._rng.choice(manifest.customers)
+        choices = [
+            (service.id, call)
+            for service in manifest.services
+            for call in service.calls
+            if not call.idempotent and service.id in customer.services
+        ]
+        service, call = self._rng.choice(choices)
+        body = msgspec.json.encode({"seed": self._seed, "call": number})
+        return _Call(customer=customer.id, service=service, call=call, body=body)
+
+    async def _send_all(self) -> None:
+        customers = {item.id: item for item in self._manifest.customers}
+        waiting = list(reversed(self._calls))
+
+        async def send_some(number: int) -> None:
+            while waiting:
+                call = waiting.pop()
+                await self._send(call, customers[call.customer], number)
+
+        senders = [send_some(number) for number in range(self._concurrency)]
+        await asyncio.gather(*senders)
+
+    async def _send(self, call: _Call, customer: Customer, number: int) -> None:
+        cfg = ClientSettings(
+            directory=self._fleet.deployment.servers["directory"].address,
+            key=example_key(customer),
+            deadline_seconds=_DEADLINE_SECONDS,
+            attempt_seconds=_ATTEMPT_SECONDS,
+        )
+        rng = random.Random(self._rng.random())
+        async with GatewayClient(cfg=cfg, rng=rng) as client:
+            try:
+                answer = await client.call(
+                    call.service,
+                    call.call.path,
+                    idempotent=False,
+                    method=call.call.method.value,
+                    body=call.body,
+                )
+            except ClientError as exc:
+                call.verdict = exc.verdict
+                return
+        call.answered = True
+        told = msgspec.json.decode(answer.body, type=ServiceAnswer)
+        call.wrong = told.body_digest != digest_of(call.body)
+
+    def _judge(self, seconds: float) -> OperationsReport:
+        ran = Counter(
+            execution.body_digest
+            for service in self._fleet.deployment.services.values()
+            for execution in service.executions
+        )
+        counts = [(call, ran[digest_of(call.body)]) for call in self._calls]
+        failed = Counter(
+            call.verdict.value for call in self._calls if not call.answered
+        )
+        denied = [
+            call
+            for call, count in counts
+            if count and not call.answered and call.verdict is Verdict.NOT_RUN
+        ]
+        return OperationsReport(
+            seed=self._seed,
+            operations=len(self._calls),
+            answered=sum(call.answered for call in self._calls),
+            failed=dict(failed),
+            executions=sum(count for _, count in counts),
+            repeated=sum(count > 1 for _, count in counts),
+            denied=len(denied),
+            wrong=sum(call.wrong for call in self._calls),
+            unfounded=sum(call.answered and not count for call, count in counts),
+            faults={fault.value: count for fault, count in self._faults.items()},
+            seconds=round(seconds, 3),
+        )
+
+    async def _break_things(self) -> None:
+        kinds = list(OperationFault)
+        while True:
+            self._rng.shuffle(kinds)
+            for kind in kinds:
+                self._faults[kind] += 1
+                seconds = self._rng.uniform(
+                    _SHORTEST_FAULT_SECONDS, _LONGEST_FAULT_SECONDS
+                )
+                await self._bring_about(kind, seconds)
+                await asyncio.sleep(_SHORTEST_FAULT_SECONDS)
+
+    async def _bring_about(self, kind: OperationFault, seconds: float) -> None:
+        entry = self._rng.randrange(len(self._fleet.processes))
+        services = self._fleet.target_proxies
+        link = [self._fleet.entry_proxies[entry]]
+        if kind is OperationFault.LOST_REPLIES:
+            await _break_links(services, _lose_replies, seconds)
+        elif kind is OperationFault.TARGETS_CUT:
+            await _break_links(services, FaultProxy.cut, seconds)
+        elif kind is OperationFault.ENTRY_CUT:
+            await _break_links(link, FaultProxy.cut, seconds)
+        elif kind is OperationFault.ENTRY_SILENT:
+            await _break_links(link, FaultProxy.blackhole, seconds)
+        elif kind is OperationFault.ENTRY_KILLED:
+            await self._replace(entry)
+        else:
+            await self._pause(entry, seconds)
+
+    async def _replace(self, entry: int) -> None:
+        process = self._fleet.processes[entry]
+        process.kill()
+        await process.wait()
+        await process.start()
+
+    async def _pause(self, entry: int, seconds: float) -> None:
+        process = self._fleet.processes[entry]
+        process.pause()
+        try:
+            await asyncio.sleep(seconds * 2)
+        finally:
+            process.wake()
+
+
+def _lose_replies(link: FaultProxy) -> None:
+    link.state = _LOST_REPLY
+
+
+async def _break_links(
+    links: list[FaultProxy], damage: Callable[[FaultProxy], None], seconds: float
+) -> None:
+    for link in links:
+        damage(link)
+    try:
+        await asyncio.sleep(seconds)
+    finally:
+        for link in links:
+            link.heal()
+            link.reset_connections()
--- a/pimentospool/client/_attempts.py
+++ b/pimentospool/client/_attempts.py
@@ -119,8 +119,12 @@
         except msgspec.DecodeError as exc:
             return self._unanswered(entry, exc, sent=True)
         self.failures += 1
-        self._entries.avoid(entry)
-        return Attempt(entry=entry, end=refused(problem), problem=problem)
+        end = refused(problem)
+        if end.region_barred:
+            self._entries.bar(entry)
+        else:
+            self._entries.avoid(entry)
+        return Attempt(entry=entry, end=end, problem=problem)
 
 
 async def _read(resp: aiohttp.ClientResponse) -> Attempt:
--- a/pimentospool/client/_entries.py
+++ b/pimentospool/client/_entries.py
@@ -10,8 +10,10 @@
 
 from pimentospool._generated.callers import EntryChoice, EntryList
 from pimentospool._generated.platform import DirectoryAnswer
+from pimentospool.ids import RegionId
 
 AVOID_SECONDS = 2.0
+BARRED_SECONDS = 30.0
 _READ_SECONDS = 2.0
 
 
@@ -47,6 +49,8 @@
         self._seeds: list[str] = []
         self._valid_until = 0.0
         self._avoided: dict[str, float] = {}
+        self._regions: dict[str, RegionId] = {}
+        self._barred: set[RegionId] = set()
         self._refreshing = asyncio.Lock()
 
     async def choose(self) -> str | None:
@@ -67,6 +71,13 @@
         """Prefer others to the entry VM at `address` for a while."""
         self._avoided[address] = self._clock() + AVOID_SECONDS
 
+    def bar(self, address: str) -> None:
+        """Use no entry VM of the region of `address` while there are others."""
+        self._avoided[address] = self._clock() + BARRED_SECONDS
+        if address in self._regions:
+            self._barred.add(self._regions[address])
+        self._valid_until = 0.0
+
     def _avoids(self, address: str) -> bool:
         return self._avoided.get(address, 0.0) > self._clock()
 
@@ -83,6 +94,7 @@
                 return
             self.avoid(address)
         await self._read_directory()
+        self._barred.clear()
 
     async def _read_list(self, address: str) -> bool:
         data = await self._get(f"http://{address}/v1/entries")
@@ -92,10 +104,14 @@
             answer = msgspec.json.decode(data, type=EntryList)
         except msgspec.DecodeError:
             return False
-        if not answer.entries or answer.revision < self.revision:
+        if answer.revision < self.revision:
+            return False
+        self._regions.update({item.address: item.region for item in answer.entries})
+        usable = [item for item in answer.entries if item.region not in self._barred]
+        if not usable:
             return False
         self.revision = answer.revision
-        self._choices = answer.entries
+        self._choices = usable
         self._valid_until = self._clock() + answer.lifetime_seconds
         return True
 
--- a/pimentospool/client/_history.py
+++ b/pimentospool/client/_history.py
@@ -56,7 +56,15 @@
     @property
     def passing(self) -> bool:
         """Whether another attempt may end otherwise."""
-        return not self.reason or self.reason in _PASSING
+        return not self.reason or self.reason in _PASSING or self.region_barred
+
+    @property
+    def region_barred(self) -> bool:
+        """Whether the entry VM's region may not see the customer's requests."""
+        return (
+            self.reason == Reason.REGION_NOT_ALLOWED.slug
+            and self.attempt_verdict is Verdict.NOT_RUN
+        )
 
 
 def unanswered(*, sent: bool) -> AttemptEnd:
--- /dev/null
+++ b/pimentospool/commands/_bench_operations.py
@@ -0,0 +1,58 @@
+"""`pimentospool bench operations`."""
+
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from pimentospool.bench._operations import OperationsBench, OperationsReport
+from pimentospool.commands._common import EXIT_FAILED, FILE, read_or_exit, run
+from pimentospool.manifest import read_manifest
+
+
+@click.command()
+@click.argument("manifest", type=FILE)
+@click.option("--operations", default=2000, show_default=True)
+@click.option("--concurrency", default=32, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "output", type=click.Path(path_type=Path), help="Report file.")
+def operations(
+    manifest: Path, operations: int, concurrency: int, seed: int, output: Path | None
+) -> None:
+    """Send operations under faults and count what the services ran.
+
+    MANIFEST is one of the example manifests. Exits with 1 if a call ran twice, ran
+    after it was told not run, or got an answer that is not its own.
+    """
+    checked = read_or_exit(read_manifest, manifest)
+    with tempfile.TemporaryDirectory() as folder:
+        bench = OperationsBench(
+            manifest=checked,
+            folder=Path(folder),
+            operations=operations,
+            concurrency=concurrency,
+            seed=seed,
+        )
+        report = run(bench.run())
+    Console(width=88).print(_table(report))
+    if output is not None:
+        output.write_bytes(msgspec.json.encode(report))
+    if not report.held:
+        sys.exit(EXIT_FAILED)
+
+
+def _table(report: OperationsReport) -> Table:
+    table = Table(
+        "figure", "count", title=f"operations under faults, seed {report.seed}"
+    )
+    for name, value in msgspec.to_builtins(report).items():
+        if not isinstance(value, dict):
+            table.add_row(name, str(value))
+            continue
+        for key, count in value.items():
+            table.add_row(f"{name}: {key}", str(count))
+    return table
--- /dev/null
+++ b/tests/bench/test_operations_bench.py
@@ -0,0 +1,45 @@
+"""Operations under faults through real processes, at test size."""
+
+from pathlib import Path
+
+from pimentospool.bench import _operations
+from pimentospool.bench._operations import OperationFault, OperationsBench
+from pimentospool.client import NextStep, OperationHistory
+from pimentospool.manifest import read_manifest
+
+MANIFEST = Path(__file__).resolve().parents[2] / "examples/magnolia/manifest.toml"
+
+
+class OnlyLostReplies(OperationsBench):
+    """Loses replies and nothing else."""
+
+    async def _bring_about(self, kind, seconds):
+        await super()._bring_about(OperationFault.LOST_REPLIES, seconds)
+
+
+def run_bench(runner, folder, monkeypatch, kind, operations):
+    monkeypatch.setattr(_operations, "_ENTRIES_PER_ZONE", [2, 1, 1])
+    bench = kind(
+        manifest=read_manifest(MANIFEST),
+        folder=folder,
+        operations=operations,
+        concurrency=8,
+        seed=3,
+    )
+    return runner.run(bench.run())
+
+
+def test_no_promise_is_broken(runner, tmp_path, monkeypatch):
+    report = run_bench(runner, tmp_path, monkeypatch, OperationsBench, 80)
+    assert report.held, report
+    assert report.operations == 80
+    assert report.answered > 40
+
+
+def test_callers_that_start_anew_run_calls_twice(runner, tmp_path, monkeypatch):
+    monkeypatch.setattr(
+        OperationHistory, "ended", lambda self, end: NextStep.NEW_TICKET
+    )
+    report = run_bench(runner, tmp_path, monkeypatch, OnlyLostReplies, 20)
+    assert report.repeated > 0
+    assert not report.held
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -280,3 +280,31 @@
             await deployment.close()
 
     runner.run(asyncio.wait_for(check(), 60.0))
+
+
+def test_home_bound_customer_finds_its_region(runner):
+    async def check():
+        manifest = read_manifest(EXAMPLES / "magnolia" / "manifest.toml")
+        deployment = StandinDeployment(manifest=manifest, speed=100.0)
+        await deployment.start()
+        zones = [zone.id for zone in manifest.zones]
+        settings = deployment.entry_settings(dict.fromkeys(zones, 1))
+        entries = [Entry(cfg=cfg) for cfg in settings]
+        for entry in entries:
+            await entry.start()
+        cfg = ClientSettings(
+            directory=deployment.servers["directory"].address, key="home-bound-key"
+        )
+        try:
+            await wait_ready(entries)
+            for seed in range(4):
+                async with GatewayClient(cfg=cfg, rng=random.Random(seed)) as client:
+                    charge = await client.call(
+                        PAYMENT, "cards/charge", idempotent=False, body=b"{}"
+                    )
+                    assert charge.entry == settings[0].entry.caller_address
+        finally:
+            await asyncio.gather(*(entry.stop() for entry in entries))
+            await deployment.close()
+
+    runner.run(asyncio.wait_for(check(), 60.0))
--- a/tests/operations/once_fleet.py
+++ b/tests/operations/once_fleet.py
@@ -7,13 +7,10 @@
 import msgspec
 
 from pimentospool._generated.callers import OperationTicket
-from pimentospool._generated.platform import VmKind, VmRecord, VmState
+from pimentospool.bench._fleet import ServiceFleet
 from pimentospool.demo import demo_key
-from pimentospool.drill import EntryProcess
 from pimentospool.errors import Problem
-from pimentospool.faults import FaultProxy
-from pimentospool.manifest import TargetKind, read_manifest
-from pimentospool.standins import StandinDeployment
+from pimentospool.manifest import read_manifest
 from pimentospool.verdicts import Verdict
 
 MANIFEST = Path(__file__).resolve().parents[2] / "examples/magnolia/manifest.toml"
@@ -42,86 +39,37 @@
         return self.problem.attempt_verdict if self.problem else None
 
 
-class OnceFleet:
+class OnceFleet(ServiceFleet):
     """Two entry VMs in gulf and one in piedmont."""
 
     def __init__(self, *, folder, charge_is_idempotent=False):
-        self.folder = folder
         manifest = read_manifest(MANIFEST)
         if charge_is_idempotent:
             manifest = declare_idempotent(manifest)
-        self.deployment = StandinDeployment(manifest=manifest)
-        self.processes = []
-        self.entry_proxies = []
-        self.target_proxies = []
+        super().__init__(manifest=manifest, folder=folder, counts=[2, 1])
 
     async def __aenter__(self):
-        await self.deployment.start()
-        await self._place_target_proxies()
-        zones = [zone.id for zone in self.deployment.manifest.zones]
-        settings = self.deployment.entry_settings({zones[0]: 2, zones[1]: 1})
-        for cfg in settings:
-            proxy = FaultProxy(upstream=cfg.entry.caller_address)
-            await proxy.start()
-            self.entry_proxies.append(proxy)
-            entry = msgspec.structs.replace(
-                cfg.entry, advertised_caller_address=proxy.address
-            )
-            placed = msgspec.structs.replace(cfg, entry=entry)
-            self.processes.append(EntryProcess(cfg=placed, folder=self.folder))
-        self.deployment.vm_list.seed([self._record(item) for item in self.processes])
-        headers = {
-            "Authorization": f"Bearer {demo_key(self.deployment.manifest.customers[0])}"
-        }
+        await super().__aenter__()
+        key = demo_key(self.deployment.manifest.customers[0])
+        headers = {"Authorization": f"Bearer {key}"}
         self.session = aiohttp.ClientSession(headers=headers)
-        await asyncio.gather(*(item.start() for item in self.processes))
         try:
-            await asyncio.gather(*(item.wait_ready() for item in self.processes))
             await self.wait_joined()
         except BaseException:
-            await self.__aexit__()
+            await self.close()
             raise
         return self
 
-    async def __aexit__(self, *exc):
-        await self.session.close()
-        await asyncio.gather(*(item.close() for item in self.processes))
-        for proxy in self.entry_proxies + self.target_proxies:
-            await proxy.close()
-        await self.deployment.close()
-
-    async def _place_target_proxies(self):
-        targets = []
-        for target in self.deployment.manifest.targets:
-            address = target.address
-            if target.kind is TargetKind.SERVICE:
-                proxy = FaultProxy(upstream=address)
-                await proxy.start()
-                self.target_proxies.append(proxy)
-                address = proxy.address
-            targets.append(msgspec.structs.replace(target, address=address))
-        self.deployment.manifest = msgspec.structs.replace(
-            self.deployment.manifest, targets=targets
-        )
-        await self.publish(self.deployment.manifest, revision=2)
+    async def close(self):
+        if hasattr(self, "session"):
+            await self.session.close()
+        await super().close()
 
     async def publish(self, manifest, *, revision):
         await self.deployment.configuration.publish_manifest(
             manifest, revision=revision
         )
 
-    def _record(self, process):
-        entry = process.cfg.entry
-        return VmRecord(
-            id=entry.id,
-            kind=VmKind.ENTRY,
-            state=VmState.LIVE,
-            region=entry.region,
-            zone=entry.zone,
-            caller_address=entry.advertised_caller_address,
-            peer_address=entry.peer_address,
-        )
-
     async def wait_joined(self):
         """Wait until every entry VM reaches every owner."""
         count = len(self.processes)
