--- a/pimentospool/commands/__init__.py
+++ b/pimentospool/commands/__init__.py
@@ -8,6 +8,7 @@
     "demo",
     "drill",
     "entry",
+    "explain",
     "modelcheck",
     "load",
     "standin",
--- a/pimentospool/commands/_bench.py
+++ b/pimentospool/commands/_bench.py
@@ -6,6 +6,8 @@
 
 BENCHES = [
     "operations",
+    "policy",
+    "policy-cost",
     "relay",
 ]
 
