--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,6 +6,7 @@
 import pytest
 from gateway import chat, expected_text, gateway, serving_in, streamed_text
 
+from pimentospool import exchanges, relaying
 from pimentospool.faults import Direction, LinkState
 from pimentospool.verdicts import Verdict
 
@@ -232,3 +233,30 @@
     assert verdict == Verdict.MAY_HAVE_RUN.value
     assert retry_after == "1"
     assert waited < 20
+
+
+def ignore_last_event(monkeypatch):
+    """Let engines start over where they should resume."""
+    monkeypatch.setattr(exchanges, "LAST_EVENT_HEADER", "X-Ignored")
+
+
+async def stream_over_reset():
+    async with gateway() as running:
+        return await stream_with_fault(running, "reset_connections", max_tokens=TOKENS)
+
+
+def test_engine_that_starts_over_ends_in_an_honest_error(runner, monkeypatch):
+    ignore_last_event(monkeypatch)
+    data = runner.run(stream_over_reset())
+    text, ids, done = streamed_text(data)
+    assert not done
+    assert b"event: error\n" in data
+    assert ids == list(range(len(ids)))
+    assert expected_text(TOKENS).startswith(text)
+
+
+def test_the_check_of_resumed_streams_is_needed(runner, monkeypatch):
+    ignore_last_event(monkeypatch)
+    monkeypatch.setattr(relaying, "_continue_after", lambda number, batch: batch)
+    _, ids, _ = streamed_text(runner.run(stream_over_reset()))
+    assert len(ids) > len(set(ids))
