--- a/pimentospool/operations/_server.py
+++ b/pimentospool/operations/_server.py
@@ -19,7 +19,7 @@
 from pimentospool.dispatch import Dispatcher
 from pimentospool.errors import Reason, RequestFailure
 from pimentospool.fleet import Fleet
-from pimentospool.ids import Incarnation, RegionId
+from pimentospool.ids import Incarnation, OperationId, RegionId
 from pimentospool.log import Event, log_event
 from pimentospool.operations._execution import HeldSink, LedgerGuard
 from pimentospool.operations._failures import (
@@ -171,7 +171,7 @@
                 path=asked.path,
             )
         )
-        body = OperationTicket(operation_id=self._signer.sign(ticket))
+        body = OperationTicket(operation_id=OperationId(self._signer.sign(ticket)))
         await sink.whole(
             status=200,
             content_type="application/json",
