--- a/pimentospool/commands/_bench.py
+++ b/pimentospool/commands/_bench.py
@@ -5,6 +5,8 @@
 from pimentospool.commands._lazy import LazyGroup
 
 BENCHES = [
+    "policy",
+    "policy-cost",
     "relay",
 ]
 
