--- a/pimentospool/_generated/loads.py
+++ b/pimentospool/_generated/loads.py
@@ -5,11 +5,12 @@
 
 from typing import Annotated
 
-from msgspec import UNSET, Meta, Struct, UnsetType, field
+from msgspec import UNSET, Meta, UnsetType, field
+from pimentospool.documents import Message
 from pimentospool.ids import CustomerId, EntryId, RegionId
 
 
-class PoolSummary(Struct, kw_only=True):
+class PoolSummary(Message, kw_only=True):
     """
     Targets of one model or service in a region.
     """
@@ -29,7 +30,7 @@
     ] = 1500
 
 
-class QuotaClaim(Struct, kw_only=True):
+class QuotaClaim(Message, kw_only=True):
     """
     Part of a customer's quota that the sender may use; absent means an even part.
     """
@@ -41,7 +42,7 @@
     ] = 0
 
 
-class RegionSummary(Struct, kw_only=True):
+class RegionSummary(Message, kw_only=True):
     """
     Expected waits in the sender's region, and what its customers use.
     """
@@ -52,7 +53,7 @@
     claims: list[QuotaClaim] = field(default_factory=list)
 
 
-class LoadMessages(Struct, kw_only=True):
+class LoadMessages(Message, kw_only=True):
     """
     What one entry VM tells others of its load; carried on heartbeats.
     """
--- a/pimentospool/_generated/peers.py
+++ b/pimentospool/_generated/peers.py
@@ -6,7 +6,8 @@
 from enum import StrEnum
 from typing import Annotated
 
-from msgspec import UNSET, Meta, Struct, UnsetType, convert, field
+from msgspec import UNSET, Meta, UnsetType, convert, field
+from pimentospool.documents import Message
 from pimentospool.ids import EntryId, RegionId, TargetId, ZoneId
 
 
@@ -17,7 +18,7 @@
     GONE = "gone"
 
 
-class Member(Struct, kw_only=True):
+class Member(Message, kw_only=True):
     """
     What is said of one entry VM.
     """
@@ -39,7 +40,7 @@
     state: Annotated[MemberState, Meta(title="MemberState")] = MemberState.LIVE
 
 
-class RevisionHead(Struct, kw_only=True):
+class RevisionHead(Message, kw_only=True):
     """
     Number and digest of a revision.
     """
@@ -48,7 +49,7 @@
     digest: str = ""
 
 
-class Report(Struct, kw_only=True):
+class Report(Message, kw_only=True):
     """
     A value of which the newest number wins.
     """
@@ -59,7 +60,7 @@
     data: bytes
 
 
-class ZoneSummary(Struct, kw_only=True):
+class ZoneSummary(Message, kw_only=True):
     """
     What other availability zones know of one zone.
     """
@@ -72,7 +73,7 @@
     ]
 
 
-class LeavingVms(Struct, kw_only=True):
+class LeavingVms(Message, kw_only=True):
     """
     VMs of one region that the platform's list shows as leaving.
     """
@@ -81,7 +82,17 @@
     entries: list[EntryId] = field(default_factory=list)
 
 
-class Gossip(Struct, kw_only=True):
+class NumbersScope(StrEnum):
+    """
+    Which reports the numbers cover; none asks for no reports.
+    """
+
+    NONE = "none"
+    RECENT = "recent"
+    ALL = "all"
+
+
+class Gossip(Message, kw_only=True):
     """
     What one entry process tells another, as a heartbeat and as its answer.
     """
@@ -103,15 +114,22 @@
     whole_zone: bool = False
     numbers: Annotated[
         dict[str, int],
-        Meta(description="Numbers of the reports that the sender holds, by key."),
+        Meta(description="Numbers of reports that the sender holds, by key."),
     ] = field(default_factory=dict)
+    scope: Annotated[
+        NumbersScope,
+        Meta(
+            description="Which reports the numbers cover; none asks for no reports.",
+            title="NumbersScope",
+        ),
+    ] = NumbersScope.NONE
     reports: list[Report] = field(default_factory=list)
     wants: Annotated[
         list[str], Meta(description="Keys of reports that the sender asks for.")
     ] = field(default_factory=list)
 
 
-class ProbeRequest(Struct, kw_only=True):
+class ProbeRequest(Message, kw_only=True):
     """
     Asks a peer to test another one.
     """
@@ -119,11 +137,11 @@
     address: str
 
 
-class ProbeAnswer(Struct, kw_only=True):
+class ProbeAnswer(Message, kw_only=True):
     alive: bool
 
 
-class ContentRequest(Struct, kw_only=True):
+class ContentRequest(Message, kw_only=True):
     """
     Asks for a piece of a revision's index or part, found by its digest.
     """
@@ -132,7 +150,7 @@
     offset: int = 0
 
 
-class ContentAnswer(Struct, kw_only=True):
+class ContentAnswer(Message, kw_only=True):
     """
     A piece of content; a size of 0 means that it is not held.
     """
@@ -141,7 +159,7 @@
     data: bytes
 
 
-class LookupRequest(Struct, kw_only=True):
+class LookupRequest(Message, kw_only=True):
     """
     Asks for the record of an entry VM.
     """
@@ -149,33 +167,33 @@
     entry: EntryId
 
 
-class LookupAnswer(Struct, kw_only=True):
-    member: Member | UnsetType = UNSET
+class LookupAnswer(Message, kw_only=True):
+    member: Member | None = None
 
 
-class PeerRequest(Struct, kw_only=True):
+class PeerRequest(Message, kw_only=True):
     """
     One request; exactly one field is set.
     """
 
-    gossip: Gossip | UnsetType = UNSET
-    probe: ProbeRequest | UnsetType = UNSET
-    content: ContentRequest | UnsetType = UNSET
-    lookup: LookupRequest | UnsetType = UNSET
+    gossip: Gossip | None = None
+    probe: ProbeRequest | None = None
+    content: ContentRequest | None = None
+    lookup: LookupRequest | None = None
 
 
-class PeerAnswer(Struct, kw_only=True):
+class PeerAnswer(Message, kw_only=True):
     """
     The answer to a request, in the field of the same name.
     """
 
-    gossip: Gossip | UnsetType = UNSET
-    probe: ProbeAnswer | UnsetType = UNSET
-    content: ContentAnswer | UnsetType = UNSET
-    lookup: LookupAnswer | UnsetType = UNSET
+    gossip: Gossip | None = None
+    probe: ProbeAnswer | None = None
+    content: ContentAnswer | None = None
+    lookup: LookupAnswer | None = None
 
 
-class PeerMessages(Struct, kw_only=True):
+class PeerMessages(Message, kw_only=True):
     """
     Control messages between entry processes.
     """
--- a/pimentospool/commands/_bench.py
+++ b/pimentospool/commands/_bench.py
@@ -4,7 +4,7 @@
 
 from pimentospool.commands._lazy import LazyGroup
 
-BENCHES: list[str] = []
+BENCHES = ["control"]
 
 
 @click.group(
--- a/pimentospool/peers/_fetching.py
+++ b/pimentospool/peers/_fetching.py
@@ -74,6 +74,6 @@
     async def _ask(self, address: str, digest: str, *, offset: int) -> ContentAnswer:
         content = ContentRequest(digest=digest, offset=offset)
         answer = await self._links.request(address, PeerRequest(content=content))
-        if isinstance(answer.content, msgspec.UnsetType):
+        if answer.content is None:
             raise PeerError(f"{address}: answered another request")
         return answer.content
--- a/pimentospool/peers/_gossip.py
+++ b/pimentospool/peers/_gossip.py
@@ -1,5 +1,6 @@
 """What one node tells its peers, and what it takes in from them."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -7,12 +8,15 @@
     Gossip,
     Member,
     MemberState,
+    NumbersScope,
     Report,
     RevisionHead,
 )
+from pimentospool.ids import EntryId
 from pimentospool.policy import MemberChange, Membership, ReportBook
 from pimentospool.signals import Signal
 
+BEAT_PREFIX = "beat/"
 LOAD_PREFIX = "load/"
 _LOAD_EXPIRY_SECONDS = 30.0
 _RUMOURS_PER_MESSAGE = 8
@@ -28,6 +32,8 @@
         Record of this process.
     gone_seconds : float
         Time after which a suspect is gone.
+    recent_seconds : float
+        Time for which a report counts as new.
     head : callable
         Returns the revision in force.
     clock, wall : callable
@@ -41,6 +47,7 @@
         *,
         own: Member,
         gone_seconds: float,
+        recent_seconds: float,
         head: Callable[[], RevisionHead],
         clock: Callable[[], float],
         wall: Callable[[], float],
@@ -53,23 +60,30 @@
         self.report_changed: Signal[Report] = Signal(name="report_changed")
         self.revision_heard: Signal[RevisionHead, str] = Signal(name="revision_heard")
         self._head = head
+        self._recent_seconds = recent_seconds
         self._clock = clock
         self._wall = wall
 
-    def outgoing(self) -> Gossip:
-        """Return a heartbeat."""
+    def outgoing(self, *, whole: bool = False) -> Gossip:
+        """Return a heartbeat.
+
+        Parameters
+        ----------
+        whole : bool
+            Whether to compare all reports, and not only those that rose lately.
+        """
         gossip = self._base()
         gossip.members = self.members.rumours(limit=_RUMOURS_PER_MESSAGE)
-        gossip.numbers = self.reports.numbers()
+        gossip.scope = NumbersScope.ALL if whole else NumbersScope.RECENT
+        gossip.numbers = self.reports.numbers(since=self._since(gossip.scope))
         return gossip
 
     def receive(self, gossip: Gossip) -> Gossip:
         """Take in a peer's message and return the answer to it."""
         self._absorb(gossip)
         answer = self._base()
-        if gossip.numbers or not gossip.whole_zone:
-            answer.reports = _bounded(self.reports.missing_from(gossip.numbers))
-            answer.wants = self.reports.wanted_from(gossip.numbers)
+        if gossip.scope is not NumbersScope.NONE:
+            self._answer_numbers(gossip, answer)
         if self._same_view(gossip):
             answer.members = self.members.rumours(limit=_RUMOURS_PER_MESSAGE)
         else:
@@ -78,6 +92,20 @@
         self._add_record_of(gossip.sender, answer)
         return answer
 
+    def _answer_numbers(self, gossip: Gossip, answer: Gossip) -> None:
+        since = self._since(gossip.scope)
+        missing = self.reports.missing_from(gossip.numbers, since=since)
+        answer.reports = _bounded([item for item in missing if not _is_beat(item.key)])
+        answer.numbers = {
+            item.key: item.number for item in missing if _is_beat(item.key)
+        }
+        answer.wants = self.reports.wanted_from(gossip.numbers)
+
+    def _since(self, scope: NumbersScope) -> float:
+        if scope is NumbersScope.ALL:
+            return -math.inf
+        return self._clock() - self._recent_seconds
+
     def absorb(self, answer: Gossip) -> Gossip | None:
         """Take in the answer to a message; return what to send next, if anything."""
         self._absorb(answer)
@@ -129,7 +157,7 @@
             change = self.members.merge(record, now=now)
             if change is not None:
                 self.member_changed.send(change)
-        for report in gossip.reports:
+        for report in [*gossip.reports, *_beats(gossip)]:
             if not self._expired(report) and self.reports.merge(report, now=now):
                 self.report_changed.send(report)
         age = gossip.contact_age_seconds
@@ -145,6 +173,19 @@
             answer.members.append(held)
 
 
+def _is_beat(key: str) -> bool:
+    return key.startswith(BEAT_PREFIX)
+
+
+def _beats(gossip: Gossip) -> list[Report]:
+    """Return beats, which have no data, from their numbers."""
+    return [
+        Report(key=key, number=number, producer=EntryId(""), data=b"")
+        for key, number in gossip.numbers.items()
+        if _is_beat(key)
+    ]
+
+
 def _bounded(reports: list[Report]) -> list[Report]:
     size = 0
     chosen: list[Report] = []
--- a/pimentospool/peers/_links.py
+++ b/pimentospool/peers/_links.py
@@ -79,6 +79,32 @@
         )
 
 
+class _Link:
+    """A connection to one peer, closed when it is retired and no longer in use."""
+
+    def __init__(self, *, sock: pynng.Req0) -> None:
+        self.sock = sock
+        self._in_use = 0
+        self._retired = False
+
+    def __enter__(self) -> pynng.Req0:
+        self._in_use += 1
+        return self.sock
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._in_use -= 1
+        self._close_if_idle()
+
+    def retire(self) -> None:
+        """Close the connection once the requests on it have ended."""
+        self._retired = True
+        self._close_if_idle()
+
+    def _close_if_idle(self) -> None:
+        if self._retired and not self._in_use:
+            self.sock.close()
+
+
 class PeerLinks:
     """Sends requests to peers by their address.
 
@@ -99,34 +125,41 @@
         self._codec = codec
         self._tls = tls
         self._timeout_ms = round(timeout_seconds * 1000)
-        self._socks: OrderedDict[str, pynng.Req0] = OrderedDict()
+        self._closed = False
+        self._links: OrderedDict[str, _Link] = OrderedDict()
 
     async def request(
         self, address: str, req: PeerRequest, *, fresh: bool = False
     ) -> PeerAnswer:
         """Send `req` and return its answer.
 
+        A connection on which an answer did not come is not used again.
+
         Parameters
         ----------
         fresh : bool
-            Whether to replace the connection first, since the one in use may be
-            silent for good.
+            Whether to open a new connection, since the one in use may be silent for
+            good.
 
         Raises
         ------
         PeerError
             If no valid answer comes within the timeout.
         """
+        if self._closed:
+            raise PeerError(f"{address}: this process stops")
         if fresh:
-            self.drop(address)
+            self._retire(address)
         data = self._codec.encode(req)
+        link = self._link(address)
         try:
-            sock = self._sock(address)
-            with sock.new_context() as ctx:
+            with link as sock, sock.new_context() as ctx:
                 await ctx.asend(data)
                 self.traffic.sent(data)
                 answer = await ctx.arecv()
         except (pynng.NNGException, OSError) as exc:
+            if self._links.get(address) is link:
+                self._retire(address)
             raise PeerError(f"{address}: {type(exc).__name__} {exc}") from exc
         self.traffic.received(answer)
         try:
@@ -134,31 +167,41 @@
         except CodecError as exc:
             raise PeerError(f"{address}: {exc}") from exc
 
-    def drop(self, address: str) -> None:
-        """Close the connection to a peer; the next request opens a new one."""
-        sock = self._socks.pop(address, None)
-        if sock is not None:
-            sock.close()
-
     def close(self) -> None:
-        """Close every connection."""
-        for address in list(self._socks):
-            self.drop(address)
-
-    def _sock(self, address: str) -> pynng.Req0:
-        sock = self._socks.get(address)
-        if sock is None:
-            sock = pynng.Req0(
-                send_timeout=self._timeout_ms,
-                recv_timeout=self._timeout_ms,
-                resend_time=_NO_RESEND_MS,
-                reconnect_time_min=_RECONNECT_MIN_MS,
-                reconnect_time_max=_RECONNECT_MAX_MS,
-                tls_config=self._tls.client(),
-            )
-            self._socks[address] = sock
-            sock.dial(f"{self._tls.scheme}://{address}", block=False)
-            while len(self._socks) > _MAX_LINKS:
-                self.drop(next(iter(self._socks)))
-        self._socks.move_to_end(address)
+        """Close every connection at once and refuse new requests."""
+        self._closed = True
+        for link in self._links.values():
+            link.sock.close()
+        self._links.clear()
+
+    def retire_all(self) -> None:
+        """Use new connections from the next requests on."""
+        for address in list(self._links):
+            self._retire(address)
+
+    def _retire(self, address: str) -> None:
+        link = self._links.pop(address, None)
+        if link is not None:
+            link.retire()
+
+    def _link(self, address: str) -> _Link:
+        link = self._links.get(address)
+        if link is None:
+            link = _Link(sock=self._dial(address))
+            self._links[address] = link
+            while len(self._links) > _MAX_LINKS:
+                self._retire(next(iter(self._links)))
+        self._links.move_to_end(address)
+        return link
+
+    def _dial(self, address: str) -> pynng.Req0:
+        sock = pynng.Req0(
+            send_timeout=self._timeout_ms,
+            recv_timeout=self._timeout_ms,
+            resend_time=_NO_RESEND_MS,
+            reconnect_time_min=_RECONNECT_MIN_MS,
+            reconnect_time_max=_RECONNECT_MAX_MS,
+            tls_config=self._tls.client(),
+        )
+        sock.dial(f"{self._tls.scheme}://{address}", block=False)
         return sock
--- a/pimentospool/peers/_listener.py
+++ b/pimentospool/peers/_listener.py
@@ -10,7 +10,7 @@
 from pimentospool.peers._codec import CodecError, PeerCodec
 from pimentospool.peers._links import PeerTls, Traffic
 
-_WORKERS = 4
+_WORKERS = 8
 _MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
 Handler = Callable[[PeerRequest], Awaitable[PeerAnswer]]
@@ -63,11 +63,11 @@
 
     async def close(self) -> None:
         """Stop listening."""
+        if self._sock is not None:
+            self._sock.close()
         for worker in self._workers:
             worker.cancel()
         await asyncio.gather(*self._workers, return_exceptions=True)
-        if self._sock is not None:
-            self._sock.close()
 
     async def _work(self, ctx: pynng.Context) -> None:
         with ctx:
--- a/pimentospool/peers/_node.py
+++ b/pimentospool/peers/_node.py
@@ -11,6 +11,7 @@
     ContentAnswer,
     Gossip,
     LookupAnswer,
+    LookupRequest,
     Member,
     MemberState,
     PeerAnswer,
@@ -27,10 +28,10 @@
 from pimentospool.log import Event, log_event
 from pimentospool.peers._codec import PeerCodec
 from pimentospool.peers._fetching import ContentStore
-from pimentospool.peers._gossip import GossipState
+from pimentospool.peers._gossip import BEAT_PREFIX, GossipState
 from pimentospool.peers._links import PeerError, PeerLinks, PeerTls
 from pimentospool.peers._listener import PeerListener
-from pimentospool.peers._zones import BEAT_PREFIX, SUMMARY_PREFIX, ZoneView
+from pimentospool.peers._zones import SUMMARY_PREFIX, ZoneView
 from pimentospool.policy import ChangeKind, MemberChange, rank_members
 
 _TIMEOUTS_PER_SUSPICION = 4
@@ -41,8 +42,10 @@
 _JOIN_PEERS = 8
 _GATEWAYS = 8
 _JITTER = 0.1
-_LINK_BEATS = 1
-_URGENT_KINDS = (ChangeKind.JOINED, ChangeKind.LEAVING, ChangeKind.REFUTED)
+_RECENT_BEATS = 8
+_WHOLE_BEATS = 8
+_ZONE_BEATS = 2
+_URGENT_KINDS = (ChangeKind.LEAVING, ChangeKind.REFUTED)
 _URGENT_PREFIXES = (SUMMARY_PREFIX, "leaving/")
 T = TypeVar("T", bound=str)
 _READER_PURPOSE = "reader"
@@ -89,6 +92,7 @@
         self.state = GossipState(
             own=own,
             gone_seconds=peers.gone_after_seconds - peers.suspect_after_seconds,
+            recent_seconds=_RECENT_BEATS * peers.heartbeat_seconds,
             head=head,
             clock=clock,
             wall=wall,
@@ -114,6 +118,7 @@
             handle=self._handle,
         )
         self._urgent = asyncio.Event()
+        self._whole = False
         self._probing: set[EntryId] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.state.member_changed.connect(self._follow_member)
@@ -127,11 +132,11 @@
 
     async def close(self) -> None:
         """Stop; peers are not told."""
+        self.links.close()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._listener.close()
-        self.links.close()
 
     async def join(self) -> int:
         """Exchange views with first peers; return how many answered."""
@@ -143,7 +148,9 @@
         own = self._own_address()
         chosen = self._sample(near - {own}, _JOIN_PEERS // 2)
         chosen += self._sample(far - {own}, _JOIN_PEERS - len(chosen))
-        answers = await asyncio.gather(*(self._try(address) for address in chosen))
+        answers = await asyncio.gather(
+            *(self._try(address, whole=True) for address in chosen)
+        )
         return sum(answers)
 
     async def leave(self) -> None:
@@ -161,7 +168,7 @@
         self.paused_at = now
         self.state.members.restart_timers(now=now)
         self.state.members.raise_incarnation(now=now)
-        self.links.close()
+        self.links.retire_all()
         self._urgent.set()
 
     def push(self) -> None:
@@ -188,7 +195,9 @@
         ranked = rank_members(candidates, purpose=_READER_PURPOSE)
         return members.own.id in ranked[: self._cfg.platform.readers_per_zone]
 
-    async def exchange(self, address: str, *, fresh: bool = False) -> Gossip:
+    async def exchange(
+        self, address: str, *, fresh: bool = False, whole: bool = False
+    ) -> Gossip:
         """Exchange views with a peer and return its answer.
 
         Raises
@@ -196,7 +205,8 @@
         PeerError
             If the peer does not answer.
         """
-        answer = await self._send(address, self.state.outgoing(), fresh=fresh)
+        gossip = self.state.outgoing(whole=whole)
+        answer = await self._send(address, gossip, fresh=fresh)
         follow_up = self.state.absorb(answer)
         if follow_up is not None:
             self.state.absorb(await self._send(address, follow_up))
@@ -205,12 +215,12 @@
     async def lookup(self, entry: EntryId) -> Member | None:
         """Ask other zones for an entry VM that is not known here."""
         for address in self._zone_addresses(everywhere=True):
-            req = msgspec.convert({"lookup": {"entry": entry}}, PeerRequest)
+            req = PeerRequest(lookup=LookupRequest(entry=entry))
             try:
                 answer = (await self.links.request(address, req)).lookup
             except PeerError:
                 continue
-            if isinstance(answer, LookupAnswer) and isinstance(answer.member, Member):
+            if answer is not None and answer.member is not None:
                 return answer.member
         return None
 
@@ -219,21 +229,21 @@
     ) -> Gossip:
         req = PeerRequest(gossip=gossip)
         answer = (await self.links.request(address, req, fresh=fresh)).gossip
-        if isinstance(answer, msgspec.UnsetType):
+        if answer is None:
             raise PeerError(f"{address}: answered another request")
         return answer
 
     async def _handle(self, req: PeerRequest) -> PeerAnswer:
-        if isinstance(req.gossip, Gossip):
+        if req.gossip is not None:
             return PeerAnswer(gossip=self.state.receive(req.gossip))
-        if not isinstance(req.content, msgspec.UnsetType):
+        if req.content is not None:
             return PeerAnswer(content=self._store.answer(req.content))
-        if not isinstance(req.lookup, msgspec.UnsetType):
+        if req.lookup is not None:
             held = self.state.members.record(req.lookup.entry)
             if held is None or held.state is MemberState.GONE:
                 return PeerAnswer(lookup=LookupAnswer())
             return PeerAnswer(lookup=LookupAnswer(member=held))
-        if not isinstance(req.probe, msgspec.UnsetType):
+        if req.probe is not None:
             alive = await self._test(req.probe.address)
             return PeerAnswer(probe=ProbeAnswer(alive=alive))
         return PeerAnswer(content=ContentAnswer(size=0, data=b""))
@@ -245,11 +255,12 @@
         except TimeoutError:
             return False
 
-    async def _try(self, address: str, *, fresh: bool = False) -> bool:
+    async def _try(
+        self, address: str, *, fresh: bool = False, whole: bool = False
+    ) -> bool:
         try:
-            await self.exchange(address, fresh=fresh)
+            await self.exchange(address, fresh=fresh, whole=whole)
         except PeerError:
-            self.links.drop(address)
             return False
         return True
 
@@ -265,19 +276,19 @@
             if member is not None and member.id not in self._probing:
                 self._spawn(self._probe(member))
             beats += 1
-            if beats % _LINK_BEATS == 0:
-                self._spawn(self._reconnect())
-                if self.is_reader:
-                    self._publish_summary()
-                    self._publish_beat()
-                    self._spawn(self._link_zones())
+            self._whole = beats % _WHOLE_BEATS == 0
+            self._spawn(self._reconnect())
+            if self.is_reader:
+                self._publish_summary()
+                self._publish_beat()
+                self._spawn(self._push_to([], self._zone_addresses()))
 
     async def _probe(self, member: Member) -> None:
         self._probing.add(member.id)
         started_at = self._clock()
         try:
             reached = (
-                await self._try(member.peer_address)
+                await self._try(member.peer_address, whole=self._whole)
                 or await self._try(member.peer_address, fresh=True)
                 or await self._probe_by_helpers(member)
             )
@@ -305,7 +316,7 @@
         )
         return any(
             isinstance(answer, PeerAnswer)
-            and isinstance(answer.probe, ProbeAnswer)
+            and answer.probe is not None
             and answer.probe.alive
             for answer in answers
         )
@@ -322,10 +333,7 @@
             vm.peer_address for vm in self.zones.hints if vm.zone == members.own.zone
         }
         for address in self._sample(candidates - known - {self._own_address()}, 1):
-            await self._try(address)
-
-    async def _link_zones(self) -> None:
-        await self._push_to([], self._zone_addresses())
+            await self._try(address, whole=True)
 
     def _zone_addresses(self, *, everywhere: bool = False) -> list[str]:
         now = self._clock()
@@ -343,12 +351,14 @@
             self._urgent.clear()
             others = [member.peer_address for member in self.state.members.others()]
             near = self._sample(others, _PUSH_FANOUT)
-            self._spawn(
-                self._push_to(near, self._zone_addresses() if self.is_reader else [])
-            )
+            far = self._zone_addresses() if self.is_reader else []
+            self._spawn(self._push_to(near, far))
+            await asyncio.sleep(self._cfg.peers.heartbeat_seconds)
 
     async def _push_to(self, near: list[str], far: list[str]) -> None:
-        await asyncio.gather(*(self._try(address) for address in [*near, *far]))
+        await asyncio.gather(
+            *(self._try(item, whole=self._whole) for item in [*near, *far])
+        )
 
     def _publish_summary(self) -> None:
         own = self.state.members.own
@@ -369,7 +379,8 @@
     def _publish_beat(self) -> None:
         key = BEAT_PREFIX + self.state.members.own.zone
         age = self.state.reports.age(key, now=self._clock())
-        if age is None or age >= self._cfg.peers.heartbeat_seconds:
+        interval = _ZONE_BEATS * self._cfg.peers.heartbeat_seconds
+        if age is None or age >= interval:
             self.publish(key, b"")
 
     def _own_address(self) -> str:
--- a/pimentospool/peers/_zones.py
+++ b/pimentospool/peers/_zones.py
@@ -7,10 +7,10 @@
 from pimentospool._generated.peers import Member, Report, ZoneSummary
 from pimentospool._generated.platform import VmKind, VmRecord
 from pimentospool.ids import RegionId, ZoneId
+from pimentospool.peers._gossip import BEAT_PREFIX
 from pimentospool.policy import ReportBook
 
 SUMMARY_PREFIX = "zone/"
-BEAT_PREFIX = "beat/"
 
 
 class ZoneView:
@@ -39,6 +39,8 @@
         self._heartbeat_seconds = heartbeat_seconds
         self._gone_after_seconds = gone_after_seconds
         self._hints: list[VmRecord] = []
+        self._read_changes = -1
+        self._known: list[ZoneSummary] = []
         self._summaries: dict[str, tuple[Report, ZoneSummary]] = {}
 
     def set_hints(self, vms: list[VmRecord]) -> None:
@@ -52,6 +54,13 @@
 
     def summaries(self) -> list[ZoneSummary]:
         """Return the latest summary of each other zone."""
+        if self._read_changes == self._reports.changes:
+            return self._known
+        self._read_changes = self._reports.changes
+        self._known = self._read_summaries()
+        return self._known
+
+    def _read_summaries(self) -> list[ZoneSummary]:
         summaries = []
         for report in self._reports.with_prefix(SUMMARY_PREFIX):
             summary = self._decode(report)
--- a/pimentospool/policy/_reports.py
+++ b/pimentospool/policy/_reports.py
@@ -1,5 +1,7 @@
 """Reports that spread between nodes; of each key the newest number wins."""
 
+import math
+
 import msgspec
 
 from pimentospool._generated.peers import Report
@@ -21,9 +23,16 @@
 
 
 class ReportBook:
-    """The newest report of each key."""
+    """The newest report of each key.
+
+    Attributes
+    ----------
+    changes : int
+        Grows when the data of any key changes.
+    """
 
     def __init__(self) -> None:
+        self.changes = 0
         self._held: dict[str, _Held] = {}
 
     def get(self, key: str) -> Report | None:
@@ -42,21 +51,28 @@
         held = self._held.get(key)
         return now - held.risen_at if held else None
 
-    def numbers(self) -> dict[str, int]:
-        """Return the number of each key."""
-        return {key: held.report.number for key, held in self._held.items()}
+    def numbers(self, *, since: float = -math.inf) -> dict[str, int]:
+        """Return the number of each key that rose after `since`."""
+        return {
+            key: held.report.number
+            for key, held in self._held.items()
+            if held.risen_at > since
+        }
 
     def merge(self, report: Report, *, now: float) -> bool:
         """Take in a report; return whether it was newer than the one held."""
         held = self._held.get(report.key)
         if held is not None and newer_report(held.report, report) == held.report:
             return False
+        if held is None or held.report.data != report.data:
+            self.changes += 1
         self._held[report.key] = _Held(report=report, risen_at=now)
         return True
 
     def drop(self, key: str) -> None:
         """Forget the report of `key`."""
         self._held.pop(key, None)
+        self.changes += 1
 
     def publish(
         self, key: str, data: bytes, *, producer: EntryId, number: int, now: float
@@ -76,12 +92,20 @@
         self.merge(report, now=now)
         return report
 
-    def missing_from(self, numbers: dict[str, int]) -> list[Report]:
-        """Return the reports that a node with these numbers lacks."""
+    def missing_from(
+        self, numbers: dict[str, int], *, since: float = -math.inf
+    ) -> list[Report]:
+        """Return the reports that a node with these numbers lacks.
+
+        Parameters
+        ----------
+        since : float
+            Reports whose number did not rise after this time are left out.
+        """
         return [
             held.report
             for key, held in self._held.items()
-            if held.report.number > numbers.get(key, -1)
+            if held.risen_at > since and held.report.number > numbers.get(key, -1)
         ]
 
     def wanted_from(self, numbers: dict[str, int]) -> list[str]:
--- a/pimentospool/summaries.py
+++ b/pimentospool/summaries.py
@@ -1,6 +1,7 @@
 """Exchange of load summaries between entry VMs."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -13,6 +14,35 @@
 
 _BEAT_SECONDS = 0.5
 _MAX_SENDERS = 24
+_BYTES_PER_SECOND = 6000.0
+
+
+def publish_interval(*, senders: int, size: int) -> float:
+    """Return the seconds between two summaries of one sender.
+
+    All summaries together then stay under a fixed number of bytes a second.
+
+    Parameters
+    ----------
+    senders : int
+        Entry VMs that publish summaries.
+    size : int
+        Length of a summary in bytes.
+    """
+    return max(_BEAT_SECONDS, senders * size / _BYTES_PER_SECOND)
+
+
+def may_publish(*, entries: int, reader: bool) -> bool:
+    """Return whether an entry VM publishes its own summary.
+
+    Parameters
+    ----------
+    entries : int
+        Known entry VMs of the deployment.
+    reader : bool
+        Whether this one acts for its zone.
+    """
+    return reader or entries <= _MAX_SENDERS
 
 
 class SummaryExchange:
@@ -45,14 +75,15 @@
         self._router = router
         self._shares = shares
         self._clock = clock
+        self._published_at = -math.inf
         control.node.state.report_changed.connect(self._follow_report)
 
     async def run(self) -> None:
         """Publish over and over, and tell the router what the fleet knows."""
         while True:
             self._update_router()
-            entries = self._control.fleet.entry_ids()
-            if len(entries) <= _MAX_SENDERS or self._control.node.is_reader:
+            entries = len(self._control.fleet.entry_ids())
+            if may_publish(entries=entries, reader=self._control.node.is_reader):
                 self._publish()
             await asyncio.sleep(_BEAT_SECONDS)
 
@@ -66,7 +97,12 @@
     def _publish(self) -> None:
         node = self._control.node
         summary = msgspec.msgpack.encode(self._router.region_summary())
-        node.publish(LOAD_PREFIX + node.state.members.own.id, summary)
+        senders = len(node.state.reports.with_prefix(LOAD_PREFIX)) + 1
+        interval = publish_interval(senders=senders, size=len(summary))
+        now = self._clock()
+        if now - self._published_at >= interval - _BEAT_SECONDS / 2:
+            self._published_at = now
+            node.publish(LOAD_PREFIX + node.state.members.own.id, summary)
 
     def _follow_report(self, report: Report) -> None:
         if not report.key.startswith(LOAD_PREFIX):
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -42,10 +42,17 @@
     return node
 
 
+def _base_class(schema: dict[str, Any]) -> str:
+    if schema.get("x-encoding") == "array":
+        return "pimentospool.documents.Message"
+    if schema.get("additionalProperties") is False:
+        return "pimentospool.documents.Document"
+    return "msgspec.Struct"
+
+
 def generate_module(schema: Path, output: Path) -> None:
     """Write the structs of one schema to `output`."""
     raw = json.loads(schema.read_text())
-    strict = raw.get("additionalProperties") is False
     generate(
         json.dumps(require_defaulted(raw)),
         input_file_type=InputFileType.JsonSchema,
@@ -64,7 +71,7 @@
         capitalise_enum_members=True,
         keyword_only=True,
         apply_default_values_for_required_fields=True,
-        base_class="pimentospool.documents.Document" if strict else "msgspec.Struct",
+        base_class=_base_class(raw),
         use_default_kwarg=True,
         use_double_quotes=True,
     )
