--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -103,13 +103,13 @@
             shares=self.shares,
             clock=time.monotonic,
         )
+        self._publish_metrics()
+        self.admin.add_page(STATUS_PATH, lambda: status_page(self.status()))
+        await self.admin.start()
         await self.control.start()
         self._tasks.append(asyncio.create_task(self._summaries.run()))
         self._reports = ReportPoller(cfg=cfg.targets, router=self.router)
         self._tasks.append(asyncio.create_task(self._reports.run()))
-        self._publish_metrics()
-        self.admin.add_page(STATUS_PATH, lambda: status_page(self.status()))
-        await self.admin.start()
         await self.callers.start()
         log_event(
             Event.ENTRY_STARTED, entry=cfg.entry.id, address=cfg.entry.caller_address
--- /dev/null
+++ b/tests/control_plane/test_members.py
@@ -0,0 +1,121 @@
+"""Membership, entry choice and partitions, with real processes."""
+
+import asyncio
+
+from pimentospool.faults import Direction
+
+
+def state_of(status, name):
+    return {item.id: item.state for item in status.members}.get(name)
+
+
+def test_killed_entry_vm_is_gone_and_its_replacement_joins(with_fleet):
+    async def check(fleet):
+        name, other = fleet.names("gulf")[:2]
+        fleet.entries[name].kill()
+        await fleet.entries[name].wait()
+        await fleet.wait_for([other], lambda status: state_of(status, name) == "gone")
+        assert name not in await fleet.listed(other)
+        remote = fleet.names("delta")[0]
+        await fleet.wait_for(
+            [remote],
+            lambda status: any(
+                zone.zone.startswith("gulf") and zone.entries == 1
+                for zone in status.zones
+            ),
+        )
+        await fleet.entries[name].start()
+        await fleet.entries[name].wait_ready()
+        await fleet.wait_whole(fleet.entries)
+        assert name in await fleet.listed(other)
+
+    with_fleet(check, counts=(2, 1, 1))
+
+
+def test_leaving_entry_vm_is_out_of_answers_before_it_refuses(with_fleet):
+    async def check(fleet):
+        name, other = fleet.names("gulf")[:2]
+        fleet.entries[name].terminate()
+        await fleet.wait_for(
+            [other], lambda status: state_of(status, name) in ("leaving", "gone")
+        )
+        assert name not in await fleet.listed(other)
+        assert await fleet.entries[name].wait() == 0
+
+    with_fleet(check, counts=(2, 1, 1))
+
+
+def test_silent_connections_are_replaced_and_nobody_is_suspected(with_fleet):
+    async def check(fleet):
+        before = {}
+        for name in fleet.entries:
+            members = (await fleet.status(name)).members
+            before[name] = {item.id: item.incarnation for item in members}
+        for proxy in fleet.peer_proxies.values():
+            proxy.lose_connections()
+        await asyncio.sleep(2.0)
+        await fleet.wait_whole(fleet.entries)
+        for name in fleet.entries:
+            members = (await fleet.status(name)).members
+            assert {item.id: item.incarnation for item in members} == before[name]
+
+    with_fleet(check, counts=(3, 1, 1))
+
+
+def test_silenced_entry_vm_is_suspected_and_comes_back(with_fleet):
+    async def check(fleet):
+        name, other = fleet.names("gulf")[:2]
+        proxy = fleet.peer_proxies[name]
+        for directions in ((Direction.TO_CLIENT,), tuple(Direction)):
+            proxy.blackhole(*directions)
+            await asyncio.sleep(2.5)
+            assert await fleet.serve(name) == 200
+            proxy.heal()
+            await fleet.wait_whole(fleet.names("gulf"), limit=5.0)
+        assert name in await fleet.listed(other)
+
+    with_fleet(check, counts=(3, 1, 1))
+
+
+def test_paused_process_checks_its_view_before_it_serves(with_fleet):
+    async def check(fleet):
+        name, other = fleet.names("gulf")[:2]
+        life = (await fleet.status(name)).life
+        fleet.entries[name].pause()
+        await fleet.wait_for([other], lambda status: state_of(status, name) == "gone")
+        await fleet.publish()
+        await fleet.wait_revision([other], 2)
+        fleet.entries[name].wake()
+        assert await fleet.serve(name) == 200
+        status = await fleet.status(name)
+        assert status.revision.number == 2
+        assert status.life == life
+        await fleet.wait_whole(fleet.entries, limit=5.0)
+
+    with_fleet(check, counts=(3, 1, 1))
+
+
+def test_cut_zone_serves_its_callers_and_views_join_again(with_fleet):
+    async def check(fleet):
+        cut = fleet.names("gulf")
+        others = [name for name in fleet.entries if name not in cut]
+        fleet.platform_down(cut)
+        for proxy in fleet.peer_proxies.values():
+            proxy.cut()
+        await fleet.publish()
+        await fleet.wait_revision(others, 2)
+        await fleet.wait_for(
+            fleet.entries,
+            lambda status: not any(zone.reachable for zone in status.zones),
+        )
+        for name in fleet.entries:
+            assert await fleet.serve(name) == 200
+            assert await fleet.listed(name) == [name]
+        assert (await fleet.status(cut[0])).revision.number == 1
+        fleet.platform_up(cut)
+        for proxy in fleet.peer_proxies.values():
+            proxy.heal()
+        await fleet.wait_whole(fleet.entries, limit=5.0)
+        await fleet.wait_revision(fleet.entries, 2, limit=5.0)
+
+    with_fleet(check, counts=(1, 1, 1))
