--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -104,12 +104,12 @@
             shares=self.shares,
             clock=time.monotonic,
         )
+        self._engines = EngineControl()
+        self.orderer = self._make_orderer(self._engines)
         self._publish_metrics()
         self.admin.add_page(STATUS_PATH, lambda: status_page(self.status()))
         await self.admin.start()
         await self.control.start()
-        self._engines = EngineControl()
-        self.orderer = self._make_orderer(self._engines)
         self._tasks.append(asyncio.create_task(self.orderer.run()))
         self._tasks.append(asyncio.create_task(self._summaries.run()))
         self._reports = ReportPoller(cfg=cfg.targets, router=self.router)
--- a/pimentospool/settings.py
+++ b/pimentospool/settings.py
@@ -69,6 +69,9 @@
                     message=f"set both {certificate} and {key}, or neither",
                 )
             )
+    if cfg.tls.peer_certificate and not cfg.tls.peer_authority:
+        message = "set peer_authority too, since peers check each other's certificate"
+        faults.append(DocumentError(path="tls.peer_authority", message=message))
     if cfg.peers.gone_after_seconds <= cfg.peers.suspect_after_seconds:
         faults.append(
             DocumentError(
--- a/tests/control_plane/test_members.py
+++ b/tests/control_plane/test_members.py
@@ -2,6 +2,12 @@
 
 import asyncio
 
+import msgspec
+from click.testing import CliRunner
+
+from pimentospool._generated.platform import VmKind, VmRecord, VmState
+from pimentospool._generated.status import EntryStatus
+from pimentospool.cli import main
 from pimentospool.faults import Direction
 
 
@@ -119,3 +125,58 @@
         await fleet.wait_revision(fleet.entries, 2, limit=5.0)
 
     with_fleet(check, counts=(1, 1, 1))
+
+
+def test_leaving_target_is_known_in_its_region_within_two_seconds(with_fleet):
+    async def check(fleet):
+        target = next(
+            target.id for target in fleet.manifest.targets if target.zone == "gulf-a"
+        )
+        fleet.deployment.vm_list.update(
+            VmRecord(id=target, kind=VmKind.TARGET, state=VmState.LEAVING)
+        )
+        await fleet.wait_for(
+            fleet.names("gulf"),
+            lambda status: status.leaving_targets == [target],
+            limit=2.0,
+        )
+        remote = await fleet.status(fleet.names("delta")[0])
+        assert remote.leaving_targets == []
+
+    with_fleet(check, counts=(3, 1, 1))
+
+
+def test_reader_killed_while_the_platform_is_cut_from_others_of_its_zone(with_fleet):
+    async def check(fleet):
+        zone = fleet.names("gulf")
+        statuses = [await fleet.status(name) for name in zone]
+        readers = [item.entry for item in statuses if item.platform.reader]
+        (spare,) = set(zone) - set(readers)
+        fleet.entries[readers[0]].kill()
+        fleet.platform_down([readers[1]])
+        await fleet.wait_for([spare], lambda status: status.platform.reader)
+        await fleet.publish()
+        await fleet.wait_revision([spare, readers[1]], 2, limit=5.0)
+        for name in (spare, readers[1]):
+            assert await fleet.serve(name) == 200
+
+    with_fleet(check, counts=(3, 1, 1))
+
+
+def test_status_command_prints_what_the_process_knows(with_fleet):
+    async def check(fleet):
+        name = fleet.names("gulf")[0]
+        address = fleet.entries[name].cfg.entry.admin_address
+        run = CliRunner().invoke
+        text = await asyncio.to_thread(run, main, ["status", address])
+        assert text.exit_code == 0
+        assert name in text.output
+        assert "delta-a" in text.output
+        raw = await asyncio.to_thread(run, main, ["status", address, "--json"])
+        assert msgspec.json.decode(raw.output, type=EntryStatus).entry == name
+        fleet.entries[name].kill()
+        await fleet.entries[name].wait()
+        failed = await asyncio.to_thread(run, main, ["status", address])
+        assert failed.exit_code == 1
+
+    with_fleet(check, counts=(1, 1, 1))
