Count pauses from the start of serving

Cause: the detector took the time of its construction as its last check, so a start that took longer than pause_seconds was logged and handled as a pause (seen as event 5003 with 3.5 s right after 1001). Change: the first check counts from the start of the checks.

--- a/pimentospool/pauses.py
+++ b/pimentospool/pauses.py
@@ -42,7 +42,8 @@
             self.paused.send(gap)
 
     async def run(self) -> None:
-        """Check over and over."""
+        """Check over and over, from now on."""
+        self._checked_at = self._clock()
         while True:
             await asyncio.sleep(self._limit_seconds / _CHECKS_PER_LIMIT)
             self.check()
