--- a/pimentospool/bench/_control.py
+++ b/pimentospool/bench/_control.py
@@ -88,6 +88,7 @@
     def __init__(self, *, cfg: Settings, seed: int) -> None:
         self.adopted: dict[int, float] = {}
         self._task: asyncio.Task[None] | None = None
+        self.cfg = cfg
         self.view = View()
         self.platform = PlatformClient(cfg=cfg.platform)
         self.control = ControlPlane(
@@ -184,13 +185,13 @@
 
     async def _start_nodes(self) -> float:
         settings = self._settings()
-        self._vm_list.seed([_vm_record(cfg.entry) for cfg in settings])
         self._nodes = [_Node(cfg=cfg, seed=seed) for seed, cfg in enumerate(settings)]
         started_at = time.perf_counter()
         limit = asyncio.Semaphore(_STARTS_AT_ONCE)
 
         async def start(node: _Node) -> None:
             async with limit:
+                self._vm_list.seed([_vm_record(node.cfg.entry)])
                 await node.start()
 
         await asyncio.gather(*(start(node) for node in self._nodes))
