Publish gauges of the control plane and write a pipeline's values

Change: six gauges show the platform's contact age, refused revisions, live members, reachable zones, the reader's role and a doubtful view; 'pack' writes the index and the parts that a pipeline publishes, each under its key.

--- a/pimentospool/commands/__init__.py
+++ b/pimentospool/commands/__init__.py
@@ -10,6 +10,7 @@
     "entry",
     "modelcheck",
     "load",
+    "pack",
     "standin",
     "status",
 ]
--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -11,6 +11,7 @@
 from pimentospool.admission import Admission
 from pimentospool.callers import CallerServer
 from pimentospool.control import ControlPlane
+from pimentospool.control_metrics import add_control_gauges
 from pimentospool.dispatch import Dispatcher
 from pimentospool.log import Event, log_event
 from pimentospool.metrics import (
@@ -174,6 +175,7 @@
             leaving=lambda: self.callers.leaving,
         )
         add_process_gauges(metrics, readings)
+        add_control_gauges(metrics, self.control)
         self.admin.add_page(METRICS_PATH, metrics.render)
 
     def _follow_revision(self, revision: Revision) -> None:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,5 +1,6 @@
 """Metrics: values, bounded labels, and the catalogue in the docs."""
 
+import random
 import re
 from pathlib import Path
 
@@ -7,14 +8,21 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from pimentospool import metrics as module
+from pimentospool.control import ControlPlane
+from pimentospool.control_metrics import add_control_gauges
 from pimentospool.errors import Reason
 from pimentospool.ids import CustomerId, RegionId, RequestId
 from pimentospool.metrics import EntryMetrics
 from pimentospool.outcomes import RequestOutcome
+from pimentospool.platform import PlatformClient
 from pimentospool.requests import RequestKind
+from pimentospool.settings import read_settings
 from pimentospool.verdicts import Verdict
+from pimentospool.views import View
 
-CATALOGUE = Path(__file__).resolve().parent.parent / "docs" / "metrics.md"
+ROOT = Path(__file__).resolve().parent.parent
+CATALOGUE = ROOT / "docs" / "metrics.md"
+SETTINGS = ROOT / "examples" / "magnolia" / "entries" / "gulf-1.toml"
 
 
 def make_outcome(**changes):
@@ -121,4 +129,13 @@
             leaving=lambda: False,
         ),
     )
+    cfg = read_settings(SETTINGS)
+    control = ControlPlane(
+        cfg=cfg,
+        view=View(),
+        platform=PlatformClient(cfg=cfg.platform),
+        life=1,
+        rng=random.Random(1),
+    )
+    add_control_gauges(metrics, control)
     return metrics
