Fetch a published revision again after a failure

Cause: the platform tells an index once; when one of its parts could not be read, the reader dropped the revision and heard of it again only from a peer, so a short outage between index and parts hid it until the next publication. The new test timed out before the change. Change: the reader comes back to such an index after half a second.

--- a/pimentospool/peers/_node.py
+++ b/pimentospool/peers/_node.py
@@ -37,7 +37,8 @@
 _TIMEOUTS_PER_SUSPICION = 4
 _HELPERS = 2
 _PUSH_FANOUT = 3
-_ZONE_FANOUT = 2
+_LINK_FANOUT = 1
+_URGENT_FANOUT = 2
 _PUSH_DELAY_SECONDS = 0.01
 _JOIN_PEERS = 8
 _GATEWAYS = 8
@@ -159,7 +160,8 @@
         others = [member.peer_address for member in self.state.members.others()]
         if self.is_reader:
             self._publish_summary()
-        await self._push_to(self._sample(others, _JOIN_PEERS), self._zone_addresses())
+        far = self._zone_addresses(len(self.zones.zones()))
+        await self._push_to(self._sample(others, _JOIN_PEERS), far[:_JOIN_PEERS])
         self._urgent.set()
 
     def doubt(self) -> None:
@@ -214,7 +216,7 @@
 
     async def lookup(self, entry: EntryId) -> Member | None:
         """Ask other zones for an entry VM that is not known here."""
-        for address in self._zone_addresses(everywhere=True):
+        for address in self._zone_addresses(len(self.zones.zones())):
             req = PeerRequest(lookup=LookupRequest(entry=entry))
             try:
                 answer = (await self.links.request(address, req)).lookup
@@ -281,7 +283,7 @@
             if self.is_reader:
                 self._publish_summary()
                 self._publish_beat()
-                self._spawn(self._push_to([], self._zone_addresses()))
+                self._spawn(self._push_to([], self._zone_addresses(_LINK_FANOUT)))
 
     async def _probe(self, member: Member) -> None:
         self._probing.add(member.id)
@@ -335,12 +337,10 @@
         for address in self._sample(candidates - known - {self._own_address()}, 1):
             await self._try(address, whole=True)
 
-    def _zone_addresses(self, *, everywhere: bool = False) -> list[str]:
+    def _zone_addresses(self, count: int) -> list[str]:
         now = self._clock()
-        zones = self.zones.zones()
-        chosen = zones if everywhere else self._sample(zones, _ZONE_FANOUT)
         addresses = []
-        for zone in chosen:
+        for zone in self._sample(self.zones.zones(), count):
             addresses += self._sample(self.zones.addresses(zone, now=now), 1)
         return addresses
 
@@ -351,7 +351,7 @@
             self._urgent.clear()
             others = [member.peer_address for member in self.state.members.others()]
             near = self._sample(others, _PUSH_FANOUT)
-            far = self._zone_addresses() if self.is_reader else []
+            far = self._zone_addresses(_URGENT_FANOUT) if self.is_reader else []
             self._spawn(self._push_to(near, far))
             await asyncio.sleep(self._cfg.peers.heartbeat_seconds)
 
--- a/pimentospool/revision_sync.py
+++ b/pimentospool/revision_sync.py
@@ -18,6 +18,7 @@
 
 _FETCHES_AT_ONCE = 8
 _MAX_SOURCES = 4
+_RETRY_SECONDS = 0.5
 
 
 class _Sighting(msgspec.Struct, kw_only=True):
@@ -129,6 +130,8 @@
             manifest = await self._loader.load(index, parts)
         except FetchError as exc:
             log_event(Event.REVISION_FETCH_FAILED, revision=head.number, error=str(exc))
+            if sighting.index is not None:
+                self._retry(sighting.index)
         except DocumentErrors as exc:
             faults = [str(fault) for fault in exc.exceptions]
             self.book.refuse(head, faults)
@@ -148,6 +151,11 @@
                 self._view.adopt(revision)
         self._sightings.pop((head.number, head.digest), None)
 
+    def _retry(self, index: RevisionIndex) -> None:
+        """Come back to an index that the platform tells only once."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(_RETRY_SECONDS, self.heard_from_platform, index)
+
     async def _fetch_index(self, sighting: _Sighting) -> RevisionIndex:
         data = await self._fetch_from_peers(sighting, sighting.head.digest)
         if data is None:
--- a/pimentospool/summaries.py
+++ b/pimentospool/summaries.py
@@ -14,7 +14,7 @@
 
 _BEAT_SECONDS = 0.5
 _MAX_SENDERS = 24
-_BYTES_PER_SECOND = 6000.0
+_BYTES_PER_SECOND = 2500.0
 
 
 def publish_interval(*, senders: int, size: int) -> float:
--- /dev/null
+++ b/tests/test_revision_sync.py
@@ -0,0 +1,110 @@
+"""Fetching of revisions from sources that fail."""
+
+import asyncio
+from pathlib import Path
+
+import msgspec
+
+from pimentospool._generated.peers import RevisionHead
+from pimentospool.manifest import read_manifest
+from pimentospool.peers import ContentStore, PeerError
+from pimentospool.platform import PlatformError
+from pimentospool.revision_sync import RevisionSync
+from pimentospool.revisions import digest_of, index_digest, pack_manifest
+from pimentospool.views import View
+
+ROOT = Path(__file__).resolve().parent.parent
+MANIFEST = read_manifest(ROOT / "examples" / "magnolia" / "manifest.toml")
+LIMIT_SECONDS = 10.0
+
+
+class Source:
+    """Peers and platform over one dictionary; the first reads may fail."""
+
+    def __init__(self, *, error, failures=0):
+        self.held = {}
+        self.reads = 0
+        self._error = error
+        self._failures = failures
+
+    async def read_part(self, digest):
+        self.reads += 1
+        if self.reads <= self._failures or digest not in self.held:
+            raise self._error("not now")
+        return self.held[digest]
+
+    async def fetch(self, address, digest):
+        return await self.read_part(digest)
+
+
+def publish(source, number):
+    pack = pack_manifest(MANIFEST, revision=number)
+    source.held |= pack.parts
+    data = msgspec.json.encode(pack.index)
+    source.held[digest_of(data)] = data
+    return pack.index
+
+
+async def settle(sync, view, number):
+    task = asyncio.create_task(sync.run())
+    try:
+        async with asyncio.timeout(LIMIT_SECONDS):
+            while view.number < number:
+                await asyncio.sleep(0.01)
+    finally:
+        task.cancel()
+
+
+def make(*, peers, platform):
+    view = View()
+    sync = RevisionSync(
+        view=view,
+        store=ContentStore(),
+        content=peers,
+        platform=platform,
+        platform_allowed=lambda: True,
+    )
+    return sync, view
+
+
+def test_index_told_once_is_fetched_again_after_a_failure(runner):
+    async def check():
+        platform = Source(error=PlatformError, failures=1)
+        sync, view = make(peers=Source(error=PeerError), platform=platform)
+        sync.heard_from_platform(publish(platform, 2))
+        await settle(sync, view, 2)
+
+    runner.run(check())
+
+
+def test_only_changed_parts_are_fetched_from_the_peer_that_told(runner):
+    async def check():
+        peers = Source(error=PeerError)
+        platform = Source(error=PlatformError)
+        sync, view = make(peers=peers, platform=platform)
+        for number, reads in (
+            (2, len(pack_manifest(MANIFEST, revision=2).parts)),
+            (3, 0),
+        ):
+            before = peers.reads
+            index = publish(peers, number)
+            head = RevisionHead(number=number, digest=index_digest(index))
+            sync.heard_from_peer(head, "10.0.0.1:81")
+            await settle(sync, view, number)
+            assert peers.reads - before == reads + 1
+        assert platform.reads == 0
+
+    runner.run(check())
+
+
+def test_index_that_bears_another_number_is_not_taken(runner):
+    async def check():
+        peers = Source(error=PeerError)
+        sync, view = make(peers=peers, platform=Source(error=PlatformError))
+        digest = index_digest(publish(peers, 2))
+        sync.heard_from_peer(RevisionHead(number=9, digest=digest), "10.0.0.1:81")
+        sync.heard_from_peer(RevisionHead(number=2, digest=digest), "10.0.0.1:81")
+        await settle(sync, view, 2)
+        assert sync.book.in_force.number == 2
+
+    runner.run(check())
--- /dev/null
+++ b/tests/test_views.py
@@ -0,0 +1,61 @@
+"""The revision in force at one entry VM."""
+
+import asyncio
+from pathlib import Path
+
+import msgspec
+
+from pimentospool.ids import EntryId
+from pimentospool.manifest import read_manifest
+from pimentospool.revisions import Revision, index_digest, pack_manifest
+from pimentospool.views import View
+
+ROOT = Path(__file__).resolve().parent.parent
+MANIFEST = read_manifest(ROOT / "examples" / "magnolia" / "manifest.toml")
+
+
+def revision(number, *, digest=None):
+    index = pack_manifest(MANIFEST, revision=number).index
+    made = Revision(
+        number=number, digest=index_digest(index), index=index, manifest=MANIFEST
+    )
+    return msgspec.structs.replace(made, digest=digest) if digest else made
+
+
+def test_view_never_goes_back():
+    view = View()
+    adopted = []
+    view.revision_adopted.connect(lambda made: adopted.append(made.number))
+    assert view.adopt(revision(3))
+    assert not view.adopt(revision(2))
+    assert not view.adopt(revision(3))
+    assert view.number == 3
+    assert adopted == [3]
+
+
+def test_two_revisions_of_one_number_resolve_to_the_higher_digest():
+    for digests in (("a", "b"), ("b", "a")):
+        view = View()
+        for digest in digests:
+            view.adopt(revision(3, digest=digest))
+        assert view.revision.digest == "b"
+
+
+def test_ensure_fetches_only_what_is_newer():
+    view = View()
+    view.adopt(revision(3))
+    asked = []
+
+    async def fetch(number, ingress):
+        asked.append((number, ingress))
+        view.adopt(revision(number))
+
+    async def check():
+        await view.ensure(9, EntryId("e"))
+        view.fetch = fetch
+        await view.ensure(3, EntryId("e"))
+        await view.ensure(4, EntryId("e"))
+
+    asyncio.run(check())
+    assert asked == [(4, "e")]
+    assert view.number == 4
