--- a/pimentospool/bench/_control.py
+++ b/pimentospool/bench/_control.py
@@ -330,7 +330,8 @@
     traffic = [node.control.node.links.traffic for node in nodes]
     return _Traffic(
         nodes=len(nodes),
-        bytes=sum(item.sent_bytes + item.received_bytes for item in traffic),
+        bytes=sum(item.sent_bytes + item.received_bytes for item in traffic)
+        + sum(node.platform.received_bytes for node in nodes),
         messages=sum(item.sent_messages + item.received_messages for item in traffic),
     )
 
--- a/pimentospool/platform.py
+++ b/pimentospool/platform.py
@@ -48,6 +48,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._vm_list_tag = ""
         self.reads = 0
+        self.received_bytes = 0
 
     async def close(self) -> None:
         """Close every connection."""
@@ -121,6 +122,7 @@
                     raise PlatformError(f"{url} answered {resp.status}")
                 version = int(resp.headers.get(_VERSION_HEADER, "0"))
                 data = await resp.read()
+                self.received_bytes += len(data)
                 return _PlatformAnswer(
                     status=resp.status,
                     version=version,
