Suspect only the incarnation that was probed

Cause: a probe that began before a restart suspected the new process when it failed. Seen in a drill's log: suspected 0.1 s after it joined, sooner than any probe of it can fail. Change: a failed probe counts against the incarnation it was sent to; a test shows it.

--- a/pimentospool/peers/_node.py
+++ b/pimentospool/peers/_node.py
@@ -298,7 +298,7 @@
             self._probing.discard(member.id)
         if reached or self.paused_at >= started_at:
             return
-        change = self.state.members.suspect(member.id, now=self._clock())
+        change = self.state.members.suspect(member, now=self._clock())
         if change is not None:
             self.state.member_changed.send(change)
 
--- a/pimentospool/policy/_membership.py
+++ b/pimentospool/policy/_membership.py
@@ -141,10 +141,19 @@
         self._store(record, now=now)
         return MemberChange(kind=_change_kind(held, record), member=record)
 
-    def suspect(self, entry: EntryId, *, now: float) -> MemberChange | None:
-        """Note that an entry VM did not answer over any connection."""
-        held = self._records.get(entry)
-        if held is None or entry == self._own_id:
+    def suspect(self, probed: Member, *, now: float) -> MemberChange | None:
+        """Note that an entry VM did not answer over any connection.
+
+        Parameters
+        ----------
+        probed : Member
+            Record at the start of the probe; a higher incarnation that was heard of
+            meanwhile is not suspected.
+        """
+        held = self._records.get(probed.id)
+        if held is None or probed.id == self._own_id:
+            return None
+        if held.incarnation != probed.incarnation:
             return None
         if held.state is MemberState.LIVE:
             return self._change_state(held, MemberState.SUSPECT, now=now)
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -161,7 +161,7 @@
 def test_suspect_is_gone_after_the_limit_and_pause_restarts_it():
     membership = view()
     membership.merge(member(), now=0.0)
-    assert membership.suspect(EntryId("e1"), now=1.0).kind is ChangeKind.SUSPECTED
+    assert membership.suspect(member(), now=1.0).kind is ChangeKind.SUSPECTED
     membership.restart_timers(now=3.0)
     assert membership.expire(now=4.5) == []
     (change,) = membership.expire(now=6.0)
@@ -199,3 +199,11 @@
     sent = [membership.rumours(limit=8) for _ in range(50)]
     assert sum(map(len, sent)) < 20
     assert sent[-1] == []
+
+
+def test_failed_probe_of_an_earlier_life_suspects_nobody():
+    membership = view()
+    membership.merge(member(), now=0.0)
+    membership.merge(member(incarnation=2, life=2), now=0.5)
+    assert membership.suspect(member(), now=1.0) is None
+    assert membership.record(EntryId("e1")).state is MemberState.LIVE
