--- a/pimentospool/commands/_bench.py
+++ b/pimentospool/commands/_bench.py
@@ -4,7 +4,10 @@
 
 from pimentospool.commands._lazy import LazyGroup
 
-BENCHES = ["control"]
+BENCHES = [
+    "control",
+    "relay",
+]
 
 
 @click.group(
