--- a/pimentospool/commands/__init__.py
+++ b/pimentospool/commands/__init__.py
@@ -11,6 +11,7 @@
     "explain",
     "modelcheck",
     "load",
+    "pack",
     "standin",
     "status",
 ]
