--- a/pimentospool/commands/_bench.py
+++ b/pimentospool/commands/_bench.py
@@ -6,6 +6,7 @@
 
 BENCHES = [
     "operations",
+    "control",
     "policy",
     "policy-cost",
     "relay",
--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -12,6 +12,7 @@
 from pimentospool.admission import Admission
 from pimentospool.callers import CallerServer
 from pimentospool.control import ControlPlane
+from pimentospool.control_metrics import add_control_gauges
 from pimentospool.dispatch import Dispatcher
 from pimentospool.log import Event, log_event
 from pimentospool.metrics import (
@@ -118,16 +119,16 @@
             shares=self.shares,
             clock=time.monotonic,
         )
-        await self.control.start()
         self._engines = EngineControl()
         self.orderer = self._make_orderer(self._engines)
+        self._publish_metrics()
+        self.admin.add_page(STATUS_PATH, lambda: status_page(self.status()))
+        await self.admin.start()
+        await self.control.start()
         self._tasks.append(asyncio.create_task(self.orderer.run()))
         self._tasks.append(asyncio.create_task(self._summaries.run()))
         self._reports = ReportPoller(cfg=cfg.targets, router=self.router)
         self._tasks.append(asyncio.create_task(self._reports.run()))
-        self._publish_metrics()
-        self.admin.add_page(STATUS_PATH, lambda: status_page(self.status()))
-        await self.admin.start()
         await self.callers.start()
         log_event(
             Event.ENTRY_STARTED, entry=cfg.entry.id, address=cfg.entry.caller_address
@@ -202,6 +203,7 @@
             leaving=lambda: self.callers.leaving,
         )
         add_process_gauges(metrics, readings)
+        add_control_gauges(metrics, self.control)
         self.admin.add_page(METRICS_PATH, metrics.render)
 
     def _follow_revision(self, revision: Revision) -> None:
