--- a/pimentospool/commands/_bench.py
+++ b/pimentospool/commands/_bench.py
@@ -5,6 +5,7 @@
 from pimentospool.commands._lazy import LazyGroup
 
 BENCHES = [
+    "operations",
     "control",
     "policy",
     "policy-cost",
