--- a/pimentospool/commands/_bench.py
+++ b/pimentospool/commands/_bench.py
@@ -5,6 +5,8 @@
 from pimentospool.commands._lazy import LazyGroup
 
 BENCHES = [
+    "operations",
+    "control",
     "policy",
     "policy-cost",
     "relay",
--- a/pimentospool/platform.py
+++ b/pimentospool/platform.py
@@ -49,6 +49,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._vm_list_tag = ""
         self.reads = 0
+        self.received_bytes = 0
         self.tracer: Tracer = SilentTracer()
 
     async def close(self) -> None:
@@ -124,6 +125,7 @@
                     raise PlatformError(f"{url} answered {resp.status}")
                 version = int(resp.headers.get(_VERSION_HEADER, "0"))
                 data = await resp.read()
+                self.received_bytes += len(data)
                 return _PlatformAnswer(
                     status=resp.status,
                     version=version,
