Bound the orderer's reading and measure it

Cause: an orderer read every engine of its region each second: at 812 engines and 0.25 ms a read (both ends) that is a fifth of a core, where 4.6% is allowed for all control. Change: reads go in batches at 25 a second, placement is computed once a comparison, and pimentospool bench orders gives the figures.

--- a/pimentospool/bench/_policy_cost.py
+++ b/pimentospool/bench/_policy_cost.py
@@ -46,7 +46,7 @@
     *, targets: int, regions: int, zones: int, decisions: int, seed: int
 ) -> DecisionCost:
     """Time `decisions` of an entry VM of the first region."""
-    manifest = _manifest(targets=targets, regions=regions, zones=zones)
+    manifest = make_manifest(targets=targets, regions=regions, zones=zones)
     index = ManifestIndex(manifest=manifest)
     rng = random.Random(seed)
     router = Router(
@@ -136,7 +136,7 @@
     )
 
 
-def _manifest(*, targets: int, regions: int, zones: int) -> Manifest:
+def make_manifest(*, targets: int, regions: int, zones: int) -> Manifest:
     region_ids = [RegionId(f"region-{number}") for number in range(regions)]
     zone_list = [
         Zone(id=ZoneId(f"zone-{number}"), region=region_ids[number % regions])
--- a/pimentospool/commands/_bench.py
+++ b/pimentospool/commands/_bench.py
@@ -6,6 +6,7 @@
 
 BENCHES = [
     "control",
+    "orders",
     "policy",
     "policy-cost",
     "relay",
--- a/pimentospool/orders.py
+++ b/pimentospool/orders.py
@@ -15,6 +15,7 @@
 from pimentospool.log import Event, log_event
 from pimentospool.manifest import ManifestIndex, Target
 from pimentospool.policy import (
+    DesiredEngine,
     FencingTerms,
     OrderPlan,
     PlannedOrder,
@@ -28,7 +29,8 @@
 ORDER_VALIDITY_SECONDS = 1.0
 REQUEST_TIMEOUT_SECONDS = 2.0
 STALLED_LOAD_SECONDS = 120.0
-_STATES_AT_ONCE = 32
+STATE_READS_PER_SECOND = 25.0
+_STATES_AT_ONCE = 10
 
 
 class OrderResult(Enum):
@@ -180,8 +182,10 @@
         """Read the zone's engines once and order the difference."""
         index = self._view.index
         revision = self._view.number
-        observed = await self._read_states(index)
-        plan = self._plan(index, observed)
+        desired = place_models(index, self._region)
+        targets = [index.targets[target] for target in desired]
+        observed = await self._read_states(targets)
+        plan = self._plan(index, desired, observed)
         self.holds = {hold.target: hold.explanation for hold in plan.holds}
         for planned in plan.orders:
             target = index.targets[planned.target]
@@ -189,10 +193,13 @@
             self._record(planned, result)
 
     def _plan(
-        self, index: ManifestIndex, observed: Mapping[TargetId, EngineState]
+        self,
+        index: ManifestIndex,
+        desired: Mapping[TargetId, DesiredEngine],
+        observed: Mapping[TargetId, EngineState],
     ) -> OrderPlan:
         return plan_orders(
-            desired=place_models(index, self._region),
+            desired=desired,
             observed=observed,
             zone_targets=frozenset(
                 target
@@ -205,22 +212,25 @@
             weight_store_address=self._weight_store_address,
         )
 
-    async def _read_states(self, index: ManifestIndex) -> dict[TargetId, EngineState]:
+    async def _read_states(self, targets: list[Target]) -> dict[TargetId, EngineState]:
+        """Read the engines' states, in batches that keep to the rate."""
         states: dict[TargetId, EngineState] = {}
-        limit = asyncio.Semaphore(_STATES_AT_ONCE)
-
-        async def read(target: TargetId) -> None:
-            async with limit:
-                try:
-                    state = await self._control.read_state(index.targets[target])
-                except EngineUnreachable:
-                    return
-                states[target] = state
-
-        desired = place_models(index, self._region)
-        await asyncio.gather(*(read(target) for target in desired))
+        for start in range(0, len(targets), _STATES_AT_ONCE):
+            if start:
+                await asyncio.sleep(_STATES_AT_ONCE / STATE_READS_PER_SECOND)
+            batch = targets[start : start + _STATES_AT_ONCE]
+            read = await asyncio.gather(*map(self._read_state, batch))
+            for target, state in zip(batch, read, strict=True):
+                if state is not None:
+                    states[target.id] = state
         return states
 
+    async def _read_state(self, target: Target) -> EngineState | None:
+        try:
+            return await self._control.read_state(target)
+        except EngineUnreachable:
+            return None
+
     def _stalled(self, observed: Mapping[TargetId, EngineState]) -> frozenset[TargetId]:
         now = self._clock()
         loading = {
