Give the drill the power to find second executions

Cause: a deliberate break on a scratch copy, which called every failed attempt not run, stayed unseen in the silent-connections and cold-caches scenarios: a call took 5 ms, so hardly any was in flight when a connection ended.

Change: calls take 0.2 s in a drill; answers-lost lets targets run requests whose answers vanish. SIGTERM ends a drill with its processes.

--- a/pimentospool/_generated/scenario.py
+++ b/pimentospool/_generated/scenario.py
@@ -23,6 +23,7 @@
     LINK_SILENT = "link-silent"
     LINK_ONE_WAY = "link-one-way"
     CONNECTIONS_SILENT = "connections-silent"
+    ANSWERS_LOST = "answers-lost"
     CACHES_COLD = "caches-cold"
     CONFIGURATION_DOWN = "configuration-down"
     CONFIGURATION_STALE = "configuration-stale"
--- a/pimentospool/commands/_drill.py
+++ b/pimentospool/commands/_drill.py
@@ -1,6 +1,7 @@
 """`pimentospool drill`."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 from typing import TypeVar
@@ -110,12 +111,19 @@
     manifest = read_or_exit(read_manifest, _EXAMPLES / name / "manifest.toml")
     made = Drill(manifest=manifest, scenarios=scenarios, seed=seed)
     console = Console()
-    evidence = run(_run_viewed(made, console))
+    try:
+        evidence = run(_run_viewed(made, console))
+    except asyncio.CancelledError:
+        raise click.ClickException("the drill was ended early") from None
     return _report(evidence, seed, folder)
 
 
 async def _run_viewed(made: Drill, console: Console) -> Evidence:
     viewing: list[asyncio.Task[None]] = []
+    task = asyncio.current_task()
+    assert task is not None
+    # Cancelled, the drill ends the processes that it started.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
 
     def show(progress: DrillProgress) -> None:
         if console.is_terminal:
@@ -125,8 +133,8 @@
     try:
         return await made.run(show)
     finally:
-        for task in viewing:
-            task.cancel()
+        for shown in viewing:
+            shown.cancel()
         await asyncio.gather(*viewing, return_exceptions=True)
 
 
--- a/pimentospool/drill/_actions.py
+++ b/pimentospool/drill/_actions.py
@@ -93,6 +93,9 @@
             case FaultKind.CONNECTIONS_SILENT:
                 for proxy in self._links_in(fault.region):
                     proxy.lose_connections()
+            case FaultKind.ANSWERS_LOST:
+                for target in fleet.targets_of(fault.region):
+                    fleet.target_links[target].blackhole(Direction.TO_CLIENT)
             case FaultKind.CACHES_COLD:
                 self._clear_caches(fault.region)
             case FaultKind.CONFIGURATION_DOWN:
@@ -137,6 +140,10 @@
             case FaultKind.LINK_CUT | FaultKind.LINK_SILENT | FaultKind.LINK_ONE_WAY:
                 for end in self._links(fault):
                     end.proxy.heal(source=end.source)
+            case FaultKind.ANSWERS_LOST:
+                for target in fleet.targets_of(fault.region):
+                    fleet.target_links[target].heal()
+                    fleet.target_links[target].reset_connections()
             case FaultKind.CONFIGURATION_DOWN:
                 for links in fleet.platform_links.values():
                     links["configuration"].heal()
--- a/pimentospool/drill/_fleet.py
+++ b/pimentospool/drill/_fleet.py
@@ -23,6 +23,7 @@
 _ENTRIES_PER_ZONE = (3, 3, 2)
 _PLATFORM = ("configuration", "vm-list", "directory")
 _MS_PER_SECOND = 1e3
+_SERVICE_SECONDS = 0.2
 _REQUEST_ID = re.compile(rb"\r\nX-Request-Id: ([0-9A-Za-z-]+)\r\n", re.IGNORECASE)
 
 
@@ -55,7 +56,10 @@
 
     def __init__(self, *, manifest: Manifest, folder: Path, speed: float) -> None:
         self.deployment = StandinDeployment(
-            manifest=manifest, speed=speed, vm_lag_seconds=VM_LAG_SECONDS
+            manifest=manifest,
+            speed=speed,
+            vm_lag_seconds=VM_LAG_SECONDS,
+            service_seconds=_SERVICE_SECONDS,
         )
         self.processes: dict[EntryId, EntryProcess] = {}
         self.settings: dict[EntryId, Settings] = {}
--- a/pimentospool/drill/_judge.py
+++ b/pimentospool/drill/_judge.py
@@ -6,6 +6,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Iterator
+from itertools import groupby
 
 from pimentospool._generated.records import (
     AttemptRecord,
@@ -22,12 +23,13 @@
     PromiseResult,
     TargetExecution,
 )
-from pimentospool.ids import RegionId
+from pimentospool.ids import RegionId, TargetId
 from pimentospool.manifest import ManifestIndex, TargetKind
 from pimentospool.verdicts import Verdict
 
 DETECTION_SECONDS = 3.0
 LEAVING_SECONDS = 2.0
+MAX_RUNS = 4
 _ENTRY_LOST = (
     FaultKind.ENTRY_KILLED,
     FaultKind.ENTRY_PAUSED,
@@ -142,13 +144,19 @@
             again = received & {source for source, _ in edges}
             message = f"{request_id} was sent on by {', '.join(sorted(again))}"
             result.count(bool(again), message)
-        visits = Counter(
-            (item.execution.request_id, item.target)
-            for item in self._seen.executions
-            if not item.execution.first_token
-        )
-        for (request_id, target), times in visits.items():
-            result.count(times > 1, f"{request_id} ran {times} times at {target}")
+        for request_id, visits in self._visits().items():
+            path = [target for target, _ in groupby(visits)]
+            returned = len(set(path)) < len(path)
+            message = f"{request_id} ran at {', '.join(visits)}"
+            result.count(returned or len(visits) > MAX_RUNS, message)
+
+    def _visits(self) -> dict[str, list[TargetId]]:
+        """Return the targets that began each request, in order of time."""
+        visits: dict[str, list[TargetId]] = defaultdict(list)
+        for item in sorted(self._seen.executions, key=lambda item: item.execution.at):
+            if not item.execution.first_token:
+                visits[item.execution.request_id].append(item.target)
+        return visits
 
     def _judge_isolation(self, result: PromiseResult) -> None:
         for window in self._windows(FaultKind.REGION_ISOLATED):
--- a/pimentospool/load/_generator.py
+++ b/pimentospool/load/_generator.py
@@ -33,6 +33,16 @@
 
         Returns when every call has ended.
         """
+        try:
+            await self._send_all(arrivals, handle)
+            await asyncio.gather(*self._sending)
+        finally:
+            for task in self._sending:
+                task.cancel()
+
+    async def _send_all(
+        self, arrivals: Iterable[Arrival], handle: RecordHandler
+    ) -> None:
         loop = asyncio.get_running_loop()
         started = loop.time()
         started_wall = time.time()
@@ -45,7 +55,6 @@
             task = asyncio.create_task(sending)
             self._sending.add(task)
             task.add_done_callback(self._sending.discard)
-        await asyncio.gather(*self._sending)
 
     async def _send(
         self, call: Call, intended_at: float, handle: RecordHandler
--- a/pimentospool/standins/_deployment.py
+++ b/pimentospool/standins/_deployment.py
@@ -40,10 +40,17 @@
         Factor on the engines' speeds.
     vm_lag_seconds : float
         Lag of the VM list.
+    service_seconds : float
+        Time of a plain service's call.
     """
 
     def __init__(
-        self, *, manifest: Manifest, speed: float = 1.0, vm_lag_seconds: float = 1.0
+        self,
+        *,
+        manifest: Manifest,
+        speed: float = 1.0,
+        vm_lag_seconds: float = 1.0,
+        service_seconds: float = 0.005,
     ) -> None:
         self.manifest = manifest
         self.configuration = ConfigurationService()
@@ -54,6 +61,7 @@
         self.services: dict[TargetId, PlainService] = {}
         self.servers: dict[str, StandinServer] = {}
         self._speed = speed
+        self._service_seconds = service_seconds
 
     async def start(self, *, publish: bool = True) -> None:
         """Serve every stand-in and publish the manifest as revision 1."""
@@ -130,7 +138,7 @@
 
     def _make_target(self, index: ManifestIndex, target: Target) -> Standin:
         if target.kind is TargetKind.SERVICE:
-            service = PlainService()
+            service = PlainService(service_seconds=self._service_seconds)
             self.services[target.id] = service
             return service
         profile = EngineProfile(
--- a/tests/drill/test_judge.py
+++ b/tests/drill/test_judge.py
@@ -97,12 +97,30 @@
         held={"hops": [make_hop("a", "g1", "p1"), make_hop("a", "g1", "d1")]},
         broken={"hops": [make_hop("a", "g1", "p1"), make_hop("a", "p1", "g1")]},
     )
-    engine = "gulf-engine-1"
-    resumed = make_execution("a", engine, first_token=2)
+
+
+def run_at(*targets):
+    return [
+        make_execution("a", f"gulf-engine-{number}", at=float(at))
+        for at, number in enumerate(targets)
+    ]
+
+
+def test_no_loops_between_targets():
+    """A broken attempt may be made again at its target; a return is a loop."""
+    held = [
+        *run_at(1, 1, 2),
+        make_execution("a", "gulf-engine-1", at=9.0, first_token=2),
+    ]
+    check(
+        Promise.NO_LOOPS,
+        held={"executions": held},
+        broken={"executions": run_at(1, 2, 1)},
+    )
     check(
         Promise.NO_LOOPS,
-        held={"executions": [make_execution("a", engine), resumed]},
-        broken={"executions": [make_execution("a", engine)] * 2},
+        held={"executions": run_at(1, 1, 1, 1)},
+        broken={"executions": run_at(1, 1, 1, 1, 1)},
     )
 
 
