Let the drill tell an unsent call from a repeated one, and a stuck shutdown

Its second attempt was sent on a reused connection to an entry VM that was then killed; the HTTP client repeated the GET by itself, and the refused new connection was recorded as nothing sent. Ruled out: the gateway, whose refusal concerned another attempt.

Change: callers use each connection once. An entry process that has not ended 20 s after SIGTERM is killed, and its exit code breaks the promise on shutdown.

--- a/pimentospool/drill/_actions.py
+++ b/pimentospool/drill/_actions.py
@@ -9,11 +9,14 @@
 from pimentospool._generated.scenario import FaultKind
 from pimentospool.drill._evidence import FaultWindow
 from pimentospool.drill._fleet import VM_LAG_SECONDS, DrillFleet
+from pimentospool.drill._processes import EntryProcess
 from pimentospool.drill._publisher import Publisher
 from pimentospool.drill._scenarios import MOMENT_KINDS, PlannedFault
 from pimentospool.faults import Direction, FaultProxy
 from pimentospool.ids import EntryId, RegionId
 
+_SHUTDOWN_SECONDS = 20.0
+
 
 class FaultRunner:
     """Carries out the planned faults of one scenario after the other.
@@ -179,9 +182,17 @@
         process = self._fleet.processes[window.entry]
         window.start = time.time()
         process.terminate()
-        window.exit_code = await process.wait()
+        window.exit_code = await self._wait_or_kill(process)
         await self._restart(window.entry)
 
+    async def _wait_or_kill(self, process: EntryProcess) -> int:
+        try:
+            async with asyncio.timeout(_SHUTDOWN_SECONDS):
+                return await process.wait()
+        except TimeoutError:
+            process.kill()
+            return await process.wait()
+
     def _set_leaving(self, window: FaultWindow, *, leaving: bool) -> None:
         assert window.target is not None
         vm_list = self._fleet.deployment.vm_list
--- a/pimentospool/load/_callers.py
+++ b/pimentospool/load/_callers.py
@@ -103,8 +103,10 @@
         self._rng = rng
         self._deadline_seconds = deadline_seconds
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_SECONDS)
+        # aiohttp repeats a GET by itself on a reused connection that ends, so that a
+        # refused connection would not prove that nothing was sent.
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), timeout=timeout
+            connector=aiohttp.TCPConnector(limit=0, force_close=True), timeout=timeout
         )
 
     async def close(self) -> None:
