--- a/pimentospool/policy/_scoring.py
+++ b/pimentospool/policy/_scoring.py
@@ -2,6 +2,7 @@
 
 import math
 
+from pimentospool.ids import TargetId
 from pimentospool.policy._pools import TargetState
 from pimentospool.policy._prefixes import PrefixIndex
 from pimentospool.policy._routes import RouteQuery
@@ -9,9 +10,13 @@
 from pimentospool.policy._summaries import RegionState
 from pimentospool.policy._work import MILLISECONDS
 
-LONG_RESERVE_SHARE = 0.25
-LONG_BACKLOG_SECONDS = 1.0
-LANE_FACTOR = 2.0
+LONG_QUEUED = 2
+LANE_RESERVE_SHARE = 0.25
+LANE_BACKLOG_SECONDS = 0.25
+LONG_BACKLOG_SECONDS = 0.5
+LANE_FACTOR = 0.5
+BLOCKING_FACTOR = 0.5
+AFFINITY_SHARE = 0.5
 SHARE_GAIN = 0.02
 FIRST_SHORT_SHARE = 0.8
 ROLE_FACTOR = 2.0
@@ -51,11 +56,21 @@
         """Share of short requests, smoothed."""
         return self._short_share
 
-    def target(self, state: TargetState, query: RouteQuery, now: float) -> Score:
-        """Return the score of a target of the own region."""
+    def target(
+        self,
+        state: TargetState,
+        query: RouteQuery,
+        now: float,
+        *,
+        short: bool,
+        preferred: TargetId | None = None,
+    ) -> Score:
+        """Return the score of a target of the own region.
+
+        A long prompt costs less at the `preferred` target.
+        """
         prices = self.prices
         assert prices is not None
-        short = self.is_short(query)
         target = state.target
         hit = self._prefixes.hit_tokens(target.id, query.blocks, now)
         tokens = max(0.0, query.prompt_tokens - hit)
@@ -65,47 +80,57 @@
         )
         wait_ms = (expected.slot_wait + expected.prefill_wait) * MILLISECONDS
         prefill_ms = expected.prefill * MILLISECONDS
-        in_flight = work.in_flight(now)
+        in_flight = expected.in_flight
         has_room = True
-        lane_ms = 0.0
+        factor = BLOCKING_FACTOR
         if not short:
-            room = long_room(target.slots)
-            busy = expected.prefill_wait > LONG_BACKLOG_SECONDS
-            has_room = in_flight + 1.0 <= room and not busy
+            room = long_room(target.slots, lane=state.short_lane)
+            backlog = LANE_BACKLOG_SECONDS if state.short_lane else LONG_BACKLOG_SECONDS
+            has_room = in_flight + 1.0 <= room and expected.prefill_wait <= backlog
             if in_flight + 1.0 > room:
                 ahead = in_flight + 1.0 - room
                 wait_ms += ahead * work.hold_seconds / target.slots * MILLISECONDS
             if state.short_lane:
-                lane_ms = LANE_FACTOR * prices.weights.tail_latency * prefill_ms
+                factor += LANE_FACTOR
         if state.engine is not None and state.engine.role != "any":
             fits = (state.engine.role == "decode") == short
-            lane_ms += 0.0 if fits else ROLE_FACTOR * prefill_ms
+            factor += 0.0 if fits else ROLE_FACTOR
+        if target.id == preferred:
+            factor -= AFFINITY_SHARE
+        blocking_ms = factor * prices.weights.tail_latency * prefill_ms
         first_ms = wait_ms + prefill_ms
         seconds = expected.prefill + self._decode_seconds(state, query)
         cost_ms = prices.weights.cost_ms * state.cost * seconds
-        failure_ms = state.health.penalty_ms(now)
+        failure_ms = 0.0 if state.health.quiet else state.health.penalty_ms(now)
         factor = prices.latency_factor(short=short)
         return Score(
             target.id,
-            factor * first_ms + cost_ms + lane_ms + failure_ms,
+            factor * first_ms + cost_ms + blocking_ms + failure_ms,
             first_ms,
             wait_ms,
             prefill_ms,
             0.0,
             cost_ms,
             0.0,
-            lane_ms,
+            blocking_ms,
             failure_ms,
             hit,
             has_room,
             in_flight,
         )
 
-    def region(self, state: RegionState, query: RouteQuery, now: float) -> Score:
+    def least_away(self, round_trip_ms: float, *, short: bool) -> float:
+        """Return a bound below the score of a region at this distance."""
+        assert self.prices is not None
+        factor = self.prices.latency_factor(short=short)
+        return factor * round_trip_ms + self.prices.away_ms()
+
+    def region(
+        self, state: RegionState, query: RouteQuery, now: float, *, short: bool
+    ) -> Score:
         """Return the score of another region."""
         prices = self.prices
         assert prices is not None
-        short = self.is_short(query)
         holder = region_holder(state.region)
         hit = self._prefixes.hit_tokens(holder, query.blocks, now)
         wait = state.wait(query.pool, short=short, senders=self.senders, now=now)
@@ -117,17 +142,19 @@
         cost_ms = prices.weights.cost_ms * state.cost * (prefill + decode)
         away_ms = prices.away_ms() / state.health.ramp(now)
         failure_ms = state.health.penalty_ms(now)
+        blocking_ms = BLOCKING_FACTOR * prices.weights.tail_latency * prefill
+        blocking_ms *= MILLISECONDS
         factor = prices.latency_factor(short=short)
         return Score(
             state.region,
-            factor * first_ms + cost_ms + away_ms + failure_ms,
+            factor * first_ms + cost_ms + away_ms + blocking_ms + failure_ms,
             first_ms,
             wait.wait_ms,
             prefill * MILLISECONDS,
             link_ms,
             cost_ms,
             away_ms,
-            0.0,
+            blocking_ms,
             failure_ms,
             hit,
             True,
@@ -139,7 +166,11 @@
         return query.max_tokens / target.decode_tokens_per_second / target.slots
 
 
-def long_room(slots: int) -> int:
-    """Return how many requests leave room for one more long request."""
-    reserve = math.ceil(slots * LONG_RESERVE_SHARE)
-    return max(1, slots - reserve)
+def long_room(slots: int, *, lane: bool) -> int:
+    """Return how many requests a target may have with one more long request.
+
+    Some slots of a short lane are kept for short requests.
+    """
+    if not lane:
+        return slots + LONG_QUEUED
+    return max(1, slots - math.ceil(slots * LANE_RESERVE_SHARE))
