End tasks that swallow a cancellation

Cause: an entry process, a test or a drill now and then never ended: seen in a demo, in a drill and in whole runs of the tests, always asleep in the loop. A stress run of starting and stopping entry processes stood still in the cancelling of tasks. A pynng operation that completes at the moment of its cancellation returns its result and drops the cancellation, and the loop around it goes on for good. Ruled out: a socket that blocks in its close (all threads of the library were idle). Change: tasks.cancel_tasks repeats the cancellation until every task has ended; the peers' tasks end before their sockets close.

--- a/pimentospool/bench/_relay.py
+++ b/pimentospool/bench/_relay.py
@@ -43,6 +43,7 @@
     Zone,
 )
 from pimentospool.standins import StandinDeployment
+from pimentospool.tasks import cancel_tasks
 
 TOKENS_PER_SECOND = 16.0
 _ENGINE_RATE = 25.0
@@ -156,9 +157,7 @@
             for client in (direct, gateway):
                 probe = await client.stream(1_000_000 + number, 1)
                 seconds[client].append(probe.first_seconds)
-        for task in held:
-            task.cancel()
-        await asyncio.gather(*held, return_exceptions=True)
+        await cancel_tasks(held)
         direct_p50, direct_p99 = _percentiles(seconds[direct])
         gateway_p50, gateway_p99 = _percentiles(seconds[gateway])
         return AddedDelay(
--- a/pimentospool/commands/_drill.py
+++ b/pimentospool/commands/_drill.py
@@ -28,6 +28,7 @@
 )
 from pimentospool.manifest import read_manifest
 from pimentospool.paths import EXAMPLES
+from pimentospool.tasks import cancel_tasks
 
 DEPLOYMENTS = ["magnolia", "tsuzumi"]
 _SCENARIOS = EXAMPLES / "scenarios"
@@ -131,9 +132,7 @@
     try:
         return await made.run(show)
     finally:
-        for shown in viewing:
-            shown.cancel()
-        await asyncio.gather(*viewing, return_exceptions=True)
+        await cancel_tasks(viewing)
 
 
 def _report(evidence: Evidence, seed: int | None, folder: Path) -> DrillReport:
--- a/pimentospool/control.py
+++ b/pimentospool/control.py
@@ -34,6 +34,7 @@
 from pimentospool.revision_sync import RevisionSync
 from pimentospool.revisions import Revision
 from pimentospool.signals import Signal
+from pimentospool.tasks import cancel_tasks
 from pimentospool.views import View
 
 _JOIN_SECONDS = 1.0
@@ -146,9 +147,7 @@
 
     async def close(self) -> None:
         """Stop every task and every connection."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_tasks(self._tasks)
         await self.node.close()
 
     @property
--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -30,6 +30,7 @@
 from pimentospool.status import STATUS_PATH, control_status, status_page
 from pimentospool.summaries import SummaryExchange
 from pimentospool.targets import ExchangeClient
+from pimentospool.tasks import cancel_tasks
 from pimentospool.tls import TlsContexts
 from pimentospool.traces import SilentTracer, Tracer
 from pimentospool.views import View
@@ -141,9 +142,7 @@
         await asyncio.sleep(self._cfg.peers.leave_seconds)
         await self.callers.drain()
         await self.operations.drain()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_tasks(self._tasks)
         await self.callers.close()
         await self.admin.close()
         await self._engines.close()
--- a/pimentospool/faults/_proxy.py
+++ b/pimentospool/faults/_proxy.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from pimentospool.tasks import cancel_tasks
+
 _READ_BYTES = 64 * 1024
 _QUEUED_PIECES = 256
 
@@ -118,9 +120,7 @@
         if self._server is not None:
             self._server.close()
         self.reset_connections()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancel_tasks(self._tasks)
 
     def set_state(self, state: LinkState, *, source: str | None = None) -> None:
         """Treat connections of `source`, or all, as `state` says from now on."""
--- a/pimentospool/peers/_listener.py
+++ b/pimentospool/peers/_listener.py
@@ -9,6 +9,7 @@
 from pimentospool.log import Event, log_event
 from pimentospool.peers._codec import CodecError, PeerCodec
 from pimentospool.peers._links import PeerTls, Traffic
+from pimentospool.tasks import cancel_tasks
 
 _WORKERS = 8
 _MAX_MESSAGE_BYTES = 4 * 1024 * 1024
@@ -65,9 +66,7 @@
         """Stop listening."""
         if self._sock is not None:
             self._sock.close()
-        for worker in self._workers:
-            worker.cancel()
-        await asyncio.gather(*self._workers, return_exceptions=True)
+        await cancel_tasks(self._workers)
 
     async def _work(self, ctx: pynng.Context) -> None:
         with ctx:
--- a/pimentospool/peers/_node.py
+++ b/pimentospool/peers/_node.py
@@ -33,6 +33,7 @@
 from pimentospool.peers._listener import PeerListener
 from pimentospool.peers._zones import SUMMARY_PREFIX, ZoneView
 from pimentospool.policy import ChangeKind, MemberChange, rank_members
+from pimentospool.tasks import cancel_tasks
 
 _TIMEOUTS_PER_SUSPICION = 4
 _HELPERS = 2
@@ -133,10 +134,8 @@
 
     async def close(self) -> None:
         """Stop; peers are not told."""
+        await cancel_tasks(self._tasks)
         self.links.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._listener.close()
 
     async def join(self) -> int:
--- a/pimentospool/reports.py
+++ b/pimentospool/reports.py
@@ -19,6 +19,7 @@
 from pimentospool.log import Event, log_event
 from pimentospool.manifest import Target, TargetKind
 from pimentospool.policy import Router
+from pimentospool.tasks import cancel_tasks
 
 MOST_AT_ONCE = 64
 MOST_TARGETS_PER_SECOND = 20.0
@@ -72,9 +73,7 @@
 
     async def close(self) -> None:
         """End the reading and close the connections."""
-        for task in self._reading:
-            task.cancel()
-        await asyncio.gather(*self._reading, return_exceptions=True)
+        await cancel_tasks(self._reading)
         await self._session.close()
 
     def _engines(self) -> dict[TargetId, Target]:
--- /dev/null
+++ b/tests/test_tasks.py
@@ -0,0 +1,54 @@
+"""Ending of tasks whose operations swallow a cancellation."""
+
+import asyncio
+
+import pytest
+
+from pimentospool.tasks import cancel_tasks
+
+
+async def swallow_first_cancellation():
+    """Go on after one cancellation, as an operation that completes in time does."""
+    swallowed = False
+    while True:
+        try:
+            await asyncio.sleep(60.0)
+        except asyncio.CancelledError:
+            if swallowed:
+                raise
+            swallowed = True
+
+
+def test_task_that_swallows_a_cancellation_ends(runner):
+    async def check():
+        tasks = [asyncio.create_task(swallow_first_cancellation()) for _ in range(3)]
+        await asyncio.sleep(0)
+        await asyncio.wait_for(cancel_tasks(tasks), 30.0)
+        assert all(task.cancelled() for task in tasks)
+
+    runner.run(check())
+
+
+def test_one_cancellation_does_not_end_it(runner):
+    async def check():
+        task = asyncio.create_task(swallow_first_cancellation())
+        await asyncio.sleep(0)
+        task.cancel()
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(asyncio.shield(task), 0.5)
+        await cancel_tasks([task])
+
+    runner.run(check())
+
+
+def test_failed_and_ended_tasks_are_no_obstacle(runner):
+    async def fail():
+        raise ValueError
+
+    async def check():
+        tasks = [asyncio.create_task(fail()), asyncio.create_task(asyncio.sleep(0))]
+        await asyncio.sleep(0.01)
+        await cancel_tasks(tasks)
+        await cancel_tasks([])
+
+    runner.run(check())
