Keep aiohttp from sending a caller's request again by itself

Cause: aiohttp repeats a GET on a connection that ends. Change: the middleware that targets use is shared (sending.send_once) and used by the caller library.

--- a/pimentospool/client/_attempts.py
+++ b/pimentospool/client/_attempts.py
@@ -9,6 +9,7 @@
 from pimentospool.client._history import AttemptEnd, refused, unanswered
 from pimentospool.errors import Problem
 from pimentospool.ids import OperationId, RequestId
+from pimentospool.sending import UnrepeatedError
 
 _VERDICT_HEADER = "X-Verdict"
 _REQUEST_ID_HEADER = "X-Request-Id"
@@ -102,11 +103,12 @@
                     return resp
                 async with resp:
                     return self._refused(entry, await resp.read())
+        except UnrepeatedError as exc:
+            unsent = aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError
+            sent = not isinstance(exc.error, unsent)
+            return self._unanswered(entry, exc.error, sent=sent)
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            sent = not isinstance(
-                exc, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError
-            )
-            return self._unanswered(entry, exc, sent=sent)
+            return self._unanswered(entry, exc, sent=True)
 
     def _unanswered(self, entry: str, exc: Exception, *, sent: bool) -> Attempt:
         self.failures += 1
--- a/pimentospool/client/_entries.py
+++ b/pimentospool/client/_entries.py
@@ -11,6 +11,7 @@
 from pimentospool._generated.callers import EntryChoice, EntryList
 from pimentospool._generated.platform import DirectoryAnswer
 from pimentospool.ids import RegionId
+from pimentospool.sending import UnrepeatedError
 
 AVOID_SECONDS = 2.0
 BARRED_SECONDS = 30.0
@@ -131,5 +132,5 @@
                 self._session.get(url) as resp,
             ):
                 return await resp.read() if resp.ok else None
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except (UnrepeatedError, aiohttp.ClientError, OSError, TimeoutError):
             return None
--- a/pimentospool/targets/_client.py
+++ b/pimentospool/targets/_client.py
@@ -11,6 +11,7 @@
 from yarl import URL
 
 from pimentospool._generated.settings import TargetSettings
+from pimentospool.sending import TRANSPORT_ERRORS, UnrepeatedError, send_once
 from pimentospool.targets._exchange import (
     Answer,
     Exchange,
@@ -18,7 +19,6 @@
     deadline_after,
 )
 from pimentospool.targets._failures import (
-    TRANSPORT_ERRORS,
     AttemptFailure,
     FailureCause,
     transport_failure,
@@ -145,7 +145,7 @@
                 )
         except TRANSPORT_ERRORS as exc:
             raise transport_failure(exc, progress.verdict) from exc
-        except _Unrepeated as exc:
+        except UnrepeatedError as exc:
             raise transport_failure(exc.error, progress.verdict) from exc.error
 
     def _pool(self, exchange: Exchange) -> "_Pool":
@@ -178,7 +178,7 @@
         return aiohttp.ClientSession(
             connector=connector,
             trace_configs=[_sending_trace()],
-            middlewares=(_send_once,),
+            middlewares=(send_once,),
             auto_decompress=False,
             headers={"Accept-Encoding": "identity"},
             skip_auto_headers=("User-Agent",),
@@ -224,28 +224,6 @@
         self.reused = reused
 
 
-class _Unrepeated(Exception):
-    """A transport error that aiohttp does not take for one of its own."""
-
-    def __init__(self, *, error: Exception) -> None:
-        super().__init__(str(error))
-        self.error = error
-
-
-async def _send_once(
-    req: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Keep aiohttp from sending a request again by itself.
-
-    It does so for GET, PUT and DELETE on any lost connection, whether or not the
-    call is idempotent.
-    """
-    try:
-        return await handler(req)
-    except TRANSPORT_ERRORS as exc:
-        raise _Unrepeated(error=exc) from exc
-
-
 def _sending_trace() -> aiohttp.TraceConfig:
     trace = aiohttp.TraceConfig()
 
--- a/pimentospool/targets/_exchange.py
+++ b/pimentospool/targets/_exchange.py
@@ -8,9 +8,9 @@
 import aiohttp
 import msgspec
 
+from pimentospool.sending import TRANSPORT_ERRORS
 from pimentospool.targets._events import MAX_EVENT_BYTES, EventBatch, EventSplitter
 from pimentospool.targets._failures import (
-    TRANSPORT_ERRORS,
     AttemptFailure,
     FailureCause,
     transport_failure,
--- a/pimentospool/targets/_failures.py
+++ b/pimentospool/targets/_failures.py
@@ -2,8 +2,6 @@
 
 from enum import Enum
 
-import aiohttp
-
 from pimentospool.errors import PimentospoolError, Problem, Reason
 from pimentospool.verdicts import Verdict
 
@@ -67,8 +65,5 @@
     return AttemptFailure(detail=_describe(exc), verdict=verdict, cause=cause)
 
 
-TRANSPORT_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
-
-
 def _describe(exc: BaseException) -> str:
     return f"{type(exc).__name__}: {exc}" if str(exc) else type(exc).__name__
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from contextlib import suppress
 from pathlib import Path
 
 import msgspec
@@ -17,7 +18,9 @@
     NoEntryError,
     RefusedError,
     UnansweredError,
+    _client,
 )
+from pimentospool.client._budget import RetryBudget
 from pimentospool.demo import demo_key, wait_ready
 from pimentospool.entry import Entry
 from pimentospool.errors import Reason, RequestFailure
@@ -308,3 +311,22 @@
             await deployment.close()
 
     runner.run(asyncio.wait_for(check(), 60.0))
+
+
+@pytest.mark.parametrize(("repeats", "sent"), [(False, 1), (True, 2)])
+def test_aiohttp_does_not_send_again_by_itself(runner, monkeypatch, repeats, sent):
+    """A second sending that the library does not know of would falsify a verdict."""
+    gateway = ScriptedGateway([Cut()])
+
+    async def check(client):
+        with suppress(ClientError):
+            await client.call(PAYMENT, "look", idempotent=True, method="GET")
+
+    async def repeat(req, handler):
+        return await handler(req)
+
+    if repeats:
+        monkeypatch.setattr(_client, "send_once", repeat)
+    monkeypatch.setattr(RetryBudget, "take_retry", lambda self: False)
+    runner.run(with_gateway(gateway, check))
+    assert len(gateway.used) == sent
--- a/tests/targets/test_exchange_client.py
+++ b/tests/targets/test_exchange_client.py
@@ -259,7 +259,7 @@
     async def send(req, handler):
         return await handler(req)
 
-    monkeypatch.setattr(_client, "_send_once", send)
+    monkeypatch.setattr(_client, "send_once", send)
     _, server = failure_of(runner, reset_after_request, method="PUT")
     assert len(server.requests) == 2
 
