--- a/pimentospool/commands/_drill.py
+++ b/pimentospool/commands/_drill.py
@@ -1,6 +1,7 @@
 """`pimentospool drill`."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 from typing import TypeVar
@@ -27,6 +28,7 @@
 )
 from pimentospool.manifest import read_manifest
 from pimentospool.paths import EXAMPLES
+from pimentospool.tasks import cancel_tasks
 
 DEPLOYMENTS = ["magnolia", "tsuzumi"]
 _SCENARIOS = EXAMPLES / "scenarios"
@@ -108,12 +110,19 @@
     manifest = read_or_exit(read_manifest, EXAMPLES / name / "manifest.toml")
     made = Drill(manifest=manifest, scenarios=scenarios, seed=seed)
     console = Console()
-    evidence = run(_run_viewed(made, console))
+    try:
+        evidence = run(_run_viewed(made, console))
+    except asyncio.CancelledError:
+        raise click.ClickException("the drill was ended early") from None
     return _report(evidence, seed, folder)
 
 
 async def _run_viewed(made: Drill, console: Console) -> Evidence:
     viewing: list[asyncio.Task[None]] = []
+    task = asyncio.current_task()
+    assert task is not None
+    # Cancelled, the drill ends the processes that it started.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
 
     def show(progress: DrillProgress) -> None:
         if console.is_terminal:
@@ -123,9 +132,7 @@
     try:
         return await made.run(show)
     finally:
-        for task in viewing:
-            task.cancel()
-        await asyncio.gather(*viewing, return_exceptions=True)
+        await cancel_tasks(viewing)
 
 
 def _report(evidence: Evidence, seed: int | None, folder: Path) -> DrillReport:
