Renew the peers' certificate without a restart

Cause: a changed certificate of peers was taken over for hops only; the listener of control messages showed the old one until the process was replaced. Change: the listener listens again with the files' certificate when the chain was renewed. Peers connect again; callers' connections and hops go on.

--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -31,7 +31,7 @@
 from pimentospool.summaries import SummaryExchange
 from pimentospool.targets import ExchangeClient
 from pimentospool.tasks import cancel_tasks
-from pimentospool.tls import TlsContexts
+from pimentospool.tls import ChainUse, TlsContexts
 from pimentospool.traces import SilentTracer, Tracer
 from pimentospool.views import View
 
@@ -87,6 +87,7 @@
         """Start every part and serve callers."""
         cfg = self._cfg
         self._tls = TlsContexts(cfg=cfg.tls)
+        self._tls.reloaded.connect(self._follow_certificate)
         self._tasks.append(asyncio.create_task(self._tls.watch()))
         self._client = ExchangeClient(cfg=cfg.targets, tls=self._tls.hops)
         self.dispatcher = Dispatcher(
@@ -205,6 +206,11 @@
         add_control_gauges(metrics, self.control)
         self.admin.add_page(METRICS_PATH, metrics.render)
 
+    def _follow_certificate(self, use: ChainUse) -> None:
+        if use is ChainUse.PEER:
+            renewing = self.control.node.renew_certificate()
+            self._tasks.append(asyncio.create_task(renewing))
+
     def _follow_revision(self, revision: Revision) -> None:
         self._adopted_at = time.monotonic()
         self.router.set_manifest(self.view.index)
--- a/pimentospool/peers/_listener.py
+++ b/pimentospool/peers/_listener.py
@@ -12,6 +12,7 @@
 from pimentospool.tasks import cancel_tasks
 
 _WORKERS = 8
+_ADDRESS_SECONDS = 0.02
 _MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
 Handler = Callable[[PeerRequest], Awaitable[PeerAnswer]]
@@ -43,12 +44,13 @@
         traffic: Traffic,
         handle: Handler,
     ) -> None:
-        self._address = address
+        self._url = f"{tls.scheme}://{address}"
         self._codec = codec
         self._tls = tls
         self._traffic = traffic
         self._handle = handle
         self._sock: pynng.Rep0 | None = None
+        self._listening: pynng.Listener | None = None
         self._workers: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -56,12 +58,28 @@
         sock = pynng.Rep0(
             recv_max_size=_MAX_MESSAGE_BYTES, tls_config=self._tls.server()
         )
-        sock.listen(f"{self._tls.scheme}://{self._address}")
+        self._listening = sock.listen(self._url)
         self._sock = sock
         self._workers = [
             asyncio.create_task(self._work(sock.new_context())) for _ in range(_WORKERS)
         ]
 
+    async def renew(self) -> None:
+        """Listen with the certificate that the files hold now.
+
+        Peers connect again; a request that was cut is sent again by its sender.
+        """
+        if self._sock is None or self._listening is None:
+            return
+        self._listening.close()
+        self._listening = None
+        self._sock.tls_config = self._tls.server()
+        while self._listening is None:
+            try:
+                self._listening = self._sock.listen(self._url)
+            except pynng.AddressInUse:
+                await asyncio.sleep(_ADDRESS_SECONDS)
+
     async def close(self) -> None:
         """Stop listening."""
         if self._sock is not None:
--- a/pimentospool/peers/_node.py
+++ b/pimentospool/peers/_node.py
@@ -138,6 +138,10 @@
         self.links.close()
         await self._listener.close()
 
+    async def renew_certificate(self) -> None:
+        """Show peers the certificate that the files hold now."""
+        await self._listener.renew()
+
     async def join(self) -> int:
         """Exchange views with first peers; return how many answered."""
         seeds = set(self._cfg.peers.seeds)
--- a/pimentospool/tls.py
+++ b/pimentospool/tls.py
@@ -2,11 +2,20 @@
 
 import asyncio
 import ssl
+from enum import Enum
 from pathlib import Path
 
 from pimentospool._generated.settings import TlsSettings
 from pimentospool.errors import DocumentError, DocumentErrors
 from pimentospool.log import Event, log_event
+from pimentospool.signals import Signal
+
+
+class ChainUse(Enum):
+    """To whom a certificate is shown."""
+
+    CALLER = "caller"
+    PEER = "peer"
 
 
 class TlsContexts:
@@ -21,6 +30,11 @@
     cfg : TlsSettings
         Paths of PEM files.
 
+    Attributes
+    ----------
+    reloaded : Signal
+        Sent with the use of a chain that was renewed.
+
     Raises
     ------
     DocumentErrors
@@ -28,6 +42,7 @@
     """
 
     def __init__(self, *, cfg: TlsSettings) -> None:
+        self.reloaded: Signal[ChainUse] = Signal(name="reloaded")
         self.server: ssl.SSLContext | None = None
         self.hops: ssl.SSLContext | None = None
         self._cfg = cfg
@@ -46,11 +61,13 @@
         while self._chains:
             await asyncio.sleep(self._cfg.reload_seconds)
             for chain in self._chains:
-                chain.reload_when_changed()
+                if chain.reload_when_changed():
+                    self.reloaded.send(chain.use)
 
     def _server_context(self) -> ssl.SSLContext:
         ctx = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-        self._load("caller", ctx, self._cfg.caller_certificate, self._cfg.caller_key)
+        certificate, key = self._cfg.caller_certificate, self._cfg.caller_key
+        self._load(ChainUse.CALLER, ctx, certificate, key)
         if self._cfg.peer_authority:
             ctx.verify_mode = ssl.CERT_OPTIONAL
             self._trust(ctx)
@@ -61,15 +78,18 @@
         if self._cfg.peer_authority:
             self._trust(ctx)
         if self._cfg.peer_certificate:
-            self._load("peer", ctx, self._cfg.peer_certificate, self._cfg.peer_key)
+            certificate, key = self._cfg.peer_certificate, self._cfg.peer_key
+            self._load(ChainUse.PEER, ctx, certificate, key)
         return ctx
 
-    def _load(self, name: str, ctx: ssl.SSLContext, certificate: str, key: str) -> None:
-        chain = _Chain(name=name, ctx=ctx, certificate=Path(certificate), key=Path(key))
+    def _load(
+        self, use: ChainUse, ctx: ssl.SSLContext, certificate: str, key: str
+    ) -> None:
+        chain = _Chain(use=use, ctx=ctx, certificate=Path(certificate), key=Path(key))
         try:
             chain.load()
         except OSError as exc:
-            raise _refused(f"tls.{name}_certificate", exc) from exc
+            raise _refused(f"tls.{use.value}_certificate", exc) from exc
         self._chains.append(chain)
 
     def _trust(self, ctx: ssl.SSLContext) -> None:
@@ -83,9 +103,9 @@
     """A certificate and its key in the files that they come from."""
 
     def __init__(
-        self, *, name: str, ctx: ssl.SSLContext, certificate: Path, key: Path
+        self, *, use: ChainUse, ctx: ssl.SSLContext, certificate: Path, key: Path
     ) -> None:
-        self._name = name
+        self.use = use
         self._ctx = ctx
         self._files = (certificate, key)
         self._loaded: tuple[bytes, ...] = ()
@@ -97,16 +117,18 @@
         self._ctx.load_cert_chain(*self._files)
         self._loaded = contents
 
-    def reload_when_changed(self) -> None:
-        """Load the files if they differ from those loaded last."""
+    def reload_when_changed(self) -> bool:
+        """Load the files if they differ from those loaded last; return whether."""
+        name = self.use.value
         try:
             if self._contents() == self._loaded:
-                return
+                return False
             self.load()
         except OSError as exc:
-            log_event(Event.CERTIFICATE_REFUSED, certificate=self._name, error=str(exc))
-            return
-        log_event(Event.CERTIFICATE_LOADED, certificate=self._name)
+            log_event(Event.CERTIFICATE_REFUSED, certificate=name, error=str(exc))
+            return False
+        log_event(Event.CERTIFICATE_LOADED, certificate=name)
+        return True
 
     def _contents(self) -> tuple[bytes, ...]:
         return tuple(path.read_bytes() for path in self._files)
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -103,14 +103,16 @@
     )
 
 
-def served_number(running, ctx):
-    host, _, port = running.entries[0]._cfg.entry.caller_address.rpartition(":")
+def served_number(running, ctx, name="caller_address"):
+    """Return the number of the certificate that an entry VM's port shows."""
+    address = getattr(running.entries[0]._cfg.entry, name)
+    host, _, port = address.rpartition(":")
 
     async def connect():
         _, writer = await asyncio.open_connection(host, int(port), ssl=ctx)
-        der = writer.get_extra_info("ssl_object").getpeercert(binary_form=True)
+        shown = writer.get_extra_info("ssl_object").getpeercert(binary_form=True)
         writer.close()
-        return x509.load_der_x509_certificate(der).serial_number
+        return x509.load_der_x509_certificate(shown).serial_number
 
     return connect()
 
@@ -176,6 +178,39 @@
     assert streamed_text(data)[0] == expected_text(40)
 
 
+def test_changed_peer_certificate_comes_in_force_and_peers_connect_again(
+    runner, authority
+):
+    async def check():
+        async with gateway(zones=2, settings=authority.settings) as running:
+            number = authority.issue("peer")
+            ctx = authority.client("peer")
+            async with asyncio.timeout(30):
+                while await shown_to_peers(running, ctx) != number:
+                    await asyncio.sleep(0.02)
+                renewed_at = running.entries[1].control.now()
+                while heard_at(running) < renewed_at:
+                    await asyncio.sleep(0.02)
+
+    runner.run(check())
+
+
+async def shown_to_peers(running, ctx):
+    """Return the number of the peers' certificate, or 0 while nothing listens."""
+    try:
+        return await served_number(running, ctx, "peer_address")
+    except OSError:
+        return 0
+
+
+def heard_at(running):
+    """Return when the second entry VM last heard from the first one's zone."""
+    first, second = running.entries
+    now = second.control.now()
+    age = second.control.node.zones.age(first._cfg.entry.zone, now=now)
+    return now - age if age is not None else -1.0
+
+
 def test_certificate_that_does_not_match_its_key_is_refused(authority):
     cfg = TlsSettings(
         caller_certificate=str(authority.folder / "entry.pem"),
