Report faults of structure and of meaning together

Cause: a document with one wrong type hid every dangling reference until it was mended. Change: the readers take the check of meaning and run it on what can be salvaged of a document with faults of structure; items keep their places, so paths stay true.

--- a/pimentospool/drill/_scenarios.py
+++ b/pimentospool/drill/_scenarios.py
@@ -10,7 +10,7 @@
 from pimentospool.errors import DocumentError
 from pimentospool.ids import EntryId, RegionId, TargetId
 from pimentospool.manifest import Manifest, ManifestIndex, TargetKind
-from pimentospool.readers import decode_toml, raise_document_errors
+from pimentospool.readers import decode_toml
 
 T = TypeVar("T")
 LINK_KINDS = frozenset(
@@ -60,14 +60,15 @@
     DocumentErrors
         With every fault found in the document.
     """
-    scenario = decode_toml(data, Scenario)
-    errors = [
+    return decode_toml(data, Scenario, _check_scenario)
+
+
+def _check_scenario(scenario: Scenario) -> list[DocumentError]:
+    return [
         DocumentError(path=f"faults[{number}].{name}", message=message)
         for number, fault in enumerate(scenario.faults)
         for name, message in _find_errors(fault, scenario.seconds)
     ]
-    raise_document_errors("scenario refused", errors)
-    return scenario
 
 
 def _find_errors(fault: Fault, seconds: float) -> list[tuple[str, str]]:
--- a/pimentospool/manifest.py
+++ b/pimentospool/manifest.py
@@ -30,7 +30,7 @@
     TargetId,
     ZoneId,
 )
-from pimentospool.readers import decode_json, decode_toml, raise_document_errors
+from pimentospool.readers import decode_json, decode_toml
 from pimentospool.settings import check_address
 
 __all__ = [
@@ -76,9 +76,7 @@
         With every fault found in the document.
     """
     decode = decode_json if data.lstrip()[:1] == b"{" else decode_toml
-    manifest = decode(data, Manifest)
-    raise_document_errors("manifest refused", check_manifest(manifest))
-    return manifest
+    return decode(data, Manifest, check_manifest)
 
 
 class ManifestIndex:
--- a/pimentospool/settings.py
+++ b/pimentospool/settings.py
@@ -7,7 +7,7 @@
 
 from pimentospool._generated.settings import Settings
 from pimentospool.errors import DocumentError
-from pimentospool.readers import decode_toml, raise_document_errors
+from pimentospool.readers import decode_toml
 
 __all__ = ["Settings", "parse_settings", "read_settings"]
 
@@ -45,9 +45,7 @@
     DocumentErrors
         With every fault found in the document.
     """
-    cfg = decode_toml(data, Settings)
-    raise_document_errors("settings refused", _find_faults(cfg))
-    return cfg
+    return decode_toml(data, Settings, _find_faults)
 
 
 def _find_faults(cfg: Settings) -> list[DocumentError]:
