Show progress of long commands on a terminal

Cause: only the drill showed that it was alive; benches, the model check, the demo and the load tool were silent until their end. Change: a spinner with the time spent, on standard error and only on a terminal.

--- a/pimentospool/commands/_bench_control.py
+++ b/pimentospool/commands/_bench_control.py
@@ -16,6 +16,7 @@
 from pimentospool.bench._control import ControlBenchRun, ControlSize
 from pimentospool.bench._slopes import estimate
 from pimentospool.commands._common import run
+from pimentospool.commands._progress import working
 
 _NODES = 930
 _ZONES = 25
@@ -51,7 +52,8 @@
     ]
     if len(sizes) == 1:
         bench = ControlBenchRun(size=sizes[0], seconds=seconds, changes=changes)
-        runs = [run(bench.run())]
+        with working("running the control plane of many nodes"):
+            runs = [run(bench.run())]
     else:
         runs = [_run_alone(size, seconds, changes) for size in sizes]
     result = ControlBench(runs=runs)
--- a/pimentospool/commands/_bench_operations.py
+++ b/pimentospool/commands/_bench_operations.py
@@ -11,6 +11,7 @@
 
 from pimentospool.bench._operations import OperationsBench, OperationsReport
 from pimentospool.commands._common import EXIT_FAILED, FILE, read_or_exit, run
+from pimentospool.commands._progress import working
 from pimentospool.manifest import read_manifest
 
 
@@ -37,7 +38,8 @@
             concurrency=concurrency,
             seed=seed,
         )
-        report = run(bench.run())
+        with working("sending operations under faults"):
+            report = run(bench.run())
     Console(width=88).print(_table(report))
     if output is not None:
         output.write_bytes(msgspec.json.encode(report))
--- a/pimentospool/commands/_bench_orders.py
+++ b/pimentospool/commands/_bench_orders.py
@@ -9,6 +9,7 @@
 
 from pimentospool.bench._orders import OrderBench, measure_orders
 from pimentospool.commands._common import run
+from pimentospool.commands._progress import working
 
 _SIZES = [9, 26, 260, 812]
 
@@ -17,7 +18,8 @@
 @click.option("--json", "output", type=click.Path(path_type=Path, dir_okay=False))
 def orders(output: Path | None) -> None:
     """Time what an orderer does, by the number of engines in its region."""
-    found = run(measure_orders(_SIZES))
+    with working("comparing engines"):
+        found = run(measure_orders(_SIZES))
     Console(width=100).print(_table(found))
     if output is not None:
         output.write_bytes(msgspec.json.encode(found))
--- a/pimentospool/commands/_bench_policy.py
+++ b/pimentospool/commands/_bench_policy.py
@@ -11,6 +11,7 @@
 from pimentospool.bench._policy_simulation import Fault
 from pimentospool.commands._common import FILE, read_or_exit
 from pimentospool.commands._demo import DEPLOYMENTS
+from pimentospool.commands._progress import working
 from pimentospool.manifest import read_manifest
 from pimentospool.paths import EXAMPLES
 
@@ -50,7 +51,8 @@
     checked = read_or_exit(read_manifest, path)
     runs = []
     for seed in seeds or (1,):
-        run = run_policy_bench(checked, fault=Fault(fault), seed=seed)
+        with working(f"comparing policies, seed {seed}"):
+            run = run_policy_bench(checked, fault=Fault(fault), seed=seed)
         runs.append(run)
         _print(run)
     if output is not None:
--- a/pimentospool/commands/_bench_policy_cost.py
+++ b/pimentospool/commands/_bench_policy_cost.py
@@ -8,6 +8,7 @@
 from rich.table import Table
 
 from pimentospool.bench._policy_cost import DecisionCost, measure_decisions
+from pimentospool.commands._progress import working
 
 _SIZES = [(9, 3, 3), (81, 3, 3), (6500, 8, 25), (812, 1, 3), (6500, 1, 3)]
 """Targets, regions and zones; the last two have all targets in the own region."""
@@ -19,16 +20,17 @@
 @click.option("--json", "output", type=click.Path(path_type=Path, dir_okay=False))
 def policy_cost(decisions: int, seed: int, output: Path | None) -> None:
     """Time one routing decision at today's size and at 6,500 targets."""
-    costs = [
-        measure_decisions(
-            targets=targets,
-            regions=regions,
-            zones=zones,
-            decisions=decisions,
-            seed=seed,
-        )
-        for targets, regions, zones in _SIZES
-    ]
+    with working("timing decisions"):
+        costs = [
+            measure_decisions(
+                targets=targets,
+                regions=regions,
+                zones=zones,
+                decisions=decisions,
+                seed=seed,
+            )
+            for targets, regions, zones in _SIZES
+        ]
     Console(width=120).print(_table(costs))
     if output is not None:
         output.write_bytes(msgspec.json.encode(costs))
--- a/pimentospool/commands/_bench_relay.py
+++ b/pimentospool/commands/_bench_relay.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from pimentospool.commands._common import run
+from pimentospool.commands._progress import working
 
 
 @click.command()
@@ -15,7 +16,8 @@
     """Measure what an entry process adds to a direct call of the same engine."""
     from pimentospool.bench._relay import RelayBench, render_report
 
-    report = run(RelayBench(streams=streams).run())
+    with working("relaying streams"):
+        report = run(RelayBench(streams=streams).run())
     click.echo(render_report(report))
     if path is not None:
         path.write_bytes(msgspec.json.format(msgspec.json.encode(report)))
--- a/pimentospool/commands/_demo.py
+++ b/pimentospool/commands/_demo.py
@@ -8,6 +8,7 @@
 from rich.table import Table
 
 from pimentospool.commands._common import EXIT_FAILED, FILE, read_or_exit, run
+from pimentospool.commands._progress import working
 from pimentospool.demo import Demo, DemoRow
 from pimentospool.manifest import read_manifest
 from pimentospool.paths import EXAMPLES
@@ -24,7 +25,8 @@
     """Bring up a deployment with its stand-ins on loopback and send it traffic."""
     path = manifest or EXAMPLES / deployment / "manifest.toml"
     checked = read_or_exit(read_manifest, path)
-    rows = run(_run(Demo(manifest=checked, requests=requests, seed=seed)))
+    with working(f"sending requests to {deployment}"):
+        rows = run(_run(Demo(manifest=checked, requests=requests, seed=seed)))
     Console(width=132).print(_table(deployment, rows))
     if not rows or any(row.latencies.sent != row.whole for row in rows):
         sys.exit(EXIT_FAILED)
--- a/pimentospool/commands/_load.py
+++ b/pimentospool/commands/_load.py
@@ -16,6 +16,7 @@
 from pimentospool._generated.platform import DirectoryAnswer
 from pimentospool._generated.records import CallerRecord, CallOutcome
 from pimentospool.commands._common import EXIT_FAILED, FILE, read_or_exit, run
+from pimentospool.commands._progress import working
 from pimentospool.ids import EntryId, RegionId
 from pimentospool.load import (
     AnyAnswer,
@@ -93,7 +94,8 @@
         raise click.UsageError("give --entry or --directory")
     checked = read_or_exit(read_manifest, manifest)
     made = msgspec.convert(options, LoadOptions)
-    records = run(_run(checked, made, list(entries), directory, _read_keys(keys)))
+    with working("sending requests"):
+        records = run(_run(checked, made, list(entries), directory, _read_keys(keys)))
     summaries = summarize(records)
     Console(width=120).print(_table(summaries))
     if json_path:
--- a/pimentospool/commands/_modelcheck.py
+++ b/pimentospool/commands/_modelcheck.py
@@ -8,6 +8,7 @@
 from rich.table import Table
 
 from pimentospool.commands._common import EXIT_FAILED
+from pimentospool.commands._progress import working
 from pimentospool.modelcheck import (
     ONCE_CASES,
     REVISIONS_CASES,
@@ -49,7 +50,8 @@
     table = Table(*_COLUMNS)
     violated = False
     for name, model in models.items():
-        found = explore(model, depth=depth, max_states=max_states)
+        with working(f"exploring {name}"):
+            found = explore(model, depth=depth, max_states=max_states)
         table.add_row(name, *_row(found))
         violated = violated or bool(found.violations)
         for violation in found.violations:
