Name the configuration service's client after what it reads

The package platform/ is to hold the adapter of the users' platform, and the modules platform.py and platform_watch.py stood in its way. They read the configuration service of the project's own interface and are named after it. No behaviour changes.

--- a/pimentospool/bench/_control.py
+++ b/pimentospool/bench/_control.py
@@ -34,10 +34,10 @@
     TraceSettings,
 )
 from pimentospool.addresses import free_addresses
+from pimentospool.configuration_service import PlatformClient
 from pimentospool.control import ControlPlane
 from pimentospool.ids import CustomerId, EntryId, ModelId, RegionId, TargetId, ZoneId
 from pimentospool.peers import LOAD_PREFIX
-from pimentospool.platform import PlatformClient
 from pimentospool.revisions import Revision
 from pimentospool.standins import ConfigurationService, VmListService, serve_standin
 from pimentospool.standins._server import StandinServer
--- a/pimentospool/platform_watch.py
+++ b/pimentospool/configuration_watch.py
@@ -6,8 +6,8 @@
 
 from pimentospool._generated.platform import RevisionIndex, VmList
 from pimentospool._generated.settings import PlatformSettings
+from pimentospool.configuration_service import PlatformClient, PlatformError
 from pimentospool.log import Event, log_event
-from pimentospool.platform import PlatformClient, PlatformError
 from pimentospool.signals import Signal
 
 _IDLE_SECONDS = 0.2
--- a/pimentospool/control.py
+++ b/pimentospool/control.py
@@ -18,13 +18,13 @@
     VmState,
 )
 from pimentospool._generated.settings import EntrySettings, Settings
+from pimentospool.configuration_service import PlatformClient
+from pimentospool.configuration_watch import PlatformWatch
 from pimentospool.fleet import LEAVING_PREFIX, PeerFleet
 from pimentospool.ids import EntryId, TargetId
 from pimentospool.log import Event, log_event
 from pimentospool.pauses import PauseDetector, boot_clock
 from pimentospool.peers import ContentStore, PeerContent, PeerError, PeerNode
-from pimentospool.platform import PlatformClient
-from pimentospool.platform_watch import PlatformWatch
 from pimentospool.policy import (
     ChangeKind,
     DrillView,
--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -11,6 +11,7 @@
 from pimentospool.admin import AdminServer
 from pimentospool.admission import Admission
 from pimentospool.callers import CallerServer
+from pimentospool.configuration_service import PlatformClient
 from pimentospool.control import ControlPlane
 from pimentospool.control_metrics import add_control_gauges
 from pimentospool.dispatch import Dispatcher
@@ -23,7 +24,6 @@
 )
 from pimentospool.operations import OperationServer
 from pimentospool.orders import ORDERS, EngineControl, Orderer
-from pimentospool.platform import PlatformClient
 from pimentospool.policy import QuotaShares, Router
 from pimentospool.reports import ReportPoller
 from pimentospool.revisions import Revision
--- a/pimentospool/revision_sync.py
+++ b/pimentospool/revision_sync.py
@@ -7,11 +7,11 @@
 
 from pimentospool._generated.peers import RevisionHead
 from pimentospool._generated.platform import PartRef, RevisionIndex
+from pimentospool.configuration_service import PlatformClient, PlatformError
 from pimentospool.errors import DocumentErrors, PimentospoolError
 from pimentospool.loading import ManifestLoader
 from pimentospool.log import Event, log_event
 from pimentospool.peers import ContentStore, PeerContent, PeerError
-from pimentospool.platform import PlatformClient, PlatformError
 from pimentospool.policy import RevisionBook, is_newer
 from pimentospool.revisions import Revision, digest_of, index_digest
 from pimentospool.views import View
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -8,13 +8,13 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from pimentospool import metrics as module
+from pimentospool.configuration_service import PlatformClient
 from pimentospool.control import ControlPlane
 from pimentospool.control_metrics import add_control_gauges
 from pimentospool.errors import Reason
 from pimentospool.ids import CustomerId, RegionId, RequestId
 from pimentospool.metrics import EntryMetrics
 from pimentospool.outcomes import RequestOutcome
-from pimentospool.platform import PlatformClient
 from pimentospool.requests import RequestKind
 from pimentospool.settings import read_settings
 from pimentospool.verdicts import Verdict
--- a/tests/test_revision_sync.py
+++ b/tests/test_revision_sync.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from pimentospool._generated.peers import RevisionHead
+from pimentospool.configuration_service import PlatformError
 from pimentospool.manifest import read_manifest
 from pimentospool.peers import ContentStore, PeerError
-from pimentospool.platform import PlatformError
 from pimentospool.revision_sync import RevisionSync
 from pimentospool.revisions import digest_of, index_digest, pack_manifest
 from pimentospool.views import View
