Serve the whole path on the users' platform

Cause: nothing in the product spoke what the platform speaks. Change: gateway/ routes by host and longest prefix, learns targets and configuration from published facts, finds its peers by heartbeats, and brings each request to one final answer; policy/ gains the choice of a target, shares of common bounds, occupancy and health; platform/ translates settings, store, front, directory and headers.

--- a/pimentospool/commands/__init__.py
+++ b/pimentospool/commands/__init__.py
@@ -10,6 +10,7 @@
     "entry",
     "explain",
     "modelcheck",
+    "node",
     "load",
     "pack",
     "standin",
--- /dev/null
+++ b/pimentospool/commands/_node.py
@@ -0,0 +1,32 @@
+"""`pimentospool node`."""
+
+import os
+from pathlib import Path
+
+import click
+import uvloop
+
+from pimentospool._generated.settings import LogSettings
+from pimentospool.log import open_log
+from pimentospool.platform import SETTINGS_VARIABLE, read_node_settings, run_node
+from pimentospool.platform._settings import NodeSettingsError
+
+EXIT_REFUSED = 2
+
+
+@click.command()
+@click.argument("settings", required=False)
+def node(settings: str | None) -> None:
+    """Run one process on the users' platform.
+
+    Its SETTINGS file is the one that the platform's variable names if it is not
+    given. It serves until SIGTERM; requests in progress then end by themselves.
+    """
+    path = Path(settings or os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        cfg = read_node_settings(path)
+    except NodeSettingsError as exc:
+        click.echo(f"settings refused: {exc}", err=True)
+        raise SystemExit(EXIT_REFUSED) from exc
+    open_log(LogSettings())
+    uvloop.run(run_node(cfg, path))
--- /dev/null
+++ b/pimentospool/gateway/__init__.py
@@ -0,0 +1,60 @@
+"""Routing of HTTP requests by host and path to registered targets.
+
+A gateway process learns its routes, services and targets from facts that others
+publish (`Knowledge`), finds its peers by heartbeats (`Fleet`), and brings every
+request to one final answer (`Dispatcher`). How facts, requests and answers are
+written is the business of an adapter.
+"""
+
+from pimentospool.gateway._connections import AnswerHead
+from pimentospool.gateway._dialect import AnswerClass, TargetDialect
+from pimentospool.gateway._directory import EntryDirectory
+from pimentospool.gateway._dispatch import Dispatcher
+from pimentospool.gateway._fleet import EntryState
+from pimentospool.gateway._knowledge import Knowledge
+from pimentospool.gateway._model import (
+    Address,
+    CallerLimits,
+    Configuration,
+    EngineSpec,
+    HttpRoute,
+    InboundRequest,
+    Prompt,
+    PromptPart,
+    Registration,
+    RequestKind,
+    ServiceSpec,
+    WeightedService,
+)
+from pimentospool.gateway._placing import SharedBounds
+from pimentospool.gateway._process import Gateway
+from pimentospool.gateway._replies import Refusal, RefusalReason, Reply
+from pimentospool.gateway._settings import GatewaySettings
+
+__all__ = [
+    "Address",
+    "AnswerClass",
+    "AnswerHead",
+    "CallerLimits",
+    "Configuration",
+    "Dispatcher",
+    "EngineSpec",
+    "EntryDirectory",
+    "EntryState",
+    "Gateway",
+    "GatewaySettings",
+    "HttpRoute",
+    "InboundRequest",
+    "Knowledge",
+    "Prompt",
+    "PromptPart",
+    "Refusal",
+    "RefusalReason",
+    "Registration",
+    "Reply",
+    "RequestKind",
+    "ServiceSpec",
+    "SharedBounds",
+    "TargetDialect",
+    "WeightedService",
+]
--- /dev/null
+++ b/pimentospool/gateway/_heartbeats.py
@@ -0,0 +1,107 @@
+"""Datagrams that carry the fleet's heartbeats."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from pimentospool.gateway._fleet import Fleet, FleetMessage, decode_occupancy
+from pimentospool.gateway._model import Address
+from pimentospool.ids import EntryId
+from pimentospool.log import Event, log_event
+from pimentospool.policy import OccupancyBook
+
+INTERVAL_SECONDS = 0.25
+"""Time between rounds within the region; bounds the age of peers' load."""
+REMOTE_ROUNDS = 3
+"""Rounds after which entry VMs of other regions are told as well."""
+SEED_ROUNDS = 8
+"""Rounds after which the seeds are told, so that split fleets join again."""
+
+
+class HeartbeatLoop(asyncio.DatagramProtocol):
+    """Sends and receives the fleet's messages.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Membership.
+    book : OccupancyBook
+        Work at each target, shared within the region.
+    seeds : sequence of Address
+        Entry VMs to ask at the start.
+    refresh : callable
+        Brings the own record up to date before each round.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        book: OccupancyBook,
+        seeds: Sequence[Address],
+        refresh: Callable[[], None],
+    ) -> None:
+        self.seeds = list(seeds)
+        self._fleet = fleet
+        self._book = book
+        self._refresh = refresh
+        self._transport: asyncio.DatagramTransport | None = None
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(FleetMessage)
+
+    async def start(self, address: Address) -> None:
+        """Receive messages at `address`."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(address.host, address.port)
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport  # type: ignore[assignment]
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        """Take a message; one that cannot be read is skipped."""
+        try:
+            msg = self._decoder.decode(data)
+        except msgspec.MsgspecError as exc:
+            log_event(Event.PEER_MESSAGE_REFUSED, reason=str(exc), sender=str(addr))
+            return
+        self._fleet.receive(msg)
+        if msg.occupancy or msg.sender.region == self._fleet.own.region:
+            self._book.report(EntryId(msg.sender.id), decode_occupancy(msg))
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore that a receiver is not there: its heartbeats show that."""
+
+    async def run(self) -> None:
+        """Send rounds until cancelled."""
+        count = 0
+        while True:
+            self.send_round(
+                remote=count % REMOTE_ROUNDS == 0,
+                seeds=count % SEED_ROUNDS == 0 or not self._fleet.live(),
+            )
+            count += 1
+            await asyncio.sleep(INTERVAL_SECONDS)
+
+    def send_round(self, *, remote: bool, seeds: bool) -> None:
+        """Send one round of heartbeats."""
+        fleet = self._fleet
+        self._refresh()
+        fleet.own.heartbeat += 1
+        occupancy = self._book.own()
+        known = {record.peer for record in fleet.live()} | {fleet.own.peer}
+        for record in fleet.receivers(remote=remote):
+            self._send(fleet.message(record, occupancy), record.peer)
+        if seeds:
+            for address in self.seeds:
+                if address not in known:
+                    self._send(fleet.message(None, {}), address)
+
+    def _send(self, msg: FleetMessage, address: Address) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(
+                self._encoder.encode(msg), (address.host, address.port)
+            )
--- /dev/null
+++ b/pimentospool/gateway/_placing.py
@@ -0,0 +1,218 @@
+"""Gathers what the choice of a target needs to know."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from pimentospool.gateway._fleet import Fleet
+from pimentospool.gateway._knowledge import Knowledge, TargetState
+from pimentospool.gateway._model import HttpRoute, InboundRequest, ServiceSpec
+from pimentospool.gateway._progress import Progress
+from pimentospool.ids import RegionId, ServiceId, TargetId
+from pimentospool.policy import (
+    Assignment,
+    CachedParts,
+    Candidate,
+    ColdShares,
+    NoChoice,
+    OccupancyBook,
+    RegionChoice,
+    RemoteRegion,
+    TargetChoice,
+    TargetHealth,
+    choose_place,
+    preferred_target,
+)
+
+
+class SharedBounds(msgspec.Struct, kw_only=True, frozen=True):
+    """Bounds that hold for all entry VMs together; shares of them are taken."""
+
+    repeat_ratio: float
+    repeat_reserve: float
+    repeat_window_seconds: float
+    cold_overage: float
+    cold_slack: float
+
+
+class Placing:
+    """Places requests on targets and regions, and learns from their answers.
+
+    Parameters
+    ----------
+    region : RegionId
+        Region of this entry VM.
+    knowledge : Knowledge
+        Configuration and targets.
+    fleet : Fleet
+        Other entry VMs.
+    book : OccupancyBook
+        Work in progress.
+    bounds : SharedBounds
+        Bounds on cold targets.
+    clock : callable
+        Returns the steady time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        region: RegionId,
+        knowledge: Knowledge,
+        fleet: Fleet,
+        book: OccupancyBook,
+        bounds: SharedBounds,
+        clock: Callable[[], float],
+    ) -> None:
+        self._region = region
+        self._knowledge = knowledge
+        self._fleet = fleet
+        self._book = book
+        self._bounds = bounds
+        self._clock = clock
+        self._cached = CachedParts(clock=clock)
+        self._cold = ColdShares(own=fleet.own_id, clock=clock)
+        self._health: dict[TargetId, TargetHealth] = {}
+        knowledge.target_removed.connect(self._forget)
+
+    def choose(
+        self,
+        req: InboundRequest,
+        route: HttpRoute,
+        service: ServiceSpec,
+        progress: Progress,
+        *,
+        remaining_seconds: float,
+    ) -> TargetChoice | RegionChoice | NoChoice:
+        """Return where the next attempt of `req` goes."""
+        candidates = []
+        if route.allows(self._region):
+            candidates = self._candidates(req, service, progress)
+        remotes = [] if req.hopped else self._remotes(route, service, progress)
+        choice = choose_place(candidates, remotes, remaining_seconds=remaining_seconds)
+        if (
+            isinstance(choice, TargetChoice)
+            and choice.candidate.cold
+            and not self._take_cold(choice.candidate, service)
+        ):
+            warm = [item for item in candidates if not item.cold]
+            return choose_place(warm, remotes, remaining_seconds=remaining_seconds)
+        return choice
+
+    def begin(self, req: InboundRequest, candidate: Candidate) -> Assignment:
+        """Count `req` at its target."""
+        prompt = req.prompt
+        if prompt is not None and candidate.cache_tokens:
+            parts = [part.id for part in prompt.parts]
+            self._cached.sent(candidate.target, parts)
+            held = prompt.tokens + prompt.max_output_tokens
+        else:
+            held = 0
+        return self._book.begin(
+            candidate.target,
+            waiting_tokens=candidate.unread_tokens,
+            held_tokens=held,
+        )
+
+    def health(self, target: TargetId) -> TargetHealth:
+        """Return the health of `target`."""
+        health = self._health.get(target)
+        if health is None:
+            health = self._health[target] = TargetHealth(clock=self._clock)
+        return health
+
+    def local_waits(self) -> dict[str, float]:
+        """Return the expected wait of a small request in this region, by service."""
+        configuration = self._knowledge.configuration
+        if configuration is None:
+            return {}
+        waits = {}
+        for service in configuration.services.values():
+            seconds = [
+                self._candidate(state, service, unread=0, tokens=0).cost_seconds
+                for state in self._usable(service.id)
+            ]
+            if seconds:
+                waits[str(service.id)] = round(min(seconds), 3)
+        return waits
+
+    def _usable(self, service: ServiceId) -> list[TargetState]:
+        states = self._knowledge.usable_targets(service, self._region)
+        return [state for state in states if not self.health(state.id).ejected]
+
+    def _candidates(
+        self, req: InboundRequest, service: ServiceSpec, progress: Progress
+    ) -> list[Candidate]:
+        states = [
+            state for state in self._usable(service.id) if progress.may_use(state.id)
+        ]
+        fresh = [state for state in states if state.id not in progress.excluded]
+        states = fresh or states
+        prompt = req.prompt
+        if prompt is None or service.engine is None:
+            return [
+                self._candidate(state, service, unread=0, tokens=0) for state in states
+            ]
+        preferred = preferred_target(prompt.shared_key, [s.id for s in states])
+        tokens = prompt.tokens + prompt.max_output_tokens
+        return [
+            self._candidate(
+                state,
+                service,
+                unread=self._unread_tokens(req, state.id, preferred=preferred),
+                tokens=tokens,
+            )
+            for state in states
+        ]
+
+    def _candidate(
+        self, state: TargetState, service: ServiceSpec, *, unread: int, tokens: int
+    ) -> Candidate:
+        health = self.health(state.id)
+        return Candidate(
+            target=state.id,
+            occupancy=self._book.total(state.id),
+            slots=state.registration.slots,
+            cache_tokens=service.engine.cache_tokens if service.engine else 0,
+            unread_tokens=unread,
+            prompt_tokens=tokens,
+            pace=health.pace,
+            failing=health.failing,
+            cold=state.is_cold(self._clock()),
+        )
+
+    def _unread_tokens(
+        self, req: InboundRequest, target: TargetId, *, preferred: TargetId | None
+    ) -> int:
+        prompt = req.prompt
+        assert prompt is not None
+        if not prompt.parts:
+            return prompt.tokens
+        parts = prompt.parts
+        leading = self._cached.leading(target, [part.id for part in parts])
+        if target == preferred:
+            leading = max(leading, len(parts) - 1)
+        return sum(part.tokens for part in parts[leading:])
+
+    def _remotes(
+        self, route: HttpRoute, service: ServiceSpec, progress: Progress
+    ) -> list[RemoteRegion]:
+        return [
+            RemoteRegion(region=region, wait_seconds=wait)
+            for region, wait in self._fleet.waits(service.id).items()
+            if route.allows(region) and region not in progress.excluded_regions
+        ]
+
+    def _take_cold(self, candidate: Candidate, service: ServiceSpec) -> bool:
+        bounds = self._bounds
+        rate = service.cold_requests_per_second * bounds.cold_overage
+        return self._cold.take(
+            candidate.target,
+            bound_per_second=rate + bounds.cold_slack,
+            members=self._fleet.known_ids(self._region),
+        )
+
+    def _forget(self, target: TargetId) -> None:
+        self._health.pop(target, None)
+        self._cached.forget(target)
+        self._cold.forget(target)
--- /dev/null
+++ b/pimentospool/gateway/_process.py
@@ -0,0 +1,126 @@
+"""One gateway process: its parts, their start and their end."""
+
+import asyncio
+import random
+import time
+
+from pimentospool.gateway._dialect import TargetDialect
+from pimentospool.gateway._directory import EntryDirectory
+from pimentospool.gateway._dispatch import Dispatcher
+from pimentospool.gateway._fleet import EntryRecord, EntryState, Fleet
+from pimentospool.gateway._heartbeats import HeartbeatLoop
+from pimentospool.gateway._knowledge import Knowledge
+from pimentospool.gateway._model import Configuration
+from pimentospool.gateway._placing import Placing
+from pimentospool.gateway._pools import Pools
+from pimentospool.gateway._settings import GatewaySettings
+from pimentospool.log import Event, log_event
+from pimentospool.policy import OccupancyBook
+from pimentospool.tasks import cancel_tasks
+
+ACCEPT_SHARE = 0.3
+"""Part of the time to SIGKILL in which a leaving process still takes requests of
+callers that have not heard of its leaving."""
+END_MARGIN_SECONDS = 0.5
+"""Time before SIGKILL at which the last requests are cut."""
+POLL_SECONDS = 0.05
+"""Time between looks at the requests in progress of a leaving process."""
+
+
+class Gateway:
+    """Parts of a gateway process that do not depend on its surroundings.
+
+    Parameters
+    ----------
+    cfg : GatewaySettings
+        Checked settings.
+    dialect : TargetDialect
+        Form of requests and answers.
+    """
+
+    def __init__(self, *, cfg: GatewaySettings, dialect: TargetDialect) -> None:
+        clock = time.monotonic
+        self.cfg = cfg
+        self.in_progress = 0
+        self.accepting = True
+        self.knowledge = Knowledge(clock=clock, zone_regions=cfg.zone_regions)
+        self._record = EntryRecord(
+            id=cfg.entry,
+            life=time.time_ns(),
+            heartbeat=0,
+            state=EntryState.STARTING.value,
+            region=cfg.region,
+            zone=cfg.zone,
+            front=cfg.front,
+            peer=cfg.peer,
+            waits={},
+        )
+        self.fleet = Fleet(own=self._record, clock=clock, rng=random.Random())
+        self.book = OccupancyBook(clock=clock)
+        self._placing = Placing(
+            region=cfg.region,
+            knowledge=self.knowledge,
+            fleet=self.fleet,
+            book=self.book,
+            bounds=cfg.bounds,
+            clock=clock,
+        )
+        self.dispatcher = Dispatcher(
+            region=cfg.region,
+            knowledge=self.knowledge,
+            fleet=self.fleet,
+            placing=self._placing,
+            pools=Pools(region=cfg.region, fleet=self.fleet),
+            dialect=dialect,
+            bounds=cfg.bounds,
+            clock=clock,
+            rng=random.Random(),
+        )
+        self.directory = EntryDirectory(fleet=self.fleet, knowledge=self.knowledge)
+        self.heartbeats = HeartbeatLoop(
+            fleet=self.fleet,
+            book=self.book,
+            seeds=cfg.seeds,
+            refresh=self._refresh_record,
+        )
+        self.knowledge.configuration_adopted.connect(self._become_ready)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def state(self) -> EntryState:
+        """Whether this process takes requests."""
+        return EntryState(self._record.state)
+
+    async def start(self) -> None:
+        """Join the fleet."""
+        await self.heartbeats.start(self.cfg.peer)
+        self._tasks.append(asyncio.create_task(self.heartbeats.run()))
+
+    async def drain(self) -> None:
+        """Leave the fleet and return when all requests have ended or time is over."""
+        loop = asyncio.get_running_loop()
+        began_at = loop.time()
+        self._record.state = EntryState.LEAVING.value
+        log_event(Event.ENTRY_LEAVING, in_progress=self.in_progress)
+        self.heartbeats.send_round(remote=True, seeds=False)
+        last = began_at + self.cfg.grace_seconds - END_MARGIN_SECONDS
+        accept_until = began_at + self.cfg.grace_seconds * ACCEPT_SHARE
+        while loop.time() < accept_until:
+            await asyncio.sleep(POLL_SECONDS)
+        self.accepting = False
+        while self.in_progress and loop.time() < last:
+            await asyncio.sleep(POLL_SECONDS)
+        if self.in_progress:
+            log_event(Event.ENTRY_DRAIN_EXPIRED, in_progress=self.in_progress)
+
+    async def stop(self) -> None:
+        """End the background tasks."""
+        await cancel_tasks(self._tasks)
+        log_event(Event.ENTRY_STOPPED)
+
+    def _become_ready(self, configuration: Configuration) -> None:
+        if self.state is EntryState.STARTING:
+            self._record.state = EntryState.READY.value
+
+    def _refresh_record(self) -> None:
+        self._record.waits = self._placing.local_waits()
--- /dev/null
+++ b/pimentospool/gateway/_relay.py
@@ -0,0 +1,53 @@
+"""Passing a stream of events on as they arrive."""
+
+from pimentospool.gateway._connections import AnswerHead, AnswerStream
+from pimentospool.gateway._progress import Progress
+from pimentospool.gateway._replies import Reply
+from pimentospool.policy import Assignment
+from pimentospool.targets import AttemptFailure, EventSplitter, FailureCause
+from pimentospool.verdicts import Verdict
+
+
+async def relay_stream(
+    stream: AnswerStream,
+    head: AnswerHead,
+    reply: Reply,
+    progress: Progress,
+    *,
+    resumable: bool,
+    assignment: Assignment | None,
+) -> None:
+    """Send a stream to `reply`, whose head is that of the first run.
+
+    Of a stream that may be resumed only whole events are sent on, so that another
+    target can go on after the last one. The reply begins with the first bytes, so
+    that a failure before them can still be answered.
+
+    Raises
+    ------
+    AttemptFailure
+        If the stream breaks off.
+    """
+    splitter = EventSplitter() if resumable else None
+    while piece := await stream.read():
+        if splitter is not None:
+            batch = splitter.feed(piece)
+            if batch is None:
+                continue
+            piece = batch.data
+            if batch.last_id is not None:
+                progress.last_event = batch.last_id
+        if assignment is not None:
+            assignment.first_event()
+        if not reply.started:
+            await reply.begin(head)
+        await reply.write(piece)
+    if splitter is not None and splitter.pending_bytes:
+        raise AttemptFailure(
+            detail="the stream ended within an event",
+            verdict=Verdict.MAY_HAVE_RUN,
+            cause=FailureCause.BROKEN,
+        )
+    if not reply.started:
+        await reply.begin(head)
+    await reply.end()
--- /dev/null
+++ b/pimentospool/platform/_node.py
@@ -0,0 +1,138 @@
+"""One process on the platform: its listeners, signals and settings file."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+import msgspec
+from aiohttp import web
+
+from pimentospool.gateway import EntryState, Gateway, GatewaySettings
+from pimentospool.ids import RegionId
+from pimentospool.log import Event, log_event
+from pimentospool.platform._exchange import PlatformDialect
+from pimentospool.platform._front import Front, _quiet
+from pimentospool.platform._settings import NodeSettingsError, read_node_settings
+from pimentospool.platform._store import StoreFeed
+from pimentospool.tasks import cancel_tasks
+
+BACKLOG = 512
+"""Connections that wait to be accepted; a full queue costs callers seconds."""
+SETTINGS_POLL_SECONDS = 1.0
+"""Time between looks at the settings file, which may change without a signal."""
+
+
+class Node:
+    """A gateway process on the platform.
+
+    Parameters
+    ----------
+    cfg : GatewaySettings
+        Checked settings.
+    path : Path
+        The settings file, read again when it changes.
+    """
+
+    def __init__(self, *, cfg: GatewaySettings, path: Path) -> None:
+        self._cfg = cfg
+        self._path = path
+        self._gateway = Gateway(cfg=cfg, dialect=PlatformDialect())
+        self._servers: list[asyncio.Server] = []
+        self._fronts = [
+            Front(gateway=self._gateway, hop=False),
+            Front(gateway=self._gateway, hop=True),
+        ]
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then let requests in progress end."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._start()
+        await self._stopping.wait()
+        await self._gateway.drain()
+        for server in self._servers:
+            server.close()
+        for front in self._fronts:
+            await front.server.shutdown(timeout=0.1)
+        await cancel_tasks(self._tasks)
+        await self._gateway.stop()
+
+    async def _start(self) -> None:
+        cfg = self._cfg
+        feed = StoreFeed(address=cfg.store, knowledge=self._gateway.knowledge)
+        self._tasks.append(asyncio.create_task(feed.run()))
+        await self._gateway.start()
+        front, hops = self._fronts
+        await self._listen(front.server, cfg.front.host, cfg.front.port)
+        await self._listen(hops.server, cfg.peer.host, cfg.peer.port)
+        ready = web.Server(self._answer_ready, access_log=None, logger=_quiet)
+        await self._listen(ready, cfg.ready.host, cfg.ready.port)
+        directory = web.Server(self._answer_resolve, access_log=None, logger=_quiet)
+        await self._listen(directory, cfg.directory.host, cfg.directory.port)
+        self._tasks.append(asyncio.create_task(self._watch_settings()))
+        log_event(
+            Event.ENTRY_STARTED,
+            entry=cfg.entry,
+            zone=cfg.zone,
+            region=cfg.region,
+            front=str(cfg.front),
+            seeds=len(cfg.seeds),
+        )
+
+    async def _listen(self, server: web.Server, host: str, port: int) -> None:
+        loop = asyncio.get_running_loop()
+        self._servers.append(
+            await loop.create_server(server, host, port, backlog=BACKLOG)
+        )
+
+    async def _answer_ready(self, http: web.BaseRequest) -> web.StreamResponse:
+        ready = self._gateway.state is EntryState.READY
+        return web.Response(status=200 if ready else 503)
+
+    async def _answer_resolve(self, http: web.BaseRequest) -> web.StreamResponse:
+        host = http.query.get("Name", "").lower()
+        region = RegionId(http.query.get("Region", self._cfg.region))
+        addresses = self._gateway.directory.lookup(host, region)
+        if not addresses:
+            return web.Response(status=503)
+        body = msgspec.json.encode(
+            {
+                "Addresses": [str(address) for address in addresses],
+                "TtlS": self._cfg.directory_ttl_seconds,
+            }
+        )
+        return web.Response(body=body, content_type="application/json")
+
+    def _reload(self) -> None:
+        try:
+            cfg = read_node_settings(self._path)
+        except NodeSettingsError as exc:
+            log_event(Event.SETTINGS_REFUSED, reason=str(exc))
+            return
+        self._gateway.heartbeats.seeds = list(cfg.seeds)
+        log_event(Event.SETTINGS_RELOADED, seeds=len(cfg.seeds))
+
+    async def _watch_settings(self) -> None:
+        known = _modified_at(self._path)
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_SECONDS)
+            modified = _modified_at(self._path)
+            if modified != known:
+                known = modified
+                self._reload()
+
+
+def _modified_at(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
+
+
+async def run_node(cfg: GatewaySettings, path: Path) -> None:
+    """Run one process with the settings `cfg`, read from `path`."""
+    await Node(cfg=cfg, path=path).run()
--- /dev/null
+++ b/pimentospool/platform/_records.py
@@ -0,0 +1,181 @@
+"""Values in the platform's store, decoded into the product's types."""
+
+import msgspec
+
+from pimentospool.errors import PimentospoolError
+from pimentospool.gateway import (
+    CallerLimits,
+    Configuration,
+    EngineSpec,
+    HttpRoute,
+    Registration,
+    RequestKind,
+    ServiceSpec,
+    WeightedService,
+)
+from pimentospool.ids import RegionId, ServiceId, TargetId, ZoneId
+from pimentospool.platform._settings import parse_address
+
+CONFIG_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+SERVER_PREFIX = "servers/"
+_LEAVING = "draining"
+_STATES = ("ready", _LEAVING)
+_KINDS = {
+    "idempotent": RequestKind.IDEMPOTENT,
+    "non_idempotent": RequestKind.NON_IDEMPOTENT,
+    "streaming": RequestKind.STREAM,
+}
+_MILLISECONDS = 1000.0
+
+
+class RecordError(PimentospoolError):
+    """A value of the store that cannot be read."""
+
+
+class _Split(msgspec.Struct, rename="pascal"):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="pascal"):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[_Split] = msgspec.field(default_factory=list)
+    max_attempts: int = 1
+    """Number of servers, not of sends."""
+    resumable: bool = False
+    target_gap_ms: float = 0.0
+    home_regions: list[str] = msgspec.field(default_factory=list)
+
+
+class _Engine(msgspec.Struct, rename="pascal"):
+    slots: int
+    kv_cache_tokens: int
+
+
+class _Service(msgspec.Struct, rename="pascal"):
+    name: str
+    max_connections: int = 64
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="pascal"):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Config(msgspec.Struct, rename="pascal"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Server(msgspec.Struct, rename="pascal"):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 1
+    cold_left_ms: float = 0.0
+    born: int = msgspec.field(name="born", default=0)
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """Return the configuration in `value`.
+
+    Raises
+    ------
+    RecordError
+        If it cannot be read.
+    """
+    try:
+        raw = msgspec.json.decode(value, type=_Config)
+        return Configuration(
+            version=raw.version,
+            routes=tuple(_to_route(route) for route in raw.routes),
+            services={ServiceId(item.name): _to_service(item) for item in raw.services},
+            limits=CallerLimits(
+                max_header_bytes=raw.limits.max_header_bytes,
+                max_body_bytes=raw.limits.max_body_bytes,
+                header_timeout_seconds=raw.limits.header_timeout_ms / _MILLISECONDS,
+                idle_timeout_seconds=raw.limits.idle_timeout_ms / _MILLISECONDS,
+            ),
+        )
+    except (msgspec.MsgspecError, ValueError, KeyError) as exc:
+        raise RecordError(f"not a configuration: {exc!r}") from exc
+
+
+def decode_registration(server: str, value: bytes) -> Registration:
+    """Return what the server with id `server` published.
+
+    Raises
+    ------
+    RecordError
+        If it cannot be read.
+    """
+    try:
+        raw = msgspec.json.decode(value, type=_Server)
+        if raw.state not in _STATES:
+            raise RecordError(f"unknown state {raw.state!r}")
+        return Registration(
+            id=TargetId(server),
+            service=ServiceId(raw.service),
+            address=parse_address(raw.address),
+            zone=ZoneId(raw.zone),
+            slots=raw.slots,
+            leaving=raw.state == _LEAVING,
+            cold_seconds=raw.cold_left_ms / _MILLISECONDS,
+            started_at=raw.born,
+        )
+    except (msgspec.MsgspecError, ValueError) as exc:
+        raise RecordError(f"not a server's entry: {exc}") from exc
+
+
+def _to_route(raw: _Route) -> HttpRoute:
+    services = tuple(
+        WeightedService(service=ServiceId(item.service), weight=item.weight)
+        for item in raw.traffic_split
+    )
+    if not services:
+        services = (WeightedService(service=ServiceId(raw.service), weight=1.0),)
+    return HttpRoute(
+        name=raw.name,
+        host=raw.host.lower(),
+        prefix=raw.prefix,
+        kind=_KINDS[raw.kind],
+        services=services,
+        timeout_seconds=raw.timeout_ms / _MILLISECONDS,
+        target_latency_seconds=raw.target_latency_ms / _MILLISECONDS,
+        max_targets=raw.max_attempts,
+        priority=raw.priority,
+        resumable=raw.resumable,
+        event_gap_seconds=raw.target_gap_ms / _MILLISECONDS,
+        home_regions=frozenset(RegionId(region) for region in raw.home_regions),
+    )
+
+
+def _to_service(raw: _Service) -> ServiceSpec:
+    engine = None
+    if raw.engine is not None:
+        engine = EngineSpec(
+            slots=raw.engine.slots, cache_tokens=raw.engine.kv_cache_tokens
+        )
+    return ServiceSpec(
+        id=ServiceId(raw.name),
+        max_connections=raw.max_connections,
+        cold_seconds=raw.cold_s,
+        cold_requests_per_second=raw.cold_per_s,
+        engine=engine,
+    )
--- /dev/null
+++ b/pimentospool/platform/_settings.py
@@ -0,0 +1,114 @@
+"""Settings file of the platform."""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from pimentospool.errors import PimentospoolError
+from pimentospool.gateway import Address, GatewaySettings, SharedBounds
+from pimentospool.ids import EntryId, RegionId, ZoneId
+
+SETTINGS_VARIABLE = "PIMENTOSPOOL_CONFIG"
+DIRECTORY_TTL_SECONDS = 2.0
+"""Lifetime of directory answers; short enough that callers soon hear of changes."""
+
+
+class NodeSettingsError(PimentospoolError):
+    """The settings file cannot be read; the message names the field."""
+
+
+class _ListenAddrs(msgspec.Struct, rename="pascal"):
+    front: str
+    ready: str
+    control: str
+    directory: str
+
+
+class _Bounds(msgspec.Struct, rename="pascal"):
+    grace_s: float = 8.0
+    retry_budget_ratio: float = 0.1
+    retry_budget_extra: float = 0.0
+    budget_window_s: float = 10.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
+    ttl_max_s: float = msgspec.field(name="ttl_max_s", default=5.0)
+
+
+class _Platform(msgspec.Struct, rename="pascal"):
+    address: str
+
+
+class _NodeFile(msgspec.Struct, rename="pascal"):
+    """The settings file; names are the platform's, times as their suffix says."""
+
+    node: str
+    zone: str
+    region: str
+    ip: str
+    internal_ports: tuple[int, int]
+    listen_addrs: _ListenAddrs
+    platform: _Platform
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    zones: dict[str, str] = msgspec.field(default_factory=dict)
+    seeds: list[str] = msgspec.field(default_factory=list)
+    """Control addresses of other machines, not the addresses of their peers."""
+
+
+def read_node_settings(path: Path) -> GatewaySettings:
+    """Return the checked settings in the file at `path`.
+
+    Raises
+    ------
+    NodeSettingsError
+        If it cannot be read or a field is missing or of a wrong type.
+    """
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+        node = msgspec.convert(raw, _NodeFile)
+        return _to_settings(node)
+    except (OSError, ValueError, msgspec.ValidationError) as exc:
+        raise NodeSettingsError(f"{path}: {exc}") from exc
+
+
+def parse_address(text: str) -> Address:
+    """Return the address in `text`, which has the form IP:PORT.
+
+    Raises
+    ------
+    ValueError
+        If it has another form.
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"{text!r} is not an address of the form IP:PORT")
+    return Address(host, int(port))
+
+
+def _to_settings(node: _NodeFile) -> GatewaySettings:
+    listen, bounds = node.listen_addrs, node.bounds
+    peer_port = node.internal_ports[0]
+    return GatewaySettings(
+        entry=EntryId(node.node),
+        zone=ZoneId(node.zone),
+        region=RegionId(node.region),
+        zone_regions={ZoneId(z): RegionId(r) for z, r in node.zones.items()},
+        front=parse_address(listen.front),
+        ready=parse_address(listen.ready),
+        directory=parse_address(listen.directory),
+        control=parse_address(listen.control),
+        peer=Address(node.ip, peer_port),
+        seeds=tuple(
+            Address(parse_address(seed).host, peer_port) for seed in node.seeds
+        ),
+        store=parse_address(node.platform.address),
+        grace_seconds=bounds.grace_s,
+        directory_ttl_seconds=min(DIRECTORY_TTL_SECONDS, bounds.ttl_max_s),
+        bounds=SharedBounds(
+            repeat_ratio=bounds.retry_budget_ratio,
+            repeat_reserve=bounds.retry_budget_extra,
+            repeat_window_seconds=bounds.budget_window_s,
+            cold_overage=bounds.cold_overage,
+            cold_slack=bounds.cold_slack,
+        ),
+    )
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -1,5 +1,6 @@
 """Decisions of the gateway: no input or output, no clock and no global random."""
 
+from pimentospool.policy._cached_parts import CachedParts, preferred_target
 from pimentospool.policy._drills import DrillView
 from pimentospool.policy._entries import rank_entries
 from pimentospool.policy._flights import RegionFlight, TargetFlight
@@ -10,6 +11,7 @@
     Membership,
     newer_member,
 )
+from pimentospool.policy._occupancy import Assignment, Occupancy, OccupancyBook
 from pimentospool.policy._operations import (
     HeldAnswer,
     Join,
@@ -37,6 +39,7 @@
 from pimentospool.policy._queue import QueueRefusal, Ticket, WaitQueue
 from pimentospool.policy._readers import rank_members
 from pimentospool.policy._refusals import Refusal, owner_gone
+from pimentospool.policy._repeat_budget import ColdShares, RepeatBudget
 from pimentospool.policy._reports import ReportBook, newer_report
 from pimentospool.policy._retries import RetryDecision, RetryPolicy
 from pimentospool.policy._revisions import RefusedRevision, RevisionBook, is_newer
@@ -49,9 +52,22 @@
 from pimentospool.policy._routing import Route, Router
 from pimentospool.policy._scores import RouteReason, Score
 from pimentospool.policy._shares import QuotaShares
+from pimentospool.policy._target_choice import (
+    Candidate,
+    NoChoice,
+    RegionChoice,
+    RemoteRegion,
+    TargetChoice,
+    choose_place,
+)
+from pimentospool.policy._target_health import TargetHealth
 
 __all__ = [
+    "Assignment",
+    "CachedParts",
+    "Candidate",
     "ChangeKind",
+    "ColdShares",
     "CustomerLimiter",
     "DesiredEngine",
     "DesiredModel",
@@ -63,6 +79,9 @@
     "LimitRefusal",
     "MemberChange",
     "Membership",
+    "NoChoice",
+    "Occupancy",
+    "OccupancyBook",
     "OperationCall",
     "OperationLedger",
     "OperationRef",
@@ -73,8 +92,11 @@
     "QuotaShares",
     "Refusal",
     "RefusedRevision",
+    "RegionChoice",
     "RegionFlight",
     "RegionRoute",
+    "RemoteRegion",
+    "RepeatBudget",
     "Replay",
     "ReportBook",
     "RetryDecision",
@@ -87,10 +109,13 @@
     "Router",
     "Score",
     "Start",
+    "TargetChoice",
     "TargetFlight",
+    "TargetHealth",
     "TargetRoute",
     "Ticket",
     "WaitQueue",
+    "choose_place",
     "fencing_number",
     "fencing_revision",
     "is_newer",
@@ -99,6 +124,7 @@
     "owner_gone",
     "place_models",
     "plan_orders",
+    "preferred_target",
     "rank_entries",
     "rank_members",
 ]
--- /dev/null
+++ b/pimentospool/policy/_repeat_budget.py
@@ -0,0 +1,116 @@
+"""This entry VM's share of bounds that hold for all entry VMs together.
+
+Shares are safe alone: each is a part of the bound divided by the number of entry
+VMs known within `MEMORY_SECONDS`, gone ones included, so that the sum stays inside
+the bound while the member list is split or stale.
+"""
+
+import hashlib
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from pimentospool.ids import EntryId, TargetId
+
+RATIO_USED = 0.75
+"""Part of the allowed ratio that is used; windows of the bound slide."""
+RESERVE_USED = 0.5
+"""Part of the allowed reserve that is used, so that two halves of a split fleet
+that never knew each other stay inside it together."""
+COLD_USED = 0.5
+"""Part of a cold target's rate that is used, for the same reason."""
+COLD_INTERVAL_SECONDS = 1.2
+"""Least time between two requests of one entry VM to a cold target; above the
+second over which the bound is counted."""
+
+
+class RepeatBudget:
+    """Repeated sends of one service, as a share of its requests and a reserve.
+
+    Parameters
+    ----------
+    ratio : float
+        Repeats allowed for each request, over all entry VMs.
+    reserve : float
+        Repeats allowed beyond that in one window, over all entry VMs.
+    window_seconds : float
+        Length of the sliding window.
+    clock : callable
+        Returns the steady time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        reserve: float,
+        window_seconds: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self._ratio = ratio * RATIO_USED
+        self._reserve = reserve * RESERVE_USED
+        self._window_seconds = window_seconds
+        self._clock = clock
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def request_sent(self) -> None:
+        """Count the first send of a request."""
+        self._requests.append(self._clock())
+
+    def take(self, members: int) -> bool:
+        """Count a repeat if the share of one of `members` entry VMs allows it."""
+        now = self._clock()
+        self._drop_old(now)
+        share = self._reserve / max(members, 1)
+        if len(self._repeats) + 1 > self._ratio * len(self._requests) + share:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def _drop_old(self, now: float) -> None:
+        oldest = now - self._window_seconds
+        for times in (self._requests, self._repeats):
+            while times and times[0] < oldest:
+                times.popleft()
+
+
+class ColdShares:
+    """Which requests this entry VM may send to cold targets.
+
+    Of a region's entry VMs, only as many send to one cold target as its rate
+    allows; the order is that of rendezvous hashing, the same everywhere.
+
+    Parameters
+    ----------
+    own : EntryId
+        This entry VM.
+    clock : callable
+        Returns the steady time in seconds.
+    """
+
+    def __init__(self, *, own: EntryId, clock: Callable[[], float]) -> None:
+        self._own = own
+        self._clock = clock
+        self._last: dict[TargetId, float] = {}
+
+    def take(
+        self, target: TargetId, *, bound_per_second: float, members: Iterable[EntryId]
+    ) -> bool:
+        """Count a request to the cold `target` if it is allowed."""
+        now = self._clock()
+        if now - self._last.get(target, float("-inf")) < COLD_INTERVAL_SECONDS:
+            return False
+        senders = int(bound_per_second * COLD_USED)
+        ranked = sorted(members, key=lambda entry: _weight(target, entry))
+        if self._own not in ranked[:senders]:
+            return False
+        self._last[target] = now
+        return True
+
+    def forget(self, target: TargetId) -> None:
+        """Drop what is known of a removed target."""
+        self._last.pop(target, None)
+
+
+def _weight(target: TargetId, entry: EntryId) -> bytes:
+    return hashlib.blake2b(f"{target}/{entry}".encode(), digest_size=8).digest()
