Keep homes, targets and whole answers while entry VMs leave and requests hop

A leaving process cut requests on kept connections (LOST). Change: the number of targets left travels with a hop; the directory names leaving entry VMs of the region before other regions, and those regions that most routes with homes allow; a leaving process serves kept connections until its last third and closes them only when no request is in progress.

--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -38,6 +38,7 @@
         *,
         remaining_seconds: float,
         resume_after: int | None,
+        max_targets: int,
     ) -> bytes:
         """Return `req` in bytes for another entry VM."""
 
--- a/pimentospool/gateway/_directory.py
+++ b/pimentospool/gateway/_directory.py
@@ -1,5 +1,7 @@
 """Which entry VMs a caller is told to use."""
 
+from collections import Counter
+
 from pimentospool.gateway._fleet import EntryRecord, EntryState, Fleet
 from pimentospool.gateway._knowledge import Knowledge
 from pimentospool.gateway._model import Address
@@ -27,10 +29,11 @@
     def lookup(self, host: str, region: RegionId) -> list[Address]:
         """Return the entry VMs for callers of `host` in `region`.
 
-        Those of another region are named only if none of the caller's is ready, and
-        then those of the host's home regions first.
+        Leaving ones are named only if none of the caller's region is ready, and those
+        of another region only if there are none of these either, the host's home
+        regions first.
         """
-        records = self._fleet.ready(region)
+        records = self._fleet.ready(region) or self._fleet.leaving(region)
         if not records:
             records = self._elsewhere(host, region)
         return [record.front for record in records[:MAX_ADDRESSES]]
@@ -45,8 +48,11 @@
         return [rec for rec in records if rec.region in homes] or records
 
     def _home_regions(self, host: str) -> frozenset[RegionId]:
+        """Return the regions that most routes of `host` with homes allow."""
         table = self._knowledge.routes
         if table is None:
             return frozenset()
         bound = [rt.home_regions for rt in table.routes_of(host) if rt.home_regions]
-        return frozenset.intersection(*bound) if bound else frozenset()
+        counts = Counter(region for homes in bound for region in homes)
+        most = max(counts.values(), default=0)
+        return frozenset(region for region, count in counts.items() if count == most)
--- a/pimentospool/gateway/_dispatch.py
+++ b/pimentospool/gateway/_dispatch.py
@@ -165,7 +165,10 @@
         self._reply = reply
         self._route = route
         self._service = service
-        self._progress = Progress(route=route)
+        max_targets = route.max_targets
+        if req.max_targets is not None:
+            max_targets = min(max_targets, req.max_targets)
+        self._progress = Progress(route=route, max_targets=max_targets)
         patience = min(req.patience_seconds, route.timeout_seconds)
         self._deadline = req.received_at + patience
 
@@ -328,7 +331,10 @@
             if remaining <= 0:
                 raise _not_sent("the request's time is over", FailureCause.LATE)
             data = owner._dialect.encode_hop(
-                req, remaining_seconds=remaining, resume_after=self._resume_after
+                req,
+                remaining_seconds=remaining,
+                resume_after=self._resume_after,
+                max_targets=self._progress.targets_left,
             )
             stream = conn.send(self._wire(data))
             await self._receive(stream, None, remaining)
--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -37,6 +37,8 @@
     STARTING = 0
     READY = 1
     LEAVING = 2
+    """It still takes connections of callers that have not heard of its leaving."""
+    CLOSED = 3
 
 
 class EntryRecord(msgspec.Struct, array_like=True, omit_defaults=False):
@@ -117,6 +119,15 @@
             records.append(self.own)
         return [rec for rec in records if rec.state == EntryState.READY.value]
 
+    def leaving(self, region: RegionId) -> list[EntryRecord]:
+        """Return entry VMs of `region` that leave but still take connections."""
+        records = [*self.live(region=region), self.own]
+        return [
+            rec
+            for rec in records
+            if rec.region == region and rec.state == EntryState.LEAVING.value
+        ]
+
     def regions(self) -> set[RegionId]:
         """Return the regions in which other entry VMs are alive."""
         return {RegionId(record.region) for record in self.live()}
--- a/pimentospool/gateway/_model.py
+++ b/pimentospool/gateway/_model.py
@@ -157,3 +157,5 @@
     """Event of the stream that the caller received last."""
     hopped: bool = False
     """Whether another entry VM passed the request on."""
+    max_targets: int | None = None
+    """Targets that may still run a hopped request, as the first entry VM says."""
--- a/pimentospool/gateway/_placing.py
+++ b/pimentospool/gateway/_placing.py
@@ -88,7 +88,9 @@
         candidates = []
         if route.allows(self._region):
             candidates = self._candidates(req, service, progress)
-        remotes = [] if req.hopped else self._remotes(route, service, progress)
+        remotes = []
+        if not req.hopped and progress.targets_left:
+            remotes = self._remotes(route, service, progress)
         choice = choose_place(candidates, remotes, remaining_seconds=remaining_seconds)
         if (
             isinstance(choice, TargetChoice)
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -1,6 +1,7 @@
 """One gateway process: its parts, their start and their end."""
 
 import asyncio
+import math
 import random
 import time
 
@@ -18,9 +19,12 @@
 from pimentospool.policy import OccupancyBook
 from pimentospool.tasks import cancel_tasks
 
-ACCEPT_SHARE = 0.3
-"""Part of the time to SIGKILL in which a leaving process still takes requests of
+ACCEPT_SHARE = 0.15
+"""Part of the time to SIGKILL in which a leaving process still takes connections of
 callers that have not heard of its leaving."""
+SERVE_SHARE = 0.35
+"""Part of the time to SIGKILL in which requests on open connections are served; a
+stream that begins later might not end in time."""
 END_MARGIN_SECONDS = 0.5
 """Time before SIGKILL at which the last requests are cut."""
 POLL_SECONDS = 0.05
@@ -42,7 +46,6 @@
         clock = time.monotonic
         self.cfg = cfg
         self.in_progress = 0
-        self.accepting = True
         self.knowledge = Knowledge(clock=clock, zone_regions=cfg.zone_regions)
         self._record = EntryRecord(
             id=cfg.entry,
@@ -85,6 +88,8 @@
         )
         self.knowledge.configuration_adopted.connect(self._become_ready)
         self._tasks: list[asyncio.Task[None]] = []
+        self._last_moment = math.inf
+        self._serve_until = math.inf
 
     @property
     def state(self) -> EntryState:
@@ -96,19 +101,29 @@
         await self.heartbeats.start(self.cfg.peer)
         self._tasks.append(asyncio.create_task(self.heartbeats.run()))
 
-    async def drain(self) -> None:
-        """Leave the fleet and return when all requests have ended or time is over."""
-        loop = asyncio.get_running_loop()
-        began_at = loop.time()
+    @property
+    def serving(self) -> bool:
+        """Whether new requests are served."""
+        return time.monotonic() < self._serve_until
+
+    async def leave(self) -> None:
+        """Tell the fleet, and return once new connections are no longer needed."""
+        grace, now = self.cfg.grace_seconds, time.monotonic()
+        self._last_moment = now + grace - END_MARGIN_SECONDS
+        self._serve_until = now + grace * SERVE_SHARE
         self._record.state = EntryState.LEAVING.value
         log_event(Event.ENTRY_LEAVING, in_progress=self.in_progress)
         self.heartbeats.send_round(remote=True, seeds=False)
-        last = began_at + self.cfg.grace_seconds - END_MARGIN_SECONDS
-        accept_until = began_at + self.cfg.grace_seconds * ACCEPT_SHARE
-        while loop.time() < accept_until:
+        await asyncio.sleep(grace * ACCEPT_SHARE)
+        while self.serving and not self.fleet.ready(self.cfg.region):
             await asyncio.sleep(POLL_SECONDS)
-        self.accepting = False
-        while self.in_progress and loop.time() < last:
+        self._record.state = EntryState.CLOSED.value
+        self.heartbeats.send_round(remote=True, seeds=False)
+
+    async def finish_requests(self) -> None:
+        """Return when all requests have ended or the time to SIGKILL is over."""
+        await asyncio.sleep(POLL_SECONDS)
+        while self.in_progress and time.monotonic() < self._last_moment:
             await asyncio.sleep(POLL_SECONDS)
         if self.in_progress:
             log_event(Event.ENTRY_DRAIN_EXPIRED, in_progress=self.in_progress)
--- a/pimentospool/gateway/_progress.py
+++ b/pimentospool/gateway/_progress.py
@@ -19,9 +19,11 @@
     ----------
     route : HttpRoute
         What the route allows.
+    max_targets : int
+        Targets that may run the request, as far as this entry VM may use them.
     """
 
-    def __init__(self, *, route: HttpRoute) -> None:
+    def __init__(self, *, route: HttpRoute, max_targets: int) -> None:
         self.verdict = Verdict.NOT_RUN
         self.attempts = 0
         self.sent = False
@@ -32,6 +34,7 @@
         self.excluded_regions: set[RegionId] = set()
         self.retry_after_seconds: float | None = None
         self._route = route
+        self._max_targets = max_targets
         self._ran_at: set[TargetId] = set()
         self._failure: AttemptFailure | None = None
 
@@ -52,10 +55,18 @@
             self.excluded.add(target)
         if region is not None:
             self.excluded_regions.add(region)
+            if exc.verdict is not Verdict.NOT_RUN:
+                # The region's entry VM may have used all targets that were left.
+                self._max_targets = len(self._ran_at)
+
+    @property
+    def targets_left(self) -> int:
+        """Number of further targets that may run the request."""
+        return max(0, self._max_targets - len(self._ran_at))
 
     def may_use(self, target: TargetId) -> bool:
         """Whether the route allows that `target` runs the request as well."""
-        return target in self._ran_at or len(self._ran_at) < self._route.max_targets
+        return target in self._ran_at or self.targets_left > 0
 
     def may_repeat(self, *, reply_started: bool) -> bool:
         """Whether another attempt is allowed after the last one."""
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -4,6 +4,7 @@
 from pimentospool.platform._names import (
     DEADLINE,
     EXPECT_INSTANCE,
+    HOP_TARGETS,
     HOP_VERDICT,
     LAST_EVENT,
     NOT_EXECUTED,
@@ -47,9 +48,11 @@
         *,
         remaining_seconds: float,
         resume_after: int | None,
+        max_targets: int,
     ) -> bytes:
         """Return `req` in bytes for another entry VM."""
-        return _encode(req, [], remaining_seconds, resume_after)
+        extra = [(HOP_TARGETS, b"%d" % max_targets)]
+        return _encode(req, extra, remaining_seconds, resume_after)
 
     def accepts(self, head: AnswerHead, req: InboundRequest) -> bool:
         """Whether an answer with `head` may belong to `req`."""
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -23,6 +23,7 @@
 from pimentospool.log import Event, log_event
 from pimentospool.platform._names import (
     DEADLINE,
+    HOP_TARGETS,
     HOP_VERDICT,
     LAST_EVENT,
     OF_ONE_CONNECTION,
@@ -39,6 +40,8 @@
 """Longest wait for a body whose caller states no deadline."""
 MAX_HEADER_LINE_BYTES = 64 * 1024
 """Longest header line; the platform's own limit is below it."""
+LEAVING_RETRY_SECONDS = 0.02
+"""Time to come back, to another entry VM, after a refusal of a leaving one."""
 _MILLISECONDS = 1000.0
 _STATUS = {
     RefusalReason.NOT_CONFIGURED: 503,
@@ -82,10 +85,21 @@
             access_log=None,
             logger=_quiet,
         )
+        self._closed = False
+
+    async def close(self) -> None:
+        """Close all connections; a request that arrives now is not passed on."""
+        self._closed = True
+        for conn in self.server.connections:
+            if conn.transport is not None:
+                conn.transport.close()
+        await self.server.shutdown(timeout=0.0)
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         gateway = self._gateway
         reply = HttpReply(http=http, hop=self._hop, gateway=gateway)
+        if self._closed:
+            raise ConnectionResetError("the process ends")
         gateway.in_progress += 1
         try:
             if not http.raw_path.startswith("/"):
@@ -96,14 +110,14 @@
                 return await reply.plain(413)
             except TimeoutError:
                 return await reply.plain(408)
-            if gateway.accepting:
+            if gateway.serving:
                 await gateway.dispatcher.serve(req, reply)
             else:
                 await reply.refuse(
                     Refusal(
                         reason=RefusalReason.LEAVING,
                         verdict=Verdict.NOT_RUN,
-                        retry_after_seconds=0.05,
+                        retry_after_seconds=LEAVING_RETRY_SECONDS,
                     )
                 )
             assert reply.resp is not None
@@ -146,8 +160,13 @@
             ),
             resume_after=int(last_event) if last_event.isdigit() else None,
             hopped=self._hop,
+            max_targets=self._hop_targets(http),
         )
 
+    def _hop_targets(self, http: web.BaseRequest) -> int | None:
+        value = http.headers.get(HOP_TARGETS.decode(), "") if self._hop else ""
+        return int(value) if value.isdigit() else None
+
 
 class HttpReply:
     """Answer to one HTTP request.
@@ -232,7 +251,7 @@
         await resp.write_eof()
 
     def _close_if_leaving(self, resp: web.StreamResponse) -> None:
-        if self._gateway.state is EntryState.LEAVING:
+        if self._gateway.state in (EntryState.LEAVING, EntryState.CLOSED):
             resp.force_close()
 
 
--- a/pimentospool/platform/_names.py
+++ b/pimentospool/platform/_names.py
@@ -16,6 +16,8 @@
 
 HOP_VERDICT = b"pimentospool-verdict"
 """The product's own header: what an entry VM's refusal says of execution."""
+HOP_TARGETS = b"pimentospool-targets"
+"""The product's own header: targets that may still run a hopped request."""
 
 OF_ONE_CONNECTION = frozenset(
     [
@@ -38,6 +40,7 @@
         EXPECT_INSTANCE,
         PRIORITY,
         LAST_EVENT,
+        HOP_TARGETS,
         HOP_VERDICT,
         b"content-length",
         b"expect",
--- a/pimentospool/platform/_node.py
+++ b/pimentospool/platform/_node.py
@@ -53,11 +53,12 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._start()
         await self._stopping.wait()
-        await self._gateway.drain()
+        await self._gateway.leave()
         for server in self._servers:
             server.close()
+        await self._gateway.finish_requests()
         for front in self._fronts:
-            await front.server.shutdown(timeout=0.1)
+            await front.close()
         await cancel_tasks(self._tasks)
         await self._gateway.stop()
 
--- a/tests/callers/test_callers_app.py
+++ b/tests/callers/test_callers_app.py
@@ -8,7 +8,7 @@
 import openai
 import pytest
 from aiohttp import web
-from gateway import PROMPT, chat, expected_text, gateway, streamed_text
+from running_entry import PROMPT, chat, expected_text, gateway, streamed_text
 from sanic.server import HttpProtocol
 
 from pimentospool.callers._connections import CallerProtocol, ConnectionDrain
--- /dev/null
+++ b/tests/gateway/gateway_facts.py
@@ -0,0 +1,87 @@
+"""Facts that tests of the gateway share."""
+
+from pimentospool.gateway import (
+    Address,
+    Configuration,
+    EngineSpec,
+    HttpRoute,
+    InboundRequest,
+    Registration,
+    RequestKind,
+    ServiceSpec,
+    WeightedService,
+)
+from pimentospool.gateway._fleet import EntryRecord, EntryState
+
+HOST = "shop.example"
+
+
+class Clock:
+    """Steady time that a test moves."""
+
+    def __init__(self, now=100.0):
+        self.now = now
+
+    def __call__(self):
+        return self.now
+
+
+def make_route(prefix="/", *, services=("desk",), host=HOST, **options):
+    fields = {
+        "name": prefix,
+        "kind": RequestKind.IDEMPOTENT,
+        "timeout_seconds": 2.0,
+        "target_latency_seconds": 0.3,
+        "max_targets": 2,
+    } | options
+    split = tuple(WeightedService(service=name, weight=1.0) for name in services)
+    return HttpRoute(host=host, prefix=prefix, services=split, **fields)
+
+
+def make_service(name="desk", *, engine=False, **options):
+    spec = EngineSpec(slots=64, cache_tokens=250_000) if engine else None
+    fields = {"max_connections": 100} | options
+    return ServiceSpec(id=name, engine=spec, **fields)
+
+
+def make_configuration(*routes, version=1, services=None):
+    listed = services or [make_service()]
+    return Configuration(
+        version=version,
+        routes=routes or (make_route(),),
+        services={item.id: item for item in listed},
+    )
+
+
+def make_registration(target="i-1", *, port=9000, **options):
+    fields = {"service": "desk", "zone": "gulf-a", "slots": 6} | options
+    return Registration(id=target, address=Address("127.0.0.1", port), **fields)
+
+
+def make_request(path="/", **options):
+    fields = {
+        "id": "r-1",
+        "method": "GET",
+        "host": HOST,
+        "headers": [],
+        "body": b"",
+        "received_at": 0.0,
+        "patience_seconds": 2.0,
+    } | options
+    return InboundRequest(path=path, **fields)
+
+
+def make_record(
+    entry="e-1", *, region="gulf", state=EntryState.READY, heartbeat=1, **options
+):
+    port = 7000 + sum(entry.encode())
+    fields = {"life": 1, "zone": f"{region}-a", "waits": {}} | options
+    return EntryRecord(
+        id=entry,
+        heartbeat=heartbeat,
+        state=state.value,
+        region=region,
+        front=Address("127.0.0.1", port),
+        peer=Address("127.0.0.1", port + 1),
+        **fields,
+    )
--- /dev/null
+++ b/tests/gateway/test_directory.py
@@ -0,0 +1,79 @@
+"""Which entry VMs callers are told to use."""
+
+from random import Random
+
+from gateway_facts import Clock, make_configuration, make_record, make_route
+
+from pimentospool.gateway import EntryDirectory, EntryState, Knowledge
+from pimentospool.gateway._fleet import Fleet, FleetMessage
+
+
+def make_directory(*records, own, routes=()):
+    clock = Clock()
+    fleet = Fleet(own=own, clock=clock, rng=Random(1))
+    for record in records:
+        fleet.receive(FleetMessage(sender=record, relayed=[], occupancy={}))
+    knowledge = Knowledge(clock=clock, zone_regions={})
+    if routes:
+        knowledge.adopt(make_configuration(*routes))
+    return EntryDirectory(fleet=fleet, knowledge=knowledge), clock
+
+
+def test_names_ready_entries_of_the_region():
+    near, leaving = make_record("a"), make_record("b", state=EntryState.LEAVING)
+    far = make_record("c", region="delta")
+    directory, _ = make_directory(near, leaving, far, own=make_record("d"))
+    own = make_record("d").front
+    assert set(directory.lookup("shop.example", "gulf")) == {near.front, own}
+
+
+def test_drops_entries_that_are_gone():
+    near = make_record("a")
+    directory, clock = make_directory(near, own=make_record("d", region="delta"))
+    assert directory.lookup("shop.example", "gulf") == [near.front]
+    clock.now += 3.5
+    assert near.front not in directory.lookup("shop.example", "gulf")
+
+
+def test_prefers_home_regions_elsewhere():
+    piedmont, delta = (
+        make_record("p", region="piedmont"),
+        make_record("x", region="delta"),
+    )
+    routes = [
+        make_route("/ask/", home_regions=frozenset({"gulf", "piedmont"})),
+        make_route("/plan/"),
+    ]
+    directory, _ = make_directory(
+        piedmont, own=make_record("x", region="delta"), routes=routes
+    )
+    assert directory.lookup("shop.example", "gulf") == [piedmont.front]
+    assert delta.front not in directory.lookup("shop.example", "gulf")
+
+
+def test_prefers_any_home_region_where_routes_have_none_in_common():
+    piedmont = make_record("p", region="piedmont")
+    routes = [
+        make_route("/ask/", home_regions=frozenset({"gulf", "piedmont"})),
+        make_route("/a/", home_regions=frozenset({"gulf"})),
+        make_route("/b/", home_regions=frozenset({"piedmont"})),
+    ]
+    directory, _ = make_directory(
+        piedmont, own=make_record("x", region="delta"), routes=routes
+    )
+    assert directory.lookup("shop.example", "gulf") == [piedmont.front]
+
+
+def test_names_nothing_while_no_entry_is_ready():
+    own = make_record("d", state=EntryState.STARTING)
+    directory, _ = make_directory(own=own)
+    assert directory.lookup("shop.example", "gulf") == []
+
+
+def test_names_leaving_entries_before_those_of_other_regions():
+    leaving = make_record("a", state=EntryState.LEAVING)
+    closed = make_record("b", state=EntryState.CLOSED)
+    own = make_record("d", region="delta")
+    directory, _ = make_directory(leaving, closed, own=own)
+    assert directory.lookup("shop.example", "gulf") == [leaving.front]
+    assert directory.lookup("shop.example", "delta") == [own.front]
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import pytest
-from gateway import chat, expected_text, gateway, serving_in, streamed_text
+from running_entry import chat, expected_text, gateway, serving_in, streamed_text
 
 from pimentospool import exchanges, relaying
 from pimentospool.faults import Direction, LinkState
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -11,7 +11,7 @@
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
-from gateway import chat, expected_text, gateway, serving_in, streamed_text
+from running_entry import chat, expected_text, gateway, serving_in, streamed_text
 
 from pimentospool._generated.settings import TlsSettings
 from pimentospool.errors import DocumentErrors
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -4,7 +4,7 @@
 
 import msgspec
 from aiohttp import web
-from gateway import PROMPT, chat, gateway, serving_in
+from running_entry import PROMPT, chat, gateway, serving_in
 
 from pimentospool.standins import serve_standin
 
