Weigh the reading of a prompt by the batch that it delays

Slots were assumed to turn over in 1.5 s, and paces were learnt at the end of a stream. Change: the time to read a prompt counts more beside a crowded batch, here and in the region that would take it; regions tell their crowding; slots' turns are measured and paces learnt at the first event; a first event later than callers wait is refused. Placements and departures of callers are logged.

--- a/pimentospool/gateway/_dispatch.py
+++ b/pimentospool/gateway/_dispatch.py
@@ -25,10 +25,12 @@
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
     Assignment,
+    Candidate,
     NoChoice,
     RegionChoice,
     RepeatBudget,
     TargetChoice,
+    TargetHealth,
 )
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
@@ -108,7 +110,12 @@
             refusal = Refusal(reason=RefusalReason.NO_ROUTE, verdict=Verdict.NOT_RUN)
             await self._refuse(req, reply, refusal)
             return
-        await _Attempts(self, req, reply, route, service).run()
+        attempts = _Attempts(self, req, reply, route, service)
+        try:
+            await attempts.run()
+        except (asyncio.CancelledError, ConnectionError):
+            attempts.log_departure()
+            raise
 
     def _service(
         self,
@@ -171,6 +178,8 @@
         self._progress = Progress(route=route, max_targets=max_targets)
         patience = min(req.patience_seconds, route.timeout_seconds)
         self._deadline = req.received_at + patience
+        self._progress.moved_at = req.received_at
+        self._place = ""
 
     @property
     def remaining_seconds(self) -> float:
@@ -189,11 +198,12 @@
                 self._route,
                 self._service,
                 progress,
-                remaining_seconds=self.remaining_seconds,
+                patience_seconds=self._patience_seconds(),
             )
             if isinstance(choice, NoChoice):
                 await self._end(choice.detail, choice.retry_after_seconds)
                 return
+            self._log_choice(choice)
             try:
                 if isinstance(choice, TargetChoice):
                     await self._try_target(choice)
@@ -209,6 +219,45 @@
                 await self._end("the budget of repeated sends is used up", None)
                 return
 
+    def log_departure(self) -> None:
+        """Log that the caller left, with where its request was."""
+        progress = self._progress
+        log_event(
+            Event.CALLER_LEFT,
+            request=self._req.id,
+            route=self._route.name,
+            place=self._place,
+            attempt=progress.attempts + 1,
+            events=progress.events,
+            silent_seconds=round(self._owner._clock() - progress.moved_at, 3),
+            seconds=round(self._owner._clock() - self._req.received_at, 3),
+        )
+
+    def _log_choice(self, choice: TargetChoice | RegionChoice) -> None:
+        req, fields = self._req, {}
+        if isinstance(choice, TargetChoice):
+            place, load = choice.candidate, choice.candidate.occupancy
+            fields = {
+                "target": place.target,
+                "running": load.running,
+                "waiting_tokens": load.waiting_tokens,
+                "held_tokens": load.held_tokens,
+                "unread_tokens": place.unread_tokens,
+                "pace": round(place.pace, 2),
+                "failing": round(place.failing, 2),
+            }
+        else:
+            fields = {"region": choice.region}
+        self._place = str(fields.get("target") or fields.get("region"))
+        log_event(
+            Event.REQUEST_PLACED,
+            request=req.id,
+            route=self._route.name,
+            key=req.prompt.shared_key if req.prompt else None,
+            attempt=self._progress.attempts + 1,
+            **fields,
+        )
+
     def _record(self, choice: TargetChoice | RegionChoice, exc: AttemptFailure) -> None:
         progress = self._progress
         target = region = None
@@ -260,18 +309,21 @@
             raise _not_sent("the target was removed")
         assignment = owner._placing.begin(req, candidate)
         pool = owner._pools.to_target(state.registration, self._service)
+        began_at = owner._clock()
         try:
             conn = await pool.acquire()
             try:
                 wire = self._wire_to_target(state)
                 self._count_send()
                 sent_at = owner._clock()
+                assignment.on_first_event = _PaceRecorder(
+                    health=owner._placing.health(state.id),
+                    candidate=candidate,
+                    sent_at=sent_at,
+                )
                 stream = conn.send(wire)
                 await self._receive(stream, assignment, self._answer_seconds())
-                pace = (assignment.first_event_at or owner._clock()) - sent_at
-                owner._placing.health(state.id).answered(
-                    pace / candidate.first_byte_seconds * candidate.pace
-                )
+                assignment.first_event()
             except AttemptFailure as exc:
                 if exc.cause is FailureCause.SILENT:
                     pool.discard_idle()
@@ -280,6 +332,7 @@
                 pool.release(conn)
         finally:
             assignment.end()
+            owner._placing.health(state.id).ended(owner._clock() - began_at)
 
     def _wire_to_target(self, state: TargetState) -> WireRequest:
         owner, req = self._owner, self._req
@@ -308,6 +361,14 @@
         last = self._progress.last_event
         return self._req.resume_after if last is None else last
 
+    def _patience_seconds(self) -> float:
+        """Return how long the caller waits for the first byte, or the next event."""
+        remaining = self.remaining_seconds
+        if self._route.kind is not RequestKind.STREAM:
+            return remaining
+        waited = self._owner._clock() - self._progress.moved_at
+        return min(remaining, self._route.event_patience_seconds - waited)
+
     def _answer_seconds(self) -> float:
         """Return how long the attempt waits for the head of its answer."""
         remaining = self.remaining_seconds
@@ -320,7 +381,7 @@
         peers = [
             rec
             for rec in owner._fleet.ready(choice.region)
-            if self._service.id in rec.waits
+            if self._service.id in rec.loads
         ]
         if not peers:
             raise _not_sent("no entry VM of the region is ready")
@@ -403,6 +464,7 @@
                         self._reply,
                         self._progress,
                         resumable=self._route.resumable,
+                        clock=self._owner._clock,
                         assignment=assignment,
                     )
                 else:
@@ -451,6 +513,22 @@
         )
 
 
+class _PaceRecorder:
+    """Tells a target's health how long its first event took."""
+
+    def __init__(
+        self, *, health: TargetHealth, candidate: Candidate, sent_at: float
+    ) -> None:
+        self._health = health
+        self._candidate = candidate
+        self._sent_at = sent_at
+
+    def __call__(self, now: float) -> None:
+        """Record the first event, or the end of the wait for it, at `now`."""
+        expected = self._candidate.first_byte_seconds / self._candidate.pace
+        self._health.answered((now - self._sent_at) / expected)
+
+
 def _not_sent(
     detail: str, cause: FailureCause = FailureCause.REFUSED
 ) -> AttemptFailure:
--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -41,6 +41,15 @@
     CLOSED = 3
 
 
+class ServiceLoad(msgspec.Struct, array_like=True, frozen=True):
+    """Load of the target of a service at which a small request waits least."""
+
+    wait_seconds: float
+    """Expected time to a first byte."""
+    crowding: float
+    """Share of its slots in use."""
+
+
 class EntryRecord(msgspec.Struct, array_like=True, omit_defaults=False):
     """What one entry VM says of itself; encoded as an array."""
 
@@ -53,9 +62,8 @@
     zone: str
     front: Address
     peer: Address
-    waits: dict[str, float]
-    """Expected seconds to a first byte in its region, by service; services without
-    a usable target are left out."""
+    loads: dict[str, ServiceLoad]
+    """Load of its region by service; services without a usable target are left out."""
 
 
 class FleetMessage(msgspec.Struct, array_like=True):
@@ -132,17 +140,19 @@
         """Return the regions in which other entry VMs are alive."""
         return {RegionId(record.region) for record in self.live()}
 
-    def waits(self, service: ServiceId) -> dict[RegionId, float]:
-        """Return the least wait for `service` that each other region reports."""
-        waits: dict[RegionId, float] = {}
+    def loads(self, service: ServiceId) -> dict[RegionId, ServiceLoad]:
+        """Return the least load of `service` that each other region reports."""
+        loads: dict[RegionId, ServiceLoad] = {}
         for rec in self.live():
             if rec.region == self.own.region or rec.state != EntryState.READY.value:
                 continue
-            wait = rec.waits.get(service)
-            if wait is not None:
-                region = RegionId(rec.region)
-                waits[region] = min(wait, waits.get(region, wait))
-        return waits
+            load = rec.loads.get(service)
+            if load is None:
+                continue
+            known = loads.get(RegionId(rec.region))
+            if known is None or load.wait_seconds < known.wait_seconds:
+                loads[RegionId(rec.region)] = load
+        return loads
 
     def known_ids(self, region: RegionId | None = None) -> list[EntryId]:
         """Return entry VMs known lately, gone ones and this one included."""
--- a/pimentospool/gateway/_model.py
+++ b/pimentospool/gateway/_model.py
@@ -15,6 +15,13 @@
     STREAM = "stream"
 
 
+LEAST_EVENT_PATIENCE_SECONDS = 2.0
+OBJECTIVES_PATIENCE = 4
+GAPS_PATIENCE = 8
+"""Callers leave a stream after the longest of two seconds, four times its latency
+objective and eight times its longest pause on time (the platform's protocol)."""
+
+
 class Address(msgspec.Struct, frozen=True):
     """An IPv4 address and a TCP port."""
 
@@ -57,6 +64,15 @@
         """Whether a request that may have run may be sent again."""
         return self.kind is RequestKind.IDEMPOTENT or self.resumable
 
+    @property
+    def event_patience_seconds(self) -> float:
+        """Longest wait for a stream's first or next event before callers leave."""
+        return max(
+            LEAST_EVENT_PATIENCE_SECONDS,
+            OBJECTIVES_PATIENCE * self.target_latency_seconds,
+            GAPS_PATIENCE * self.event_gap_seconds,
+        )
+
     def allows(self, region: RegionId) -> bool:
         """Whether targets of `region` may serve the requests."""
         return not self.home_regions or region in self.home_regions
--- a/pimentospool/gateway/_placing.py
+++ b/pimentospool/gateway/_placing.py
@@ -1,10 +1,11 @@
 """Gathers what the choice of a target needs to know."""
 
+import math
 from collections.abc import Callable
 
 import msgspec
 
-from pimentospool.gateway._fleet import Fleet
+from pimentospool.gateway._fleet import Fleet, ServiceLoad
 from pimentospool.gateway._knowledge import Knowledge, TargetState
 from pimentospool.gateway._model import HttpRoute, InboundRequest, ServiceSpec
 from pimentospool.gateway._progress import Progress
@@ -82,23 +83,37 @@
         service: ServiceSpec,
         progress: Progress,
         *,
-        remaining_seconds: float,
+        patience_seconds: float,
     ) -> TargetChoice | RegionChoice | NoChoice:
-        """Return where the next attempt of `req` goes."""
+        """Return where the next attempt of `req` goes.
+
+        `patience_seconds` is the time for which its caller waits for a first byte.
+        """
         candidates = []
         if route.allows(self._region):
             candidates = self._candidates(req, service, progress)
         remotes = []
         if not req.hopped and progress.targets_left:
-            remotes = self._remotes(route, service, progress)
-        choice = choose_place(candidates, remotes, remaining_seconds=remaining_seconds)
+            remotes = self._remotes(req, route, service, progress)
+        objective = route.target_latency_seconds or math.inf
+        choice = choose_place(
+            candidates,
+            remotes,
+            patience_seconds=patience_seconds,
+            objective_seconds=objective,
+        )
         if (
             isinstance(choice, TargetChoice)
             and choice.candidate.cold
             and not self._take_cold(choice.candidate, service)
         ):
             warm = [item for item in candidates if not item.cold]
-            return choose_place(warm, remotes, remaining_seconds=remaining_seconds)
+            return choose_place(
+                warm,
+                remotes,
+                patience_seconds=patience_seconds,
+                objective_seconds=objective,
+            )
         return choice
 
     def begin(self, req: InboundRequest, candidate: Candidate) -> Assignment:
@@ -123,20 +138,23 @@
             health = self._health[target] = TargetHealth(clock=self._clock)
         return health
 
-    def local_waits(self) -> dict[str, float]:
-        """Return the expected wait of a small request in this region, by service."""
+    def local_loads(self) -> dict[str, ServiceLoad]:
+        """Return the load of this region's targets by service."""
         configuration = self._knowledge.configuration
         if configuration is None:
             return {}
-        waits = {}
+        loads = {}
         for service in configuration.services.values():
-            seconds = [
-                self._candidate(state, service, unread=0, tokens=0).cost_seconds
+            candidates = [
+                self._candidate(state, service, unread=0, tokens=0)
                 for state in self._usable(service.id)
             ]
-            if seconds:
-                waits[str(service.id)] = round(min(seconds), 3)
-        return waits
+            if candidates:
+                least = min(candidates, key=lambda item: item.cost_seconds)
+                loads[str(service.id)] = ServiceLoad(
+                    round(least.cost_seconds, 3), round(least.crowding, 2)
+                )
+        return loads
 
     def _usable(self, service: ServiceId) -> list[TargetState]:
         states = self._knowledge.usable_targets(service, self._region)
@@ -180,6 +198,7 @@
             prompt_tokens=tokens,
             pace=health.pace,
             failing=health.failing,
+            turn_seconds=health.turn_seconds,
             cold=state.is_cold(self._clock()),
         )
 
@@ -197,14 +216,55 @@
         return sum(part.tokens for part in parts[leading:])
 
     def _remotes(
-        self, route: HttpRoute, service: ServiceSpec, progress: Progress
+        self,
+        req: InboundRequest,
+        route: HttpRoute,
+        service: ServiceSpec,
+        progress: Progress,
     ) -> list[RemoteRegion]:
-        return [
-            RemoteRegion(region=region, wait_seconds=wait)
-            for region, wait in self._fleet.waits(service.id).items()
+        loads = {
+            region: load
+            for region, load in self._fleet.loads(service.id).items()
             if route.allows(region) and region not in progress.excluded_regions
+        }
+        if not loads:
+            return []
+        home = self._region_of_parts(req, route, service)
+        return [
+            RemoteRegion(
+                region=region,
+                wait_seconds=load.wait_seconds,
+                crowding=load.crowding,
+                unread_tokens=self._unread_in(req, service, kept=region == home),
+            )
+            for region, load in loads.items()
         ]
 
+    def _region_of_parts(
+        self, req: InboundRequest, route: HttpRoute, service: ServiceSpec
+    ) -> RegionId | None:
+        """Return the region whose target all entry VMs prefer for the prompt."""
+        if req.prompt is None or service.engine is None:
+            return None
+        regions = {
+            state.id: region
+            for region in set(self._knowledge.zone_regions.values())
+            if route.allows(region)
+            for state in self._knowledge.usable_targets(service.id, region)
+        }
+        preferred = preferred_target(req.prompt.shared_key, list(regions))
+        return regions[preferred] if preferred is not None else None
+
+    def _unread_in(
+        self, req: InboundRequest, service: ServiceSpec, *, kept: bool
+    ) -> int:
+        prompt = req.prompt
+        if prompt is None or service.engine is None:
+            return 0
+        if not kept or not prompt.parts:
+            return prompt.tokens
+        return prompt.parts[-1].tokens
+
     def _take_cold(self, candidate: Candidate, service: ServiceSpec) -> bool:
         bounds = self._bounds
         rate = service.cold_requests_per_second * bounds.cold_overage
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -56,7 +56,7 @@
             zone=cfg.zone,
             front=cfg.front,
             peer=cfg.peer,
-            waits={},
+            loads={},
         )
         self.fleet = Fleet(own=self._record, clock=clock, rng=random.Random())
         self.book = OccupancyBook(clock=clock)
@@ -138,4 +138,4 @@
             self._record.state = EntryState.READY.value
 
     def _refresh_record(self) -> None:
-        self._record.waits = self._placing.local_waits()
+        self._record.loads = self._placing.local_loads()
--- a/pimentospool/gateway/_progress.py
+++ b/pimentospool/gateway/_progress.py
@@ -30,6 +30,10 @@
         """Whether a target has received the request."""
         self.last_event: int | None = None
         """Last event of the stream that the caller was sent."""
+        self.events = 0
+        """Pieces of a stream that the caller was sent."""
+        self.moved_at = 0.0
+        """Time of the last piece, or of the request's arrival."""
         self.excluded: set[TargetId] = set()
         self.excluded_regions: set[RegionId] = set()
         self.retry_after_seconds: float | None = None
--- a/pimentospool/gateway/_relay.py
+++ b/pimentospool/gateway/_relay.py
@@ -1,5 +1,7 @@
 """Passing a stream of events on as they arrive."""
 
+from collections.abc import Callable
+
 from pimentospool.gateway._connections import AnswerHead, AnswerStream
 from pimentospool.gateway._progress import Progress
 from pimentospool.gateway._replies import Reply
@@ -15,6 +17,7 @@
     progress: Progress,
     *,
     resumable: bool,
+    clock: Callable[[], float],
     assignment: Assignment | None,
 ) -> None:
     """Send a stream to `reply`, whose head is that of the first run.
@@ -41,6 +44,8 @@
             assignment.first_event()
         if not reply.started:
             await reply.begin(head)
+        progress.events += 1
+        progress.moved_at = clock()
         await reply.write(piece)
     if splitter is not None and splitter.pending_bytes:
         raise AttemptFailure(
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -52,6 +52,8 @@
     SETTINGS_REFUSED = (1010, logbook.ERROR, "changed settings file refused")
     REQUEST_SERVED = (2004, logbook.DEBUG, "request answered")
     REQUEST_FAILED = (2005, logbook.INFO, "request ended without its answer")
+    CALLER_LEFT = (2008, logbook.INFO, "caller left before the end of its answer")
+    REQUEST_PLACED = (2007, logbook.INFO, "request placed")
     ATTEMPT_FAILED = (2006, logbook.INFO, "attempt at a target failed")
     ORDER_SENT = (4001, logbook.NOTICE, "order sent to an engine")
     ORDER_HELD = (4002, logbook.WARNING, "order to an engine held back")
--- a/pimentospool/policy/_occupancy.py
+++ b/pimentospool/policy/_occupancy.py
@@ -63,13 +63,14 @@
         self._waiting_tokens = waiting_tokens
         self._held_tokens = held_tokens
         self._ended = False
-        self.first_event_at: float | None = None
+        self.on_first_event: Callable[[float], None] | None = None
         book.add(target, Occupancy(1, waiting_tokens, held_tokens))
 
     def first_event(self) -> None:
         """Record that the prompt has been read."""
-        if self.first_event_at is None:
-            self.first_event_at = self._book.now()
+        if self.on_first_event is not None:
+            self.on_first_event(self._book.now())
+            self.on_first_event = None
         if self._waiting_tokens:
             self._book.add(self._target, Occupancy(0, -self._waiting_tokens, 0))
             self._waiting_tokens = 0
--- a/pimentospool/policy/_target_choice.py
+++ b/pimentospool/policy/_target_choice.py
@@ -5,6 +5,7 @@
 refused at once when it cannot be answered in time anywhere.
 """
 
+import math
 from collections.abc import Sequence
 
 import msgspec
@@ -18,8 +19,6 @@
 """Expected time of a request without a prompt; each target's pace corrects it."""
 STEP_SECONDS = 0.01
 """Time to a first token that is independent of the prompt."""
-SLOT_TURN_SECONDS = 1.5
-"""Mean time for which a generation holds its slot."""
 CROWDING_SECONDS = 0.06
 """Cost of a target whose slots are all in use against an idle one."""
 MEMORY_SECONDS = 1.0
@@ -30,10 +29,18 @@
 """Cost of a target that has just started."""
 HOP_SECONDS = 0.12
 """Round trip to another region."""
-HOP_MARGIN_SECONDS = 0.25
+HOP_MARGIN_SECONDS = 0.1
 """Expected gain from which another region is worth the bytes sent there."""
+READ_CROWDING = 3.0
+"""Weight of the time to read a prompt beside a full batch, whose requests it delays;
+an empty one delays nobody."""
+REREAD_WEIGHT = 1.0
+"""Weight of the time to read parts that another target keeps, which is paid for."""
 REFUSE_SHARE = 0.9
 """Part of the time left that the wait for a first byte may take."""
+LATE_FACTOR = 4.0
+"""Latency objectives that the expected wait for a first byte may last; a request that
+is refused sooner comes back with time left, and does not delay those behind it."""
 MIN_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 10.0
 
@@ -51,6 +58,8 @@
     prompt_tokens: int = 0
     pace: float = 1.0
     failing: float = 0.0
+    turn_seconds: float = 0.0
+    """Mean time for which a request holds its slot."""
     cold: bool = False
 
     @property
@@ -64,15 +73,22 @@
         seconds = STEP_SECONDS + tokens / READ_TOKENS_PER_SECOND
         waiting = load.running - self.slots + 1
         if waiting > 0:
-            seconds += waiting * SLOT_TURN_SECONDS / max(self.slots, 1)
+            queue_seconds = waiting * self.turn_seconds / max(self.slots, 1)
+            return seconds * self.pace + queue_seconds
         return seconds * self.pace
 
+    @property
+    def crowding(self) -> float:
+        """Share of the slots that are in use, from 0 to 1."""
+        return min(1.0, self.occupancy.running / max(self.slots, 1))
+
     @property
     def cost_seconds(self) -> float:
         """First byte's time and what the choice costs beside."""
         load = self.occupancy
         cost = self.first_byte_seconds + FAILING_SECONDS * self.failing
         cost += CROWDING_SECONDS * load.running / max(self.slots, 1)
+        cost += _reading_cost(self.unread_tokens, self.crowding)
         if self.cache_tokens and (
             load.held_tokens + self.prompt_tokens > self.cache_tokens
         ):
@@ -87,7 +103,27 @@
 
     region: RegionId
     wait_seconds: float
-    """Expected time to a first byte there, without the way."""
+    """Expected time to a first byte there, without the way and the prompt."""
+    crowding: float = 0.0
+    """Share of the slots in use at the target with the least wait there."""
+    unread_tokens: int = 0
+    """Tokens of the prompt that a target there would have to read."""
+
+    @property
+    def read_seconds(self) -> float:
+        """Time to read the prompt there."""
+        return self.unread_tokens / READ_TOKENS_PER_SECOND
+
+    @property
+    def first_byte_seconds(self) -> float:
+        """Expected time to the first byte of the answer, the way included."""
+        return self.wait_seconds + self.read_seconds + HOP_SECONDS
+
+    @property
+    def cost_seconds(self) -> float:
+        """First byte's time and what the choice costs beside."""
+        reading = _reading_cost(self.unread_tokens, self.crowding)
+        return self.first_byte_seconds + reading + HOP_MARGIN_SECONDS
 
 
 class TargetChoice(msgspec.Struct, kw_only=True, frozen=True):
@@ -113,7 +149,8 @@
     candidates: Sequence[Candidate],
     remotes: Sequence[RemoteRegion],
     *,
-    remaining_seconds: float,
+    patience_seconds: float,
+    objective_seconds: float = math.inf,
 ) -> TargetChoice | RegionChoice | NoChoice:
     """Return where a request goes.
 
@@ -123,37 +160,41 @@
         Targets of this region.
     remotes : sequence of RemoteRegion
         Other regions that may serve the request.
-    remaining_seconds : float
-        Time to the caller's deadline.
+    patience_seconds : float
+        Time for which the caller waits for the first byte.
+    objective_seconds : float
+        Time within which the first byte is on time.
     """
     local = min(candidates, key=lambda item: item.cost_seconds, default=None)
-    remote = min(remotes, key=lambda item: item.wait_seconds, default=None)
+    remote = min(remotes, key=lambda item: item.cost_seconds, default=None)
     if local is None and remote is None:
         return NoChoice(
             detail="no target can take the request",
             retry_after_seconds=_bounded_retry(MIN_RETRY_SECONDS * 2),
         )
-    if local is not None and remote is not None:
-        there = remote.wait_seconds + HOP_SECONDS + HOP_MARGIN_SECONDS
-        if there < local.cost_seconds:
-            local = None
-        else:
-            remote = None
-    limit = remaining_seconds * REFUSE_SHARE
-    if local is not None:
-        wait = local.first_byte_seconds
-    else:
-        assert remote is not None
-        wait = remote.wait_seconds + HOP_SECONDS
+    if (
+        local is not None
+        and remote is not None
+        and remote.cost_seconds < local.cost_seconds
+    ):
+        local = None
+    place = local or remote
+    assert place is not None
+    wait = place.first_byte_seconds
+    limit = min(patience_seconds * REFUSE_SHARE, objective_seconds * LATE_FACTOR)
     if wait > limit:
         return NoChoice(
             detail=f"a first byte is expected in {wait:.2f} s",
             retry_after_seconds=_bounded_retry(wait - limit),
         )
-    if local is not None:
-        return TargetChoice(candidate=local)
-    assert remote is not None
-    return RegionChoice(region=remote.region)
+    if isinstance(place, Candidate):
+        return TargetChoice(candidate=place)
+    return RegionChoice(region=place.region)
+
+
+def _reading_cost(tokens: int, crowding: float) -> float:
+    seconds = tokens / READ_TOKENS_PER_SECOND
+    return seconds * (REREAD_WEIGHT + READ_CROWDING * crowding)
 
 
 def _bounded_retry(seconds: float) -> float:
--- a/pimentospool/policy/_target_health.py
+++ b/pimentospool/policy/_target_health.py
@@ -14,6 +14,8 @@
 RELAX_SECONDS = 4.0
 """Time in which an old observation loses most of its weight, so that a target that
 was slow is tried again."""
+INITIAL_TURN_SECONDS = 2.0
+"""Time for which a generation holds its slot, until some have ended."""
 MIN_PACE = 0.4
 MAX_PACE = 20.0
 
@@ -33,6 +35,8 @@
         self._failures_in_row = 0
         self._failing = 0.0
         self._pace = 1.0
+        self.turn_seconds = INITIAL_TURN_SECONDS
+        """Mean time for which a request held its slot."""
         self._observed_at = clock()
 
     @property
@@ -55,6 +59,10 @@
         self._failures_in_row = 0
         self._observe(min(MAX_PACE, max(MIN_PACE, pace)), failed=False)
 
+    def ended(self, seconds: float) -> None:
+        """Record that a request has left its slot after `seconds`."""
+        self.turn_seconds += SMOOTHING * (seconds - self.turn_seconds)
+
     def failed(self) -> None:
         """Record an answer that failed or broke off."""
         self._observe(self._pace, failed=True)
--- a/tests/gateway/gateway_facts.py
+++ b/tests/gateway/gateway_facts.py
@@ -75,7 +75,7 @@
     entry="e-1", *, region="gulf", state=EntryState.READY, heartbeat=1, **options
 ):
     port = 7000 + sum(entry.encode())
-    fields = {"life": 1, "zone": f"{region}-a", "waits": {}} | options
+    fields = {"life": 1, "zone": f"{region}-a", "loads": {}} | options
     return EntryRecord(
         id=entry,
         heartbeat=heartbeat,
