--- a/pimentospool/platform/_node.py
+++ b/pimentospool/platform/_node.py
@@ -57,6 +57,12 @@
         for server in self._servers:
             server.close()
         await self._gateway.finish_requests()
+        await self.close()
+
+    async def close(self) -> None:
+        """Close all listeners and connections and end the background tasks."""
+        for server in self._servers:
+            server.close()
         for front in self._fronts:
             await front.close()
         await cancel_tasks(self._tasks)
@@ -64,8 +70,8 @@
 
     async def _start(self) -> None:
         cfg = self._cfg
-        feed = StoreFeed(address=cfg.store, knowledge=self._gateway.knowledge)
-        self._tasks.append(asyncio.create_task(feed.run()))
+        self._feed = StoreFeed(address=cfg.store, knowledge=self._gateway.knowledge)
+        self._tasks.append(asyncio.create_task(self._feed.run()))
         await self._gateway.start()
         front, hops = self._fronts
         await self._listen(front.server, cfg.front.host, cfg.front.port)
--- a/pimentospool/platform/_store.py
+++ b/pimentospool/platform/_store.py
@@ -87,7 +87,7 @@
         self._revision: int | None = None
         self._zones: set[ZoneId] = set()
         self._answered_at = asyncio.get_running_loop().time()
-        self._failing = False
+        self.failing = False
         self._lapse_until = 0.0
         self.calls = 0
         self.skipped = 0
@@ -220,14 +220,14 @@
         return answer
 
     def _failed(self, exc: StoreError) -> None:
-        if not self._failing:
-            self._failing = True
+        if not self.failing:
+            self.failing = True
             log_event(Event.STORE_UNREACHABLE, reason=str(exc), revision=self._revision)
 
     def _answered(self) -> None:
         now = asyncio.get_running_loop().time()
-        if self._failing:
-            self._failing = False
+        if self.failing:
+            self.failing = False
             silent = now - self._answered_at
             if silent > OUTAGE_SECONDS:
                 self._lapse_until = now + LAPSE_WINDOW_SECONDS
--- a/pimentospool/standins/__init__.py
+++ b/pimentospool/standins/__init__.py
@@ -5,8 +5,14 @@
 from pimentospool.standins._directory import Directory, VmListService
 from pimentospool.standins._engine import EngineProfile, ModelEngine, token_text
 from pimentospool.standins._executions import Execution
+from pimentospool.standins._sealed_target import (
+    Fault,
+    ReceivedRequest,
+    SealedTarget,
+)
 from pimentospool.standins._server import StandinServer, serve_standin
 from pimentospool.standins._service import PlainService, ServiceAnswer
+from pimentospool.standins._store import StoreStandin
 from pimentospool.standins._weights import WeightStore
 
 __all__ = [
@@ -14,11 +20,15 @@
     "Directory",
     "EngineProfile",
     "Execution",
+    "Fault",
     "ModelEngine",
     "PlainService",
+    "ReceivedRequest",
+    "SealedTarget",
     "ServiceAnswer",
     "StandinDeployment",
     "StandinServer",
+    "StoreStandin",
     "VmListService",
     "WeightStore",
     "serve_standin",
--- /dev/null
+++ b/pimentospool/standins/_sealed_target.py
@@ -0,0 +1,262 @@
+"""Stand-in of a platform's target: sealed answers, and every way to spoil them.
+
+It answers requests with a body that names what it received, or with a stream of
+numbered events. An answer carries ``X-Response-Seal`` and echoes ``X-Request-Id``; a
+request meant for another instance gets 421, a rejected one ``X-Not-Executed``.
+"""
+
+import asyncio
+import contextlib
+import os
+import socket
+import struct
+from enum import Enum
+
+import msgspec
+
+_CRLF = b"\r\n"
+_END = b"\r\n\r\n"
+_NO_LINGER = struct.pack("ii", 1, 0)
+_CLOSE_POLL_SECONDS = 0.005
+
+
+class Fault(Enum):
+    """How a target spoils an exchange."""
+
+    REJECT = "503 with proof that nothing ran"
+    ERROR = "500 after the run"
+    UNPROVEN_BUSY = "503 without proof"
+    RESET_UNREAD = "a reset before the request is read"
+    RESET = "a reset after the run"
+    SILENT = "no answer"
+    CUT_BODY = "an answer that ends early"
+    CUT_STREAM = "a stream that breaks off within an event"
+    UNFRAMED = "an answer that ends with its connection"
+    UNFRAMED_RESET = "an answer without a length, cut by a reset"
+    NOT_HTTP = "bytes that are no answer"
+    EXTRA_BYTES = "an answer followed by bytes of no request"
+    LATE_SECOND = "a second answer, some time after the first"
+    FOREIGN = "an answer to another request before its own"
+    UNSEALED = "a success without the seal"
+    ENCODED = "an encoded body"
+    EARLY = "an answer before the body is read"
+
+
+class ReceivedRequest(msgspec.Struct, kw_only=True):
+    """A request as the target read it; header names are in lower case."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    ran: bool = True
+    left: bool = False
+    """Whether the sender closed the connection before the end."""
+
+    @property
+    def id(self) -> str:
+        """Id that the caller gave."""
+        return self.headers.get("x-request-id", "")
+
+
+class SealedTarget:
+    """A target on a loopback address.
+
+    Attributes
+    ----------
+    faults : list of Fault or None
+        What happens to the next requests, one each; none are left: all goes well.
+    events : int
+        Events of a stream; 0 answers with a whole body.
+    gap_seconds : float
+        Pause before each event, or before the whole answer.
+    """
+
+    def __init__(self, *, instance: str, events: int = 0) -> None:
+        self.instance = instance
+        self.events = events
+        self.gap_seconds = 0.0
+        self.faults: list[Fault | None] = []
+        self.received: list[ReceivedRequest] = []
+        self.connections = 0
+        self.address = ""
+        self._server: asyncio.Server | None = None
+
+    @property
+    def ran(self) -> list[ReceivedRequest]:
+        """Requests that ran."""
+        return [req for req in self.received if req.ran]
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+        bound = self._server.sockets[0].getsockname()
+        self.address = f"{bound[0]}:{bound[1]}"
+
+    async def close(self) -> None:
+        """Listen no longer."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while await self._exchange(reader, writer):
+                pass
+        writer.close()
+
+    async def _exchange(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Serve one request; return whether the connection stays open."""
+        head = (await reader.readuntil(_END)).decode("latin-1").split("\r\n")
+        fault = self.faults.pop(0) if self.faults else None
+        if fault is Fault.RESET_UNREAD:
+            _reset(writer)
+            return False
+        req = await self._read(head, reader, writer, fault)
+        if req.headers.get("x-expect-instance", self.instance) != self.instance:
+            req.ran = False
+            writer.write(self._head(req, 421, length=0))
+            return True
+        if fault is Fault.REJECT:
+            req.ran = False
+            writer.write(self._head(req, 503, "X-Not-Executed: 1", length=0))
+            return True
+        if fault is Fault.EARLY:
+            return True
+        gone = asyncio.ensure_future(_wait_closed(reader))
+        try:
+            return await self._answer(req, writer, fault, gone)
+        finally:
+            req.left = gone.done()
+            gone.cancel()
+
+    async def _read(
+        self,
+        head: list[str],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        fault: Fault | None,
+    ) -> ReceivedRequest:
+        method, path, _ = head[0].split(" ")
+        pairs = (line.partition(":")[::2] for line in head[1:] if line)
+        headers = {name.lower(): value.strip() for name, value in pairs}
+        req = ReceivedRequest(method=method, path=path, headers=headers, body=b"")
+        self.received.append(req)
+        if fault is Fault.EARLY:
+            writer.write(self._head(req, 200, length=5) + b"early")
+        req.body = await reader.readexactly(int(headers.get("content-length", "0")))
+        return req
+
+    async def _answer(
+        self,
+        req: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+        fault: Fault | None,
+        gone: "asyncio.Future[None]",
+    ) -> bool:
+        if fault is Fault.SILENT:
+            await gone
+            return False
+        if self.events:
+            return await self._stream(req, writer, fault, gone)
+        await asyncio.wait([gone], timeout=self.gap_seconds)
+        body = f"{self.instance} {req.method} {req.path} ".encode() + req.body
+        if fault is Fault.RESET:
+            _reset(writer)
+            return False
+        if fault is Fault.NOT_HTTP:
+            writer.write(b"\x16\x03\x01 nothing that could be parsed" + _END)
+            return False
+        if fault is Fault.CUT_BODY:
+            writer.write(self._head(req, 200, length=len(body) + 50) + body)
+            return False
+        if fault in (Fault.UNFRAMED, Fault.UNFRAMED_RESET):
+            writer.write(self._head(req, 200, "Connection: close") + body)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            if fault is Fault.UNFRAMED_RESET:
+                _reset(writer)
+            return False
+        if fault is Fault.FOREIGN:
+            other = ReceivedRequest(
+                method="GET", path="/", headers={"x-request-id": "other"}, body=b""
+            )
+            writer.write(self._head(other, 200, length=5) + b"other")
+        status = 500 if fault is Fault.ERROR else 200
+        if fault is Fault.UNPROVEN_BUSY:
+            status = 503
+        extra = "Content-Encoding: gzip" if fault is Fault.ENCODED else ""
+        sealed = fault is not Fault.UNSEALED
+        head = self._head(req, status, extra, length=len(body), sealed=sealed)
+        writer.write(head + body)
+        if fault is Fault.EXTRA_BYTES:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore")
+        if fault is Fault.LATE_SECOND:
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.write(head + body)
+        return True
+
+    async def _stream(
+        self,
+        req: ReceivedRequest,
+        writer: asyncio.StreamWriter,
+        fault: Fault | None,
+        gone: "asyncio.Future[None]",
+    ) -> bool:
+        extra = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"
+        writer.write(self._head(req, 200, extra))
+        first = int(req.headers.get("last-event-id", "0")) + 1
+        for number in range(first, self.events + 1):
+            await asyncio.wait([gone], timeout=self.gap_seconds)
+            if gone.done():
+                return False
+            event = b"id: %d\ndata: %d\n\n" % (number, number)
+            if fault is Fault.CUT_STREAM and number > first:
+                writer.write(_chunk(event[: len(event) // 2]))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                return False
+            writer.write(_chunk(event))
+        writer.write(b"0" + _END)
+        return True
+
+    def _head(
+        self,
+        req: ReceivedRequest,
+        status: int,
+        extra: str = "",
+        *,
+        length: int | None = None,
+        sealed: bool = True,
+    ) -> bytes:
+        lines = [f"HTTP/1.1 {status} Status", f"X-Request-Id: {req.id}"]
+        if sealed and status not in (421,):
+            lines.append(f"X-Response-Seal: {self.instance}.{req.id}")
+        if extra:
+            lines.append(extra)
+        if length is not None:
+            lines.append(f"Content-Length: {length}")
+        return "\r\n".join(lines).encode() + _END
+
+
+async def _wait_closed(reader: asyncio.StreamReader) -> None:
+    """Return when the other side closes; it sends nothing before its answer."""
+    while not (reader.at_eof() or reader.exception()):
+        await asyncio.sleep(_CLOSE_POLL_SECONDS)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close the connection with a reset; an abort alone may end it in order."""
+    fileno = os.dup(writer.get_extra_info("socket").fileno())
+    with socket.socket(fileno=fileno) as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    writer.transport.abort()
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x" % len(data) + _CRLF + data + _CRLF
--- /dev/null
+++ b/pimentospool/standins/_store.py
@@ -0,0 +1,145 @@
+"""Stand-in of the platform's store: items, ranges and watches by revision.
+
+``GET /kv-range`` lists items by prefix, ``GET /kv-watch`` waits for changes after a
+revision, and ``GET /kv-key`` reads one item. Values travel as base64 text. History
+can be dropped, calls can be refused or left without an answer.
+"""
+
+import asyncio
+import base64
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+PAGE_ITEMS = 500
+_GONE = 410
+
+
+class StoreStandin:
+    """A store that tests write to and the system reads.
+
+    Attributes
+    ----------
+    refusing : int
+        Status with which calls are refused; 0 serves them.
+    silent : bool
+        Whether calls get no answer.
+    calls : int
+        Reading calls so far, refused ones included.
+    """
+
+    def __init__(self) -> None:
+        self.refusing = 0
+        self.silent = False
+        self.calls = 0
+        self.page_items = PAGE_ITEMS
+        self._revision = 1
+        self._items: dict[str, dict[str, Any]] = {}
+        self._events: list[dict[str, Any]] = []
+        self._history_from = 0
+        self._changed = asyncio.Condition()
+
+    def routes(self) -> list[web.AbstractRouteDef]:
+        """Return the routes of the stand-in."""
+        return [
+            web.get("/kv-key", self._key),
+            web.get("/kv-range", self._range),
+            web.get("/kv-watch", self._watch),
+        ]
+
+    async def put(self, key: str, value: object) -> None:
+        """Write `value`, as JSON unless it is bytes."""
+        data = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        await self._change(
+            {"Key": key, "Value": base64.b64encode(data).decode(), "Lease": 0}
+        )
+
+    async def delete(self, key: str) -> None:
+        """Remove the item with `key`."""
+        await self._change({"Key": key, "Deleted": True})
+
+    async def drop_history(self) -> None:
+        """Forget all changes so far; watches after older revisions get 410."""
+        async with self._changed:
+            self._history_from = self._revision
+            self._changed.notify_all()
+
+    async def _change(self, event: dict[str, Any]) -> None:
+        async with self._changed:
+            self._revision += 1
+            event["Revision"] = self._revision
+            self._events.append(event)
+            if event.get("Deleted"):
+                self._items.pop(event["Key"], None)
+            else:
+                known = self._items.get(event["Key"])
+                event["Created"] = known["Created"] if known else self._revision
+                self._items[event["Key"]] = event
+            self._changed.notify_all()
+
+    async def _key(self, req: web.Request) -> web.Response:
+        await self._admit()
+        item = self._items.get(req.query["Key"])
+        if item is None:
+            return web.Response(status=404)
+        return _json({**item, "StoreRevision": self._revision})
+
+    async def _range(self, req: web.Request) -> web.Response:
+        await self._admit()
+        after = req.query.get("after", "")
+        keys = sorted(
+            key
+            for key in self._items
+            if key.startswith(req.query["Prefix"]) and key > after
+        )
+        page = [self._items[key] for key in keys[: self.page_items]]
+        return _json(
+            {
+                "items": page,
+                "HasMore": len(keys) > len(page),
+                "StoreRevision": self._revision,
+            }
+        )
+
+    async def _watch(self, req: web.Request) -> web.Response:
+        await self._admit()
+        after, prefix = int(req.query["after"]), req.query["Prefix"]
+        try:
+            async with asyncio.timeout(int(req.query["WaitMs"]) / 1000):
+                async with self._changed:
+                    while after >= self._history_from and not self._after(
+                        after, prefix
+                    ):
+                        await self._changed.wait()
+        except TimeoutError:
+            pass
+        await self._admit(counted=False)
+        if after < self._history_from:
+            return web.Response(status=_GONE)
+        return _json(
+            {"events": self._after(after, prefix), "StoreRevision": self._revision}
+        )
+
+    def _after(self, after: int, prefix: str) -> list[dict[str, Any]]:
+        return [
+            event
+            for event in self._events
+            if event["Revision"] > after and event["Key"].startswith(prefix)
+        ]
+
+    async def _admit(self, *, counted: bool = True) -> None:
+        """Count a call and refuse it or hold it if it gets no answer."""
+        self.calls += counted
+        if self.silent:
+            await asyncio.Event().wait()
+        if self.refusing:
+            refusal = web.HTTPServiceUnavailable()
+            refusal.set_status(self.refusing)
+            raise refusal
+
+
+def _json(value: object) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(value), content_type="application/json"
+    )
--- /dev/null
+++ b/tests/platform/test_fleet_path.py
@@ -0,0 +1,176 @@
+"""Two regions: hops, homes, the directory and leaving entry VMs."""
+
+import asyncio
+
+import aiohttp
+import pytest
+from platform_site import HOST, decode, site
+
+from pimentospool.gateway import EntryState
+from pimentospool.standins import Fault
+
+ZONES = ("gulf-a", "delta-a")
+
+
+async def joined(made):
+    """Wait until both nodes are ready and know each other."""
+    await made.wait_until(
+        lambda: all(
+            node.gateway.state is EntryState.READY
+            and len(node.gateway.fleet.live()) == len(made.nodes) - 1
+            and all(
+                rec.state == EntryState.READY.value for rec in node.gateway.fleet.live()
+            )
+            for node in made.nodes
+        )
+    )
+
+
+def play(runner, tmp_path, test, zones=ZONES):
+    async def run():
+        async with site(tmp_path, zones=zones) as made:
+            await joined(made)
+            await test(made)
+
+    runner.run(run())
+
+
+async def loads_known(made, node, service="desk"):
+    fleet = made.nodes[node].gateway.fleet
+    await made.wait_until(lambda: fleet.loads(service))
+
+
+async def resolve(made, *, node=0, region="gulf"):
+    address = made.nodes[node].cfg.directory
+    query = {"Name": HOST, "Region": region, "Zone": f"{region}-a"}
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(f"http://{address}/resolve", params=query) as resp,
+    ):
+        return resp.status, decode(await resp.read()) if resp.status == 200 else None
+
+
+def test_region_without_targets_is_served_by_another(runner, tmp_path):
+    async def check(made):
+        await made.add_target("d-9", zone="delta-a")
+        await loads_known(made, 0)
+        status, headers, body = await made.call("/book/x", method="POST", data=b"1")
+        assert status == 200
+        assert headers["X-Response-Seal"] == "d-9.r-1"
+        assert body == b"d-9 POST /book/x 1"
+
+    play(runner, tmp_path, check)
+
+
+def test_route_with_a_home_is_served_there_only(runner, tmp_path):
+    async def check(made):
+        near = await made.add_target("d-1", zone="gulf-a")
+        home = await made.add_target("d-9", zone="delta-a")
+        await loads_known(made, 0)
+        for number in range(5):
+            status, _, _ = await made.call("/home/", request_id=f"r-{number}")
+            assert status == 200
+        assert len(home.received) == 5
+        assert not near.received
+
+    play(runner, tmp_path, check)
+
+
+def test_hop_is_not_sent_on_and_says_that_nothing_ran(runner, tmp_path):
+    async def check(made):
+        home = await made.add_target("d-9", zone="delta-a")
+        await loads_known(made, 0)
+        home.faults = [Fault.REJECT] * 20
+        status, headers, _ = await made.call("/home/")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert not home.ran
+        assert "Pimentospool-Verdict" not in headers
+
+    play(runner, tmp_path, check)
+
+
+@pytest.mark.parametrize("fault", [Fault.RESET, Fault.CUT_BODY])
+def test_hop_that_may_have_run_is_not_repeated(runner, tmp_path, fault):
+    async def check(made):
+        target = await made.add_target("d-9", zone="delta-a")
+        await loads_known(made, 0)
+        target.faults = [fault]
+        status, _, _ = await made.call("/book/", method="POST", data=b"1")
+        assert status == 502
+        assert len(target.received) == 1
+
+    play(runner, tmp_path, check)
+
+
+def test_stream_crosses_regions_as_it_arrives(runner, tmp_path):
+    async def check(made):
+        await made.add_target("m-9", service="llm", events=4, zone="delta-a")
+        await loads_known(made, 0, "llm")
+        status, headers, body = await made.call("/ask/", method="POST", data=b"p")
+        assert status == 200
+        assert headers["X-Response-Seal"] == "m-9.r-1"
+        assert body.count(b"id: ") == 4
+
+    play(runner, tmp_path, check)
+
+
+def test_caller_that_leaves_ends_the_work_in_the_other_region(runner, tmp_path):
+    async def check(made):
+        target = await made.add_target("m-9", service="llm", events=9, zone="delta-a")
+        await loads_known(made, 0, "llm")
+        target.gap_seconds = 0.2
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.4):
+                await made.call("/ask/", method="POST", data=b"p")
+        await made.wait_until(lambda: target.received[0].left, seconds=0.5)
+
+    play(runner, tmp_path, check)
+
+
+def test_directory_names_the_regions_entries_and_drops_those_that_leave(
+    runner, tmp_path
+):
+    async def check(made):
+        status, answer = await resolve(made, node=0, region="delta")
+        fronts = [str(node.cfg.front) for node in made.nodes]
+        assert (status, answer["Addresses"]) == (200, [fronts[1]])
+        assert 0 < answer["TtlS"] <= 5
+        _, answer = await resolve(made, node=1, region="gulf")
+        assert set(answer["Addresses"]) == {fronts[0], fronts[2]}
+        made.nodes[2].terminate()
+        await made.wait_until(
+            lambda: made.nodes[2].gateway.state is not EntryState.READY
+        )
+        await asyncio.sleep(0.6)
+        _, answer = await resolve(made, node=1, region="gulf")
+        assert answer["Addresses"] == [fronts[0]]
+
+    play(runner, tmp_path, check, zones=("gulf-a", "delta-a", "gulf-a"))
+
+
+def test_leaving_node_ends_its_streams_and_closes_kept_connections(runner, tmp_path):
+    async def check(made):
+        target = await made.add_target("m-1", service="llm", events=8)
+        knowledge = made.nodes[0].gateway.knowledge
+        await made.wait_until(knowledge.known_targets)
+        target.gap_seconds = 0.15
+        stream = asyncio.create_task(made.call("/ask/", method="POST", data=b"p"))
+        await made.wait_until(lambda: target.received)
+        made.nodes[0].terminate()
+        await made.wait_until(
+            lambda: made.nodes[0].gateway.state is not EntryState.READY
+        )
+        target.events = 2
+        status, headers, _ = await made.call(
+            "/ask/", method="POST", data=b"p", request_id="r-2"
+        )
+        assert status == 200
+        assert headers["Connection"] == "close"
+        status, _, body = await stream
+        assert status == 200
+        assert body.count(b"id: ") == 8
+        async with asyncio.timeout(4):
+            await made.nodes[0].task
+
+    play(runner, tmp_path, check, zones=("gulf-a",))
--- /dev/null
+++ b/tests/platform/test_process.py
@@ -0,0 +1,94 @@
+"""The real program: start, signals, reload and refusal of bad settings."""
+
+import asyncio
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+import tomli_w
+from platform_site import ZONES, config, free_port, node_file
+
+from pimentospool.standins import StoreStandin, serve_standin
+
+START_SECONDS = 10.0
+
+
+def command(path):
+    return [sys.executable, "-m", "pimentospool", "node", str(path)]
+
+
+def status_of(url):
+    try:
+        with urllib.request.urlopen(url, timeout=1.0) as resp:
+            return resp.status
+    except urllib.error.HTTPError as exc:
+        return exc.code
+    except OSError:
+        return 0
+
+
+def wait_status(url, status):
+    deadline = time.monotonic() + START_SECONDS
+    while status_of(url) != status:
+        assert time.monotonic() < deadline, f"{url} never answered {status}"
+        time.sleep(0.05)
+
+
+def test_bad_settings_end_the_process_with_2(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text('Node = "edge-1"\n')
+    done = subprocess.run(
+        command(path), capture_output=True, text=True, timeout=20, check=False
+    )
+    assert done.returncode == 2
+    assert "zone" in done.stderr.lower()
+    assert "Traceback" not in done.stderr
+
+
+def test_serves_reloads_and_leaves(runner, tmp_path):
+    ports = [free_port("127.0.0.1") for _ in range(5)]
+    path = tmp_path / "node.toml"
+
+    async def play():
+        store = StoreStandin()
+        server = await serve_standin(store, "127.0.0.1:0")
+        await store.put("op/config", config())
+        raw = node_file(
+            "127.0.0.1",
+            zone=next(iter(ZONES)),
+            store=server.address,
+            seeds=["127.0.0.1"],
+            ports=ports,
+        )
+        path.write_text(tomli_w.dumps(raw))
+        output = (tmp_path / "out").open("w")
+        proc = subprocess.Popen(command(path), stdout=output, stderr=output)
+        ready = f"http://127.0.0.1:{ports[1]}/ready"
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.run_in_executor(None, wait_status, ready, 200)
+            raw["Seeds"] = []
+            path.write_text(tomli_w.dumps(raw))
+            proc.send_signal(signal.SIGHUP)
+            proc.send_signal(signal.SIGTERM)
+            await loop.run_in_executor(None, wait_status, ready, 503)
+            code = await loop.run_in_executor(None, proc.wait, 10)
+        finally:
+            proc.kill()
+            output.close()
+            await server.close()
+        return code
+
+    assert runner.run(play()) == 0
+    log = (tmp_path / "out").read_text()
+    for name in (
+        "ENTRY_STARTED",
+        "CONFIGURATION_ADOPTED",
+        "SETTINGS_RELOADED",
+        "ENTRY_LEAVING",
+        "ENTRY_STOPPED",
+    ):
+        assert name in log
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,59 @@
+"""The settings file of the platform."""
+
+import pytest
+import tomli_w
+from platform_site import node_file
+
+from pimentospool.gateway import Address
+from pimentospool.platform import read_node_settings
+from pimentospool.platform._settings import NodeSettingsError
+
+
+def raw_file():
+    return node_file(
+        "10.1.0.5",
+        zone="gulf-a",
+        store="10.9.0.1:8142",
+        seeds=["10.1.0.6", "10.2.0.7"],
+        ports=(1001, 1002, 1003, 1004, 1005),
+    )
+
+
+def write(tmp_path, raw):
+    path = tmp_path / "node.toml"
+    path.write_text(tomli_w.dumps(raw))
+    return path
+
+
+def test_seeds_are_told_by_the_peers_port(tmp_path):
+    cfg = read_node_settings(write(tmp_path, raw_file()))
+    assert cfg.peer == Address("10.1.0.5", 1005)
+    assert cfg.seeds == (Address("10.1.0.6", 1005), Address("10.2.0.7", 1005))
+    assert cfg.bounds.repeat_reserve == 56
+    assert cfg.grace_seconds == 4
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"Node": 5}, "Node"),
+        ({"Zone": None}, "Zone"),
+        ({"InternalPorts": "7660"}, "InternalPorts"),
+        ({"Platform": {}}, "Address"),
+        ({"Platform": {"Address": "nowhere"}}, "nowhere"),
+    ],
+)
+def test_fault_names_the_field(tmp_path, change, field):
+    raw = {k: v for k, v in (raw_file() | change).items() if v is not None}
+    with pytest.raises(NodeSettingsError, match=field) as caught:
+        read_node_settings(write(tmp_path, raw))
+    assert "node.toml" in str(caught.value)
+
+
+def test_unreadable_file_is_refused(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text("not = [toml")
+    with pytest.raises(NodeSettingsError):
+        read_node_settings(path)
+    with pytest.raises(NodeSettingsError):
+        read_node_settings(tmp_path / "missing.toml")
