Ask targets of a restored zone whether they are cold

Change: one entry VM of the region sends each of these targets one health check and tells the others how long it stays cold; without an answer the assumption holds.

--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -42,6 +42,12 @@
     ) -> bytes:
         """Return `req` in bytes for another entry VM."""
 
+    def encode_health(self, registration: Registration, path: str) -> bytes:
+        """Return a health check of one target in bytes."""
+
+    def cold_seconds(self, head: AnswerHead) -> float | None:
+        """Return how long a target stays cold, None if its answer does not say."""
+
     def accepts(self, head: AnswerHead, req: InboundRequest) -> bool:
         """Whether an answer with `head` may belong to `req`."""
 
--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -73,6 +73,8 @@
     relayed: list[EntryRecord]
     occupancy: dict[str, tuple[int, int, int]]
     """Work of the sender at each target; only between VMs of one region."""
+    cold: dict[str, float] = {}
+    """Seconds for which targets that the sender has asked stay cold."""
 
 
 class Member(msgspec.Struct, kw_only=True):
@@ -182,7 +184,10 @@
         return chosen
 
     def message(
-        self, receiver: EntryRecord | None, occupancy: dict[TargetId, Occupancy]
+        self,
+        receiver: EntryRecord | None,
+        occupancy: dict[TargetId, Occupancy],
+        cold: dict[TargetId, float],
     ) -> FleetMessage:
         """Return the message to `receiver`, or to one that is not known yet."""
         near = receiver is not None and receiver.region == self.own.region
@@ -191,6 +196,7 @@
             sender=self.own,
             relayed=self._sample(others, RELAYED),
             occupancy=_encode_occupancy(occupancy) if near else {},
+            cold={str(key): seconds for key, seconds in cold.items()} if near else {},
         )
 
     def _sample(self, records: Sequence[EntryRecord], size: int) -> list[EntryRecord]:
--- a/pimentospool/gateway/_heartbeats.py
+++ b/pimentospool/gateway/_heartbeats.py
@@ -7,7 +7,7 @@
 
 from pimentospool.gateway._fleet import Fleet, FleetMessage, decode_occupancy
 from pimentospool.gateway._model import Address
-from pimentospool.ids import EntryId
+from pimentospool.ids import EntryId, TargetId
 from pimentospool.log import Event, log_event
 from pimentospool.policy import OccupancyBook
 
@@ -32,6 +32,10 @@
         Entry VMs to ask at the start.
     refresh : callable
         Brings the own record up to date before each round.
+    cold_answers : callable
+        Returns the seconds for which targets that were asked stay cold.
+    learn_cold : callable
+        Takes such an answer of another entry VM.
     """
 
     def __init__(
@@ -41,11 +45,15 @@
         book: OccupancyBook,
         seeds: Sequence[Address],
         refresh: Callable[[], None],
+        cold_answers: Callable[[], dict[TargetId, float]],
+        learn_cold: Callable[[TargetId, float], None],
     ) -> None:
         self.seeds = list(seeds)
         self._fleet = fleet
         self._book = book
         self._refresh = refresh
+        self._cold_answers = cold_answers
+        self._learn_cold = learn_cold
         self._transport: asyncio.DatagramTransport | None = None
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(FleetMessage)
@@ -71,6 +79,8 @@
         self._fleet.receive(msg)
         if msg.occupancy or msg.sender.region == self._fleet.own.region:
             self._book.report(EntryId(msg.sender.id), decode_occupancy(msg))
+        for target, seconds in msg.cold.items():
+            self._learn_cold(TargetId(target), seconds)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore that a receiver is not there: its heartbeats show that."""
@@ -91,14 +101,14 @@
         fleet = self._fleet
         self._refresh()
         fleet.own.heartbeat += 1
-        occupancy = self._book.own()
+        occupancy, cold = self._book.own(), self._cold_answers()
         known = {record.peer for record in fleet.live()} | {fleet.own.peer}
         for record in fleet.receivers(remote=remote):
-            self._send(fleet.message(record, occupancy), record.peer)
+            self._send(fleet.message(record, occupancy, cold), record.peer)
         if seeds:
             for address in self.seeds:
                 if address not in known:
-                    self._send(fleet.message(None, {}), address)
+                    self._send(fleet.message(None, {}, {}), address)
 
     def _send(self, msg: FleetMessage, address: Address) -> None:
         if self._transport is not None and not self._transport.is_closing():
--- a/pimentospool/gateway/_knowledge.py
+++ b/pimentospool/gateway/_knowledge.py
@@ -28,6 +28,8 @@
     def __init__(self, *, registration: Registration) -> None:
         self.registration = registration
         self.cold_until = 0.0
+        self.assumed_cold = False
+        """Whether only its zone's return says that the target is cold."""
         self.lapses_at: float | None = None
 
     @property
@@ -60,6 +62,7 @@
         self.configuration_adopted: Signal[Configuration] = Signal(
             name="configuration_adopted"
         )
+        self.zone_restored: Signal[ZoneId] = Signal(name="zone_restored")
         self.target_removed: Signal[TargetId] = Signal(name="target_removed")
         self._clock = clock
         self._targets: dict[TargetId, TargetState] = {}
@@ -121,6 +124,27 @@
         """Return a registered target."""
         return self._targets.get(target)
 
+    def assumed_cold(self, zone: ZoneId | None = None) -> list[TargetState]:
+        """Return the targets, of `zone` if given, that are only assumed to be cold."""
+        now = self._clock()
+        return [
+            state
+            for state in self._targets.values()
+            if state.assumed_cold
+            and state.is_cold(now)
+            and zone in (None, state.registration.zone)
+        ]
+
+    def learn_cold(self, target: TargetId, seconds: float) -> None:
+        """Replace the assumption that a target is cold by what it has said."""
+        state = self._targets.get(target)
+        if state is None or not state.assumed_cold:
+            return
+        state.assumed_cold = False
+        margin = COLD_MARGIN_SECONDS if seconds > 0 else 0.0
+        state.cold_until = self._clock() + seconds + margin
+        log_event(Event.TARGET_COLD, target=target, seconds=round(seconds, 3))
+
     def known_targets(self) -> list[TargetId]:
         """Return the ids of all registered targets."""
         return list(self._targets)
@@ -132,7 +156,10 @@
         for zone in self._evacuated - zones:
             log_event(Event.ZONE_RESTORED, zone=zone)
             self._mark_cold(zone)
+        restored = self._evacuated - zones
         self._evacuated = set(zones)
+        for zone in restored:
+            self.zone_restored.send(zone)
 
     @property
     def evacuated(self) -> frozenset[ZoneId]:
@@ -172,6 +199,7 @@
             spec = services.get(state.registration.service)
             if state.registration.zone == zone and spec is not None:
                 until = self._clock() + spec.cold_seconds + COLD_MARGIN_SECONDS
+                state.assumed_cold = state.cold_until < until
                 state.cold_until = max(state.cold_until, until)
 
 
--- a/pimentospool/gateway/_model.py
+++ b/pimentospool/gateway/_model.py
@@ -91,6 +91,7 @@
     id: ServiceId
     max_connections: int
     """Connections that one target accepts from all callers together."""
+    health_path: str = ""
     cold_seconds: float = 0.0
     cold_requests_per_second: float = 0.0
     engine: EngineSpec | None = None
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -5,6 +5,7 @@
 import random
 import time
 
+from pimentospool.gateway._cold_checks import ColdChecks
 from pimentospool.gateway._dialect import TargetDialect
 from pimentospool.gateway._directory import EntryDirectory
 from pimentospool.gateway._dispatch import Dispatcher
@@ -68,12 +69,21 @@
             bounds=cfg.bounds,
             clock=clock,
         )
+        pools = Pools(region=cfg.region, fleet=self.fleet)
+        self._cold_checks = ColdChecks(
+            region=cfg.region,
+            knowledge=self.knowledge,
+            fleet=self.fleet,
+            pools=pools,
+            dialect=dialect,
+            clock=clock,
+        )
         self.dispatcher = Dispatcher(
             region=cfg.region,
             knowledge=self.knowledge,
             fleet=self.fleet,
             placing=self._placing,
-            pools=Pools(region=cfg.region, fleet=self.fleet),
+            pools=pools,
             dialect=dialect,
             bounds=cfg.bounds,
             clock=clock,
@@ -85,6 +95,8 @@
             book=self.book,
             seeds=cfg.seeds,
             refresh=self._refresh_record,
+            cold_answers=self._cold_checks.answers,
+            learn_cold=self.knowledge.learn_cold,
         )
         self.knowledge.configuration_adopted.connect(self._become_ready)
         self._tasks: list[asyncio.Task[None]] = []
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -46,6 +46,7 @@
     TARGET_LEAVING = (3112, logbook.NOTICE, "target takes no new requests")
     TARGET_REMOVED = (3113, logbook.NOTICE, "target removed")
     TARGET_EJECTED = (3114, logbook.WARNING, "target failed; it gets few requests")
+    TARGET_COLD = (3115, logbook.NOTICE, "target said how long it stays cold")
     ZONE_EVACUATED = (3121, logbook.NOTICE, "zone evacuated")
     ZONE_RESTORED = (3122, logbook.NOTICE, "zone taken back; its targets are cold")
     SETTINGS_RELOADED = (1009, logbook.NOTICE, "settings file read again")
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -2,6 +2,7 @@
 
 from pimentospool.gateway import AnswerClass, AnswerHead, InboundRequest, Registration
 from pimentospool.platform._names import (
+    COLD_REMAINING,
     DEADLINE,
     EXPECT_INSTANCE,
     HOP_TARGETS,
@@ -15,6 +16,7 @@
 )
 from pimentospool.verdicts import Verdict
 
+_OK = 200
 _MISDIRECTED = 421
 _PROMISES = (408, 429, 503)
 """Statuses by which a caller is promised that its request did not run."""
@@ -54,6 +56,21 @@
         extra = [(HOP_TARGETS, b"%d" % max_targets)]
         return _encode(req, extra, remaining_seconds, resume_after)
 
+    def encode_health(self, registration: Registration, path: str) -> bytes:
+        """Return a health check of one server in bytes."""
+        return (f"GET {path} HTTP/1.1\r\nHost: {registration.address}\r\n\r\n").encode(
+            "latin-1"
+        )
+
+    def cold_seconds(self, head: AnswerHead) -> float | None:
+        """Return how long a server stays cold, None if its answer does not say."""
+        if head.status != _OK:
+            return None
+        try:
+            return float(head.get(COLD_REMAINING) or 0) / _MILLISECONDS
+        except ValueError:
+            return None
+
     def accepts(self, head: AnswerHead, req: InboundRequest) -> bool:
         """Whether an answer with `head` may belong to `req`."""
         answered = head.get(REQUEST_ID)
--- a/pimentospool/platform/_names.py
+++ b/pimentospool/platform/_names.py
@@ -12,6 +12,8 @@
 LAST_EVENT = b"last-event-id"
 SEAL = b"x-response-seal"
 NOT_EXECUTED = b"x-not-executed"
+COLD_REMAINING = b"x-cold-remaining"
+"""Milliseconds."""
 RETRY_AFTER = b"retry-after"
 
 HOP_VERDICT = b"pimentospool-verdict"
--- a/pimentospool/platform/_records.py
+++ b/pimentospool/platform/_records.py
@@ -62,6 +62,7 @@
 
 class _Service(msgspec.Struct, rename="pascal"):
     name: str
+    health_path: str = ""
     max_connections: int = 64
     cold_s: float = 0.0
     cold_per_s: float = 0.0
@@ -175,6 +176,7 @@
     return ServiceSpec(
         id=ServiceId(raw.name),
         max_connections=raw.max_connections,
+        health_path=raw.health_path,
         cold_seconds=raw.cold_s,
         cold_requests_per_second=raw.cold_per_s,
         engine=engine,
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -39,7 +39,11 @@
 from pimentospool.policy._queue import QueueRefusal, Ticket, WaitQueue
 from pimentospool.policy._readers import rank_members
 from pimentospool.policy._refusals import Refusal, owner_gone
-from pimentospool.policy._repeat_budget import ColdShares, RepeatBudget
+from pimentospool.policy._repeat_budget import (
+    ColdShares,
+    RepeatBudget,
+    first_sender,
+)
 from pimentospool.policy._reports import ReportBook, newer_report
 from pimentospool.policy._retries import RetryDecision, RetryPolicy
 from pimentospool.policy._revisions import RefusedRevision, RevisionBook, is_newer
@@ -118,6 +122,7 @@
     "choose_place",
     "fencing_number",
     "fencing_revision",
+    "first_sender",
     "is_newer",
     "newer_member",
     "newer_report",
--- a/pimentospool/policy/_repeat_budget.py
+++ b/pimentospool/policy/_repeat_budget.py
@@ -112,5 +112,10 @@
         self._last.pop(target, None)
 
 
+def first_sender(target: TargetId, members: Iterable[EntryId]) -> EntryId | None:
+    """Return the entry VM that all agree on to act for `target`, if there is one."""
+    return min(members, key=lambda entry: _weight(target, entry), default=None)
+
+
 def _weight(target: TargetId, entry: EntryId) -> bytes:
     return hashlib.blake2b(f"{target}/{entry}".encode(), digest_size=8).digest()
--- a/tests/platform/test_store_feed.py
+++ b/tests/platform/test_store_feed.py
@@ -140,3 +140,18 @@
         await made.wait_until(lambda: ready_ids(made) == {"i-1", "i-2"}, seconds=4.0)
 
     play(runner, tmp_path, check)
+
+
+def test_targets_of_a_restored_zone_are_asked_whether_they_are_cold(runner, tmp_path):
+    async def check(made):
+        target = await made.add_target("d-1")
+        await made.wait_until(lambda: ready_ids(made) == {"d-1"})
+        await made.store.put("op/evacuate/gulf-a", {})
+        await made.wait_until(lambda: not ready_ids(made))
+        await made.store.delete("op/evacuate/gulf-a")
+        await made.wait_until(lambda: target.received)
+        assert target.received[0].path == "/healthz"
+        state = knowledge(made).target("d-1")
+        await made.wait_until(lambda: not state.assumed_cold)
+
+    play(runner, tmp_path, check)
