Count targets without a first event as slow

A timeout could end in 502 instead of 504, as the loop's timer fired within a millisecond before the steady clock reached the deadline (seen in a test).

--- a/pimentospool/gateway/_dispatch.py
+++ b/pimentospool/gateway/_dispatch.py
@@ -38,9 +38,9 @@
 ANSWER_SHARE = 0.4
 """Part of the time left that an idempotent request waits for one target, so that
 another attempt still fits."""
-OWN_REASONS = 400
-"""Least status of an answer that is a failure."""
-SUCCESS_STATUS = 200
+CLOCK_SECONDS = 0.01
+"""Time to a deadline at which it counts as reached; the event loop's timers and the
+steady clock differ by some milliseconds."""
 
 
 class Dispatcher:
@@ -190,7 +190,7 @@
         """Make attempts until one answers or none is left."""
         owner, progress = self._owner, self._progress
         while True:
-            if self.remaining_seconds <= 0:
+            if self.remaining_seconds <= CLOCK_SECONDS:
                 await self._end("the request's time is over", None)
                 return
             choice = owner._placing.choose(
@@ -293,7 +293,7 @@
 
     async def _end(self, detail: str, retry_after_seconds: float | None) -> None:
         refusal = self._progress.refusal(detail, retry_after_seconds)
-        if self.remaining_seconds <= 0 and refusal.verdict is not Verdict.NOT_RUN:
+        if self.remaining_seconds <= CLOCK_SECONDS and refusal.verdict is not Verdict.NOT_RUN:
             refusal = Refusal(
                 reason=RefusalReason.TIMED_OUT,
                 verdict=refusal.verdict,
@@ -331,9 +331,22 @@
             finally:
                 pool.release(conn)
         finally:
+            self._record_silence(assignment, owner._clock() - began_at, candidate)
             assignment.end()
             owner._placing.health(state.id).ended(owner._clock() - began_at)
 
+    def _record_silence(
+        self, assignment: Assignment, seconds: float, candidate: Candidate
+    ) -> None:
+        """Let a target without a first event count as slow, and not as answered."""
+        if assignment.on_first_event is None:
+            return
+        assignment.on_first_event = None
+        expected = candidate.first_byte_seconds / candidate.pace
+        if seconds > candidate.first_byte_seconds:
+            health = self._owner._placing.health(candidate.target)
+            health.answered(seconds / expected)
+
     def _wire_to_target(self, state: TargetState) -> WireRequest:
         owner, req = self._owner, self._req
         remaining = self.remaining_seconds
@@ -505,7 +518,7 @@
             return
 
     def _silent(self, exc: Exception) -> AttemptFailure:
-        late = self.remaining_seconds <= 0
+        late = self.remaining_seconds <= CLOCK_SECONDS
         return AttemptFailure(
             detail="no whole answer arrived in time",
             verdict=Verdict.MAY_HAVE_RUN,
--- a/pimentospool/policy/_target_health.py
+++ b/pimentospool/policy/_target_health.py
@@ -11,6 +11,8 @@
 """Longest time without new requests; a returned target is then found."""
 SMOOTHING = 0.2
 """Weight of the newest observation."""
+SLOWING = 0.4
+"""Weight of a pace that is slower than the last ones, to leave a target soon."""
 RELAX_SECONDS = 4.0
 """Time in which an old observation loses most of its weight, so that a target that
 was slow is tried again."""
@@ -74,7 +76,8 @@
         self._ejected_until = self._clock() + duration
 
     def _observe(self, pace: float, *, failed: bool) -> None:
-        self._pace = self.pace + SMOOTHING * (pace - self.pace)
+        weight = SLOWING if pace > self.pace else SMOOTHING
+        self._pace = self.pace + weight * (pace - self.pace)
         self._failing = self.failing + SMOOTHING * (float(failed) - self.failing)
         self._observed_at = self._clock()
 
