--- a/pimentospool/bench/_relay_load.py
+++ b/pimentospool/bench/_relay_load.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from pimentospool.errors import Problem
+from pimentospool.sending import open_session
 from pimentospool.standins import token_text
 
 MODEL = "bench"
@@ -37,7 +38,7 @@
     """
 
     def __init__(self, *, address: str) -> None:
-        self._session = aiohttp.ClientSession(
+        self._session = open_session(
             f"http://{address}",
             headers=_HEADERS,
             connector=aiohttp.TCPConnector(limit=0),
--- a/pimentospool/client/_client.py
+++ b/pimentospool/client/_client.py
@@ -27,7 +27,7 @@
 )
 from pimentospool.client._streams import read_events
 from pimentospool.ids import OperationId, ServiceId
-from pimentospool.sending import send_once
+from pimentospool.sending import open_session
 from pimentospool.verdicts import Verdict
 
 CHAT_PATH = "/v1/chat/completions"
@@ -81,9 +81,8 @@
 
     async def __aenter__(self) -> "GatewayClient":
         """Open the client's connections."""
-        self._session = aiohttp.ClientSession(
+        self._session = open_session(
             connector=aiohttp.TCPConnector(limit=0),
-            middlewares=(send_once,),
             headers={"Authorization": f"Bearer {self._cfg.key}"},
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=1.0),
         )
--- a/pimentospool/commands/_load.py
+++ b/pimentospool/commands/_load.py
@@ -33,6 +33,7 @@
     summarize,
 )
 from pimentospool.manifest import Customer, Manifest, read_manifest
+from pimentospool.sending import open_session
 
 _SECONDS_PER_DAY = 86_400.0
 
@@ -170,7 +171,7 @@
 
 
 async def _find_entries(first: list[str], directory: str | None) -> list[EntryAddress]:
-    async with aiohttp.ClientSession() as session:
+    async with open_session() as session:
         if directory:
             async with session.get(f"http://{directory}/v1/directory") as resp:
                 answer = msgspec.json.decode(await resp.read(), type=DirectoryAnswer)
--- a/pimentospool/commands/_status.py
+++ b/pimentospool/commands/_status.py
@@ -10,6 +10,7 @@
 
 from pimentospool._generated.status import EntryStatus
 from pimentospool.commands._common import EXIT_FAILED, run
+from pimentospool.sending import open_session
 from pimentospool.status import STATUS_PATH
 
 _TIMEOUT_SECONDS = 5.0
@@ -36,7 +37,7 @@
 async def _read(address: str) -> bytes:
     timeout = aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS)
     async with (
-        aiohttp.ClientSession(timeout=timeout) as session,
+        open_session(timeout=timeout) as session,
         session.get(f"http://{address}{STATUS_PATH}", raise_for_status=True) as resp,
     ):
         return await resp.read()
--- a/pimentospool/configuration_service.py
+++ b/pimentospool/configuration_service.py
@@ -10,6 +10,7 @@
 from pimentospool._generated.settings import PlatformSettings
 from pimentospool.errors import PimentospoolError
 from pimentospool.revisions import INDEX_KEY, part_key
+from pimentospool.sending import open_session
 from pimentospool.traces import SilentTracer, SpanAttribute, SpanName, Tracer
 
 T = TypeVar("T")
@@ -112,7 +113,7 @@
     ) -> "_PlatformAnswer":
         limit = self._cfg.request_timeout_seconds + extra_seconds
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = open_session()
         headers = {"If-None-Match": known_tag} if known_tag else {}
         self.reads += 1
         span = self.tracer.begin(SpanName.PLATFORM, parent="")
--- a/pimentospool/drill/_live.py
+++ b/pimentospool/drill/_live.py
@@ -21,6 +21,7 @@
     TargetExecution,
 )
 from pimentospool.manifest import Manifest
+from pimentospool.sending import open_session
 from pimentospool.status import STATUS_PATH
 
 _INTERVAL_SECONDS = 0.5
@@ -54,7 +55,7 @@
         """Watch for a time."""
         timeout = aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS)
         end = time.monotonic() + seconds
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with open_session(timeout=timeout) as session:
             while time.monotonic() < end:
                 await asyncio.gather(
                     *(self._ask(session, address) for address in self._admin_addresses)
--- a/pimentospool/drill/_observer.py
+++ b/pimentospool/drill/_observer.py
@@ -11,6 +11,7 @@
 from pimentospool.drill._evidence import RevisionSample
 from pimentospool.drill._publisher import probe_key
 from pimentospool.load import EntryAddress
+from pimentospool.sending import open_session
 
 _INTERVAL_SECONDS = 0.4
 _TIMEOUT_SECONDS = 1.0
@@ -39,7 +40,7 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         timeout = aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with open_session(timeout=timeout) as session:
             while True:
                 await asyncio.gather(
                     *(self._ask(session, entry) for entry in self._addresses())
--- a/pimentospool/drill/_processes.py
+++ b/pimentospool/drill/_processes.py
@@ -9,6 +9,7 @@
 from pimentospool._generated.settings import Settings
 from pimentospool.errors import PimentospoolError
 from pimentospool.paths import program_command, program_environment
+from pimentospool.sending import open_session
 from pimentospool.settings import encode_settings
 
 _READY_SECONDS = 20.0
@@ -82,7 +83,7 @@
     async def _poll_until_ready(self) -> None:
         url = f"http://{self.cfg.entry.caller_address}/v1/entries"
         timeout = aiohttp.ClientTimeout(total=_ANSWER_SECONDS)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with open_session(timeout=timeout) as session:
             while True:
                 try:
                     async with session.get(url) as resp:
--- a/pimentospool/gateway/_dispatch.py
+++ b/pimentospool/gateway/_dispatch.py
@@ -293,7 +293,10 @@
 
     async def _end(self, detail: str, retry_after_seconds: float | None) -> None:
         refusal = self._progress.refusal(detail, retry_after_seconds)
-        if self.remaining_seconds <= CLOCK_SECONDS and refusal.verdict is not Verdict.NOT_RUN:
+        if (
+            self.remaining_seconds <= CLOCK_SECONDS
+            and refusal.verdict is not Verdict.NOT_RUN
+        ):
             refusal = Refusal(
                 reason=RefusalReason.TIMED_OUT,
                 verdict=refusal.verdict,
--- a/pimentospool/load/_callers.py
+++ b/pimentospool/load/_callers.py
@@ -25,6 +25,7 @@
 from pimentospool.ids import EntryId, OperationId, RegionId, RequestId, ServiceId
 from pimentospool.load._checks import AnswerCheck
 from pimentospool.load._traffic import SERVICES_PREFIX, Call, KeyOf
+from pimentospool.sending import UnrepeatedError, open_session
 from pimentospool.verdicts import Verdict
 
 MAX_ATTEMPTS = 3
@@ -103,9 +104,7 @@
         self._rng = rng
         self._deadline_seconds = deadline_seconds
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_SECONDS)
-        # aiohttp repeats a GET by itself on a reused connection that ends, so that a
-        # refused connection would not prove that nothing was sent.
-        self._session = aiohttp.ClientSession(
+        self._session = open_session(
             connector=aiohttp.TCPConnector(limit=0, force_close=True), timeout=timeout
         )
 
@@ -205,8 +204,10 @@
                 ) as resp,
             ):
                 return await self._read(call, resp)
-        except aiohttp.ClientConnectorError as exc:
-            return _Answer(outcome=CallOutcome.UNREACHABLE, reason=repr(exc))
+        except UnrepeatedError as exc:
+            unsent = isinstance(exc.error, aiohttp.ClientConnectorError)
+            outcome = CallOutcome.UNREACHABLE if unsent else CallOutcome.BROKEN
+            return _Answer(outcome=outcome, reason=repr(exc.error))
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             return _Answer(outcome=CallOutcome.BROKEN, reason=repr(exc))
 
--- a/pimentospool/orders.py
+++ b/pimentospool/orders.py
@@ -22,6 +22,7 @@
     place_models,
     plan_orders,
 )
+from pimentospool.sending import open_session
 from pimentospool.views import View
 
 ORDERS = "orders"
@@ -62,7 +63,7 @@
 
     def __init__(self) -> None:
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_SECONDS)
-        self._session = aiohttp.ClientSession(timeout=timeout)
+        self._session = open_session(timeout=timeout)
 
     async def close(self) -> None:
         """Close every connection."""
--- a/pimentospool/platform/_store.py
+++ b/pimentospool/platform/_store.py
@@ -22,7 +22,7 @@
     decode_configuration,
     decode_registration,
 )
-from pimentospool.sending import TRANSPORT_ERRORS, UnrepeatedError, send_once
+from pimentospool.sending import TRANSPORT_ERRORS, UnrepeatedError, open_session
 
 WATCH_SECONDS = 4.0
 """Time for which the store holds a watch; bounds how long a silent connection goes
@@ -243,11 +243,10 @@
 
 
 def _open_session() -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
+    return open_session(
         connector=aiohttp.TCPConnector(
             limit=2, socket_factory=_keepalive_socket, keepalive_timeout=60.0
         ),
-        middlewares=(send_once,),
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=1.0),
         auto_decompress=False,
--- a/pimentospool/reports.py
+++ b/pimentospool/reports.py
@@ -19,6 +19,7 @@
 from pimentospool.log import Event, log_event
 from pimentospool.manifest import Target, TargetKind
 from pimentospool.policy import Router
+from pimentospool.sending import open_session
 from pimentospool.tasks import cancel_tasks
 
 MOST_AT_ONCE = 64
@@ -54,7 +55,7 @@
         self._router = router
         self._polled: dict[TargetId, _Polled] = {}
         self._reading: set[asyncio.Task[None]] = set()
-        self._session = aiohttp.ClientSession(
+        self._session = open_session(
             connector=aiohttp.TCPConnector(limit=MOST_AT_ONCE, limit_per_host=1),
             timeout=aiohttp.ClientTimeout(
                 total=cfg.connect_timeout_seconds + cfg.report_interval_seconds
--- a/pimentospool/sending.py
+++ b/pimentospool/sending.py
@@ -5,13 +5,15 @@
 nothing had been sent.
 """
 
+from typing import Any
+
 import aiohttp
 
 TRANSPORT_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 
 
-class UnrepeatedError(Exception):
-    """A transport error that aiohttp does not take for one of its own.
+class UnrepeatedError(aiohttp.ClientError):
+    """A transport error of a kind for which aiohttp does not send again.
 
     Parameters
     ----------
@@ -38,3 +40,16 @@
         return await handler(req)
     except TRANSPORT_ERRORS as exc:
         raise UnrepeatedError(error=exc) from exc
+
+
+def open_session(base_url: str | None = None, **options: Any) -> aiohttp.ClientSession:
+    """Return a client session that sends each request one time.
+
+    Parameters
+    ----------
+    base_url : str or None
+        What relative addresses of requests begin with.
+    **options
+        Further options of the session.
+    """
+    return aiohttp.ClientSession(base_url, middlewares=(send_once,), **options)
--- a/pimentospool/targets/_client.py
+++ b/pimentospool/targets/_client.py
@@ -11,7 +11,7 @@
 from yarl import URL
 
 from pimentospool._generated.settings import TargetSettings
-from pimentospool.sending import TRANSPORT_ERRORS, UnrepeatedError, send_once
+from pimentospool.sending import TRANSPORT_ERRORS, UnrepeatedError, open_session
 from pimentospool.targets._exchange import (
     Answer,
     Exchange,
@@ -143,10 +143,10 @@
                     allow_redirects=False,
                     trace_request_ctx=progress,
                 )
-        except TRANSPORT_ERRORS as exc:
-            raise transport_failure(exc, progress.verdict) from exc
         except UnrepeatedError as exc:
             raise transport_failure(exc.error, progress.verdict) from exc.error
+        except TRANSPORT_ERRORS as exc:
+            raise transport_failure(exc, progress.verdict) from exc
 
     def _pool(self, exchange: Exchange) -> "_Pool":
         origin = _origin(exchange.url)
@@ -175,10 +175,9 @@
             force_close=force_close,
             **options,
         )
-        return aiohttp.ClientSession(
+        return open_session(
             connector=connector,
             trace_configs=[_sending_trace()],
-            middlewares=(send_once,),
             auto_decompress=False,
             headers={"Accept-Encoding": "identity"},
             skip_auto_headers=("User-Agent",),
--- a/pimentospool/trace_export.py
+++ b/pimentospool/trace_export.py
@@ -19,6 +19,7 @@
 
 from pimentospool._generated.settings import EntrySettings, TraceSettings
 from pimentospool.log import Event, log_event
+from pimentospool.sending import open_session
 from pimentospool.traces import TRACEPARENT_HEADER, Span, SpanAttribute, SpanName
 
 MAX_WAITING_SPANS = 4096
@@ -125,7 +126,7 @@
         timeout = aiohttp.ClientTimeout(total=_SEND_SECONDS)
         data = encode_spans(spans).SerializeToString()
         async with (
-            aiohttp.ClientSession(timeout=timeout, headers=_HEADERS) as session,
+            open_session(timeout=timeout, headers=_HEADERS) as session,
             session.post(self._cfg.otlp_endpoint, data=data) as resp,
         ):
             resp.raise_for_status()
--- a/tests/client/test_client.py
+++ b/tests/client/test_client.py
@@ -9,6 +9,7 @@
 import pytest
 from aiohttp import web
 
+from pimentospool import sending
 from pimentospool._generated.callers import EntryChoice, EntryList
 from pimentospool.client import (
     BrokenStreamError,
@@ -18,7 +19,6 @@
     NoEntryError,
     RefusedError,
     UnansweredError,
-    _client,
 )
 from pimentospool.client._budget import RetryBudget
 from pimentospool.demo import demo_key, wait_ready
@@ -326,7 +326,7 @@
         return await handler(req)
 
     if repeats:
-        monkeypatch.setattr(_client, "send_once", repeat)
+        monkeypatch.setattr(sending, "send_once", repeat)
     monkeypatch.setattr(RetryBudget, "take_retry", lambda self: False)
     runner.run(with_gateway(gateway, check))
     assert len(gateway.used) == sent
--- a/tests/load/test_load_callers.py
+++ b/tests/load/test_load_callers.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 from aiohttp import web
+from raw_server import RawServer
 
 from pimentospool.demo import wait_ready
 from pimentospool.entry import Entry
@@ -27,6 +28,7 @@
 )
 from pimentospool.manifest import read_manifest
 from pimentospool.metrics import METRICS_PATH
+from pimentospool.sending import UnrepeatedError
 from pimentospool.standins import StandinDeployment
 from pimentospool.standins._server import serve_standin
 from pimentospool.verdicts import Verdict
@@ -179,3 +181,26 @@
         assert summarize([record])[0].total.p50_ms >= 3000
 
     runner.run(check())
+
+
+def test_lost_get_counts_as_sent_though_the_next_connection_is_refused(runner):
+    """Seed 60493 of `drill`: a second sending by aiohttp hid that the first had run."""
+
+    async def lose_and_close(server, reader, writer):
+        await server.read_request(reader)
+        server._server.close()
+
+    async def play():
+        async with RawServer(lose_and_close) as server:
+            callers = make_callers([])
+            try:
+                async with callers._session.get(server.url):
+                    pass
+            except UnrepeatedError as exc:
+                return exc.error, len(server.requests)
+            finally:
+                await callers.close()
+
+    error, sent = runner.run(play())
+    assert not isinstance(error, aiohttp.ClientConnectorError)
+    assert sent == 1
--- a/tests/targets/test_exchange_client.py
+++ b/tests/targets/test_exchange_client.py
@@ -7,6 +7,7 @@
 import pytest
 from raw_server import RawServer, answering, whole
 
+from pimentospool import sending
 from pimentospool._generated.settings import TargetSettings
 from pimentospool.addresses import free_addresses
 from pimentospool.faults import FaultProxy
@@ -15,7 +16,6 @@
     Exchange,
     ExchangeClient,
     FailureCause,
-    _client,
 )
 from pimentospool.verdicts import Verdict
 
@@ -259,7 +259,7 @@
     async def send(req, handler):
         return await handler(req)
 
-    monkeypatch.setattr(_client, "send_once", send)
+    monkeypatch.setattr(sending, "send_once", send)
     _, server = failure_of(runner, reset_after_request, method="PUT")
     assert len(server.requests) == 2
 
