Write bounded logs to standard output and serve the node's metrics

Change: lines gather for 50 ms and are written together without blocking; what a slow reader or the rate does not allow is dropped and counted by event. A node serves counters and HDR latencies on its control address. One class of latency series serves both kinds of process. The dispatcher is split into routing, attempts, the receiving of answers and what they share; each request's end is one log line.

--- a/pimentospool/_generated/settings.py
+++ b/pimentospool/_generated/settings.py
@@ -154,7 +154,7 @@
     """
 
     level: Annotated[LogLevel, Meta(title="LogLevel")] = LogLevel.INFO
-    file: Annotated[str, Meta(description="Path; empty means standard error.")] = ""
+    file: Annotated[str, Meta(description="Path; empty means standard output.")] = ""
 
 
 class Settings(Document, kw_only=True):
--- a/pimentospool/commands/_entry.py
+++ b/pimentospool/commands/_entry.py
@@ -7,7 +7,7 @@
 from pimentospool.commands._common import FILE, exit_refused, read_or_exit, run
 from pimentospool.entry import run_entry
 from pimentospool.errors import DocumentErrors
-from pimentospool.log import open_log
+from pimentospool.log_output import open_log
 from pimentospool.settings import read_settings
 
 
--- a/pimentospool/commands/_node.py
+++ b/pimentospool/commands/_node.py
@@ -7,7 +7,7 @@
 import uvloop
 
 from pimentospool._generated.settings import LogSettings
-from pimentospool.log import open_log
+from pimentospool.log_output import open_log
 from pimentospool.platform import SETTINGS_VARIABLE, read_node_settings, run_node
 from pimentospool.platform._settings import NodeSettingsError
 
@@ -28,5 +28,8 @@
     except NodeSettingsError as exc:
         click.echo(f"settings refused: {exc}", err=True)
         raise SystemExit(EXIT_REFUSED) from exc
-    open_log(LogSettings())
-    uvloop.run(run_node(cfg, path))
+    handler = open_log(LogSettings())
+    try:
+        uvloop.run(run_node(cfg, path))
+    finally:
+        handler.flush()
--- /dev/null
+++ b/pimentospool/gateway/_answers.py
@@ -0,0 +1,166 @@
+"""Reading of one answer and passing it on, as far as it is one."""
+
+import asyncio
+from collections.abc import Callable
+
+from pimentospool.gateway._connections import AnswerStream
+from pimentospool.gateway._dialect import AnswerClass
+from pimentospool.gateway._model import HttpRoute, RequestKind
+from pimentospool.gateway._progress import Progress
+from pimentospool.gateway._relay import relay_stream
+from pimentospool.gateway._replies import Reply
+from pimentospool.gateway._tools import ServingTools
+from pimentospool.policy import Assignment
+from pimentospool.targets import AttemptFailure, FailureCause
+from pimentospool.verdicts import Verdict
+
+CLOCK_SECONDS = 0.01
+"""Time to a deadline at which it counts as reached; the event loop's timers and the
+steady clock differ by some milliseconds."""
+REJECTION_SECONDS = 0.2
+"""Longest wait for the rest of a rejection, whose connection can be kept then."""
+
+
+class AnswerReceiver:
+    """Receives the answers of one request's attempts.
+
+    Parameters
+    ----------
+    tools : ServingTools
+        What all requests share.
+    reply : Reply
+        Where the answer goes.
+    route : HttpRoute
+        What the route allows.
+    progress : Progress
+        Attempts so far.
+    remaining : callable
+        Returns the seconds to the request's deadline.
+    """
+
+    def __init__(
+        self,
+        *,
+        tools: ServingTools,
+        reply: Reply,
+        route: HttpRoute,
+        progress: Progress,
+        remaining: Callable[[], float],
+    ) -> None:
+        self._tools = tools
+        self._reply = reply
+        self._route = route
+        self._progress = progress
+        self._remaining = remaining
+
+    async def receive(
+        self,
+        stream: AnswerStream,
+        assignment: Assignment | None,
+        answer_seconds: float,
+    ) -> None:
+        """Pass the answer on, as far as it is one.
+
+        Raises
+        ------
+        AttemptFailure
+            If it is none, or ends early.
+        """
+        try:
+            async with asyncio.timeout(answer_seconds):
+                head = await stream.wait_head()
+        except TimeoutError as exc:
+            raise self._silent(exc) from exc
+        dialect = self._tools.dialect
+        verdict = dialect.hop_verdict(head)
+        if verdict is not None:
+            self._progress.retry_after_seconds = dialect.retry_after_seconds(head)
+            await self._finish_reading(stream)
+            raise AttemptFailure(
+                detail=f"the entry VM refused with status {head.status}",
+                verdict=verdict,
+                cause=FailureCause.REFUSED,
+            )
+        kind = dialect.classify(head)
+        if kind is AnswerClass.REJECTION:
+            self._progress.retry_after_seconds = dialect.retry_after_seconds(head)
+            await self._finish_reading(stream)
+            raise AttemptFailure(
+                detail=f"the target rejected with status {head.status}",
+                verdict=Verdict.NOT_RUN,
+                cause=FailureCause.REFUSED,
+            )
+        if kind is AnswerClass.INVALID:
+            raise AttemptFailure(
+                detail=f"status {head.status} without a target's signature",
+                verdict=Verdict.MAY_HAVE_RUN,
+                cause=FailureCause.BROKEN,
+            )
+        if kind is AnswerClass.ERROR and self._repeats_errors():
+            await self._finish_reading(stream)
+            raise AttemptFailure(
+                detail=f"the target answered with status {head.status}",
+                verdict=Verdict.RAN,
+                cause=FailureCause.TARGET_ERROR,
+            )
+        try:
+            async with asyncio.timeout(self._remaining()):
+                if (
+                    self._route.kind is RequestKind.STREAM
+                    and kind is AnswerClass.SUCCESS
+                ):
+                    await relay_stream(
+                        stream,
+                        head,
+                        self._reply,
+                        self._progress,
+                        resumable=self._route.resumable,
+                        clock=self._tools.clock,
+                        assignment=assignment,
+                    )
+                else:
+                    await self._pass_whole(stream, kind)
+        except TimeoutError as exc:
+            raise self._silent(exc) from exc
+
+    async def _pass_whole(self, stream: AnswerStream, kind: AnswerClass) -> None:
+        pieces = []
+        while piece := await stream.read():
+            pieces.append(piece)
+        assert stream.head is not None
+        if self._reply.started:
+            raise AttemptFailure(
+                detail=f"status {stream.head.status} for the rest of a stream",
+                verdict=Verdict.MAY_HAVE_RUN,
+                cause=FailureCause.TARGET_ERROR,
+            )
+        await self._reply.whole(stream.head, b"".join(pieces))
+
+    def _repeats_errors(self) -> bool:
+        """Whether another attempt is likely to be made after a target's error."""
+        progress = self._progress
+        return (
+            self._route.repeatable
+            and progress.attempts == 0
+            and self._route.max_targets > 1
+            and not self._reply.started
+        )
+
+    async def _finish_reading(self, stream: AnswerStream) -> None:
+        """Read a rejection to its end, so that its connection can be kept."""
+        try:
+            async with asyncio.timeout(
+                min(REJECTION_SECONDS, max(self._remaining(), 0.01))
+            ):
+                while await stream.read():
+                    pass
+        except (TimeoutError, AttemptFailure):
+            return
+
+    def _silent(self, exc: Exception) -> AttemptFailure:
+        late = self._remaining() <= CLOCK_SECONDS
+        return AttemptFailure(
+            detail="no whole answer arrived in time",
+            verdict=Verdict.MAY_HAVE_RUN,
+            cause=FailureCause.LATE if late else FailureCause.SILENT,
+        )
--- /dev/null
+++ b/pimentospool/gateway/_outcomes.py
@@ -0,0 +1,30 @@
+"""The end of a routed request, for metrics and logs."""
+
+from enum import Enum
+
+import msgspec
+
+from pimentospool.verdicts import Verdict
+
+
+class RoutedResult(Enum):
+    """How a request ended for its caller."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    FAILED = "failed"
+    CUT = "cut"
+    CALLER_LEFT = "caller-left"
+
+
+class RoutedOutcome(msgspec.Struct, kw_only=True, frozen=True):
+    """One request that has ended."""
+
+    result: RoutedResult
+    kind: str
+    """Kind of the route, empty if none matched."""
+    verdict: Verdict
+    attempts: int
+    hopped: bool
+    first_byte_seconds: float | None
+    seconds: float
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -12,10 +12,12 @@
 from pimentospool.gateway._fleet import EntryRecord, EntryState, Fleet
 from pimentospool.gateway._heartbeats import HeartbeatLoop
 from pimentospool.gateway._knowledge import Knowledge
+from pimentospool.gateway._metrics import GatewayMetrics
 from pimentospool.gateway._model import Configuration
 from pimentospool.gateway._placing import Placing
 from pimentospool.gateway._pools import Pools
 from pimentospool.gateway._settings import GatewaySettings
+from pimentospool.gateway._tools import ServingTools
 from pimentospool.log import Event, log_event
 from pimentospool.policy import OccupancyBook
 from pimentospool.tasks import cancel_tasks
@@ -78,8 +80,7 @@
             dialect=dialect,
             clock=clock,
         )
-        self.dispatcher = Dispatcher(
-            region=cfg.region,
+        self.tools = ServingTools(
             knowledge=self.knowledge,
             fleet=self.fleet,
             placing=self._placing,
@@ -89,6 +90,8 @@
             clock=clock,
             rng=random.Random(),
         )
+        self.dispatcher = Dispatcher(tools=self.tools)
+        self.metrics = self._open_metrics()
         self.directory = EntryDirectory(fleet=self.fleet, knowledge=self.knowledge)
         self.heartbeats = HeartbeatLoop(
             fleet=self.fleet,
@@ -145,6 +148,35 @@
         await cancel_tasks(self._tasks)
         log_event(Event.ENTRY_STOPPED)
 
+    def _open_metrics(self) -> GatewayMetrics:
+        metrics = GatewayMetrics()
+        self.tools.request_ended.connect(metrics.record)
+        metrics.add_gauge(
+            "pimentospool_requests_in_progress",
+            "Requests that have not ended.",
+            lambda: self.in_progress,
+        )
+        metrics.add_gauge(
+            "pimentospool_configuration_version",
+            "Version of the configuration in force; 0 before the first.",
+            self._configuration_version,
+        )
+        metrics.add_gauge(
+            "pimentospool_known_targets",
+            "Targets that are registered.",
+            lambda: len(self.knowledge.known_targets()),
+        )
+        metrics.add_gauge(
+            "pimentospool_live_entries",
+            "Other entry VMs that are alive.",
+            lambda: len(self.fleet.live()),
+        )
+        return metrics
+
+    def _configuration_version(self) -> int:
+        configuration = self.knowledge.configuration
+        return configuration.version if configuration else 0
+
     def _become_ready(self, configuration: Configuration) -> None:
         if self.state is EntryState.STARTING:
             self._record.state = EntryState.READY.value
--- a/pimentospool/gateway/_progress.py
+++ b/pimentospool/gateway/_progress.py
@@ -32,6 +32,7 @@
         """Last event of the stream that the caller was sent."""
         self.events = 0
         """Pieces of a stream that the caller was sent."""
+        self.first_event_at: float | None = None
         self.moved_at = 0.0
         """Time of the last piece, or of the request's arrival."""
         self.excluded: set[TargetId] = set()
--- a/pimentospool/gateway/_relay.py
+++ b/pimentospool/gateway/_relay.py
@@ -46,6 +46,8 @@
             await reply.begin(head)
         progress.events += 1
         progress.moved_at = clock()
+        if progress.first_event_at is None:
+            progress.first_event_at = progress.moved_at
         await reply.write(piece)
     if splitter is not None and splitter.pending_bytes:
         raise AttemptFailure(
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -3,14 +3,10 @@
 Every event has a number that never changes; ``docs/events.md`` lists them all.
 """
 
-import sys
 from enum import Enum
 from typing import Any
 
 import logbook
-import msgspec
-
-from pimentospool._generated.settings import LogSettings
 
 logger = logbook.Logger("pimentospool")
 
@@ -24,6 +20,7 @@
     ENTRY_DRAIN_EXPIRED = (1004, logbook.ERROR, "requests were cut at the drain limit")
     CERTIFICATE_LOADED = (1006, logbook.NOTICE, "changed certificate in force")
     CERTIFICATE_REFUSED = (1007, logbook.ERROR, "changed certificate refused")
+    LOG_LINES_LOST = (1011, logbook.WARNING, "log lines were dropped")
     TRACES_LOST = (1008, logbook.WARNING, "spans could not be exported")
     REQUEST_REFUSED = (2001, logbook.INFO, "request refused")
     REQUEST_ERROR = (2003, logbook.ERROR, "unexpected error in a request")
@@ -51,7 +48,7 @@
     ZONE_RESTORED = (3122, logbook.NOTICE, "zone taken back; its targets are cold")
     SETTINGS_RELOADED = (1009, logbook.NOTICE, "settings file read again")
     SETTINGS_REFUSED = (1010, logbook.ERROR, "changed settings file refused")
-    REQUEST_SERVED = (2004, logbook.DEBUG, "request answered")
+    REQUEST_SERVED = (2004, logbook.INFO, "request answered")
     REQUEST_FAILED = (2005, logbook.INFO, "request ended without its answer")
     CALLER_LEFT = (2008, logbook.INFO, "caller left before the end of its answer")
     REQUEST_PLACED = (2007, logbook.INFO, "request placed")
@@ -82,29 +79,3 @@
 def log_event(event: Event, **fields: Any) -> None:
     """Log `event` with its fields; values must be of types that JSON holds."""
     logger.log(event.level, event.message, extra={"event": event, "fields": fields})
-
-
-def _format_record(record: logbook.LogRecord, handler: logbook.Handler) -> str:
-    event = record.extra["event"]
-    line = {
-        "time": record.time.isoformat(timespec="milliseconds"),
-        "level": record.level_name,
-        "event": event.number if event else 0,
-        "name": event.name if event else record.channel,
-        "message": record.message,
-    }
-    line.update(record.extra["fields"] or {})
-    return msgspec.json.encode(line, enc_hook=str).decode()
-
-
-def open_log(cfg: LogSettings) -> logbook.Handler:
-    """Return the handler that writes one JSON object a line, already pushed."""
-    level = logbook.lookup_level(cfg.level)
-    handler: logbook.Handler
-    if cfg.file:
-        handler = logbook.FileHandler(cfg.file, level=level)
-    else:
-        handler = logbook.StreamHandler(sys.stderr, level=level)
-    handler.formatter = _format_record
-    handler.push_application()
-    return handler
--- a/pimentospool/metrics.py
+++ b/pimentospool/metrics.py
@@ -7,147 +7,22 @@
 """
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import msgspec
-from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, generate_latest
-from prometheus_client.core import (
-    GaugeMetricFamily,
-    Metric,
-    SummaryMetricFamily,
-)
-from prometheus_client.registry import Collector
 
 from pimentospool.admin import Page
 from pimentospool.ids import CustomerId, RegionId
+from pimentospool.latencies import CONTENT_TYPE, GaugeCollector, LatencyCollector
 from pimentospool.outcomes import RequestOutcome
 
 METRICS_PATH = "/metrics"
 MAX_CUSTOMER_LABELS = 64
 OTHER_CUSTOMERS = CustomerId("other")
-WINDOW_SECONDS = 60.0
-QUANTILES = (0.5, 0.95, 0.99)
-CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-_MAX_MICROSECONDS = 120_000_000
-_DIGITS = 2
-_MICROSECONDS = 1e6
 _LABELS = ("customer", "region", "kind", "verdict")
 
 
-class SeriesKey(msgspec.Struct, kw_only=True, frozen=True):
-    """Labels of one latency series."""
-
-    customer: str
-    region: str
-    kind: str
-    verdict: str
-
-    def values(self) -> list[str]:
-        """Return the label values in the order of the label names."""
-        return [self.customer, self.region, self.kind, self.verdict]
-
-
-class LatencySeries:
-    """Latencies of the current and of the previous window.
-
-    Parameters
-    ----------
-    now : float
-        Time of the first window's start, in seconds.
-    """
-
-    def __init__(self, *, now: float) -> None:
-        self.count = 0
-        self.sum_seconds = 0.0
-        self._current = _new_histogram()
-        self._previous = _new_histogram()
-        self._started_at = now
-
-    def record(self, seconds: float, *, now: float) -> None:
-        """Add one latency."""
-        self._rotate(now)
-        self.count += 1
-        self.sum_seconds += seconds
-        value = min(_MAX_MICROSECONDS, max(1, int(seconds * _MICROSECONDS)))
-        self._current.record_value(value)
-
-    def quantiles(self, *, now: float) -> list[float]:
-        """Return the published quantiles of both windows, in seconds."""
-        self._rotate(now)
-        merged = _new_histogram()
-        merged.add(self._current)
-        merged.add(self._previous)
-        return [
-            merged.get_value_at_percentile(share * 100) / _MICROSECONDS
-            for share in QUANTILES
-        ]
-
-    def _rotate(self, now: float) -> None:
-        if now - self._started_at < WINDOW_SECONDS:
-            return
-        expired = now - self._started_at >= 2 * WINDOW_SECONDS
-        self._previous = _new_histogram() if expired else self._current
-        self._current = _new_histogram()
-        self._started_at = now
-
-
-class LatencyCollector(Collector):
-    """Latency summaries by customer, region, kind and verdict.
-
-    Parameters
-    ----------
-    name : str
-        Name of the metric.
-    documentation : str
-        Help text of the metric.
-    clock : callable
-        Returns the time in seconds.
-    """
-
-    def __init__(
-        self, *, name: str, documentation: str, clock: Callable[[], float]
-    ) -> None:
-        self._name = name
-        self._documentation = documentation
-        self._clock = clock
-        self._series: dict[SeriesKey, LatencySeries] = {}
-
-    def record(self, key: SeriesKey, seconds: float) -> None:
-        """Add one latency to the series of `key`."""
-        now = self._clock()
-        series = self._series.get(key)
-        if series is None:
-            series = self._series[key] = LatencySeries(now=now)
-        series.record(seconds, now=now)
-
-    def collect(self) -> Iterator[Metric]:
-        """Yield the metric family with every series."""
-        now = self._clock()
-        family = SummaryMetricFamily(
-            self._name, self._documentation, labels=list(_LABELS)
-        )
-        for key, series in self._series.items():
-            labels = dict(zip(_LABELS, key.values(), strict=True))
-            values = series.quantiles(now=now)
-            for share, value in zip(QUANTILES, values, strict=True):
-                family.add_sample(self._name, {**labels, "quantile": str(share)}, value)
-            family.add_metric(key.values(), series.count, series.sum_seconds)
-        yield family
-
-
-class _GaugeCollector(Collector):
-    def __init__(
-        self, name: str, documentation: str, read: Callable[[], float]
-    ) -> None:
-        self._name = name
-        self._documentation = documentation
-        self._read = read
-
-    def collect(self) -> Iterator[Metric]:
-        yield GaugeMetricFamily(self._name, self._documentation, value=self._read())
-
-
 class EntryMetrics:
     """Metrics of one entry process, in a registry of their own.
 
@@ -205,11 +80,11 @@
 
     def record(self, outcome: RequestOutcome) -> None:
         """Count the end of a request; connect it to ``request_ended``."""
-        key = SeriesKey(
-            customer=self._customer_label(outcome.customer),
-            region=self._region,
-            kind=outcome.kind.value,
-            verdict=outcome.verdict.value,
+        key = (
+            self._customer_label(outcome.customer),
+            self._region,
+            outcome.kind.value,
+            outcome.verdict.value,
         )
         self._total.record(key, outcome.total_seconds)
         if outcome.first_seconds is not None:
@@ -227,7 +102,9 @@
         self, name: str, documentation: str, read: Callable[[], float]
     ) -> None:
         """Publish what `read` returns as the gauge `name`."""
-        self.registry.register(_GaugeCollector(name, documentation, read))
+        self.registry.register(
+            GaugeCollector(name=name, documentation=documentation, read=read)
+        )
 
     def render(self) -> Page:
         """Return the page for scrapers."""
@@ -236,7 +113,9 @@
     def _latency(
         self, name: str, documentation: str, clock: Callable[[], float]
     ) -> LatencyCollector:
-        made = LatencyCollector(name=name, documentation=documentation, clock=clock)
+        made = LatencyCollector(
+            name=name, documentation=documentation, labels=_LABELS, clock=clock
+        )
         self.registry.register(made)
         return made
 
@@ -249,10 +128,6 @@
         return customer
 
 
-def _new_histogram() -> HdrHistogram:
-    return HdrHistogram(1, _MAX_MICROSECONDS, _DIGITS)
-
-
 class ProcessReadings(msgspec.Struct, kw_only=True):
     """Where the gauges of an entry process read their values."""
 
--- a/pimentospool/platform/_node.py
+++ b/pimentospool/platform/_node.py
@@ -9,6 +9,7 @@
 
 from pimentospool.gateway import EntryState, Gateway, GatewaySettings
 from pimentospool.ids import RegionId
+from pimentospool.latencies import CONTENT_TYPE
 from pimentospool.log import Event, log_event
 from pimentospool.platform._exchange import PlatformDialect
 from pimentospool.platform._front import Front, _quiet
@@ -16,6 +17,7 @@
 from pimentospool.platform._store import StoreFeed
 from pimentospool.tasks import cancel_tasks
 
+METRICS_PATH = "/metrics"
 BACKLOG = 512
 """Connections that wait to be accepted; a full queue costs callers seconds."""
 SETTINGS_POLL_SECONDS = 1.0
@@ -80,6 +82,18 @@
         await self._listen(ready, cfg.ready.host, cfg.ready.port)
         directory = web.Server(self._answer_resolve, access_log=None, logger=_quiet)
         await self._listen(directory, cfg.directory.host, cfg.directory.port)
+        control = web.Server(self._answer_metrics, access_log=None, logger=_quiet)
+        await self._listen(control, cfg.control.host, cfg.control.port)
+        self._gateway.metrics.add_gauge(
+            "pimentospool_store_calls",
+            "Reading calls to the platform's store.",
+            lambda: self._feed.calls,
+        )
+        self._gateway.metrics.add_gauge(
+            "pimentospool_store_entries_skipped",
+            "Store entries that could not be read.",
+            lambda: self._feed.skipped,
+        )
         self._tasks.append(asyncio.create_task(self._watch_settings()))
         log_event(
             Event.ENTRY_STARTED,
@@ -114,6 +128,12 @@
         )
         return web.Response(body=body, content_type="application/json")
 
+    async def _answer_metrics(self, http: web.BaseRequest) -> web.StreamResponse:
+        if http.path != METRICS_PATH:
+            return web.Response(status=404)
+        headers = {"Content-Type": CONTENT_TYPE}
+        return web.Response(body=self._gateway.metrics.render(), headers=headers)
+
     def _reload(self) -> None:
         try:
             cfg = read_node_settings(self._path)
--- a/tests/platform/test_fleet_path.py
+++ b/tests/platform/test_fleet_path.py
@@ -1,15 +1,20 @@
 """Two regions: hops, homes, the directory and leaving entry VMs."""
 
 import asyncio
+import re
+from pathlib import Path
 
 import aiohttp
 import pytest
 from platform_site import HOST, decode, site
+from prometheus_client.parser import text_string_to_metric_families
 
 from pimentospool.gateway import EntryState
 from pimentospool.standins import Fault
 
 ZONES = ("gulf-a", "delta-a")
+ROOT = Path(__file__).resolve().parents[2]
+ROW = re.compile(r"^\| `(pimentospool_\w+)` \| (\w+) \|", re.MULTILINE)
 
 
 async def joined(made):
@@ -149,6 +154,40 @@
     play(runner, tmp_path, check, zones=("gulf-a", "delta-a", "gulf-a"))
 
 
+def test_metrics_count_requests_by_kind_and_result(runner, tmp_path):
+    async def check(made):
+        await made.add_target("d-1")
+        await made.add_target("m-1", service="llm", events=3)
+        knowledge = made.nodes[0].gateway.knowledge
+        await made.wait_until(lambda: len(knowledge.known_targets()) == 2)
+        await made.call("/look/")
+        await made.call("/ask/", method="POST", data=b"p")
+        made.targets["d-1"].faults = [Fault.REJECT] * 9
+        await made.call("/book/", method="POST", data=b"1")
+        control = made.nodes[0].cfg.control
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{control}/metrics") as resp,
+        ):
+            text = await resp.text()
+        total = "pimentospool_routed_requests_total"
+        first_event = "pimentospool_routed_first_event_seconds_count"
+        answered = 'kind="idempotent",result="answered",verdict="ran"'
+        assert f"{total}{{{answered}}} 1.0" in text
+        assert f'{total}{{kind="non-idempotent",result="refused"' in text
+        assert f'{first_event}{{kind="stream"}} 1.0' in text
+        assert "pimentospool_configuration_version 1.0" in text
+        families = {
+            (family.name, family.type)
+            for family in text_string_to_metric_families(text)
+            if not family.name.endswith("_created")
+        }
+        page = (ROOT / "docs" / "operators" / "nodes.md").read_text()
+        assert set(ROW.findall(page)) == families
+
+    play(runner, tmp_path, check, zones=("gulf-a",))
+
+
 def test_leaving_node_ends_its_streams_and_closes_kept_connections(runner, tmp_path):
     async def check(made):
         target = await made.add_target("m-1", service="llm", events=8)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -7,6 +7,7 @@
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
+from pimentospool import latencies
 from pimentospool import metrics as module
 from pimentospool.configuration_service import PlatformClient
 from pimentospool.control import ControlPlane
@@ -71,7 +72,7 @@
     now = [0.0]
     metrics = EntryMetrics(region=RegionId("gulf"), clock=lambda: now[0])
     metrics.record(make_outcome(total_seconds=10.0))
-    now[0] = 2 * module.WINDOW_SECONDS
+    now[0] = 2 * latencies.WINDOW_SECONDS
     metrics.record(make_outcome(total_seconds=0.1))
     name = "pimentospool_request_seconds"
     assert value(metrics, name, quantile="0.99") == pytest.approx(0.1, rel=0.02)
