Keep shares of common bounds through splits, restarts and flapping entries

Cause: generated steps found that a cold target whose entry was removed and written again got two requests of one entry VM within 0.24 s, as its last send was forgotten with the entry. The reserve of repeats was divided in halves, which three regions that start apart exceed. Change: sends to cold targets are remembered by time alone; the reserve is divided by the number of regions and one, and by eight entry VMs at least.

--- a/pimentospool/gateway/_placing.py
+++ b/pimentospool/gateway/_placing.py
@@ -277,4 +277,3 @@
     def _forget(self, target: TargetId) -> None:
         self._health.pop(target, None)
         self._cached.forget(target)
-        self._cold.forget(target)
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -87,6 +87,7 @@
             pools=pools,
             dialect=dialect,
             bounds=cfg.bounds,
+            regions=len(set(cfg.zone_regions.values())) or 1,
             clock=clock,
             rng=random.Random(),
         )
--- a/pimentospool/gateway/_tools.py
+++ b/pimentospool/gateway/_tools.py
@@ -31,6 +31,8 @@
         Form of requests and answers.
     bounds : SharedBounds
         Bounds on repeated sends.
+    regions : int
+        Regions of the deployment.
     clock : callable
         Returns the steady time in seconds.
     rng : random.Random
@@ -46,6 +48,7 @@
         pools: Pools,
         dialect: TargetDialect,
         bounds: SharedBounds,
+        regions: int,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -58,6 +61,7 @@
         self.rng = rng
         self.request_ended: Signal[RoutedOutcome] = Signal(name="request_ended")
         self._bounds = bounds
+        self._regions = regions
         self._budgets: dict[ServiceId, RepeatBudget] = {}
 
     def budget(self, service: ServiceId) -> RepeatBudget:
@@ -67,6 +71,7 @@
             budget = RepeatBudget(
                 ratio=self._bounds.repeat_ratio,
                 reserve=self._bounds.repeat_reserve,
+                regions=self._regions,
                 window_seconds=self._bounds.repeat_window_seconds,
                 clock=self.clock,
             )
--- a/pimentospool/policy/_repeat_budget.py
+++ b/pimentospool/policy/_repeat_budget.py
@@ -1,8 +1,9 @@
 """This entry VM's share of bounds that hold for all entry VMs together.
 
-Shares are safe alone: each is a part of the bound divided by the number of entry
-VMs known within `MEMORY_SECONDS`, gone ones included, so that the sum stays inside
-the bound while the member list is split or stale.
+Shares are safe alone: each is a part of the bound divided by the number of entry VMs
+that were known lately, gone ones included, so that the sum stays inside the bound
+while the member list is split or stale. Entry VMs that start while they are cut off
+know only their own side; for them a part of the bound is left unused.
 """
 
 import hashlib
@@ -13,9 +14,9 @@
 
 RATIO_USED = 0.75
 """Part of the allowed ratio that is used; windows of the bound slide."""
-RESERVE_USED = 0.5
-"""Part of the allowed reserve that is used, so that two halves of a split fleet
-that never knew each other stay inside it together."""
+LEAST_MEMBERS = 8
+"""Number of entry VMs that the reserve is divided by at least; a process that has
+just started may not know the others yet."""
 COLD_USED = 0.5
 """Part of a cold target's rate that is used, for the same reason."""
 COLD_INTERVAL_SECONDS = 1.2
@@ -32,6 +33,8 @@
         Repeats allowed for each request, over all entry VMs.
     reserve : float
         Repeats allowed beyond that in one window, over all entry VMs.
+    regions : int
+        Regions that may have started apart from each other.
     window_seconds : float
         Length of the sliding window.
     clock : callable
@@ -43,11 +46,13 @@
         *,
         ratio: float,
         reserve: float,
+        regions: int,
         window_seconds: float,
         clock: Callable[[], float],
     ) -> None:
         self._ratio = ratio * RATIO_USED
-        self._reserve = reserve * RESERVE_USED
+        # All regions may be apart at the start, and a single VM beside them.
+        self._reserve = reserve / (regions + 1)
         self._window_seconds = window_seconds
         self._clock = clock
         self._requests: deque[float] = deque()
@@ -61,7 +66,7 @@
         """Count a repeat if the share of one of `members` entry VMs allows it."""
         now = self._clock()
         self._drop_old(now)
-        share = self._reserve / max(members, 1)
+        share = self._reserve / max(members, LEAST_MEMBERS)
         if len(self._repeats) + 1 > self._ratio * len(self._requests) + share:
             return False
         self._repeats.append(now)
@@ -98,7 +103,8 @@
     ) -> bool:
         """Count a request to the cold `target` if it is allowed."""
         now = self._clock()
-        if now - self._last.get(target, float("-inf")) < COLD_INTERVAL_SECONDS:
+        self._drop_old(now)
+        if target in self._last:
             return False
         senders = int(bound_per_second * COLD_USED)
         ranked = sorted(members, key=lambda entry: _weight(target, entry))
@@ -107,9 +113,10 @@
         self._last[target] = now
         return True
 
-    def forget(self, target: TargetId) -> None:
-        """Drop what is known of a removed target."""
-        self._last.pop(target, None)
+    def _drop_old(self, now: float) -> None:
+        for target, sent_at in list(self._last.items()):
+            if now - sent_at >= COLD_INTERVAL_SECONDS:
+                del self._last[target]
 
 
 def first_sender(target: TargetId, members: Iterable[EntryId]) -> EntryId | None:
