Find cold targets and start without the store

Change: while no news of targets arrive, one entry VM asks each target that can be cold three times a second and tells the others; a process that starts without the store takes the view of another entry VM; a silent store is noticed after 3.5 s, not 5.5.

--- a/pimentospool/gateway/_cold_checks.py
+++ b/pimentospool/gateway/_cold_checks.py
@@ -1,7 +1,7 @@
-"""Asks targets of a zone that was taken back whether they are cold."""
+"""Asks targets whether they are cold, where their registrations do not say it."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from pimentospool.gateway._connections import AnswerHead, WireRequest
 from pimentospool.gateway._dialect import TargetDialect
@@ -14,15 +14,19 @@
 
 ANSWER_SECONDS = 1.0
 """Longest wait for a target's answer; it is taken as cold then."""
+POLL_SECONDS = 0.3
+"""Time between checks of a target while no news of targets arrive. A cold target takes
+a few requests a second, so that it must be found within a fraction of one."""
 TOLD_SECONDS = 2.0
 """Time for which an answer is told to the other entry VMs of the region."""
 
 
 class ColdChecks:
-    """One health check of each target whose zone was taken back.
+    """Health checks of targets that may have become cold unseen.
 
-    Servers of such a zone may be cold or not; only their own word says it. One entry
-    VM of the region asks each target and tells the others.
+    A target whose zone was taken back may be cold or not, and while no news arrive any
+    target may become so; only its own word says it. One entry VM of the region asks
+    each target and tells the others.
 
     Parameters
     ----------
@@ -57,6 +61,7 @@
         self._dialect = dialect
         self._clock = clock
         self._tasks: set[asyncio.Task[None]] = set()
+        self._asked: set[TargetId] = set()
         self._answers: dict[TargetId, tuple[float, float]] = {}
         knowledge.zone_restored.connect(self._check_zone)
 
@@ -74,11 +79,27 @@
         }
 
     def _check_zone(self, zone: ZoneId) -> None:
-        if self._knowledge.region_of(zone) != self._region:
-            return
+        if self._knowledge.region_of(zone) == self._region:
+            self._check_all(self._knowledge.assumed_cold(zone))
+
+    async def run(self) -> None:
+        """Ask targets for as long as no news of them arrive."""
+        while True:
+            await asyncio.sleep(POLL_SECONDS)
+            configuration = self._knowledge.configuration
+            if not self._knowledge.outdated or configuration is None:
+                continue
+            for service in configuration.services.values():
+                if service.cold_seconds > 0:
+                    states = self._knowledge.usable_targets(service.id, self._region)
+                    self._check_all(states)
+
+    def _check_all(self, states: Iterable[TargetState]) -> None:
         members = [EntryId(rec.id) for rec in self._fleet.ready(self._region)]
-        for state in self._knowledge.assumed_cold(zone):
-            if first_sender(state.id, members) == self._fleet.own_id:
+        for state in states:
+            first = first_sender(state.id, members)
+            if first == self._fleet.own_id and state.id not in self._asked:
+                self._asked.add(state.id)
                 task = asyncio.create_task(self._check(state))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
@@ -88,6 +109,7 @@
         assert configuration is not None
         service = configuration.services.get(state.registration.service)
         if service is None or not service.health_path:
+            self._asked.discard(state.id)
             return
         pool = self._pools.to_target(state.registration, service)
         data = self._dialect.encode_health(state.registration, service.health_path)
@@ -104,6 +126,8 @@
         except (AttemptFailure, TimeoutError):
             # No answer leaves the assumption that the target is cold in force.
             return
+        finally:
+            self._asked.discard(state.id)
         seconds = self._dialect.cold_seconds(head)
         if seconds is not None:
             now = self._clock()
--- a/pimentospool/gateway/_knowledge.py
+++ b/pimentospool/gateway/_knowledge.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Mapping
 
+import msgspec
+
 from pimentospool.gateway._model import Configuration, Registration
 from pimentospool.gateway._routes import RouteTable
 from pimentospool.ids import RegionId, ServiceId, TargetId, ZoneId
@@ -42,6 +44,22 @@
         return now < self.cold_until
 
 
+class TargetView(msgspec.Struct, kw_only=True, frozen=True):
+    """A target as another entry VM knows it."""
+
+    registration: Registration
+    cold_seconds: float
+    """Time for which it stays cold, from now."""
+
+
+class KnowledgeView(msgspec.Struct, kw_only=True, frozen=True):
+    """What one entry VM knows, for another one."""
+
+    configuration: Configuration
+    targets: tuple[TargetView, ...]
+    evacuated: frozenset[ZoneId]
+
+
 class Knowledge:
     """Latest facts; a configuration is replaced by a newer version only.
 
@@ -58,6 +76,8 @@
     ) -> None:
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
+        self.outdated = False
+        """Whether news of targets do not arrive at the moment."""
         self.zone_regions = dict(zone_regions)
         self.configuration_adopted: Signal[Configuration] = Signal(
             name="configuration_adopted"
@@ -136,14 +156,23 @@
         ]
 
     def learn_cold(self, target: TargetId, seconds: float) -> None:
-        """Replace the assumption that a target is cold by what it has said."""
+        """Record how long a target has said that it stays cold.
+
+        That it is warm counts only against an assumption, not against what it
+        published.
+        """
         state = self._targets.get(target)
-        if state is None or not state.assumed_cold:
+        if state is None:
             return
+        now = self._clock()
+        if seconds > 0:
+            if state.assumed_cold or not state.is_cold(now):
+                log_event(Event.TARGET_COLD, target=target, seconds=round(seconds, 3))
+            state.cold_until = now + seconds + COLD_MARGIN_SECONDS
+        elif state.assumed_cold:
+            log_event(Event.TARGET_COLD, target=target, seconds=0.0)
+            state.cold_until = now
         state.assumed_cold = False
-        margin = COLD_MARGIN_SECONDS if seconds > 0 else 0.0
-        state.cold_until = self._clock() + seconds + margin
-        log_event(Event.TARGET_COLD, target=target, seconds=round(seconds, 3))
 
     def known_targets(self) -> list[TargetId]:
         """Return the ids of all registered targets."""
@@ -161,6 +190,36 @@
         for zone in restored:
             self.zone_restored.send(zone)
 
+    def view(self) -> KnowledgeView | None:
+        """Return all that is known, None before the first configuration."""
+        if self.configuration is None:
+            return None
+        now = self._clock()
+        return KnowledgeView(
+            configuration=self.configuration,
+            targets=tuple(
+                TargetView(
+                    registration=state.registration,
+                    cold_seconds=max(0.0, state.cold_until - now),
+                )
+                for state in self._targets.values()
+            ),
+            evacuated=self.evacuated,
+        )
+
+    def take_view(self, view: KnowledgeView) -> bool:
+        """Take the view of another entry VM if nothing is known here yet."""
+        if self.configuration is not None:
+            return False
+        for item in view.targets:
+            self.register(
+                msgspec.structs.replace(
+                    item.registration, cold_seconds=item.cold_seconds
+                )
+            )
+        self.replace_evacuated(set(view.evacuated))
+        return self.adopt(view.configuration)
+
     @property
     def evacuated(self) -> frozenset[ZoneId]:
         """Zones to whose targets nothing is sent."""
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -5,6 +5,8 @@
 import random
 import time
 
+from aiohttp import web
+
 from pimentospool.gateway._cold_checks import ColdChecks
 from pimentospool.gateway._dialect import TargetDialect
 from pimentospool.gateway._directory import EntryDirectory
@@ -18,6 +20,7 @@
 from pimentospool.gateway._pools import Pools
 from pimentospool.gateway._settings import GatewaySettings
 from pimentospool.gateway._tools import ServingTools
+from pimentospool.gateway._view_exchange import ViewExchange, view_address
 from pimentospool.log import Event, log_event
 from pimentospool.policy import OccupancyBook
 from pimentospool.tasks import cancel_tasks
@@ -102,6 +105,10 @@
             cold_answers=self._cold_checks.answers,
             learn_cold=self.knowledge.learn_cold,
         )
+        self._views = ViewExchange(
+            knowledge=self.knowledge, fleet=self.fleet, rng=random.Random()
+        )
+        self._view_server: asyncio.Server | None = None
         self.knowledge.configuration_adopted.connect(self._become_ready)
         self._tasks: list[asyncio.Task[None]] = []
         self._last_moment = math.inf
@@ -115,7 +122,14 @@
     async def start(self) -> None:
         """Join the fleet."""
         await self.heartbeats.start(self.cfg.peer)
+        server = web.Server(self._views.answer, access_log=None)
+        address = view_address(self.cfg.peer)
+        self._view_server = await asyncio.get_running_loop().create_server(
+            server, address.host, address.port
+        )
         self._tasks.append(asyncio.create_task(self.heartbeats.run()))
+        self._tasks.append(asyncio.create_task(self._views.run()))
+        self._tasks.append(asyncio.create_task(self._cold_checks.run()))
 
     @property
     def serving(self) -> bool:
@@ -146,6 +160,8 @@
 
     async def stop(self) -> None:
         """End the background tasks."""
+        if self._view_server is not None:
+            self._view_server.close()
         await cancel_tasks(self._tasks)
         log_event(Event.ENTRY_STOPPED)
 
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -39,6 +39,8 @@
     STORE_BACK = (3103, logbook.NOTICE, "platform store reachable again")
     STORE_ENTRY_SKIPPED = (3104, logbook.WARNING, "store entry could not be read")
     STORE_HISTORY_LOST = (3105, logbook.WARNING, "store history lost; all is read anew")
+    VIEW_TAKEN = (3106, logbook.NOTICE, "view taken from another entry VM")
+    VIEW_REFUSED = (3107, logbook.WARNING, "another entry VM's view cannot be read")
     TARGET_REGISTERED = (3111, logbook.NOTICE, "target registered")
     TARGET_LEAVING = (3112, logbook.NOTICE, "target takes no new requests")
     TARGET_REMOVED = (3113, logbook.NOTICE, "target removed")
--- a/pimentospool/platform/_store.py
+++ b/pimentospool/platform/_store.py
@@ -24,10 +24,10 @@
 )
 from pimentospool.sending import TRANSPORT_ERRORS, UnrepeatedError, open_session
 
-WATCH_SECONDS = 4.0
+WATCH_SECONDS = 2.5
 """Time for which the store holds a watch; bounds how long a silent connection goes
 unnoticed."""
-CALL_SECONDS = 1.5
+CALL_SECONDS = 1.0
 """Longest wait for an answer beyond the time of a watch."""
 GATHER_SECONDS = 0.25
 """Pause after changes, in which those that follow gather; each call is priced."""
@@ -222,12 +222,14 @@
     def _failed(self, exc: StoreError) -> None:
         if not self.failing:
             self.failing = True
+            self._knowledge.outdated = True
             log_event(Event.STORE_UNREACHABLE, reason=str(exc), revision=self._revision)
 
     def _answered(self) -> None:
         now = asyncio.get_running_loop().time()
         if self.failing:
             self.failing = False
+            self._knowledge.outdated = False
             silent = now - self._answered_at
             if silent > OUTAGE_SECONDS:
                 self._lapse_until = now + LAPSE_WINDOW_SECONDS
--- a/pimentospool/standins/_sealed_target.py
+++ b/pimentospool/standins/_sealed_target.py
@@ -17,6 +17,7 @@
 _CRLF = b"\r\n"
 _END = b"\r\n\r\n"
 _NO_LINGER = struct.pack("ii", 1, 0)
+HEALTH_PATH = "/healthz"
 _CLOSE_POLL_SECONDS = 0.005
 
 
@@ -68,6 +69,8 @@
         What happens to the next requests, one each; none are left: all goes well.
     events : int
         Events of a stream; 0 answers with a whole body.
+    cold_ms : int
+        How long its health answers say that it stays cold.
     gap_seconds : float
         Pause before each event, or before the whole answer.
     """
@@ -79,6 +82,7 @@
         self.faults: list[Fault | None] = []
         self.received: list[ReceivedRequest] = []
         self.connections = 0
+        self.cold_ms = 0
         self.address = ""
         self._server: asyncio.Server | None = None
 
@@ -125,6 +129,12 @@
             req.ran = False
             writer.write(self._head(req, 503, "X-Not-Executed: 1", length=0))
             return True
+        if req.path == HEALTH_PATH:
+            req.ran = False
+            writer.write(
+                self._head(req, 200, f"X-Cold-Remaining: {self.cold_ms}", length=0)
+            )
+            return True
         if fault is Fault.EARLY:
             return True
         gone = asyncio.ensure_future(_wait_closed(reader))
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -89,7 +89,9 @@
     knowledge.learn_cold("i-1", 0.0)
     assert not state.is_cold(clock.now)
     knowledge.learn_cold("i-1", 5.0)
-    assert not state.is_cold(clock.now)
+    assert state.is_cold(clock.now + 5.0)
+    knowledge.learn_cold("i-1", 0.0)
+    assert state.is_cold(clock.now + 5.0)
 
 
 def test_word_of_a_cold_target_replaces_the_assumption(knowledge, clock):
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -112,11 +112,28 @@
 class Site:
     """A running platform with its nodes."""
 
-    def __init__(self, store, store_address):
+    def __init__(self, store, store_address, directory):
         self.store = store
         self.store_address = store_address
         self.nodes = []
         self.targets = {}
+        self._directory = directory
+        self._ports = [free_port("127.0.0.1") for _ in range(5)]
+
+    async def add_node(self, zone):
+        ip = f"127.0.0.{20 + len(self.nodes)}"
+        path = self._directory / f"{ip}.toml"
+        raw = node_file(
+            ip,
+            zone=zone,
+            store=self.store_address,
+            seeds=["127.0.0.20", "127.0.0.21", "127.0.0.22"],
+            ports=self._ports,
+        )
+        path.write_text(tomli_w.dumps(raw))
+        node = RunningNode(read_node_settings(path), path)
+        self.nodes.append(node)
+        return node
 
     async def add_target(self, name, **options):
         events = options.pop("events", 0)
@@ -171,19 +188,12 @@
     """Run a store and a node in each of `zones`."""
     store = StoreStandin()
     server = await serve_standin(store, "127.0.0.1:0")
-    made = Site(store, server.address)
+    made = Site(store, server.address, Path(tmp_path))
     if with_config:
         await store.put("op/config", config())
-    ips = [f"127.0.0.{20 + number}" for number in range(len(zones))]
-    ports = [free_port("127.0.0.1") for _ in range(5)]
     try:
-        for ip, zone in zip(ips, zones, strict=True):
-            path = Path(tmp_path) / f"{ip}.toml"
-            raw = node_file(
-                ip, zone=zone, store=server.address, seeds=ips[:3], ports=ports
-            )
-            path.write_text(tomli_w.dumps(raw))
-            made.nodes.append(RunningNode(read_node_settings(path), path))
+        for zone in zones:
+            await made.add_node(zone)
         yield made
     finally:
         for node in made.nodes:
--- a/tests/platform/test_fleet_path.py
+++ b/tests/platform/test_fleet_path.py
@@ -213,3 +213,22 @@
             await made.nodes[0].task
 
     play(runner, tmp_path, check, zones=("gulf-a",))
+
+
+def test_node_that_starts_without_the_store_takes_the_view_of_another(runner, tmp_path):
+    async def check(made):
+        await made.add_target("d-1")
+        first = made.nodes[0].gateway.knowledge
+        await made.wait_until(first.known_targets)
+        made.store.refusing = 503
+        late = await made.add_node("gulf-a")
+        await made.wait_until(lambda: late.gateway.state is EntryState.READY)
+        number = made.nodes.index(late)
+        status, headers, _ = await made.call("/look/", node=number)
+        assert status == 200
+        assert headers["X-Response-Seal"] == "d-1.r-1"
+        made.store.refusing = 0
+        await made.store.delete("servers/d-1")
+        await made.wait_until(lambda: not late.gateway.knowledge.known_targets())
+
+    play(runner, tmp_path, check)
--- a/tests/platform/test_store_feed.py
+++ b/tests/platform/test_store_feed.py
@@ -155,3 +155,19 @@
         await made.wait_until(lambda: not state.assumed_cold)
 
     play(runner, tmp_path, check)
+
+
+def test_targets_that_become_cold_while_the_store_is_away_are_found(runner, tmp_path):
+    async def check(made):
+        target = await made.add_target("m-1", service="llm", events=2)
+        await made.wait_until(lambda: ready_ids(made, "llm") == {"m-1"})
+        state = knowledge(made).target("m-1")
+        now = asyncio.get_running_loop().time
+        assert not state.is_cold(now())
+        made.store.refusing = 503
+        await made.store.put("op/wake", {})
+        await made.wait_until(lambda: made.nodes[0].node._feed.failing)
+        target.cold_ms = 2000
+        await made.wait_until(lambda: state.is_cold(now()), seconds=0.8)
+
+    play(runner, tmp_path, check)
