--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -90,6 +90,13 @@
                 verdict=Verdict.NOT_RUN,
                 cause=FailureCause.REFUSED,
             )
+        if kind is AnswerClass.ABSENT:
+            await self._finish_reading(stream)
+            raise AttemptFailure(
+                detail="another target answers at the address",
+                verdict=Verdict.NOT_RUN,
+                cause=FailureCause.UNREACHABLE,
+            )
         if kind is AnswerClass.INVALID:
             raise AttemptFailure(
                 detail=f"status {head.status} without a target's signature",
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -355,6 +355,8 @@
                 resume_after=self._resume_after,
                 max_targets=self._progress.targets_left,
             )
+            # Targets there may receive the request, and the other VM counts it.
+            self._progress.sent = True
             stream = conn.send(self._wire(data))
             await self._receiver.receive(stream, None, remaining)
         finally:
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -79,7 +79,9 @@
     def classify(self, head: AnswerHead) -> AnswerClass:
         """Return what `head` says."""
         status = head.status
-        if status == _MISDIRECTED or head.get(NOT_EXECUTED) is not None:
+        if status == _MISDIRECTED:
+            return AnswerClass.ABSENT
+        if head.get(NOT_EXECUTED) is not None:
             return AnswerClass.REJECTION
         coding = head.get(b"content-encoding")
         if coding is not None and coding != b"identity":
