Take paces near one as ordinary

Change: paces are means of ratios on a logarithmic scale and count only above 1.6; the first event's time is in the log line of each request.

--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -125,6 +125,7 @@
             place=self._place,
             attempts=self._progress.attempts + 1,
             events=self._progress.events,
+            first_event_seconds=self._first_event_seconds(),
             seconds=self._seconds(),
         )
         self._ended(RoutedResult.ANSWERED)
@@ -151,9 +152,6 @@
 
     def _ended(self, result: RoutedResult) -> None:
         progress = self._progress
-        first_byte = None
-        if progress.first_event_at is not None:
-            first_byte = progress.first_event_at - self._req.received_at
         self._tools.request_ended.send(
             RoutedOutcome(
                 result=result,
@@ -161,11 +159,15 @@
                 verdict=progress.verdict,
                 attempts=progress.attempts + 1,
                 hopped=self._req.hopped,
-                first_byte_seconds=first_byte,
+                first_byte_seconds=self._first_event_seconds(),
                 seconds=self._tools.clock() - self._req.received_at,
             )
         )
 
+    def _first_event_seconds(self) -> float | None:
+        first_at = self._progress.first_event_at
+        return None if first_at is None else round(first_at - self._req.received_at, 4)
+
     def _seconds(self) -> float:
         return round(self._tools.clock() - self._req.received_at, 3)
 
--- a/pimentospool/policy/_target_health.py
+++ b/pimentospool/policy/_target_health.py
@@ -11,8 +11,9 @@
 """Longest time without new requests; a returned target is then found."""
 SMOOTHING = 0.2
 """Weight of the newest observation."""
-SLOWING = 0.4
-"""Weight of a pace that is slower than the last ones, to leave a target soon."""
+STEADY_PACE = 1.6
+"""Pace up to which a target counts as an ordinary one. One in ten first events of an
+ordinary target takes 2.8 times what was expected, so that single ones say little."""
 RELAX_SECONDS = 4.0
 """Time in which an old observation loses most of its weight, so that a target that
 was slow is tried again."""
@@ -54,7 +55,8 @@
     @property
     def pace(self) -> float:
         """Observed against expected time to the first byte; above 1 is slow."""
-        return 1.0 + (self._pace - 1.0) * self._weight()
+        pace = self._recent_pace()
+        return pace if pace > STEADY_PACE else 1.0
 
     def answered(self, pace: float) -> None:
         """Record a good answer that took `pace` times what was expected."""
@@ -76,11 +78,15 @@
         self._ejected_until = self._clock() + duration
 
     def _observe(self, pace: float, *, failed: bool) -> None:
-        weight = SLOWING if pace > self.pace else SMOOTHING
-        self._pace = self.pace + weight * (pace - self.pace)
+        # A mean of ratios: twice as slow and twice as fast cancel out.
+        known = self._recent_pace()
+        self._pace = known * (pace / known) ** SMOOTHING
         self._failing = self.failing + SMOOTHING * (float(failed) - self.failing)
         self._observed_at = self._clock()
 
+    def _recent_pace(self) -> float:
+        return 1.0 + (self._pace - 1.0) * self._weight()
+
     def _weight(self) -> float:
         age = self._clock() - self._observed_at
         return max(0.0, 1.0 - age / (2 * RELAX_SECONDS))
