Take a prompt as kept here only if no other region keeps it

Change: a region's preferred target counts as keeping a prompt only where the target that all regions prefer is its own, or its region cannot be reached.

--- a/pimentospool/gateway/_placing.py
+++ b/pimentospool/gateway/_placing.py
@@ -89,12 +89,16 @@
 
         `patience_seconds` is the time for which its caller waits for a first byte.
         """
-        candidates = []
-        if route.allows(self._region):
-            candidates = self._candidates(req, service, progress)
+        home = self._region_of_parts(req, route, service)
         remotes = []
         if not req.hopped and progress.targets_left:
-            remotes = self._remotes(req, route, service, progress)
+            remotes = self._remotes(req, route, service, progress, home=home)
+        candidates = []
+        if route.allows(self._region):
+            kept_elsewhere = any(remote.region == home for remote in remotes)
+            candidates = self._candidates(
+                req, service, progress, kept_here=not kept_elsewhere
+            )
         objective = route.target_latency_seconds or math.inf
         choice = choose_place(
             candidates,
@@ -161,8 +165,14 @@
         return [state for state in states if not self.health(state.id).ejected]
 
     def _candidates(
-        self, req: InboundRequest, service: ServiceSpec, progress: Progress
+        self,
+        req: InboundRequest,
+        service: ServiceSpec,
+        progress: Progress,
+        *,
+        kept_here: bool,
     ) -> list[Candidate]:
+        """Return this region's targets; `kept_here` says if one keeps the prompt."""
         states = [
             state for state in self._usable(service.id) if progress.may_use(state.id)
         ]
@@ -173,7 +183,10 @@
             return [
                 self._candidate(state, service, unread=0, tokens=0) for state in states
             ]
-        preferred = preferred_target(prompt.shared_key, [s.id for s in states])
+        preferred = None
+        if kept_here:
+            ids = [state.id for state in states]
+            preferred = preferred_target(prompt.shared_key, ids)
         tokens = prompt.tokens + prompt.max_output_tokens
         return [
             self._candidate(
@@ -221,6 +234,8 @@
         route: HttpRoute,
         service: ServiceSpec,
         progress: Progress,
+        *,
+        home: RegionId | None,
     ) -> list[RemoteRegion]:
         loads = {
             region: load
@@ -229,7 +244,6 @@
         }
         if not loads:
             return []
-        home = self._region_of_parts(req, route, service)
         return [
             RemoteRegion(
                 region=region,
