Send nothing to cold targets from processes that have just started

Change: a process sends to cold targets only two seconds after its start; changes of the store gather for 0.6 s instead of 0.25 s.

--- a/pimentospool/platform/_store.py
+++ b/pimentospool/platform/_store.py
@@ -29,8 +29,9 @@
 unnoticed."""
 CALL_SECONDS = 1.0
 """Longest wait for an answer beyond the time of a watch."""
-GATHER_SECONDS = 0.25
-"""Pause after changes, in which those that follow gather; each call is priced."""
+GATHER_SECONDS = 0.6
+"""Pause after changes, in which those that follow gather. Each call is priced, and
+changes have to be in force within three seconds."""
 MIN_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 1.0
 OUTAGE_SECONDS = 2.5
--- a/pimentospool/policy/_repeat_budget.py
+++ b/pimentospool/policy/_repeat_budget.py
@@ -19,6 +19,9 @@
 just started may not know the others yet."""
 COLD_USED = 0.5
 """Part of a cold target's rate that is used, for the same reason."""
+SETTLE_SECONDS = 2.0
+"""Time after its start in which a process sends nothing to cold targets, as it may not
+know the other entry VMs yet; several rounds of heartbeats."""
 COLD_INTERVAL_SECONDS = 1.2
 """Least time between two requests of one entry VM to a cold target; above the
 second over which the bound is counted."""
@@ -96,6 +99,7 @@
     def __init__(self, *, own: EntryId, clock: Callable[[], float]) -> None:
         self._own = own
         self._clock = clock
+        self._settled_at = clock() + SETTLE_SECONDS
         self._last: dict[TargetId, float] = {}
 
     def take(
@@ -104,7 +108,7 @@
         """Count a request to the cold `target` if it is allowed."""
         now = self._clock()
         self._drop_old(now)
-        if target in self._last:
+        if now < self._settled_at or target in self._last:
             return False
         senders = int(bound_per_second * COLD_USED)
         ranked = sorted(members, key=lambda entry: _weight(target, entry))
