Resume silent streams, wait less for connections, pass errors of hops on

Change: a connection within a region is given up after 0.35 s; a stream that may be resumed goes on elsewhere after half of callers' patience; errors that come by a hop are passed on, as the other entry VM has repeated them already.

--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -17,6 +17,9 @@
 CLOCK_SECONDS = 0.01
 """Time to a deadline at which it counts as reached; the event loop's timers and the
 steady clock differ by some milliseconds."""
+STALL_SHARE = 0.5
+"""Part of callers' patience with a stream's pause after which it is resumed at another
+target, so that its next event can still come in time."""
 REJECTION_SECONDS = 0.2
 """Longest wait for the rest of a rejection, whose connection can be kept then."""
 
@@ -103,7 +106,8 @@
                 verdict=Verdict.MAY_HAVE_RUN,
                 cause=FailureCause.BROKEN,
             )
-        if kind is AnswerClass.ERROR and self._repeats_errors():
+        at_target = assignment is not None
+        if kind is AnswerClass.ERROR and at_target and self._repeats_errors():
             await self._finish_reading(stream)
             raise AttemptFailure(
                 detail=f"the target answered with status {head.status}",
@@ -124,12 +128,23 @@
                         resumable=self._route.resumable,
                         clock=self._tools.clock,
                         assignment=assignment,
+                        stall_seconds=self._stall_seconds(assignment),
                     )
                 else:
                     await self._pass_whole(stream, kind)
         except TimeoutError as exc:
             raise self._silent(exc) from exc
 
+    def _stall_seconds(self, assignment: Assignment | None) -> float | None:
+        """Return the pause after which a stream goes on elsewhere, None for never.
+
+        Another entry VM does this for a stream that it serves.
+        """
+        moves = self._route.resumable and self._progress.targets_left > 1
+        if assignment is None or not moves:
+            return None
+        return self._route.event_patience_seconds * STALL_SHARE
+
     async def _pass_whole(self, stream: AnswerStream, kind: AnswerClass) -> None:
         pieces = []
         while piece := await stream.read():
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -18,8 +18,9 @@
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
-CONNECT_SECONDS = 1.0
-"""Longest wait for a connection; several round trips between regions."""
+CONNECT_SECONDS = 0.35
+"""Longest wait for a connection within a region, where a round trip takes less than
+ten milliseconds; a target without power does not answer at all."""
 UNACKNOWLEDGED_MS = 1500
 """Time after which the kernel ends a connection whose bytes are not confirmed."""
 KEEPALIVE_IDLE_SECONDS = 1
@@ -328,11 +329,20 @@
         Where they lead.
     limit : int
         Most connections at a time.
+    connect_seconds : float
+        Longest wait for a new one.
     """
 
-    def __init__(self, *, address: Address, limit: int) -> None:
+    def __init__(
+        self,
+        *,
+        address: Address,
+        limit: int,
+        connect_seconds: float = CONNECT_SECONDS,
+    ) -> None:
         self.address = address
         self.limit = limit
+        self._connect_seconds = connect_seconds
         self.opened = 0
         self._idle: list[Connection] = []
         self._timers: dict[Connection, asyncio.TimerHandle] = {}
@@ -405,7 +415,7 @@
         loop = asyncio.get_running_loop()
         sock = _new_socket()
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
+            async with asyncio.timeout(self._connect_seconds):
                 await loop.sock_connect(sock, (self.address.host, self.address.port))
                 _, conn = await loop.create_connection(Connection, sock=sock)
         except (OSError, TimeoutError) as exc:
--- a/pimentospool/gateway/_pools.py
+++ b/pimentospool/gateway/_pools.py
@@ -9,6 +9,8 @@
 
 PEER_CONNECTIONS = 128
 """Most connections to one entry VM of another region."""
+PEER_CONNECT_SECONDS = 0.6
+"""Longest wait for a connection to another region, several round trips."""
 CONNECTION_SHARE = 0.8
 """Part of a target's connections that all entry VMs use together; closed ones take
 a moment to be forgotten there."""
@@ -51,7 +53,11 @@
         """Return the pool of an entry VM."""
         pool = self._peers.get(address)
         if pool is None:
-            pool = ConnectionPool(address=address, limit=PEER_CONNECTIONS)
+            pool = ConnectionPool(
+                address=address,
+                limit=PEER_CONNECTIONS,
+                connect_seconds=PEER_CONNECT_SECONDS,
+            )
             self._peers[address] = pool
         return pool
 
--- a/pimentospool/gateway/_relay.py
+++ b/pimentospool/gateway/_relay.py
@@ -1,5 +1,6 @@
 """Passing a stream of events on as they arrive."""
 
+import asyncio
 from collections.abc import Callable
 
 from pimentospool.gateway._connections import AnswerHead, AnswerStream
@@ -19,6 +20,7 @@
     resumable: bool,
     clock: Callable[[], float],
     assignment: Assignment | None,
+    stall_seconds: float | None,
 ) -> None:
     """Send a stream to `reply`, whose head is that of the first run.
 
@@ -26,13 +28,17 @@
     target can go on after the last one. The reply begins with the first bytes, so
     that a failure before them can still be answered.
 
+    With `stall_seconds` the stream is given up after so long a pause between events.
+
     Raises
     ------
     AttemptFailure
         If the stream breaks off.
+    TimeoutError
+        If it pauses for too long.
     """
     splitter = EventSplitter() if resumable else None
-    while piece := await stream.read():
+    while piece := await _read(stream, stall_seconds if progress.events else None):
         if splitter is not None:
             batch = splitter.feed(piece)
             if batch is None:
@@ -58,3 +64,10 @@
     if not reply.started:
         await reply.begin(head)
     await reply.end()
+
+
+async def _read(stream: AnswerStream, seconds: float | None) -> bytes:
+    if seconds is None:
+        return await stream.read()
+    async with asyncio.timeout(seconds):
+        return await stream.read()
--- a/pimentospool/standins/_sealed_target.py
+++ b/pimentospool/standins/_sealed_target.py
@@ -32,6 +32,7 @@
     SILENT = "no answer"
     CUT_BODY = "an answer that ends early"
     CUT_STREAM = "a stream that breaks off within an event"
+    STALL = "a stream that stops after its first event"
     UNFRAMED = "an answer that ends with its connection"
     UNFRAMED_RESET = "an answer without a length, cut by a reset"
     NOT_HTTP = "bytes that are no answer"
@@ -225,6 +226,9 @@
             await asyncio.wait([gone], timeout=self.gap_seconds)
             if gone.done():
                 return False
+            if fault is Fault.STALL and number > first:
+                await gone
+                return False
             event = b"id: %d\ndata: %d\n\n" % (number, number)
             if fault is Fault.CUT_STREAM and number > first:
                 writer.write(_chunk(event[: len(event) // 2]))
--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -271,6 +271,24 @@
     play(runner, tmp_path, check, second=True)
 
 
+def test_silent_resumable_stream_goes_on_before_its_caller_leaves(runner, tmp_path):
+    async def check(made):
+        stalled = made.targets["m-1"]
+        stalled.faults = [Fault.STALL]
+        loop = asyncio.get_running_loop()
+        while not stalled.received:
+            began = loop.time()
+            status, _, body = await made.call("/ask/", method="POST", data=b"p")
+            ids = [line for line in body.decode().split("\n") if line.startswith("id")]
+            assert status == 200
+            assert ids == [f"id: {event}" for event in range(1, 6)]
+        assert 0.9 <= loop.time() - began <= 1.6
+        assert made.targets["m-2"].received[-1].headers["last-event-id"] == "1"
+        await made.wait_until(lambda: stalled.received[0].left, seconds=0.5)
+
+    play(runner, tmp_path, check, second=True)
+
+
 def test_broken_stream_that_may_not_be_resumed_does_not_look_complete(runner, tmp_path):
     async def check(made):
         made.targets["m-1"].faults = [Fault.CUT_STREAM]
