Read the node's code as a newcomer: one way to serve pages, public names

Cause: the command imported private modules of the adapter, attempts took their parts by position, and each page of a node was opened in a way of its own. Change: names are public where they are used elsewhere, construction is by keyword, one method serves pages.

--- a/pimentospool/commands/_node.py
+++ b/pimentospool/commands/_node.py
@@ -4,14 +4,16 @@
 from pathlib import Path
 
 import click
-import uvloop
 
 from pimentospool._generated.settings import LogSettings
+from pimentospool.commands._common import EXIT_REFUSED, run
 from pimentospool.log_output import open_log
-from pimentospool.platform import SETTINGS_VARIABLE, read_node_settings, run_node
-from pimentospool.platform._settings import NodeSettingsError
-
-EXIT_REFUSED = 2
+from pimentospool.platform import (
+    SETTINGS_VARIABLE,
+    NodeSettingsError,
+    read_node_settings,
+    run_node,
+)
 
 
 @click.command()
@@ -30,6 +32,6 @@
         raise SystemExit(EXIT_REFUSED) from exc
     handler = open_log(LogSettings())
     try:
-        uvloop.run(run_node(cfg, path))
+        run(run_node(cfg, path))
     finally:
         handler.flush()
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -31,10 +31,25 @@
 
 
 class Attempts:
-    """One request on its way."""
+    """One request on its way.
+
+    Parameters
+    ----------
+    tools : ServingTools
+        What all requests share.
+    req : InboundRequest
+        The request.
+    reply : Reply
+        Where its answer goes.
+    route : HttpRoute
+        What the route allows.
+    service : ServiceSpec
+        The service that is to answer.
+    """
 
     def __init__(
         self,
+        *,
         tools: ServingTools,
         req: InboundRequest,
         reply: Reply,
--- a/pimentospool/gateway/_dispatch.py
+++ b/pimentospool/gateway/_dispatch.py
@@ -47,7 +47,9 @@
             refusal = Refusal(reason=RefusalReason.NO_ROUTE, verdict=Verdict.NOT_RUN)
             await self._refuse(req, reply, refusal)
             return
-        attempts = Attempts(self._tools, req, reply, route, service)
+        attempts = Attempts(
+            tools=self._tools, req=req, reply=reply, route=route, service=service
+        )
         try:
             await attempts.run()
         except (asyncio.CancelledError, ConnectionError):
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -52,9 +52,10 @@
     RefusalReason.FAILED: 502,
 }
 
-_quiet = logging.getLogger("pimentospool.front")
-_quiet.addHandler(logging.NullHandler())
-_quiet.propagate = False
+# aiohttp reports callers' faults and departures as errors; the log has its own lines.
+quiet_logger = logging.getLogger("pimentospool.front")
+quiet_logger.addHandler(logging.NullHandler())
+quiet_logger.propagate = False
 
 
 class _BodyTooLargeError(Exception):
@@ -83,7 +84,7 @@
             max_field_size=MAX_HEADER_LINE_BYTES,
             auto_decompress=False,
             access_log=None,
-            logger=_quiet,
+            logger=quiet_logger,
         )
         self._closed = False
 
--- a/pimentospool/platform/_node.py
+++ b/pimentospool/platform/_node.py
@@ -2,21 +2,24 @@
 
 import asyncio
 import signal
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import msgspec
 from aiohttp import web
 
-from pimentospool.gateway import EntryState, Gateway, GatewaySettings
+from pimentospool.gateway import Address, EntryState, Gateway, GatewaySettings
 from pimentospool.ids import RegionId
 from pimentospool.latencies import CONTENT_TYPE
 from pimentospool.log import Event, log_event
 from pimentospool.platform._exchange import PlatformDialect
-from pimentospool.platform._front import Front, _quiet
+from pimentospool.platform._front import Front, quiet_logger
 from pimentospool.platform._settings import NodeSettingsError, read_node_settings
 from pimentospool.platform._store import StoreFeed
 from pimentospool.tasks import cancel_tasks
 
+PageHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
 METRICS_PATH = "/metrics"
 BACKLOG = 512
 """Connections that wait to be accepted; a full queue costs callers seconds."""
@@ -76,14 +79,11 @@
         self._tasks.append(asyncio.create_task(self._feed.run()))
         await self._gateway.start()
         front, hops = self._fronts
-        await self._listen(front.server, cfg.front.host, cfg.front.port)
-        await self._listen(hops.server, cfg.peer.host, cfg.peer.port)
-        ready = web.Server(self._answer_ready, access_log=None, logger=_quiet)
-        await self._listen(ready, cfg.ready.host, cfg.ready.port)
-        directory = web.Server(self._answer_resolve, access_log=None, logger=_quiet)
-        await self._listen(directory, cfg.directory.host, cfg.directory.port)
-        control = web.Server(self._answer_metrics, access_log=None, logger=_quiet)
-        await self._listen(control, cfg.control.host, cfg.control.port)
+        await self._listen(front.server, cfg.front)
+        await self._listen(hops.server, cfg.peer)
+        await self._serve_pages(self._answer_ready, cfg.ready)
+        await self._serve_pages(self._answer_resolve, cfg.directory)
+        await self._serve_pages(self._answer_metrics, cfg.control)
         self._gateway.metrics.add_gauge(
             "pimentospool_store_calls",
             "Reading calls to the platform's store.",
@@ -104,10 +104,16 @@
             seeds=len(cfg.seeds),
         )
 
-    async def _listen(self, server: web.Server, host: str, port: int) -> None:
+    async def _serve_pages(self, handler: PageHandler, address: Address) -> None:
+        server = web.Server(handler, access_log=None, logger=quiet_logger)
+        await self._listen(server, address)
+
+    async def _listen(self, server: web.Server, address: Address) -> None:
         loop = asyncio.get_running_loop()
         self._servers.append(
-            await loop.create_server(server, host, port, backlog=BACKLOG)
+            await loop.create_server(
+                server, address.host, address.port, backlog=BACKLOG
+            )
         )
 
     async def _answer_ready(self, http: web.BaseRequest) -> web.StreamResponse:
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -113,7 +113,13 @@
 def serve(tools):
     reply = KeptReply()
     req = make_request(received_at=tools.clock())
-    attempts = Attempts(tools, req, reply, make_route(), make_service())
+    attempts = Attempts(
+        tools=tools,
+        req=req,
+        reply=reply,
+        route=make_route(),
+        service=make_service(),
+    )
     asyncio.run(attempts.run())
     return reply
 
