--- a/tests/platform/test_import_rule.py
+++ b/tests/platform/test_import_rule.py
@@ -10,7 +10,7 @@
 SPELLINGS = re.compile(
     r"X-Response-Seal|X-Not-Executed|X-Token-Count|X-Prompt-Prefix|X-Expect-Instance"
     r"|X-Cold-Remaining|kv-watch|kv-range|ListenAddrs|ColdLeftMs|InternalPorts"
-    r"|op/config|op/evacuate|MaxAttempts|PIMENTOSPOOL_CONFIG",
+    r"|op/config|op/evacuate|MaxAttempts|PIMENTOSPOOL_CONFIG\b",
     re.IGNORECASE,
 )
 KEEPS_ITS_OWN = {
