Take out what nothing calls, and open sockets in one place

Cause: read as a newcomer, the change set the same timeouts on sockets twice, kept a pool and its connections in one file of 447 lines, and had counters and look-ups that nothing reads.

--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Callable
 from typing import cast
@@ -14,17 +13,9 @@
 import httptools
 import msgspec
 
-from pimentospool.gateway._model import Address
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
-CONNECT_SECONDS = 0.35
-"""Longest wait for a connection within a region, where a round trip takes less than
-ten milliseconds; a target without power does not answer at all."""
-UNACKNOWLEDGED_MS = 1500
-"""Time after which the kernel ends a connection whose bytes are not confirmed."""
-KEEPALIVE_IDLE_SECONDS = 1
-KEEPALIVE_PROBES = 2
 IDLE_SECONDS = 4.0
 """Longest rest of a connection whose server states no timeout."""
 IDLE_MARGIN_SECONDS = 1.0
@@ -154,7 +145,6 @@
 
     def __init__(self) -> None:
         self.closed = False
-        self.reused = False
         self.idle_seconds = IDLE_SECONDS
         self.on_closed: Callable[[Connection], None] | None = None
         self._transport: asyncio.Transport | None = None
@@ -318,130 +308,3 @@
             if name.lower() == b"timeout" and seconds.isdigit():
                 stated = int(seconds)
                 self.idle_seconds = max(stated - IDLE_MARGIN_SECONDS, stated / 2)
-
-
-class ConnectionPool:
-    """Connections to one address.
-
-    Parameters
-    ----------
-    address : Address
-        Where they lead.
-    limit : int
-        Most connections at a time.
-    connect_seconds : float
-        Longest wait for a new one.
-    """
-
-    def __init__(
-        self,
-        *,
-        address: Address,
-        limit: int,
-        connect_seconds: float = CONNECT_SECONDS,
-    ) -> None:
-        self.address = address
-        self.limit = limit
-        self._connect_seconds = connect_seconds
-        self.opened = 0
-        self._idle: list[Connection] = []
-        self._timers: dict[Connection, asyncio.TimerHandle] = {}
-        self._count = 0
-        self._retired = False
-
-    @property
-    def exhausted(self) -> bool:
-        """Whether no further request can be sent now."""
-        return self._count >= self.limit and not self._idle
-
-    async def acquire(self) -> Connection:
-        """Return a connection with no request on it.
-
-        Raises
-        ------
-        AttemptFailure
-            If none can be opened; nothing was sent then.
-        """
-        while self._idle:
-            conn = self._idle.pop()
-            self._timers.pop(conn).cancel()
-            if conn.reusable:
-                conn.reused = True
-                return conn
-        if self._count >= self.limit:
-            raise _unreachable("all connections are in use", FailureCause.REFUSED)
-        self._count += 1
-        try:
-            return await self._open()
-        except BaseException:
-            self._count -= 1
-            raise
-
-    def release(self, conn: Connection) -> None:
-        """Take back a connection; one with an unfinished answer is closed."""
-        if not conn.reusable or self._retired:
-            if conn.busy:
-                conn.abort()
-            elif not conn.closed:
-                conn.close()
-            return
-        self._idle.append(conn)
-        loop = asyncio.get_running_loop()
-        self._timers[conn] = loop.call_later(conn.idle_seconds, self._expire, conn)
-
-    def discard_idle(self) -> None:
-        """Close all connections without a request."""
-        for conn in list(self._idle):
-            self._expire(conn)
-
-    def retire(self) -> None:
-        """Close each connection as soon as it has no request."""
-        self._retired = True
-        self.discard_idle()
-
-    def _expire(self, conn: Connection) -> None:
-        if conn in self._idle:
-            self._idle.remove(conn)
-            self._timers.pop(conn).cancel()
-        conn.close()
-
-    def _closed(self, conn: Connection) -> None:
-        self._count -= 1
-        if conn in self._idle:
-            self._idle.remove(conn)
-            self._timers.pop(conn).cancel()
-
-    async def _open(self) -> Connection:
-        loop = asyncio.get_running_loop()
-        sock = _new_socket()
-        try:
-            async with asyncio.timeout(self._connect_seconds):
-                await loop.sock_connect(sock, (self.address.host, self.address.port))
-                _, conn = await loop.create_connection(Connection, sock=sock)
-        except (OSError, TimeoutError) as exc:
-            sock.close()
-            raise _unreachable(f"no connection: {exc!r}") from exc
-        except BaseException:
-            sock.close()
-            raise
-        self.opened += 1
-        conn.on_closed = self._closed
-        return conn
-
-
-def _unreachable(
-    detail: str, cause: FailureCause = FailureCause.UNREACHABLE
-) -> AttemptFailure:
-    return AttemptFailure(detail=detail, verdict=Verdict.NOT_RUN, cause=cause)
-
-
-def _new_socket() -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    return sock
--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -138,10 +138,6 @@
             if rec.region == region and rec.state == EntryState.LEAVING.value
         ]
 
-    def regions(self) -> set[RegionId]:
-        """Return the regions in which other entry VMs are alive."""
-        return {RegionId(record.region) for record in self.live()}
-
     def loads(self, service: ServiceId) -> dict[RegionId, ServiceLoad]:
         """Return the least load of `service` that each other region reports."""
         loads: dict[RegionId, ServiceLoad] = {}
--- a/pimentospool/gateway/_pools.py
+++ b/pimentospool/gateway/_pools.py
@@ -2,7 +2,7 @@
 
 import math
 
-from pimentospool.gateway._connections import ConnectionPool
+from pimentospool.gateway._connection_pool import ConnectionPool
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._model import Address, Registration, ServiceSpec
 from pimentospool.ids import RegionId, TargetId
--- a/pimentospool/gateway/_routes.py
+++ b/pimentospool/gateway/_routes.py
@@ -17,7 +17,6 @@
 
     def __init__(self, *, configuration: Configuration) -> None:
         self._routes = {(rt.host, rt.prefix): rt for rt in configuration.routes}
-        self.hosts = frozenset(rt.host for rt in configuration.routes)
 
     def match(self, host: str, path: str) -> HttpRoute | None:
         """Return the route with the longest prefix that begins `path`.
--- a/pimentospool/platform/_store.py
+++ b/pimentospool/platform/_store.py
@@ -4,7 +4,6 @@
 import base64
 import binascii
 import random
-import socket
 from typing import TypeVar
 
 import aiohttp
@@ -23,6 +22,7 @@
     decode_registration,
 )
 from pimentospool.sending import TRANSPORT_ERRORS, UnrepeatedError, open_session
+from pimentospool.sockets import open_socket
 
 WATCH_SECONDS = 2.5
 """Time for which the store holds a watch; bounds how long a silent connection goes
@@ -248,19 +248,9 @@
 def _open_session() -> aiohttp.ClientSession:
     return open_session(
         connector=aiohttp.TCPConnector(
-            limit=2, socket_factory=_keepalive_socket, keepalive_timeout=60.0
+            limit=2, socket_factory=lambda info: open_socket(), keepalive_timeout=60.0
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=1.0),
         auto_decompress=False,
     )
-
-
-def _keepalive_socket(info: aiohttp.AddrInfoType) -> socket.socket:
-    sock = socket.socket(info[0], info[1], info[2])
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 1500)
-    return sock
--- a/pimentospool/policy/_occupancy.py
+++ b/pimentospool/policy/_occupancy.py
@@ -4,7 +4,7 @@
 while the entry VMs of a region know at once what they have sent.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 
@@ -128,11 +128,6 @@
         """Record the part of `peer`."""
         self._peers[peer] = (self._clock(), occupancy)
 
-    def forget(self, peers: Iterable[EntryId]) -> None:
-        """Drop the parts of entry VMs that are gone."""
-        for peer in peers:
-            self._peers.pop(peer, None)
-
     def total(self, target: TargetId) -> Occupancy:
         """Return what all entry VMs together have at `target`."""
         oldest = self._clock() - PEER_REPORT_SECONDS
