Remove the orders to engines

Cause: on the platform nobody gives orders to engines: what they hold is the operator's, and the store that a node reads can only be read. The orderer, its fencing numbers, the placement of models, their bench and the weight store's stand-in served nothing any more.

Change: orders, policy/_orders, policy/_placement, bench/_orders, the stand-in of the weight store, their settings, manifest fields, status fields, events, pages and tests are gone. An engine still tells which models it holds, now at GET /state. The tests removed (tests/test_orders.py, tests/policy/test_orders.py) tested only what is removed.

Conclusion: one decision less that a partition could get wrong. Configuration readers, fetched parts, signed documents and quotas remain: the drill and the entry role use them.

--- a/pimentospool/_generated/engine.py
+++ b/pimentospool/_generated/engine.py
@@ -3,7 +3,6 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
 from typing import Annotated
 
 from msgspec import UNSET, Meta, Struct, UnsetType, field
@@ -28,29 +27,6 @@
     next: Annotated[int, Meta(description="Sequence to ask for next.")]
 
 
-class OrderAction(StrEnum):
-    LOAD = "load"
-    UNLOAD = "unload"
-    LOAD_ADAPTER = "load_adapter"
-    UNLOAD_ADAPTER = "unload_adapter"
-    SET_ROLE = "set_role"
-
-
-class EngineOrder(Struct, kw_only=True):
-    """
-    One order; safe to repeat.
-    """
-
-    action: Annotated[OrderAction, Meta(title="OrderAction")]
-    fencing: int
-    model: ModelId = ""
-    version: str = ""
-    adapter: str = ""
-    role: str = "any"
-    weight_store_address: str = ""
-    weight_mb: float = 0
-
-
 class LoadedModel(Struct, kw_only=True):
     model: ModelId
     version: str
@@ -63,17 +39,15 @@
     What an engine holds.
     """
 
-    fencing: Annotated[int, Meta(description="Highest fencing number seen.")]
     models: list[LoadedModel]
     role: str = "any"
 
 
 class EngineMessages(Struct, kw_only=True):
     """
-    What model engines report and which orders they take.
+    What model engines report.
     """
 
     load: LoadReport | UnsetType = UNSET
     events: CacheEvents | UnsetType = UNSET
-    order: EngineOrder | UnsetType = UNSET
     state: EngineState | UnsetType = UNSET
--- a/pimentospool/_generated/manifest.py
+++ b/pimentospool/_generated/manifest.py
@@ -72,7 +72,6 @@
         str, Meta(description="Version that every target must serve.")
     ] = "1"
     adapters: list[str] = field(default_factory=list)
-    weight_mb: Annotated[float, Meta(ge=0.0)] = 100.0
 
 
 class TargetRole(StrEnum):
@@ -92,13 +91,6 @@
         str, Meta(description="Empty means the model's own version.")
     ] = ""
     adapters: list[str] = field(default_factory=list)
-    replicas: Annotated[
-        int,
-        Meta(
-            description="Targets that serve it; 0 means all targets of the region.",
-            ge=0,
-        ),
-    ] = 0
     role: Annotated[TargetRole, Meta(title="TargetRole")] = TargetRole.ANY
 
 
@@ -140,7 +132,6 @@
     decode_tokens_per_second: Annotated[
         float, Meta(description="Tokens per second of one stream.", gt=0.0)
     ] = 25.0
-    checks_fencing: bool = True
     resumes: Annotated[
         bool, Meta(description="Whether streams resume from a token.")
     ] = True
--- a/pimentospool/_generated/settings.py
+++ b/pimentospool/_generated/settings.py
@@ -38,7 +38,6 @@
     configuration_address: str
     vm_list_address: str
     directory_address: str
-    weight_store_address: str = ""
     request_timeout_seconds: Annotated[float, Meta(gt=0.0)] = 2.0
     watch_seconds: Annotated[float, Meta(gt=0.0)] = 5.0
     vm_list_interval_seconds: Annotated[float, Meta(gt=0.0)] = 1.0
--- a/pimentospool/_generated/status.py
+++ b/pimentospool/_generated/status.py
@@ -6,7 +6,7 @@
 from typing import Annotated
 
 from msgspec import Meta, Struct, convert, field
-from pimentospool.ids import EntryId, ModelId, RegionId, TargetId, ZoneId
+from pimentospool.ids import EntryId, RegionId, TargetId, ZoneId
 
 
 class RefusedStatus(Struct, kw_only=True):
@@ -71,19 +71,6 @@
     reachable: bool
 
 
-class OrderStatus(Struct, kw_only=True):
-    """
-    The last order to an engine, or why a difference waits.
-    """
-
-    target: TargetId
-    result: str
-    explanation: str
-    action: str = ""
-    model: ModelId = ""
-    version: str = ""
-
-
 class DrillStatus(Struct, kw_only=True):
     """
     A drill window in force.
@@ -127,7 +114,3 @@
         int, Meta(description="Targets that the revision in force names.")
     ] = 0
     drill_windows: list[DrillStatus] = field(default_factory=list)
-    orderer: Annotated[
-        bool, Meta(description="Whether this process orders the engines of its zone.")
-    ] = False
-    orders: list[OrderStatus] = field(default_factory=list)
--- a/pimentospool/commands/_status.py
+++ b/pimentospool/commands/_status.py
@@ -48,8 +48,6 @@
     console.print(_summary(status))
     console.print(_members(status))
     console.print(_zones(status))
-    if status.orderer or status.orders:
-        console.print(_orders(status))
 
 
 def _summary(status: EntryStatus) -> Table:
@@ -110,16 +108,5 @@
     return table
 
 
-def _orders(status: EntryStatus) -> Table:
-    role = "orders its zone's engines" if status.orderer else "no longer orders"
-    table = Table(title=f"last orders ({role})")
-    for name in ("target", "order", "result", "reason"):
-        table.add_column(name)
-    for order in status.orders:
-        what = f"{order.action} {order.model} {order.version}".strip()
-        table.add_row(order.target, what, order.result, order.explanation)
-    return table
-
-
 def _seconds(age: float) -> str:
     return "never" if age < 0 else f"{age:.1f} s"
--- a/pimentospool/control.py
+++ b/pimentospool/control.py
@@ -29,7 +29,6 @@
     ChangeKind,
     DrillView,
     MemberChange,
-    rank_members,
 )
 from pimentospool.revision_sync import RevisionSync
 from pimentospool.revisions import Revision
@@ -43,7 +42,6 @@
 _ENSURE_SECONDS = 0.5
 _SETTLE_SECONDS = 1.5
 _NEVER = -1.0
-_CONFIRMED_SECONDS = 30.0
 _TICK_SECONDS = 0.25
 
 
@@ -155,25 +153,6 @@
         """Whether a pause was noticed and the view is not yet checked."""
         return not self._settled.is_set()
 
-    @property
-    def confirmed(self) -> bool:
-        """Whether a peer or the platform has lately confirmed this view."""
-        if self.doubtful:
-            return False
-        contact = self.node.state.contact_age
-        return 0 <= contact <= _CONFIRMED_SECONDS or len(self._live_in_zone()) > 1
-
-    def ranks_first(self, purpose: str) -> bool:
-        """Return whether this process acts for its zone in `purpose`."""
-        if self.leaving or self.doubtful:
-            return False
-        ranked = rank_members(self._live_in_zone(), purpose=purpose)
-        return ranked[:1] == [self._own.id]
-
-    def _live_in_zone(self) -> list[EntryId]:
-        live = self.node.state.members.live()
-        return [member.id for member in live if member.zone == self._own.zone]
-
     @property
     def revision_age(self) -> float:
         """Time since the revision in force was adopted here."""
--- a/pimentospool/entry.py
+++ b/pimentospool/entry.py
@@ -23,7 +23,6 @@
     add_process_gauges,
 )
 from pimentospool.operations import OperationServer
-from pimentospool.orders import ORDERS, EngineControl, Orderer
 from pimentospool.policy import QuotaShares, Router
 from pimentospool.reports import ReportPoller
 from pimentospool.revisions import Revision
@@ -121,13 +120,10 @@
             shares=self.shares,
             clock=time.monotonic,
         )
-        self._engines = EngineControl()
-        self.orderer = self._make_orderer(self._engines)
         self._publish_metrics()
         self.admin.add_page(STATUS_PATH, lambda: status_page(self.status()))
         await self.admin.start()
         await self.control.start()
-        self._tasks.append(asyncio.create_task(self.orderer.run()))
         self._tasks.append(asyncio.create_task(self._summaries.run()))
         self._reports = ReportPoller(cfg=cfg.targets, router=self.router)
         self._tasks.append(asyncio.create_task(self._reports.run()))
@@ -146,7 +142,6 @@
         await cancel_tasks(self._tasks)
         await self.callers.close()
         await self.admin.close()
-        await self._engines.close()
         await self._reports.close()
         await self._client.close()
         await self.control.close()
@@ -169,29 +164,12 @@
 
     def status(self) -> EntryStatus:
         """Return what operators see of this process."""
-        status = control_status(
+        return control_status(
             control=self.control,
             view=self.view,
             cfg=self._cfg.entry,
             in_progress=self.callers.in_progress,
         )
-        status.orderer = self.control.ranks_first(ORDERS)
-        status.orders = self.orderer.statuses()
-        return status
-
-    def _make_orderer(self, engines: EngineControl) -> Orderer:
-        control = self.control
-        return Orderer(
-            region=self._cfg.entry.region,
-            zone=self._cfg.entry.zone,
-            view=self.view,
-            weight_store_address=self._cfg.platform.weight_store_address,
-            is_orderer=lambda: control.ranks_first(ORDERS),
-            is_confirmed=lambda: control.confirmed,
-            leaving_targets=self.fleet.leaving_targets,
-            clock=control.now,
-            control=engines,
-        )
 
     def _publish_metrics(self) -> None:
         metrics = EntryMetrics(region=self._cfg.entry.region)
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -55,8 +55,6 @@
     CALLER_LEFT = (2008, logbook.INFO, "caller left before the end of its answer")
     REQUEST_PLACED = (2007, logbook.INFO, "request placed")
     ATTEMPT_FAILED = (2006, logbook.INFO, "attempt at a target failed")
-    ORDER_SENT = (4001, logbook.NOTICE, "order sent to an engine")
-    ORDER_HELD = (4002, logbook.WARNING, "order to an engine held back")
     MEMBER_CHANGED = (5001, logbook.NOTICE, "entry VM changed state")
     PEER_MESSAGE_REFUSED = (5002, logbook.WARNING, "message of a peer refused")
     PROCESS_PAUSED = (5003, logbook.WARNING, "process was paused; its view is checked")
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -23,19 +23,6 @@
     Replay,
     Start,
 )
-from pimentospool.policy._orders import (
-    FencingTerms,
-    OrderPlan,
-    PlannedOrder,
-    fencing_number,
-    fencing_revision,
-    plan_orders,
-)
-from pimentospool.policy._placement import (
-    DesiredEngine,
-    DesiredModel,
-    place_models,
-)
 from pimentospool.policy._queue import QueueRefusal, Ticket, WaitQueue
 from pimentospool.policy._readers import rank_members
 from pimentospool.policy._refusals import Refusal, owner_gone
@@ -73,10 +60,7 @@
     "ChangeKind",
     "ColdShares",
     "CustomerLimiter",
-    "DesiredEngine",
-    "DesiredModel",
     "DrillView",
-    "FencingTerms",
     "HeldAnswer",
     "Join",
     "LedgerLimits",
@@ -90,8 +74,6 @@
     "OperationLedger",
     "OperationRef",
     "OperationState",
-    "OrderPlan",
-    "PlannedOrder",
     "QueueRefusal",
     "QuotaShares",
     "Refusal",
@@ -120,15 +102,11 @@
     "Ticket",
     "WaitQueue",
     "choose_place",
-    "fencing_number",
-    "fencing_revision",
     "first_sender",
     "is_newer",
     "newer_member",
     "newer_report",
     "owner_gone",
-    "place_models",
-    "plan_orders",
     "preferred_target",
     "rank_entries",
     "rank_members",
--- a/pimentospool/reports.py
+++ b/pimentospool/reports.py
@@ -141,7 +141,7 @@
         load = await self._get(f"{base}/load")
         self._router.take_load(target.id, msgspec.json.decode(load, type=LoadReport))
         if polled.rounds % STATE_EVERY == 0:
-            state = await self._get(f"{base}/orders")
+            state = await self._get(f"{base}/state")
             engine = msgspec.json.decode(state, type=EngineState)
             self._router.take_state(target.id, engine)
         data = await self._get(f"{base}/events?after={polled.next_event}")
--- a/pimentospool/settings.py
+++ b/pimentospool/settings.py
@@ -17,7 +17,6 @@
         "configuration_address",
         "vm_list_address",
         "directory_address",
-        "weight_store_address",
     ],
 }
 _CERTIFICATE_PAIRS = [
@@ -53,9 +52,6 @@
     for section, names in _ADDRESS_FIELDS.items():
         for name in names:
             address = getattr(getattr(cfg, section), name)
-            optional = name == "weight_store_address"
-            if optional and not address:
-                continue
             faults += check_address(f"{section}.{name}", address)
     for number, seed in enumerate(cfg.peers.seeds):
         faults += check_address(f"peers.seeds[{number}]", seed)
