Add a fault soak of node processes

Change: `pimentospool soak` runs nodes as processes against the stand-ins of the store and of targets, with proxies before callers, targets and the store, a plan of faults by seed, and a judge of ten promises.

The first run reported calls that were still under way at its end as unasked for; callers now end their last call.

--- a/pimentospool/commands/__init__.py
+++ b/pimentospool/commands/__init__.py
@@ -7,6 +7,7 @@
     "check",
     "demo",
     "drill",
+    "soak",
     "entry",
     "explain",
     "modelcheck",
--- /dev/null
+++ b/pimentospool/soak/__init__.py
@@ -0,0 +1,26 @@
+"""A randomized soak of node processes against stand-ins, with faults from outside."""
+
+from pimentospool.soak._judge import (
+    Arrival,
+    Disturbance,
+    SoakJudge,
+    SoakRecord,
+    SoakRoute,
+    Violation,
+)
+from pimentospool.soak._plan import PlannedFault, SoakFault, plan_faults
+from pimentospool.soak._runner import Soak, SoakResult
+
+__all__ = [
+    "Arrival",
+    "Disturbance",
+    "PlannedFault",
+    "Soak",
+    "SoakFault",
+    "SoakJudge",
+    "SoakRecord",
+    "SoakResult",
+    "SoakRoute",
+    "Violation",
+    "plan_faults",
+]
--- a/pimentospool/standins/__init__.py
+++ b/pimentospool/standins/__init__.py
@@ -5,6 +5,24 @@
 from pimentospool.standins._directory import Directory, VmListService
 from pimentospool.standins._engine import EngineProfile, ModelEngine, token_text
 from pimentospool.standins._executions import Execution
+from pimentospool.standins._platform_caller import (
+    CallEnd,
+    PlatformCall,
+    PlatformCaller,
+)
+from pimentospool.standins._platform_site import (
+    GRACE_SECONDS,
+    HOST,
+    REPEAT_RATIO,
+    REPEAT_RESERVE,
+    REPEAT_WINDOW_SECONDS,
+    ZONES,
+    NodePorts,
+    platform_configuration,
+    platform_route,
+    platform_settings,
+    target_entry,
+)
 from pimentospool.standins._sealed_target import (
     Fault,
     ReceivedRequest,
@@ -15,13 +33,23 @@
 from pimentospool.standins._store import StoreStandin
 
 __all__ = [
+    "GRACE_SECONDS",
+    "HOST",
+    "REPEAT_RATIO",
+    "REPEAT_RESERVE",
+    "REPEAT_WINDOW_SECONDS",
+    "ZONES",
+    "CallEnd",
     "ConfigurationService",
     "Directory",
     "EngineProfile",
     "Execution",
     "Fault",
     "ModelEngine",
+    "NodePorts",
     "PlainService",
+    "PlatformCall",
+    "PlatformCaller",
     "ReceivedRequest",
     "SealedTarget",
     "ServiceAnswer",
@@ -29,6 +57,10 @@
     "StandinServer",
     "StoreStandin",
     "VmListService",
+    "platform_configuration",
+    "platform_route",
+    "platform_settings",
     "serve_standin",
+    "target_entry",
     "token_text",
 ]
--- /dev/null
+++ b/pimentospool/standins/_platform_site.py
@@ -0,0 +1,133 @@
+"""What a platform writes for the system: settings, configuration, targets' entries."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import msgspec
+
+HOST = "shop.example"
+ZONES = {"gulf-a": "gulf", "delta-a": "delta"}
+GRACE_SECONDS = 4
+REPEAT_RATIO = 0.2
+REPEAT_RESERVE = 56
+REPEAT_WINDOW_SECONDS = 10
+
+
+class NodePorts(msgspec.Struct, kw_only=True, frozen=True):
+    """Ports of a node; they are the same at every address."""
+
+    front: int
+    ready: int
+    control: int
+    directory: int
+    peer: int
+
+
+def platform_settings(
+    ip: str, *, zone: str, store: str, seeds: Sequence[str], ports: NodePorts
+) -> dict[str, Any]:
+    """Return the settings file of a node, as the platform writes it.
+
+    Parameters
+    ----------
+    ip : str
+        Address of the node's VM.
+    zone : str
+        One of `ZONES`.
+    store : str
+        IP:port of the store.
+    seeds : sequence of str
+        Addresses of VMs that the node asks first.
+    ports : NodePorts
+        Ports of every node.
+    """
+    return {
+        "Node": f"edge-{ip}",
+        "Role": "entry",
+        "Ip": ip,
+        "Zone": zone,
+        "Region": ZONES[zone],
+        "InternalPorts": [ports.peer, ports.peer + 15],
+        "Seeds": [f"{seed}:{ports.control}" for seed in seeds],
+        "Zones": ZONES,
+        "Unknown": {"field": 1},
+        "ListenAddrs": {
+            "Front": f"{ip}:{ports.front}",
+            "Ready": f"{ip}:{ports.ready}",
+            "Control": f"{ip}:{ports.control}",
+            "Directory": f"{ip}:{ports.directory}",
+        },
+        "Bounds": {
+            "GraceS": GRACE_SECONDS,
+            "RetryBudgetRatio": REPEAT_RATIO,
+            "RetryBudgetExtra": REPEAT_RESERVE,
+            "BudgetWindowS": REPEAT_WINDOW_SECONDS,
+            "ColdOverage": 1.5,
+            "ColdSlack": 3,
+            "ttl_max_s": 5,
+        },
+        "Platform": {"Address": store},
+    }
+
+
+def platform_route(
+    prefix: str, kind: str, service: str = "desk", **options: object
+) -> dict[str, Any]:
+    """Return one route of the configuration."""
+    return {
+        "Name": prefix,
+        "Host": HOST,
+        "Prefix": prefix,
+        "Kind": kind,
+        "TimeoutMs": 2000,
+        "TargetLatencyMs": 300,
+        "Priority": 1,
+        "Service": service,
+        "MaxAttempts": 2,
+        "HomeRegions": [],
+    } | options
+
+
+def platform_configuration(
+    version: int = 1, routes: Sequence[Mapping[str, Any]] | None = None
+) -> dict[str, Any]:
+    """Return a configuration, by default with a route of each kind."""
+    return {
+        "Version": version,
+        "Routes": routes
+        or [
+            platform_route("/look/", "idempotent"),
+            platform_route("/book/", "non_idempotent", MaxAttempts=1),
+            platform_route("/ask/", "streaming", "llm", Resumable=True, TimeoutMs=5000),
+            platform_route("/plan/", "streaming", "llm", MaxAttempts=1, TimeoutMs=5000),
+            platform_route("/home/", "idempotent", HomeRegions=["delta"]),
+        ],
+        "Services": [
+            {"Name": "desk", "HealthPath": "/healthz", "MaxConnections": 50},
+            {
+                "Name": "llm",
+                "HealthPath": "/healthz",
+                "MaxConnections": 50,
+                "ColdS": 3.0,
+                "ColdPerS": 2.0,
+                "Engine": {"Slots": 8, "KvCacheTokens": 100000},
+            },
+        ],
+    }
+
+
+def target_entry(
+    address: str, *, service: str = "desk", zone: str = "gulf-a", **options: object
+) -> dict[str, Any]:
+    """Return the store's entry of a target."""
+    return {
+        "Service": service,
+        "Address": address,
+        "Zone": zone,
+        "Version": "v1",
+        "Slots": 8,
+        "State": "ready",
+        "ColdLeftMs": 0,
+        "Sequence": 1,
+        "born": 1,
+    } | options
--- a/pimentospool/standins/_sealed_target.py
+++ b/pimentospool/standins/_sealed_target.py
@@ -10,6 +10,7 @@
 import os
 import socket
 import struct
+import time
 from enum import Enum
 
 import msgspec
@@ -51,6 +52,8 @@
     path: str
     headers: dict[str, str]
     body: bytes
+    at: float = msgspec.field(default_factory=time.monotonic)
+    """Monotonic time at which its head was read."""
     ran: bool = True
     left: bool = False
     """Whether the sender closed the connection before the end."""
@@ -159,7 +162,12 @@
         self.received.append(req)
         if fault is Fault.EARLY:
             writer.write(self._head(req, 200, length=5) + b"early")
-        req.body = await reader.readexactly(int(headers.get("content-length", "0")))
+        length = int(headers.get("content-length", "0"))
+        try:
+            req.body = await reader.readexactly(length)
+        except asyncio.IncompleteReadError:
+            req.ran = False
+            raise
         return req
 
     async def _answer(
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -11,11 +11,18 @@
 
 from pimentospool.platform import read_node_settings
 from pimentospool.platform._node import Node
-from pimentospool.standins import SealedTarget, StoreStandin, serve_standin
+from pimentospool.standins import (
+    HOST,
+    NodePorts,
+    SealedTarget,
+    StoreStandin,
+    platform_configuration,
+    platform_settings,
+    serve_standin,
+    target_entry,
+)
 
-HOST = "shop.example"
 READY_SECONDS = 5.0
-ZONES = {"gulf-a": "gulf", "delta-a": "delta"}
 
 
 def free_port(host):
@@ -24,89 +31,10 @@
         return sock.getsockname()[1]
 
 
-def node_file(ip, *, zone, store, seeds, ports):
-    front, ready, control, directory, peer = ports
-    return {
-        "Node": f"edge-{ip}",
-        "Role": "entry",
-        "Ip": ip,
-        "Zone": zone,
-        "Region": ZONES[zone],
-        "InternalPorts": [peer, peer + 15],
-        "Seeds": [f"{seed}:{control}" for seed in seeds],
-        "Zones": ZONES,
-        "Unknown": {"field": 1},
-        "ListenAddrs": {
-            "Front": f"{ip}:{front}",
-            "Ready": f"{ip}:{ready}",
-            "Control": f"{ip}:{control}",
-            "Directory": f"{ip}:{directory}",
-        },
-        "Bounds": {
-            "GraceS": 4,
-            "RetryBudgetRatio": 0.2,
-            "RetryBudgetExtra": 56,
-            "BudgetWindowS": 10,
-            "ColdOverage": 1.5,
-            "ColdSlack": 3,
-            "ttl_max_s": 5,
-        },
-        "Platform": {"Address": store},
-    }
-
-
-def route(prefix, kind, service="desk", **options):
-    return {
-        "Name": prefix,
-        "Host": HOST,
-        "Prefix": prefix,
-        "Kind": kind,
-        "TimeoutMs": 2000,
-        "TargetLatencyMs": 300,
-        "Priority": 1,
-        "Service": service,
-        "MaxAttempts": 2,
-        "HomeRegions": [],
-    } | options
-
-
-def config(version=1, routes=None):
-    return {
-        "Version": version,
-        "Routes": routes
-        or [
-            route("/look/", "idempotent"),
-            route("/book/", "non_idempotent", MaxAttempts=1),
-            route("/ask/", "streaming", "llm", Resumable=True, TimeoutMs=5000),
-            route("/plan/", "streaming", "llm", MaxAttempts=1, TimeoutMs=5000),
-            route("/home/", "idempotent", HomeRegions=["delta"]),
-        ],
-        "Services": [
-            {"Name": "desk", "HealthPath": "/healthz", "MaxConnections": 50},
-            {
-                "Name": "llm",
-                "HealthPath": "/healthz",
-                "MaxConnections": 50,
-                "ColdS": 3.0,
-                "ColdPerS": 2.0,
-                "Engine": {"Slots": 8, "KvCacheTokens": 100000},
-            },
-        ],
-    }
-
-
-def server_entry(address, *, service="desk", zone="gulf-a", **options):
-    return {
-        "Service": service,
-        "Address": address,
-        "Zone": zone,
-        "Version": "v1",
-        "Slots": 8,
-        "State": "ready",
-        "ColdLeftMs": 0,
-        "Sequence": 1,
-        "born": 1,
-    } | options
+def free_ports():
+    """Return ports for nodes that are free at one address."""
+    names = NodePorts.__struct_fields__
+    return NodePorts(**{name: free_port("127.0.0.1") for name in names})
 
 
 class Site:
@@ -118,12 +46,12 @@
         self.nodes = []
         self.targets = {}
         self._directory = directory
-        self._ports = [free_port("127.0.0.1") for _ in range(5)]
+        self._ports = free_ports()
 
     async def add_node(self, zone):
         ip = f"127.0.0.{20 + len(self.nodes)}"
         path = self._directory / f"{ip}.toml"
-        raw = node_file(
+        raw = platform_settings(
             ip,
             zone=zone,
             store=self.store_address,
@@ -140,7 +68,7 @@
         target = SealedTarget(instance=name, events=events)
         await target.start()
         self.targets[name] = target
-        await self.store.put(f"servers/{name}", server_entry(target.address, **options))
+        await self.store.put(f"servers/{name}", target_entry(target.address, **options))
         return target
 
     def url(self, path, node=0):
@@ -190,7 +118,7 @@
     server = await serve_standin(store, "127.0.0.1:0")
     made = Site(store, server.address, Path(tmp_path))
     if with_config:
-        await store.put("op/config", config())
+        await store.put("op/config", platform_configuration())
     try:
         for zone in zones:
             await made.add_node(zone)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -9,9 +9,15 @@
 import urllib.request
 
 import tomli_w
-from platform_site import ZONES, config, free_port, node_file
+from platform_site import free_ports
 
-from pimentospool.standins import StoreStandin, serve_standin
+from pimentospool.standins import (
+    ZONES,
+    StoreStandin,
+    platform_configuration,
+    platform_settings,
+    serve_standin,
+)
 
 START_SECONDS = 10.0
 
@@ -49,14 +55,14 @@
 
 
 def test_serves_reloads_and_leaves(runner, tmp_path):
-    ports = [free_port("127.0.0.1") for _ in range(5)]
+    ports = free_ports()
     path = tmp_path / "node.toml"
 
     async def play():
         store = StoreStandin()
         server = await serve_standin(store, "127.0.0.1:0")
-        await store.put("op/config", config())
-        raw = node_file(
+        await store.put("op/config", platform_configuration())
+        raw = platform_settings(
             "127.0.0.1",
             zone=next(iter(ZONES)),
             store=server.address,
@@ -66,7 +72,7 @@
         path.write_text(tomli_w.dumps(raw))
         output = (tmp_path / "out").open("w")
         proc = subprocess.Popen(command(path), stdout=output, stderr=output)
-        ready = f"http://127.0.0.1:{ports[1]}/ready"
+        ready = f"http://127.0.0.1:{ports.ready}/ready"
         loop = asyncio.get_running_loop()
         try:
             await loop.run_in_executor(None, wait_status, ready, 200)
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -6,7 +6,6 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from platform_site import config, route, server_entry
 
 from pimentospool.gateway import Address, RequestKind
 from pimentospool.platform._records import (
@@ -14,6 +13,7 @@
     decode_configuration,
     decode_registration,
 )
+from pimentospool.standins import platform_configuration, platform_route, target_entry
 
 
 def encode(value):
@@ -21,7 +21,7 @@
 
 
 def test_configuration_is_decoded_into_the_projects_terms():
-    made = decode_configuration(encode(config(version=7)))
+    made = decode_configuration(encode(platform_configuration(version=7)))
     assert made.version == 7
     by_prefix = {item.prefix: item for item in made.routes}
     assert by_prefix["/book/"].kind is RequestKind.NON_IDEMPOTENT
@@ -35,9 +35,9 @@
 
 def test_split_routes_keep_their_weights():
     split = [{"Service": "a", "Weight": 90}, {"Service": "b", "Weight": 10}]
-    raw = route("/x/", "idempotent", TrafficSplit=split)
+    raw = platform_route("/x/", "idempotent", TrafficSplit=split)
     del raw["Service"]
-    made = decode_configuration(encode(config(routes=[raw])))
+    made = decode_configuration(encode(platform_configuration(routes=[raw])))
     assert [(w.service, w.weight) for w in made.routes[0].services] == [
         ("a", 90),
         ("b", 10),
@@ -50,8 +50,8 @@
         b"\xff\x00",
         b"[]",
         b"{}",
-        encode(config() | {"Version": "7"}),
-        encode(config(routes=[route("/x/", "unheard_of")])),
+        encode(platform_configuration() | {"Version": "7"}),
+        encode(platform_configuration(routes=[platform_route("/x/", "unheard_of")])),
     ],
 )
 def test_unreadable_configuration_is_refused(value):
@@ -60,7 +60,7 @@
 
 
 def test_registration_is_decoded():
-    raw = server_entry("10.0.0.1:80", State="draining", ColdLeftMs=1500, Extra={})
+    raw = target_entry("10.0.0.1:80", State="draining", ColdLeftMs=1500, Extra={})
     made = decode_registration("i-1", encode(raw))
     assert made.address == Address("10.0.0.1", 80)
     assert made.leaving
@@ -80,8 +80,8 @@
 )
 def test_entry_of_another_writer_names_no_target(change):
     with pytest.raises(RecordError):
-        decode_registration("i-1", encode(server_entry("10.0.0.1:80") | change))
-    raw = server_entry("10.0.0.1:80")
+        decode_registration("i-1", encode(target_entry("10.0.0.1:80") | change))
+    raw = target_entry("10.0.0.1:80")
     del raw["Zone"]
     with pytest.raises(RecordError):
         decode_registration("i-1", encode(raw))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -2,20 +2,22 @@
 
 import pytest
 import tomli_w
-from platform_site import node_file
 
 from pimentospool.gateway import Address
 from pimentospool.platform import read_node_settings
 from pimentospool.platform._settings import NodeSettingsError
+from pimentospool.standins import NodePorts, platform_settings
 
 
 def raw_file():
-    return node_file(
+    return platform_settings(
         "10.1.0.5",
         zone="gulf-a",
         store="10.9.0.1:8142",
         seeds=["10.1.0.6", "10.2.0.7"],
-        ports=(1001, 1002, 1003, 1004, 1005),
+        ports=NodePorts(
+            front=1001, ready=1002, control=1003, directory=1004, peer=1005
+        ),
     )
 
 
--- a/tests/platform/test_store_feed.py
+++ b/tests/platform/test_store_feed.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-from platform_site import config, route, server_entry, site
+from platform_site import site
+
+from pimentospool.standins import platform_configuration, platform_route, target_entry
 
 
 def knowledge(made):
@@ -24,14 +26,14 @@
 
 def test_follows_targets_and_evacuations(runner, tmp_path):
     async def check(made):
-        await made.store.put("servers/i-1", server_entry("127.0.0.1:1"))
-        await made.store.put("servers/i-2", server_entry("127.0.0.1:2", zone="delta-a"))
+        await made.store.put("servers/i-1", target_entry("127.0.0.1:1"))
+        await made.store.put("servers/i-2", target_entry("127.0.0.1:2", zone="delta-a"))
         await made.wait_until(lambda: ready_ids(made) == {"i-1"})
         await made.store.put(
-            "servers/i-1", server_entry("127.0.0.1:1", State="draining")
+            "servers/i-1", target_entry("127.0.0.1:1", State="draining")
         )
         await made.wait_until(lambda: not ready_ids(made))
-        await made.store.put("servers/i-3", server_entry("127.0.0.1:3"))
+        await made.store.put("servers/i-3", target_entry("127.0.0.1:3"))
         await made.wait_until(lambda: ready_ids(made) == {"i-3"})
         await made.store.put("op/evacuate/gulf-a", {})
         await made.wait_until(lambda: not ready_ids(made))
@@ -48,10 +50,10 @@
         await made.store.put("servers/bad-1", b"\x00\xff")
         await made.store.put("servers/bad-2", {"Service": "desk"})
         await made.store.put("op/unknown", b"?")
-        await made.store.put("servers/i-1", server_entry("127.0.0.1:1"))
+        await made.store.put("servers/i-1", target_entry("127.0.0.1:1"))
         await made.wait_until(lambda: ready_ids(made) == {"i-1"})
         await made.store.put("op/config", b"broken")
-        await made.store.put("servers/i-2", server_entry("127.0.0.1:2"))
+        await made.store.put("servers/i-2", target_entry("127.0.0.1:2"))
         await made.wait_until(lambda: ready_ids(made) == {"i-1", "i-2"})
         assert knowledge(made).configuration.version == 1
 
@@ -61,11 +63,14 @@
 def test_configuration_never_goes_back(runner, tmp_path):
     async def check(made):
         await made.store.put(
-            "op/config", config(version=5, routes=[route("/new/", "idempotent")])
+            "op/config",
+            platform_configuration(
+                version=5, routes=[platform_route("/new/", "idempotent")]
+            ),
         )
         await made.wait_until(lambda: knowledge(made).configuration.version == 5)
-        await made.store.put("op/config", config(version=3))
-        await made.store.put("servers/i-1", server_entry("127.0.0.1:1"))
+        await made.store.put("op/config", platform_configuration(version=3))
+        await made.store.put("servers/i-1", target_entry("127.0.0.1:1"))
         await made.wait_until(lambda: ready_ids(made) == {"i-1"})
         assert knowledge(made).configuration.version == 5
 
@@ -77,14 +82,14 @@
         made.store.page_items = 2
         for number in range(5):
             await made.store.put(
-                f"servers/i-{number}", server_entry(f"127.0.0.1:{number + 1}")
+                f"servers/i-{number}", target_entry(f"127.0.0.1:{number + 1}")
             )
         await made.wait_until(lambda: len(ready_ids(made)) == 5)
         made.store.refusing = 503
         await made.store.put("op/wake", {})
         await asyncio.sleep(0.3)
         await made.store.delete("servers/i-0")
-        await made.store.put("servers/i-9", server_entry("127.0.0.1:99"))
+        await made.store.put("servers/i-9", target_entry("127.0.0.1:99"))
         await made.store.drop_history()
         made.store.refusing = 0
         await made.wait_until(
@@ -96,7 +101,7 @@
 
 def test_keeps_the_view_while_the_store_is_away(runner, tmp_path):
     async def check(made):
-        await made.store.put("servers/i-1", server_entry("127.0.0.1:1"))
+        await made.store.put("servers/i-1", target_entry("127.0.0.1:1"))
         await made.wait_until(lambda: ready_ids(made) == {"i-1"})
         made.store.refusing = 429
         await made.store.put("op/wake", {})
@@ -110,7 +115,7 @@
 def test_entries_that_lapsed_in_an_outage_have_time_to_return(runner, tmp_path):
     async def check(made):
         for name in ("i-1", "i-2"):
-            await made.store.put(f"servers/{name}", server_entry("127.0.0.1:1"))
+            await made.store.put(f"servers/{name}", target_entry("127.0.0.1:1"))
         await made.wait_until(lambda: len(ready_ids(made)) == 2)
         made.store.refusing = 503
         await made.store.put("op/wake", {})
@@ -121,7 +126,7 @@
         feed = made.nodes[0].node._feed
         await made.wait_until(lambda: not feed.failing)
         assert len(ready_ids(made)) == 2
-        await made.store.put("servers/i-1", server_entry("127.0.0.1:1"))
+        await made.store.put("servers/i-1", target_entry("127.0.0.1:1"))
         await made.wait_until(lambda: ready_ids(made) == {"i-1"})
 
     play(runner, tmp_path, check)
@@ -129,14 +134,14 @@
 
 def test_silent_store_is_found_out_by_time(runner, tmp_path):
     async def check(made):
-        await made.store.put("servers/i-1", server_entry("127.0.0.1:1"))
+        await made.store.put("servers/i-1", target_entry("127.0.0.1:1"))
         await made.wait_until(lambda: ready_ids(made) == {"i-1"})
         made.store.silent = True
         await made.store.put("op/wake", {})
         feed = made.nodes[0].node._feed
         await made.wait_until(lambda: feed.failing, seconds=7.0)
         made.store.silent = False
-        await made.store.put("servers/i-2", server_entry("127.0.0.1:2"))
+        await made.store.put("servers/i-2", target_entry("127.0.0.1:2"))
         await made.wait_until(lambda: ready_ids(made) == {"i-1", "i-2"}, seconds=4.0)
 
     play(runner, tmp_path, check)
