--- a/pimentospool/soak/_deployment.py
+++ b/pimentospool/soak/_deployment.py
@@ -13,6 +13,7 @@
 from pimentospool.sending import open_session
 from pimentospool.soak._judge import Arrival, SoakRoute
 from pimentospool.standins import (
+    CONFIGURATION_KEY,
     GRACE_SECONDS,
     ZONES,
     NodePorts,
@@ -23,6 +24,7 @@
     platform_settings,
     serve_standin,
     target_entry,
+    target_key,
 )
 
 READY_SECONDS = 20.0
@@ -191,7 +193,7 @@
     async def start(self) -> list[str]:
         """Start everything; return the names of nodes that are not ready in time."""
         self._store_server = await serve_standin(self.store, "127.0.0.1:0")
-        await self.store.put("op/config", platform_configuration())
+        await self.store.put(CONFIGURATION_KEY, platform_configuration())
         for zone in ZONES:
             for service, count in _TARGETS_OF_A_ZONE.items():
                 for number in range(count):
@@ -228,16 +230,17 @@
 
     async def publish(self, target: SoakTarget, state: str = "ready") -> None:
         """Write the entry of a target's present instance."""
-        await self.store.put(f"servers/{target.current.instance}", target.entry(state))
+        await self.store.put(target_key(target.current.instance), target.entry(state))
 
     async def withdraw(self, target: SoakTarget) -> None:
         """Remove the entry of a target's present instance."""
-        await self.store.delete(f"servers/{target.current.instance}")
+        await self.store.delete(target_key(target.current.instance))
 
     async def change_configuration(self) -> None:
         """Publish the next version; its routes stay the same."""
         self.version += 1
-        await self.store.put("op/config", platform_configuration(version=self.version))
+        configuration = platform_configuration(version=self.version)
+        await self.store.put(CONFIGURATION_KEY, configuration)
 
     async def close(self) -> list[str]:
         """Stop everything; return what ended otherwise than asked."""
--- a/pimentospool/soak/_judge.py
+++ b/pimentospool/soak/_judge.py
@@ -136,12 +136,11 @@
                 yield f"{call.id} {call.path}: {fault}"
 
     def _find_spoiling(self, call: PlatformCall) -> str:
-        if call.headers.get("x-request-id") != call.id:
-            return f"answer of {call.headers.get('x-request-id')}"
-        seal = call.headers.get("x-response-seal", "")
-        target, _, sealed_id = seal.partition(".")
-        if sealed_id != call.id:
-            return f"seal {seal!r}"
+        if call.answered_id != call.id:
+            return f"answer of {call.answered_id!r}"
+        target = call.sealed_target
+        if not target:
+            return "no proof of its target"
         count = self._route(call).events
         if count:
             whole = b"".join(
--- a/pimentospool/standins/__init__.py
+++ b/pimentospool/standins/__init__.py
@@ -11,6 +11,7 @@
     PlatformCaller,
 )
 from pimentospool.standins._platform_site import (
+    CONFIGURATION_KEY,
     GRACE_SECONDS,
     HOST,
     REPEAT_RATIO,
@@ -22,6 +23,7 @@
     platform_route,
     platform_settings,
     target_entry,
+    target_key,
 )
 from pimentospool.standins._sealed_target import (
     Fault,
@@ -33,6 +35,7 @@
 from pimentospool.standins._store import StoreStandin
 
 __all__ = [
+    "CONFIGURATION_KEY",
     "GRACE_SECONDS",
     "HOST",
     "REPEAT_RATIO",
@@ -62,5 +65,6 @@
     "platform_settings",
     "serve_standin",
     "target_entry",
+    "target_key",
     "token_text",
 ]
--- a/pimentospool/standins/_platform_caller.py
+++ b/pimentospool/standins/_platform_caller.py
@@ -44,6 +44,17 @@
         """Whether a whole success was read."""
         return self.end is CallEnd.ANSWERED and self.status == 200
 
+    @property
+    def answered_id(self) -> str:
+        """Id of the request to which the answer says that it belongs."""
+        return self.headers.get("x-request-id", "")
+
+    @property
+    def sealed_target(self) -> str:
+        """Target that made the answer, or an empty text without its proof."""
+        target, _, request_id = self.headers.get("x-response-seal", "").partition(".")
+        return target if request_id == self.id else ""
+
     @property
     def refused(self) -> bool:
         """Whether the answer promises that the request never runs."""
--- a/pimentospool/standins/_platform_site.py
+++ b/pimentospool/standins/_platform_site.py
@@ -7,6 +7,7 @@
 
 HOST = "shop.example"
 ZONES = {"gulf-a": "gulf", "delta-a": "delta"}
+CONFIGURATION_KEY = "op/config"
 GRACE_SECONDS = 4
 REPEAT_RATIO = 0.2
 REPEAT_RESERVE = 56
@@ -116,6 +117,11 @@
     }
 
 
+def target_key(target: str) -> str:
+    """Return the store's key of a target's entry."""
+    return f"servers/{target}"
+
+
 def target_entry(
     address: str, *, service: str = "desk", zone: str = "gulf-a", **options: object
 ) -> dict[str, Any]:
