Explain a request from captured logs, and log what decides on a region

Cause: `explain` printed scores of the manifest's router; from a failed request's id to its cause there was only grep. The line of a choice of another region had no inputs, so that nobody could see why a request went there.

Change: `pimentospool explain ID LOG...` tells a request's lines, what its processes noticed around it, and what follows; wrong ids, cut logs and dropped lines are named. The scores of routing are now `pimentospool score`. REQUEST_PLACED carries the region's reported wait, crowding and unread tokens.

--- a/pimentospool/commands/__init__.py
+++ b/pimentospool/commands/__init__.py
@@ -14,6 +14,7 @@
     "node",
     "load",
     "pack",
+    "score",
     "standin",
     "status",
 ]
--- a/pimentospool/commands/_explain.py
+++ b/pimentospool/commands/_explain.py
@@ -1,140 +1,51 @@
 """`pimentospool explain`."""
 
-import random
 import sys
-import time
+from collections.abc import Iterable
 from pathlib import Path
-from typing import NoReturn
 
 import click
-import msgspec
-from rich.console import Console
-from rich.table import Table
 
-from pimentospool._generated.engine import LoadReport
-from pimentospool._generated.loads import RegionSummary
-from pimentospool.commands._common import EXIT_REFUSED, FILE, read_or_exit
-from pimentospool.ids import CustomerId, EntryId, ModelId, RegionId, TargetId
-from pimentospool.manifest import ManifestIndex, read_manifest
-from pimentospool.policy import (
-    RegionRoute,
-    RouteQuery,
-    Router,
-    RouteRefusal,
-    Score,
-    TargetRoute,
+from pimentospool.commands._common import EXIT_FAILED, FILE
+from pimentospool.request_story import (
+    CapturedLog,
+    LogLine,
+    UnknownRequestError,
+    tell_story,
 )
 
-_PARTS = [
-    "total_ms",
-    "first_ms",
-    "wait_ms",
-    "prefill_ms",
-    "link_ms",
-    "cost_ms",
-    "away_ms",
-    "blocking_ms",
-    "failure_ms",
-]
-
-
-class LoadsFile(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
-    """What the targets and the other regions are taken to report."""
-
-    targets: dict[TargetId, LoadReport] = {}
-    summaries: list[RegionSummary] = []
-
 
 @click.command()
-@click.option("--manifest", type=FILE, required=True)
-@click.option("--customer", required=True, help="Customer id.")
-@click.option("--model", required=True, help="Model id, or id:adapter.")
-@click.option("--prompt-tokens", default=200, show_default=True)
-@click.option("--max-tokens", default=32, show_default=True)
-@click.option("--region", help="Ingress region; the customer's first by default.")
-@click.option("--loads", type=FILE, help="JSON file with load reports and summaries.")
-def explain(
-    manifest: Path,
-    customer: str,
-    model: str,
-    prompt_tokens: int,
-    max_tokens: int,
-    region: str | None,
-    loads: Path | None,
-) -> None:
-    """Print the score of each candidate for one request, and the decision.
-
-    LOADS holds {"targets": {target: load report}, "summaries": [region summary]};
-    without it, every target is taken to be idle. Exits with 2 for an unknown
-    customer, model or region, and with 0 otherwise, refusals included.
+@click.argument("request_id")
+@click.argument("logs", type=FILE, nargs=-1, required=True)
+def explain(request_id: str, logs: tuple[Path, ...]) -> None:
+    """Tell from captured LOGS what became of the request with REQUEST_ID.
+
+    A log holds what one process wrote, or lines of several with the name of the
+    process before each. Give the logs of all entry VMs that the request may have
+    passed. Exits with 1 if no line names the request.
     """
-    index = ManifestIndex(manifest=read_or_exit(read_manifest, manifest))
-    known = index.customers.get(CustomerId(customer))
-    if known is None:
-        _exit(f"no customer {customer!r}; known: {', '.join(index.customers)}")
-    name, _, adapter = model.partition(":")
-    if name not in known.models:
-        _exit(f"{customer} may not use {name!r}; it may use: {', '.join(known.models)}")
-    ingress = RegionId(region or known.allowed_regions[0])
-    if ingress not in index.regions:
-        _exit(f"no region {ingress!r}; known: {', '.join(index.regions)}")
-    router = Router(
-        region=ingress,
-        entry=EntryId("explain"),
-        clock=time.monotonic,
-        rng=random.Random(0),
-    )
-    router.set_manifest(index)
-    _feed(router, loads)
-    query = RouteQuery(
-        allowed_regions=frozenset(known.allowed_regions),
-        model=ModelId(name),
-        adapter=adapter,
-        prompt_tokens=prompt_tokens,
-        max_tokens=max_tokens,
-    )
-    _print(ingress, router.choose(query, score_all=True))
-
-
-def _feed(router: Router, loads: Path | None) -> None:
-    if loads is None:
-        return
+    captured = CapturedLog()
+    for path in logs:
+        with path.open(encoding="utf-8", errors="replace") as texts:
+            captured.read(texts, process=path.stem)
     try:
-        given = msgspec.json.decode(loads.read_bytes(), type=LoadsFile)
-    except msgspec.DecodeError as exc:
-        _exit(f"{loads}: {exc}")
-    for target, report in given.targets.items():
-        router.take_load(target, report)
-    for summary in given.summaries:
-        router.set_region_summary(summary, time.monotonic())
-
-
-def _print(ingress: RegionId, route: TargetRoute | RegionRoute | RouteRefusal) -> None:
-    console = Console(width=140)
-    table = Table(title=f"candidates seen from {ingress}, in milliseconds")
-    table.add_column("candidate")
-    for part in _PARTS:
-        table.add_column(part.removesuffix("_ms"), justify="right")
-    table.add_column("cached tokens", justify="right")
-    table.add_column("room")
-    for score in sorted(route.scores, key=lambda score: score.total_ms):
-        table.add_row(*_row(score))
-    console.print(table)
-    if isinstance(route, RouteRefusal):
-        console.print(f"refused, {route.reason.slug}: {route.detail}")
-        console.print(f"retry after {route.retry_after_seconds} s")
-    elif isinstance(route, TargetRoute):
-        console.print(f"target {route.target.id}: {route.reason.value}")
-    else:
-        console.print(f"region {route.region}: {route.reason.value}")
-
-
-def _row(score: Score) -> list[str]:
-    figures = [f"{getattr(score, part):.1f}" for part in _PARTS]
-    room = "yes" if score.has_room else "no"
-    return [score.candidate, *figures, f"{score.hit_tokens:.0f}", room]
-
-
-def _exit(message: str) -> NoReturn:
-    click.echo(message, err=True)
-    sys.exit(EXIT_REFUSED)
+        story = tell_story(captured, request_id)
+    except UnknownRequestError as exc:
+        click.echo(str(exc), err=True)
+        sys.exit(EXIT_FAILED)
+    click.echo(f"request {request_id}, first seen {story.start.isoformat()}")
+    _print(story.lines, since=story.lines[0])
+    if story.context:
+        click.echo("around it:")
+        _print(story.context, since=story.lines[0])
+    for sentence in story.conclude():
+        click.echo(sentence)
+    if captured.unreadable:
+        click.echo(f"Lines that could not be read: {captured.unreadable}.", err=True)
+
+
+def _print(lines: Iterable[LogLine], *, since: LogLine) -> None:
+    for line in lines:
+        seconds = (line.at - since.at).total_seconds()
+        click.echo(f"  {seconds:+8.3f} s  {line.process}  {line.describe()}")
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -200,7 +200,13 @@
                 "failing": round(place.failing, 2),
             }
         else:
-            fields = {"region": choice.region}
+            remote = choice.remote
+            fields = {
+                "region": remote.region,
+                "wait_seconds": remote.wait_seconds,
+                "crowding": remote.crowding,
+                "unread_tokens": remote.unread_tokens,
+            }
         self._place = str(fields.get("target") or fields.get("region"))
         log_event(
             Event.REQUEST_PLACED,
--- a/pimentospool/policy/_target_choice.py
+++ b/pimentospool/policy/_target_choice.py
@@ -135,7 +135,12 @@
 class RegionChoice(msgspec.Struct, kw_only=True, frozen=True):
     """The request goes to an entry VM of another region."""
 
-    region: RegionId
+    remote: RemoteRegion
+
+    @property
+    def region(self) -> RegionId:
+        """Region to which the request goes."""
+        return self.remote.region
 
 
 class NoChoice(msgspec.Struct, kw_only=True, frozen=True):
@@ -189,7 +194,7 @@
         )
     if isinstance(place, Candidate):
         return TargetChoice(candidate=place)
-    return RegionChoice(region=place.region)
+    return RegionChoice(remote=place)
 
 
 def _reading_cost(tokens: int, crowding: float) -> float:
--- /dev/null
+++ b/pimentospool/request_story.py
@@ -0,0 +1,215 @@
+"""What captured logs tell of one request, from its first line to its cause.
+
+Lines are those of `pimentospool.log`: one JSON object each, with or without a prefix
+that names the process.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from datetime import datetime, timedelta
+from typing import Any
+
+import msgspec
+
+from pimentospool.errors import PimentospoolError
+from pimentospool.log import Event
+
+CONTEXT_SECONDS = 3.0
+"""Time around a request in which other events may explain it; a lost entry VM or
+target shows after at most that long (GONE_SECONDS of the fleet)."""
+_ENDINGS = frozenset(
+    {
+        Event.REQUEST_SERVED.name,
+        Event.REQUEST_FAILED.name,
+        Event.REQUEST_REFUSED.name,
+        Event.CALLER_LEFT.name,
+    }
+)
+_OF_TARGETS = frozenset(
+    {
+        Event.TARGET_EJECTED.name,
+        Event.TARGET_REMOVED.name,
+        Event.TARGET_LEAVING.name,
+        Event.TARGET_COLD.name,
+    }
+)
+_OF_PROCESSES = frozenset(
+    {
+        Event.ENTRY_STARTED.name,
+        Event.ENTRY_LEAVING.name,
+        Event.ENTRY_STOPPED.name,
+        Event.STORE_UNREACHABLE.name,
+        Event.STORE_BACK.name,
+        Event.SETTINGS_RELOADED.name,
+        Event.CONFIGURATION_ADOPTED.name,
+        Event.ZONE_EVACUATED.name,
+        Event.ZONE_RESTORED.name,
+        Event.MEMBER_CHANGED.name,
+        Event.LOG_LINES_LOST.name,
+    }
+)
+_COMMON_FIELDS = frozenset({"time", "level", "event", "name", "message", "request"})
+_CAUSES = {
+    "unreachable": "no connection to it was made",
+    "broken": "the connection to it was lost",
+    "silent": "it stopped sending",
+    "rejected": "it rejected the request and said that it did not run",
+}
+
+
+class UnknownRequestError(PimentospoolError):
+    """No line of the logs names the request."""
+
+
+class LogLine(msgspec.Struct, kw_only=True, frozen=True):
+    """One line of a process's log."""
+
+    at: datetime
+    process: str
+    name: str
+    fields: Mapping[str, Any]
+
+    @property
+    def request(self) -> str | None:
+        """Id of the request that the line is about."""
+        return self.fields.get("request")
+
+    def describe(self) -> str:
+        """Return the event and its own fields as one text."""
+        shown = [
+            f"{key}={value}"
+            for key, value in self.fields.items()
+            if key not in _COMMON_FIELDS and value is not None
+        ]
+        return " ".join([self.name, *shown])
+
+
+class CapturedLog(msgspec.Struct, kw_only=True):
+    """Lines of several processes, in the order of their times."""
+
+    lines: list[LogLine] = msgspec.field(default_factory=list)
+    unreadable: int = 0
+    """Lines that are no whole event, as at the end of a log that was cut."""
+
+    def read(self, texts: Iterable[str], *, process: str) -> None:
+        """Add the lines of a file; a prefix of a line overrides `process`."""
+        for text in texts:
+            start = text.find('{"time"')
+            if start < 0:
+                continue
+            try:
+                fields = msgspec.json.decode(text[start:], type=dict[str, Any])
+                at = datetime.fromisoformat(fields["time"])
+                name = str(fields["name"])
+            except (msgspec.DecodeError, KeyError, ValueError):
+                self.unreadable += 1
+                continue
+            prefix = text[:start].split()
+            self.lines.append(
+                LogLine(
+                    at=at,
+                    process=prefix[-1] if prefix else process,
+                    name=name,
+                    fields=fields,
+                )
+            )
+        self.lines.sort(key=lambda line: line.at)
+
+
+class RequestStory(msgspec.Struct, kw_only=True, frozen=True):
+    """The lines of one request and those that may explain it."""
+
+    lines: Sequence[LogLine]
+    context: Sequence[LogLine]
+
+    @property
+    def start(self) -> datetime:
+        """Time of the request's first line."""
+        return self.lines[0].at
+
+    def conclude(self) -> list[str]:
+        """Return what the lines show, a sentence each."""
+        found = [self._ending()]
+        found += [
+            f"Attempt at {_place(line)}: {_cause(line)}; "
+            f"whether it ran: {line.fields.get('verdict', 'unknown')}."
+            for line in self.lines
+            if line.name == Event.ATTEMPT_FAILED.name
+        ]
+        if len({line.process for line in self.lines}) > 1:
+            found.append("The request went to another region's entry VM.")
+        lost = [line for line in self.context if line.name == Event.LOG_LINES_LOST.name]
+        if lost:
+            found.append("Lines were dropped meanwhile; the story may have gaps.")
+        return found
+
+    def _ending(self) -> str:
+        endings = [line for line in self.lines if line.name in _ENDINGS]
+        if not endings:
+            return (
+                "The logs have no end of this request: they were cut, or its process "
+                "ended first."
+            )
+        # The process that the caller reached is the last to end the request.
+        line = endings[-1]
+        fields = line.fields
+        if line.name == Event.REQUEST_SERVED.name:
+            return f"It was answered by {fields.get('place')}."
+        if line.name == Event.CALLER_LEFT.name:
+            return (
+                f"The caller left after {fields.get('seconds')} s, of which the last "
+                f"{fields.get('silent_seconds')} s without an event from "
+                f"{fields.get('place')}."
+            )
+        reason = fields.get("detail") or fields.get("reason")
+        verdict = fields.get("verdict")
+        return f"It was not answered: {reason}; whether it ran: {verdict}."
+
+
+def tell_story(log: CapturedLog, request_id: str) -> RequestStory:
+    """Return the story of the request with `request_id`.
+
+    Raises
+    ------
+    UnknownRequestError
+        If no line names it; the message says what the logs hold.
+    """
+    lines = [line for line in log.lines if line.request == request_id]
+    if not lines:
+        raise UnknownRequestError(_describe_log(log, request_id))
+    places = {_place(line) for line in lines}
+    processes = {line.process for line in lines}
+    margin = timedelta(seconds=CONTEXT_SECONDS)
+    first, last = lines[0].at - margin, lines[-1].at + margin
+    context = [
+        line
+        for line in log.lines
+        if first <= line.at <= last
+        and line.process in processes
+        and (
+            line.name in _OF_PROCESSES
+            or (line.name in _OF_TARGETS and line.fields.get("target") in places)
+        )
+    ]
+    return RequestStory(lines=lines, context=context)
+
+
+def _describe_log(log: CapturedLog, request_id: str) -> str:
+    if not log.lines:
+        return f"no event in these logs; unreadable lines: {log.unreadable}"
+    first, last = log.lines[0].at, log.lines[-1].at
+    return (
+        f"no line about request {request_id!r} among {len(log.lines)} events from "
+        f"{first.isoformat()} to {last.isoformat()}; unreadable lines: {log.unreadable}"
+    )
+
+
+def _place(line: LogLine) -> str:
+    fields = line.fields
+    return str(fields.get("target") or fields.get("region") or fields.get("place"))
+
+
+def _cause(line: LogLine) -> str:
+    cause = str(line.fields.get("cause"))
+    detail = line.fields.get("detail")
+    told = _CAUSES.get(cause, cause)
+    return f"{told} ({detail})" if detail else told
