Let a hop that reached no target cost no repeat

Cause: a request that another region's entry VM refused before it sent it to any target counted as sent once: its next attempt drew on the budget of repeats, and where that was used up, the request was refused though no target had seen it. Ruled out: arrivals at targets (the refusing entry VM had made none).

Change: a refusal of a hop says whether a target may have received the request; the ingress counts the hop as a send only then, or if the answer does not say.

Conclusion: refusals say their true reason; the bound counts arrivals only, as before.

--- a/pimentospool/gateway/__init__.py
+++ b/pimentospool/gateway/__init__.py
@@ -7,7 +7,7 @@
 """
 
 from pimentospool.gateway._connections import AnswerHead
-from pimentospool.gateway._dialect import AnswerClass, TargetDialect
+from pimentospool.gateway._dialect import AnswerClass, HopRefusal, TargetDialect
 from pimentospool.gateway._directory import EntryDirectory
 from pimentospool.gateway._dispatch import Dispatcher
 from pimentospool.gateway._fleet import EntryState
@@ -43,6 +43,7 @@
     "EntryState",
     "Gateway",
     "GatewaySettings",
+    "HopRefusal",
     "HttpRoute",
     "InboundRequest",
     "Knowledge",
--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from pimentospool.gateway._connections import AnswerStream
-from pimentospool.gateway._dialect import AnswerClass
+from pimentospool.gateway._dialect import AnswerClass, HopRefusal
 from pimentospool.gateway._model import HttpRoute, RequestKind
 from pimentospool.gateway._progress import Progress
 from pimentospool.gateway._relay import relay_stream
@@ -24,6 +24,24 @@
 """Longest wait for the rest of a rejection, whose connection can be kept then."""
 
 
+class HopRefusedError(AttemptFailure):
+    """The entry VM of another region refused the request.
+
+    Parameters
+    ----------
+    detail : str
+        What was seen.
+    refusal : HopRefusal
+        What the entry VM says.
+    """
+
+    def __init__(self, *, detail: str, refusal: HopRefusal) -> None:
+        super().__init__(
+            detail=detail, verdict=refusal.verdict, cause=FailureCause.REFUSED
+        )
+        self.refusal = refusal
+
+
 class AnswerReceiver:
     """Receives the answers of one request's attempts.
 
@@ -75,14 +93,13 @@
         except TimeoutError as exc:
             raise self._silent(exc) from exc
         dialect = self._tools.dialect
-        verdict = dialect.hop_verdict(head)
-        if verdict is not None:
+        refusal = dialect.hop_refusal(head)
+        if refusal is not None:
             self._progress.retry_after_seconds = dialect.retry_after_seconds(head)
             await self._finish_reading(stream)
-            raise AttemptFailure(
+            raise HopRefusedError(
                 detail=f"the entry VM refused with status {head.status}",
-                verdict=verdict,
-                cause=FailureCause.REFUSED,
+                refusal=refusal,
             )
         kind = dialect.classify(head)
         if kind is AnswerClass.REJECTION:
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -1,6 +1,10 @@
 """One request on its way through its attempts to its final answer."""
 
-from pimentospool.gateway._answers import CLOCK_SECONDS, AnswerReceiver
+from pimentospool.gateway._answers import (
+    CLOCK_SECONDS,
+    AnswerReceiver,
+    HopRefusedError,
+)
 from pimentospool.gateway._connections import WireRequest
 from pimentospool.gateway._knowledge import TargetState
 from pimentospool.gateway._model import (
@@ -379,9 +383,13 @@
                 max_targets=self._progress.targets_left,
             )
             # Targets there may receive the request, and the other VM counts it.
-            self._progress.sent = True
+            sent, self._progress.sent = self._progress.sent, True
             stream = conn.send(self._wire(data))
-            await self._receiver.receive(stream, None, remaining)
+            try:
+                await self._receiver.receive(stream, None, remaining)
+            except HopRefusedError as exc:
+                self._progress.sent = sent or exc.refusal.reached_target
+                raise
         finally:
             pool.release(conn)
 
--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -3,6 +3,8 @@
 from enum import Enum
 from typing import Protocol
 
+import msgspec
+
 from pimentospool.gateway._connections import AnswerHead
 from pimentospool.gateway._model import InboundRequest, Registration
 from pimentospool.verdicts import Verdict
@@ -19,6 +21,14 @@
     INVALID = "not an answer of the target"
 
 
+class HopRefusal(msgspec.Struct, kw_only=True, frozen=True):
+    """An entry VM's refusal of a request that another one sent to it."""
+
+    verdict: Verdict
+    reached_target: bool
+    """Whether a target may have received the request, also one that rejected it."""
+
+
 class TargetDialect(Protocol):
     """Requests and answers in the form that targets and peers exchange."""
 
@@ -55,8 +65,8 @@
     def classify(self, head: AnswerHead) -> AnswerClass:
         """Return what `head` says."""
 
-    def hop_verdict(self, head: AnswerHead) -> Verdict | None:
-        """Return the verdict of an entry VM's own refusal, None for other answers."""
+    def hop_refusal(self, head: AnswerHead) -> HopRefusal | None:
+        """Return what an entry VM's own refusal says, None for other answers."""
 
     def retry_after_seconds(self, head: AnswerHead) -> float | None:
         """Return the time after which the sender of `head` asks to come back."""
--- a/pimentospool/gateway/_progress.py
+++ b/pimentospool/gateway/_progress.py
@@ -27,7 +27,7 @@
         self.verdict = Verdict.NOT_RUN
         self.attempts = 0
         self.sent = False
-        """Whether a target has received the request."""
+        """Whether a target may have received the request."""
         self.last_event: int | None = None
         """Last event of the stream that the caller was sent."""
         self.events = 0
@@ -100,4 +100,5 @@
             verdict=self.verdict,
             detail=detail,
             retry_after_seconds=wait if self.verdict is Verdict.NOT_RUN else None,
+            reached_target=self.sent,
         )
--- a/pimentospool/gateway/_replies.py
+++ b/pimentospool/gateway/_replies.py
@@ -27,6 +27,8 @@
     verdict: Verdict
     detail: str = ""
     retry_after_seconds: float | None = None
+    reached_target: bool = False
+    """Whether a target may have received the request, also one that rejected it."""
 
 
 class Reply(Protocol):
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -1,10 +1,17 @@
 """Requests to targets and peers, and their answers, in the platform's form."""
 
-from pimentospool.gateway import AnswerClass, AnswerHead, InboundRequest, Registration
+from pimentospool.gateway import (
+    AnswerClass,
+    AnswerHead,
+    HopRefusal,
+    InboundRequest,
+    Registration,
+)
 from pimentospool.platform._names import (
     COLD_REMAINING,
     DEADLINE,
     EXPECT_INSTANCE,
+    HOP_REACHED,
     HOP_TARGETS,
     HOP_VERDICT,
     LAST_EVENT,
@@ -24,6 +31,7 @@
 _BODY_METHODS = ("POST", "PUT", "PATCH")
 _LEAST_URGENT = 9
 _MILLISECONDS = 1000.0
+_NO_TARGET = b"0"
 
 
 class PlatformDialect:
@@ -93,15 +101,17 @@
             return AnswerClass.INVALID
         return AnswerClass.ERROR if status >= _SERVER_ERROR else AnswerClass.FINAL
 
-    def hop_verdict(self, head: AnswerHead) -> Verdict | None:
-        """Return the verdict of an entry VM's own refusal, None for other answers."""
+    def hop_refusal(self, head: AnswerHead) -> HopRefusal | None:
+        """Return what an entry VM's own refusal says, None for other answers."""
         value = head.get(HOP_VERDICT)
         if value is None:
             return None
         try:
-            return Verdict(value.decode("latin-1"))
+            verdict = Verdict(value.decode("latin-1"))
         except ValueError:
-            return Verdict.MAY_HAVE_RUN
+            verdict = Verdict.MAY_HAVE_RUN
+        reached = head.get(HOP_REACHED) != _NO_TARGET
+        return HopRefusal(verdict=verdict, reached_target=reached)
 
     def retry_after_seconds(self, head: AnswerHead) -> float | None:
         """Return the time after which the sender of `head` asks to come back."""
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -23,6 +23,7 @@
 from pimentospool.log import Event, log_event
 from pimentospool.platform._names import (
     DEADLINE,
+    HOP_REACHED,
     HOP_TARGETS,
     HOP_VERDICT,
     LAST_EVENT,
@@ -228,6 +229,7 @@
             headers["Retry-After"] = f"{refusal.retry_after_seconds:.3f}"
         if self._hop:
             headers[HOP_VERDICT.decode()] = refusal.verdict.value
+            headers[HOP_REACHED.decode()] = "1" if refusal.reached_target else "0"
         resp = web.Response(status=status, headers=headers, text=refusal.reason.value)
         await self._finish(resp)
 
--- a/pimentospool/platform/_names.py
+++ b/pimentospool/platform/_names.py
@@ -18,6 +18,8 @@
 
 HOP_VERDICT = b"pimentospool-verdict"
 """The product's own header: what an entry VM's refusal says of execution."""
+HOP_REACHED = b"pimentospool-reached"
+"""The product's own header: 0 if the refused request reached no target."""
 HOP_TARGETS = b"pimentospool-targets"
 """The product's own header: targets that may still run a hopped request."""
 
@@ -42,6 +44,7 @@
         EXPECT_INSTANCE,
         PRIORITY,
         LAST_EVENT,
+        HOP_REACHED,
         HOP_TARGETS,
         HOP_VERDICT,
         b"content-length",
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import pytest
 from gateway_facts import (
     Clock,
     make_configuration,
@@ -30,6 +31,8 @@
 )
 ABSENT = (421, [(b"x-request-id", b"r-1")])
 HOP_REFUSED = (503, [(b"pimentospool-verdict", b"not-run")])
+HOP_UNSENT = (503, [*HOP_REFUSED[1], (b"pimentospool-reached", b"0")])
+HOP_REACHED = (503, [*HOP_REFUSED[1], (b"pimentospool-reached", b"1")])
 
 
 class ScriptedStream:
@@ -65,14 +68,15 @@
 
 
 class ScriptedPools:
-    def __init__(self):
+    def __init__(self, hop_answer=HOP_REFUSED):
         self.to_targets, self.to_peers = [], []
+        self._hop_answer = hop_answer
 
     def to_target(self, registration, service):
         return ScriptedPool(ABSENT, self.to_targets)
 
     def to_peer(self, address):
-        return ScriptedPool(HOP_REFUSED, self.to_peers)
+        return ScriptedPool(self._hop_answer, self.to_peers)
 
 
 class KeptReply:
@@ -124,16 +128,20 @@
     return reply
 
 
-def test_sends_after_a_hop_draw_on_the_budget_of_repeats():
-    pools, clock = ScriptedPools(), Clock()
+@pytest.mark.parametrize(
+    ("hop_answer", "hops"), [(HOP_REFUSED, 1), (HOP_REACHED, 1), (HOP_UNSENT, 2)]
+)
+def test_sends_after_a_hop_that_reached_a_target_draw_on_the_budget(hop_answer, hops):
+    pools, clock = ScriptedPools(hop_answer), Clock()
     tools = make_tools(pools, clock)
     load = {"desk": ServiceLoad(0.0, 0.0)}
     for region in ("delta", "piedmont"):
         record = make_record(region, region=region, loads=load)
         tools.fleet.receive(FleetMessage(sender=record, relayed=[], occupancy={}))
     reply = serve(tools)
-    assert len(pools.to_peers) == 1
+    assert len(pools.to_peers) == hops
     assert reply.refusal.verdict.value == "not-run"
+    assert reply.refusal.reached_target is (hops == 1)
 
 
 def test_target_that_another_one_replaced_is_left_alone():
