Report a region's load as most of its entry VMs see it

Cause: a region's load was the least report among all its entry VMs, and each of these took its least loaded target, also a cold one and one that refused every connection.

Change: the load is the median of the reports; cold targets and those whose last connection could not be opened do not speak for their region while others can; every entry VM of the region (at most 32) hears of work each round, six of them with relayed records.

--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 from enum import Enum
 from random import Random
+from statistics import median
 
 import msgspec
 
@@ -25,6 +26,9 @@
 """Time for which gone entry VMs count in shares of common bounds."""
 FANOUT = 6
 """Other entry VMs of the region that one round of heartbeats goes to."""
+REPORT_FANOUT = 32
+"""Entry VMs of the region that hear of this one's work in progress in one round; all
+of them in regions of this size, so that none sends to a target that others fill."""
 REMOTE_FANOUT = 2
 """Entry VMs of other regions that one round goes to."""
 RELAYED = 8
@@ -139,18 +143,28 @@
         ]
 
     def loads(self, service: ServiceId) -> dict[RegionId, ServiceLoad]:
-        """Return the least load of `service` that each other region reports."""
-        loads: dict[RegionId, ServiceLoad] = {}
+        """Return the load of `service` in each other region.
+
+        It is the median of what the region's entry VMs report: each of them has heard
+        of a part of the region's work only, and the least report of many is far below
+        the load.
+        """
+        reports: dict[RegionId, list[ServiceLoad]] = {}
         for rec in self.live():
-            if rec.region == self.own.region or rec.state != EntryState.READY.value:
-                continue
             load = rec.loads.get(service)
-            if load is None:
-                continue
-            known = loads.get(RegionId(rec.region))
-            if known is None or load.wait_seconds < known.wait_seconds:
-                loads[RegionId(rec.region)] = load
-        return loads
+            if (
+                load is not None
+                and rec.region != self.own.region
+                and rec.state == EntryState.READY.value
+            ):
+                reports.setdefault(RegionId(rec.region), []).append(load)
+        return {
+            region: ServiceLoad(
+                median(load.wait_seconds for load in loads),
+                median(load.crowding for load in loads),
+            )
+            for region, loads in reports.items()
+        }
 
     def known_ids(self, region: RegionId | None = None) -> list[EntryId]:
         """Return entry VMs known lately, gone ones and this one included."""
@@ -169,14 +183,16 @@
             ids.append(EntryId(self.own.id))
         return ids
 
-    def receivers(self, *, remote: bool) -> list[EntryRecord]:
-        """Return to whom the next round of heartbeats goes."""
+    def receivers(self, *, remote: bool) -> list[tuple[EntryRecord, bool]]:
+        """Return to whom the next round goes, each with whether records are relayed."""
         members = self.live()
         near = [rec for rec in members if rec.region == self.own.region]
-        chosen = self._sample(near, FANOUT)
+        near = self._sample(near, REPORT_FANOUT)
+        self._rng.shuffle(near)
+        chosen = [(rec, number < FANOUT) for number, rec in enumerate(near)]
         if remote:
             far = [rec for rec in members if rec.region != self.own.region]
-            chosen += self._sample(far, REMOTE_FANOUT)
+            chosen += [(rec, True) for rec in self._sample(far, REMOTE_FANOUT)]
         return chosen
 
     def message(
@@ -184,10 +200,14 @@
         receiver: EntryRecord | None,
         occupancy: dict[TargetId, Occupancy],
         cold: dict[TargetId, float],
+        *,
+        relays: bool = True,
     ) -> FleetMessage:
         """Return the message to `receiver`, or to one that is not known yet."""
         near = receiver is not None and receiver.region == self.own.region
-        others = [rec for rec in self.live() if receiver is None or rec is not receiver]
+        others = []
+        if relays:
+            others = [rec for rec in self.live() if rec is not receiver]
         return FleetMessage(
             sender=self.own,
             relayed=self._sample(others, RELAYED),
--- a/pimentospool/gateway/_heartbeats.py
+++ b/pimentospool/gateway/_heartbeats.py
@@ -103,8 +103,9 @@
         fleet.own.heartbeat += 1
         occupancy, cold = self._book.own(), self._cold_answers()
         known = {record.peer for record in fleet.live()} | {fleet.own.peer}
-        for record in fleet.receivers(remote=remote):
-            self._send(fleet.message(record, occupancy, cold), record.peer)
+        for record, relays in fleet.receivers(remote=remote):
+            msg = fleet.message(record, occupancy, cold, relays=relays)
+            self._send(msg, record.peer)
         if seeds:
             for address in self.seeds:
                 if address not in known:
--- a/pimentospool/gateway/_placing.py
+++ b/pimentospool/gateway/_placing.py
@@ -149,9 +149,18 @@
             return {}
         loads = {}
         for service in configuration.services.values():
+            states = self._usable(service.id)
+            now = self._clock()
+            # A cold target takes few requests and an unreachable one none, so that
+            # their idleness says nothing of the region's load.
+            steady = [
+                state
+                for state in states
+                if not (state.is_cold(now) or self.health(state.id).doubtful)
+            ]
             candidates = [
                 self._candidate(state, service, unread=0, tokens=0)
-                for state in self._usable(service.id)
+                for state in steady or states
             ]
             if candidates:
                 least = min(candidates, key=lambda item: item.cost_seconds)
--- a/pimentospool/policy/_target_health.py
+++ b/pimentospool/policy/_target_health.py
@@ -47,6 +47,11 @@
         """Whether the target gets no requests for now."""
         return self._clock() < self._ejected_until
 
+    @property
+    def doubtful(self) -> bool:
+        """Whether the last connection could not be opened and none was since."""
+        return self._failures_in_row > 0
+
     @property
     def failing(self) -> float:
         """Share of failed answers, from 0 to 1."""
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -97,3 +97,38 @@
     placing = make_placing()
     for key in keys_kept_in("delta-a")[:20]:
         assert TARGETS[choose(placing, key, shared=200).candidate.target] == "gulf-a"
+
+
+def busy_everywhere(placing, *, but):
+    book = placing._book
+    for target in TARGETS:
+        if target != but:
+            book.begin(target, waiting_tokens=30_000, held_tokens=60_000)
+
+
+def test_unreachable_target_does_not_speak_for_its_region():
+    placing = make_placing()
+    busy_everywhere(placing, but="g-1")
+    idle = placing.local_loads()["llm"]
+    placing.health("g-1").unreachable()
+    placing._clock.now += 2.0
+    assert not placing.health("g-1").ejected
+    busy = placing.local_loads()["llm"]
+    assert busy.wait_seconds > idle.wait_seconds + 0.5
+    placing.health("g-1").answered(1.0)
+    assert placing.local_loads()["llm"] == idle
+
+
+def test_cold_target_does_not_speak_for_its_region():
+    placing = make_placing()
+    busy_everywhere(placing, but="g-1")
+    placing._knowledge.learn_cold("g-1", 3.0)
+    assert placing.local_loads()["llm"].wait_seconds > 0.9
+
+
+def test_region_whose_targets_are_all_doubtful_still_reports():
+    placing = make_placing()
+    for target in ("g-1", "g-2"):
+        placing.health(target).unreachable()
+    placing._clock.now += 2.0
+    assert "llm" in placing.local_loads()
