--- a/pimentospool/commands/_soak.py
+++ b/pimentospool/commands/_soak.py
@@ -6,7 +6,7 @@
 import click
 
 from pimentospool.commands._common import EXIT_FAILED, run
-from pimentospool.soak import Soak, SoakResult
+from pimentospool.soak import CALLERS, Soak, SoakResult
 
 
 @click.command()
@@ -14,6 +14,7 @@
 @click.option("--seeds", default=1, show_default=True, help="Seeds, one after another.")
 @click.option("--seconds", default=12.0, show_default=True, help="Time of faults.")
 @click.option("--nodes", default=4, show_default=True, help="Node processes.")
+@click.option("--callers", default=CALLERS, show_default=True, help="Of each node.")
 @click.option(
     "--logs",
     "folder",
@@ -22,7 +23,9 @@
     show_default=True,
     help="Where settings and logs of the processes are written, by seed.",
 )
-def soak(seed: int, seeds: int, seconds: float, nodes: int, folder: Path) -> None:
+def soak(
+    seed: int, seeds: int, seconds: float, nodes: int, callers: int, folder: Path
+) -> None:
     """Run nodes as processes under random faults and judge what callers saw.
 
     Exits with 0 only if every promise held for every seed.
@@ -31,7 +34,9 @@
     for number in range(seed, seed + seeds):
         logs = folder / str(number)
         logs.mkdir(parents=True, exist_ok=True)
-        runner = Soak(seed=number, seconds=seconds, nodes=nodes, folder=logs)
+        runner = Soak(
+            seed=number, seconds=seconds, nodes=nodes, folder=logs, callers=callers
+        )
         result = run(runner.run())
         broken += bool(result.violations)
         _print(result)
--- a/pimentospool/soak/__init__.py
+++ b/pimentospool/soak/__init__.py
@@ -9,9 +9,10 @@
     Violation,
 )
 from pimentospool.soak._plan import PlannedFault, SoakFault, plan_faults
-from pimentospool.soak._runner import Soak, SoakResult
+from pimentospool.soak._runner import CALLERS, Soak, SoakResult
 
 __all__ = [
+    "CALLERS",
     "Arrival",
     "Disturbance",
     "PlannedFault",
--- a/pimentospool/soak/_runner.py
+++ b/pimentospool/soak/_runner.py
@@ -28,9 +28,11 @@
 from pimentospool.soak._plan import PlannedFault, SoakFault, plan_faults
 from pimentospool.standins import Fault, PlatformCaller
 
-CALLERS_OF_A_NODE = 4
+CALLERS = 4
+"""Callers of each node."""
 CALL_PAUSE_SECONDS = 0.05
-"""Mean pause of a caller between calls; about forty calls a second for each node."""
+"""Mean pause of a caller between calls; about forty calls a second for each node with
+four callers."""
 DELAY_SECONDS = 0.4
 SPOILED_EXCHANGES = 6
 SECOND_SIGNAL_SECONDS = 0.06
@@ -65,9 +67,20 @@
         Number of node processes.
     folder : Path
         Where settings and logs are written.
+    callers : int
+        Callers of each node.
     """
 
-    def __init__(self, *, seed: int, seconds: float, nodes: int, folder: Path) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        seconds: float,
+        nodes: int,
+        folder: Path,
+        callers: int = CALLERS,
+    ) -> None:
+        self._callers = callers
         self._seed = seed
         self._plan = plan_faults(seed, seconds=seconds)
         self._seconds = seconds
@@ -124,7 +137,7 @@
         callers = [
             asyncio.create_task(self._make_calls(number))
             for number in range(len(self._site.nodes))
-            for _ in range(CALLERS_OF_A_NODE)
+            for _ in range(self._callers)
         ]
         start = time.monotonic()
         faults = []
