Take the budget once for a repeat that reaches no target

Change: what was taken from the budget covers the next send until a target may have received it.

Conclusion: the budget now counts what the bound counts.

--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -116,7 +116,9 @@
             if not progress.may_repeat(reply_started=self._reply.started):
                 await self._end("", None)
                 return
-            if progress.sent and not self._take_budget():
+            if progress.sent and not progress.repeat_paid:
+                progress.repeat_paid = self._take_budget()
+            if progress.sent and not progress.repeat_paid:
                 await self._end("the budget of repeated sends is used up", None)
                 return
 
@@ -256,6 +258,7 @@
         return budget.take(len(self._tools.fleet.known_ids()))
 
     def _count_send(self) -> None:
+        self._progress.repeat_paid = False
         if not self._progress.sent:
             self._progress.sent = True
             self._tools.budget(self._service.id).request_sent()
@@ -383,12 +386,15 @@
                 max_targets=self._progress.targets_left,
             )
             # Targets there may receive the request, and the other VM counts it.
-            sent, self._progress.sent = self._progress.sent, True
+            progress = self._progress
+            sent, paid = progress.sent, progress.repeat_paid
+            progress.sent, progress.repeat_paid = True, False
             stream = conn.send(self._wire(data))
             try:
                 await self._receiver.receive(stream, None, remaining)
             except HopRefusedError as exc:
-                self._progress.sent = sent or exc.refusal.reached_target
+                if not exc.refusal.reached_target:
+                    progress.sent, progress.repeat_paid = sent, paid
                 raise
         finally:
             pool.release(conn)
--- a/pimentospool/gateway/_progress.py
+++ b/pimentospool/gateway/_progress.py
@@ -28,6 +28,9 @@
         self.attempts = 0
         self.sent = False
         """Whether a target may have received the request."""
+        self.repeat_paid = False
+        """Whether the budget of repeats covers the next send; an attempt that reaches
+        no target leaves that to the one after it."""
         self.last_event: int | None = None
         """Last event of the stream that the caller was sent."""
         self.events = 0
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -29,6 +29,14 @@
     cold_overage=1.5,
     cold_slack=3.0,
 )
+ONE_REPEAT = SharedBounds(
+    repeat_ratio=0.0,
+    repeat_reserve=40.0,
+    repeat_window_seconds=10.0,
+    cold_overage=1.5,
+    cold_slack=3.0,
+)
+"""Bounds whose share of one of eight entry VMs in four parts is one repeat."""
 ABSENT = (421, [(b"x-request-id", b"r-1")])
 HOP_REFUSED = (503, [(b"pimentospool-verdict", b"not-run")])
 HOP_UNSENT = (503, [*HOP_REFUSED[1], (b"pimentospool-reached", b"0")])
@@ -89,7 +97,7 @@
         self.refusal = refusal
 
 
-def make_tools(pools, clock):
+def make_tools(pools, clock, bounds=BOUNDS):
     knowledge = Knowledge(clock=clock, zone_regions={"gulf-a": "gulf"})
     knowledge.adopt(make_configuration())
     fleet = Fleet(own=make_record("own"), clock=clock, rng=random.Random(1))
@@ -107,7 +115,7 @@
         placing=placing,
         pools=pools,
         dialect=PlatformDialect(),
-        bounds=BOUNDS,
+        bounds=bounds,
         regions=3,
         clock=clock,
         rng=random.Random(1),
@@ -153,3 +161,16 @@
     assert tools.placing.health("i-1").ejected
     serve(tools)
     assert len(pools.to_targets) == 1
+
+
+def test_repeat_that_reached_no_target_is_paid_once():
+    pools, clock = ScriptedPools(HOP_UNSENT), Clock()
+    tools = make_tools(pools, clock, bounds=ONE_REPEAT)
+    tools.knowledge.register(make_registration("i-1"))
+    load = {"desk": ServiceLoad(0.0, 0.0)}
+    for region in ("delta", "piedmont"):
+        record = make_record(region, region=region, loads=load)
+        tools.fleet.receive(FleetMessage(sender=record, relayed=[], occupancy={}))
+    serve(tools)
+    assert len(pools.to_targets) == 1
+    assert len(pools.to_peers) == 2
