--- /dev/null
+++ b/pimentospool/bench/_heartbeats.py
@@ -0,0 +1,141 @@
+"""Cost of the fleet's heartbeats for one entry VM, by the size of the fleet."""
+
+import asyncio
+import random
+import time
+from typing import cast
+
+import msgspec
+
+from pimentospool.gateway._fleet import (
+    EntryRecord,
+    EntryState,
+    Fleet,
+    FleetMessage,
+    ServiceLoad,
+)
+from pimentospool.gateway._heartbeats import (
+    INTERVAL_SECONDS,
+    REMOTE_ROUNDS,
+    REPORT_ROUNDS,
+    SEED_ROUNDS,
+    HeartbeatLoop,
+)
+from pimentospool.gateway._model import Address
+from pimentospool.ids import TargetId
+from pimentospool.policy import OccupancyBook
+
+ROUNDS = REMOTE_ROUNDS * SEED_ROUNDS
+"""Rounds after which the pattern of receivers repeats."""
+REPEATS = 5
+_SERVICES = ("llm", "desk")
+
+
+class HeartbeatCost(msgspec.Struct, kw_only=True):
+    """Datagrams of one entry VM; as many come in as go out, on average."""
+
+    entries: int
+    regions: int
+    busy_targets: int
+    datagrams_per_second: float
+    largest_bytes: int
+    kilobytes_per_second: float
+    send_share: float
+    """Share of a core for sending."""
+    receive_share: float
+    """Share of a core for receiving as many."""
+
+
+class _CountingTransport:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[bytes] = []
+
+    def sendto(self, data: bytes, addr: object) -> None:
+        self.sent.append(data)
+
+    def is_closing(self) -> bool:
+        return False
+
+
+def measure_heartbeats(
+    *, entries: int, regions: int, busy_targets: int, seed: int
+) -> HeartbeatCost:
+    """Time the rounds of an entry VM in a fleet of `entries`.
+
+    Parameters
+    ----------
+    entries, regions : int
+        Size of the fleet.
+    busy_targets : int
+        Targets at which each entry VM has requests in progress.
+    seed : int
+        Fixes the choice of receivers.
+    """
+    loop = _make_loop(entries, regions, busy_targets, seed)
+    transport = _CountingTransport()
+    loop.connection_made(cast(asyncio.BaseTransport, transport))
+    began = time.process_time()
+    for number in range(ROUNDS * REPEATS):
+        loop.send_round(
+            remote=number % REMOTE_ROUNDS == 0,
+            reports=number % REPORT_ROUNDS == 0,
+            seeds=number % SEED_ROUNDS == 0,
+        )
+    sending = time.process_time() - began
+    began = time.process_time()
+    for data in transport.sent:
+        loop.datagram_received(data, None)
+    receiving = time.process_time() - began
+    seconds = ROUNDS * REPEATS * INTERVAL_SECONDS
+    return HeartbeatCost(
+        entries=entries,
+        regions=regions,
+        busy_targets=busy_targets,
+        datagrams_per_second=len(transport.sent) / seconds,
+        largest_bytes=max(map(len, transport.sent), default=0),
+        kilobytes_per_second=sum(map(len, transport.sent)) / seconds / 1e3,
+        send_share=sending / seconds,
+        receive_share=receiving / seconds,
+    )
+
+
+def _make_loop(
+    entries: int, regions: int, busy_targets: int, seed: int
+) -> HeartbeatLoop:
+    def clock() -> float:
+        return 0.0
+
+    records = [_make_record(number, number % regions) for number in range(entries)]
+    fleet = Fleet(own=records[0], clock=clock, rng=random.Random(seed))
+    for record in records[1:]:
+        fleet.receive(FleetMessage(sender=record, relayed=[], occupancy={}))
+    book = OccupancyBook(clock=clock)
+    for number in range(busy_targets):
+        book.begin(
+            TargetId(f"i-{number:010x}"), waiting_tokens=2000, held_tokens=40_000
+        )
+    return HeartbeatLoop(
+        fleet=fleet,
+        book=book,
+        seeds=[],
+        refresh=lambda: None,
+        cold_answers=dict,
+        learn_cold=lambda target, seconds: None,
+    )
+
+
+def _make_record(number: int, region: int) -> EntryRecord:
+    address = Address(f"10.{region}.{number // 250}.{number % 250}", 7660)
+    return EntryRecord(
+        id=f"edge-region{region}-a-{number}",
+        life=1_790_000_000_000_000_000 + number,
+        heartbeat=1000,
+        state=EntryState.READY.value,
+        region=f"region{region}",
+        zone=f"region{region}-a",
+        front=address,
+        peer=address,
+        loads={name: ServiceLoad(0.125, 0.5) for name in _SERVICES},
+    )
--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -27,8 +27,8 @@
 FANOUT = 6
 """Other entry VMs of the region that one round of heartbeats goes to."""
 REPORT_FANOUT = 32
-"""Entry VMs of the region that hear of this one's work in progress in one round; all
-of them in regions of this size, so that none sends to a target that others fill."""
+"""Entry VMs of the region that hear of this one's work in one round of reports; all of
+them in regions up to this size, so that none sends to a target that others fill."""
 REMOTE_FANOUT = 2
 """Entry VMs of other regions that one round goes to."""
 RELAYED = 8
@@ -183,11 +183,21 @@
             ids.append(EntryId(self.own.id))
         return ids
 
-    def receivers(self, *, remote: bool) -> list[tuple[EntryRecord, bool]]:
-        """Return to whom the next round goes, each with whether records are relayed."""
+    def receivers(
+        self, *, remote: bool, reports: bool
+    ) -> list[tuple[EntryRecord, bool]]:
+        """Return to whom the next round goes, each with whether records are relayed.
+
+        Parameters
+        ----------
+        remote : bool
+            Whether entry VMs of other regions are told.
+        reports : bool
+            Whether all entry VMs of the region are told, not only some.
+        """
         members = self.live()
         near = [rec for rec in members if rec.region == self.own.region]
-        near = self._sample(near, REPORT_FANOUT)
+        near = self._sample(near, REPORT_FANOUT if reports else FANOUT)
         self._rng.shuffle(near)
         chosen = [(rec, number < FANOUT) for number, rec in enumerate(near)]
         if remote:
--- a/pimentospool/gateway/_heartbeats.py
+++ b/pimentospool/gateway/_heartbeats.py
@@ -13,6 +13,9 @@
 
 INTERVAL_SECONDS = 0.25
 """Time between rounds within the region; bounds the age of peers' load."""
+REPORT_ROUNDS = 2
+"""Rounds after which all entry VMs of the region hear of work in progress; more often
+costs bytes, and less often lets a burst find the same idle targets."""
 REMOTE_ROUNDS = 3
 """Rounds after which entry VMs of other regions are told as well."""
 SEED_ROUNDS = 8
@@ -91,19 +94,20 @@
         while True:
             self.send_round(
                 remote=count % REMOTE_ROUNDS == 0,
+                reports=count % REPORT_ROUNDS == 0,
                 seeds=count % SEED_ROUNDS == 0 or not self._fleet.live(),
             )
             count += 1
             await asyncio.sleep(INTERVAL_SECONDS)
 
-    def send_round(self, *, remote: bool, seeds: bool) -> None:
+    def send_round(self, *, remote: bool, reports: bool, seeds: bool) -> None:
         """Send one round of heartbeats."""
         fleet = self._fleet
         self._refresh()
         fleet.own.heartbeat += 1
         occupancy, cold = self._book.own(), self._cold_answers()
         known = {record.peer for record in fleet.live()} | {fleet.own.peer}
-        for record, relays in fleet.receivers(remote=remote):
+        for record, relays in fleet.receivers(remote=remote, reports=reports):
             msg = fleet.message(record, occupancy, cold, relays=relays)
             self._send(msg, record.peer)
         if seeds:
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -143,12 +143,12 @@
         self._serve_until = now + grace * SERVE_SHARE
         self._record.state = EntryState.LEAVING.value
         log_event(Event.ENTRY_LEAVING, in_progress=self.in_progress)
-        self.heartbeats.send_round(remote=True, seeds=False)
+        self.heartbeats.send_round(remote=True, reports=True, seeds=False)
         await asyncio.sleep(grace * ACCEPT_SHARE)
         while self.serving and not self.fleet.ready(self.cfg.region):
             await asyncio.sleep(POLL_SECONDS)
         self._record.state = EntryState.CLOSED.value
-        self.heartbeats.send_round(remote=True, seeds=False)
+        self.heartbeats.send_round(remote=True, reports=True, seeds=False)
 
     async def finish_requests(self) -> None:
         """Return when all requests have ended or the time to SIGKILL is over."""
