Split the sends of a request from its attempts

Cause: gateway/_attempts.py had grown to 423 lines: the order of attempts, their logs and endings, and how one of them is sent.

Change: a move. gateway/_sends.py holds one send to a target or to an entry VM of another region; _attempts.py keeps which comes next. The two questions to the budget are one method.

--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -2,11 +2,7 @@
 
 from pimentospool.gateway._answers import (
     CLOCK_SECONDS,
-    AnswerReceiver,
-    HopRefusedError,
 )
-from pimentospool.gateway._connections import WireRequest
-from pimentospool.gateway._knowledge import TargetState
 from pimentospool.gateway._model import (
     HttpRoute,
     InboundRequest,
@@ -16,23 +12,17 @@
 from pimentospool.gateway._outcomes import RoutedOutcome, RoutedResult
 from pimentospool.gateway._progress import Progress
 from pimentospool.gateway._replies import Refusal, RefusalReason, Reply
+from pimentospool.gateway._sends import Sends
 from pimentospool.gateway._tools import ServingTools
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
-    Assignment,
-    Candidate,
     NoChoice,
     RegionChoice,
     TargetChoice,
-    TargetHealth,
 )
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
-ANSWER_SHARE = 0.4
-"""Part of the time left that an idempotent request waits for one target, so that
-another attempt still fits."""
-
 
 class Attempts:
     """One request on its way.
@@ -73,10 +63,12 @@
         self._deadline = req.received_at + patience
         self._progress.moved_at = req.received_at
         self._place = ""
-        self._receiver = AnswerReceiver(
+        self._sends = Sends(
             tools=tools,
+            req=req,
             reply=reply,
             route=route,
+            service=service,
             progress=self._progress,
             remaining=lambda: self.remaining_seconds,
         )
@@ -106,9 +98,9 @@
             self._log_choice(choice)
             try:
                 if isinstance(choice, TargetChoice):
-                    await self._try_target(choice)
+                    await self._sends.to_target(choice)
                 else:
-                    await self._try_region(choice)
+                    await self._sends.to_region(choice)
                 self._answered()
                 return
             except AttemptFailure as exc:
@@ -116,9 +108,7 @@
             if not progress.may_repeat(reply_started=self._reply.started):
                 await self._end("", None)
                 return
-            if progress.sent and not progress.repeat_paid:
-                progress.repeat_paid = self._take_budget()
-            if progress.sent and not progress.repeat_paid:
+            if progress.sent and not self._may_send_again():
                 await self._end("the budget of repeated sends is used up", None)
                 return
 
@@ -253,15 +243,14 @@
             attempt=progress.attempts,
         )
 
-    def _take_budget(self) -> bool:
-        budget = self._tools.budget(self._service.id)
-        return budget.take(len(self._tools.fleet.known_ids()))
-
-    def _count_send(self) -> None:
-        self._progress.repeat_paid = False
-        if not self._progress.sent:
-            self._progress.sent = True
-            self._tools.budget(self._service.id).request_sent()
+    def _may_send_again(self) -> bool:
+        """Return whether the budget of repeats covers the next send."""
+        progress = self._progress
+        if not progress.repeat_paid:
+            budget = self._tools.budget(self._service.id)
+            members = len(self._tools.fleet.known_ids())
+            progress.repeat_paid = budget.take(members)
+        return progress.repeat_paid
 
     async def _end(self, detail: str, retry_after_seconds: float | None) -> None:
         refusal = self._progress.refusal(detail, retry_after_seconds)
@@ -276,79 +265,6 @@
             )
         await self._refuse(refusal)
 
-    async def _try_target(self, choice: TargetChoice) -> None:
-        tools, req = self._tools, self._req
-        candidate = choice.candidate
-        state = tools.knowledge.target(candidate.target)
-        if state is None:
-            raise _not_sent("the target was removed")
-        assignment = tools.placing.begin(req, candidate)
-        pool = tools.pools.to_target(state.registration, self._service)
-        began_at = tools.clock()
-        try:
-            conn = await pool.acquire()
-            try:
-                wire = self._wire_to_target(state)
-                self._count_send()
-                sent_at = tools.clock()
-                assignment.on_first_event = _PaceRecorder(
-                    health=tools.placing.health(state.id),
-                    candidate=candidate,
-                    sent_at=sent_at,
-                )
-                stream = conn.send(wire)
-                await self._receiver.receive(stream, assignment, self._answer_seconds())
-                assignment.first_event()
-            except AttemptFailure as exc:
-                if exc.cause is FailureCause.SILENT:
-                    pool.discard_idle()
-                raise
-            finally:
-                pool.release(conn)
-        finally:
-            self._record_silence(assignment, tools.clock() - began_at, candidate)
-            assignment.end()
-            tools.placing.health(state.id).ended(tools.clock() - began_at)
-
-    def _record_silence(
-        self, assignment: Assignment, seconds: float, candidate: Candidate
-    ) -> None:
-        """Let a target without a first event count as slow, and not as answered."""
-        if assignment.on_first_event is None:
-            return
-        assignment.on_first_event = None
-        expected = candidate.first_byte_seconds / candidate.pace
-        if seconds > candidate.first_byte_seconds:
-            health = self._tools.placing.health(candidate.target)
-            health.answered(seconds / expected)
-
-    def _wire_to_target(self, state: TargetState) -> WireRequest:
-        tools, req = self._tools, self._req
-        remaining = self.remaining_seconds
-        if remaining <= 0:
-            raise _not_sent("the request's time is over", FailureCause.LATE)
-        data = tools.dialect.encode(
-            req,
-            registration=state.registration,
-            remaining_seconds=remaining,
-            urgency=self._route.priority if self._service.engine else None,
-            resume_after=self._resume_after,
-        )
-        return self._wire(data)
-
-    def _wire(self, data: bytes) -> WireRequest:
-        dialect, req = self._tools.dialect, self._req
-        return WireRequest(
-            data=data,
-            accepts=lambda head: dialect.accepts(head, req),
-            without_body=req.method == "HEAD",
-        )
-
-    @property
-    def _resume_after(self) -> int | None:
-        last = self._progress.last_event
-        return self._req.resume_after if last is None else last
-
     def _patience_seconds(self) -> float:
         """Return how long the caller waits for the first byte, or the next event."""
         remaining = self.remaining_seconds
@@ -356,67 +272,3 @@
             return remaining
         waited = self._tools.clock() - self._progress.moved_at
         return min(remaining, self._route.event_patience_seconds - waited)
-
-    def _answer_seconds(self) -> float:
-        """Return how long the attempt waits for the head of its answer."""
-        remaining = self.remaining_seconds
-        if self._route.kind is RequestKind.IDEMPOTENT and not self._progress.attempts:
-            return remaining * ANSWER_SHARE
-        return remaining
-
-    async def _try_region(self, choice: RegionChoice) -> None:
-        tools, req = self._tools, self._req
-        peers = [
-            rec
-            for rec in tools.fleet.ready(choice.region)
-            if self._service.id in rec.loads
-        ]
-        if not peers:
-            raise _not_sent("no entry VM of the region is ready")
-        pool = tools.pools.to_peer(tools.rng.choice(peers).peer)
-        conn = await pool.acquire()
-        try:
-            remaining = self.remaining_seconds
-            if remaining <= 0:
-                raise _not_sent("the request's time is over", FailureCause.LATE)
-            data = tools.dialect.encode_hop(
-                req,
-                remaining_seconds=remaining,
-                resume_after=self._resume_after,
-                max_targets=self._progress.targets_left,
-            )
-            # Targets there may receive the request, and the other VM counts it.
-            progress = self._progress
-            sent, paid = progress.sent, progress.repeat_paid
-            progress.sent, progress.repeat_paid = True, False
-            stream = conn.send(self._wire(data))
-            try:
-                await self._receiver.receive(stream, None, remaining)
-            except HopRefusedError as exc:
-                if not exc.refusal.reached_target:
-                    progress.sent, progress.repeat_paid = sent, paid
-                raise
-        finally:
-            pool.release(conn)
-
-
-class _PaceRecorder:
-    """Tells a target's health how long its first event took."""
-
-    def __init__(
-        self, *, health: TargetHealth, candidate: Candidate, sent_at: float
-    ) -> None:
-        self._health = health
-        self._candidate = candidate
-        self._sent_at = sent_at
-
-    def __call__(self, now: float) -> None:
-        """Record the first event, or the end of the wait for it, at `now`."""
-        expected = self._candidate.first_byte_seconds / self._candidate.pace
-        self._health.answered((now - self._sent_at) / expected)
-
-
-def _not_sent(
-    detail: str, cause: FailureCause = FailureCause.REFUSED
-) -> AttemptFailure:
-    return AttemptFailure(detail=detail, verdict=Verdict.NOT_RUN, cause=cause)
