Keep a target from speaking as an entry VM, and reserve all peers' ports

Cause: an entry VM's refusal is told by a header of our own, and it was read on answers of targets too: a target that sends it could make a request count as not run. And tests/platform/test_process.py failed once beside other work (the node never got ready): a node also binds the port after its peers' one, which the test had not reserved, and ports were taken from the range of outgoing connections.

Change: the refusal is read on hops only (a test failed first). The stand-ins hand out sixteen consecutive free ports for peers and four others, from below that range; the soak and the tests use the same function.

Conclusion: the failure was the test's, not the node's.

--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -93,7 +93,8 @@
         except TimeoutError as exc:
             raise self._silent(exc) from exc
         dialect = self._tools.dialect
-        refusal = dialect.hop_refusal(head)
+        # An answer without an assignment is that of an entry VM.
+        refusal = dialect.hop_refusal(head) if assignment is None else None
         if refusal is not None:
             self._progress.retry_after_seconds = dialect.retry_after_seconds(head)
             await self._finish_reading(stream)
--- a/pimentospool/soak/_deployment.py
+++ b/pimentospool/soak/_deployment.py
@@ -1,11 +1,9 @@
 """A deployment on loopback addresses: node processes, a store, targets, proxies."""
 
 import asyncio
-import socket
 from pathlib import Path
 
 import aiohttp
-import msgspec
 import tomli_w
 
 from pimentospool.faults import FaultProxy
@@ -20,6 +18,7 @@
     SealedTarget,
     StandinServer,
     StoreStandin,
+    free_node_ports,
     platform_configuration,
     platform_settings,
     serve_standin,
@@ -200,7 +199,7 @@
                     self.targets.append(target)
                     await target.start()
                     await self.publish(target)
-        ports, zones = _free_ports(), list(ZONES)
+        ports, zones = free_node_ports(), list(ZONES)
         ips = [self._ip(number) for number in range(self._count)]
         for number, ip in enumerate(ips):
             store_proxy = FaultProxy(upstream=self._store_server.address)
@@ -272,13 +271,3 @@
         await node.close()
         return f"{node.name} still ran {GRACE_SECONDS + 1} s after SIGTERM"
     return f"{node.name} ended with {code} after SIGTERM" if code else ""
-
-
-def _free_ports() -> NodePorts:
-    """Return ports that are free at one address."""
-    ports = {}
-    for name in NodePorts.__struct_fields__:
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            ports[name] = sock.getsockname()[1]
-    return msgspec.convert(ports, NodePorts)
--- a/pimentospool/standins/_platform_site.py
+++ b/pimentospool/standins/_platform_site.py
@@ -5,10 +5,14 @@
 
 import msgspec
 
+from pimentospool.addresses import free_addresses
+
 HOST = "shop.example"
 ZONES = {"gulf-a": "gulf", "delta-a": "delta"}
 CONFIGURATION_KEY = "op/config"
 GRACE_SECONDS = 4
+PEER_PORTS = 16
+"""Consecutive ports that a VM may use for its peers."""
 REPEAT_RATIO = 0.2
 REPEAT_RESERVE = 56
 REPEAT_WINDOW_SECONDS = 10
@@ -24,6 +28,20 @@
     peer: int
 
 
+def free_node_ports() -> NodePorts:
+    """Return ports that nothing listens on, with all of those for peers."""
+    addresses = free_addresses(4 * PEER_PORTS)
+    ports = {int(address.rpartition(":")[2]) for address in addresses}
+    for peer in sorted(ports):
+        block = range(peer, peer + PEER_PORTS)
+        if ports.issuperset(block):
+            break
+    front, ready, control, directory, *_ = sorted(ports.difference(block))
+    return NodePorts(
+        front=front, ready=ready, control=control, directory=directory, peer=peer
+    )
+
+
 def platform_settings(
     ip: str, *, zone: str, store: str, seeds: Sequence[str], ports: NodePorts
 ) -> dict[str, Any]:
@@ -48,7 +66,7 @@
         "Ip": ip,
         "Zone": zone,
         "Region": ZONES[zone],
-        "InternalPorts": [ports.peer, ports.peer + 15],
+        "InternalPorts": [ports.peer, ports.peer + PEER_PORTS - 1],
         "Seeds": [f"{seed}:{ports.control}" for seed in seeds],
         "Zones": ZONES,
         "Unknown": {"field": 1},
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -76,12 +76,13 @@
 
 
 class ScriptedPools:
-    def __init__(self, hop_answer=HOP_REFUSED):
+    def __init__(self, hop_answer=HOP_REFUSED, target_answer=ABSENT):
         self.to_targets, self.to_peers = [], []
         self._hop_answer = hop_answer
+        self._target_answer = target_answer
 
     def to_target(self, registration, service):
-        return ScriptedPool(ABSENT, self.to_targets)
+        return ScriptedPool(self._target_answer, self.to_targets)
 
     def to_peer(self, address):
         return ScriptedPool(self._hop_answer, self.to_peers)
@@ -174,3 +175,12 @@
     serve(tools)
     assert len(pools.to_targets) == 1
     assert len(pools.to_peers) == 2
+
+
+def test_target_cannot_speak_as_an_entry_vm():
+    pools, clock = ScriptedPools(target_answer=HOP_UNSENT), Clock()
+    tools = make_tools(pools, clock)
+    tools.knowledge.register(make_registration("i-1"))
+    reply = serve(tools)
+    assert reply.refusal.verdict.value == "may-have-run"
+    assert reply.refusal.reached_target
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -1,7 +1,6 @@
 """Nodes, a store and targets on loopback addresses, as a platform would run them."""
 
 import asyncio
-import socket
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -13,9 +12,9 @@
 from pimentospool.platform._node import Node
 from pimentospool.standins import (
     HOST,
-    NodePorts,
     SealedTarget,
     StoreStandin,
+    free_node_ports,
     platform_configuration,
     platform_settings,
     serve_standin,
@@ -25,18 +24,6 @@
 READY_SECONDS = 5.0
 
 
-def free_port(host):
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
-
-
-def free_ports():
-    """Return ports for nodes that are free at one address."""
-    names = NodePorts.__struct_fields__
-    return NodePorts(**{name: free_port("127.0.0.1") for name in names})
-
-
 class Site:
     """A running platform with its nodes."""
 
@@ -46,7 +33,7 @@
         self.nodes = []
         self.targets = {}
         self._directory = directory
-        self._ports = free_ports()
+        self._ports = free_node_ports()
 
     async def add_node(self, zone):
         ip = f"127.0.0.{20 + len(self.nodes)}"
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -9,11 +9,11 @@
 import urllib.request
 
 import tomli_w
-from platform_site import free_ports
 
 from pimentospool.standins import (
     ZONES,
     StoreStandin,
+    free_node_ports,
     platform_configuration,
     platform_settings,
     serve_standin,
@@ -55,7 +55,7 @@
 
 
 def test_serves_reloads_and_leaves(runner, tmp_path):
-    ports = free_ports()
+    ports = free_node_ports()
     path = tmp_path / "node.toml"
 
     async def play():
