Report how long starts and recovery took in a soak

Cause: the soak knew only that nodes were ready and served again within their bounds, so that nothing measured recovery under overlapping faults.

--- a/pimentospool/commands/_soak.py
+++ b/pimentospool/commands/_soak.py
@@ -48,7 +48,9 @@
 def _print(result: SoakResult) -> None:
     click.echo(
         f"seed {result.seed}: {result.faults} faults, {result.calls} calls, "
-        f"{result.succeeded} succeeded, {result.refused} refused"
+        f"{result.succeeded} succeeded, {result.refused} refused; slowest start "
+        f"{result.slowest_start_seconds:.1f} s, all served again after "
+        f"{result.recovery_seconds:.1f} s"
     )
     for violation in result.violations:
         click.echo(f"  broken: {violation.promise}: {violation.detail}")
--- a/pimentospool/soak/_deployment.py
+++ b/pimentospool/soak/_deployment.py
@@ -65,12 +65,18 @@
     """One ``pimentospool node`` process, with proxies to its callers and its store."""
 
     def __init__(
-        self, *, ip: str, settings: dict[str, object], ports: NodePorts, folder: Path
+        self,
+        *,
+        ip: str,
+        settings: dict[str, object],
+        ports: NodePorts,
+        store_proxy: FaultProxy,
+        folder: Path,
     ) -> None:
         self.path = folder / f"{ip}.toml"
         self.path.write_text(tomli_w.dumps(settings))
         self.callers_proxy = FaultProxy(upstream=f"{ip}:{ports.front}")
-        self.store_proxy: FaultProxy
+        self.store_proxy = store_proxy
         self._ready_url = f"http://{ip}:{ports.ready}/ready"
         super().__init__(
             name=ip, arguments=["node", str(self.path)], log_path=folder / f"{ip}.log"
@@ -106,7 +112,7 @@
         self.service = service
         self.zone = zone
         self.standins: list[SealedTarget] = []
-        self.proxy: FaultProxy
+        self.proxy = FaultProxy(upstream="")
         self._name = name
 
     @property
@@ -117,7 +123,7 @@
     async def start(self) -> None:
         """Start the first instance and the proxy before it."""
         await self._start_instance()
-        self.proxy = FaultProxy(upstream=self.current.address)
+        self.proxy.upstream = self.current.address
         await self.proxy.start()
 
     async def replace(self) -> None:
@@ -211,8 +217,13 @@
                 seeds=ips[:3],
                 ports=ports,
             )
-            node = SoakNode(ip=ip, settings=settings, ports=ports, folder=self._folder)
-            node.store_proxy = store_proxy
+            node = SoakNode(
+                ip=ip,
+                settings=settings,
+                ports=ports,
+                store_proxy=store_proxy,
+                folder=self._folder,
+            )
             await node.callers_proxy.start()
             self.nodes.append(node)
             await node.start()
--- a/pimentospool/soak/_runner.py
+++ b/pimentospool/soak/_runner.py
@@ -51,6 +51,10 @@
     succeeded: int
     refused: int
     faults: int
+    slowest_start_seconds: float
+    """Longest time from the start of a process to its being ready."""
+    recovery_seconds: float
+    """Time after the last fault in which every node served every route again."""
     violations: list[Violation]
 
 
@@ -89,6 +93,8 @@
         self._numbers = itertools.count()
         self._site = SoakDeployment(nodes=nodes, network=seed % 256, folder=folder)
         self._calling = True
+        self._slowest_start = 0.0
+        self._recovery = 0.0
         self._ending: dict[int, asyncio.Lock] = {}
         self._actions: dict[SoakFault, Callable[[PlannedFault], Awaitable[None]]] = {
             SoakFault.NODE_PAUSED: self._pause_node,
@@ -130,6 +136,8 @@
             succeeded=sum(call.succeeded for call in calls),
             refused=sum(call.refused for call in calls),
             faults=len(self._plan),
+            slowest_start_seconds=self._slowest_start,
+            recovery_seconds=self._recovery,
             violations=SoakJudge(routes=ROUTES, record=self._record).judge(),
         )
 
@@ -175,8 +183,10 @@
 
     async def _recover(self) -> None:
         """Wait until every node serves every route again."""
+        began = time.monotonic()
         numbers = range(len(self._site.nodes))
         served = await asyncio.gather(*(self._serves_again(n) for n in numbers))
+        self._recovery = time.monotonic() - began
         for number, done in zip(numbers, served, strict=True):
             if not done:
                 name = self._site.nodes[number].name
@@ -252,8 +262,12 @@
             await self._start_again(node)
 
     async def _start_again(self, node: SoakNode) -> None:
+        began = time.monotonic()
         await node.start()
-        if not await node.wait_ready():
+        if await node.wait_ready():
+            taken = time.monotonic() - began
+            self._slowest_start = max(self._slowest_start, taken)
+        else:
             self._record.unrecovered.append(f"{node.name} was not ready after a start")
 
     async def _reload_node(self, planned: PlannedFault) -> None:
