Let the fault proxy pass nothing on after bytes that it dropped

`pimentospool explain` showed one attempt at one target; the plan has silences and delays that overlap on its link. The proxy dropped bytes of a connection while its link was silent and passed later ones on once it was healed, which TCP never does; the bytes dropped were one whole chunk.

Change: a connection on which bytes were dropped stays silent that way.

Conclusion: a fault of the proxy, not of the node.

--- a/pimentospool/faults/_proxy.py
+++ b/pimentospool/faults/_proxy.py
@@ -45,13 +45,18 @@
 
 
 class _Connection:
-    """One relayed connection; `lost` drops all further bytes without a sign."""
+    """One relayed connection.
+
+    `lost` drops all further bytes without a sign. `broken` holds directions in which
+    bytes were dropped: TCP passes nothing on after bytes that it could not deliver.
+    """
 
     def __init__(
         self, source: str, client: asyncio.StreamWriter, server: asyncio.StreamWriter
     ) -> None:
         self.source = source
         self.lost = False
+        self.broken: set[Direction] = set()
         self.writers = {Direction.TO_CLIENT: client, Direction.TO_SERVER: server}
 
     def reset(self) -> None:
@@ -140,7 +145,10 @@
         self.reset_connections(source=source)
 
     def blackhole(self, *directions: Direction, source: str | None = None) -> None:
-        """Drop bytes without a sign, both ways by default."""
+        """Drop bytes without a sign, both ways by default.
+
+        A connection on which bytes were dropped passes none on that way any more.
+        """
         silent = frozenset(directions or Direction)
         self.set_state(LinkState(silent=silent), source=source)
 
@@ -237,12 +245,13 @@
                 if piece.due > loop.time():
                     await asyncio.sleep(piece.due - loop.time())
                 state = self._state_of(conn.source)
-                dropped = conn.lost or direction in state.silent
+                dropped = conn.lost or direction in state.silent | conn.broken
                 if writer.transport.is_closing():
                     return
                 if piece.data is None:
                     break
                 if dropped:
+                    conn.broken.add(direction)
                     continue
                 limit = state.cut_after.get(direction)
                 if limit is not None and passed + len(piece.data) > limit:
