--- a/pimentospool/manifest.py
+++ b/pimentospool/manifest.py
@@ -133,18 +133,6 @@
         link = self._links.get(frozenset((a, b)))
         return link.delay_ms if link else Link(a=a, b=b).delay_ms
 
-    def serving_regions(self, model: ModelId) -> set[RegionId]:
-        """Return the regions that serve `model`."""
-        return {item.region for item in self.manifest.serving if item.model == model}
-
-    def service_regions(self, service: ServiceId) -> set[RegionId]:
-        """Return the regions with a target for `service`."""
-        return {
-            self.region_of(target)
-            for target in self.manifest.targets
-            if service in target.services
-        }
-
 
 def check_manifest(manifest: Manifest) -> list[DocumentError]:
     """Return every fault of meaning; the same on every node for the same document."""
--- a/pimentospool/policy/_queue.py
+++ b/pimentospool/policy/_queue.py
@@ -75,11 +75,6 @@
         self._waiting.add(ticket)
         return ticket
 
-    def restore(self, ticket: Ticket) -> None:
-        """Put back a ticket whose turn came to nothing."""
-        heapq.heappush(self._heap, ticket)
-        self._waiting.add(ticket)
-
     def pop(self) -> Ticket | None:
         """Take out the ticket with the earliest deadline."""
         while self._heap:
--- a/pimentospool/policy/_routing.py
+++ b/pimentospool/policy/_routing.py
@@ -315,14 +315,6 @@
         )
 
 
-def _with_room(
-    local: dict[TargetId, Score], away: dict[RegionId, Score]
-) -> list[Score]:
-    """Return the scores to choose from: targets without room only if all are full."""
-    with_room = [score for score in local.values() if score.has_room]
-    return [*(with_room or local.values()), *away.values()]
-
-
 def _refuse_late(late_seconds: float, scores: list[Score]) -> RouteRefusal:
     return RouteRefusal(
         reason=Reason.OVERLOADED,
--- a/pimentospool/targets/_client.py
+++ b/pimentospool/targets/_client.py
@@ -95,12 +95,6 @@
         async with self._open_over(self._unpooled, exchange, deadline) as answer:
             yield answer
 
-    async def give_up_connections(self, url: str) -> None:
-        """Use new connections to the address of `url` from now on."""
-        pool = self._pools.get(_origin(url))
-        if pool is not None:
-            await self._retire(pool)
-
     @asynccontextmanager
     async def _open_over(
         self, session: aiohttp.ClientSession, exchange: Exchange, deadline: float
