--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -35,6 +35,7 @@
     LOG_LINES_LOST = (1011, logbook.WARNING, "log lines were dropped")
     TRACES_LOST = (1008, logbook.WARNING, "trace spans could not be exported")
     REQUEST_REFUSED = (2001, logbook.INFO, "request refused")
+    REQUEST_INVALID = (2010, logbook.INFO, "request that can't be read rejected")
     REQUEST_ERROR = (2003, logbook.ERROR, "unexpected error in a request")
     TARGET_SILENT = (2101, logbook.WARNING, "target does not answer load queries")
     TARGET_REPORTS = (2102, logbook.NOTICE, "target answers load queries again")
--- a/pimentospool/log_output.py
+++ b/pimentospool/log_output.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import json
 import os
 import sys
 import time
@@ -134,7 +135,11 @@
         "message": record.message,
     }
     line.update(record.extra["fields"] or {})
-    return msgspec.json.encode(line, enc_hook=str).decode()
+    try:
+        return msgspec.json.encode(line, enc_hook=str).decode()
+    except UnicodeEncodeError:
+        # Text from a caller whose bytes are not UTF-8 has surrogates.
+        return json.dumps(line, default=str)
 
 
 def open_log(cfg: LogSettings) -> logbook.Handler:
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -21,6 +21,7 @@
     RESPONSE_SEAL_HEADER,
     RETRY_AFTER_HEADER,
 )
+from pimentospool.platform._numbers import parse_duration
 from pimentospool.verdicts import Verdict
 
 _OK = 200
@@ -30,7 +31,7 @@
 _SERVER_ERROR = 500
 _BODY_METHODS = ("POST", "PUT", "PATCH")
 _LEAST_URGENT_PRIORITY = 9
-_MILLISECONDS_PER_SECOND = 1000.0
+_MILLISECOND = 0.001
 _NO_TARGET_REACHED = b"0"
 
 
@@ -76,17 +77,13 @@
         """Return how long a server stays cold, None if its response does not say."""
         if head.status != _OK:
             return None
-        try:
-            return (
-                float(head.get(COLD_REMAINING_HEADER) or 0) / _MILLISECONDS_PER_SECOND
-            )
-        except ValueError:
-            return None
+        value = head.get(COLD_REMAINING_HEADER) or b"0"
+        return parse_duration(value.decode("latin-1"), unit_seconds=_MILLISECOND)
 
     def accepts(self, head: AnswerHead, req: InboundRequest) -> bool:
         """Whether a response with `head` may belong to `req`."""
         answer_id = head.get(REQUEST_ID_HEADER)
-        return answer_id is None or not req.id or answer_id.decode("latin-1") == req.id
+        return answer_id is None or not req.id or answer_id == _to_bytes(req.id)
 
     def classify(self, head: AnswerHead) -> AnswerClass:
         """Return the class of the response that begins with `head`."""
@@ -122,11 +119,8 @@
 
     def retry_after_seconds(self, head: AnswerHead) -> float | None:
         """Return the time after which the request may be retried, None if not given."""
-        value = head.get(RETRY_AFTER_HEADER)
-        try:
-            return None if value is None else max(0.0, float(value))
-        except ValueError:
-            return None
+        value = head.get(RETRY_AFTER_HEADER) or b""
+        return parse_duration(value.decode("latin-1"), unit_seconds=1.0)
 
 
 def _encode(
@@ -135,13 +129,18 @@
     remaining_seconds: float,
     resume_after: int | None,
 ) -> bytes:
-    lines = [f"{req.method} {req.path} HTTP/1.1".encode("latin-1")]
+    lines = [_to_bytes(f"{req.method} {req.path} HTTP/1.1")]
     lines += [name + b": " + value for name, value in req.headers]
     lines += [name + b": " + value for name, value in extra_headers]
-    remaining_ms = max(1, int(remaining_seconds * _MILLISECONDS_PER_SECOND))
+    remaining_ms = max(1, int(remaining_seconds / _MILLISECOND))
     lines.append(DEADLINE_HEADER + b": %d" % remaining_ms)
     if resume_after is not None:
         lines.append(LAST_EVENT_HEADER + b": %d" % resume_after)
     if req.body or req.method in _BODY_METHODS:
         lines.append(b"content-length: %d" % len(req.body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + req.body
+
+
+def _to_bytes(text: str) -> bytes:
+    """Return the bytes that the HTTP server has decoded to `text`."""
+    return text.encode("utf-8", "surrogateescape")
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -33,6 +33,7 @@
     STRIPPED_REQUEST_HEADERS,
     TOKEN_COUNT_HEADER,
 )
+from pimentospool.platform._numbers import parse_count, parse_duration
 from pimentospool.verdicts import Verdict
 
 KEEP_ALIVE_TIMEOUT_SECONDS = 120.0
@@ -43,7 +44,7 @@
 """Longest header line; the limit of the platform is lower."""
 LEAVING_RETRY_AFTER_SECONDS = 0.02
 """Retry-After of a leaving entry VM; the retry goes to another entry VM."""
-_MILLISECONDS_PER_SECOND = 1000.0
+_MILLISECOND = 0.001
 _STATUS_BY_REASON = {
     RefusalReason.NOT_CONFIGURED: 503,
     RefusalReason.OVERLOADED: 503,
@@ -60,8 +61,20 @@
 null_logger.propagate = False
 
 
-class _BodyTooLargeError(Exception):
-    """The request body exceeds the limit in the configuration."""
+class _InvalidRequestError(Exception):
+    """The request can't be read; it ends with a bare status.
+
+    Parameters
+    ----------
+    status : int
+        Status of the response.
+    detail : str
+        Reason for the log.
+    """
+
+    def __init__(self, *, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
 
 
 class HttpFrontend:
@@ -105,14 +118,16 @@
             raise ConnectionResetError("the process is shutting down")
         gateway.in_progress += 1
         try:
-            if not http.raw_path.startswith("/"):
-                return await reply.send_status(400)
             try:
                 req = await self._read(http)
-            except _BodyTooLargeError:
-                return await reply.send_status(413)
-            except TimeoutError:
-                return await reply.send_status(408)
+            except _InvalidRequestError as exc:
+                log_event(
+                    Event.REQUEST_INVALID,
+                    request=http.headers.get(REQUEST_ID_HEADER.decode()),
+                    status=exc.status,
+                    detail=str(exc),
+                )
+                return await reply.send_status(exc.status)
             if gateway.serving:
                 await gateway.dispatcher.serve(req, reply)
             else:
@@ -141,16 +156,22 @@
     async def _read(self, http: web.BaseRequest) -> InboundRequest:
         received_at = time.monotonic()
         headers = http.headers
+        if not http.raw_path.startswith("/"):
+            raise _InvalidRequestError(status=400, detail="the target is not a path")
         client_timeout_seconds = _decode_timeout(headers.get(DEADLINE_HEADER.decode()))
+        resume_after = _decode_event_id(headers.get(LAST_EVENT_HEADER.decode()))
         configuration = self._gateway.routing_state.configuration
         limits = configuration.limits if configuration else CallerLimits()
         body = b""
         if http.can_read_body:
-            async with asyncio.timeout(
-                min(client_timeout_seconds, BODY_TIMEOUT_SECONDS)
-            ):
-                body = await _read_body(http, limits.max_body_bytes)
-        last_event = headers.get(LAST_EVENT_HEADER.decode(), "")
+            timeout_seconds = min(client_timeout_seconds, BODY_TIMEOUT_SECONDS)
+            try:
+                async with asyncio.timeout(timeout_seconds):
+                    body = await _read_body(http, limits.max_body_bytes)
+            except TimeoutError as exc:
+                raise _InvalidRequestError(
+                    status=408, detail="the body did not arrive in time"
+                ) from exc
         return InboundRequest(
             id=headers.get(REQUEST_ID_HEADER.decode(), ""),
             method=http.method,
@@ -164,16 +185,15 @@
                 headers.get(TOKEN_COUNT_HEADER.decode()),
                 headers.get(PROMPT_PREFIX_HEADER.decode()),
             ),
-            resume_after=int(last_event) if last_event.isdigit() else None,
+            resume_after=resume_after,
             is_hop=self._is_hop,
             max_targets=self._hop_targets(http),
         )
 
     def _hop_targets(self, http: web.BaseRequest) -> int | None:
-        value = (
-            http.headers.get(HOP_TARGETS_HEADER.decode(), "") if self._is_hop else ""
-        )
-        return int(value) if value.isdigit() else None
+        if not self._is_hop:
+            return None
+        return parse_count(http.headers.get(HOP_TARGETS_HEADER.decode(), ""))
 
 
 class HttpReply:
@@ -231,7 +251,7 @@
             status = 503
         headers: CIMultiDict[str] = CIMultiDict()
         request_id = self._http.headers.get(REQUEST_ID_HEADER.decode())
-        if request_id is not None:
+        if request_id is not None and request_id.isascii():
             headers[REQUEST_ID_HEADER.decode()] = request_id
         if refusal.retry_after_seconds is not None and status == 503:
             headers["Retry-After"] = f"{refusal.retry_after_seconds:.3f}"
@@ -272,20 +292,22 @@
     """Return the prompt that the two headers describe, None if no size can be read."""
     if not token_count:
         return None
-    try:
-        tokens, _, output = token_count.partition(",")
-        prompt_parts = []
-        for item in (parts or "").split(","):
-            part, separator, size = item.strip().rpartition(":")
-            if separator:
-                prompt_parts.append(PromptPart(part, int(size)))
-        return Prompt(
-            tokens=int(tokens),
-            max_output_tokens=int(output or 0),
-            parts=tuple(prompt_parts),
-        )
-    except ValueError:
+    tokens_text, _, output_text = token_count.partition(",")
+    tokens, output_tokens = parse_count(tokens_text), parse_count(output_text or "0")
+    if tokens is None or output_tokens is None:
         return None
+    prompt_parts = []
+    for item in (parts or "").split(","):
+        part, separator, size_text = item.strip().rpartition(":")
+        if not separator:
+            continue
+        size = parse_count(size_text)
+        if size is None:
+            return None
+        prompt_parts.append(PromptPart(part, size))
+    return Prompt(
+        tokens=tokens, max_output_tokens=output_tokens, parts=tuple(prompt_parts)
+    )
 
 
 async def _read_body(http: web.BaseRequest, limit_bytes: int) -> bytes:
@@ -294,16 +316,27 @@
     while chunk := await http.content.readany():
         size_bytes += len(chunk)
         if size_bytes > limit_bytes:
-            raise _BodyTooLargeError
+            raise _InvalidRequestError(status=413, detail="the body is too large")
         chunks.append(chunk)
     return b"".join(chunks)
 
 
 def _decode_timeout(value: str | None) -> float:
-    try:
-        return math.inf if value is None else float(value) / _MILLISECONDS_PER_SECOND
-    except ValueError:
+    if value is None:
         return math.inf
+    seconds = parse_duration(value, unit_seconds=_MILLISECOND)
+    if seconds is None:
+        raise _InvalidRequestError(status=400, detail="the deadline is not a number")
+    return seconds
+
+
+def _decode_event_id(value: str | None) -> int | None:
+    if not value:
+        return None
+    event_id = parse_count(value)
+    if event_id is None:
+        raise _InvalidRequestError(status=400, detail="the event id is not a number")
+    return event_id
 
 
 def _forwarded_headers(
--- a/pimentospool/platform/_records.py
+++ b/pimentospool/platform/_records.py
@@ -27,6 +27,8 @@
     "streaming": RequestKind.STREAM,
 }
 _MILLISECONDS_PER_SECOND = 1000.0
+_MAX_COLD_MILLISECONDS = 3_600_000.0
+"""Cold times above an hour come from a faulty writer."""
 
 
 class RecordError(PimentospoolError):
@@ -128,10 +130,15 @@
     RecordError
         If `value` is malformed or lacks a required field.
     """
+    # The id is sent in a header of each request.
+    if not server.isascii() or not server.isprintable():
+        raise RecordError("the server's id is not printable ASCII")
     try:
         raw = msgspec.json.decode(value, type=_Server)
         if raw.state not in _SERVER_STATES:
             raise RecordError(f"unknown server state {raw.state!r}")
+        if raw.slots < 0 or not 0.0 <= raw.cold_left_ms <= _MAX_COLD_MILLISECONDS:
+            raise RecordError("the slots or the remaining cold time are out of range")
         return Registration(
             id=TargetId(server),
             service=ServiceId(raw.service),
--- a/pimentospool/platform/_settings.py
+++ b/pimentospool/platform/_settings.py
@@ -1,6 +1,7 @@
 """Settings file of a process on the platform."""
 
 import tomllib
+from ipaddress import IPv4Address
 from pathlib import Path
 
 import msgspec
@@ -8,11 +9,13 @@
 from pimentospool.errors import PimentospoolError
 from pimentospool.gateway import Address, GatewaySettings, SharedBounds
 from pimentospool.ids import EntryId, RegionId, ZoneId
+from pimentospool.platform._numbers import parse_count
 
 SETTINGS_VARIABLE = "PIMENTOSPOOL_CONFIG"
 DIRECTORY_TTL_SECONDS = 2.0
 """Time for which callers may cache a directory answer; short, so that they soon
 notice changes."""
+_MAX_PORT = 65535
 
 
 class NodeSettingsError(PimentospoolError):
@@ -80,10 +83,19 @@
     ValueError
         If `text` is of another form.
     """
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    host, _, port_text = text.rpartition(":")
+    port = parse_count(port_text)
+    if not _is_ip_address(host) or port is None or not 0 < port <= _MAX_PORT:
         raise ValueError(f"{text!r} is not an address of the form IP:PORT")
-    return Address(host, int(port))
+    return Address(host, port)
+
+
+def _is_ip_address(text: str) -> bool:
+    try:
+        IPv4Address(text)
+    except ValueError:
+        return False
+    return True
 
 
 def _to_settings(node: _NodeFile) -> GatewaySettings:
--- a/pimentospool/policy/_operations.py
+++ b/pimentospool/policy/_operations.py
@@ -368,14 +368,33 @@
         return unknown("the operation was sent and its outcome is not known")
 
     def _evict(self) -> None:
-        customer = max(
+        """Forget the oldest ended operations of the customer with the most records."""
+        customers = sorted(
             self._customer_ledgers,
             key=lambda name: len(self._customer_ledgers[name].records),
+            reverse=True,
         )
-        ledger = self._customer_ledgers[customer]
-        oldest = sorted(ledger.records)
-        new_floor = oldest[max(1, len(oldest) // _EVICTION_DIVISOR) - 1]
-        self._raise_floor(customer, ledger, new_floor)
+        for customer in customers:
+            ledger = self._customer_ledgers[customer]
+            ended = sorted(
+                sequence
+                for sequence, record in ledger.records.items()
+                if record.state.final
+            )
+            if ended:
+                self._evict_ended(customer, ledger, ended)
+                return
+
+    def _evict_ended(
+        self, customer: CustomerId, ledger: _CustomerLedger, ended: list[int]
+    ) -> None:
+        count = max(1, len(ended) // _EVICTION_DIVISOR)
+        # Operations that ended after the floor passed them are below it.
+        for sequence in ended[:count]:
+            if sequence in ledger.unfinished:
+                ledger.unfinished.remove(sequence)
+                self._forget(customer, ledger, sequence)
+        self._raise_floor(customer, ledger, ended[count - 1])
 
     def _raise_floor(
         self, customer: CustomerId, ledger: _CustomerLedger, floor: int
--- a/pimentospool/soak/_deployment.py
+++ b/pimentospool/soak/_deployment.py
@@ -6,6 +6,7 @@
 import aiohttp
 import tomli_w
 
+from pimentospool.addresses import LoopbackNetwork
 from pimentospool.faults import FaultProxy
 from pimentospool.programs import Program
 from pimentospool.sending import open_session
@@ -33,7 +34,6 @@
 EVENTS_PER_STREAM = 12
 _EVENT_GAP_SECONDS = 0.02
 _RESPONSE_DELAY_SECONDS = 0.01
-_MAX_NODES_PER_NETWORK = 200
 _TARGETS_PER_ZONE = {"desk": 2, "llm": 2}
 
 ROUTES = (
@@ -180,20 +180,17 @@
     ----------
     nodes : int
         Number of node processes, spread evenly over the zones.
-    network : int
-        Third byte of the loopback network 127.64.x.0/24, from 0 to 255. No other soak
-        may use the same network at the same time.
     folder : Path
         Directory for the settings and logs of the nodes.
     """
 
-    def __init__(self, *, nodes: int, network: int, folder: Path) -> None:
+    def __init__(self, *, nodes: int, folder: Path) -> None:
         self.store = StoreStandin()
         self.nodes: list[SoakNode] = []
         self.targets: list[SoakTarget] = []
         self.configuration_version = 1
         self._node_count = nodes
-        self._network = network
+        self._network = LoopbackNetwork()
         self._folder = folder
         self._store_server: StandinServer
 
@@ -210,7 +207,7 @@
                     await target.start()
                     await self.publish(target)
         ports, zones = free_node_ports(), list(ZONES)
-        ips = [self._ip(number) for number in range(self._node_count)]
+        ips = [self._network.ip(number) for number in range(self._node_count)]
         for number, ip in enumerate(ips):
             store_proxy = FaultProxy(upstream=self._store_server.address)
             await store_proxy.start()
@@ -278,11 +275,9 @@
         for target in self.targets:
             await target.close()
         await self._store_server.close()
+        self._network.close()
         return errors
 
-    def _ip(self, number: int) -> str:
-        return f"127.64.{self._network}.{1 + number % _MAX_NODES_PER_NETWORK}"
-
 
 async def wait_for_exit(node: SoakNode) -> str:
     """Wait for a terminated node to exit; return an error message or an empty text."""
--- a/pimentospool/soak/_runner.py
+++ b/pimentospool/soak/_runner.py
@@ -96,9 +96,7 @@
         self._rng = random.Random(seed)
         self._record = SoakRecord()
         self._call_numbers = itertools.count()
-        self._deployment = SoakDeployment(
-            nodes=nodes, network=seed % 256, folder=folder
-        )
+        self._deployment = SoakDeployment(nodes=nodes, folder=folder)
         self._calls_continue = True
         self._slowest_start_seconds = 0.0
         self._recovery_seconds = 0.0
--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -275,7 +275,7 @@
             lines.append(extra_header)
         if length is not None:
             lines.append(f"Content-Length: {length}")
-        return "\r\n".join(lines).encode() + _HEADER_END
+        return "\r\n".join(lines).encode("latin-1") + _HEADER_END
 
 
 async def _wait_for_disconnect(reader: asyncio.StreamReader) -> None:
--- a/pimentospool/targets/_events.py
+++ b/pimentospool/targets/_events.py
@@ -11,7 +11,7 @@
 DONE_EVENT = b"data: [DONE]"
 ERROR_EVENT = b"event: error"
 MAX_EVENT_BYTES = 1024 * 1024
-_ID_FIELD = re.compile(rb"(?:^|\n)id: ?(\d+)\r?\n")
+_ID_FIELD = re.compile(rb"(?:^|\n)id: ?(\d{1,18})\r?\n")
 
 
 class EventBatch(msgspec.Struct, kw_only=True, frozen=True):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -49,5 +49,5 @@
     """Print the entries of KNOWN-RED.txt."""
     if KNOWN_RED.exists():
         _, _, entries = KNOWN_RED.read_text().partition("\n\n")
-        for entry in entries.splitlines():
+        for entry in filter(None, entries.splitlines()):
             terminalreporter.write_line(f"KNOWN RED {entry}")
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -8,6 +8,7 @@
 import msgspec
 import tomli_w
 
+from pimentospool.addresses import LoopbackNetwork
 from pimentospool.platform import read_node_settings
 from pimentospool.platform._node import Node
 from pimentospool.standins import (
@@ -34,15 +35,19 @@
         self.targets = {}
         self._settings_dir = settings_dir
         self._ports = free_node_ports()
+        self._network = LoopbackNetwork()
+
+    def close(self):
+        self._network.close()
 
     async def add_node(self, zone):
-        ip = f"127.0.0.{20 + len(self.nodes)}"
+        ip = self._network.ip(len(self.nodes))
         path = self._settings_dir / f"{ip}.toml"
         raw = platform_settings(
             ip,
             zone=zone,
             store=self.store_address,
-            seeds=["127.0.0.20", "127.0.0.21", "127.0.0.22"],
+            seeds=[self._network.ip(number) for number in range(3)],
             ports=self._ports,
         )
         path.write_text(tomli_w.dumps(raw))
@@ -116,6 +121,7 @@
         for target in site.targets.values():
             await target.close()
         await server.close()
+        site.close()
 
 
 def decode(body):
--- a/tests/policy/test_operations.py
+++ b/tests/policy/test_operations.py
@@ -198,3 +198,37 @@
     assert decisions[:3] == [Start()] * 3
     assert decisions[3].attempt_verdict is Verdict.NOT_RUN
     assert decisions[3].verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_full_ledger_evicts_ended_operations_behind_running_ones():
+    ledger = make_ledger(records=32)
+    running = [ledger.issue(CALL) for _ in range(2)]
+    for ticket in running:
+        assert begin(ledger, ticket) == Start()
+    for _ in range(100):
+        run_operation(ledger)
+    assert ledger.record_count <= 32
+    assert all(ledger.state(ticket) is OperationState.RUNNING for ticket in running)
+
+
+def test_full_ledger_evicts_operations_that_ended_below_the_floor():
+    ledger = make_ledger(records=8)
+    late = [ledger.issue(CALL) for _ in range(8)]
+    for ticket in late:
+        assert begin(ledger, ticket) == Start()
+    refused = ledger.issue(CALL)
+    assert isinstance(begin(ledger, refused), Refusal)
+    ledger.issue(CALL)
+    for ticket in late:
+        assert send(ledger, ticket) is None
+        ledger.answered(ticket, ANSWER)
+    for _ in range(20):
+        run_operation(ledger)
+    assert isinstance(begin(ledger, late[0]), Refusal)
+
+
+def test_operation_that_is_evicted_is_never_started_again():
+    ledger = make_ledger(records=4)
+    tickets = [run_operation(ledger) for _ in range(20)]
+    for ticket in tickets[:-4]:
+        assert begin(ledger, ticket) != Start()
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -3,7 +3,9 @@
 import socket
 from pathlib import Path
 
-from pimentospool.addresses import free_addresses
+import pytest
+
+from pimentospool.addresses import LoopbackNetwork, free_addresses
 
 EPHEMERAL_PORT_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
 
@@ -29,3 +31,19 @@
         monkeypatch.setattr("pimentospool.addresses._FIRST_PORT", int(port))
         monkeypatch.setattr("pimentospool.addresses._LAST_PORT", int(port))
         assert free_addresses(1) == []
+
+
+def test_reserved_networks_do_not_overlap(monkeypatch):
+    monkeypatch.setattr(
+        "pimentospool.addresses._NETWORKS", range(70 * 256, 70 * 256 + 2)
+    )
+    first, second = LoopbackNetwork(), LoopbackNetwork()
+    try:
+        assert first.ip(0) != second.ip(0)
+        with pytest.raises(OSError, match="reserved"):
+            LoopbackNetwork()
+        first.close()
+        LoopbackNetwork().close()
+    finally:
+        first.close()
+        second.close()
