Let every entry VM hear the load of all regions; restart background tasks that fail

With random receivers, an entry VM of a small fleet heard of another region's load less than once in 2.5 s on average: one refused 38 requests in a second though that region had targets. A region without targets told nothing, so that others went on sending hops there. Vectors crossed regions every 3 s per entry VM whatever their number, against a timeout of 4 s. An unexpected error ended a background task unnoticed; a record with an address to which nothing can be sent would have ended the heartbeats.

Each entry VM reports to a fixed part of each other region, so that each one there has two reporters; an empty load is told; the interval of vectors follows the region's size. Tasks are supervised. Records with impossible addresses are refused when decoded. Retries: an entry VM that has known all regions divides half of the reserve by all members, instead of a quarter of it. The pace of a service's targets is learned from its answers instead of assumed from 30,000 prompt tokens a second.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -19,7 +19,6 @@
     Candidate,
     RegionChoice,
     TargetChoice,
-    TargetHealth,
 )
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
@@ -97,10 +96,10 @@
                 encoded = self._encode_for_target(state)
                 self._record_send()
                 sent_at = deps.clock()
-                assignment.on_first_event = _LatencyRatioRecorder(
-                    health=deps.placement.health(state.id),
-                    candidate=candidate,
-                    sent_at=sent_at,
+                assignment.on_first_event = lambda now: (
+                    deps.placement.record_first_byte(
+                        self._service.id, candidate, now - sent_at
+                    )
                 )
                 stream = conn.send(encoded)
                 await self._receiver.receive(
@@ -178,10 +177,11 @@
         if assignment.on_first_event is None:
             return
         assignment.on_first_event = None
-        expected = candidate.first_byte_seconds / candidate.latency_ratio
         if seconds > candidate.first_byte_seconds:
             health = self._deps.placement.health(candidate.target)
-            health.record_answer(seconds / expected)
+            health.record_answer(
+                seconds * candidate.latency_ratio / candidate.first_byte_seconds
+            )
 
     def _encode_for_target(self, state: TargetState) -> EncodedRequest:
         deps, req = self._deps, self._req
@@ -218,22 +218,6 @@
         return remaining_seconds
 
 
-class _LatencyRatioRecorder:
-    """Records the ratio of observed to expected first event latency of a target."""
-
-    def __init__(
-        self, *, health: TargetHealth, candidate: Candidate, sent_at: float
-    ) -> None:
-        self._health = health
-        self._candidate = candidate
-        self._sent_at = sent_at
-
-    def __call__(self, now: float) -> None:
-        """Record that the first event, or the end of a response without one, came."""
-        expected = self._candidate.first_byte_seconds / self._candidate.latency_ratio
-        self._health.record_answer((now - self._sent_at) / expected)
-
-
 def _unsent_failure(
     detail: str, cause: FailureCause = FailureCause.REFUSED
 ) -> AttemptFailure:
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -250,8 +250,11 @@
         progress = self._progress
         if not progress.retry_granted:
             budget = self._deps.retry_budget(self._service.id)
-            members = len(self._deps.fleet.known_ids())
-            progress.retry_granted = budget.acquire(members)
+            fleet = self._deps.fleet
+            progress.retry_granted = budget.acquire(
+                len(fleet.known_ids()),
+                complete=fleet.has_known_regions(self._deps.regions),
+            )
         return progress.retry_granted
 
     async def _give_up(self, detail: str, retry_after_seconds: float | None) -> None:
--- a/pimentospool/gateway/_dependencies.py
+++ b/pimentospool/gateway/_dependencies.py
@@ -61,7 +61,7 @@
         self.rng = rng
         self.request_ended: Signal[RoutedOutcome] = Signal(name="request_ended")
         self._bounds = bounds
-        self._regions = regions
+        self.regions = regions
         self._retry_budgets: dict[ServiceId, SharedRetryBudget] = {}
 
     def retry_budget(self, service: ServiceId) -> SharedRetryBudget:
@@ -71,7 +71,7 @@
             budget = SharedRetryBudget(
                 ratio=self._bounds.retry_ratio,
                 reserve=self._bounds.retry_reserve,
-                regions=self._regions,
+                regions=self.regions,
                 window_seconds=self._bounds.retry_window_seconds,
                 clock=self.clock,
             )
--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -5,6 +5,7 @@
 Lost datagrams only delay updates, and there is no connection that could fail silently.
 """
 
+import math
 from collections.abc import Callable, Sequence
 from random import Random
 from statistics import median
@@ -34,6 +35,9 @@
 may have been set back at a restart."""
 TOMBSTONE_SECONDS = 600.0
 """Time for which entry VMs that are gone still count when shared limits are divided."""
+COMPLETE_VIEW_SECONDS = 5.0
+"""Time after the start in which the other entry VMs become known; all of 195 that start
+together know each other after three to four seconds."""
 PAUSE_SECONDS = 1.0
 """Time between two rounds above which this process itself was paused."""
 ZONE_FANOUT = 2
@@ -41,13 +45,24 @@
 ZONE_ROUNDS = 2
 """Interval, in rounds, of messages to one entry VM of the region's other zones."""
 REGION_ROUNDS = 15
-"""Interval, in rounds, of messages to one entry VM of each other region, and to one
-that is gone. Traffic between regions is priced, and all entry VMs send some."""
-LOAD_ROUNDS = 4
-"""Interval, in rounds, of load reports to one entry VM of each other region."""
+"""Longest interval, in rounds, of messages to one entry VM of each other region, and to
+one that is gone. Traffic between regions is priced."""
+MIN_REGION_ROUNDS = 2
+MEMBERS_PER_REGION_ROUND = 4
+"""Entry VMs of the region for each round of that interval: all of them together send
+about five messages a second or more to each other region."""
+LOAD_ROUNDS = 6
+"""Interval, in rounds, of load reports to other regions."""
+LOAD_REPORTERS = 2
+"""Number of entry VMs of a region that report its load to each one of another region.
+Which ones do follows from their order, since with random receivers some would hear of
+no region for seconds."""
 LOAD_REPORT_TTL_SECONDS = 2.5
-"""Age above which the load reported by another region says nothing; each entry VM
-receives several reports of each region in this time."""
+"""Age up to which the loads reported by several entry VMs of a region are combined;
+each entry VM receives about three reports in this time."""
+MAX_LOAD_AGE_SECONDS = 10.0
+"""Age above which the last load of a region says nothing. A region whose reports got
+lost may still be the only one with targets."""
 MAX_RECORDS_PER_MESSAGE = 10
 """Limit on the records in one datagram, so that it fits into a packet."""
 MAX_RECORDS_PER_REQUEST = 60
@@ -100,7 +115,7 @@
         ] = {}
         # Entry VMs that start together don't send to other regions at the same time.
         self._round = rng.randrange(REGION_ROUNDS * LOAD_ROUNDS)
-        self._round_at = clock()
+        self._round_at = self._started_at = clock()
 
     @property
     def local_state(self) -> EntryState:
@@ -154,6 +169,16 @@
             ids.add(self.local_id)
         return list(ids)
 
+    def has_known_regions(self, count: int) -> bool:
+        """Whether entry VMs of at least `count` regions were known for some time.
+
+        Those that are gone count, as limits are also divided by their number.
+        """
+        if self._clock() - self._started_at < COMPLETE_VIEW_SECONDS:
+            return False
+        regions = {member.record.region for member in self._members.values()}
+        return len(regions | {self.local_region}) >= count
+
     def loads(self, service: ServiceId) -> dict[RegionId, ServiceLoad]:
         """Return the load of `service` in each other region.
 
@@ -164,10 +189,11 @@
         oldest = self._clock() - LOAD_REPORT_TTL_SECONDS
         result = {}
         for region, reports in self._region_loads.items():
+            recent = [by_service for at, by_service in reports.values() if at >= oldest]
+            if not recent and reports and self.ready(region):
+                recent = [max(reports.values(), key=lambda report: report[0])[1]]
             loads = [
-                by_service[service]
-                for received_at, by_service in reports.values()
-                if received_at >= oldest and service in by_service
+                by_service[service] for by_service in recent if service in by_service
             ]
             if loads:
                 result[region] = ServiceLoad(
@@ -200,7 +226,7 @@
         if msg.version > max(self.local_version, self._newest_version):
             self._newest_version = msg.version
             self._newest_version_from = msg.sender
-        if msg.loads and msg.sender.region != self.local_record.region:
+        if msg.loads is not None and msg.sender.region != self.local_record.region:
             reports = self._region_loads.setdefault(RegionId(msg.sender.region), {})
             reports[msg.sender.id] = (self._clock(), msg.loads)
         replies = self._encode_records(msg.wanted)
@@ -223,21 +249,21 @@
         if self._round % ZONE_ROUNDS == 0:
             receivers += self._sample(1, region=local.region, other_than=local.zone)
         remote: list[EntryRecord] = []
-        if self._round % REGION_ROUNDS == 0:
+        if self._round % self._region_rounds() == 0:
             remote = self._sample_regions()
             receivers += self._sample_gone()
         full = GossipMessage(
             sender=local,
             vector=encode_vector(*self._table.vector()),
-            loads=self.local_loads if remote else {},
+            loads=self.local_loads if remote else None,
             version=self.local_version,
         )
         messages: list[tuple[GossipMessage, Sequence[EntryRecord]]] = [
             (full, [*receivers, *remote])
         ]
-        if self._round % LOAD_ROUNDS == 0 and self.local_loads:
+        if self._round % LOAD_ROUNDS == 0:
             report = GossipMessage(sender=local, loads=self.local_loads)
-            messages.append((report, self._sample_regions()))
+            messages.append((report, self._load_receivers()))
         return messages
 
     def beat(self) -> None:
@@ -335,7 +361,7 @@
         }
         for reports in self._region_loads.values():
             for entry, (received_at, _) in list(reports.items()):
-                if now - received_at > LOAD_REPORT_TTL_SECONDS:
+                if now - received_at > MAX_LOAD_AGE_SECONDS:
                     del reports[entry]
 
     def _is_heard(self, key: MemberKey) -> bool:
@@ -377,6 +403,11 @@
             return records
         return self._rng.sample(records, size)
 
+    def _region_rounds(self) -> int:
+        members = len(self.live(region=self.local_region)) + 1
+        rounds = members // MEMBERS_PER_REGION_ROUND
+        return min(REGION_ROUNDS, max(MIN_REGION_ROUNDS, rounds))
+
     def _sample_regions(self) -> list[EntryRecord]:
         """Return one random member of each other region."""
         regions = {member.record.region for member in self._members.values()}
@@ -386,6 +417,27 @@
             for record in self._sample(1, region=region)
         ]
 
+    def _load_receivers(self) -> list[EntryRecord]:
+        """Return the entry VMs of other regions to which this one reports its load."""
+        local = sorted(rec.key for rec in self.ready(self.local_region))
+        if self.local_record.key not in local:
+            return []
+        rank = local.index(self.local_record.key)
+        by_region: dict[str, list[EntryRecord]] = {}
+        for key in sorted(self._live):
+            record = self._live[key]
+            if record.region != self.local_region:
+                by_region.setdefault(record.region, []).append(record)
+        receivers = []
+        for records in by_region.values():
+            size = math.ceil(LOAD_REPORTERS * len(records) / len(local))
+            size = min(size, len(records))
+            first = rank * size
+            receivers += [
+                records[number % len(records)] for number in range(first, first + size)
+            ]
+        return receivers
+
     def _sample_gone(self) -> list[EntryRecord]:
         """Return one random member that is gone; it may only be unable to send."""
         gone = [
--- a/pimentospool/gateway/_fleet_messages.py
+++ b/pimentospool/gateway/_fleet_messages.py
@@ -4,6 +4,7 @@
 import struct
 from collections.abc import Sequence
 from functools import cached_property
+from ipaddress import IPv4Address
 
 import msgspec
 
@@ -14,6 +15,7 @@
 
 _KEY_BYTES = 4
 _VALUE_BYTES = 2
+MAX_PORT = 65535
 MAX_LOAD_SECONDS = 3600.0
 """Waits above this come from a faulty sender."""
 
@@ -47,6 +49,13 @@
     peer: Address
     """Address for requests and heartbeats of other entry VMs."""
 
+    def __post_init__(self) -> None:
+        """Reject addresses to which nothing can be sent."""
+        for address in (self.front, self.peer):
+            if not 0 < address.port <= MAX_PORT:
+                raise ValueError("the port is out of range")
+            IPv4Address(address.host)
+
     @cached_property
     def key(self) -> MemberKey:
         """Short identifier of this start of the entry VM."""
@@ -64,8 +73,9 @@
     records: list[EntryRecord] = []
     wanted: list[int] = []
     """Keys of members whose records the sender lacks."""
-    loads: dict[str, ServiceLoad] = {}
-    """Load of the sender's region by service; only sent to other regions."""
+    loads: dict[str, ServiceLoad] | None = None
+    """Load of the sender's region by service; only sent to other regions. A service
+    without a usable target is not in it."""
     version: int = 0
     """Version of the sender's configuration; 0 before the first."""
 
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -20,6 +20,7 @@
     OccupancyBook,
     RegionChoice,
     RemoteRegion,
+    ServicePace,
     TargetChoice,
     TargetHealth,
     choose_destination,
@@ -79,6 +80,7 @@
         self._cached_parts = CachedParts(clock=clock)
         self._cold_start_limiter = ColdStartLimiter(entry=fleet.local_id, clock=clock)
         self._health: dict[TargetId, TargetHealth] = {}
+        self._paces: dict[ServiceId, ServicePace] = {}
         routing_state.target_removed.connect(self._forget_target)
 
     def choose(
@@ -152,6 +154,23 @@
             health = self._health[target] = TargetHealth(clock=self._clock)
         return health
 
+    def pace(self, service: ServiceId) -> ServicePace:
+        """Return the speed of the targets of `service`."""
+        pace = self._paces.get(service)
+        if pace is None:
+            pace = self._paces[service] = ServicePace()
+        return pace
+
+    def record_first_byte(
+        self, service: ServiceId, candidate: Candidate, seconds: float
+    ) -> None:
+        """Record the time from a request to the first byte of its response."""
+        pace = self.pace(service)
+        ratio = seconds / (candidate.reference_seconds + candidate.queue_seconds)
+        self.health(candidate.target).record_answer(ratio / pace.value)
+        if not candidate.queue_seconds:
+            pace.record(ratio)
+
     def local_loads(self) -> dict[str, ServiceLoad]:
         """Return the load of this region's targets by service."""
         configuration = self._routing_state.configuration
@@ -242,6 +261,7 @@
             cache_tokens=service.engine.cache_tokens if service.engine else 0,
             prefill_tokens=prefill_tokens,
             required_cache_tokens=tokens,
+            service_pace=self.pace(service.id).value,
             latency_ratio=health.latency_ratio,
             failure_rate=health.failure_rate,
             slot_hold_seconds=health.slot_hold_seconds,
@@ -291,6 +311,7 @@
                 prefill_tokens=self._prefill_tokens_in_region(
                     req, service, is_preferred=region == preferred_region
                 ),
+                service_pace=self.pace(service.id).value,
             )
             for region, load in loads.items()
         ]
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -4,6 +4,7 @@
 import math
 import random
 import time
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
@@ -28,7 +29,7 @@
 from pimentospool.gateway._view_exchange import ViewExchange, view_address
 from pimentospool.log import Event, log_event
 from pimentospool.policy import EntryState, OccupancyBook
-from pimentospool.tasks import cancel_tasks
+from pimentospool.tasks import cancel_tasks, run_supervised
 
 ACCEPT_CONNECTIONS_SHARE = 0.15
 """Share of the time until SIGKILL in which a leaving process still accepts connections
@@ -149,16 +150,16 @@
 
     async def start(self) -> None:
         """Read the published facts and join the other entry VMs."""
-        self._tasks.append(asyncio.create_task(self.feed.run()))
+        self._start_task("facts", self.feed.run)
         await self.heartbeats.start(self.cfg.peer)
         server = web.Server(self._view_exchange.handle, access_log=None)
         address = view_address(self.cfg.peer)
         self._view_server = await asyncio.get_running_loop().create_server(
             server, address.host, address.port
         )
-        self._tasks.append(asyncio.create_task(self.heartbeats.run()))
-        self._tasks.append(asyncio.create_task(self._view_exchange.run()))
-        self._tasks.append(asyncio.create_task(self._cold_checker.run()))
+        self._start_task("heartbeats", self.heartbeats.run)
+        self._start_task("views", self._view_exchange.run)
+        self._start_task("cold checks", self._cold_checker.run)
 
     @property
     def serving(self) -> bool:
@@ -195,6 +196,9 @@
         await self._view_exchange.close()
         log_event(Event.ENTRY_STOPPED)
 
+    def _start_task(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append(asyncio.create_task(run_supervised(name, run)))
+
     def _create_metrics(self) -> GatewayMetrics:
         metrics = GatewayMetrics()
         self.deps.request_ended.connect(metrics.record)
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -32,6 +32,7 @@
         logbook.ERROR,
         "changed certificate could not be loaded",
     )
+    TASK_FAILED = (1012, logbook.ERROR, "background task failed and is restarted")
     LOG_LINES_LOST = (1011, logbook.WARNING, "log lines were dropped")
     TRACES_LOST = (1008, logbook.WARNING, "trace spans could not be exported")
     REQUEST_REFUSED = (2001, logbook.INFO, "request refused")
--- a/pimentospool/platform/_store.py
+++ b/pimentospool/platform/_store.py
@@ -130,8 +130,9 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        session, self._session = self._session, None
+        if session is not None:
+            await session.close()
 
     async def _read_pages(self, era: int) -> tuple[list[_Item] | None, FactPosition]:
         """Return all items, or None if a page is of a later era than the first one."""
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -39,6 +39,7 @@
 )
 from pimentospool.policy._routing import Route, Router
 from pimentospool.policy._scores import RouteReason, Score
+from pimentospool.policy._service_pace import ServicePace
 from pimentospool.policy._shared_limits import (
     ColdStartLimiter,
     SharedRetryBudget,
@@ -98,6 +99,7 @@
     "RouteRefusal",
     "Router",
     "Score",
+    "ServicePace",
     "SharedRetryBudget",
     "Start",
     "TargetChoice",
--- a/pimentospool/policy/_shared_limits.py
+++ b/pimentospool/policy/_shared_limits.py
@@ -15,6 +15,9 @@
 
 RATIO_SAFETY_FACTOR = 0.75
 """Part of the allowed ratio that is used, as the limit holds in any sliding window."""
+COMPLETE_VIEW_SHARE = 0.5
+"""Part of the reserve that entry VMs share which have known all regions. Others that
+have not take at most three quarters of it in place of these, in three regions."""
 MIN_MEMBER_COUNT = 8
 """Minimum number of entry VMs by which the reserve is divided, as a process that has
 just started may not know the others yet."""
@@ -58,7 +61,8 @@
         self._ratio = ratio * RATIO_SAFETY_FACTOR
         # At the start, all regions may be partitioned from each other, and a single
         # entry VM from all of them.
-        self._reserve = reserve / (regions + 1)
+        self._partial_view_reserve = reserve / (regions + 1)
+        self._reserve = reserve * COMPLETE_VIEW_SHARE
         self._window_seconds = window_seconds
         self._clock = clock
         self._request_times: deque[float] = deque()
@@ -68,14 +72,23 @@
         """Record the first attempt of a request."""
         self._request_times.append(self._clock())
 
-    def acquire(self, members: int) -> bool:
+    def acquire(self, members: int, *, complete: bool = False) -> bool:
         """Return whether a retry is allowed, and record it if so.
 
-        The share is that of one of `members` entry VMs.
+        Parameters
+        ----------
+        members : int
+            Number of entry VMs that share the limit, as far as this one knows.
+        complete : bool
+            Whether this entry VM has known some of all regions since its start. Its
+            count then includes those that a partition hides.
         """
         now = self._clock()
         self._drop_old(now)
-        share = self._reserve / max(members, MIN_MEMBER_COUNT)
+        if complete:
+            share = self._reserve / members
+        else:
+            share = self._partial_view_reserve / max(members, MIN_MEMBER_COUNT)
         if len(self._retry_times) + 1 > self._ratio * len(self._request_times) + share:
             return False
         self._retry_times.append(now)
--- a/pimentospool/policy/_target_choice.py
+++ b/pimentospool/policy/_target_choice.py
@@ -14,9 +14,9 @@
 from pimentospool.policy._occupancy import Occupancy
 
 PREFILL_TOKENS_PER_SECOND = 30_000.0
-"""Prefill rate of an engine; the latency ratio of each target corrects it."""
+"""Prefill rate of a reference engine; the pace of the service corrects it."""
 PROMPTLESS_REQUEST_SECONDS = 0.03
-"""Expected time of a request without a prompt; the latency ratio corrects it too."""
+"""Time of a request without a prompt at a reference target, corrected likewise."""
 FIRST_TOKEN_BASE_SECONDS = 0.01
 """Part of the time to first token that does not depend on the prompt."""
 UTILISATION_COST_SECONDS = 0.06
@@ -59,8 +59,10 @@
     """Tokens of the prompt that the target does not have cached."""
     required_cache_tokens: int = 0
     """KV cache tokens that the request may need: its prompt and longest output."""
+    service_pace: float = 1.0
+    """Factor of the service's targets on the times of a reference target."""
     latency_ratio: float = 1.0
-    """Observed divided by expected time to first byte."""
+    """Observed divided by expected time to first byte, relative to the service."""
     failure_rate: float = 0.0
     """Recent share of failed answers, from 0 to 1."""
     slot_hold_seconds: float = 0.0
@@ -68,21 +70,28 @@
     cold: bool = False
 
     @property
-    def first_byte_seconds(self) -> float:
-        """Expected time to the first byte of the response."""
+    def reference_seconds(self) -> float:
+        """Time to the first byte at a reference target, without a wait for a slot."""
         load = self.occupancy
         if not self.cache_tokens:
             turn_count = 1 + load.running / max(self.slots, 1)
-            return PROMPTLESS_REQUEST_SECONDS * self.latency_ratio * turn_count
+            return PROMPTLESS_REQUEST_SECONDS * turn_count
         tokens = load.waiting_tokens + self.prefill_tokens
-        seconds = FIRST_TOKEN_BASE_SECONDS + tokens / PREFILL_TOKENS_PER_SECOND
-        excess_requests = load.running - self.slots + 1
-        if excess_requests > 0:
-            queue_seconds = (
-                excess_requests * self.slot_hold_seconds / max(self.slots, 1)
-            )
-            return seconds * self.latency_ratio + queue_seconds
-        return seconds * self.latency_ratio
+        return FIRST_TOKEN_BASE_SECONDS + tokens / PREFILL_TOKENS_PER_SECOND
+
+    @property
+    def queue_seconds(self) -> float:
+        """Expected wait for a slot of an engine."""
+        excess_requests = self.occupancy.running - self.slots + 1
+        if not self.cache_tokens or excess_requests <= 0:
+            return 0.0
+        return excess_requests * self.slot_hold_seconds / max(self.slots, 1)
+
+    @property
+    def first_byte_seconds(self) -> float:
+        """Expected time to the first byte of the response."""
+        factor = self.service_pace * self.latency_ratio
+        return self.reference_seconds * factor + self.queue_seconds
 
     @property
     def slot_utilisation(self) -> float:
@@ -95,7 +104,9 @@
         load = self.occupancy
         cost = self.first_byte_seconds + FAILURE_COST_SECONDS * self.failure_rate
         cost += UTILISATION_COST_SECONDS * load.running / max(self.slots, 1)
-        cost += _prefill_cost_seconds(self.prefill_tokens, self.slot_utilisation)
+        cost += _prefill_cost_seconds(
+            self.prefill_tokens, self.service_pace, self.slot_utilisation
+        )
         if self.cache_tokens and (
             load.held_tokens + self.required_cache_tokens > self.cache_tokens
         ):
@@ -115,11 +126,13 @@
     """Share of the slots in use at the region's target with the shortest wait."""
     prefill_tokens: int = 0
     """Tokens of the prompt that the region's target does not have cached."""
+    service_pace: float = 1.0
+    """Factor of the service's targets on the times of a reference target."""
 
     @property
     def prefill_seconds(self) -> float:
         """Expected time of the prefill."""
-        return self.prefill_tokens / PREFILL_TOKENS_PER_SECOND
+        return self.prefill_tokens / PREFILL_TOKENS_PER_SECOND * self.service_pace
 
     @property
     def first_byte_seconds(self) -> float:
@@ -129,7 +142,9 @@
     @property
     def cost_seconds(self) -> float:
         """Expected time to first byte, plus the weighted costs of this choice."""
-        prefill_cost = _prefill_cost_seconds(self.prefill_tokens, self.slot_utilisation)
+        prefill_cost = _prefill_cost_seconds(
+            self.prefill_tokens, self.service_pace, self.slot_utilisation
+        )
         return self.first_byte_seconds + prefill_cost + MIN_HOP_GAIN_SECONDS
 
 
@@ -207,8 +222,10 @@
     return RegionChoice(remote=destination)
 
 
-def _prefill_cost_seconds(tokens: int, slot_utilisation: float) -> float:
-    seconds = tokens / PREFILL_TOKENS_PER_SECOND
+def _prefill_cost_seconds(
+    tokens: int, service_pace: float, slot_utilisation: float
+) -> float:
+    seconds = tokens / PREFILL_TOKENS_PER_SECOND * service_pace
     return seconds * (
         PREFILL_WORK_WEIGHT + PREFILL_INTERFERENCE_WEIGHT * slot_utilisation
     )
--- a/tests/gateway/gateway_factories.py
+++ b/tests/gateway/gateway_factories.py
@@ -93,4 +93,4 @@
 def announce(fleet, record, *, state=EntryState.READY, heartbeat=1, loads=None):
     """Let `fleet` receive a heartbeat of `record`."""
     vector = encode_vector([record.key], [heartbeat << 2 | state])
-    return fleet.receive(GossipMessage(sender=record, vector=vector, loads=loads or {}))
+    return fleet.receive(GossipMessage(sender=record, vector=vector, loads=loads))
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -6,7 +6,7 @@
 from gateway_factories import Clock, announce, make_record
 
 from pimentospool.bench._fleet_simulation import FleetSimulation
-from pimentospool.gateway._fleet import Fleet
+from pimentospool.gateway._fleet import LOAD_REPORT_TTL_SECONDS, Fleet
 from pimentospool.gateway._fleet_messages import ServiceLoad
 from pimentospool.policy import EntryState
 
@@ -146,16 +146,60 @@
     assert fleet.loads("desk") == {}
 
 
+def test_region_that_lost_its_targets_says_so():
+    fleet = make_fleet()
+    record = make_record("far", region="delta")
+    announce(fleet, record, loads={"llm": ServiceLoad(0.1, 0.1)})
+    announce(fleet, record, heartbeat=2, loads={})
+    assert fleet.loads("llm") == {}
+
+
+def test_members_of_a_small_fleet_hear_of_other_regions_each_second():
+    simulation = make_simulation(7)
+    worst = 0.0
+
+    def check():
+        nonlocal worst
+        for entry in simulation.entries:
+            for record in entry.fleet.live():
+                worst = max(worst, entry.fleet._table.silence_seconds(record.key))
+
+    simulation.run(30.0, check)
+    assert worst < 2.0
+
+
 def test_load_of_a_region_that_is_not_heard_of_is_unknown():
     clock = Clock()
     fleet = make_fleet(clock)
     record = make_record("far", region="delta")
     announce(fleet, record, loads={"llm": ServiceLoad(0.1, 0.1)})
-    assert fleet.loads("llm")
-    clock.now += 3.0
+    for _ in range(18):
+        clock.now += 0.2
+        fleet.next_round()
+        assert fleet.loads("llm")
+    for _ in range(6):
+        clock.now += 0.2
+        fleet.next_round()
     assert fleet.loads("llm") == {}
 
 
+@pytest.mark.parametrize("size", [7, 8, 70])
+def test_every_member_keeps_recent_loads_of_all_regions(size):
+    simulation = make_simulation(size)
+    for entry in simulation.entries:
+        entry.fleet.local_loads = {"llm": ServiceLoad(0.1, 0.1)}
+    simulation.run(3.0)
+
+    def check():
+        for entry in simulation.entries:
+            assert len(entry.fleet.loads("llm")) == REGIONS - 1
+            for reports in entry.fleet._region_loads.values():
+                newest = max(received_at for received_at, _ in reports.values())
+                assert simulation.now - newest < LOAD_REPORT_TTL_SECONDS
+
+    simulation.run(10.0, check)
+
+
 def test_unknown_members_are_asked_for_and_sent():
     known, fleet = make_fleet(), make_fleet()
     record = make_record("third")
--- /dev/null
+++ b/tests/policy/test_service_pace.py
@@ -0,0 +1,33 @@
+"""Speed of a service's targets, learned from answers."""
+
+import random
+
+import pytest
+
+from pimentospool.policy import ServicePace
+
+
+@pytest.mark.parametrize("true_pace", [0.3, 1.0, 2.5])
+def test_pace_is_learned_within_thirty_answers(true_pace):
+    pace, rng = ServicePace(), random.Random(1)
+    for _ in range(30):
+        pace.record(true_pace * rng.lognormvariate(0.0, 0.4))
+    assert pace.value == pytest.approx(true_pace, rel=0.35)
+
+
+def test_slow_targets_and_queues_barely_move_the_pace():
+    pace, rng = ServicePace(), random.Random(2)
+    for _ in range(400):
+        slow = rng.random() < 0.15
+        pace.record(rng.lognormvariate(0.0, 0.3) * (8.0 if slow else 1.0))
+    assert pace.value == pytest.approx(1.0, rel=0.3)
+
+
+def test_pace_stays_within_its_bounds():
+    pace = ServicePace()
+    for _ in range(10_000):
+        pace.record(1e9)
+    assert pace.value == 10.0
+    for _ in range(10_000):
+        pace.record(0.0)
+    assert pace.value == 0.1
--- a/tests/policy/test_shared_limits.py
+++ b/tests/policy/test_shared_limits.py
@@ -42,9 +42,9 @@
         yield [[first], *smaller]
 
 
-def count_acquired(budget, members, limit=1000):
+def count_acquired(budget, members, limit=1000, *, complete=False):
     count = 0
-    while count < limit and budget.acquire(members):
+    while count < limit and budget.acquire(members, complete=complete):
         count += 1
     return count
 
@@ -64,6 +64,33 @@
         assert total <= RESERVE, groups
 
 
+@pytest.mark.parametrize("size", range(1, 9))
+def test_sum_holds_if_some_know_all_members_and_others_only_their_side(size):
+    clock = Clock()
+    complete = count_acquired(make_budget(clock), size, complete=True)
+    partial = {
+        count: count_acquired(make_budget(clock), count) for count in range(1, size + 1)
+    }
+    for groups in partitions(list(range(size))):
+        if (
+            len(groups) > REGIONS + 1
+            or sum(len(group) > 1 for group in groups) > REGIONS
+        ):
+            continue
+        for knowing in itertools.product(*(range(len(group) + 1) for group in groups)):
+            total = sum(
+                count * complete + (len(group) - count) * partial[len(group)]
+                for group, count in zip(groups, knowing, strict=True)
+            )
+            assert total <= RESERVE, (groups, knowing)
+
+
+def test_complete_view_doubles_the_share_of_the_reserve():
+    clock = Clock()
+    assert count_acquired(make_budget(clock), 7, complete=True) == 4
+    assert count_acquired(make_budget(clock), 7) == 1
+
+
 def splits_in_two(names):
     """Yield every partition of `names` into two sides."""
     for size in range(len(names) // 2 + 1):
--- a/tests/policy/test_target_choice.py
+++ b/tests/policy/test_target_choice.py
@@ -107,3 +107,10 @@
 def test_region_without_targets_uses_another_region(wait):
     remote = RemoteRegion(region="delta", wait_seconds=wait)
     assert choose([], [remote]).region == "delta"
+
+
+def test_pace_of_the_service_scales_waits_but_not_queues_for_slots():
+    options = {"running": 64, "waiting": 29_500, "slot_hold_seconds": 6.4}
+    busy, fast = engine(**options), engine(**options, service_pace=0.5)
+    assert busy.first_byte_seconds == pytest.approx(1.01 + 0.1)
+    assert fast.first_byte_seconds == pytest.approx(0.505 + 0.1)
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -1,10 +1,11 @@
-"""Cancellation of tasks whose operations swallow a cancellation."""
+"""Cancellation of tasks, and restart of those that fail."""
 
 import asyncio
 
 import pytest
 
-from pimentospool.tasks import cancel_tasks
+from pimentospool import tasks
+from pimentospool.tasks import cancel_tasks, run_supervised
 
 
 async def swallow_first_cancellation():
@@ -52,3 +53,23 @@
         await cancel_tasks([])
 
     runner.run(check())
+
+
+def test_failed_task_is_started_again(runner, monkeypatch):
+    monkeypatch.setattr(tasks, "RESTART_DELAY_SECONDS", 0.01)
+    starts = []
+
+    async def fail_twice():
+        starts.append(None)
+        if len(starts) < 3:
+            raise KeyError("unexpected")
+        await asyncio.sleep(60.0)
+
+    async def check():
+        task = asyncio.create_task(run_supervised("test", fail_twice))
+        await asyncio.sleep(0.2)
+        assert len(starts) == 3
+        await cancel_tasks([task])
+        assert task.cancelled()
+
+    runner.run(check())
