--- a/pimentospool/soak/_deployment.py
+++ b/pimentospool/soak/_deployment.py
@@ -115,6 +115,8 @@
         self.zone = zone
         self.standins: list[SigningTarget] = []
         self.proxy = FaultProxy(upstream="")
+        self.published_state: str | None = None
+        """State in the store's record of the target, None while it has none."""
         self._name = name
 
     @property
@@ -241,17 +243,33 @@
 
     async def publish(self, target: SoakTarget, state: str = "ready") -> None:
         """Write the store record of a target's current instance."""
+        target.published_state = state
         await self.store.put(
             target_key(target.current_standin.instance), target.store_record(state)
         )
 
     async def withdraw(self, target: SoakTarget) -> None:
         """Remove the store record of a target's current instance."""
+        target.published_state = None
         await self.store.delete(target_key(target.current_standin.instance))
 
+    async def publish_again(self) -> None:
+        """Write everything again that a restored store may have lost."""
+        for target in self.targets:
+            for standin in target.standins[:-1]:
+                await self.store.delete(target_key(standin.instance))
+            if target.published_state is None:
+                await self.withdraw(target)
+            else:
+                await self.publish(target, target.published_state)
+        await self._publish_configuration()
+
     async def change_configuration(self) -> None:
         """Publish the next version of the configuration, with the same routes."""
         self.configuration_version += 1
+        await self._publish_configuration()
+
+    async def _publish_configuration(self) -> None:
         configuration = platform_configuration(version=self.configuration_version)
         await self.store.put(CONFIGURATION_KEY, configuration)
 
--- a/pimentospool/soak/_fault_plan.py
+++ b/pimentospool/soak/_fault_plan.py
@@ -13,6 +13,9 @@
 """Share of faults that are repeated as a series at the same node or target."""
 MAX_SERIES_LENGTH = 4
 MEAN_SERIES_PAUSE_SECONDS = 0.4
+MEAN_RESTORE_PAUSE_SECONDS = 6.0
+"""Mean time between restores of the store. They are drawn by themselves, so that the
+other faults of a seed stay the same."""
 
 
 class SoakFault(Enum):
@@ -37,6 +40,7 @@
     STORE_FORGETTING = "store drops its history"
     STORE_CUT = "link of a node to the store cut"
     CONFIGURATION = "configuration changed"
+    STORE_RESTORED = "store restored from a copy"
 
 
 NODE_FAULTS = frozenset(
@@ -79,10 +83,11 @@
 def plan_faults(seed: int, *, seconds: float) -> list[PlannedFault]:
     """Return the faults of a soak that lasts `seconds`, ordered by time."""
     rng = random.Random(seed)
-    planned = []
+    other_faults = [item for item in SoakFault if item is not SoakFault.STORE_RESTORED]
+    planned = _plan_restores(seed, seconds=seconds)
     at_seconds = rng.expovariate(1 / MEAN_PAUSE_SECONDS)
     while at_seconds < seconds:
-        fault = rng.choice(list(SoakFault))
+        fault = rng.choice(other_faults)
         location = rng.randrange(1 << 16)
         length = rng.randint(2, MAX_SERIES_LENGTH) if rng.random() < SERIES_SHARE else 1
         start_seconds = at_seconds
@@ -99,3 +104,22 @@
             start_seconds += rng.expovariate(1 / MEAN_SERIES_PAUSE_SECONDS)
         at_seconds += rng.expovariate(1 / MEAN_PAUSE_SECONDS)
     return sorted(planned, key=lambda item: item.at_seconds)
+
+
+def _plan_restores(seed: int, *, seconds: float) -> list[PlannedFault]:
+    rng = random.Random(f"restores of {seed}")
+    planned = []
+    at_seconds = rng.expovariate(1 / MEAN_RESTORE_PAUSE_SECONDS)
+    while at_seconds < seconds:
+        duration_seconds = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        planned.append(
+            PlannedFault(
+                at_seconds=at_seconds,
+                duration_seconds=duration_seconds,
+                fault=SoakFault.STORE_RESTORED,
+                location=0,
+                variant=rng.randrange(1 << 16),
+            )
+        )
+        at_seconds += duration_seconds + rng.expovariate(1 / MEAN_RESTORE_PAUSE_SECONDS)
+    return planned
--- a/pimentospool/soak/_runner.py
+++ b/pimentospool/soak/_runner.py
@@ -37,6 +37,11 @@
 """
 LINK_DELAY_SECONDS = 0.4
 FAULTY_EXCHANGES = 6
+STORE_AWAY_SECONDS = 0.5
+"""Time for which the store refuses calls before it comes back from a copy."""
+REWRITE_DELAY_SECONDS = 1.0
+"""Time after a restore in which the operator and the targets write again what it lost;
+the platform promises less than two seconds."""
 SECOND_SIGNAL_DELAY_SECONDS = 0.06
 """Time from the first SIGTERM to the second one."""
 RECOVERY_TIMEOUT_SECONDS = 15.0
@@ -121,6 +126,7 @@
             SoakFault.STORE_FORGETTING: self._drop_store_history,
             SoakFault.STORE_CUT: self._cut_store_link,
             SoakFault.CONFIGURATION: self._change_configuration,
+            SoakFault.STORE_RESTORED: self._restore_store,
         }
 
     async def run(self) -> SoakResult:
@@ -356,5 +362,19 @@
         await asyncio.sleep(planned.duration_seconds)
         proxy.heal()
 
+    async def _restore_store(self, planned: PlannedFault) -> None:
+        """Restore the store from a copy as old as the fault is long."""
+        store = self._deployment.store
+        copy = store.copy()
+        await asyncio.sleep(planned.duration_seconds)
+        if planned.variant % 2:
+            store.refusal_status = 503
+            await asyncio.sleep(STORE_AWAY_SECONDS)
+        await store.restore(copy)
+        if planned.variant % 2:
+            store.refusal_status = 0
+        await asyncio.sleep(REWRITE_DELAY_SECONDS)
+        await self._deployment.publish_again()
+
     async def _change_configuration(self, planned: PlannedFault) -> None:
         await self._deployment.change_configuration()
