--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -21,6 +21,7 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 HEALTH_PATH = "/healthz"
 _ENDLESS_CHUNK_BYTES = 16 * 1024
+_STALL_BYTE_SECONDS = 0.2
 _CLOSE_POLL_SECONDS = 0.005
 
 
@@ -48,6 +49,7 @@
     ENDLESS_HEAD = "header bytes without end"
     ENDLESS_BODY = "body bytes without end"
     TRICKLE = "single bytes without end"
+    STALL_WITH_BYTES = "a stream whose second event comes byte by byte, without end"
 
 
 class ReceivedRequest(msgspec.Struct, kw_only=True):
@@ -277,6 +279,11 @@
             if fault is Fault.STALL and number > first:
                 await disconnected
                 return False
+            if fault is Fault.STALL_WITH_BYTES and number > first:
+                while not (disconnected.done() or writer.is_closing()):
+                    writer.write(_chunk(b"d"))
+                    await asyncio.wait([disconnected], timeout=_STALL_BYTE_SECONDS)
+                return False
             event = _event(number)
             if fault is Fault.CUT_STREAM and number > first:
                 writer.write(_chunk(event[: len(event) // 2]))
--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -279,12 +279,13 @@
     run_with_site(runner, tmp_path, check, second=True)
 
 
+@pytest.mark.parametrize("fault", [Fault.STALL, Fault.STALL_WITH_BYTES])
 def test_stalled_resumable_stream_continues_before_its_caller_times_out(
-    runner, tmp_path
+    runner, tmp_path, fault
 ):
     async def check(site):
         stalled = site.targets["m-1"]
-        stalled.faults = [Fault.STALL]
+        stalled.faults = [fault]
         loop = asyncio.get_running_loop()
         while not stalled.received:
             started_at = loop.time()
