Measure the membership of a simulated fleet by a command

Cause: the goals for hundreds of members name times and sizes that only a script could show. No code of a node changed.

--- a/pimentospool/commands/_bench.py
+++ b/pimentospool/commands/_bench.py
@@ -8,6 +8,7 @@
     "operations",
     "control",
     "heartbeats",
+    "membership",
     "policy",
     "policy-cost",
     "relay",
