Skip every departed start of a target that a restored copy lists

Cause: a start that was replaced by the next one of the same id, without being removed in between, was not remembered as departed, so a copy that listed it put it in the place of the running one; and while a later start was leaving, any other start counted as not departed.

--- a/pimentospool/gateway/_routing_state.py
+++ b/pimentospool/gateway/_routing_state.py
@@ -136,6 +136,7 @@
         state = self._targets.get(registration.id)
         if state is None or _is_new_instance(state.registration, registration):
             if state is not None:
+                self._remember_departed(state.registration)
                 self.target_removed.send(registration.id)
             state = TargetState(registration=registration)
             self._targets[registration.id] = state
@@ -321,9 +322,12 @@
     def _has_departed(self, registration: Registration) -> bool:
         """Whether this instance is known to have left, or to be leaving."""
         state = self._targets.get(registration.id)
+        instance = _instance(registration)
         if state is not None and state.registration.leaving:
-            return state.registration.started_at == registration.started_at
-        return _instance(registration) in self._departed
+            return instance == _instance(state.registration) or (
+                instance in self._departed
+            )
+        return instance in self._departed
 
     def _expire(self) -> None:
         now = self._clock()
@@ -335,15 +339,18 @@
                 self._remove(target, "did not register again after an outage")
 
     def _remove(self, target: TargetId, reason: str) -> None:
+        self._remember_departed(self._targets.pop(target).registration)
+        log_event(Event.TARGET_REMOVED, target=target, reason=reason)
+        self.target_removed.send(target)
+
+    def _remember_departed(self, registration: Registration) -> None:
         now = self._clock()
         self._departed = {
             instance: removed_at
             for instance, removed_at in self._departed.items()
             if now - removed_at < DEPARTED_SECONDS
         }
-        self._departed[_instance(self._targets.pop(target).registration)] = now
-        log_event(Event.TARGET_REMOVED, target=target, reason=reason)
-        self.target_removed.send(target)
+        self._departed[_instance(registration)] = now
 
     def _assume_cold(self, zone: ZoneId) -> None:
         services = self.configuration.services if self.configuration else {}
