Ask the store less often while it is away, where relays notice its return

Cause: while the store was away, each entry VM of a large fleet asked it about once a second; refused calls are charged as others are. Change: an entry VM with relays waits up to 3 s, and goes on at once when a relay has recent news. Test: test_fact_feed.py.

--- a/pimentospool/gateway/_fact_feed.py
+++ b/pimentospool/gateway/_fact_feed.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -50,6 +51,9 @@
 come with the loss of both relays, so it may take `FRESH_SECONDS` and a request."""
 MIN_RETRY_DELAY_SECONDS = 0.1
 MAX_RETRY_DELAY_SECONDS = 1.0
+MAX_FOLLOWER_RETRY_DELAY_SECONDS = 3.0
+"""Longest delay of an entry VM that has relays. They notice the return of the source
+for it, and hundreds of refused requests a second are charged for."""
 MIN_EXPIRY_OUTAGE_SECONDS = 2.5
 """Time without a response after which entries of the source may have expired."""
 EXPIRY_WINDOW_SECONDS = 1.5
@@ -133,7 +137,11 @@
         contact_at = self._clock() - age_seconds
         self._relay_contact_at = max(self._relay_contact_at, contact_at)
         self._announcements[record.id] = (record, position)
-        if self._follows and (known := self._changes.position) and position > known:
+        known = self._changes.position
+        if self.failing:
+            if age_seconds < FRESH_SECONDS:
+                self._announced.set()
+        elif self._follows and known is not None and position > known:
             self._announced.set()
 
     # The loop.
@@ -161,8 +169,8 @@
                     must_read_all = True
                 except SourceError as exc:
                     self._record_failure(exc)
-                    await asyncio.sleep(delay * random.uniform(0.5, 1.0))
-                    delay = min(MAX_RETRY_DELAY_SECONDS, delay * 2)
+                    await self._wait_for_news(delay * random.uniform(0.5, 1.0))
+                    delay = min(self._max_retry_delay_seconds(), delay * 2)
         finally:
             await self._source.close()
 
@@ -236,12 +244,7 @@
             if announced > position
         ]
         if not ahead:
-            self._announced.clear()
-            try:
-                async with asyncio.timeout(FOLLOW_POLL_SECONDS):
-                    await self._announced.wait()
-            except TimeoutError:
-                return
+            await self._wait_for_news(FOLLOW_POLL_SECONDS)
             return
         record = random.choice(ahead)
         batch = await self._reader.fetch_changes(record, position)
@@ -259,6 +262,19 @@
             )
         self._apply(batch)
 
+    async def _wait_for_news(self, seconds: float) -> None:
+        """Wait until a relay has news for this entry VM, at most for `seconds`."""
+        self._announced.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._announced.wait()
+
+    def _max_retry_delay_seconds(self) -> float:
+        relays = self._relays()
+        if relays and self._fleet.local_record.key not in relays:
+            return MAX_FOLLOWER_RETRY_DELAY_SECONDS
+        return MAX_RETRY_DELAY_SECONDS
+
     async def _complete(self, batch: FactBatch) -> bool:
         """Read a configuration that the batch names without its value."""
         for number, dated in enumerate(batch.facts):
--- a/tests/gateway/test_fact_feed.py
+++ b/tests/gateway/test_fact_feed.py
@@ -241,3 +241,20 @@
         assert site.targets() == {"i-1"}
 
     run_feed(runner, check, as_relay=True)
+
+
+def test_entry_vm_with_relays_waits_for_their_news_while_the_source_is_away(runner):
+    async def check(site):
+        await wait_until(lambda: site.source.watched)
+        for _ in range(50):
+            site.source.results.put_nowait(SourceError("down"))
+        await wait_until(lambda: len(site.source.watched) >= 5)
+        await asyncio.sleep(0.2)
+        watches = len(site.source.watched)
+        site.reader.batch = registered("i-2")
+        site.announce_position(FactPosition(1, 11))
+        await wait_until(lambda: site.targets() == {"i-1", "i-2"})
+        assert len(site.source.watched) <= watches + 1
+        assert not site.feed.failing
+
+    run_feed(runner, check)
