--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -54,9 +54,9 @@
     DRILL_WINDOWS_CHANGED = (3008, logbook.NOTICE, "active drill windows changed")
     CONFIGURATION_ADOPTED = (3101, logbook.NOTICE, "configuration version is active")
     STORE_UNREACHABLE = (3102, logbook.WARNING, "platform store unreachable")
-    STORE_RESTORED = (3121, logbook.WARNING, "platform store restored from a copy")
-    FACTS_FOLLOWED = (3122, logbook.INFO, "changes read from another entry VM")
-    FACTS_READ_DIRECTLY = (3123, logbook.NOTICE, "relays have no news of the store")
+    STORE_RESTORED = (3131, logbook.WARNING, "platform store restored from a copy")
+    FACTS_FOLLOWED = (3132, logbook.INFO, "changes read from another entry VM")
+    FACTS_READ_DIRECTLY = (3133, logbook.NOTICE, "relays have no news of the store")
     STORE_BACK = (3103, logbook.NOTICE, "platform store reachable again")
     STORE_ENTRY_SKIPPED = (3104, logbook.WARNING, "store entry could not be read")
     STORE_HISTORY_LOST = (
