--- a/pimentospool/gateway/_fact_feed.py
+++ b/pimentospool/gateway/_fact_feed.py
@@ -1,7 +1,7 @@
 """Keeps the routing state up to date with the published facts.
 
 In a small region every entry VM reads the source. In a large one two relays read it;
-the others hear of changes from the relays' datagrams and fetch them from a relay. An
+the others learn of changes by the relays' datagrams and fetch them from a relay. An
 entry VM whose relays have no recent news reads the source by itself, so no loss of
 relays delays a change for longer than `FRESH_SECONDS`.
 """
--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -55,7 +55,7 @@
 """Interval, in rounds, of load reports to other regions."""
 LOAD_REPORTERS = 2
 """Number of entry VMs of a region that report its load to each one of another region.
-Which ones do follows from their order, since with random receivers some would hear of
+Which ones do follows from their order, since with random receivers some would learn of
 no region for seconds."""
 LOAD_REPORT_TTL_SECONDS = 2.5
 """Age up to which the loads reported by several entry VMs of a region are combined;
--- a/pimentospool/gateway/_heartbeats.py
+++ b/pimentospool/gateway/_heartbeats.py
@@ -18,7 +18,7 @@
 contact find each other again."""
 ANNOUNCEMENT_FANOUT = 12
 """Number of entry VMs of the region that a change of state is announced to at once; the
-others hear of it within a second."""
+others receive it within a second."""
 
 
 class HeartbeatLoop(asyncio.DatagramProtocol):
--- a/pimentospool/gateway/_target_reports.py
+++ b/pimentospool/gateway/_target_reports.py
@@ -114,7 +114,7 @@
             messages.append((ReportMessage(reports, to_relay=True), receivers))
         relayed, self._to_relay = list(self._to_relay.values()), {}
         if local.key in relays:
-            # The other relays hear of these reports from their senders.
+            # The other relays receive these reports from their senders.
             relayed += reports
         position = self._position() if local.key in relays else None
         if relayed or self._announces(position):
