--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -105,6 +105,7 @@
                 head = await stream.wait_head()
         except TimeoutError as exc:
             raise self._timeout_failure(exc) from exc
+        self._progress.body_end = stream.body_end
         dialect = self._deps.dialect
         # Only a response from an entry VM has no assignment.
         refusal = dialect.hop_refusal(head) if assignment is None else None
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -136,6 +136,8 @@
             place=self._destination,
             attempts=self._progress.attempts + 1,
             events=self._progress.chunks_sent,
+            body_end=self._body_end_name(),
+            unfinished_event_bytes=self._progress.unfinished_event_bytes,
             first_event_seconds=self._first_event_seconds(),
             seconds=self._elapsed_seconds(),
         )
@@ -242,8 +244,15 @@
             verdict=exc.verdict.value,
             cause=exc.cause.value,
             detail=exc.detail,
+            body_end=self._body_end_name(),
+            unfinished_event_bytes=progress.unfinished_event_bytes,
             attempt=progress.attempts,
         )
+        progress.body_end, progress.unfinished_event_bytes = None, 0
+
+    def _body_end_name(self) -> str | None:
+        body_end = self._progress.body_end
+        return None if body_end is None else body_end.value
 
     def _acquire_retry(self) -> bool:
         """Return whether the retry budget covers the next send."""
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 from typing import cast
 
 import httptools
@@ -49,6 +50,15 @@
         return None
 
 
+class BodyEnd(Enum):
+    """What tells the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close of the connection"
+    NO_BODY = "no body"
+
+
 class EncodedRequest(msgspec.Struct, kw_only=True, frozen=True):
     """An encoded request and a check of which response belongs to it."""
 
@@ -64,6 +74,7 @@
 
     def __init__(self, *, conn: "Connection", req: EncodedRequest) -> None:
         self.head: AnswerHead | None = None
+        self.body_end: BodyEnd | None = None
         self.complete = False
         self._conn = conn
         self._accepts = req.accepts
@@ -111,9 +122,10 @@
         """Whether a response with `head` may belong to the request."""
         return self._accepts(head)
 
-    def feed_head(self, head: AnswerHead) -> None:
+    def feed_head(self, head: AnswerHead, body_end: BodyEnd) -> None:
         """Store the head of the response and wake the reader."""
         self.head = head
+        self.body_end = body_end
         self._wake()
 
     def feed_body(self, data: bytes) -> None:
@@ -161,8 +173,6 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: Headers = []
         self._ignoring_message = False
-        self._framed = True
-        """Whether the headers, not the end of the connection, delimit the body."""
         self._must_close = False
         self._paused = False
         self._received_bytes = 0
@@ -250,8 +260,8 @@
         self.closed = True
         stream, self._stream = self._stream, None
         if stream is not None and not stream.complete:
-            in_body = stream.head is not None and not self._ignoring_message
-            if exc is None and in_body and not self._framed:
+            ends_by_close = stream.body_end is BodyEnd.CLOSE
+            if exc is None and ends_by_close and not self._ignoring_message:
                 stream.finish()
             else:
                 reason = "" if exc is None else f": {type(exc).__name__}"
@@ -298,13 +308,8 @@
             self._ignoring_message = True
             self._must_close = True
             return
-        length = head.get(b"content-length")
-        coding = head.get(b"transfer-encoding")
-        self._framed = (
-            length is not None or coding is not None or head.status in (204, 304)
-        )
         self._read_idle_timeout(head)
-        stream.feed_head(head)
+        stream.feed_head(head, _body_end(head))
         if stream.without_body:
             self._must_close = True
             stream.finish()
@@ -319,7 +324,7 @@
         """Mark the response as complete."""
         if self._ignoring_message or self._stream is None or self._parser is None:
             return
-        if not self._framed or not self._parser.should_keep_alive():
+        if not self._parser.should_keep_alive():
             self._must_close = True
         self._stream.finish()
 
@@ -334,3 +339,11 @@
                 self.idle_seconds = max(
                     stated_seconds - IDLE_MARGIN_SECONDS, stated_seconds / 2
                 )
+
+
+def _body_end(head: AnswerHead) -> BodyEnd:
+    if head.status in (204, 304):
+        return BodyEnd.NO_BODY
+    if head.get(b"transfer-encoding") is not None:
+        return BodyEnd.CHUNKS
+    return BodyEnd.CLOSE if head.get(b"content-length") is None else BodyEnd.LENGTH
--- a/pimentospool/gateway/_progress.py
+++ b/pimentospool/gateway/_progress.py
@@ -1,5 +1,6 @@
 """State of one request across its attempts."""
 
+from pimentospool.gateway._connections import BodyEnd
 from pimentospool.gateway._model import HttpRoute
 from pimentospool.gateway._replies import Refusal, RefusalReason
 from pimentospool.ids import RegionId, TargetId
@@ -35,6 +36,10 @@
         """Id of the last event that was sent to the caller."""
         self.chunks_sent = 0
         """Chunks of a stream that were sent to the caller."""
+        self.body_end: BodyEnd | None = None
+        """What tells the end of the last response's body."""
+        self.unfinished_event_bytes = 0
+        """Bytes of an incomplete event at the end of the stream received so far."""
         self.first_event_at: float | None = None
         self.last_progress_at = 0.0
         """Time of the last chunk, or of the request's arrival before the first one."""
--- a/pimentospool/gateway/_relay.py
+++ b/pimentospool/gateway/_relay.py
@@ -59,7 +59,7 @@
     TimeoutError
         If no event arrives within `stall_timeout_seconds`.
     """
-    splitter = EventSplitter() if resumable else None
+    splitter = EventSplitter()
     last_event_at = clock()
     while True:
         timeout_seconds = None
@@ -68,8 +68,9 @@
         chunk = await _read_chunk(stream, timeout_seconds)
         if not chunk:
             break
-        if splitter is not None:
-            batch = splitter.feed(chunk)
+        batch = splitter.feed(chunk)
+        progress.unfinished_event_bytes = splitter.pending_bytes
+        if resumable:
             if splitter.pending_bytes > MAX_PENDING_EVENT_BYTES:
                 raise AttemptFailure(
                     detail=f"an event is longer than {MAX_PENDING_EVENT_BYTES} bytes",
@@ -90,7 +91,7 @@
         if progress.first_event_at is None:
             progress.first_event_at = progress.last_progress_at
         await reply.write(chunk)
-    if splitter is not None and splitter.pending_bytes:
+    if resumable and splitter.pending_bytes:
         raise AttemptFailure(
             detail="the stream ended within an event",
             verdict=Verdict.MAY_HAVE_RUN,
--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -39,6 +39,7 @@
     STALL = "a stream that stops after its first event"
     UNFRAMED = "a response that ends when the connection closes"
     UNFRAMED_RESET = "a response without a length, ended by a reset"
+    UNFRAMED_CUT = "a stream without a length that is closed within an event"
     NOT_HTTP = "bytes that are not HTTP"
     EXTRA_BYTES = "a response followed by extra bytes"
     LATE_SECOND = "a second response, some time after the first"
@@ -52,6 +53,10 @@
     STALL_WITH_BYTES = "a stream whose second event comes byte by byte, without end"
 
 
+_UNFRAMED_FAULTS = (Fault.UNFRAMED, Fault.UNFRAMED_RESET, Fault.UNFRAMED_CUT)
+_CUT_STREAM_FAULTS = (Fault.CUT_STREAM, Fault.UNFRAMED_RESET, Fault.UNFRAMED_CUT)
+
+
 class ReceivedRequest(msgspec.Struct, kw_only=True):
     """A request as the target received it; header names are in lower case."""
 
@@ -268,7 +273,10 @@
         fault: Fault | None,
         disconnected: "asyncio.Future[None]",
     ) -> bool:
-        extra_header = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"
+        framed = fault not in _UNFRAMED_FAULTS
+        extra_header = "Content-Type: text/event-stream"
+        if framed:
+            extra_header += "\r\nTransfer-Encoding: chunked"
         writer.write(self._response_head(req, 200, extra_header))
         req.expected_body = b"".join(map(_event, range(1, self.events + 1)))
         first = int(req.headers.get("last-event-id", "0")) + 1
@@ -285,14 +293,18 @@
                     await asyncio.wait([disconnected], timeout=_STALL_BYTE_SECONDS)
                 return False
             event = _event(number)
-            if fault is Fault.CUT_STREAM and number > first:
-                writer.write(_chunk(event[: len(event) // 2]))
+            if fault in _CUT_STREAM_FAULTS and number > first:
+                part = event[: len(event) // 2]
+                writer.write(_chunk(part) if framed else part)
                 await writer.drain()
                 await asyncio.sleep(0.02)
+                if fault is Fault.UNFRAMED_RESET:
+                    _reset(writer)
                 return False
-            writer.write(_chunk(event))
-        writer.write(b"0" + _HEADER_END)
-        return True
+            writer.write(_chunk(event) if framed else event)
+        if framed:
+            writer.write(b"0" + _HEADER_END)
+        return framed
 
     def _response_head(
         self,
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -17,6 +17,7 @@
 
 from pimentospool.gateway import AnswerHead, RoutingState, SharedBounds
 from pimentospool.gateway._attempts import AttemptLoop
+from pimentospool.gateway._connections import BodyEnd
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._fleet_messages import ServiceLoad
@@ -49,6 +50,7 @@
 class CannedStream:
     def __init__(self, head):
         self.head = AnswerHead(*head)
+        self.body_end = BodyEnd.LENGTH
 
     async def wait_head(self):
         return self.head
--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -3,9 +3,11 @@
 import asyncio
 import time
 
+import logbook
 import pytest
 from platform_site import running_site
 
+from pimentospool.log import Event
 from pimentospool.standins import Fault
 
 SEAL = "X-Response-Seal"
@@ -421,3 +423,23 @@
             assert headers[SEAL].startswith("d-2.")
 
     run_with_site(runner, tmp_path, check, second=True)
+
+
+@pytest.mark.parametrize(
+    ("fault", "body_end"),
+    [(None, "chunks"), (Fault.UNFRAMED, "close of the connection")],
+)
+def test_log_says_what_ended_the_body_of_a_response(runner, tmp_path, fault, body_end):
+    async def check(site):
+        site.targets["m-1"].faults = [fault]
+        with logbook.TestHandler().applicationbound() as handler:
+            await site.call("/plan/", method="POST", data=b"p")
+        [served] = [
+            record.extra["fields"]
+            for record in handler.records
+            if record.extra["event"] is Event.REQUEST_SERVED
+        ]
+        assert served["body_end"] == body_end
+        assert served["unfinished_event_bytes"] == 0
+
+    run_with_site(runner, tmp_path, check)
