--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -3,11 +3,13 @@
 import asyncio
 import time
 
+import aiohttp
 import logbook
 import pytest
-from platform_site import running_site
+from platform_site import WAIT_TIMEOUT_SECONDS, running_site
 
 from pimentospool.log import Event
+from pimentospool.policy import EntryState
 from pimentospool.standins import Fault
 
 SEAL = "X-Response-Seal"
@@ -316,6 +318,31 @@
     run_with_site(runner, tmp_path, check)
 
 
+@pytest.mark.parametrize("hops", [0, 1])
+@pytest.mark.parametrize("fault", [Fault.UNFRAMED_CUT, Fault.UNFRAMED_RESET])
+def test_unframed_stream_closed_within_an_event_does_not_look_complete(
+    runner, tmp_path, fault, hops
+):
+    async def run():
+        async with running_site(tmp_path, zones=("gulf-a", "delta-a")) as site:
+            zone = "delta-a" if hops else "gulf-a"
+            target = await site.add_target("m-1", service="llm", events=5, zone=zone)
+            await site.wait_until(
+                lambda: all(
+                    node.gateway.state is EntryState.READY for node in site.nodes
+                )
+            )
+            async with asyncio.timeout(WAIT_TIMEOUT_SECONDS):
+                while (await site.call("/plan/", method="POST"))[0] != 200:
+                    await asyncio.sleep(0.02)
+            target.faults = [fault]
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await site.call("/plan/", method="POST", data=b"p", request_id="r-2")
+            assert count_runs(site, "r-2") == 1
+
+    runner.run(run())
+
+
 def test_disconnect_of_the_caller_cancels_the_request_at_the_target(runner, tmp_path):
     async def check(site):
         site.targets["m-1"].gap_seconds = 0.2
