--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -137,7 +137,7 @@
             attempts=self._progress.attempts + 1,
             events=self._progress.chunks_sent,
             body_end=self._body_end_name(),
-            unfinished_event_bytes=self._progress.unfinished_event_bytes,
+            within_event=self._progress.within_event,
             first_event_seconds=self._first_event_seconds(),
             seconds=self._elapsed_seconds(),
         )
@@ -245,10 +245,10 @@
             cause=exc.cause.value,
             detail=exc.detail,
             body_end=self._body_end_name(),
-            unfinished_event_bytes=progress.unfinished_event_bytes,
+            within_event=progress.within_event,
             attempt=progress.attempts,
         )
-        progress.body_end, progress.unfinished_event_bytes = None, 0
+        progress.body_end, progress.within_event = None, False
 
     def _body_end_name(self) -> str | None:
         body_end = self._progress.body_end
--- a/pimentospool/gateway/_progress.py
+++ b/pimentospool/gateway/_progress.py
@@ -38,8 +38,8 @@
         """Chunks of a stream that were sent to the caller."""
         self.body_end: BodyEnd | None = None
         """What tells the end of the last response's body."""
-        self.unfinished_event_bytes = 0
-        """Bytes of an incomplete event at the end of the stream received so far."""
+        self.within_event = False
+        """Whether the last event of the stream received so far is incomplete."""
         self.first_event_at: float | None = None
         self.last_progress_at = 0.0
         """Time of the last chunk, or of the request's arrival before the first one."""
--- a/pimentospool/gateway/_relay.py
+++ b/pimentospool/gateway/_relay.py
@@ -3,11 +3,16 @@
 import asyncio
 from collections.abc import Callable
 
-from pimentospool.gateway._connections import AnswerHead, AnswerStream
+from pimentospool.gateway._connections import AnswerHead, AnswerStream, BodyEnd
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._replies import Reply
 from pimentospool.policy import Assignment
-from pimentospool.targets import AttemptFailure, EventSplitter, FailureCause
+from pimentospool.targets import (
+    AttemptFailure,
+    EventBoundary,
+    EventSplitter,
+    FailureCause,
+)
 from pimentospool.verdicts import Verdict
 
 MAX_PENDING_EVENT_BYTES = 256 * 1024
@@ -29,7 +34,9 @@
 
     Only complete events of a resumable stream are relayed, so that another target can
     continue after the last one. The head is sent with the first bytes of the body, so
-    that a failure before them can still be reported with its own status.
+    that a failure before them can still be reported with its own status. A stream is
+    complete only if it ends after a complete event, as a target that fails may end its
+    body by closing the connection.
 
     Parameters
     ----------
@@ -59,7 +66,8 @@
     TimeoutError
         If no event arrives within `stall_timeout_seconds`.
     """
-    splitter = EventSplitter()
+    splitter = EventSplitter() if resumable else None
+    boundary = EventBoundary()
     last_event_at = clock()
     while True:
         timeout_seconds = None
@@ -68,14 +76,13 @@
         chunk = await _read_chunk(stream, timeout_seconds)
         if not chunk:
             break
-        batch = splitter.feed(chunk)
-        progress.unfinished_event_bytes = splitter.pending_bytes
-        if resumable:
+        boundary.feed(chunk)
+        progress.within_event = boundary.within_event
+        if splitter is not None:
+            batch = splitter.feed(chunk)
             if splitter.pending_bytes > MAX_PENDING_EVENT_BYTES:
-                raise AttemptFailure(
-                    detail=f"an event is longer than {MAX_PENDING_EVENT_BYTES} bytes",
-                    verdict=Verdict.MAY_HAVE_RUN,
-                    cause=FailureCause.BROKEN,
+                raise _broken_off(
+                    f"an event is longer than {MAX_PENDING_EVENT_BYTES} bytes"
                 )
             if batch is None:
                 continue
@@ -91,17 +98,21 @@
         if progress.first_event_at is None:
             progress.first_event_at = progress.last_progress_at
         await reply.write(chunk)
-    if resumable and splitter.pending_bytes:
-        raise AttemptFailure(
-            detail="the stream ended within an event",
-            verdict=Verdict.MAY_HAVE_RUN,
-            cause=FailureCause.BROKEN,
-        )
+    if boundary.within_event or (splitter is not None and splitter.pending_bytes):
+        raise _broken_off("the stream ended within an event")
+    if boundary.empty and stream.body_end is BodyEnd.CLOSE:
+        raise _broken_off("the connection was closed before the first event")
     if not reply.started:
         await reply.start_stream(head)
     await reply.end_stream()
 
 
+def _broken_off(detail: str) -> AttemptFailure:
+    return AttemptFailure(
+        detail=detail, verdict=Verdict.MAY_HAVE_RUN, cause=FailureCause.BROKEN
+    )
+
+
 async def _read_chunk(stream: AnswerStream, timeout_seconds: float | None) -> bytes:
     if timeout_seconds is None:
         return await stream.read()
--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -40,6 +40,7 @@
     UNFRAMED = "a response that ends when the connection closes"
     UNFRAMED_RESET = "a response without a length, ended by a reset"
     UNFRAMED_CUT = "a stream without a length that is closed within an event"
+    UNFRAMED_EMPTY = "a stream without a length that is closed before its first event"
     NOT_HTTP = "bytes that are not HTTP"
     EXTRA_BYTES = "a response followed by extra bytes"
     LATE_SECOND = "a second response, some time after the first"
@@ -53,7 +54,12 @@
     STALL_WITH_BYTES = "a stream whose second event comes byte by byte, without end"
 
 
-_UNFRAMED_FAULTS = (Fault.UNFRAMED, Fault.UNFRAMED_RESET, Fault.UNFRAMED_CUT)
+_UNFRAMED_FAULTS = (
+    Fault.UNFRAMED,
+    Fault.UNFRAMED_RESET,
+    Fault.UNFRAMED_CUT,
+    Fault.UNFRAMED_EMPTY,
+)
 _CUT_STREAM_FAULTS = (Fault.CUT_STREAM, Fault.UNFRAMED_RESET, Fault.UNFRAMED_CUT)
 
 
@@ -278,6 +284,8 @@
         if framed:
             extra_header += "\r\nTransfer-Encoding: chunked"
         writer.write(self._response_head(req, 200, extra_header))
+        if fault is Fault.UNFRAMED_EMPTY:
+            return False
         req.expected_body = b"".join(map(_event, range(1, self.events + 1)))
         first = int(req.headers.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
--- a/pimentospool/targets/__init__.py
+++ b/pimentospool/targets/__init__.py
@@ -1,7 +1,7 @@
 """HTTP client for targets and for entry VMs of other regions."""
 
 from pimentospool.targets._client import HOP_TIMEOUT_FACTOR, ExchangeClient
-from pimentospool.targets._events import EventBatch, EventSplitter
+from pimentospool.targets._events import EventBatch, EventBoundary, EventSplitter
 from pimentospool.targets._exchange import (
     EVENT_STREAM,
     LAST_EVENT_HEADER,
@@ -25,6 +25,7 @@
     "Answer",
     "AttemptFailure",
     "EventBatch",
+    "EventBoundary",
     "EventSplitter",
     "Exchange",
     "ExchangeClient",
--- a/pimentospool/targets/_events.py
+++ b/pimentospool/targets/_events.py
@@ -11,6 +11,9 @@
 DONE_EVENT = b"data: [DONE]"
 ERROR_EVENT = b"event: error"
 MAX_EVENT_BYTES = 1024 * 1024
+_BLANK_LINE_ENDS = (b"\n\n", b"\r\r", b"\n\r", b"\n\r\n", b"\r\r\n")
+"""Ends of a blank line, by which an event ends; a line ends in CR, LF or both."""
+_LONGEST_BLANK_LINE_END = max(map(len, _BLANK_LINE_ENDS))
 _ID_FIELD = re.compile(rb"(?:^|\n)id: ?(\d{1,18})\r?\n")
 
 
@@ -87,6 +90,27 @@
         return EventBatch(data=data[:end])
 
 
+class EventBoundary:
+    """Tells whether a stream has ended after a complete event, without buffering it."""
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    def feed(self, chunk: bytes) -> None:
+        """Add a chunk of the stream."""
+        self._tail = (self._tail + chunk)[-_LONGEST_BLANK_LINE_END:]
+
+    @property
+    def empty(self) -> bool:
+        """Whether the stream has no bytes so far."""
+        return not self._tail
+
+    @property
+    def within_event(self) -> bool:
+        """Whether the last event is incomplete."""
+        return not self.empty and not self._tail.endswith(_BLANK_LINE_ENDS)
+
+
 def _end_of_last(data: bytes, separator: bytes) -> int:
     position = data.rfind(separator)
     return position + len(separator) if position >= 0 else 0
--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -343,6 +343,27 @@
     runner.run(run())
 
 
+def test_unframed_stream_closed_before_its_first_event_is_a_failure(runner, tmp_path):
+    async def check(site):
+        site.targets["m-1"].faults = [Fault.UNFRAMED_EMPTY]
+        status, headers, _ = await site.call("/plan/", method="POST", data=b"p")
+        assert status == 502
+        assert SEAL not in headers
+
+    run_with_site(runner, tmp_path, check)
+
+
+@pytest.mark.parametrize("path", ["/plan/", "/ask/"])
+def test_whole_unframed_stream_is_complete_after_a_clean_close(runner, tmp_path, path):
+    async def check(site):
+        site.targets["m-1"].faults = [Fault.UNFRAMED]
+        status, _, body = await site.call(path, method="POST", data=b"p")
+        assert status == 200
+        assert body == site.targets["m-1"].received[0].expected_body
+
+    run_with_site(runner, tmp_path, check)
+
+
 def test_disconnect_of_the_caller_cancels_the_request_at_the_target(runner, tmp_path):
     async def check(site):
         site.targets["m-1"].gap_seconds = 0.2
@@ -467,6 +488,6 @@
             if record.extra["event"] is Event.REQUEST_SERVED
         ]
         assert served["body_end"] == body_end
-        assert served["unfinished_event_bytes"] == 0
+        assert served["within_event"] is False
 
     run_with_site(runner, tmp_path, check)
--- a/tests/targets/test_events.py
+++ b/tests/targets/test_events.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pimentospool.targets import EventBatch, EventSplitter
+from pimentospool.targets import EventBatch, EventBoundary, EventSplitter
 
 TEXTS = st.text(alphabet="ab \n\r:", max_size=8).map(
     lambda text: text.replace("\n", "").replace("\r", "").encode()
@@ -52,3 +52,23 @@
     batch = EventBatch(data=b"id: 4\ndata: x\n\nid: 5\ndata: y\n\n")
     assert batch.without_event(4).data == b"id: 5\ndata: y\n\n"
     assert batch.without_event(5) is batch
+
+
+@settings(max_examples=200, derandomize=True)
+@given(
+    newline=st.sampled_from([b"\n", b"\r\n", b"\r"]),
+    count=st.integers(1, 3),
+    length=st.integers(1, 60),
+    chunk_size=st.integers(1, 7),
+)
+def test_boundary_is_known_at_each_length_of_a_stream(
+    newline, count, length, chunk_size
+):
+    event = newline.join([b"id: 1", b"data: x", b"", b""])
+    stream = (event * count)[:length]
+    boundary = EventBoundary()
+    for start in range(0, len(stream), chunk_size):
+        boundary.feed(stream[start : start + chunk_size])
+    blank_line_begun = len(newline) == 2 and len(stream) % len(event) == len(event) - 1
+    ends_after_event = len(stream) % len(event) == 0 or blank_line_begun
+    assert boundary.within_event is not ends_after_event
