--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -174,6 +174,7 @@
         self._headers: Headers = []
         self._ignoring_message = False
         self._must_close = False
+        self._peer_closed = False
         self._paused = False
         self._received_bytes = 0
         """Bytes received since the last request was sent."""
@@ -253,15 +254,16 @@
 
     def eof_received(self) -> bool:
         """Close the connection when the peer has closed it."""
+        self._peer_closed = True
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the response: as complete only if the close marks the end of its body."""
+        """End the response: as complete only if the peer's close ends its body."""
         self.closed = True
         stream, self._stream = self._stream, None
         if stream is not None and not stream.complete:
             ends_by_close = stream.body_end is BodyEnd.CLOSE
-            if exc is None and ends_by_close and not self._ignoring_message:
+            if exc is None and self._peer_closed and ends_by_close:
                 stream.finish()
             else:
                 reason = "" if exc is None else f": {type(exc).__name__}"
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -159,3 +159,29 @@
             return await exchange(make_pool(server))
 
     assert runner.run(run()) is None
+
+
+@pytest.mark.parametrize("ended_by", ["peer", "gateway"])
+def test_unframed_body_is_complete_only_if_the_peer_closed(runner, ended_by):
+    async def script(server, reader, writer):
+        await server.read_request(reader)
+        writer.write(OK + b"\r\nabc")
+        await writer.drain()
+        if ended_by == "gateway":
+            await reader.read()
+
+    async def run():
+        async with RawServer(script) as server:
+            conn = await make_pool(server).acquire()
+            stream = conn.send(make_request())
+            await stream.wait_head()
+            body = await stream.read()
+            if ended_by == "gateway":
+                conn.close()
+            return body, await stream.read()
+
+    if ended_by == "peer":
+        assert runner.run(run()) == (b"abc", b"")
+    else:
+        with pytest.raises(AttemptFailure):
+            runner.run(run())
