--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -6,7 +6,7 @@
 import time
 import traceback
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
 from pimentospool.gateway import (
@@ -34,6 +34,7 @@
     TOKEN_COUNT_HEADER,
 )
 from pimentospool.platform._numbers import parse_count, parse_duration
+from pimentospool.sockets import set_reset_on_close
 from pimentospool.verdicts import Verdict
 
 KEEP_ALIVE_TIMEOUT_SECONDS = 120.0
@@ -233,6 +234,7 @@
         self._close_if_leaving(self.resp)
         self.started = True
         await self.resp.prepare(self._http)
+        self._set_reset_on_close(enabled=True)
 
     async def write(self, data: bytes) -> None:
         """Send a chunk of a streamed response."""
@@ -243,6 +245,7 @@
         """End a streamed response as complete."""
         assert self.resp is not None
         await self.resp.write_eof()
+        self._set_reset_on_close(enabled=False)
 
     async def refuse(self, refusal: Refusal) -> None:
         """Send a response of the gateway itself that ends the request."""
@@ -283,6 +286,12 @@
         await resp.prepare(self._http)
         await resp.write_eof()
 
+    def _set_reset_on_close(self, *, enabled: bool) -> None:
+        transport = self._http.transport
+        # HTTP/1.0 has no chunks: a close without a reset is the end of a stream.
+        if self._http.version < HttpVersion11 and transport is not None:
+            set_reset_on_close(transport, enabled=enabled)
+
     def _close_if_leaving(self, resp: web.StreamResponse) -> None:
         if self._gateway.state in (EntryState.LEAVING, EntryState.CLOSED):
             resp.force_close()
--- a/pimentospool/sockets.py
+++ b/pimentospool/sockets.py
@@ -1,6 +1,9 @@
 """TCP sockets whose connections time out when the other side stops responding."""
 
+import asyncio
+import os
 import socket
+import struct
 
 UNACKNOWLEDGED_TIMEOUT_MS = 1500
 """Time after which the kernel closes a connection whose bytes are unacknowledged."""
@@ -23,3 +26,12 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     return sock
+
+
+def set_reset_on_close(transport: asyncio.BaseTransport, *, enabled: bool) -> None:
+    """Set whether a close of the connection resets it and discards unsent bytes."""
+    # uvloop exposes no option of the socket; a duplicate shares them.
+    fileno = os.dup(transport.get_extra_info("socket").fileno())
+    with socket.socket(fileno=fileno) as sock:
+        linger = struct.pack("ii", enabled, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -8,17 +8,15 @@
 
 import asyncio
 import contextlib
-import os
-import socket
-import struct
 import time
 from enum import Enum
 
 import msgspec
 
+from pimentospool.sockets import set_reset_on_close
+
 _CRLF = b"\r\n"
 _HEADER_END = b"\r\n\r\n"
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 HEALTH_PATH = "/healthz"
 _ENDLESS_CHUNK_BYTES = 16 * 1024
 _STALL_BYTE_SECONDS = 0.2
@@ -341,9 +339,7 @@
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Close the connection with a reset; an abort alone may close it gracefully."""
-    fileno = os.dup(writer.get_extra_info("socket").fileno())
-    with socket.socket(fileno=fileno) as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    set_reset_on_close(writer.transport, enabled=True)
     writer.transport.abort()
 
 
--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -491,3 +491,30 @@
         assert served["within_event"] is False
 
     run_with_site(runner, tmp_path, check)
+
+
+def test_interrupted_stream_does_not_look_complete_to_an_http_1_0_caller(
+    runner, tmp_path
+):
+    async def call(site, request_id):
+        front = site.nodes[0].cfg.front
+        reader, writer = await asyncio.open_connection(front.host, front.port)
+        writer.write(
+            b"POST /plan/ HTTP/1.0\r\nHost: shop.example\r\nX-Request-Id: "
+            + request_id
+            + b"\r\nContent-Length: 1\r\n\r\np"
+        )
+        try:
+            async with asyncio.timeout(WAIT_TIMEOUT_SECONDS):
+                return await reader.read()
+        finally:
+            writer.close()
+
+    async def check(site):
+        body = await call(site, b"r-1")
+        assert body.count(b"\nid: ") == 5
+        site.targets["m-1"].faults = [Fault.CUT_STREAM]
+        with pytest.raises(ConnectionResetError):
+            await call(site, b"r-2")
+
+    run_with_site(runner, tmp_path, check)
