--- a/pimentospool/targets/_exchange.py
+++ b/pimentospool/targets/_exchange.py
@@ -162,7 +162,9 @@
 
     def _require_framing(self) -> None:
         headers = self._resp.headers
-        if "Content-Length" in headers or "Transfer-Encoding" in headers:
+        codings = headers.get("Transfer-Encoding", "").lower()
+        # Any other last coding ends with the connection (RFC 9112, section 6.3).
+        if "Content-Length" in headers or codings.endswith("chunked"):
             return
         if self._resp.status not in (204, 304):
             raise _broken_exchange("the answer does not say how long it is")
--- a/tests/targets/test_exchange_client.py
+++ b/tests/targets/test_exchange_client.py
@@ -149,6 +149,7 @@
         CHUNKED + b"5\r\nshort\r\n",
         CHUNKED + b"ff\r\nshort",
         b"HTTP/1.1 200 OK\r\n\r\nwith no length",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: x\r\n\r\nwith no chunks",
         http_response(headers=b"Content-Encoding: gzip\r\n"),
         http_response(status=b"500 Oops"),
         http_response(status=b"503 Busy"),
