--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -246,10 +246,16 @@
             detail=exc.detail,
             body_end=self._body_end_name(),
             within_event=progress.within_event,
+            events=progress.chunks_sent,
+            shared_parts=self._shared_parts(),
             attempt=progress.attempts,
         )
         progress.body_end, progress.within_event = None, False
 
+    def _shared_parts(self) -> list[str]:
+        prompt = self._req.prompt
+        return [] if prompt is None else [part.id for part in prompt.shared_parts]
+
     def _body_end_name(self) -> str | None:
         body_end = self._progress.body_end
         return None if body_end is None else body_end.value
--- a/pimentospool/gateway/_model.py
+++ b/pimentospool/gateway/_model.py
@@ -145,6 +145,11 @@
     max_output_tokens: int
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Parts that other requests may share: all but the last."""
+        return self.parts[:-1]
+
     @property
     def shared_key(self) -> str:
         """Id of the last part that other requests may share.
