--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -81,6 +81,12 @@
         """Request id set by the caller."""
         return self.headers.get("x-request-id", "")
 
+    @property
+    def shared_parts(self) -> list[str]:
+        """Parts of the prompt, without the last."""
+        parts = self.headers.get("x-prompt-prefix", "").split(",")
+        return [part.partition(":")[0] for part in parts[:-1]]
+
 
 class SigningTarget:
     """A target on a loopback address.
@@ -97,6 +103,11 @@
         Pause before each event, or before a single body.
     connections : int
         Number of connections accepted so far.
+    crash_part : str
+        Part of a prompt, not its last, under which the target crashes as it begins to
+        answer; with an empty one it never does.
+    crashed_at : float or None
+        Monotonic time in seconds at which it crashed.
     """
 
     def __init__(self, *, instance: str, events: int = 0) -> None:
@@ -107,8 +118,11 @@
         self.received: list[ReceivedRequest] = []
         self.connections = 0
         self.cold_remaining_ms = 0
+        self.crash_part = ""
+        self.crashed_at: float | None = None
         self.address = ""
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     @property
     def executed_requests(self) -> list[ReceivedRequest]:
@@ -126,13 +140,23 @@
         if self._server is not None:
             self._server.close()
 
+    def _crash(self) -> None:
+        """Stop listening and cut every connection."""
+        self.crashed_at = time.monotonic()
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self._writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while await self._serve_request(reader, writer):
                 pass
+        self._writers.discard(writer)
         writer.close()
 
     async def _serve_request(
@@ -278,6 +302,9 @@
         disconnected: "asyncio.Future[None]",
     ) -> bool:
         framed = fault not in _UNFRAMED_FAULTS
+        if self.crash_part in req.shared_parts:
+            self._crash()
+            return False
         extra_header = "Content-Type: text/event-stream"
         if framed:
             extra_header += "\r\nTransfer-Encoding: chunked"
