--- a/pimentospool/bench/_heartbeats.py
+++ b/pimentospool/bench/_heartbeats.py
@@ -17,7 +17,7 @@
 from pimentospool.gateway._model import Address
 from pimentospool.gateway._target_reports import ReportExchange
 from pimentospool.ids import TargetId
-from pimentospool.policy import EntryState, OccupancyBook
+from pimentospool.policy import CrashSuspects, EntryState, OccupancyBook
 
 CYCLE_ROUNDS = REGION_ROUNDS * SEED_ROUNDS
 """The pattern of receivers repeats after this many rounds."""
@@ -119,7 +119,11 @@
         receive_position=lambda record, position, age: None,
     )
     return HeartbeatLoop(
-        fleet=fleet, reports=reports, seeds=[], refresh_loads=lambda: None
+        fleet=fleet,
+        reports=reports,
+        seeds=[],
+        refresh_loads=lambda: None,
+        suspects=CrashSuspects(clock=clock),
     )
 
 
--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -10,7 +10,6 @@
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._relay import relay_stream
 from pimentospool.gateway._replies import Reply
-from pimentospool.policy import Assignment
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
@@ -81,8 +80,10 @@
     async def receive(
         self,
         stream: AnswerStream,
-        assignment: Assignment | None,
+        *,
+        from_target: bool,
         head_timeout_seconds: float,
+        on_event: Callable[[], None] = lambda: None,
     ) -> None:
         """Relay the response to the caller if it answers the request.
 
@@ -90,10 +91,12 @@
         ----------
         stream : AnswerStream
             The response.
-        assignment : Assignment or None
-            The request's assignment to a target; None if an entry VM responds.
+        from_target : bool
+            Whether a target responds, not an entry VM.
         head_timeout_seconds : float
             Longest wait for the status and headers.
+        on_event : callable
+            Called for each part of a stream that arrives.
 
         Raises
         ------
@@ -107,8 +110,7 @@
             raise self._timeout_failure(exc) from exc
         self._progress.body_end = stream.body_end
         dialect = self._deps.dialect
-        # Only a response from an entry VM has no assignment.
-        refusal = dialect.hop_refusal(head) if assignment is None else None
+        refusal = None if from_target else dialect.hop_refusal(head)
         if refusal is not None:
             self._progress.retry_after_seconds = dialect.retry_after_seconds(head)
             await self._drain_body(stream)
@@ -138,7 +140,6 @@
                 verdict=Verdict.MAY_HAVE_RUN,
                 cause=FailureCause.BROKEN,
             )
-        from_target = assignment is not None
         if (
             answer_class is AnswerClass.ERROR
             and from_target
@@ -163,22 +164,22 @@
                         self._progress,
                         resumable=self._route.resumable,
                         clock=self._deps.clock,
-                        assignment=assignment,
-                        stall_timeout_seconds=self._stall_timeout_seconds(assignment),
+                        on_event=on_event,
+                        stall_timeout_seconds=self._stall_timeout_seconds(from_target),
                     )
                 else:
                     await self._relay_whole_body(stream, answer_class)
         except TimeoutError as exc:
             raise self._timeout_failure(exc) from exc
 
-    def _stall_timeout_seconds(self, assignment: Assignment | None) -> float | None:
+    def _stall_timeout_seconds(self, from_target: bool) -> float | None:
         """Return the pause after which a stream is resumed at another target.
 
         None means that this entry VM doesn't resume it. For a stream served through
         another entry VM, that VM does.
         """
         can_resume = self._route.resumable and self._progress.targets_left > 1
-        if assignment is None or not can_resume:
+        if not (from_target and can_resume):
             return None
         return self._route.client_event_timeout_seconds * STALL_TIMEOUT_SHARE
 
--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -89,7 +89,13 @@
             raise _unsent_failure("the target was removed")
         assignment = deps.placement.begin_assignment(req, candidate)
         pool = deps.pools.target_pool(state.registration, self._service)
+        exposure = deps.crash_watch.expose(req.prompt)
         started_at = deps.clock()
+
+        def record_event() -> None:
+            assignment.first_event()
+            exposure.record_event()
+
         try:
             conn = await pool.acquire()
             try:
@@ -103,12 +109,18 @@
                 )
                 stream = conn.send(encoded)
                 await self._receiver.receive(
-                    stream, assignment, self._head_timeout_seconds()
+                    stream,
+                    from_target=True,
+                    on_event=record_event,
+                    head_timeout_seconds=self._head_timeout_seconds(),
                 )
                 assignment.first_event()
+                exposure.record_survival()
             except AttemptFailure as exc:
                 if exc.cause is FailureCause.SILENT:
                     pool.close_idle()
+                if conn.closed_by_peer:
+                    deps.crash_watch.connection_lost(state, pool, exposure)
                 raise
             finally:
                 pool.release(conn)
@@ -153,7 +165,9 @@
             progress.reached_target, progress.retry_granted = True, False
             stream = conn.send(self._make_encoded_request(data))
             try:
-                await self._receiver.receive(stream, None, remaining_seconds)
+                await self._receiver.receive(
+                    stream, from_target=False, head_timeout_seconds=remaining_seconds
+                )
             except HopRefusedError as exc:
                 if not exc.refusal.reached_target:
                     progress.reached_target, progress.retry_granted = (
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -14,11 +14,13 @@
 from pimentospool.gateway._outcomes import RoutedOutcome, RoutedResult
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._replies import Refusal, RefusalReason, Reply
+from pimentospool.ids import EntryId
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
     NoChoice,
     RegionChoice,
     TargetChoice,
+    rank_members,
 )
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
@@ -85,6 +87,10 @@
             if self.remaining_seconds <= DEADLINE_TOLERANCE_SECONDS:
                 await self._give_up("the request's time is over", None)
                 return
+            wait_seconds = self._quarantine_seconds()
+            if wait_seconds is not None:
+                await self._refuse_quarantined(wait_seconds)
+                return
             choice = deps.placement.choose(
                 self._req,
                 self._route,
@@ -272,6 +278,33 @@
             )
         return progress.retry_granted
 
+    def _quarantine_seconds(self) -> float | None:
+        """Return how long a part of the prompt must not be sent; None if it may be."""
+        prompt = self._req.prompt
+        if prompt is None:
+            return None
+        return self._deps.crash_suspects.wait_seconds(
+            [part.id for part in prompt.shared_parts], makes_trial=self._makes_trial
+        )
+
+    def _makes_trial(self, name: str) -> bool:
+        fleet = self._deps.fleet
+        ready = [EntryId(record.id) for record in fleet.ready()]
+        return rank_members(ready, purpose=name)[:1] == [fleet.local_id]
+
+    async def _refuse_quarantined(self, wait_seconds: float) -> None:
+        progress = self._progress
+        not_run = progress.verdict is Verdict.NOT_RUN
+        await self._refuse(
+            Refusal(
+                reason=RefusalReason.QUARANTINED if not_run else RefusalReason.FAILED,
+                verdict=progress.verdict,
+                detail="targets have crashed under a part of the prompt",
+                retry_after_seconds=wait_seconds if not_run else None,
+                reached_target=progress.reached_target,
+            )
+        )
+
     async def _give_up(self, detail: str, retry_after_seconds: float | None) -> None:
         refusal = self._progress.refusal(detail, retry_after_seconds)
         if (
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -189,6 +189,11 @@
         """Whether another request may be sent on this connection."""
         return not (self.closed or self._must_close or self._stream is not None)
 
+    @property
+    def closed_by_peer(self) -> bool:
+        """Whether the peer has closed or reset the connection."""
+        return self._peer_closed
+
     @property
     def busy(self) -> bool:
         """Whether a response is outstanding or unfinished."""
@@ -260,6 +265,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the response: as complete only if the peer's close ends its body."""
         self.closed = True
+        self._peer_closed |= isinstance(exc, ConnectionError)
         stream, self._stream = self._stream, None
         if stream is not None and not stream.complete:
             ends_by_close = stream.body_end is BodyEnd.CLOSE
--- /dev/null
+++ b/pimentospool/gateway/_crash_watch.py
@@ -0,0 +1,129 @@
+"""Finds targets that crash, and the prompts that they had not answered yet."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from pimentospool.gateway._connection_pool import ConnectionPool
+from pimentospool.gateway._model import Prompt
+from pimentospool.gateway._routing_state import TargetState
+from pimentospool.ids import TargetId
+from pimentospool.log import Event, log_event
+from pimentospool.policy import SURVIVAL_SECONDS, CrashSuspects, TargetHealth
+from pimentospool.targets import AttemptFailure, FailureCause
+
+CRASH_CHECK_DELAY_SECONDS = 0.05
+"""Time from a lost connection to the check whether its target still accepts any. The
+other connections to a target that crashes are lost within milliseconds."""
+
+
+class Exposure:
+    """A prompt that was sent to a target, which may crash under it.
+
+    Parameters
+    ----------
+    parts : sequence of str
+        Shared parts of the prompt.
+    suspects : CrashSuspects
+        Told if the target survives them.
+    clock : callable
+        Returns a monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        parts: Sequence[str],
+        suspects: CrashSuspects,
+        clock: Callable[[], float],
+    ) -> None:
+        self.parts = parts
+        self.survived = not parts
+        self._suspects = suspects
+        self._clock = clock
+        self._first_event_at: float | None = None
+
+    def record_event(self) -> None:
+        """Record an event of the response."""
+        if self.survived:
+            return
+        now = self._clock()
+        if self._first_event_at is None:
+            self._first_event_at = now
+        elif now - self._first_event_at >= SURVIVAL_SECONDS:
+            self.record_survival()
+
+    def record_survival(self) -> None:
+        """Record that the target has answered and is still alive."""
+        if not self.survived:
+            self.survived = True
+            self._suspects.record_survival(self.parts)
+
+
+class CrashWatch:
+    """Checks targets whose connections were lost, and reports those that crashed.
+
+    Parameters
+    ----------
+    suspects : CrashSuspects
+        Told the prompts under which a target crashed.
+    health : callable
+        Returns the health of a target.
+    clock : callable
+        Returns a monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        suspects: CrashSuspects,
+        health: Callable[[TargetId], TargetHealth],
+        clock: Callable[[], float],
+    ) -> None:
+        self._suspects = suspects
+        self._health = health
+        self._clock = clock
+        self._lost: dict[str, list[Sequence[str]]] = {}
+        """Prompts by the start of the target that is being checked."""
+        self._checks: set[asyncio.Task[None]] = set()
+
+    def expose(self, prompt: Prompt | None) -> Exposure:
+        """Return a record of `prompt`, which is about to be sent to a target."""
+        parts = [] if prompt is None else [part.id for part in prompt.shared_parts]
+        return Exposure(parts=parts, suspects=self._suspects, clock=self._clock)
+
+    def connection_lost(
+        self, state: TargetState, pool: ConnectionPool, exposure: Exposure
+    ) -> None:
+        """Check whether the target crashed that closed the connection of a request."""
+        if exposure.survived:
+            return
+        start = f"{state.id}/{state.registration.started_at}"
+        if start in self._lost:
+            self._lost[start].append(exposure.parts)
+            return
+        self._lost[start] = [exposure.parts]
+        check = asyncio.create_task(self._check(start, state.id, pool))
+        self._checks.add(check)
+        check.add_done_callback(self._checks.discard)
+
+    async def _check(self, start: str, target: TargetId, pool: ConnectionPool) -> None:
+        try:
+            await asyncio.sleep(CRASH_CHECK_DELAY_SECONDS)
+            try:
+                pool.release(await pool.acquire())
+            except AttemptFailure as exc:
+                if exc.cause is not FailureCause.UNREACHABLE:
+                    return
+            else:
+                return
+            prompts = self._lost[start]
+            self._health(target).record_connect_failure()
+            log_event(
+                Event.TARGET_CRASHED,
+                target=target,
+                start=start,
+                unanswered_prompts=len(prompts),
+            )
+            self._suspects.record_crash(start, prompts)
+        finally:
+            del self._lost[start]
--- a/pimentospool/gateway/_dependencies.py
+++ b/pimentospool/gateway/_dependencies.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 
+from pimentospool.gateway._crash_watch import CrashWatch
 from pimentospool.gateway._dialect import TargetDialect
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._outcomes import RoutedOutcome
@@ -10,7 +11,8 @@
 from pimentospool.gateway._pools import ConnectionPools
 from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.ids import ServiceId
-from pimentospool.policy import SharedRetryBudget
+from pimentospool.log import Event, log_event
+from pimentospool.policy import CrashSuspects, SharedRetryBudget
 from pimentospool.signals import Signal
 
 
@@ -62,6 +64,16 @@
         self.request_ended: Signal[RoutedOutcome] = Signal(name="request_ended")
         self._bounds = bounds
         self.regions = regions
+        self.crash_suspects = CrashSuspects(
+            clock=clock,
+            on_quarantine=lambda part, crashes: log_event(
+                Event.PART_QUARANTINED, part=f"{part:08x}", crashes=crashes
+            ),
+            on_release=lambda part: log_event(Event.PART_RELEASED, part=f"{part:08x}"),
+        )
+        self.crash_watch = CrashWatch(
+            suspects=self.crash_suspects, health=placement.health, clock=clock
+        )
         self._retry_budgets: dict[ServiceId, SharedRetryBudget] = {}
 
     def retry_budget(self, service: ServiceId) -> SharedRetryBudget:
--- a/pimentospool/gateway/_fleet_messages.py
+++ b/pimentospool/gateway/_fleet_messages.py
@@ -11,7 +11,7 @@
 from pimentospool.gateway._facts import FactPosition
 from pimentospool.gateway._model import Address
 from pimentospool.ids import MemberKey, TargetId
-from pimentospool.policy import Occupancy
+from pimentospool.policy import CrashEvidence, Occupancy
 
 _KEY_BYTES = 4
 _VALUE_BYTES = 2
@@ -107,6 +107,12 @@
     """Time since the source last responded to the sender."""
 
 
+class CrashMessage(msgspec.Struct, array_like=True, tag=3):
+    """Evidence on the parts of prompts under which targets crash."""
+
+    evidence: CrashEvidence
+
+
 def encode_vector(keys: Sequence[int], values: Sequence[int]) -> bytes:
     """Return all keys (32 bits each), followed by all values (16 bits each)."""
     return struct.pack(f"<{len(keys)}I{len(values)}H", *keys, *values)
--- a/pimentospool/gateway/_heartbeats.py
+++ b/pimentospool/gateway/_heartbeats.py
@@ -6,10 +6,15 @@
 import msgspec
 
 from pimentospool.gateway._fleet import LOAD_ROUNDS, Fleet
-from pimentospool.gateway._fleet_messages import GossipMessage, ReportMessage
+from pimentospool.gateway._fleet_messages import (
+    CrashMessage,
+    GossipMessage,
+    ReportMessage,
+)
 from pimentospool.gateway._model import Address
 from pimentospool.gateway._target_reports import ReportExchange
 from pimentospool.log import Event, log_event
+from pimentospool.policy import CrashSuspects
 
 INTERVAL_SECONDS = 0.2
 """Time between rounds; limits the age of the load known of peers."""
@@ -34,6 +39,8 @@
         Addresses of entry VMs to contact first.
     refresh_loads : callable
         Updates the load that other regions are told.
+    suspects : CrashSuspects
+        Parts of prompts under which targets crash, shared by all entry VMs.
     """
 
     def __init__(
@@ -43,14 +50,18 @@
         reports: ReportExchange,
         seeds: Sequence[Address],
         refresh_loads: Callable[[], None],
+        suspects: CrashSuspects,
     ) -> None:
+        self._suspects = suspects
         self.seeds = list(seeds)
         self._fleet = fleet
         self._reports = reports
         self._refresh_loads = refresh_loads
         self._transport: asyncio.DatagramTransport | None = None
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(GossipMessage | ReportMessage)
+        self._decoder = msgspec.msgpack.Decoder(
+            GossipMessage | ReportMessage | CrashMessage
+        )
         self._round = 0
 
     async def start(self, address: Address) -> None:
@@ -74,6 +85,9 @@
         if isinstance(msg, ReportMessage):
             self._reports.receive(msg)
             return
+        if isinstance(msg, CrashMessage):
+            self._suspects.merge(msg.evidence)
+            return
         for reply in self._fleet.receive(msg):
             self._send(reply, [msg.sender.peer])
 
@@ -91,8 +105,12 @@
         fleet = self._fleet
         if self._round % LOAD_ROUNDS == 0:
             self._refresh_loads()
+        evidence = self._suspects.evidence()
         for gossip, receivers in fleet.next_round():
-            self._send(gossip, [record.peer for record in receivers])
+            addresses = [record.peer for record in receivers]
+            self._send(gossip, addresses)
+            if evidence is not None:
+                self._send(CrashMessage(evidence), addresses)
         for report, receivers in self._reports.next_round():
             self._send(report, [record.peer for record in receivers])
         if self._round % SEED_ROUNDS == 0 or not fleet.live():
@@ -110,7 +128,9 @@
         self._send(self._fleet.announcement(), [rec.peer for rec in receivers])
 
     def _send(
-        self, msg: GossipMessage | ReportMessage, addresses: Sequence[Address]
+        self,
+        msg: GossipMessage | ReportMessage | CrashMessage,
+        addresses: Sequence[Address],
     ) -> None:
         if self._transport is None or self._transport.is_closing() or not addresses:
             return
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -136,6 +136,7 @@
             reports=reports,
             seeds=cfg.seeds,
             refresh_loads=self._refresh_loads,
+            suspects=self.deps.crash_suspects,
         )
         self._view_server: asyncio.Server | None = None
         self.routing_state.configuration_adopted.connect(self._follow_configuration)
@@ -222,6 +223,11 @@
             "Other entry VMs that are alive.",
             lambda: len(self.fleet.live()),
         )
+        metrics.add_gauge(
+            "pimentospool_quarantined_parts",
+            "Parts of prompts that are kept from targets, as these crash under them.",
+            lambda: self.deps.crash_suspects.quarantined_count,
+        )
         return metrics
 
     def _configuration_version(self) -> int:
--- a/pimentospool/gateway/_relay.py
+++ b/pimentospool/gateway/_relay.py
@@ -6,7 +6,6 @@
 from pimentospool.gateway._connections import AnswerHead, AnswerStream, BodyEnd
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._replies import Reply
-from pimentospool.policy import Assignment
 from pimentospool.targets import (
     AttemptFailure,
     EventBoundary,
@@ -27,7 +26,7 @@
     *,
     resumable: bool,
     clock: Callable[[], float],
-    assignment: Assignment | None,
+    on_event: Callable[[], None],
     stall_timeout_seconds: float | None,
 ) -> None:
     """Relay a stream to `reply`; a resumed stream keeps the head of the first target.
@@ -52,8 +51,8 @@
         Whether another target can resume the stream.
     clock : callable
         Returns a monotonic time in seconds.
-    assignment : Assignment or None
-        The request's assignment to a target; None if an entry VM responds.
+    on_event : callable
+        Called for each part of the stream that is relayed.
     stall_timeout_seconds : float or None
         Longest pause between complete events of a resumable stream; None for no limit.
         Bytes that complete no event don't end a pause: a slow stream has events, a
@@ -89,8 +88,7 @@
             chunk = batch.data
             if batch.last_id is not None:
                 progress.last_event_id = batch.last_id
-        if assignment is not None:
-            assignment.first_event()
+        on_event()
         if not reply.started:
             await reply.start_stream(head)
         progress.chunks_sent += 1
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -49,6 +49,7 @@
 _STATUS_BY_REASON = {
     RefusalReason.NOT_CONFIGURED: 503,
     RefusalReason.OVERLOADED: 503,
+    RefusalReason.QUARANTINED: 503,
     RefusalReason.LEAVING: 503,
     RefusalReason.NO_ROUTE: 404,
     RefusalReason.TIMED_OUT: 504,
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -1,6 +1,12 @@
 """Decisions of the gateway: no input or output, no clock and no global random."""
 
 from pimentospool.policy._cached_parts import CachedParts, preferred_target
+from pimentospool.policy._crash_suspects import (
+    SURVIVAL_SECONDS,
+    CrashEvidence,
+    CrashSuspects,
+    part_key,
+)
 from pimentospool.policy._drills import DrillSchedule
 from pimentospool.policy._entries import rank_entries
 from pimentospool.policy._flights import RegionFlight, TargetFlight
@@ -57,11 +63,14 @@
 from pimentospool.policy._target_health import TargetHealth
 
 __all__ = [
+    "SURVIVAL_SECONDS",
     "Assignment",
     "CachedParts",
     "Candidate",
     "ChangeKind",
     "ColdStartLimiter",
+    "CrashEvidence",
+    "CrashSuspects",
     "CustomerLimiter",
     "DrillSchedule",
     "EntryState",
@@ -113,6 +122,7 @@
     "newer_member",
     "newer_report",
     "owner_gone",
+    "part_key",
     "preferred_target",
     "rank_entries",
     "rank_members",
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -62,6 +62,8 @@
 class CannedPool:
     """Pool and connection that gives the same response to every request."""
 
+    closed_by_peer = False
+
     def __init__(self, answer, sent):
         self._answer = answer
         self._sent = sent
--- a/tests/gateway/test_heartbeats.py
+++ b/tests/gateway/test_heartbeats.py
@@ -9,6 +9,7 @@
 
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._fleet_messages import (
+    CrashMessage,
     GossipMessage,
     ReportMessage,
     TargetReport,
@@ -16,7 +17,13 @@
 )
 from pimentospool.gateway._heartbeats import HeartbeatLoop
 from pimentospool.gateway._target_reports import ReportExchange
-from pimentospool.policy import EntryState, OccupancyBook
+from pimentospool.policy import (
+    CrashEvidence,
+    CrashSuspects,
+    EntryState,
+    OccupancyBook,
+)
+from pimentospool.policy._crash_suspects import PartAge, Sighting
 
 scalars = st.one_of(
     st.none(),
@@ -63,7 +70,11 @@
         receive_position=lambda record, position, age: None,
     )
     loop = HeartbeatLoop(
-        fleet=fleet, reports=reports, seeds=[], refresh_loads=lambda: None
+        fleet=fleet,
+        reports=reports,
+        seeds=[],
+        refresh_loads=lambda: None,
+        suspects=CrashSuspects(clock=clock),
     )
     loop.connection_made(SocketLikeTransport())
     return loop, clock
@@ -102,6 +113,13 @@
                     loads={},
                 ),
                 ReportMessage([TargetReport(1, 1, {"i-1": (1, 2, 3)})], to_relay=True),
+                CrashMessage(
+                    CrashEvidence(
+                        [Sighting(1, 2, 0, 9), Sighting(1, 3, 0, 900)],
+                        [PartAge(4, 100)],
+                        [PartAge(1, 50)],
+                    )
+                ),
             ]
         )
     )
--- /dev/null
+++ b/tests/policy/test_crash_suspects.py
@@ -0,0 +1,234 @@
+"""Quarantine of prompt parts under which targets crash, in a simulated fleet."""
+
+import heapq
+import itertools
+import random
+from collections import defaultdict
+
+import msgspec
+import pytest
+
+from pimentospool.policy import CrashSuspects, part_key
+
+CONTACT_SECONDS = 5.0
+ALLOWED_ARRIVALS = 3
+"""The platform's rule: requests with the part that reach targets later than
+`CONTACT_SECONDS` after the fifth crash."""
+GOSSIP_SECONDS = 0.2
+RECEIVERS = 3
+DATAGRAM_LOSS = 0.05
+DOWN_SECONDS = 3.0
+ANSWER_SECONDS = 1.0
+CRASH_SECONDS = 0.02
+SURVIVAL_SECONDS = 0.3
+BAD = "bad"
+
+
+class CrashingFleet:
+    """Entry VMs that send prompts to targets, some of which crash under a part."""
+
+    def __init__(self, *, entries, targets, seed):
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.entries = [CrashSuspects(clock=lambda: self.now) for _ in range(entries)]
+        self.down_until = [0.0] * targets
+        self.starts = [0] * targets
+        self.in_progress = defaultdict(dict)
+        """Unanswered prompts by target: request to entry VM and parts."""
+        self.crash_times = []
+        self.bad_arrivals = []
+        self.sound_results = []
+        """Time and whether a sound prompt was sent, for each."""
+        self.bad_part = BAD
+        self._events = []
+        self._ids = itertools.count()
+
+    def at(self, seconds, action, *args):
+        heapq.heappush(
+            self._events, (self.now + seconds, next(self._ids), action, args)
+        )
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, action, args = heapq.heappop(self._events)
+            action(*args)
+        self.now = end
+
+    def gossip(self):
+        for entry in self.entries:
+            evidence = entry.evidence()
+            if evidence is None:
+                continue
+            for receiver in self.rng.sample(self.entries, RECEIVERS):
+                if self.rng.random() > DATAGRAM_LOSS:
+                    self.at(self.rng.uniform(0.001, 0.06), receiver.merge, evidence)
+        self.at(GOSSIP_SECONDS, self.gossip)
+
+    def load(self, per_second, make_parts):
+        self.send(make_parts())
+        self.at(self.rng.expovariate(per_second), self.load, per_second, make_parts)
+
+    def send(self, parts):
+        number = self.rng.randrange(len(self.entries))
+        entry = self.entries[number]
+        live = [at for at, until in enumerate(self.down_until) if until <= self.now]
+        wait = entry.wait_seconds(parts, makes_trial=lambda name: number == 0)
+        is_bad = self.bad_part in parts
+        if not is_bad:
+            self.sound_results.append((self.now, wait is None))
+        if wait is not None or not live:
+            return
+        target, request = self.rng.choice(live), next(self._ids)
+        self.in_progress[target][request] = (number, parts)
+        if is_bad:
+            self.bad_arrivals.append(self.now)
+        self.at(self.rng.uniform(0.02, 0.2), self.begin, target, request, is_bad)
+
+    def begin(self, target, request, is_bad):
+        if request not in self.in_progress[target]:
+            return
+        if is_bad:
+            self.at(CRASH_SECONDS, self.crash, target)
+        else:
+            self.at(SURVIVAL_SECONDS, self.survive, target, request)
+
+    def survive(self, target, request):
+        if request in self.in_progress[target]:
+            number, parts = self.in_progress[target].pop(request)
+            self.entries[number].record_survival(parts)
+
+    def crash(self, target):
+        if self.down_until[target] > self.now:
+            return
+        self.crash_times.append(self.now)
+        self.down_until[target] = self.now + DOWN_SECONDS
+        start = f"{target}/{self.starts[target]}"
+        self.starts[target] += 1
+        prompts = defaultdict(list)
+        for number, parts in self.in_progress.pop(target, {}).values():
+            prompts[number].append(parts)
+        for number, lost in prompts.items():
+            self.at(0.05, self.entries[number].record_crash, start, lost)
+
+    def quarantined(self, part):
+        return sum(
+            entry.wait_seconds([part], makes_trial=lambda name: False) is not None
+            for entry in self.entries
+        )
+
+
+def sound_prompt(rng, *, users=60):
+    return [f"caller{rng.randrange(3)}", f"user{rng.randrange(users)}"]
+
+
+def late_arrivals(fleet):
+    crashes = sorted(fleet.crash_times)
+    if len(crashes) < 5:
+        return []
+    return [at for at in fleet.bad_arrivals if at > crashes[4] + CONTACT_SECONDS]
+
+
+FLEETS = [(8, 9, 25.0, seed) for seed in range(4)] + [
+    (70, 31, 9.0, 0),
+    (195, 40, 6.2, 0),
+]
+"""Entry VMs, targets, seconds that are played, and seeds."""
+
+
+@pytest.mark.parametrize(("entries", "targets", "seconds", "seed"), FLEETS)
+@pytest.mark.parametrize("depth", [0, 1, 2])
+def test_part_that_crashes_targets_is_kept_from_them(
+    entries, targets, seconds, seed, depth
+):
+    fleet = CrashingFleet(entries=entries, targets=targets, seed=seed)
+    rng = fleet.rng
+    fleet.gossip()
+    fleet.load(targets * 5, lambda: sound_prompt(rng))
+    fleet.run(5.0)
+
+    def bad_prompt():
+        others = ["caller0", f"user{rng.randrange(60)}", f"more{rng.random()}"]
+        return [*others[:depth], BAD, *others[depth:]]
+
+    fleet.load(targets * 0.8, bad_prompt)
+    fleet.run(seconds)
+    assert len(late_arrivals(fleet)) <= ALLOWED_ARRIVALS
+    assert fleet.quarantined(BAD) == entries
+    last = [sent for at, sent in fleet.sound_results if at > fleet.now - 1.0]
+    assert last.count(True) > 0.95 * len(last)
+    assert not fleet.quarantined("caller0")
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_sound_parts_are_sent_while_targets_crash_for_other_reasons(seed):
+    """Groups of targets lose power together, and single ones crash in turn."""
+    fleet = CrashingFleet(entries=8, targets=9, seed=seed)
+    rng = fleet.rng
+    fleet.gossip()
+    fleet.load(45, lambda: sound_prompt(rng))
+    for number in range(8):
+        group = rng.sample(range(9), 4)
+        for target in group:
+            fleet.at(4.0 + 5.0 * number + rng.uniform(0.0, 0.1), fleet.crash, target)
+        single = rng.randrange(9)
+        for repeat in range(2):
+            fleet.at(6.0 + 5.0 * number + repeat, fleet.crash, single)
+    fleet.run(50.0)
+    refused = [sent for _, sent in fleet.sound_results if not sent]
+    assert len(refused) <= 0.01 * len(fleet.sound_results)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_part_returns_after_its_targets_were_mended(seed):
+    fleet = CrashingFleet(entries=8, targets=9, seed=seed)
+    rng = fleet.rng
+    fleet.gossip()
+    fleet.load(45, lambda: sound_prompt(rng))
+    fleet.load(5, lambda: ["caller0", BAD])
+    fleet.run(30.0)
+    assert fleet.quarantined(BAD) == 8
+    fleet.bad_part = ""
+    fleet.run(60.0)
+    assert not fleet.quarantined(BAD)
+
+
+def test_trials_of_a_quarantined_part_are_few():
+    fleet = CrashingFleet(entries=8, targets=9, seed=1)
+    rng = fleet.rng
+    fleet.gossip()
+    fleet.load(45, lambda: sound_prompt(rng))
+    fleet.load(5, lambda: ["caller0", BAD])
+    fleet.run(30.0)
+    before = len(fleet.bad_arrivals)
+    fleet.run(500.0)
+    assert 1 <= len(fleet.bad_arrivals) - before <= 3
+
+
+def test_survival_ends_a_quarantine_everywhere():
+    fleet = CrashingFleet(entries=8, targets=9, seed=2)
+    first, *others = fleet.entries
+    for number in range(3):
+        fleet.now += 1.0
+        first.record_crash(f"t/{number}", [["a", "b"]])
+    assert fleet.quarantined("b") == 1
+    for entry in others:
+        entry.merge(first.evidence())
+    assert fleet.quarantined("b") == 8
+    assert not fleet.quarantined("a")
+    fleet.now += 1.0
+    others[0].record_survival(["a", "b"])
+    for entry in fleet.entries:
+        entry.merge(others[0].evidence())
+    assert not fleet.quarantined("b")
+
+
+def test_message_with_the_most_evidence_fits_into_a_packet():
+    fleet = CrashingFleet(entries=1, targets=1, seed=3)
+    [entry] = fleet.entries
+    for number in range(40):
+        fleet.now += 0.4
+        entry.record_crash(f"t/{number}", [[f"a{n}", f"b{n}"] for n in range(30)])
+    evidence = entry.evidence()
+    assert part_key("a0") != part_key("b0")
+    assert len(msgspec.msgpack.encode(evidence)) <= 1400
