--- a/pimentospool/policy/_crash_suspects.py
+++ b/pimentospool/policy/_crash_suspects.py
@@ -15,14 +15,16 @@
 from pimentospool.ids import CrashKey, PartKey
 
 MIN_STRIKES = 3
-"""Crashes at different times, without an answer in between, after which a part is
+"""Crashes at different times, without an answer in between, after which a part may be
 quarantined. With two, a part that is seldom used would often meet both by chance."""
 STRIKE_SEPARATION_SECONDS = 0.3
 """Crashes closer than this count once: they may have a common cause, such as a loss of
 power, under which every prompt in progress fails at several targets."""
-MIN_CRASH_SHARE = 0.5
-"""Share of the crashes since its first one above which a part is quarantined. While
-targets crash for other reasons, a part is in some of these crashes by chance."""
+MIN_CRASH_SHARE = 0.75
+MIN_REPEATED_CRASH_SHARE = 0.5
+"""Share of all crashes since its first one above which a part is quarantined: with just
+`MIN_STRIKES`, and with more. While targets crash for other reasons, seldom used parts
+are in some of these crashes by chance."""
 EVIDENCE_SECONDS = 30.0
 """Age at which a crash no longer counts; targets are back within seconds."""
 SURVIVAL_SECONDS = 0.25
@@ -252,9 +254,9 @@
                 part: found
                 for part in self._crashes
                 if part not in self._quarantined_at
-                and _strikes(found := self._open_crashes(part, explained))
-                >= MIN_STRIKES
-                and len(found) > MIN_CRASH_SHARE * self._count_since(found, explained)
+                and self._is_cause(
+                    found := self._open_crashes(part, explained), explained
+                )
             }
             if not open_crashes:
                 break
@@ -277,6 +279,17 @@
             if self._has_other_cause(part):
                 self._release(part)
 
+    def _is_cause(
+        self, crashes: dict[CrashKey, _Crash], explained: frozenset[CrashKey]
+    ) -> bool:
+        """Whether a part that was in `crashes` is taken for their cause."""
+        strikes = _strikes(crashes)
+        if strikes < MIN_STRIKES:
+            return False
+        share = len(crashes) / max(1, self._count_since(crashes, explained))
+        repeated = strikes > MIN_STRIKES
+        return share > (MIN_REPEATED_CRASH_SHARE if repeated else MIN_CRASH_SHARE)
+
     def _has_other_cause(self, part: PartKey) -> bool:
         """Whether another quarantined part explains the crashes of `part`.
 
--- a/tests/policy/test_crash_suspects.py
+++ b/tests/policy/test_crash_suspects.py
@@ -226,6 +226,24 @@
     assert not fleet.quarantined("b")
 
 
+@pytest.mark.parametrize(
+    ("crashes", "others", "quarantined"),
+    [(3, 0, True), (3, 1, False), (3, 2, False), (4, 3, True), (4, 4, False)],
+)
+def test_part_in_few_of_many_crashes_is_not_taken_for_their_cause(
+    crashes, others, quarantined
+):
+    fleet = CrashingFleet(entries=1, targets=1, seed=4)
+    [entry] = fleet.entries
+    for number in range(crashes):
+        fleet.now += 1.0
+        if number < others:
+            entry.record_crash(f"u/{number}", [["a", f"c{number}"]])
+        entry.record_crash(f"t/{number}", [["a", "b"]])
+        entry.record_survival(["a"])
+    assert bool(fleet.quarantined("b")) is quarantined
+
+
 def test_message_with_the_most_evidence_fits_into_a_packet():
     fleet = CrashingFleet(entries=1, targets=1, seed=3)
     [entry] = fleet.entries
