--- a/pimentospool/policy/_crash_suspects.py
+++ b/pimentospool/policy/_crash_suspects.py
@@ -14,9 +14,10 @@
 
 from pimentospool.ids import CrashKey, PartKey
 
-MIN_STRIKES = 3
+MIN_STRIKES = 4
 """Crashes at different times, without an answer in between, after which a part may be
-quarantined. With two, a part that is seldom used would often meet both by chance."""
+quarantined. A part that is seldom used meets fewer by chance while many targets crash
+for other reasons. The platform's rule allows five."""
 STRIKE_SEPARATION_SECONDS = 0.3
 """Crashes closer than this count once: they may have a common cause, such as a loss of
 power, under which every prompt in progress fails at several targets."""
