--- a/pimentospool/policy/_crash_suspects.py
+++ b/pimentospool/policy/_crash_suspects.py
@@ -31,6 +31,9 @@
 SURVIVAL_SECONDS = 0.25
 """Time from the first event of a response after which its target has survived it. The
 crash follows within tens of milliseconds."""
+MIN_SURVIVAL_NEWS_SECONDS = 0.5
+"""Time by which a survival reported by another entry VM is newer than the known one;
+less may be the delay of the same report on its way back."""
 TRIAL_AGES_SECONDS = (60.0, 180.0, 420.0)
 """Ages of a quarantine at which one request is sent in the whole fleet, so that a part
 that was quarantined wrongly, or whose targets were mended, returns."""
@@ -211,18 +214,20 @@
                 changed |= self._add(item.part, item.crash, _Crash(at, item.depth))
         for quarantine in evidence.quarantines:
             at = now - _to_seconds(quarantine.age_ms)
-            known = quarantine.part in self._quarantined_at
-            newest = max(at, self._quarantined_at.get(quarantine.part, -math.inf))
+            known_at = self._quarantined_at.get(quarantine.part, math.inf)
             if (
                 now - at < QUARANTINE_SECONDS
                 and at > self._last_survival(quarantine.part)
                 and not self._has_other_cause(quarantine.part)
             ):
-                self._quarantined_at[quarantine.part] = newest
-                if not known:
+                # A message arrives later than its ages say; the earliest time is exact.
+                self._quarantined_at[quarantine.part] = min(at, known_at)
+                if known_at == math.inf:
                     self._on_quarantine(quarantine.part, 0)
         for survival in evidence.survivals:
-            self._survive(survival.part, now - _to_seconds(survival.age_ms))
+            at = now - _to_seconds(survival.age_ms)
+            if at > self._last_survival(survival.part) + MIN_SURVIVAL_NEWS_SECONDS:
+                self._survive(survival.part, at)
         if changed:
             self._evaluate()
 
--- a/tests/policy/test_crash_suspects.py
+++ b/tests/policy/test_crash_suspects.py
@@ -208,6 +208,20 @@
     assert 1 <= len(fleet.bad_arrivals) - before <= 3
 
 
+def test_time_of_a_quarantine_does_not_move_with_the_delay_of_messages():
+    fleet = CrashingFleet(entries=8, targets=9, seed=5)
+    fleet.gossip()
+    for number in range(4):
+        fleet.run(1.0)
+        fleet.entries[0].record_crash(f"t/{number}", [["a", "b"]])
+    fleet.run(50.0)
+    waits = [
+        entry.wait_seconds(["b"], makes_trial=lambda name: False)
+        for entry in fleet.entries
+    ]
+    assert all(9.5 < wait <= 10.1 for wait in waits)
+
+
 def test_survival_ends_a_quarantine_everywhere():
     fleet = CrashingFleet(entries=8, targets=9, seed=2)
     first, *others = fleet.entries
