--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -119,7 +119,7 @@
             except AttemptFailure as exc:
                 if exc.cause is FailureCause.SILENT:
                     pool.close_idle()
-                if conn.closed_by_peer:
+                if conn.closed_by_peer and exc.verdict is not Verdict.NOT_RUN:
                     deps.crash_watch.connection_lost(state, pool, exposure)
                 raise
             finally:
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -193,3 +193,20 @@
     reply = serve(deps)
     assert reply.refusal.verdict.value == "may-have-run"
     assert reply.refusal.reached_target
+
+
+@pytest.mark.parametrize(
+    ("answer", "checked"), [(MISDIRECTED, False), ((200, MISDIRECTED[1]), True)]
+)
+def test_target_is_checked_for_a_crash_only_if_the_request_may_have_run(
+    answer, checked, monkeypatch
+):
+    monkeypatch.setattr(CannedPool, "closed_by_peer", True)
+    deps = make_deps(CannedPools(target_answer=answer), Clock())
+    deps.routing_state.register(make_registration("i-1"))
+    lost = []
+    monkeypatch.setattr(
+        deps.crash_watch, "connection_lost", lambda *args: lost.append(args)
+    )
+    serve(deps)
+    assert bool(lost) is checked
--- /dev/null
+++ b/tests/gateway/test_crash_watch.py
@@ -0,0 +1,86 @@
+"""Targets that are checked for a crash, on real sockets."""
+
+import asyncio
+
+import pytest
+from gateway_factories import make_registration
+from raw_server import RawServer
+
+from pimentospool.gateway import Address, Prompt, PromptPart
+from pimentospool.gateway._connection_pool import ConnectionPool
+from pimentospool.gateway._crash_watch import CRASH_CHECK_DELAY_SECONDS, CrashWatch
+from pimentospool.gateway._routing_state import TargetState
+from pimentospool.policy import SURVIVAL_SECONDS, TargetHealth
+
+PROMPT = Prompt(
+    tokens=20,
+    max_output_tokens=5,
+    parts=(PromptPart("a", 5), PromptPart("b", 5), PromptPart("own", 10)),
+)
+
+
+class RecordedSuspects:
+    def __init__(self):
+        self.crashes = []
+        self.survivals = []
+
+    def record_crash(self, start, prompts):
+        self.crashes.append((start, list(prompts)))
+
+    def record_survival(self, parts):
+        self.survivals.append(parts)
+
+
+async def hold_connection(server, reader, writer):
+    await reader.read()
+
+
+def watch_target(runner, *, listens, answer_seconds=None):
+    """Lose the connections of two prompts; return what was recorded."""
+    suspects, now = RecordedSuspects(), [0.0]
+
+    async def run():
+        async with RawServer(hold_connection) as server:
+            host, port = server.url.removeprefix("http://").split("/")[0].split(":")
+            pool = ConnectionPool(address=Address(host, int(port)), limit=9)
+            health = TargetHealth(clock=lambda: now[0])
+            watch = CrashWatch(
+                suspects=suspects, health=lambda target: health, clock=lambda: now[0]
+            )
+            exposures = [watch.expose(PROMPT) for _ in range(2)]
+            if answer_seconds is not None:
+                exposures[0].record_event()
+                now[0] += answer_seconds
+                exposures[0].record_event()
+            if not listens:
+                server._server.close()
+            state = TargetState(registration=make_registration("i-1"))
+            for exposure in exposures:
+                watch.connection_lost(state, pool, exposure)
+            await asyncio.sleep(CRASH_CHECK_DELAY_SECONDS + 0.1)
+            return health.ejected
+
+    return suspects, runner.run(run())
+
+
+def test_prompts_of_a_target_that_refuses_connections_are_reported_once(runner):
+    suspects, ejected = watch_target(runner, listens=False)
+    [(start, prompts)] = suspects.crashes
+    assert start.startswith("i-1/")
+    assert prompts == [["a", "b"], ["a", "b"]]
+    assert ejected
+
+
+def test_target_that_accepts_connections_did_not_crash(runner):
+    suspects, ejected = watch_target(runner, listens=True)
+    assert not suspects.crashes
+    assert not ejected
+
+
+@pytest.mark.parametrize("early", [True, False])
+def test_prompt_is_no_suspect_once_its_answer_goes_on(runner, early):
+    seconds = SURVIVAL_SECONDS * (0.5 if early else 1.0)
+    suspects, _ = watch_target(runner, listens=False, answer_seconds=seconds)
+    [(_, prompts)] = suspects.crashes
+    assert len(prompts) == (2 if early else 1)
+    assert len(suspects.survivals) == (0 if early else 1)
