--- a/pimentospool/policy/_crash_suspects.py
+++ b/pimentospool/policy/_crash_suspects.py
@@ -49,9 +49,9 @@
 MAX_SENT_SIGHTINGS_PER_PART = 8
 MAX_SENT_AGES = 24
 """Limits on what one message holds, so that it fits into a packet."""
-MIN_EXPLAINED_SHARE = 0.75
-"""Share of the most frequent suspect's crashes above which a part deeper in the prompts
-is the cause instead: the parts before it are in the same crashes."""
+MIN_EXPLAINED_SHARE = 0.5
+"""Share of a suspect's crashes above which a part deeper in the prompts may be the
+cause instead: the parts before it are in the same crashes."""
 
 
 class Sighting(msgspec.Struct, array_like=True, frozen=True):
@@ -256,31 +256,23 @@
                 for part in self._quarantined_at
                 for crash in self._crashes.get(part, ())
             )
-            open_crashes = {
+            suspects = {
                 part: found
                 for part in self._crashes
                 if part not in self._quarantined_at
-                and self._is_cause(
-                    found := self._open_crashes(part, explained), explained
-                )
+                and (found := self._open_crashes(part, explained))
             }
-            if not open_crashes:
+            causes = [
+                part
+                for part, found in suspects.items()
+                if self._is_cause(found, explained)
+                and not _has_deeper_suspect(found, suspects)
+            ]
+            if not causes:
                 break
-            most = max(map(len, open_crashes.values()))
-            part = max(
-                (
-                    part
-                    for part, found in open_crashes.items()
-                    if len(found) > MIN_EXPLAINED_SHARE * most
-                ),
-                key=lambda part: (
-                    max(seen.depth for seen in open_crashes[part].values()),
-                    len(open_crashes[part]),
-                    part,
-                ),
-            )
+            part = max(causes, key=lambda part: (len(suspects[part]), part))
             self._quarantined_at[part] = self._clock()
-            self._on_quarantine(part, len(open_crashes[part]))
+            self._on_quarantine(part, len(suspects[part]))
         for part in list(self._quarantined_at):
             if self._has_other_cause(part):
                 self._release(part)
@@ -404,9 +396,25 @@
     return int.from_bytes(digest.digest(), "little")
 
 
+def _has_deeper_suspect(
+    crashes: dict[CrashKey, _Crash], suspects: dict[PartKey, dict[CrashKey, _Crash]]
+) -> bool:
+    """Whether most of `crashes` are also those of one part deeper in the prompts."""
+    depth = _depth(crashes)
+    return any(
+        _depth(others) > depth
+        and len(others.keys() & crashes.keys()) > MIN_EXPLAINED_SHARE * len(crashes)
+        for others in suspects.values()
+    )
+
+
+def _depth(crashes: dict[CrashKey, _Crash]) -> int:
+    return max((seen.depth for seen in crashes.values()), default=0)
+
+
 def _weight(part: PartKey, crashes: dict[CrashKey, _Crash]) -> tuple[int, int, PartKey]:
     """Return a key that sorts the parts with the most crashes, then depth, first."""
-    return -len(crashes), -max((c.depth for c in crashes.values()), default=0), part
+    return -len(crashes), -_depth(crashes), part
 
 
 def _strikes(crashes: dict[CrashKey, _Crash]) -> int:
--- a/tests/policy/test_crash_suspects.py
+++ b/tests/policy/test_crash_suspects.py
@@ -258,6 +258,17 @@
     assert bool(fleet.quarantined("b")) is quarantined
 
 
+def test_shared_first_part_is_not_quarantined_on_incomplete_reports():
+    fleet = CrashingFleet(entries=1, targets=1, seed=6)
+    [entry] = fleet.entries
+    for number in range(5):
+        fleet.now += 1.0
+        entry.record_crash(f"t/{number}", [["a", f"c{number}"]])
+        if number < 3:
+            entry.record_crash(f"t/{number}", [["a", BAD]])
+    assert not fleet.quarantined("a")
+
+
 def test_message_with_the_most_evidence_fits_into_a_packet():
     fleet = CrashingFleet(entries=1, targets=1, seed=3)
     [entry] = fleet.entries
