--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from pimentospool.gateway._connections import AnswerStream
+from pimentospool.gateway._connections import AnswerHead, AnswerStream
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._dialect import AnswerClass, HopRefusal
 from pimentospool.gateway._model import HttpRoute, RequestKind
@@ -84,6 +84,7 @@
         from_target: bool,
         head_timeout_seconds: float,
         on_event: Callable[[], None] = lambda: None,
+        on_head: Callable[[AnswerHead], None] = lambda head: None,
     ) -> None:
         """Relay the response to the caller if it answers the request.
 
@@ -97,6 +98,8 @@
             Longest wait for the status and headers.
         on_event : callable
             Called for each part of a stream that arrives.
+        on_head : callable
+            Called with the status and headers of a response by the target itself.
 
         Raises
         ------
@@ -119,6 +122,8 @@
                 refusal=refusal,
             )
         answer_class = dialect.classify(head)
+        if answer_class not in (AnswerClass.MISDIRECTED, AnswerClass.INVALID):
+            on_head(head)
         if answer_class is AnswerClass.REJECTION:
             self._progress.retry_after_seconds = dialect.retry_after_seconds(head)
             await self._drain_body(stream)
--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from pimentospool.gateway._answers import AnswerReceiver, HopRefusedError
-from pimentospool.gateway._connections import EncodedRequest
+from pimentospool.gateway._connections import AnswerHead, EncodedRequest
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._model import (
     HttpRoute,
@@ -96,6 +96,11 @@
             assignment.first_event()
             exposure.record_event()
 
+        def record_head(head: AnswerHead) -> None:
+            deps.placement.named_limits.record_answer(
+                state.id, deps.dialect.request_limit(head), sent_at=sent_at
+            )
+
         try:
             conn = await pool.acquire()
             try:
@@ -112,6 +117,7 @@
                     stream,
                     from_target=True,
                     on_event=record_event,
+                    on_head=record_head,
                     head_timeout_seconds=self._head_timeout_seconds(),
                 )
                 assignment.first_event()
--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -66,6 +66,12 @@
     def cold_seconds(self, head: AnswerHead) -> float | None:
         """Return how long a target stays cold, None if its response doesn't say."""
 
+    def request_limit(self, head: AnswerHead) -> float | None:
+        """Return the requests per second that a target takes from all entry VMs.
+
+        It is infinite if the response names no limit, None if it can't be read.
+        """
+
     def accepts(self, head: AnswerHead, req: InboundRequest) -> bool:
         """Whether a response with `head` may belong to `req`."""
 
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -11,11 +11,13 @@
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._routing_state import RoutingState, TargetState
 from pimentospool.ids import RegionId, ServiceId, TargetId
+from pimentospool.log import Event, log_event
 from pimentospool.policy import (
     Assignment,
     CachedParts,
     Candidate,
     ColdStartLimiter,
+    NamedLimits,
     NoChoice,
     OccupancyBook,
     RegionChoice,
@@ -79,6 +81,7 @@
         self._clock = clock
         self._cached_parts = CachedParts(clock=clock)
         self._cold_start_limiter = ColdStartLimiter(entry=fleet.local_id, clock=clock)
+        self.named_limits = NamedLimits(clock=clock, on_change=_log_limit)
         self._health: dict[TargetId, TargetHealth] = {}
         self._paces: dict[ServiceId, ServicePace] = {}
         routing_state.target_removed.connect(self._forget_target)
@@ -354,3 +357,11 @@
     def _forget_target(self, target: TargetId) -> None:
         self._health.pop(target, None)
         self._cached_parts.forget(target)
+        self.named_limits.forget(target)
+
+
+def _log_limit(target: TargetId, rate: float) -> None:
+    if math.isinf(rate):
+        log_event(Event.TARGET_UNLIMITED, target=target)
+    else:
+        log_event(Event.TARGET_LIMITED, target=target, requests_per_second=rate)
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -73,6 +73,8 @@
     TARGET_CRASHED = (3116, logbook.WARNING, "target crashed under unanswered prompts")
     PART_QUARANTINED = (3117, logbook.WARNING, "part of prompts kept from targets")
     PART_RELEASED = (3118, logbook.NOTICE, "part of prompts sent to targets again")
+    TARGET_LIMITED = (3119, logbook.WARNING, "target named the rate that it takes")
+    TARGET_UNLIMITED = (3120, logbook.NOTICE, "target names no limit any more")
     TARGET_COLD = (3115, logbook.NOTICE, "target reported how long it stays cold")
     ZONE_EVACUATED = (3121, logbook.NOTICE, "zone evacuated")
     ZONE_RESTORED = (3122, logbook.NOTICE, "zone restored; its targets count as cold")
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -1,5 +1,7 @@
 """Encoding of requests to targets and peers, and decoding of their responses."""
 
+import math
+
 from pimentospool.gateway import (
     AnswerClass,
     AnswerHead,
@@ -18,10 +20,11 @@
     NOT_EXECUTED_HEADER,
     PRIORITY_HEADER,
     REQUEST_ID_HEADER,
+    REQUEST_LIMIT_HEADER,
     RESPONSE_SEAL_HEADER,
     RETRY_AFTER_HEADER,
 )
-from pimentospool.platform._numbers import parse_duration
+from pimentospool.platform._numbers import parse_decimal, parse_duration
 from pimentospool.verdicts import Verdict
 
 _OK = 200
@@ -122,6 +125,18 @@
         value = head.get(RETRY_AFTER_HEADER) or b""
         return parse_duration(value.decode("latin-1"), unit_seconds=1.0)
 
+    def request_limit(self, head: AnswerHead) -> float | None:
+        """Return the requests per second that a server takes, as its response says."""
+        limits = [
+            parse_decimal(value.decode("latin-1"))
+            for name, value in head.headers
+            if name == REQUEST_LIMIT_HEADER
+        ]
+        stated = [limit for limit in limits if limit is not None]
+        if limits and not stated:
+            return None
+        return min(stated, default=math.inf)
+
 
 def _encode(
     req: InboundRequest,
--- a/pimentospool/platform/_headers.py
+++ b/pimentospool/platform/_headers.py
@@ -15,6 +15,8 @@
 COLD_REMAINING_HEADER = b"x-cold-remaining"
 """Milliseconds for which the server stays cold."""
 RETRY_AFTER_HEADER = b"retry-after"
+REQUEST_LIMIT_HEADER = b"server-limit"
+"""Requests per second that the server takes from all entry VMs together."""
 
 HOP_VERDICT_HEADER = b"pimentospool-verdict"
 """Header of the gateway: verdict of an entry VM that refused a hop."""
--- a/pimentospool/platform/_numbers.py
+++ b/pimentospool/platform/_numbers.py
@@ -9,10 +9,10 @@
 
 _MAX_COUNT_DIGITS = 15
 """Digits of the largest count; every such number is exact as a float."""
-_MAX_DURATION_DIGITS = 12
-"""Digits of the longest duration before the decimal point."""
+_MAX_DECIMAL_DIGITS = 12
+"""Digits of the largest decimal number before its point."""
 _COUNT_PATTERN = re.compile(rf"[0-9]{{1,{_MAX_COUNT_DIGITS}}}")
-_DURATION_PATTERN = re.compile(rf"[0-9]{{1,{_MAX_DURATION_DIGITS}}}(\.[0-9]{{0,9}})?")
+_DECIMAL_PATTERN = re.compile(rf"[0-9]{{1,{_MAX_DECIMAL_DIGITS}}}(\.[0-9]{{0,9}})?")
 
 
 def parse_count(text: str) -> int | None:
@@ -21,6 +21,12 @@
     return int(text) if _COUNT_PATTERN.fullmatch(text) else None
 
 
+def parse_decimal(text: str) -> float | None:
+    """Return the non-negative decimal number in `text`, None for any other text."""
+    text = text.strip()
+    return float(text) if _DECIMAL_PATTERN.fullmatch(text) else None
+
+
 def parse_duration(text: str, *, unit_seconds: float) -> float | None:
     """Return the duration in `text` in seconds, None if it is not a decimal number.
 
@@ -31,5 +37,5 @@
     unit_seconds : float
         Unit of the number in seconds.
     """
-    text = text.strip()
-    return float(text) * unit_seconds if _DURATION_PATTERN.fullmatch(text) else None
+    number = parse_decimal(text)
+    return None if number is None else number * unit_seconds
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -18,6 +18,7 @@
     Membership,
     newer_member,
 )
+from pimentospool.policy._named_limits import NamedLimits
 from pimentospool.policy._occupancy import Assignment, Occupancy, OccupancyBook
 from pimentospool.policy._operations import (
     HeldAnswer,
@@ -81,6 +82,7 @@
     "LimitRefusal",
     "MemberChange",
     "Membership",
+    "NamedLimits",
     "NoChoice",
     "Occupancy",
     "OccupancyBook",
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,39 @@
+"""What is read from the headers of servers' responses."""
+
+import math
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pimentospool.gateway import AnswerHead
+from pimentospool.platform._exchange import PlatformDialect
+
+
+def read_limit(*values):
+    headers = [(b"server-limit", value) for value in values]
+    return PlatformDialect().request_limit(AnswerHead(200, headers))
+
+
+@pytest.mark.parametrize(
+    ("values", "limit"),
+    [
+        ((), math.inf),
+        ((b"1.3",), 1.3),
+        ((b" 20 ",), 20.0),
+        ((b"0",), 0.0),
+        ((b"4", b"2.5", b"many"), 2.5),
+        ((b"nan",), None),
+        ((b"-1",), None),
+        ((b"1e9",), None),
+        ((b"",), None),
+    ],
+)
+def test_limit_of_a_server_is_the_lowest_that_can_be_read(values, limit):
+    assert read_limit(*values) == limit
+
+
+@given(st.binary())
+def test_arbitrary_limit_is_a_number_or_unreadable(value):
+    limit = read_limit(value)
+    assert limit is None or 0.0 <= limit < math.inf
