--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -4,6 +4,7 @@
     DEADLINE_TOLERANCE_SECONDS,
 )
 from pimentospool.gateway._attempt_sender import AttemptSender
+from pimentospool.gateway._crash_watch import request_traits
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._model import (
     HttpRoute,
@@ -65,6 +66,7 @@
         self._deadline = req.received_at + timeout_seconds
         self._progress.last_progress_at = req.received_at
         self._destination = ""
+        self._traits = request_traits(req)
         self._sender = AttemptSender(
             deps=deps,
             req=req,
@@ -253,15 +255,12 @@
             body_end=self._body_end_name(),
             within_event=progress.within_event,
             events=progress.chunks_sent,
-            shared_parts=self._shared_parts(),
+            shared_parts=list(self._traits.parts),
+            content=f"{self._traits.content_key:08x}",
             attempt=progress.attempts,
         )
         progress.body_end, progress.within_event = None, False
 
-    def _shared_parts(self) -> list[str]:
-        prompt = self._req.prompt
-        return [] if prompt is None else [part.id for part in prompt.shared_parts]
-
     def _body_end_name(self) -> str | None:
         body_end = self._progress.body_end
         return None if body_end is None else body_end.value
--- a/pimentospool/gateway/_crash_watch.py
+++ b/pimentospool/gateway/_crash_watch.py
@@ -4,11 +4,16 @@
 from collections.abc import Callable, Sequence
 
 from pimentospool.gateway._connection_pool import ConnectionPool
-from pimentospool.gateway._model import Prompt
+from pimentospool.gateway._model import InboundRequest, Prompt
 from pimentospool.gateway._routing_state import TargetState
 from pimentospool.ids import TargetId
 from pimentospool.log import Event, log_event
-from pimentospool.policy import SURVIVAL_SECONDS, CrashSuspects, TargetHealth
+from pimentospool.policy import (
+    SURVIVAL_SECONDS,
+    CrashSuspects,
+    RequestTraits,
+    TargetHealth,
+)
 from pimentospool.targets import AttemptFailure, FailureCause
 
 CRASH_CHECK_DELAY_SECONDS = 0.05
@@ -127,3 +132,16 @@
             self._suspects.record_crash(start, prompts)
         finally:
             del self._lost[start]
+
+
+def request_traits(req: InboundRequest) -> RequestTraits:
+    """Return what may make `req` crash targets."""
+    texts = (req.method, req.host, req.path)
+    return RequestTraits(
+        parts=[part.id for part in req.prompt.shared_parts] if req.prompt else [],
+        content=(
+            *(text.encode("utf-8", "surrogateescape") for text in texts),
+            req.caller,
+            req.body,
+        ),
+    )
--- a/pimentospool/gateway/_model.py
+++ b/pimentospool/gateway/_model.py
@@ -178,6 +178,8 @@
     received_at: float
     client_timeout_seconds: float
     """Time from the arrival for which the caller waits; infinite if it states none."""
+    caller: bytes = b""
+    """Credentials by which the caller identifies itself, if it does."""
     prompt: Prompt | None = None
     resume_after: int | None = None
     """Id of the last event of the stream that the caller received."""
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -22,6 +22,7 @@
 )
 from pimentospool.log import Event, log_event
 from pimentospool.platform._headers import (
+    CALLER_HEADERS,
     CONNECTION_HEADERS,
     DEADLINE_HEADER,
     HOP_REACHED_HEADER,
@@ -183,6 +184,11 @@
             body=body,
             received_at=received_at,
             client_timeout_seconds=client_timeout_seconds,
+            caller=b"\n".join(
+                value
+                for name, value in http.raw_headers
+                if name.lower() in CALLER_HEADERS
+            ),
             prompt=decode_prompt(
                 headers.get(TOKEN_COUNT_HEADER.decode()),
                 headers.get(PROMPT_PREFIX_HEADER.decode()),
--- a/pimentospool/platform/_headers.py
+++ b/pimentospool/platform/_headers.py
@@ -17,6 +17,8 @@
 RETRY_AFTER_HEADER = b"retry-after"
 REQUEST_LIMIT_HEADER = b"server-limit"
 """Requests per second that the server takes from all entry VMs together."""
+CALLER_HEADERS = (b"authorization", b"cookie", b"x-credential")
+"""Headers by which callers identify themselves."""
 
 HOP_VERDICT_HEADER = b"pimentospool-verdict"
 """Header of the gateway: verdict of an entry VM that refused a hop."""
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -5,6 +5,7 @@
     SURVIVAL_SECONDS,
     CrashEvidence,
     CrashSuspects,
+    RequestTraits,
     part_key,
 )
 from pimentospool.policy._drills import DrillSchedule
@@ -102,6 +103,7 @@
     "RemoteRegion",
     "Replay",
     "ReportBook",
+    "RequestTraits",
     "RetryDecision",
     "RetryPolicy",
     "RevisionBook",
--- a/pimentospool/policy/_crash_suspects.py
+++ b/pimentospool/policy/_crash_suspects.py
@@ -8,7 +8,7 @@
 import hashlib
 import math
 from collections.abc import Callable, Iterable, Sequence
-from functools import lru_cache
+from functools import cached_property, lru_cache
 
 import msgspec
 
@@ -54,6 +54,32 @@
 cause instead: the parts before it are in the same crashes."""
 
 
+class RequestTraits:
+    """What may make a request crash targets: a part of its prompt, or its content.
+
+    Parameters
+    ----------
+    parts : sequence of str
+        Parts of the prompt that other requests share, in order.
+    content : sequence of bytes
+        What makes up the request and is the same when it comes again.
+    """
+
+    def __init__(
+        self, *, parts: Sequence[str] = (), content: Sequence[bytes] = ()
+    ) -> None:
+        self.parts = parts
+        self._content = content
+
+    @cached_property
+    def content_key(self) -> PartKey:
+        """Key of the whole request."""
+        digest = hashlib.blake2b(digest_size=4)
+        for item in self._content:
+            digest.update(b"%d:" % len(item) + item)
+        return PartKey(int.from_bytes(digest.digest(), "little"))
+
+
 class Sighting(msgspec.Struct, array_like=True, frozen=True):
     """A part in a prompt that was unanswered when its target crashed."""
 
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -3,12 +3,16 @@
 import asyncio
 
 import pytest
-from gateway_factories import make_registration
+from gateway_factories import make_registration, make_request
 from raw_server import RawServer
 
 from pimentospool.gateway import Address, Prompt, PromptPart
 from pimentospool.gateway._connection_pool import ConnectionPool
-from pimentospool.gateway._crash_watch import CRASH_CHECK_DELAY_SECONDS, CrashWatch
+from pimentospool.gateway._crash_watch import (
+    CRASH_CHECK_DELAY_SECONDS,
+    CrashWatch,
+    request_traits,
+)
 from pimentospool.gateway._routing_state import TargetState
 from pimentospool.policy import SURVIVAL_SECONDS, TargetHealth
 
@@ -84,3 +88,27 @@
     [(_, prompts)] = suspects.crashes
     assert len(prompts) == (2 if early else 1)
     assert len(suspects.survivals) == (0 if early else 1)
+
+
+def content_key(path="/a", **fields):
+    return request_traits(make_request(path, **fields)).content_key
+
+
+def test_request_that_comes_again_has_the_same_content():
+    first = content_key(id="r-1", headers=[(b"X-Length-Hint", b"5")], body=b"x")
+    again = content_key(id="r-2", body=b"x", client_timeout_seconds=9.0)
+    assert first == again
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"body": b"y"},
+        {"caller": b"key"},
+        {"method": "POST"},
+        {"host": "other"},
+        {"path": "/ax", "body": b""},
+    ],
+)
+def test_requests_that_differ_have_different_contents(fields):
+    assert content_key(**fields) != content_key(body=b"x")
