--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -109,6 +109,9 @@
     crash_part : str
         Part of a prompt, not its last, under which the target crashes as it begins to
         answer; with an empty one it never does.
+    crash_path : str
+        Path of requests under which the target crashes likewise, with or without a
+        prompt.
     crashed_at : float or None
         Monotonic time in seconds at which it crashed.
     """
@@ -123,6 +126,7 @@
         self.cold_remaining_ms = 0
         self.request_limit = ""
         self.crash_part = ""
+        self.crash_path = ""
         self.crashed_at: float | None = None
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -234,9 +238,16 @@
         if fault in (Fault.ENDLESS_HEAD, Fault.ENDLESS_BODY, Fault.TRICKLE):
             await self._send_endlessly(req, writer, fault, disconnected)
             return False
+        crashes = req.path == self.crash_path or self.crash_part in req.shared_parts
+        if crashes and self.events:
+            self._crash()
+            return False
         if self.events:
             return await self._respond_with_stream(req, writer, fault, disconnected)
         await asyncio.wait([disconnected], timeout=self.gap_seconds)
+        if crashes:
+            self._crash()
+            return False
         body = f"{self.instance} {req.method} {req.path} ".encode() + req.body
         req.expected_body = body
         if fault is Fault.RESET:
@@ -306,9 +317,6 @@
         disconnected: "asyncio.Future[None]",
     ) -> bool:
         framed = fault not in _UNFRAMED_FAULTS
-        if self.crash_part in req.shared_parts:
-            self._crash()
-            return False
         extra_header = "Content-Type: text/event-stream"
         if framed:
             extra_header += "\r\nTransfer-Encoding: chunked"
