--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -18,6 +18,7 @@
     Assignment,
     Candidate,
     RegionChoice,
+    RequestTraits,
     TargetChoice,
 )
 from pimentospool.targets import AttemptFailure, FailureCause
@@ -47,6 +48,8 @@
         State of the attempts made so far.
     remaining_seconds : callable
         Returns the seconds to the request's deadline.
+    traits : RequestTraits
+        What of the request may make targets crash.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         service: ServiceSpec,
         progress: RequestProgress,
         remaining_seconds: Callable[[], float],
+        traits: RequestTraits,
     ) -> None:
         self._deps = deps
         self._req = req
@@ -66,6 +70,7 @@
         self._service = service
         self._progress = progress
         self._remaining_seconds = remaining_seconds
+        self._traits = traits
         self._receiver = AnswerReceiver(
             deps=deps,
             reply=reply,
@@ -89,7 +94,7 @@
             raise _unsent_failure("the target was removed")
         assignment = deps.placement.begin_assignment(req, candidate)
         pool = deps.pools.target_pool(state.registration, self._service)
-        exposure = deps.crash_watch.expose(req.prompt)
+        exposure = deps.crash_watch.expose(self._traits)
         started_at = deps.clock()
 
         def record_event() -> None:
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -75,6 +75,7 @@
             service=service,
             progress=self._progress,
             remaining_seconds=lambda: self.remaining_seconds,
+            traits=self._traits,
         )
 
     @property
@@ -278,12 +279,9 @@
         return progress.retry_granted
 
     def _quarantine_seconds(self) -> float | None:
-        """Return how long a part of the prompt must not be sent; None if it may be."""
-        prompt = self._req.prompt
-        if prompt is None:
-            return None
+        """Return how long the request must not be sent; None if it may be."""
         return self._deps.crash_suspects.wait_seconds(
-            [part.id for part in prompt.shared_parts], makes_trial=self._makes_trial
+            self._traits, makes_trial=self._makes_trial
         )
 
     def _makes_trial(self, name: str) -> bool:
@@ -298,7 +296,7 @@
             Refusal(
                 reason=RefusalReason.QUARANTINED if not_run else RefusalReason.FAILED,
                 verdict=progress.verdict,
-                detail="targets have crashed under a part of the prompt",
+                detail=RefusalReason.QUARANTINED.value,
                 retry_after_seconds=wait_seconds if not_run else None,
                 reached_target=progress.reached_target,
             )
--- a/pimentospool/gateway/_crash_watch.py
+++ b/pimentospool/gateway/_crash_watch.py
@@ -1,10 +1,10 @@
-"""Finds targets that crash, and the prompts that they had not answered yet."""
+"""Finds targets that crash, and the requests that they had not answered yet."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from pimentospool.gateway._connection_pool import ConnectionPool
-from pimentospool.gateway._model import InboundRequest, Prompt
+from pimentospool.gateway._model import InboundRequest
 from pimentospool.gateway._routing_state import TargetState
 from pimentospool.ids import TargetId
 from pimentospool.log import Event, log_event
@@ -22,14 +22,14 @@
 
 
 class Exposure:
-    """A prompt that was sent to a target, which may crash under it.
+    """A request that was sent to a target, which may crash under it.
 
     Parameters
     ----------
-    parts : sequence of str
-        Shared parts of the prompt.
+    traits : RequestTraits
+        What of the request may make the target crash.
     suspects : CrashSuspects
-        Told if the target survives them.
+        Told if the target survives it.
     clock : callable
         Returns a monotonic time in seconds.
     """
@@ -37,12 +37,12 @@
     def __init__(
         self,
         *,
-        parts: Sequence[str],
+        traits: RequestTraits,
         suspects: CrashSuspects,
         clock: Callable[[], float],
     ) -> None:
-        self.parts = parts
-        self.survived = not parts
+        self.traits = traits
+        self.survived = False
         self._suspects = suspects
         self._clock = clock
         self._first_event_at: float | None = None
@@ -61,7 +61,7 @@
         """Record that the target has answered and is still alive."""
         if not self.survived:
             self.survived = True
-            self._suspects.record_survival(self.parts)
+            self._suspects.record_survival(self.traits)
 
 
 class CrashWatch:
@@ -70,7 +70,7 @@
     Parameters
     ----------
     suspects : CrashSuspects
-        Told the prompts under which a target crashed.
+        Told the requests under which a target crashed.
     health : callable
         Returns the health of a target.
     clock : callable
@@ -87,14 +87,13 @@
         self._suspects = suspects
         self._health = health
         self._clock = clock
-        self._lost: dict[str, list[Sequence[str]]] = {}
-        """Prompts by the start of the target that is being checked."""
+        self._lost: dict[str, list[RequestTraits]] = {}
+        """Requests by the start of the target that is being checked."""
         self._checks: set[asyncio.Task[None]] = set()
 
-    def expose(self, prompt: Prompt | None) -> Exposure:
-        """Return a record of `prompt`, which is about to be sent to a target."""
-        parts = [] if prompt is None else [part.id for part in prompt.shared_parts]
-        return Exposure(parts=parts, suspects=self._suspects, clock=self._clock)
+    def expose(self, traits: RequestTraits) -> Exposure:
+        """Return a record of a request that is about to be sent to a target."""
+        return Exposure(traits=traits, suspects=self._suspects, clock=self._clock)
 
     def connection_lost(
         self, state: TargetState, pool: ConnectionPool, exposure: Exposure
@@ -104,9 +103,9 @@
             return
         start = f"{state.id}/{state.registration.started_at}"
         if start in self._lost:
-            self._lost[start].append(exposure.parts)
+            self._lost[start].append(exposure.traits)
             return
-        self._lost[start] = [exposure.parts]
+        self._lost[start] = [exposure.traits]
         check = asyncio.create_task(self._check(start, state.id, pool))
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
@@ -121,15 +120,15 @@
                     return
             else:
                 return
-            prompts = self._lost[start]
+            requests = self._lost[start]
             self._health(target).record_connect_failure()
             log_event(
                 Event.TARGET_CRASHED,
                 target=target,
                 start=start,
-                unanswered_prompts=len(prompts),
+                unanswered_requests=len(requests),
             )
-            self._suspects.record_crash(start, prompts)
+            self._suspects.record_crash(start, requests)
         finally:
             del self._lost[start]
 
--- a/pimentospool/gateway/_dependencies.py
+++ b/pimentospool/gateway/_dependencies.py
@@ -10,9 +10,9 @@
 from pimentospool.gateway._placement import Placement, SharedBounds
 from pimentospool.gateway._pools import ConnectionPools
 from pimentospool.gateway._routing_state import RoutingState
-from pimentospool.ids import ServiceId
+from pimentospool.ids import ServiceId, SuspectKey
 from pimentospool.log import Event, log_event
-from pimentospool.policy import CrashSuspects, SharedRetryBudget
+from pimentospool.policy import CrashSuspects, SharedRetryBudget, SuspectKind
 from pimentospool.signals import Signal
 
 
@@ -66,10 +66,8 @@
         self.regions = regions
         self.crash_suspects = CrashSuspects(
             clock=clock,
-            on_quarantine=lambda part, crashes: log_event(
-                Event.PART_QUARANTINED, part=f"{part:08x}", crashes=crashes
-            ),
-            on_release=lambda part: log_event(Event.PART_RELEASED, part=f"{part:08x}"),
+            on_quarantine=_log_quarantine,
+            on_release=_log_release,
         )
         self.crash_watch = CrashWatch(
             suspects=self.crash_suspects, health=placement.health, clock=clock
@@ -89,3 +87,17 @@
             )
             self._retry_budgets[service] = budget
         return budget
+
+
+def _log_quarantine(kind: SuspectKind, suspect: SuspectKey, crashes: int) -> None:
+    if kind is SuspectKind.PART:
+        log_event(Event.PART_QUARANTINED, part=f"{suspect:08x}", crashes=crashes)
+    else:
+        log_event(Event.REQUEST_QUARANTINED, content=f"{suspect:08x}", crashes=crashes)
+
+
+def _log_release(kind: SuspectKind, suspect: SuspectKey) -> None:
+    if kind is SuspectKind.PART:
+        log_event(Event.PART_RELEASED, part=f"{suspect:08x}")
+    else:
+        log_event(Event.REQUEST_RELEASED, content=f"{suspect:08x}")
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -28,7 +28,7 @@
 from pimentospool.gateway._target_reports import ReportExchange
 from pimentospool.gateway._view_exchange import ViewExchange, view_address
 from pimentospool.log import Event, log_event
-from pimentospool.policy import EntryState, OccupancyBook
+from pimentospool.policy import EntryState, OccupancyBook, SuspectKind
 from pimentospool.tasks import cancel_tasks, run_supervised
 
 ACCEPT_CONNECTIONS_SHARE = 0.15
@@ -228,7 +228,12 @@
         metrics.add_gauge(
             "pimentospool_quarantined_parts",
             "Parts of prompts that are kept from targets, as these crash under them.",
-            lambda: self.deps.crash_suspects.quarantined_count,
+            lambda: self.deps.crash_suspects.quarantined_count(SuspectKind.PART),
+        )
+        metrics.add_gauge(
+            "pimentospool_quarantined_requests",
+            "Requests that are kept from targets, as these crash under them.",
+            lambda: self.deps.crash_suspects.quarantined_count(SuspectKind.REQUEST),
         )
         return metrics
 
--- a/pimentospool/gateway/_replies.py
+++ b/pimentospool/gateway/_replies.py
@@ -15,7 +15,7 @@
     NOT_CONFIGURED = "no configuration is known yet"
     NO_ROUTE = "no route matches"
     OVERLOADED = "no target can take the request now"
-    QUARANTINED = "targets have crashed under a part of the prompt"
+    QUARANTINED = "targets have crashed under this request or a part of its prompt"
     LEAVING = "this entry VM is shutting down"
     TIMED_OUT = "the request's time is over"
     FAILED = "no target gave a whole answer"
--- a/pimentospool/ids.py
+++ b/pimentospool/ids.py
@@ -14,7 +14,7 @@
 Incarnation = NewType("Incarnation", str)
 MemberKey = NewType("MemberKey", int)
 """Short identifier of one start of an entry process, for compact messages."""
-PartKey = NewType("PartKey", int)
-"""Hash of a part of a prompt, for compact messages."""
+SuspectKey = NewType("SuspectKey", int)
+"""Hash of a part of a prompt or of a whole request, for compact messages."""
 CrashKey = NewType("CrashKey", int)
 """Hash of the start of a target that crashed."""
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -1,13 +1,13 @@
 """Decisions of the gateway: no input or output, no clock and no global random."""
 
 from pimentospool.policy._cached_parts import CachedParts, preferred_target
-from pimentospool.policy._crash_suspects import (
-    SURVIVAL_SECONDS,
+from pimentospool.policy._crash_evidence import (
     CrashEvidence,
-    CrashSuspects,
     RequestTraits,
+    SuspectKind,
     part_key,
 )
+from pimentospool.policy._crash_suspects import SURVIVAL_SECONDS, CrashSuspects
 from pimentospool.policy._drills import DrillSchedule
 from pimentospool.policy._entries import rank_entries
 from pimentospool.policy._flights import RegionFlight, TargetFlight
@@ -116,6 +116,7 @@
     "ServicePace",
     "SharedRetryBudget",
     "Start",
+    "SuspectKind",
     "TargetChoice",
     "TargetFlight",
     "TargetHealth",
--- a/tests/gateway/test_crash_watch.py
+++ b/tests/gateway/test_crash_watch.py
@@ -21,6 +21,7 @@
     max_output_tokens=5,
     parts=(PromptPart("a", 5), PromptPart("b", 5), PromptPart("own", 10)),
 )
+REQUEST = make_request(prompt=PROMPT)
 
 
 class RecordedSuspects:
@@ -28,11 +29,11 @@
         self.crashes = []
         self.survivals = []
 
-    def record_crash(self, start, prompts):
-        self.crashes.append((start, list(prompts)))
+    def record_crash(self, start, requests):
+        self.crashes.append((start, list(requests)))
 
-    def record_survival(self, parts):
-        self.survivals.append(parts)
+    def record_survival(self, request):
+        self.survivals.append(request)
 
 
 async def hold_connection(server, reader, writer):
@@ -40,7 +41,7 @@
 
 
 def watch_target(runner, *, listens, answer_seconds=None):
-    """Lose the connections of two prompts; return what was recorded."""
+    """Lose the connections of two requests; return what was recorded."""
     suspects, now = RecordedSuspects(), [0.0]
 
     async def run():
@@ -51,7 +52,7 @@
             watch = CrashWatch(
                 suspects=suspects, health=lambda target: health, clock=lambda: now[0]
             )
-            exposures = [watch.expose(PROMPT) for _ in range(2)]
+            exposures = [watch.expose(request_traits(REQUEST)) for _ in range(2)]
             if answer_seconds is not None:
                 exposures[0].record_event()
                 now[0] += answer_seconds
@@ -67,11 +68,11 @@
     return suspects, runner.run(run())
 
 
-def test_prompts_of_a_target_that_refuses_connections_are_reported_once(runner):
+def test_requests_of_a_target_that_refuses_connections_are_reported_once(runner):
     suspects, ejected = watch_target(runner, listens=False)
-    [(start, prompts)] = suspects.crashes
+    [(start, requests)] = suspects.crashes
     assert start.startswith("i-1/")
-    assert prompts == [["a", "b"], ["a", "b"]]
+    assert [request.parts for request in requests] == [["a", "b"], ["a", "b"]]
     assert ejected
 
 
--- a/tests/gateway/test_heartbeats.py
+++ b/tests/gateway/test_heartbeats.py
@@ -25,7 +25,7 @@
     NamedLimits,
     OccupancyBook,
 )
-from pimentospool.policy._crash_suspects import CrashAge, PartAge, Sighting
+from pimentospool.policy._crash_evidence import CrashAge, Sighting, SuspectAge
 
 scalars = st.one_of(
     st.none(),
@@ -127,8 +127,8 @@
                     CrashEvidence(
                         [CrashAge(2, 9)],
                         [Sighting(1, 2, 0, 9), Sighting(1, 3, 0, 900)],
-                        [PartAge(4, 100)],
-                        [PartAge(1, 50)],
+                        [SuspectAge(4, 100)],
+                        [SuspectAge(1, 50)],
                     )
                 ),
             ]
