--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -105,6 +105,8 @@
             deps.placement.named_limits.record_answer(
                 state.id, deps.dialect.request_limit(head), sent_at=sent_at
             )
+            if deps.dialect.is_leaving(head):
+                deps.routing_state.receive_leaving(state.registration)
 
         try:
             conn = await pool.acquire()
--- a/pimentospool/gateway/_cold_checks.py
+++ b/pimentospool/gateway/_cold_checks.py
@@ -149,6 +149,8 @@
         self._limits.record_answer(
             state.id, self._dialect.request_limit(head), sent_at=sent_at
         )
+        if self._dialect.is_leaving(head):
+            self._routing_state.receive_leaving(state.registration)
         seconds = self._dialect.cold_seconds(head)
         if seconds is not None:
             now = self._clock()
--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -66,6 +66,9 @@
     def cold_seconds(self, head: AnswerHead) -> float | None:
         """Return how long a target stays cold, None if its response doesn't say."""
 
+    def is_leaving(self, head: AnswerHead) -> bool:
+        """Return whether a target leaves, as its response says."""
+
     def request_limit(self, head: AnswerHead) -> float | None:
         """Return the requests per second that a target takes from all entry VMs.
 
--- a/pimentospool/gateway/_routing_state.py
+++ b/pimentospool/gateway/_routing_state.py
@@ -18,6 +18,8 @@
 DEPARTED_SECONDS = 60.0
 """Time for which targets that left are remembered; a copy of the store is only seconds
 old when it is restored."""
+MAX_LEAVING_INSTANCES = 4096
+"""Instances of which it is remembered that they said that they leave."""
 COLD_MARGIN_SECONDS = 0.5
 """Added to the cold time of a target, as its registration arrives with a delay."""
 
@@ -100,6 +102,8 @@
         self._clock = clock
         self._targets: dict[TargetId, TargetState] = {}
         self._evacuated: set[ZoneId] = set()
+        self._said_leaving: dict[tuple[TargetId, int], None] = {}
+        """Instances that said in an answer that they leave, the oldest first."""
         self._departed: dict[tuple[TargetId, int], float] = {}
         """Instances that left, by id and start, and when."""
         self._unconfirmed_evacuations: dict[ZoneId, float] = {}
@@ -157,6 +161,19 @@
             cold_until = now + registration.cold_seconds + COLD_MARGIN_SECONDS
             state.cold_until = max(state.cold_until, cold_until)
 
+    def receive_leaving(self, registration: Registration) -> None:
+        """Store that a target has said in an answer that it leaves.
+
+        It holds for this start of the target, whatever is published later.
+        """
+        instance = _instance(registration)
+        if instance in self._said_leaving:
+            return
+        if len(self._said_leaving) >= MAX_LEAVING_INSTANCES:
+            del self._said_leaving[next(iter(self._said_leaving))]
+        self._said_leaving[instance] = None
+        log_event(Event.TARGET_LEAVING, target=registration.id)
+
     def deregister(self, target: TargetId, *, expired: bool = False) -> None:
         """Remove a target.
 
@@ -315,6 +332,7 @@
             for state in self._targets.values()
             if state.registration.service == service
             and not state.registration.leaving
+            and _instance(state.registration) not in self._said_leaving
             and state.registration.zone not in self._evacuated
             and self.region_of(state.registration.zone) == region
         ]
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -16,6 +16,7 @@
     HOP_REACHED_HEADER,
     HOP_TARGETS_HEADER,
     HOP_VERDICT_HEADER,
+    LEAVING_HEADER,
     LAST_EVENT_HEADER,
     NOT_EXECUTED_HEADER,
     PRIORITY_HEADER,
@@ -125,6 +126,10 @@
         value = head.get(RETRY_AFTER_HEADER) or b""
         return parse_duration(value.decode("latin-1"), unit_seconds=1.0)
 
+    def is_leaving(self, head: AnswerHead) -> bool:
+        """Return whether a server leaves, as its response says."""
+        return (head.get(LEAVING_HEADER) or b"0").strip() == b"1"
+
     def request_limit(self, head: AnswerHead) -> float | None:
         """Return the requests per second that a server takes, as its response says."""
         limits = [
--- a/pimentospool/platform/_headers.py
+++ b/pimentospool/platform/_headers.py
@@ -15,6 +15,7 @@
 COLD_REMAINING_HEADER = b"x-cold-remaining"
 """Milliseconds for which the server stays cold."""
 RETRY_AFTER_HEADER = b"retry-after"
+LEAVING_HEADER = b"server-leaving"
 REQUEST_LIMIT_HEADER = b"server-limit"
 """Requests per second that the server takes from all entry VMs together."""
 CALLER_HEADERS = (b"authorization", b"cookie", b"x-credential")
--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -103,9 +103,8 @@
         Pause before each event, or before a single body.
     connections : int
         Number of connections accepted so far.
-    request_limit : str
-        Requests per second that all its answers name as the limit of the target; with
-        an empty one they name none.
+    answer_headers : dict of str to str
+        Headers of all its answers, by which it says something of itself.
     crash_part : str
         Part of a prompt, not its last, under which the target crashes as it begins to
         answer; with an empty one it never does.
@@ -124,7 +123,7 @@
         self.received: list[ReceivedRequest] = []
         self.connections = 0
         self.cold_remaining_ms = 0
-        self.request_limit = ""
+        self.answer_headers: dict[str, str] = {}
         self.crash_part = ""
         self.crash_path = ""
         self.crashed_at: float | None = None
@@ -365,8 +364,7 @@
             lines.append(f"X-Response-Seal: {self.instance}.{req.id}")
         if extra_header:
             lines.append(extra_header)
-        if self.request_limit:
-            lines.append(f"Server-Limit: {self.request_limit}")
+        lines += [f"{name}: {value}" for name, value in self.answer_headers.items()]
         if length is not None:
             lines.append(f"Content-Length: {length}")
         return "\r\n".join(lines).encode("latin-1") + _HEADER_END
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -1,6 +1,7 @@
 """A small platform on loopback addresses: a store, nodes and targets."""
 
 import asyncio
+import time
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -63,6 +64,19 @@
         await self.store.put(f"servers/{name}", target_entry(target.address, **options))
         return target
 
+    async def register(self, target, **options):
+        """Write the record of a target again."""
+        await self.store.put(
+            f"servers/{target.instance}", target_entry(target.address, **options)
+        )
+
+    async def wait_until_received(self, target):
+        """Send requests until `target` has received one more."""
+        before = len(target.received)
+        async with asyncio.timeout(WAIT_TIMEOUT_SECONDS):
+            while len(target.received) == before:
+                await self.call("/look/w", request_id=f"w-{time.time_ns()}")
+
     def url(self, path, node=0):
         return f"http://{self.nodes[node].cfg.front}{path}"
 
--- a/tests/platform/test_named_limits.py
+++ b/tests/platform/test_named_limits.py
@@ -66,7 +66,7 @@
         async with running_site(tmp_path, zones=("gulf-a",) * 3) as site:
             await start_targets(site, ["d-1", "d-2", "d-3"])
             limited = site.targets["d-1"]
-            limited.request_limit = str(LIMIT)
+            limited.answer_headers["Server-Limit"] = str(LIMIT)
             named_at = time.monotonic()
             results = await load_site(site, seconds=CONTACT_SECONDS + WINDOW_SECONDS)
             bound = named_at + CONTACT_SECONDS
@@ -75,7 +75,7 @@
             assert most_in_a_window(later) <= 1.5 * LIMIT * WINDOW_SECONDS + 5
             assert all(status == 200 for _, status, _, _ in results)
 
-            limited.request_limit = ""
+            del limited.answer_headers["Server-Limit"]
             await load_site(site, seconds=4.0)
             free_at = time.monotonic()
             await load_site(site, seconds=2.0)
@@ -93,7 +93,7 @@
         async with running_site(tmp_path, zones=("gulf-a",) * 3) as site:
             await start_targets(site, ["d-1", "d-2"])
             for target in site.targets.values():
-                target.request_limit = "2"
+                target.answer_headers["Server-Limit"] = "2"
             await load_site(site, seconds=CONTACT_SECONDS)
             results = await load_site(site, seconds=WINDOW_SECONDS)
             refused = [result for result in results if result[1] == 503]
--- /dev/null
+++ b/tests/platform/test_target_notices.py
@@ -0,0 +1,71 @@
+"""Targets that say in their answers that they leave, on real sockets."""
+
+import asyncio
+import time
+
+import pytest
+from platform_site import running_site
+
+from pimentospool.policy import EntryState
+from pimentospool.standins import Fault
+
+DRAIN_SECONDS = 3.0
+"""The platform's rule: from this time after an answer on, requests that come later do
+not reach a target that has said that it leaves."""
+
+
+async def start_targets(site, count):
+    for number in range(count):
+        await site.add_target(f"d-{number}")
+    routing_state = site.nodes[0].gateway.routing_state
+    await site.wait_until(
+        lambda: (
+            site.nodes[0].gateway.state is EntryState.READY
+            and len(routing_state.known_targets()) == count
+        )
+    )
+    return list(site.targets.values())
+
+
+async def send(site, count, *, pause_seconds=0.02):
+    results = []
+    for _ in range(count):
+        results.append(await site.call("/look/x", request_id=f"r-{time.time_ns()}"))
+        await asyncio.sleep(pause_seconds)
+    return results
+
+
+@pytest.mark.parametrize("fault", [None, Fault.ERROR, Fault.REJECT])
+def test_target_that_says_it_leaves_gets_no_requests(runner, tmp_path, fault):
+    async def run():
+        async with running_site(tmp_path) as site:
+            leaving, other = await start_targets(site, 2)
+            leaving.answer_headers["Server-Leaving"] = "1"
+            leaving.faults = [fault]
+            await site.wait_until_received(leaving)
+            # The store still lists it, and does so again.
+            entry = {"Sequence": 2, "State": "ready"}
+            await site.register(leaving, **entry)
+            before = len(leaving.received)
+            results = await send(site, 20)
+            assert [status for status, _, _ in results] == [200] * 20
+            assert len(leaving.received) == before
+            assert len(other.received) >= 20
+
+    runner.run(run())
+
+
+def test_new_start_of_a_target_that_left_gets_requests(runner, tmp_path):
+    async def run():
+        async with running_site(tmp_path) as site:
+            [target] = await start_targets(site, 1)
+            target.answer_headers["Server-Leaving"] = "1"
+            await send(site, 1)
+            [(status, headers, _)] = await send(site, 1)
+            assert status == 503
+            assert "Retry-After" in headers
+            del target.answer_headers["Server-Leaving"]
+            await site.register(target, born=2)
+            await site.wait_until_received(target)
+
+    runner.run(run())
