--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -14,6 +14,7 @@
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._replies import Reply
 from pimentospool.gateway._routing_state import TargetState
+from pimentospool.log import Event, log_event
 from pimentospool.policy import (
     Assignment,
     Candidate,
@@ -107,6 +108,10 @@
             )
             if deps.dialect.is_leaving(head):
                 deps.routing_state.receive_leaving(state.registration)
+            quiet_seconds = deps.dialect.quiet_seconds(head)
+            if quiet_seconds is not None:
+                deps.placement.health(state.id).record_quiet(quiet_seconds)
+                log_event(Event.TARGET_QUIET, target=state.id, seconds=quiet_seconds)
 
         try:
             conn = await pool.acquire()
--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -66,6 +66,12 @@
     def cold_seconds(self, head: AnswerHead) -> float | None:
         """Return how long a target stays cold, None if its response doesn't say."""
 
+    def quiet_seconds(self, head: AnswerHead) -> float | None:
+        """Return for how long a target that rejects a request wants no other one.
+
+        It is None if the response isn't such a rejection or doesn't say.
+        """
+
     def is_leaving(self, head: AnswerHead) -> bool:
         """Return whether a target leaves, as its response says."""
 
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -109,7 +109,7 @@
             remotes = self._remote_regions(
                 req, route, service, progress, preferred_region=preferred_region
             )
-        candidates, limit_wait_seconds = [], math.inf
+        candidates, min_wait_seconds = [], math.inf
         if route.allows(self._region):
             preferred_elsewhere = any(
                 remote.region == preferred_region for remote in remotes
@@ -119,8 +119,8 @@
                 for state in self._usable_targets(service.id)
                 if progress.may_use(state.id)
             ]
-            waits = self._limit_waits(states)
-            limit_wait_seconds = min(waits.values(), default=math.inf)
+            waits = self._wait_times(states)
+            min_wait_seconds = min(waits.values(), default=math.inf)
             candidates = self._candidates(
                 req,
                 service,
@@ -133,7 +133,7 @@
             remotes=remotes,
             first_byte_timeout_seconds=first_byte_timeout_seconds,
             objective_seconds=route.target_latency_seconds or math.inf,
-            limit_wait_seconds=limit_wait_seconds,
+            min_wait_seconds=min_wait_seconds,
         )
         choice = choose(candidates)
         if (
@@ -192,7 +192,7 @@
             return {}
         loads = {}
         for service in configuration.services.values():
-            states = self._unlimited(self._usable_targets(service.id))
+            states = self._unrestricted(self._usable_targets(service.id))
             now = self._clock()
             # A cold target gets few requests and an unreachable one none, so their
             # low occupancy says nothing about the region's load.
@@ -212,24 +212,32 @@
                 )
         return loads
 
-    def _unlimited(self, states: list[TargetState]) -> list[TargetState]:
-        """Return those of `states` that have named no limit."""
+    def _unrestricted(self, states: list[TargetState]) -> list[TargetState]:
+        """Return those of `states` that name no limit and don't want quiet."""
         limit = self.named_limits.limit
-        return [state for state in states if math.isinf(limit(state.id))]
-
-    def _limit_waits(self, states: list[TargetState]) -> dict[TargetId, float]:
-        """Return the time until each limited target may be sent a request."""
-        limits = self.named_limits
-        limited = [
-            state.id for state in states if not math.isinf(limits.limit(state.id))
+        return [
+            state
+            for state in states
+            if math.isinf(limit(state.id)) and not self.health(state.id).quiet_seconds
         ]
-        if not limited:
+
+    def _wait_times(self, states: list[TargetState]) -> dict[TargetId, float]:
+        """Return the time until each restricted target may be sent a request."""
+        unrestricted = {state.id for state in self._unrestricted(states)}
+        restricted = [state.id for state in states if state.id not in unrestricted]
+        if not restricted:
             return {}
         members = [
             self._fleet.local_id,
             *(EntryId(rec.id) for rec in self._fleet.live(region=self._region)),
         ]
-        return {target: limits.wait_seconds(target, members) for target in limited}
+        return {
+            target: max(
+                self.named_limits.wait_seconds(target, members),
+                self.health(target).quiet_seconds,
+            )
+            for target in restricted
+        }
 
     def _usable_targets(self, service: ServiceId) -> list[TargetState]:
         states = self._routing_state.usable_targets(service, self._region)
@@ -262,7 +270,7 @@
         preferred = None
         if has_preferred_target:
             preferred = preferred_target(
-                prompt.shared_key, [state.id for state in self._unlimited(states)]
+                prompt.shared_key, [state.id for state in self._unrestricted(states)]
             )
         tokens = prompt.tokens + prompt.max_output_tokens
         return [
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -76,6 +76,7 @@
     REQUEST_QUARANTINED = (3123, logbook.WARNING, "request kept from targets")
     REQUEST_RELEASED = (3124, logbook.NOTICE, "request sent to targets again")
     TARGET_LIMITED = (3119, logbook.WARNING, "target named the rate that it takes")
+    TARGET_QUIET = (3125, logbook.NOTICE, "target wants no requests for a time")
     TARGET_UNLIMITED = (3120, logbook.NOTICE, "target names no limit any more")
     TARGET_COLD = (3115, logbook.NOTICE, "target reported how long it stays cold")
     ZONE_EVACUATED = (3121, logbook.NOTICE, "zone evacuated")
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -30,6 +30,7 @@
 
 _OK = 200
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 _NOT_RUN_STATUSES = (408, 429, 503)
 """Statuses that promise a caller that its request did not run."""
 _SERVER_ERROR = 500
@@ -126,6 +127,17 @@
         value = head.get(RETRY_AFTER_HEADER) or b""
         return parse_duration(value.decode("latin-1"), unit_seconds=1.0)
 
+    def quiet_seconds(self, head: AnswerHead) -> float | None:
+        """Return for how long a server that rejects a request wants no other one."""
+        if head.status != _UNAVAILABLE or head.get(NOT_EXECUTED_HEADER) is None:
+            return None
+        times = [
+            parse_duration(value.decode("latin-1"), unit_seconds=1.0)
+            for name, value in head.headers
+            if name == RETRY_AFTER_HEADER
+        ]
+        return max((time for time in times if time is not None), default=None)
+
     def is_leaving(self, head: AnswerHead) -> bool:
         """Return whether a server leaves, as its response says."""
         return (head.get(LEAVING_HEADER) or b"0").strip() == b"1"
--- a/pimentospool/policy/_target_choice.py
+++ b/pimentospool/policy/_target_choice.py
@@ -178,7 +178,7 @@
     *,
     first_byte_timeout_seconds: float,
     objective_seconds: float = math.inf,
-    limit_wait_seconds: float = math.inf,
+    min_wait_seconds: float = math.inf,
 ) -> TargetChoice | RegionChoice | NoChoice:
     """Return the destination of a request, the one with the lowest cost.
 
@@ -192,8 +192,8 @@
         Time until the caller gives up waiting for the first byte.
     objective_seconds : float
         Latency objective for the first byte.
-    limit_wait_seconds : float
-        Time until a target that has named a limit may be sent a request.
+    min_wait_seconds : float
+        Time until one of the targets that are left out may be sent a request.
     """
     local = min(candidates, key=lambda item: item.cost_seconds, default=None)
     remote = min(remotes, key=lambda item: item.cost_seconds, default=None)
@@ -201,8 +201,8 @@
         return NoChoice(
             detail="no target can take the request",
             retry_after_seconds=_clamp_retry_after(
-                limit_wait_seconds
-                if math.isfinite(limit_wait_seconds)
+                min_wait_seconds
+                if math.isfinite(min_wait_seconds)
                 else MIN_RETRY_AFTER_SECONDS * 2
             ),
         )
--- a/pimentospool/policy/_target_health.py
+++ b/pimentospool/policy/_target_health.py
@@ -35,6 +35,7 @@
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._ejected_until = 0.0
+        self._quiet_until = 0.0
         self._consecutive_connect_failures = 0
         self._failure_rate = 0.0
         self._latency_ratio = 1.0
@@ -47,6 +48,11 @@
         """Whether the target is ejected: it receives no requests for now."""
         return self._clock() < self._ejected_until
 
+    @property
+    def quiet_seconds(self) -> float:
+        """Time for which the target still wants no requests of this entry VM."""
+        return max(0.0, self._quiet_until - self._clock())
+
     @property
     def last_connect_failed(self) -> bool:
         """Whether the last connection could not be opened, without an answer since."""
@@ -87,6 +93,13 @@
         """Record an answer that failed or was cut off."""
         self._observe(self._latency_ratio, failed=True)
 
+    def record_quiet(self, seconds: float) -> None:
+        """Record that the target has rejected a request and wants none for `seconds`.
+
+        Of several such times the one that ends last holds.
+        """
+        self._quiet_until = max(self._quiet_until, self._clock() + seconds)
+
     def record_connect_failure(self) -> None:
         """Record a connection that could not be opened, and eject the target."""
         ejection_seconds = min(
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -37,3 +37,24 @@
 def test_arbitrary_limit_is_a_number_or_unreadable(value):
     limit = read_limit(value)
     assert limit is None or 0.0 <= limit < math.inf
+
+
+@pytest.mark.parametrize(
+    ("values", "seconds"),
+    [
+        ((), None),
+        ((b"2.5",), 2.5),
+        ((b"0",), 0.0),
+        ((b"3", b"7", b"soon"), 7.0),
+        ((b"Wed, 21 Oct 2026 07:28:00 GMT",), None),
+    ],
+)
+@pytest.mark.parametrize("proof", [True, False])
+def test_server_wants_quiet_if_it_rejects_a_request_and_says_how_long(
+    values, seconds, proof
+):
+    headers = [(b"retry-after", value) for value in values]
+    if proof:
+        headers.append((b"x-not-executed", b"1"))
+    quiet_seconds = PlatformDialect().quiet_seconds(AnswerHead(503, headers))
+    assert quiet_seconds == (seconds if proof else None)
--- a/tests/platform/test_target_notices.py
+++ b/tests/platform/test_target_notices.py
@@ -1,4 +1,4 @@
-"""Targets that say in their answers that they leave, on real sockets."""
+"""Targets that say in their answers that they leave or want quiet, on real sockets."""
 
 import asyncio
 import time
@@ -12,6 +12,10 @@
 DRAIN_SECONDS = 3.0
 """The platform's rule: from this time after an answer on, requests that come later do
 not reach a target that has said that it leaves."""
+QUIET_GRACE_SECONDS = 0.5
+MAX_QUIET_ARRIVALS = 2
+"""The platform's rule: arrivals from one entry VM between this grace time after a
+rejection with Retry-After and the end of that time."""
 
 
 async def start_targets(site, count):
@@ -69,3 +73,42 @@
             await site.wait_until_received(target)
 
     runner.run(run())
+
+
+def test_target_that_wants_quiet_gets_no_requests_until_its_end(runner, tmp_path):
+    async def run():
+        async with running_site(tmp_path) as site:
+            quiet, _ = await start_targets(site, 2)
+            quiet.answer_headers["Retry-After"] = "1.5"
+            quiet.faults = [Fault.REJECT]
+            await site.wait_until_received(quiet)
+            rejected_at = quiet.received[-1].received_at
+            del quiet.answer_headers["Retry-After"]
+            results = await send(site, 40, pause_seconds=0.05)
+            assert [status for status, _, _ in results] == [200] * 40
+            early = [
+                req
+                for req in quiet.received
+                if QUIET_GRACE_SECONDS < req.received_at - rejected_at < 1.5
+            ]
+            assert len(early) <= MAX_QUIET_ARRIVALS
+            await site.wait_until_received(quiet)
+
+    runner.run(run())
+
+
+def test_callers_are_told_when_the_first_of_the_quiet_targets_may_be_asked(
+    runner, tmp_path
+):
+    async def run():
+        async with running_site(tmp_path) as site:
+            targets = await start_targets(site, 2)
+            for target, seconds in zip(targets, ("8", "4.5"), strict=True):
+                target.answer_headers["Retry-After"] = seconds
+                target.faults = [Fault.REJECT] * 9
+            await send(site, 4)
+            [(status, headers, _)] = await send(site, 1)
+            assert status == 503
+            assert 3.5 < float(headers["Retry-After"]) <= 4.5
+
+    runner.run(run())
--- a/tests/policy/test_target_health.py
+++ b/tests/policy/test_target_health.py
@@ -60,3 +60,13 @@
     health.record_connect_failure()
     clock.now += 0.6
     assert not health.ejected
+
+
+def test_longest_quiet_time_holds(clock):
+    health = TargetHealth(clock=clock)
+    health.record_quiet(4.0)
+    health.record_quiet(1.0)
+    clock.now += 3.0
+    assert health.quiet_seconds == pytest.approx(1.0)
+    clock.now += 1.0
+    assert health.quiet_seconds == 0.0
