--- a/pimentospool/bench/_heartbeats.py
+++ b/pimentospool/bench/_heartbeats.py
@@ -17,7 +17,13 @@
 from pimentospool.gateway._model import Address
 from pimentospool.gateway._target_reports import ReportExchange
 from pimentospool.ids import TargetId
-from pimentospool.policy import CrashSuspects, EntryState, NamedLimits, OccupancyBook
+from pimentospool.policy import (
+    BrittleTargets,
+    CrashSuspects,
+    EntryState,
+    NamedLimits,
+    OccupancyBook,
+)
 
 CYCLE_ROUNDS = REGION_ROUNDS * SEED_ROUNDS
 """The pattern of receivers repeats after this many rounds."""
@@ -114,6 +120,7 @@
         fleet=fleet,
         book=book,
         limits=NamedLimits(entry=fleet.local_id, clock=clock),
+        brittle=BrittleTargets(entry=fleet.local_id, clock=clock),
         cold_reports=dict,
         receive_cold_report=lambda target, seconds: None,
         position=lambda: None,
--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -5,6 +5,7 @@
 from pimentospool.gateway._answers import AnswerReceiver, HopRefusedError
 from pimentospool.gateway._connections import AnswerHead, EncodedRequest
 from pimentospool.gateway._dependencies import GatewayDependencies
+from pimentospool.gateway._dialect import AnswerClass
 from pimentospool.gateway._model import (
     HttpRoute,
     InboundRequest,
@@ -106,6 +107,12 @@
             deps.placement.named_limits.record_answer(
                 state.id, deps.dialect.request_limit(head), sent_at=sent_at
             )
+            deps.placement.brittle_targets.record_answer(
+                state.id,
+                deps.dialect.turn_aways(head),
+                sent_at=sent_at,
+                rejected=deps.dialect.classify(head) is AnswerClass.REJECTION,
+            )
             if deps.dialect.is_leaving(head):
                 deps.routing_state.receive_leaving(state.registration)
             quiet_seconds = deps.dialect.quiet_seconds(head)
--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -72,6 +72,12 @@
         It is None if the response isn't such a rejection or doesn't say.
         """
 
+    def turn_aways(self, head: AnswerHead) -> float | None:
+        """Return the rejections in a second above which a target falls over.
+
+        It is None if the response doesn't say that the target is brittle.
+        """
+
     def is_leaving(self, head: AnswerHead) -> bool:
         """Return whether a target leaves, as its response says."""
 
--- a/pimentospool/gateway/_fleet_messages.py
+++ b/pimentospool/gateway/_fleet_messages.py
@@ -93,6 +93,8 @@
     """Time for which targets stay cold that the entry VM has checked."""
     limits: dict[str, LimitNotice] = {}
     """What targets have told the entry VM of the rates that they take."""
+    brittle: dict[str, float] = {}
+    """Seconds since targets told the entry VM that they are brittle."""
 
 
 class ReportMessage(msgspec.Struct, array_like=True, tag=2):
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -15,6 +15,7 @@
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
     Assignment,
+    BrittleTargets,
     CachedParts,
     Candidate,
     ColdStartLimiter,
@@ -85,6 +86,13 @@
         self.named_limits = NamedLimits(
             entry=fleet.local_id, clock=clock, on_change=_log_limit
         )
+        self.brittle_targets = BrittleTargets(
+            entry=fleet.local_id,
+            clock=clock,
+            on_change=lambda target, brittle: log_event(
+                Event.TARGET_BRITTLE, target=target, brittle=brittle
+            ),
+        )
         self._health: dict[TargetId, TargetHealth] = {}
         self._paces: dict[ServiceId, ServicePace] = {}
         routing_state.target_removed.connect(self._forget_target)
@@ -222,22 +230,32 @@
         ]
 
     def _wait_times(self, states: list[TargetState]) -> dict[TargetId, float]:
-        """Return the time until each restricted target may be sent a request."""
+        """Return the time until each restricted target may be sent a request.
+
+        It is infinite if that depends on others, and 0 or missing without a wait.
+        """
         unrestricted = {state.id for state in self._unrestricted(states)}
-        restricted = [state.id for state in states if state.id not in unrestricted]
-        if not restricted:
-            return {}
-        members = [
-            self._fleet.local_id,
-            *(EntryId(rec.id) for rec in self._fleet.live(region=self._region)),
-        ]
-        return {
-            target: max(
-                self.named_limits.wait_seconds(target, members),
-                self.health(target).quiet_seconds,
-            )
-            for target in restricted
-        }
+        members = self._region_members()
+        waits = {}
+        for state in states:
+            if state.id not in unrestricted:
+                waits[state.id] = max(
+                    self.named_limits.wait_seconds(state.id, members),
+                    self.health(state.id).quiet_seconds,
+                )
+            if not self.brittle_targets.allows(
+                state.id,
+                slots=state.registration.slots,
+                in_progress=self._book.local(state.id).running,
+                members=members,
+            ):
+                waits[state.id] = math.inf
+        return waits
+
+    def _region_members(self) -> list[EntryId]:
+        """Return the entry VMs that may send to targets of this region."""
+        others = self._fleet.live(region=self._region)
+        return [self._fleet.local_id, *(EntryId(record.id) for record in others)]
 
     def _usable_targets(self, service: ServiceId) -> list[TargetState]:
         states = self._routing_state.usable_targets(service, self._region)
@@ -393,6 +411,7 @@
         self._health.pop(target, None)
         self._cached_parts.forget(target)
         self.named_limits.forget(target)
+        self.brittle_targets.forget(target)
 
 
 def _log_limit(target: TargetId, rate: float) -> None:
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -128,6 +128,7 @@
             fleet=self.fleet,
             book=self.book,
             limits=self._placement.named_limits,
+            brittle=self._placement.brittle_targets,
             cold_reports=self._cold_checker.recent_reports,
             receive_cold_report=self.routing_state.receive_cold_report,
             position=self.feed.announced_position,
--- a/pimentospool/gateway/_target_reports.py
+++ b/pimentospool/gateway/_target_reports.py
@@ -17,7 +17,13 @@
     encode_occupancy,
 )
 from pimentospool.ids import EntryId, MemberKey, TargetId
-from pimentospool.policy import LimitNotice, NamedLimits, OccupancyBook, choose_relays
+from pimentospool.policy import (
+    BrittleTargets,
+    LimitNotice,
+    NamedLimits,
+    OccupancyBook,
+    choose_relays,
+)
 
 REFRESH_ROUNDS = 5
 """Interval, in rounds, at which an unchanged report is repeated; a report expires
@@ -41,6 +47,8 @@
         Requests in progress at each target, shared within the region.
     limits : NamedLimits
         Limits that targets name, shared within the region.
+    brittle : BrittleTargets
+        Brittle targets, shared likewise.
     cold_reports : callable
         Returns the seconds for which recently checked targets stay cold.
     receive_cold_report : callable
@@ -58,6 +66,7 @@
         fleet: Fleet,
         book: OccupancyBook,
         limits: NamedLimits,
+        brittle: BrittleTargets,
         cold_reports: Callable[[], dict[TargetId, float]],
         receive_cold_report: Callable[[TargetId, float], None],
         position: Callable[[], tuple[FactPosition, float] | None],
@@ -66,6 +75,7 @@
         self._fleet = fleet
         self._book = book
         self._limits = limits
+        self._brittle = brittle
         self._cold_reports = cold_reports
         self._receive_cold_report = receive_cold_report
         self._position = position
@@ -98,6 +108,8 @@
                 self._receive_cold_report(TargetId(target), seconds)
             for target, notice in report.limits.items():
                 self._limits.receive(TargetId(target), notice)
+            for target, age_seconds in report.brittle.items():
+                self._brittle.receive(TargetId(target), age_seconds)
             if msg.to_relay:
                 self._to_relay[report.sender] = report
 
@@ -136,21 +148,23 @@
         occupancy = encode_occupancy(self._book.local_occupancy())
         cold = {str(key): value for key, value in self._cold_reports().items()}
         limits = {str(key): value for key, value in self._limits.notices().items()}
+        brittle = {str(key): value for key, value in self._brittle.notices().items()}
         changed = (
             occupancy != self._own.occupancy
             or cold.keys() != self._own.cold_seconds.keys()
             or _rates(limits) != _rates(self._own.limits)
+            or brittle.keys() != self._own.brittle.keys()
         )
         if changed:
             self._empty_reports_left = EMPTY_REPORTS
         elif self._round % REFRESH_ROUNDS:
             return None
-        elif not (occupancy or cold or limits):
+        elif not (occupancy or cold or limits or brittle):
             if not self._empty_reports_left:
                 return None
             self._empty_reports_left -= 1
         self._own = TargetReport(
-            self._own.sender, self._own.number + 1, occupancy, cold, limits
+            self._own.sender, self._own.number + 1, occupancy, cold, limits, brittle
         )
         return self._own
 
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -77,6 +77,7 @@
     REQUEST_RELEASED = (3124, logbook.NOTICE, "request sent to targets again")
     TARGET_LIMITED = (3119, logbook.WARNING, "target named the rate that it takes")
     TARGET_QUIET = (3125, logbook.NOTICE, "target wants no requests for a time")
+    TARGET_BRITTLE = (3126, logbook.NOTICE, "target says whether it is brittle")
     TARGET_UNLIMITED = (3120, logbook.NOTICE, "target names no limit any more")
     TARGET_COLD = (3115, logbook.NOTICE, "target reported how long it stays cold")
     ZONE_EVACUATED = (3121, logbook.NOTICE, "zone evacuated")
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -10,6 +10,7 @@
     Registration,
 )
 from pimentospool.platform._headers import (
+    BRITTLE_HEADER,
     COLD_REMAINING_HEADER,
     DEADLINE_HEADER,
     EXPECT_INSTANCE_HEADER,
@@ -138,6 +139,11 @@
         ]
         return max((time for time in times if time is not None), default=None)
 
+    def turn_aways(self, head: AnswerHead) -> float | None:
+        """Return the rejections in a second that a brittle server stands."""
+        value = head.get(BRITTLE_HEADER)
+        return None if value is None else parse_decimal(value.decode("latin-1")) or 0.0
+
     def is_leaving(self, head: AnswerHead) -> bool:
         """Return whether a server leaves, as its response says."""
         return (head.get(LEAVING_HEADER) or b"0").strip() == b"1"
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -1,5 +1,6 @@
 """Decisions of the gateway: no input or output, no clock and no global random."""
 
+from pimentospool.policy._brittle_targets import BrittleTargets
 from pimentospool.policy._cached_parts import CachedParts, preferred_target
 from pimentospool.policy._crash_evidence import (
     CrashEvidence,
@@ -67,6 +68,7 @@
 __all__ = [
     "SURVIVAL_SECONDS",
     "Assignment",
+    "BrittleTargets",
     "CachedParts",
     "Candidate",
     "ChangeKind",
--- a/pimentospool/policy/_named_limits.py
+++ b/pimentospool/policy/_named_limits.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from pimentospool.ids import EntryId, TargetId
-from pimentospool.policy._rendezvous import rank_members
+from pimentospool.policy._rendezvous import MemberRanks
 from pimentospool.policy._shared_limits import (
     MIN_MEMBER_COUNT,
     STARTUP_DELAY_SECONDS,
@@ -78,15 +78,13 @@
         clock: Callable[[], float],
         on_change: Callable[[TargetId, float], None] = lambda target, rate: None,
     ) -> None:
-        self._entry = entry
         self._clock = clock
         self._on_change = on_change
         self._started_at = clock()
         self._notices: dict[TargetId, _Notice] = {}
         self._limited_at: dict[TargetId, float] = {}
         self._last_sent_at: dict[TargetId, float] = {}
-        self._ranked_members: frozenset[EntryId] = frozenset()
-        self._ranks: dict[TargetId, int] = {}
+        self._ranks = MemberRanks(entry=entry)
 
     def limit(self, target: TargetId) -> float:
         """Return the limit of `target` in requests per second; infinite without one."""
@@ -153,7 +151,7 @@
 
     def forget(self, target: TargetId) -> None:
         """Drop what is known of `target`."""
-        for known in (self._notices, self._limited_at, self._last_sent_at, self._ranks):
+        for known in (self._notices, self._limited_at, self._last_sent_at):
             known.pop(target, None)
 
     # Sends.
@@ -179,7 +177,7 @@
             return 0.0
         rate = max(limit, MIN_RATE)
         sender_count = min(len(members), MAX_EXTRA_SENDERS + int(rate))
-        rank = self._rank(target, members)
+        rank = self._ranks.rank(target, members)
         if rank >= sender_count:
             return math.inf
         now = self._clock()
@@ -201,18 +199,6 @@
         if self.limit(target) != math.inf:
             self._last_sent_at[target] = self._clock()
 
-    def _rank(self, target: TargetId, members: Collection[EntryId]) -> int:
-        """Return the place of this entry VM among those that send to `target`."""
-        known = frozenset(members)
-        if known != self._ranked_members:
-            self._ranked_members = known
-            self._ranks.clear()
-        rank = self._ranks.get(target)
-        if rank is None:
-            ranked = rank_members(known, purpose=target)
-            rank = self._ranks[target] = ranked.index(self._entry)
-        return rank
-
     def _set(self, target: TargetId, notice: _Notice) -> None:
         before = self.limit(target)
         self._notices[target] = notice
--- a/pimentospool/policy/_occupancy.py
+++ b/pimentospool/policy/_occupancy.py
@@ -134,6 +134,10 @@
         else:
             self._local[target] = total
 
+    def local(self, target: TargetId) -> Occupancy:
+        """Return the occupancy of `target` by this entry VM."""
+        return self._local.get(target, IDLE)
+
     def local_occupancy(self) -> dict[TargetId, Occupancy]:
         """Return the occupancy by this entry VM, to be sent to its peers."""
         return dict(self._local)
--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -105,6 +105,8 @@
         Number of connections accepted so far.
     answer_headers : dict of str to str
         Headers of all its answers, by which it says something of itself.
+    room : int or None
+        Requests that it lets in at once; it rejects any others.
     crash_part : str
         Part of a prompt, not its last, under which the target crashes as it begins to
         answer; with an empty one it never does.
@@ -124,6 +126,8 @@
         self.connections = 0
         self.cold_remaining_ms = 0
         self.answer_headers: dict[str, str] = {}
+        self.room: int | None = None
+        self._busy = 0
         self.crash_part = ""
         self.crash_path = ""
         self.crashed_at: float | None = None
@@ -180,7 +184,8 @@
             req.executed = False
             writer.write(self._response_head(req, 421, length=0))
             return True
-        if fault is Fault.REJECT:
+        is_full = self.room is not None and self._busy >= self.room
+        if fault is Fault.REJECT or is_full:
             req.executed = False
             writer.write(self._response_head(req, 503, "X-Not-Executed: 1", length=0))
             return True
@@ -195,9 +200,11 @@
         if fault is Fault.EARLY:
             return True
         disconnected = asyncio.ensure_future(_wait_for_disconnect(reader))
+        self._busy += 1
         try:
             return await self._respond(req, writer, fault, disconnected)
         finally:
+            self._busy -= 1
             req.sender_disconnected = disconnected.done()
             disconnected.cancel()
 
--- a/tests/gateway/test_heartbeats.py
+++ b/tests/gateway/test_heartbeats.py
@@ -18,6 +18,7 @@
 from pimentospool.gateway._heartbeats import HeartbeatLoop
 from pimentospool.gateway._target_reports import ReportExchange
 from pimentospool.policy import (
+    BrittleTargets,
     CrashEvidence,
     CrashSuspects,
     EntryState,
@@ -67,6 +68,7 @@
         fleet=fleet,
         book=OccupancyBook(clock=clock),
         limits=NamedLimits(entry=fleet.local_id, clock=clock),
+        brittle=BrittleTargets(entry=fleet.local_id, clock=clock),
         cold_reports=dict,
         receive_cold_report=lambda target, seconds: None,
         position=lambda: None,
@@ -118,7 +120,12 @@
                 ReportMessage(
                     [
                         TargetReport(
-                            1, 1, {"i-1": (1, 2, 3)}, {}, {"i-1": LimitNotice(1.3, 0.5)}
+                            1,
+                            1,
+                            {"i-1": (1, 2, 3)},
+                            {},
+                            {"i-1": LimitNotice(1.3, 0.5)},
+                            {"i-2": 0.5},
                         )
                     ],
                     to_relay=True,
--- a/tests/gateway/test_target_reports.py
+++ b/tests/gateway/test_target_reports.py
@@ -9,7 +9,13 @@
 from pimentospool.gateway import FactPosition
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._target_reports import EMPTY_REPORTS, ReportExchange
-from pimentospool.policy import EntryState, NamedLimits, Occupancy, OccupancyBook
+from pimentospool.policy import (
+    BrittleTargets,
+    EntryState,
+    NamedLimits,
+    Occupancy,
+    OccupancyBook,
+)
 
 LARGE = 65
 ROUND_SECONDS = 0.2
@@ -27,10 +33,12 @@
         self.positions = []
         self.received = 0
         self.limits = NamedLimits(entry=self.fleet.local_id, clock=clock)
+        self.brittle = BrittleTargets(entry=self.fleet.local_id, clock=clock)
         self.exchange = ReportExchange(
             fleet=self.fleet,
             book=self.book,
             limits=self.limits,
+            brittle=self.brittle,
             cold_reports=lambda: self.cold,
             receive_cold_report=self.cold_received.__setitem__,
             position=lambda: self.position,
@@ -148,6 +156,19 @@
     assert {node.limits.limit("i-1") for node in region.list} == {math.inf}
 
 
+def test_brittle_target_is_known_in_the_region():
+    region = Region(LARGE)
+    told = region.list[0].brittle
+    told.record_answer("i-1", 5.0, sent_at=region.clock.now, rejected=False)
+    region.run_rounds(2)
+    assert not any(
+        node.brittle.allows(
+            "i-1", slots=4, in_progress=3, members=[node.record.id, "other"]
+        )
+        for node in region.list
+    )
+
+
 def test_relays_announce_how_far_they_follow_the_source():
     region = Region(LARGE)
     for node in region.list:
--- a/tests/platform/test_target_notices.py
+++ b/tests/platform/test_target_notices.py
@@ -1,4 +1,4 @@
-"""Targets that say in their answers that they leave or want quiet, on real sockets."""
+"""Targets that say that they leave, want quiet or are brittle, on real sockets."""
 
 import asyncio
 import time
@@ -112,3 +112,41 @@
             assert 3.5 < float(headers["Retry-After"]) <= 4.5
 
     runner.run(run())
+
+
+@pytest.mark.timeout(60)
+def test_brittle_targets_reject_few_requests_under_overload(runner, tmp_path):
+    turn_aways = 3
+
+    async def run():
+        async with running_site(tmp_path, zones=("gulf-a",) * 2) as site:
+            targets = await start_targets(site, 2)
+            for target in targets:
+                target.answer_headers["Server-Brittle"] = str(turn_aways)
+                target.gap_seconds = 0.3
+                target.room = 16
+            results = []
+
+            async def call(number):
+                results.append(
+                    await site.call(
+                        "/look/x", node=number % 2, request_id=f"b-{number}"
+                    )
+                )
+
+            async with asyncio.TaskGroup() as group:
+                for number in range(600):
+                    if number == 200:
+                        for target in targets:
+                            target.room = 8
+                    group.create_task(call(number))
+                    await asyncio.sleep(0.01)
+            for target in targets:
+                times = [req.received_at for req in target.received if not req.executed]
+                for at in times:
+                    assert sum(at <= other < at + 1.0 for other in times) <= turn_aways
+            statuses = [status for status, _, _ in results]
+            assert set(statuses) == {200, 503}
+            assert statuses.count(200) > 0.5 * 2 * 8 / 0.3 * 6.0
+
+    runner.run(run())
