--- a/pimentospool/soak/__init__.py
+++ b/pimentospool/soak/__init__.py
@@ -6,6 +6,7 @@
     SoakChecker,
     SoakRecord,
     SoakRoute,
+    TargetNotice,
     Violation,
 )
 from pimentospool.soak._fault_plan import PlannedFault, SoakFault, plan_faults
@@ -22,6 +23,7 @@
     "SoakRecord",
     "SoakResult",
     "SoakRoute",
+    "TargetNotice",
     "Violation",
     "plan_faults",
 ]
--- a/pimentospool/soak/_checker.py
+++ b/pimentospool/soak/_checker.py
@@ -1,5 +1,6 @@
 """Checks the platform's promises on what the callers and targets of a soak recorded."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 
@@ -31,6 +32,26 @@
 """
 
 
+CONTACT_SECONDS = 5.0
+"""Time after which a target's limit binds."""
+DRAIN_SECONDS = 3.0
+"""Time after which a node sends nothing more to a target that says that it leaves.
+
+Both are figures of the sites' data sheets.
+"""
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+"""In a window, a target gets at most what its limit allows times this factor, and so
+many requests more (rules of the platform)."""
+EXCUSED_REQUESTS = 3
+"""Requests in a window that a node which was paused or started may send beyond that;
+the platform's rule excuses it altogether."""
+STOPPING_FAULTS = frozenset(
+    {SoakFault.NODE_PAUSED, SoakFault.NODE_KILLED, SoakFault.NODE_TERMINATED}
+)
+
+
 class SoakRoute(msgspec.Struct, kw_only=True, frozen=True):
     """A route on which a soak makes calls.
 
@@ -62,6 +83,20 @@
     ended_at: float
 
 
+class TargetNotice(msgspec.Struct, kw_only=True, frozen=True):
+    """What a target said of itself in its answers, in some period.
+
+    `limit` is the requests per second that it took; without one it said that it leaves.
+    `nodes` are the numbers of the nodes in its region.
+    """
+
+    target: str
+    started_at: float
+    ended_at: float
+    nodes: frozenset[int]
+    limit: float | None = None
+
+
 class Violation(msgspec.Struct, kw_only=True, frozen=True):
     """A broken promise and the calls that show it."""
 
@@ -75,6 +110,7 @@
     calls: list[PlatformCall] = msgspec.field(default_factory=list)
     arrivals: list[Arrival] = msgspec.field(default_factory=list)
     disturbances: list[Disturbance] = msgspec.field(default_factory=list)
+    notices: list[TargetNotice] = msgspec.field(default_factory=list)
     process_errors: list[str] = msgspec.field(default_factory=list)
     """Messages about processes that exited unexpectedly or did not stop on request."""
     unrecovered: list[str] = msgspec.field(default_factory=list)
@@ -112,6 +148,8 @@
             "a calm node answers": self._unanswered_calls(),
             "answers come by the route's limit": self._late_calls(),
             "repeats stay within the budget": self._excess_retries(),
+            "a limit that a target names is kept": self._excess_of_limits(),
+            "a target that says it leaves is left": self._calls_of_leaving_targets(),
             "processes end only as asked": iter(self._record.process_errors),
             "all nodes serve after the last fault": iter(self._record.unrecovered),
         }
@@ -253,3 +291,59 @@
             if spent_retries > RETRY_BUDGET_RATIO * request_count + RETRY_BUDGET_EXTRA:
                 yield f"{service}: {spent_retries} retries for {request_count} requests"
                 return
+
+    def _excess_of_limits(self) -> Iterable[str]:
+        for notice in self._record.notices:
+            if notice.limit is None:
+                continue
+            times = sorted(
+                arrival.request.received_at
+                for arrival in self._record.arrivals
+                if arrival.target == notice.target
+            )
+            allowed = LIMIT_FACTOR * notice.limit * LIMIT_WINDOW_SECONDS + LIMIT_EXTRA
+            for start in times:
+                end = start + LIMIT_WINDOW_SECONDS
+                if start < notice.started_at + CONTACT_SECONDS or end > notice.ended_at:
+                    continue
+                count = sum(start <= at < end for at in times)
+                if count > allowed + EXCUSED_REQUESTS * self._stops(start, end):
+                    yield f"{notice.target}: {count} requests in a window"
+                    break
+
+    def _calls_of_leaving_targets(self) -> Iterable[str]:
+        for notice in self._record.notices:
+            if notice.limit is not None:
+                continue
+            for node in notice.nodes:
+                calls = [call for call in self._record.calls if call.node == node]
+                told_at = min(
+                    (
+                        call.ended_at
+                        for call in calls
+                        if call.sent_at >= notice.started_at
+                        and call.end is CallEnd.ANSWERED
+                        and call.signing_target == notice.target
+                    ),
+                    default=math.inf,
+                )
+                for call in calls:
+                    if (
+                        call.sent_at > told_at + DRAIN_SECONDS
+                        and not self._stops(told_at, call.ended_at, node=node)
+                        and any(
+                            run.target == notice.target
+                            for run in self._runs.get(call.id, [])
+                        )
+                    ):
+                        yield f"{call.id} at node {node} ran at {notice.target}"
+
+    def _stops(self, start: float, end: float, *, node: int | None = None) -> int:
+        """Return how often nodes were paused or stopped shortly before or in a time."""
+        return sum(
+            item.fault in STOPPING_FAULTS
+            and node in (None, item.node)
+            and item.started_at <= end
+            and start <= item.ended_at + DISTURBED_AFTER_SECONDS
+            for item in self._record.disturbances
+        )
--- a/pimentospool/soak/_deployment.py
+++ b/pimentospool/soak/_deployment.py
@@ -69,10 +69,12 @@
         *,
         ip: str,
         settings: dict[str, object],
+        zone: str,
         ports: NodePorts,
         store_proxy: FaultProxy,
         folder: Path,
     ) -> None:
+        self.zone = zone
         self.settings_path = folder / f"{ip}.toml"
         self.settings_path.write_text(tomli_w.dumps(settings))
         self.callers_proxy = FaultProxy(upstream=f"{ip}:{ports.front}")
@@ -223,6 +225,7 @@
             node = SoakNode(
                 ip=ip,
                 settings=settings,
+                zone=zones[number % len(zones)],
                 ports=ports,
                 store_proxy=store_proxy,
                 folder=self._folder,
--- a/pimentospool/soak/_fault_plan.py
+++ b/pimentospool/soak/_fault_plan.py
@@ -18,6 +18,13 @@
 other faults of a seed stay the same."""
 
 
+LIMITED_SECONDS = 10.0
+"""Time for which a target names its limit; the platform's rule on it begins after five
+seconds."""
+MEAN_NOTICE_PAUSE_SECONDS = 8.0
+"""Mean time between notices that targets give. They are drawn by themselves, too."""
+
+
 class SoakFault(Enum):
     """Fault injected into one part of the deployment."""
 
@@ -41,6 +48,8 @@
     STORE_CUT = "link of a node to the store cut"
     CONFIGURATION = "configuration changed"
     STORE_RESTORED = "store restored from a copy"
+    TARGET_LIMITED = "target names a limit"
+    TARGET_SAYING_LEAVING = "target says that it leaves, then is replaced"
 
 
 NODE_FAULTS = frozenset(
@@ -55,6 +64,13 @@
 """Faults that may abort calls in progress at the node where they are injected."""
 
 
+_DRAWN_APART = (
+    SoakFault.STORE_RESTORED,
+    SoakFault.TARGET_LIMITED,
+    SoakFault.TARGET_SAYING_LEAVING,
+)
+
+
 class PlannedFault(msgspec.Struct, kw_only=True, frozen=True):
     """One scheduled fault.
 
@@ -83,8 +99,9 @@
 def plan_faults(seed: int, *, seconds: float) -> list[PlannedFault]:
     """Return the faults of a soak that lasts `seconds`, ordered by time."""
     rng = random.Random(seed)
-    other_faults = [item for item in SoakFault if item is not SoakFault.STORE_RESTORED]
+    other_faults = [item for item in SoakFault if item not in _DRAWN_APART]
     planned = _plan_restores(seed, seconds=seconds)
+    planned += _plan_notices(seed, seconds=seconds)
     at_seconds = rng.expovariate(1 / MEAN_PAUSE_SECONDS)
     while at_seconds < seconds:
         fault = rng.choice(other_faults)
@@ -123,3 +140,25 @@
         )
         at_seconds += duration_seconds + rng.expovariate(1 / MEAN_RESTORE_PAUSE_SECONDS)
     return planned
+
+
+def _plan_notices(seed: int, *, seconds: float) -> list[PlannedFault]:
+    """Return what targets say of themselves in their answers, and when."""
+    rng = random.Random(f"notices of {seed}")
+    planned = []
+    at_seconds = rng.expovariate(1 / MEAN_NOTICE_PAUSE_SECONDS)
+    while at_seconds < seconds:
+        fault, duration_seconds = SoakFault.TARGET_SAYING_LEAVING, MAX_FAULT_SECONDS
+        if at_seconds + LIMITED_SECONDS <= seconds and rng.random() < 0.5:
+            fault, duration_seconds = SoakFault.TARGET_LIMITED, LIMITED_SECONDS
+        planned.append(
+            PlannedFault(
+                at_seconds=at_seconds,
+                duration_seconds=duration_seconds,
+                fault=fault,
+                location=rng.randrange(1 << 16),
+                variant=rng.randrange(1 << 16),
+            )
+        )
+        at_seconds += rng.expovariate(1 / MEAN_NOTICE_PAUSE_SECONDS)
+    return planned
--- a/pimentospool/soak/_runner.py
+++ b/pimentospool/soak/_runner.py
@@ -16,6 +16,7 @@
     SoakChecker,
     SoakRecord,
     SoakRoute,
+    TargetNotice,
     Violation,
 )
 from pimentospool.soak._deployment import (
@@ -26,7 +27,7 @@
     wait_for_exit,
 )
 from pimentospool.soak._fault_plan import PlannedFault, SoakFault, plan_faults
-from pimentospool.standins import Fault, PlatformCaller
+from pimentospool.standins import Fault, PlatformCaller, SigningTarget
 
 CALLERS_PER_NODE = 4
 """Number of callers of each node."""
@@ -44,6 +45,8 @@
 the platform promises less than two seconds."""
 SECOND_SIGNAL_DELAY_SECONDS = 0.06
 """Time from the first SIGTERM to the second one."""
+TARGET_LIMIT = 1.5
+"""Requests per second that a limited target takes."""
 RECOVERY_TIMEOUT_SECONDS = 15.0
 """Time after the last fault by which every node must serve requests again.
 
@@ -127,6 +130,8 @@
             SoakFault.STORE_CUT: self._cut_store_link,
             SoakFault.CONFIGURATION: self._change_configuration,
             SoakFault.STORE_RESTORED: self._restore_store,
+            SoakFault.TARGET_LIMITED: self._limit_target,
+            SoakFault.TARGET_SAYING_LEAVING: self._announce_leaving,
         }
 
     async def run(self) -> SoakResult:
@@ -343,6 +348,48 @@
         if target.current_standin is standin:
             await self._deployment.publish(target)
 
+    async def _limit_target(self, planned: PlannedFault) -> None:
+        standin = self._target(planned).current_standin
+        started_at = time.monotonic()
+        standin.answer_headers["Server-Limit"] = str(TARGET_LIMIT)
+        await asyncio.sleep(planned.duration_seconds)
+        standin.answer_headers.pop("Server-Limit", None)
+        self._record_notice(planned, standin, started_at, limit=TARGET_LIMIT)
+
+    async def _announce_leaving(self, planned: PlannedFault) -> None:
+        """Let a target say that it leaves, and replace it by another."""
+        standin = self._target(planned).current_standin
+        started_at = time.monotonic()
+        standin.answer_headers["Server-Leaving"] = "1"
+        await asyncio.sleep(planned.duration_seconds)
+        self._record_notice(planned, standin, started_at)
+        if self._target(planned).current_standin is standin:
+            await self._replace_target(planned)
+
+    def _record_notice(
+        self,
+        planned: PlannedFault,
+        standin: SigningTarget,
+        started_at: float,
+        *,
+        limit: float | None = None,
+    ) -> None:
+        zone = self._target(planned).zone
+        nodes = [
+            number
+            for number, node in enumerate(self._deployment.nodes)
+            if node.zone == zone
+        ]
+        self._record.notices.append(
+            TargetNotice(
+                target=standin.instance,
+                started_at=started_at,
+                ended_at=time.monotonic(),
+                nodes=frozenset(nodes),
+                limit=limit,
+            )
+        )
+
     async def _make_store_refuse(self, planned: PlannedFault) -> None:
         self._deployment.store.refusal_status = 503 if planned.variant % 2 else 429
         await asyncio.sleep(planned.duration_seconds)
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -1,5 +1,6 @@
 """The soak's checker finds each broken promise and accepts what is allowed."""
 
+import msgspec
 import pytest
 
 from pimentospool.soak import (
@@ -9,6 +10,7 @@
     SoakFault,
     SoakRecord,
     SoakRoute,
+    TargetNotice,
     plan_faults,
 )
 from pimentospool.standins import CallEnd, PlatformCall, ReceivedRequest
@@ -191,6 +193,42 @@
     )
 
 
+def limited_arrivals(count, *, start=16.0):
+    calls = [call("/look/", request_id=f"c-{number}") for number in range(count)]
+    arrivals = [
+        arrival(item, received_at=start + 0.2 * number)
+        for number, item in enumerate(calls)
+    ]
+    return calls, arrivals
+
+
+NOTICE = TargetNotice(
+    target="t-1", started_at=10.0, ended_at=22.0, nodes=frozenset({0})
+)
+
+
+@pytest.mark.parametrize(
+    ("count", "start", "broken"), [(14, 16.0, 0), (15, 16.0, 1), (15, 11.5, 0)]
+)
+def test_requests_beyond_the_limit_that_a_target_named(count, start, broken):
+    calls, arrivals = limited_arrivals(count, start=start)
+    notice = msgspec.structs.replace(NOTICE, limit=1.5)
+    found = broken_promises(calls, arrivals, notices=[notice])
+    assert found == ["a limit that a target names is kept"] * broken
+
+
+@pytest.mark.parametrize(("pause", "broken"), [(2.9, 0), (3.1, 1)])
+def test_call_that_runs_at_a_target_that_had_said_it_leaves(pause, broken):
+    first = call("/look/", sent_at=10.1, ended_at=10.2)
+    second = call(
+        "/look/", request_id="c-2", sent_at=10.2 + pause, ended_at=10.3 + pause
+    )
+    found = broken_promises(
+        [first, second], [arrival(first), arrival(second)], notices=[NOTICE]
+    )
+    assert found == ["a target that says it leaves is left"] * broken
+
+
 def test_fault_plans_cover_every_fault():
     planned_faults = {
         item.fault for seed in range(20) for item in plan_faults(seed, seconds=12)
