Serve hops by the sender's configuration or a later one

Callers could see a new version of the configuration in force and then the one before it, or get 503 for a route that had been added, when their entry VM had followed a change and the one of another region, to which it passed the request, had not (CONFIG).

Cause: a hop is routed again by its receiver, and nothing told it which configuration the sender had used.

A hop now names its sender and the version and era that it was routed by. A receiver that is behind waits 0.3 s for its own news, then reads the configuration from the sender, once for all hops that wait, and refuses the hop as not run if that fails. The log says so (CONFIGURATION_BEHIND). An equal configuration of a later era raises the known era, so that it isn't asked for again.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -7,6 +7,8 @@
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._dialect import AnswerClass
 from pimentospool.gateway._model import (
+    ConfigurationStamp,
+    HopOrigin,
     HttpRoute,
     InboundRequest,
     RequestKind,
@@ -46,6 +48,8 @@
         Route of the request.
     service : ServiceSpec
         Service that the request is for.
+    stamp : ConfigurationStamp
+        Configuration from which the route was read.
     progress : RequestProgress
         State of the attempts made so far.
     remaining_seconds : callable
@@ -62,10 +66,12 @@
         reply: Reply,
         route: HttpRoute,
         service: ServiceSpec,
+        stamp: ConfigurationStamp,
         progress: RequestProgress,
         remaining_seconds: Callable[[], float],
         traits: RequestTraits,
     ) -> None:
+        self._stamp = stamp
         self._deps = deps
         self._req = req
         self._route = route
@@ -179,6 +185,7 @@
                 remaining_seconds=remaining_seconds,
                 resume_after=self._resume_after,
                 max_targets=self._progress.targets_left,
+                origin=HopOrigin(entry=deps.fleet.local_id, stamp=self._stamp),
             )
             # A target there may receive the request, which the other entry VM then
             # counts in its own retry budget.
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -7,6 +7,7 @@
 from pimentospool.gateway._crash_watch import request_traits
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._model import (
+    ConfigurationStamp,
     HttpRoute,
     InboundRequest,
     RequestKind,
@@ -42,6 +43,8 @@
         Route of the request.
     service : ServiceSpec
         Service that the route selects for the request.
+    stamp : ConfigurationStamp
+        Configuration from which the route was read.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         reply: Reply,
         route: HttpRoute,
         service: ServiceSpec,
+        stamp: ConfigurationStamp,
     ) -> None:
         self._deps = deps
         self._req = req
@@ -73,6 +77,7 @@
             reply=reply,
             route=route,
             service=service,
+            stamp=stamp,
             progress=self._progress,
             remaining_seconds=lambda: self.remaining_seconds,
             traits=self._traits,
--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from pimentospool.gateway._connections import AnswerHead
-from pimentospool.gateway._model import InboundRequest, Registration
+from pimentospool.gateway._model import HopOrigin, InboundRequest, Registration
 from pimentospool.verdicts import Verdict
 
 
@@ -54,10 +54,12 @@
         remaining_seconds: float,
         resume_after: int | None,
         max_targets: int,
+        origin: HopOrigin,
     ) -> bytes:
         """Return `req` encoded for another entry VM.
 
-        `max_targets` limits the targets that may still run the request.
+        `max_targets` limits the targets that may still run the request; `origin` tells
+        who passes it on.
         """
 
     def encode_health(self, registration: Registration, path: str) -> bytes:
--- a/pimentospool/gateway/_dispatch.py
+++ b/pimentospool/gateway/_dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from pimentospool.gateway._attempts import AttemptLoop
+from pimentospool.gateway._configuration_catch_up import ConfigurationCatchUp
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._model import InboundRequest
 from pimentospool.gateway._replies import Refusal, RefusalReason, Reply
@@ -21,17 +22,31 @@
     ----------
     deps : GatewayDependencies
         Components that all requests share.
+    catch_up : ConfigurationCatchUp
+        Follows the configurations that hops come with.
     """
 
-    def __init__(self, *, deps: GatewayDependencies) -> None:
+    def __init__(
+        self, *, deps: GatewayDependencies, catch_up: ConfigurationCatchUp
+    ) -> None:
         self._deps = deps
+        self._catch_up = catch_up
         deps.routing_state.target_removed.connect(deps.pools.drain_target)
 
     async def serve(self, req: InboundRequest, reply: Reply) -> None:
         """Route `req` and send the final response to `reply`."""
         routing_state = self._deps.routing_state
+        if req.origin is not None and not await self._catch_up.reach(req.origin):
+            refusal = Refusal(
+                reason=RefusalReason.OUTDATED,
+                verdict=Verdict.NOT_RUN,
+                retry_after_seconds=UNCONFIGURED_RETRY_SECONDS,
+            )
+            await self._refuse(req, reply, refusal)
+            return
         configuration, routes = routing_state.configuration, routing_state.routes
-        if configuration is None or routes is None:
+        stamp = routing_state.stamp
+        if configuration is None or routes is None or stamp is None:
             refusal = Refusal(
                 reason=RefusalReason.NOT_CONFIGURED,
                 verdict=Verdict.NOT_RUN,
@@ -48,7 +63,12 @@
             await self._refuse(req, reply, refusal)
             return
         attempt_loop = AttemptLoop(
-            deps=self._deps, req=req, reply=reply, route=route, service=service
+            deps=self._deps,
+            req=req,
+            reply=reply,
+            route=route,
+            service=service,
+            stamp=stamp,
         )
         try:
             await attempt_loop.run()
--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -158,6 +158,11 @@
         member = self._members.get(key)
         return None if member is None else member.record
 
+    def live_record(self, entry: EntryId) -> EntryRecord | None:
+        """Return the record of the entry VM with this id, None if it isn't alive."""
+        key = self._key_by_id.get(entry)
+        return None if key is None else self._live.get(key)
+
     def known_ids(self, region: RegionId | None = None) -> list[EntryId]:
         """Return ids of recently known entry VMs, gone ones and this one included."""
         ids = {
--- a/pimentospool/gateway/_model.py
+++ b/pimentospool/gateway/_model.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from pimentospool.ids import RegionId, ServiceId, TargetId, ZoneId
+from pimentospool.ids import EntryId, RegionId, ServiceId, TargetId, ZoneId
 
 
 class RequestKind(Enum):
@@ -116,6 +116,21 @@
     limits: CallerLimits = CallerLimits()
 
 
+class ConfigurationStamp(msgspec.Struct, frozen=True, order=True):
+    """Identifies a published configuration; a later one compares greater."""
+
+    version: int
+    era: int
+    """Era of the source in which the version was published."""
+
+
+class HopOrigin(msgspec.Struct, kw_only=True, frozen=True):
+    """Entry VM that passed a request on, and the configuration that it followed."""
+
+    entry: EntryId
+    stamp: ConfigurationStamp
+
+
 class Registration(msgspec.Struct, kw_only=True, frozen=True):
     """Registration that a target publishes about itself."""
 
@@ -185,5 +200,7 @@
     """Id of the last event of the stream that the caller received."""
     is_hop: bool = False
     """Whether another entry VM passed the request on to this one."""
+    origin: HopOrigin | None = None
+    """Entry VM that passed the request on; None for a caller or if it isn't known."""
     max_targets: int | None = None
     """Limit that the first entry VM sets on the targets that may run the request."""
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -10,6 +10,7 @@
 
 from pimentospool.gateway._change_log import ChangeLog
 from pimentospool.gateway._cold_checks import ColdTargetChecker
+from pimentospool.gateway._configuration_catch_up import ConfigurationCatchUp
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._dialect import TargetDialect
 from pimentospool.gateway._directory import EntryDirectory
@@ -103,11 +104,6 @@
             clock=clock,
             rng=random.Random(),
         )
-        self.dispatcher = Dispatcher(deps=self.deps)
-        self.metrics = self._create_metrics()
-        self.directory = EntryDirectory(
-            fleet=self.fleet, routing_state=self.routing_state
-        )
         changes = ChangeLog()
         self._view_exchange = ViewExchange(
             routing_state=self.routing_state,
@@ -115,6 +111,18 @@
             fleet=self.fleet,
             rng=random.Random(),
         )
+        self.dispatcher = Dispatcher(
+            deps=self.deps,
+            catch_up=ConfigurationCatchUp(
+                routing_state=self.routing_state,
+                fleet=self.fleet,
+                fetch=self._view_exchange.take_configuration,
+            ),
+        )
+        self.metrics = self._create_metrics()
+        self.directory = EntryDirectory(
+            fleet=self.fleet, routing_state=self.routing_state
+        )
         self.feed = FactFeed(
             source=source,
             routing_state=self.routing_state,
--- a/pimentospool/gateway/_replies.py
+++ b/pimentospool/gateway/_replies.py
@@ -13,6 +13,7 @@
     """Why a request ends without a target's response."""
 
     NOT_CONFIGURED = "no configuration is known yet"
+    OUTDATED = "the configuration that the request came with is not known yet"
     NO_ROUTE = "no route matches"
     OVERLOADED = "no target can take the request now"
     QUARANTINED = "targets have crashed under this request or a part of its prompt"
--- a/pimentospool/gateway/_routing_state.py
+++ b/pimentospool/gateway/_routing_state.py
@@ -5,7 +5,11 @@
 import msgspec
 
 from pimentospool.gateway._facts import FactPosition, FactSnapshot
-from pimentospool.gateway._model import Configuration, Registration
+from pimentospool.gateway._model import (
+    Configuration,
+    ConfigurationStamp,
+    Registration,
+)
 from pimentospool.gateway._routes import RouteTable
 from pimentospool.ids import RegionId, ServiceId, TargetId, ZoneId
 from pimentospool.log import Event, log_event
@@ -121,6 +125,8 @@
                 era > self.configuration_era and configuration != known
             )
             if configuration.version <= known.version and not again:
+                if configuration == known:
+                    self.configuration_era = max(self.configuration_era, era)
                 return False
         self.configuration = configuration
         self.configuration_era = era
@@ -134,6 +140,13 @@
         self.configuration_adopted.send(configuration)
         return True
 
+    @property
+    def stamp(self) -> ConfigurationStamp | None:
+        """Stamp of the active configuration, None before the first one."""
+        if self.configuration is None:
+            return None
+        return ConfigurationStamp(self.configuration.version, self.configuration_era)
+
     def register(self, registration: Registration) -> None:
         """Store the registration that a target published."""
         now = self._clock()
--- a/pimentospool/gateway/_view_exchange.py
+++ b/pimentospool/gateway/_view_exchange.py
@@ -123,7 +123,7 @@
             else:
                 newer = self._fleet.newest_configuration()
                 if newer is not None:
-                    await self._take_configuration(newer)
+                    await self.take_configuration(newer)
                 await asyncio.sleep(AGREEMENT_INTERVAL_SECONDS)
 
     async def close(self) -> None:
@@ -138,6 +138,12 @@
         path = f"{CHANGES_PATH}?era={after.era}&revision={after.revision}"
         return await self._fetch(record, path, self._batch_decoder)
 
+    async def take_configuration(self, record: EntryRecord) -> None:
+        """Adopt the configuration of another entry VM if it is still newer."""
+        view = await self._fetch(record, VIEW_PATH, self._view_decoder)
+        if view is not None:
+            self._routing_state.adopt(view.configuration, era=view.configuration_era)
+
     def _peers_to_ask(self) -> list[EntryRecord]:
         records = self._fleet.started()
         self._rng.shuffle(records)
@@ -158,15 +164,6 @@
         )
         return True
 
-    async def _take_configuration(self, record: EntryRecord) -> None:
-        """Adopt the configuration of another entry VM if it is still newer.
-
-        The store has lost it, or this entry VM has not followed the store for a while.
-        """
-        view = await self._fetch(record, VIEW_PATH, self._view_decoder)
-        if view is not None:
-            self._routing_state.adopt(view.configuration, era=view.configuration_era)
-
     async def _fetch(
         self, record: EntryRecord, path: str, decoder: msgspec.msgpack.Decoder[T]
     ) -> T | None:
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -57,6 +57,11 @@
     STORE_RESTORED = (3131, logbook.WARNING, "platform store restored from a copy")
     FACTS_FOLLOWED = (3132, logbook.INFO, "changes read from another entry VM")
     FACTS_READ_DIRECTLY = (3133, logbook.NOTICE, "relays have no news of the store")
+    CONFIGURATION_BEHIND = (
+        3135,
+        logbook.NOTICE,
+        "request came with a configuration that is not known here",
+    )
     STORE_BACK = (3103, logbook.NOTICE, "platform store reachable again")
     STORE_ENTRY_SKIPPED = (3104, logbook.WARNING, "store entry could not be read")
     STORE_HISTORY_LOST = (
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -5,6 +5,7 @@
 from pimentospool.gateway import (
     AnswerClass,
     AnswerHead,
+    HopOrigin,
     HopRefusal,
     InboundRequest,
     Registration,
@@ -14,6 +15,8 @@
     COLD_REMAINING_HEADER,
     DEADLINE_HEADER,
     EXPECT_INSTANCE_HEADER,
+    HOP_CONFIGURATION_HEADER,
+    HOP_ENTRY_HEADER,
     HOP_REACHED_HEADER,
     HOP_TARGETS_HEADER,
     HOP_VERDICT_HEADER,
@@ -68,9 +71,15 @@
         remaining_seconds: float,
         resume_after: int | None,
         max_targets: int,
+        origin: HopOrigin,
     ) -> bytes:
         """Return `req` encoded for another entry VM."""
-        extra_headers = [(HOP_TARGETS_HEADER, b"%d" % max_targets)]
+        stamp = origin.stamp
+        extra_headers = [
+            (HOP_TARGETS_HEADER, b"%d" % max_targets),
+            (HOP_ENTRY_HEADER, origin.entry.encode()),
+            (HOP_CONFIGURATION_HEADER, b"%d.%d" % (stamp.version, stamp.era)),
+        ]
         return _encode(req, extra_headers, remaining_seconds, resume_after)
 
     def encode_health(self, registration: Registration, path: str) -> bytes:
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -12,19 +12,24 @@
 from pimentospool.gateway import (
     AnswerHead,
     CallerLimits,
+    ConfigurationStamp,
     EntryState,
     Gateway,
+    HopOrigin,
     InboundRequest,
     Prompt,
     PromptPart,
     Refusal,
     RefusalReason,
 )
+from pimentospool.ids import EntryId
 from pimentospool.log import Event, log_event
 from pimentospool.platform._headers import (
     CALLER_HEADERS,
     CONNECTION_HEADERS,
     DEADLINE_HEADER,
+    HOP_CONFIGURATION_HEADER,
+    HOP_ENTRY_HEADER,
     HOP_REACHED_HEADER,
     HOP_TARGETS_HEADER,
     HOP_VERDICT_HEADER,
@@ -52,6 +57,7 @@
     RefusalReason.OVERLOADED: 503,
     RefusalReason.QUARANTINED: 503,
     RefusalReason.LEAVING: 503,
+    RefusalReason.OUTDATED: 503,
     RefusalReason.NO_ROUTE: 404,
     RefusalReason.TIMED_OUT: 504,
     RefusalReason.FAILED: 502,
@@ -195,6 +201,7 @@
             ),
             resume_after=resume_after,
             is_hop=self._is_hop,
+            origin=_hop_origin(http) if self._is_hop else None,
             max_targets=self._hop_targets(http),
         )
 
@@ -326,6 +333,17 @@
     )
 
 
+def _hop_origin(http: web.BaseRequest) -> HopOrigin | None:
+    """Return who passed a hop on, None if its headers don't say."""
+    entry = http.headers.get(HOP_ENTRY_HEADER.decode())
+    text = http.headers.get(HOP_CONFIGURATION_HEADER.decode(), "")
+    version_text, _, era_text = text.partition(".")
+    version, era = parse_count(version_text), parse_count(era_text)
+    if entry is None or version is None or era is None:
+        return None
+    return HopOrigin(entry=EntryId(entry), stamp=ConfigurationStamp(version, era))
+
+
 async def _read_body(http: web.BaseRequest, limit_bytes: int) -> bytes:
     chunks = []
     size_bytes = 0
--- a/pimentospool/platform/_headers.py
+++ b/pimentospool/platform/_headers.py
@@ -27,6 +27,10 @@
 """Header of the gateway: verdict of an entry VM that refused a hop."""
 HOP_REACHED_HEADER = b"pimentospool-reached"
 """Header of the gateway: 0 if the refused request reached no target."""
+HOP_ENTRY_HEADER = b"pimentospool-entry"
+"""Header of the gateway: id of the entry VM that passes the request on."""
+HOP_CONFIGURATION_HEADER = b"pimentospool-configuration"
+"""Header of the gateway: version and era of that entry VM's configuration."""
 HOP_TARGETS_HEADER = b"pimentospool-targets"
 """Header of the gateway: number of targets that may still run the hop."""
 
@@ -53,6 +57,8 @@
         EXPECT_INSTANCE_HEADER,
         PRIORITY_HEADER,
         LAST_EVENT_HEADER,
+        HOP_CONFIGURATION_HEADER,
+        HOP_ENTRY_HEADER,
         HOP_REACHED_HEADER,
         HOP_TARGETS_HEADER,
         HOP_VERDICT_HEADER,
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -15,7 +15,12 @@
     make_service,
 )
 
-from pimentospool.gateway import AnswerHead, RoutingState, SharedBounds
+from pimentospool.gateway import (
+    AnswerHead,
+    ConfigurationStamp,
+    RoutingState,
+    SharedBounds,
+)
 from pimentospool.gateway._attempts import AttemptLoop
 from pimentospool.gateway._connections import BodyEnd
 from pimentospool.gateway._dependencies import GatewayDependencies
@@ -139,6 +144,7 @@
         reply=reply,
         route=make_route(),
         service=make_service(),
+        stamp=ConfigurationStamp(1, 0),
     )
     asyncio.run(attempt_loop.run())
     return reply
