Add failing tests of streams that go on at another software version

(2) An entry VM resumes a stream within its answer at a target of another version. (3) Targets start again under their id with another version.

--- /dev/null
+++ b/tests/platform/test_software_versions.py
@@ -0,0 +1,181 @@
+"""Streams of targets of several software versions, through real sockets."""
+
+import asyncio
+import itertools
+
+import aiohttp
+import pytest
+from platform_site import running_site
+
+from pimentospool.policy import EntryState
+from pimentospool.standins import Fault
+
+EVENTS = 6
+REGIONS = ("gulf-a", "delta-a")
+_numbers = itertools.count()
+
+
+async def add_engine(site, name, version, zone="gulf-a"):
+    target = await site.add_target(
+        name, service="llm", events=EVENTS, zone=zone, Version=version
+    )
+    target.gap_seconds = 0.02
+    return target
+
+
+async def wait_until_ready(site):
+    await site.wait_until(
+        lambda: all(
+            node.gateway.state is EntryState.READY
+            and len(node.gateway.routing_state.known_targets()) == len(site.targets)
+            and len(node.gateway.fleet.ready()) == len(site.nodes)
+            for node in site.nodes
+        )
+    )
+
+
+async def begin(site, *, node=0):
+    """Begin a stream and break it off after some events; return its request id."""
+    request_id = f"s-{next(_numbers)}"
+    options = {"request_id": request_id, "method": "POST", "data": b"p", "node": node}
+    call = asyncio.create_task(site.call("/ask/", **options))
+    holder = None
+    while holder is None:
+        await asyncio.sleep(0.01)
+        holder = next(
+            (
+                target
+                for target in site.targets.values()
+                for req in target.received
+                if req.id == request_id
+            ),
+            None,
+        )
+    await asyncio.sleep(0.08)
+    call.cancel()
+    await asyncio.gather(call, return_exceptions=True)
+    return request_id, holder
+
+
+async def take_up(site, origin, *, node=0):
+    """Take a stream up; return the status and the target that went on, if any."""
+    request_id = f"t-{next(_numbers)}"
+    headers = {"Resumes": origin, "Last-Event-Id": "2"}
+    status, _, body = await site.call(
+        "/ask/",
+        request_id=request_id,
+        method="POST",
+        data=b"p",
+        node=node,
+        headers=headers,
+    )
+    if status == 200:
+        assert body.startswith(b"id: 3\n")
+    for target in site.targets.values():
+        if any(req.id == request_id for req in target.received):
+            return status, target
+    return status, None
+
+
+async def replace_nodes(site):
+    """End all nodes at once, and start as many others."""
+    ended = list(site.nodes)
+    for node in ended:
+        await node.stop()
+    for node in ended:
+        await site.add_node(node.cfg.zone)
+    del site.nodes[: len(ended)]
+
+
+def run_with_site(runner, tmp_path, check, zones=("gulf-a", "gulf-a")):
+    async def run():
+        async with running_site(tmp_path, zones=zones) as site:
+            await check(site)
+
+    runner.run(run())
+
+
+@pytest.mark.parametrize("zones", [("gulf-a", "gulf-a"), REGIONS])
+def test_stream_that_breaks_off_is_not_continued_by_another_version(
+    runner, tmp_path, zones
+):
+    async def check(site):
+        for version in ("v1", "v2"):
+            await add_engine(site, f"m-{version}", version, zones[-1])
+        await wait_until_ready(site)
+        loads = site.nodes[0].gateway.fleet.loads
+        await site.wait_until(lambda: zones[-1] == "gulf-a" or loads("llm"))
+        for target in site.targets.values():
+            target.faults = [Fault.CUT_STREAM]
+        with pytest.raises(aiohttp.ClientError):
+            await site.call("/ask/", request_id="b-1", method="POST", data=b"p")
+        received = [len(target.received) for target in site.targets.values()]
+        assert sorted(received) == [0, 1]
+
+    run_with_site(runner, tmp_path, check, zones=zones)
+
+
+async def set_state(site, version, state):
+    """Let all targets of a version register with a state, and wait for it."""
+    for target in site.targets.values():
+        if target.instance.endswith(version):
+            options = {"service": "llm", "Version": version, "State": state}
+            zone = target.instance.removesuffix(f"-{version}")
+            await site.register(target, zone=zone, **options)
+    await asyncio.sleep(1.0)
+
+
+@pytest.mark.parametrize("zones", [("gulf-a", "gulf-a"), REGIONS])
+def test_stream_is_taken_up_at_its_version_at_any_entry_vm(runner, tmp_path, zones):
+    async def check(site):
+        for zone in sorted(set(zones)):
+            for version in ("v1", "v2"):
+                await add_engine(site, f"{zone}-{version}", version, zone)
+        await wait_until_ready(site)
+        for version, other in (("v1", "v2"), ("v2", "v1")):
+            await set_state(site, other, "draining")
+            origins = [(await begin(site, node=number % 2))[0] for number in range(4)]
+            await set_state(site, other, "ready")
+            await set_state(site, version, "ready")
+            for number, origin in enumerate(origins):
+                for node in (number % 2, 1 - number % 2):
+                    status, target = await take_up(site, origin, node=node)
+                    assert status == 200
+                    assert target.instance.endswith(version)
+
+    run_with_site(runner, tmp_path, check, zones=zones)
+
+
+def test_stream_of_a_version_that_left_is_refused(runner, tmp_path):
+    async def check(site):
+        await add_engine(site, "m-1", "v1")
+        await wait_until_ready(site)
+        origin, _ = await begin(site)
+        second = await add_engine(site, "m-2", "v2")
+        await site.store.delete("servers/m-1")
+        states = [node.gateway.routing_state for node in site.nodes]
+        await site.wait_until(
+            lambda: all(state.known_targets() == ["m-2"] for state in states)
+        )
+        await asyncio.sleep(1.0)
+        for node in range(2):
+            assert await take_up(site, origin, node=node) == (503, None)
+        assert not second.received
+
+    run_with_site(runner, tmp_path, check)
+
+
+def test_stream_is_refused_if_all_that_knew_its_version_restarted(runner, tmp_path):
+    async def check(site):
+        await add_engine(site, "m-1", "v1")
+        await wait_until_ready(site)
+        origin, _ = await begin(site)
+        await site.store.delete("servers/m-1")
+        second = await add_engine(site, "m-2", "v2")
+        del site.targets["m-1"]
+        await replace_nodes(site)
+        await wait_until_ready(site)
+        assert await take_up(site, origin) == (503, None)
+        assert not second.received
+
+    run_with_site(runner, tmp_path, check)
