Let streams go on only at the software version that began them

Cause: nothing read the version that targets register and the request that a take-up names. Any target with room went on, whether a caller took the stream up or an entry VM resumed it within its answer.

A registration now has its version, placement and hops keep to the one that began the stream, and an entry VM that passes a stream on is told the version with the answer. policy/_stream_versions.py says at which version a stream began: by a record, which entry VMs send each other twice while several versions count, or because only one version served for as long as a stream may last. A restarted process asks those that have run for longest. If neither says, as after the end of all processes, the take-up is refused as not run. The service of a split route is chosen by the request that began the stream.

--- a/pimentospool/bench/_heartbeats.py
+++ b/pimentospool/bench/_heartbeats.py
@@ -15,6 +15,7 @@
     HeartbeatLoop,
 )
 from pimentospool.gateway._model import Address
+from pimentospool.gateway._stream_records import StreamRecordExchange
 from pimentospool.gateway._target_reports import ReportExchange
 from pimentospool.ids import TargetId
 from pimentospool.policy import (
@@ -23,6 +24,7 @@
     EntryState,
     NamedLimits,
     OccupancyBook,
+    StreamVersions,
 )
 
 CYCLE_ROUNDS = REGION_ROUNDS * SEED_ROUNDS
@@ -132,6 +134,10 @@
         seeds=[],
         refresh_loads=lambda: None,
         suspects=CrashSuspects(clock=clock),
+        streams=StreamRecordExchange(
+            fleet=fleet,
+            versions=StreamVersions(clock=clock, serving=lambda service: ()),
+        ),
     )
 
 
--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -105,8 +105,11 @@
         exposure = deps.crash_watch.expose(self._traits)
         started_at = deps.clock()
 
+        self._progress.attempt_version = state.registration.version
+
         def record_event() -> None:
             assignment.first_event()
+            self._record_stream()
             exposure.record_event()
 
         def record_head(head: AnswerHead) -> None:
@@ -175,6 +178,10 @@
         if not peers:
             raise _unsent_failure("no entry VM of the region is ready")
         pool = deps.pools.peer_pool(deps.rng.choice(peers).peer)
+
+        def record_head(head: AnswerHead) -> None:
+            self._progress.attempt_version = deps.dialect.hop_version(head)
+
         conn = await pool.acquire()
         try:
             remaining_seconds = self._remaining_seconds()
@@ -186,6 +193,7 @@
                 resume_after=self._resume_after,
                 max_targets=self._progress.targets_left,
                 origin=HopOrigin(entry=deps.fleet.local_id, stamp=self._stamp),
+                version=self._progress.stream_version,
             )
             # A target there may receive the request, which the other entry VM then
             # counts in its own retry budget.
@@ -198,7 +206,11 @@
             stream = conn.send(self._make_encoded_request(data))
             try:
                 await self._receiver.receive(
-                    stream, from_target=False, head_timeout_seconds=remaining_seconds
+                    stream,
+                    from_target=False,
+                    on_event=self._record_stream,
+                    on_head=record_head,
+                    head_timeout_seconds=remaining_seconds,
                 )
             except HopRefusedError as exc:
                 if not exc.refusal.reached_target:
@@ -210,6 +222,17 @@
         finally:
             pool.release(conn)
 
+    def _record_stream(self) -> None:
+        """Record the software version of a stream with its first event."""
+        progress, req = self._progress, self._req
+        if progress.chunks_sent or not self._route.resumable:
+            return
+        progress.stream_version = progress.attempt_version
+        if not req.is_hop:
+            self._deps.stream_versions.record(
+                self._service.id, req.resumes or req.id, progress.attempt_version
+            )
+
     def _record_send(self) -> None:
         self._progress.retry_granted = False
         if not self._progress.reached_target:
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -14,9 +14,9 @@
     ServiceSpec,
 )
 from pimentospool.gateway._outcomes import RoutedOutcome, RoutedResult
-from pimentospool.gateway._progress import RequestProgress
+from pimentospool.gateway._progress import DEFAULT_RETRY_SECONDS, RequestProgress
 from pimentospool.gateway._replies import Refusal, RefusalReason, Reply
-from pimentospool.ids import EntryId
+from pimentospool.ids import EntryId, SoftwareVersion
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
     NoChoice,
@@ -91,6 +91,17 @@
     async def run(self) -> None:
         """Make attempts until one is answered or no further one is allowed."""
         deps, progress = self._deps, self._progress
+        if self._route.resumable and self._req.takes_up_stream:
+            progress.stream_version = self._begun_version()
+            if progress.stream_version is None:
+                await self._refuse(
+                    Refusal(
+                        reason=RefusalReason.VERSION_UNKNOWN,
+                        verdict=Verdict.NOT_RUN,
+                        retry_after_seconds=DEFAULT_RETRY_SECONDS,
+                    )
+                )
+                return
         while True:
             if self.remaining_seconds <= DEADLINE_TOLERANCE_SECONDS:
                 await self._give_up("the request's time is over", None)
@@ -204,6 +215,7 @@
             candidate, load = choice.candidate, choice.candidate.occupancy
             fields = {
                 "target": candidate.target,
+                "version": candidate.version,
                 "running": load.running,
                 "waiting_tokens": load.waiting_tokens,
                 "held_tokens": load.held_tokens,
@@ -226,6 +238,8 @@
             route=self._route.name,
             key=req.prompt.shared_key if req.prompt else None,
             attempt=self._progress.attempts + 1,
+            resumes=req.resumes,
+            stream_version=self._progress.stream_version,
             **fields,
         )
 
@@ -283,6 +297,14 @@
             )
         return progress.retry_granted
 
+    def _begun_version(self) -> SoftwareVersion | None:
+        """Return the version that began the stream, None if it isn't known."""
+        if self._req.is_hop:
+            return self._req.stream_version
+        return self._deps.stream_versions.version_of(
+            self._service.id, self._req.resumes
+        )
+
     def _quarantine_seconds(self) -> float | None:
         """Return how long the request must not be sent; None if it may be."""
         return self._deps.crash_suspects.wait_seconds(
--- a/pimentospool/gateway/_dependencies.py
+++ b/pimentospool/gateway/_dependencies.py
@@ -12,7 +12,12 @@
 from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.ids import ServiceId, SuspectKey
 from pimentospool.log import Event, log_event
-from pimentospool.policy import CrashSuspects, SharedRetryBudget, SuspectKind
+from pimentospool.policy import (
+    CrashSuspects,
+    SharedRetryBudget,
+    StreamVersions,
+    SuspectKind,
+)
 from pimentospool.signals import Signal
 
 
@@ -31,6 +36,8 @@
         Connections to targets and entry VMs.
     dialect : TargetDialect
         Encoding of requests and reading of responses.
+    stream_versions : StreamVersions
+        Software versions at which streams began.
     bounds : SharedBounds
         Limits on retries.
     regions : int
@@ -49,6 +56,7 @@
         placement: Placement,
         pools: ConnectionPools,
         dialect: TargetDialect,
+        stream_versions: StreamVersions,
         bounds: SharedBounds,
         regions: int,
         clock: Callable[[], float],
@@ -59,6 +67,7 @@
         self.placement = placement
         self.pools = pools
         self.dialect = dialect
+        self.stream_versions = stream_versions
         self.clock = clock
         self.rng = rng
         self.request_ended: Signal[RoutedOutcome] = Signal(name="request_ended")
--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -7,6 +7,7 @@
 
 from pimentospool.gateway._connections import AnswerHead
 from pimentospool.gateway._model import HopOrigin, InboundRequest, Registration
+from pimentospool.ids import SoftwareVersion
 from pimentospool.verdicts import Verdict
 
 
@@ -55,11 +56,12 @@
         resume_after: int | None,
         max_targets: int,
         origin: HopOrigin,
+        version: SoftwareVersion | None,
     ) -> bytes:
         """Return `req` encoded for another entry VM.
 
         `max_targets` limits the targets that may still run the request; `origin` tells
-        who passes it on.
+        who passes it on. Only targets of `version` may run it, if that is set.
         """
 
     def encode_health(self, registration: Registration, path: str) -> bytes:
@@ -89,6 +91,12 @@
         It is infinite if the response names no limit, None if it can't be read.
         """
 
+    def hop_version(self, head: AnswerHead) -> SoftwareVersion:
+        """Return the software version of the target that answered a hop.
+
+        It is empty, as that of no target, if the other entry VM doesn't say.
+        """
+
     def accepts(self, head: AnswerHead, req: InboundRequest) -> bool:
         """Whether a response with `head` may belong to `req`."""
 
--- a/pimentospool/gateway/_dispatch.py
+++ b/pimentospool/gateway/_dispatch.py
@@ -57,7 +57,8 @@
         route = routes.match(req.host, req.path)
         service = None
         if route is not None:
-            service = configuration.services.get(choose_service(route, req.id))
+            first_id = req.resumes or req.id
+            service = configuration.services.get(choose_service(route, first_id))
         if route is None or service is None:
             refusal = Refusal(reason=RefusalReason.NO_ROUTE, verdict=Verdict.NOT_RUN)
             await self._refuse(req, reply, refusal)
--- a/pimentospool/gateway/_fleet_messages.py
+++ b/pimentospool/gateway/_fleet_messages.py
@@ -117,6 +117,14 @@
     evidence: CrashEvidence
 
 
+class StreamMessage(msgspec.Struct, array_like=True, tag=4):
+    """Software versions at which streams began."""
+
+    keys_by_version: dict[str, list[int]]
+    to_relay: bool = False
+    """Whether the receiver sends the records to all entry VMs of its region."""
+
+
 def encode_vector(keys: Sequence[int], values: Sequence[int]) -> bytes:
     """Return all keys (32 bits each), followed by all values (16 bits each)."""
     return struct.pack(f"<{len(keys)}I{len(values)}H", *keys, *values)
--- a/pimentospool/gateway/_heartbeats.py
+++ b/pimentospool/gateway/_heartbeats.py
@@ -10,8 +10,10 @@
     CrashMessage,
     GossipMessage,
     ReportMessage,
+    StreamMessage,
 )
 from pimentospool.gateway._model import Address
+from pimentospool.gateway._stream_records import StreamRecordExchange
 from pimentospool.gateway._target_reports import ReportExchange
 from pimentospool.log import Event, log_event
 from pimentospool.policy import CrashSuspects
@@ -41,6 +43,8 @@
         Updates the load that other regions are told.
     suspects : CrashSuspects
         Parts of prompts under which targets crash, shared by all entry VMs.
+    streams : StreamRecordExchange
+        Software versions at which streams began, shared likewise.
     """
 
     def __init__(
@@ -51,8 +55,10 @@
         seeds: Sequence[Address],
         refresh_loads: Callable[[], None],
         suspects: CrashSuspects,
+        streams: StreamRecordExchange,
     ) -> None:
         self._suspects = suspects
+        self._streams = streams
         self.seeds = list(seeds)
         self._fleet = fleet
         self._reports = reports
@@ -60,7 +66,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(
-            GossipMessage | ReportMessage | CrashMessage
+            GossipMessage | ReportMessage | CrashMessage | StreamMessage
         )
         self._round = 0
 
@@ -88,6 +94,9 @@
         if isinstance(msg, CrashMessage):
             self._suspects.merge(msg.evidence)
             return
+        if isinstance(msg, StreamMessage):
+            self._streams.receive(msg)
+            return
         for reply in self._fleet.receive(msg):
             self._send(reply, [msg.sender.peer])
 
@@ -113,6 +122,8 @@
                 self._send(CrashMessage(evidence), addresses)
         for report, receivers in self._reports.next_round():
             self._send(report, [record.peer for record in receivers])
+        for records, receivers in self._streams.next_round():
+            self._send(records, [record.peer for record in receivers])
         if self._round % SEED_ROUNDS == 0 or not fleet.live():
             known = fleet.peer_addresses()
             self._send(
@@ -129,7 +140,7 @@
 
     def _send(
         self,
-        msg: GossipMessage | ReportMessage | CrashMessage,
+        msg: GossipMessage | ReportMessage | CrashMessage | StreamMessage,
         addresses: Sequence[Address],
     ) -> None:
         if self._transport is None or self._transport.is_closing() or not addresses:
--- a/pimentospool/gateway/_model.py
+++ b/pimentospool/gateway/_model.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-from pimentospool.ids import EntryId, RegionId, ServiceId, TargetId, ZoneId
+from pimentospool.ids import (
+    EntryId,
+    RegionId,
+    ServiceId,
+    SoftwareVersion,
+    TargetId,
+    ZoneId,
+)
 
 
 class RequestKind(Enum):
@@ -142,6 +149,8 @@
     leaving: bool = False
     cold_seconds: float = 0.0
     """Time for which the target stays cold after publishing the registration."""
+    version: SoftwareVersion = SoftwareVersion("")
+    """Version of the target's software."""
     started_at: int = 0
     """Start time of the target in Unix milliseconds; changes with each restart."""
 
@@ -198,9 +207,18 @@
     prompt: Prompt | None = None
     resume_after: int | None = None
     """Id of the last event of the stream that the caller received."""
+    resumes: str | None = None
+    """Id of the request to which the caller got the first event of the stream."""
+    stream_version: SoftwareVersion | None = None
+    """Software version that the first entry VM requires, as the stream began at it."""
     is_hop: bool = False
     """Whether another entry VM passed the request on to this one."""
     origin: HopOrigin | None = None
     """Entry VM that passed the request on; None for a caller or if it isn't known."""
     max_targets: int | None = None
     """Limit that the first entry VM sets on the targets that may run the request."""
+
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the caller got the beginning of the stream by an earlier request."""
+        return self.resume_after is not None or self.resumes is not None
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -11,7 +11,7 @@
 from pimentospool.gateway._model import HttpRoute, InboundRequest, ServiceSpec
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._routing_state import RoutingState, TargetState
-from pimentospool.ids import EntryId, RegionId, ServiceId, TargetId
+from pimentospool.ids import EntryId, RegionId, ServiceId, SoftwareVersion, TargetId
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
     Assignment,
@@ -126,6 +126,7 @@
                 state
                 for state in self._usable_targets(service.id)
                 if progress.may_use(state.id)
+                and progress.stream_version in (None, state.registration.version)
             ]
             waits = self._wait_times(states)
             min_wait_seconds = min(waits.values(), default=math.inf)
@@ -312,6 +313,7 @@
         health = self.health(state.id)
         return Candidate(
             target=state.id,
+            version=state.registration.version,
             occupancy=self._book.total(state.id),
             slots=state.registration.slots,
             cache_tokens=service.engine.cache_tokens if service.engine else 0,
@@ -355,7 +357,9 @@
         loads = {
             region: load
             for region, load in self._fleet.loads(service.id).items()
-            if route.allows(region) and region not in progress.excluded_regions
+            if route.allows(region)
+            and region not in progress.excluded_regions
+            and self._has_version(service.id, region, progress.stream_version)
         }
         if not loads:
             return []
@@ -372,6 +376,15 @@
             for region, load in loads.items()
         ]
 
+    def _has_version(
+        self, service: ServiceId, region: RegionId, version: SoftwareVersion | None
+    ) -> bool:
+        """Whether a usable target of a region has `version`; True if that is None."""
+        return version is None or any(
+            state.registration.version == version
+            for state in self._routing_state.usable_targets(service, region)
+        )
+
     def _preferred_region(
         self, req: InboundRequest, route: HttpRoute, service: ServiceSpec
     ) -> RegionId | None:
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -26,10 +26,12 @@
 from pimentospool.gateway._pools import ConnectionPools
 from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._settings import GatewaySettings
+from pimentospool.gateway._stream_records import StreamRecordExchange
 from pimentospool.gateway._target_reports import ReportExchange
 from pimentospool.gateway._view_exchange import ViewExchange, view_address
+from pimentospool.ids import ServiceId
 from pimentospool.log import Event, log_event
-from pimentospool.policy import EntryState, OccupancyBook, SuspectKind
+from pimentospool.policy import EntryState, OccupancyBook, StreamVersions, SuspectKind
 from pimentospool.tasks import cancel_tasks, run_supervised
 
 ACCEPT_CONNECTIONS_SHARE = 0.15
@@ -93,12 +95,24 @@
             limits=self._placement.named_limits,
             clock=clock,
         )
+        stream_versions = StreamVersions(
+            clock=clock,
+            serving=self.routing_state.versions,
+            first_start=cfg.first_start,
+            on_mixed=_log_mixed_versions,
+        )
+        self.routing_state.target_observed.connect(
+            lambda registration: stream_versions.observe(
+                registration.service, registration.version
+            )
+        )
         self.deps = GatewayDependencies(
             routing_state=self.routing_state,
             fleet=self.fleet,
             placement=self._placement,
             pools=pools,
             dialect=dialect,
+            stream_versions=stream_versions,
             bounds=cfg.bounds,
             regions=len(set(cfg.zone_regions.values())) or 1,
             clock=clock,
@@ -109,6 +123,7 @@
             routing_state=self.routing_state,
             changes=changes,
             fleet=self.fleet,
+            stream_versions=stream_versions,
             rng=random.Random(),
         )
         self.dispatcher = Dispatcher(
@@ -148,6 +163,7 @@
             seeds=cfg.seeds,
             refresh_loads=self._refresh_loads,
             suspects=self.deps.crash_suspects,
+            streams=StreamRecordExchange(fleet=self.fleet, versions=stream_versions),
         )
         self._view_server: asyncio.Server | None = None
         self.routing_state.configuration_adopted.connect(self._follow_configuration)
@@ -171,6 +187,7 @@
         )
         self._start_task("heartbeats", self.heartbeats.run)
         self._start_task("views", self._view_exchange.run)
+        self._start_task("streams", self._view_exchange.learn_streams)
         self._start_task("cold checks", self._cold_checker.run)
 
     @property
@@ -257,3 +274,7 @@
 
     def _refresh_loads(self) -> None:
         self.fleet.local_loads = self._placement.local_loads()
+
+
+def _log_mixed_versions(service: ServiceId, mixed: bool) -> None:
+    log_event(Event.VERSIONS_MIXED, service=service, mixed=mixed)
--- a/pimentospool/gateway/_progress.py
+++ b/pimentospool/gateway/_progress.py
@@ -3,7 +3,7 @@
 from pimentospool.gateway._connections import BodyEnd
 from pimentospool.gateway._model import HttpRoute
 from pimentospool.gateway._replies import Refusal, RefusalReason
-from pimentospool.ids import RegionId, TargetId
+from pimentospool.ids import RegionId, SoftwareVersion, TargetId
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
@@ -34,6 +34,10 @@
         reaches no target leaves the grant to the following attempt."""
         self.last_event_id: int | None = None
         """Id of the last event that was sent to the caller."""
+        self.stream_version: SoftwareVersion | None = None
+        """Software version that began the stream, None before its first event."""
+        self.attempt_version = SoftwareVersion("")
+        """Software version of the target that answers the current attempt."""
         self.chunks_sent = 0
         """Chunks of a stream that were sent to the caller."""
         self.body_end: BodyEnd | None = None
--- a/pimentospool/gateway/_relay.py
+++ b/pimentospool/gateway/_relay.py
@@ -90,7 +90,7 @@
                 progress.last_event_id = batch.last_id
         on_event()
         if not reply.started:
-            await reply.start_stream(head)
+            await reply.start_stream(head, progress.attempt_version)
         progress.chunks_sent += 1
         progress.last_progress_at = last_event_at = clock()
         if progress.first_event_at is None:
@@ -101,7 +101,7 @@
     if boundary.empty and stream.body_end is BodyEnd.CLOSE:
         raise _broken_off("the connection was closed before the first event")
     if not reply.started:
-        await reply.start_stream(head)
+        await reply.start_stream(head, progress.attempt_version)
     await reply.end_stream()
 
 
--- a/pimentospool/gateway/_replies.py
+++ b/pimentospool/gateway/_replies.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from pimentospool.gateway._connections import AnswerHead
+from pimentospool.ids import SoftwareVersion
 from pimentospool.verdicts import Verdict
 
 
@@ -14,6 +15,7 @@
 
     NOT_CONFIGURED = "no configuration is known yet"
     OUTDATED = "the configuration that the request came with is not known yet"
+    VERSION_UNKNOWN = "it is not known which software version began the stream"
     NO_ROUTE = "no route matches"
     OVERLOADED = "no target can take the request now"
     QUARANTINED = "targets have crashed under this request or a part of its prompt"
@@ -42,8 +44,8 @@
     async def send_response(self, head: AnswerHead, body: bytes) -> None:
         """Send a target's response with its complete body."""
 
-    async def start_stream(self, head: AnswerHead) -> None:
-        """Send the head of a streamed response."""
+    async def start_stream(self, head: AnswerHead, version: SoftwareVersion) -> None:
+        """Send the head of a stream that a target of a software version began."""
 
     async def write(self, data: bytes) -> None:
         """Send a chunk of a streamed response."""
--- a/pimentospool/gateway/_routing_state.py
+++ b/pimentospool/gateway/_routing_state.py
@@ -11,7 +11,7 @@
     Registration,
 )
 from pimentospool.gateway._routes import RouteTable
-from pimentospool.ids import RegionId, ServiceId, TargetId, ZoneId
+from pimentospool.ids import RegionId, ServiceId, SoftwareVersion, TargetId, ZoneId
 from pimentospool.log import Event, log_event
 from pimentospool.signals import Signal
 
@@ -103,6 +103,8 @@
         )
         self.zone_restored: Signal[ZoneId] = Signal(name="zone_restored")
         self.target_removed: Signal[TargetId] = Signal(name="target_removed")
+        self.target_observed: Signal[Registration] = Signal(name="target_observed")
+        """Sent when a target registers, and when it has just stopped to serve."""
         self._clock = clock
         self._targets: dict[TargetId, TargetState] = {}
         self._evacuated: set[ZoneId] = set()
@@ -169,6 +171,7 @@
         elif registration.leaving and not state.registration.leaving:
             log_event(Event.TARGET_LEAVING, target=registration.id)
         state.registration = registration
+        self.target_observed.send(registration)
         state.expires_at = None
         if registration.cold_seconds > 0:
             cold_until = now + registration.cold_seconds + COLD_MARGIN_SECONDS
@@ -350,6 +353,14 @@
             and self.region_of(state.registration.zone) == region
         ]
 
+    def versions(self, service: ServiceId) -> set[SoftwareVersion]:
+        """Return the software versions of the registered targets of `service`."""
+        return {
+            state.registration.version
+            for state in self._targets.values()
+            if state.registration.service == service
+        }
+
     def _has_departed(self, registration: Registration) -> bool:
         """Whether this instance is known to have left, or to be leaving."""
         state = self._targets.get(registration.id)
@@ -376,6 +387,7 @@
 
     def _remember_departed(self, registration: Registration) -> None:
         now = self._clock()
+        self.target_observed.send(registration)
         self._departed = {
             instance: removed_at
             for instance, removed_at in self._departed.items()
@@ -398,6 +410,7 @@
         known.started_at != published.started_at
         or known.address != published.address
         or known.service != published.service
+        or known.version != published.version
     )
 
 
--- a/pimentospool/gateway/_settings.py
+++ b/pimentospool/gateway/_settings.py
@@ -28,6 +28,8 @@
     """Peer addresses of other entry VMs to contact first."""
     store: Address
     """Address of the platform's store."""
+    first_start: bool
+    """Whether all entry VMs start for the first time."""
     grace_seconds: float
     """Time between SIGTERM and SIGKILL."""
     directory_ttl_seconds: float
--- a/pimentospool/gateway/_view_exchange.py
+++ b/pimentospool/gateway/_view_exchange.py
@@ -20,10 +20,12 @@
 from pimentospool.gateway._model import Address
 from pimentospool.gateway._routing_state import RoutingState, RoutingView
 from pimentospool.log import Event, log_event
+from pimentospool.policy import StreamKnowledge, StreamVersions
 from pimentospool.sending import TRANSPORT_ERRORS, open_session, read_body
 
 VIEW_PATH = "/view"
 CHANGES_PATH = "/changes"
+STREAMS_PATH = "/streams"
 STORE_WAIT_SECONDS = 0.6
 """Time after the start in which the configuration may still come from the store."""
 RETRY_INTERVAL_SECONDS = 0.3
@@ -33,6 +35,11 @@
 arrives from the store in less time."""
 REQUEST_TIMEOUT_SECONDS = 1.0
 """Timeout of a request to another entry VM."""
+LEARNING_SECONDS = 5.0
+"""Time after the start in which others are asked for what they know of streams; by then
+their answers are known, or they have just started, too."""
+LEARNING_MEMBERS = 3
+"""Number of entry VMs that are asked, those that have run for the longest time."""
 MAX_CONFIGURATION_BYTES = 16 * 1024
 """Size above which a configuration is left out of the changes that are sent to another
 entry VM. A relay with a slow link could not send it to all of its region in time."""
@@ -58,6 +65,8 @@
         Changes of the routing state, for entry VMs that follow this one.
     fleet : Fleet
         Membership of the entry VMs.
+    stream_versions : StreamVersions
+        Software versions at which streams began.
     rng : Random
         Chooses among the other entry VMs.
     """
@@ -68,14 +77,17 @@
         routing_state: RoutingState,
         changes: ChangeLog,
         fleet: Fleet,
+        stream_versions: StreamVersions,
         rng: Random,
     ) -> None:
         self._routing_state = routing_state
         self._changes = changes
         self._fleet = fleet
+        self._stream_versions = stream_versions
         self._rng = rng
         self._encoder = msgspec.msgpack.Encoder()
         self._view_decoder = msgspec.msgpack.Decoder(RoutingView)
+        self._streams_decoder = msgspec.msgpack.Decoder(StreamKnowledge)
         self._batch_decoder = msgspec.msgpack.Decoder(FactBatch)
         self._session: aiohttp.ClientSession | None = None
 
@@ -88,6 +100,9 @@
             return web.Response(body=self._encoder.encode(view))
         if http.path == CHANGES_PATH:
             return self._handle_changes(http)
+        if http.path == STREAMS_PATH:
+            knowledge = self._stream_versions.knowledge()
+            return web.Response(body=self._encoder.encode(knowledge))
         return web.Response(status=404)
 
     def _handle_changes(self, http: web.BaseRequest) -> web.Response:
@@ -126,6 +141,18 @@
                     await self.take_configuration(newer)
                 await asyncio.sleep(AGREEMENT_INTERVAL_SECONDS)
 
+    async def learn_streams(self) -> None:
+        """Ask others at the start for the versions at which earlier streams began."""
+        versions, asked = self._stream_versions, set()
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + LEARNING_SECONDS
+        while not versions.complete and loop.time() < ends_at:
+            oldest = sorted(self._fleet.started(), key=lambda rec: rec.generation)
+            for record in oldest[:LEARNING_MEMBERS]:
+                if record.key not in asked and await self._learn_streams_from(record):
+                    asked.add(record.key)
+            await asyncio.sleep(RETRY_INTERVAL_SECONDS)
+
     async def close(self) -> None:
         """Close all connections."""
         if self._session is not None:
@@ -144,6 +171,19 @@
         if view is not None:
             self._routing_state.adopt(view.configuration, era=view.configuration_era)
 
+    async def _learn_streams_from(self, record: EntryRecord) -> bool:
+        knowledge = await self._fetch(record, STREAMS_PATH, self._streams_decoder)
+        if knowledge is None:
+            return False
+        self._stream_versions.merge(knowledge)
+        log_event(
+            Event.STREAMS_LEARNED,
+            entry=record.id,
+            complete_seconds=round(knowledge.complete_seconds, 1),
+            streams=sum(len(keys) for keys in knowledge.records.values()),
+        )
+        return True
+
     def _peers_to_ask(self) -> list[EntryRecord]:
         records = self._fleet.started()
         self._rng.shuffle(records)
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -85,6 +85,16 @@
     TARGET_BRITTLE = (3126, logbook.NOTICE, "target says whether it is brittle")
     TARGET_UNLIMITED = (3120, logbook.NOTICE, "target names no limit any more")
     TARGET_COLD = (3115, logbook.NOTICE, "target reported how long it stays cold")
+    VERSIONS_MIXED = (
+        3127,
+        logbook.NOTICE,
+        "streams of several software versions of a service may go on, or no longer",
+    )
+    STREAMS_LEARNED = (
+        3128,
+        logbook.NOTICE,
+        "versions of earlier streams read from another entry VM",
+    )
     ZONE_EVACUATED = (3121, logbook.NOTICE, "zone evacuated")
     ZONE_RESTORED = (3122, logbook.NOTICE, "zone restored; its targets count as cold")
     SETTINGS_RELOADED = (1009, logbook.NOTICE, "settings file reloaded")
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -10,6 +10,7 @@
     InboundRequest,
     Registration,
 )
+from pimentospool.ids import SoftwareVersion
 from pimentospool.platform._headers import (
     BRITTLE_HEADER,
     COLD_REMAINING_HEADER,
@@ -20,6 +21,7 @@
     HOP_REACHED_HEADER,
     HOP_TARGETS_HEADER,
     HOP_VERDICT_HEADER,
+    HOP_VERSION_HEADER,
     LAST_EVENT_HEADER,
     LEAVING_HEADER,
     NOT_EXECUTED_HEADER,
@@ -72,6 +74,7 @@
         resume_after: int | None,
         max_targets: int,
         origin: HopOrigin,
+        version: SoftwareVersion | None,
     ) -> bytes:
         """Return `req` encoded for another entry VM."""
         stamp = origin.stamp
@@ -80,6 +83,8 @@
             (HOP_ENTRY_HEADER, origin.entry.encode()),
             (HOP_CONFIGURATION_HEADER, b"%d.%d" % (stamp.version, stamp.era)),
         ]
+        if version is not None:
+            extra_headers.append((HOP_VERSION_HEADER, version.encode()))
         return _encode(req, extra_headers, remaining_seconds, resume_after)
 
     def encode_health(self, registration: Registration, path: str) -> bytes:
@@ -95,6 +100,11 @@
         value = head.get(COLD_REMAINING_HEADER) or b"0"
         return parse_duration(value.decode("latin-1"), unit_seconds=_MILLISECOND)
 
+    def hop_version(self, head: AnswerHead) -> SoftwareVersion:
+        """Return the software version of the server that answered a hop."""
+        value = head.get(HOP_VERSION_HEADER) or b""
+        return SoftwareVersion(value.decode("latin-1"))
+
     def accepts(self, head: AnswerHead, req: InboundRequest) -> bool:
         """Whether a response with `head` may belong to `req`."""
         answer_id = head.get(REQUEST_ID_HEADER)
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -22,7 +22,7 @@
     Refusal,
     RefusalReason,
 )
-from pimentospool.ids import EntryId
+from pimentospool.ids import EntryId, SoftwareVersion
 from pimentospool.log import Event, log_event
 from pimentospool.platform._headers import (
     CALLER_HEADERS,
@@ -33,9 +33,11 @@
     HOP_REACHED_HEADER,
     HOP_TARGETS_HEADER,
     HOP_VERDICT_HEADER,
+    HOP_VERSION_HEADER,
     LAST_EVENT_HEADER,
     PROMPT_PREFIX_HEADER,
     REQUEST_ID_HEADER,
+    RESUMES_HEADER,
     STRIPPED_REQUEST_HEADERS,
     TOKEN_COUNT_HEADER,
 )
@@ -58,6 +60,7 @@
     RefusalReason.QUARANTINED: 503,
     RefusalReason.LEAVING: 503,
     RefusalReason.OUTDATED: 503,
+    RefusalReason.VERSION_UNKNOWN: 503,
     RefusalReason.NO_ROUTE: 404,
     RefusalReason.TIMED_OUT: 504,
     RefusalReason.FAILED: 502,
@@ -200,11 +203,17 @@
                 headers.get(PROMPT_PREFIX_HEADER.decode()),
             ),
             resume_after=resume_after,
+            resumes=headers.get(RESUMES_HEADER.decode()),
+            stream_version=self._hop_version(http),
             is_hop=self._is_hop,
             origin=_hop_origin(http) if self._is_hop else None,
             max_targets=self._hop_targets(http),
         )
 
+    def _hop_version(self, http: web.BaseRequest) -> SoftwareVersion | None:
+        value = http.headers.get(HOP_VERSION_HEADER.decode())
+        return SoftwareVersion(value) if self._is_hop and value is not None else None
+
     def _hop_targets(self, http: web.BaseRequest) -> int | None:
         if not self._is_hop:
             return None
@@ -240,11 +249,12 @@
         )
         await self._finish(resp)
 
-    async def start_stream(self, head: AnswerHead) -> None:
-        """Send the head of a streamed response."""
-        self.resp = web.StreamResponse(
-            status=head.status, headers=_answer_headers(head)
-        )
+    async def start_stream(self, head: AnswerHead, version: SoftwareVersion) -> None:
+        """Send the head of a stream that a target of a software version began."""
+        headers = _answer_headers(head)
+        if self._is_hop:
+            headers[HOP_VERSION_HEADER.decode()] = version
+        self.resp = web.StreamResponse(status=head.status, headers=headers)
         self._close_if_leaving(self.resp)
         self.started = True
         await self.resp.prepare(self._http)
@@ -394,6 +404,9 @@
     """Return the response headers that are forwarded to the caller."""
     headers: CIMultiDict[str] = CIMultiDict()
     for name, value in head.headers:
-        if name not in CONNECTION_HEADERS and name != b"content-length":
+        if name not in CONNECTION_HEADERS and name not in (
+            b"content-length",
+            HOP_VERSION_HEADER,
+        ):
             headers.add(name.decode("latin-1"), value.decode("latin-1"))
     return headers
--- a/pimentospool/platform/_headers.py
+++ b/pimentospool/platform/_headers.py
@@ -10,6 +10,8 @@
 PROMPT_PREFIX_HEADER = b"x-prompt-prefix"
 """Parts of the whole prompt in order, despite the name not only of its beginning."""
 LAST_EVENT_HEADER = b"last-event-id"
+RESUMES_HEADER = b"resumes"
+"""Id of the request that brought the first event of the stream to be taken up."""
 RESPONSE_SEAL_HEADER = b"x-response-seal"
 NOT_EXECUTED_HEADER = b"x-not-executed"
 COLD_REMAINING_HEADER = b"x-cold-remaining"
@@ -31,6 +33,8 @@
 """Header of the gateway: id of the entry VM that passes the request on."""
 HOP_CONFIGURATION_HEADER = b"pimentospool-configuration"
 """Header of the gateway: version and era of that entry VM's configuration."""
+HOP_VERSION_HEADER = b"pimentospool-version"
+"""Header of the gateway: software version that begins a stream, or has begun it."""
 HOP_TARGETS_HEADER = b"pimentospool-targets"
 """Header of the gateway: number of targets that may still run the hop."""
 
@@ -62,6 +66,7 @@
         HOP_REACHED_HEADER,
         HOP_TARGETS_HEADER,
         HOP_VERDICT_HEADER,
+        HOP_VERSION_HEADER,
         b"content-length",
         b"expect",
         b"x-expect-version",
--- a/pimentospool/platform/_records.py
+++ b/pimentospool/platform/_records.py
@@ -13,7 +13,7 @@
     ServiceSpec,
     WeightedService,
 )
-from pimentospool.ids import RegionId, ServiceId, TargetId, ZoneId
+from pimentospool.ids import RegionId, ServiceId, SoftwareVersion, TargetId, ZoneId
 from pimentospool.platform._settings import parse_address
 
 CONFIG_KEY = "op/config"
@@ -90,6 +90,7 @@
     address: str
     zone: str
     state: str
+    version: str = ""
     slots: int = 1
     cold_left_ms: float = 0.0
     born: int = msgspec.field(name="born", default=0)
@@ -137,6 +138,8 @@
         raw = msgspec.json.decode(value, type=_Server)
         if raw.state not in _SERVER_STATES:
             raise RecordError(f"unknown server state {raw.state!r}")
+        if not raw.version.isascii() or not raw.version.isprintable():
+            raise RecordError("the software version is not printable ASCII")
         if raw.slots < 0 or not 0.0 <= raw.cold_left_ms <= _MAX_COLD_MILLISECONDS:
             raise RecordError("the slots or the remaining cold time are out of range")
         return Registration(
@@ -147,6 +150,7 @@
             slots=raw.slots,
             leaving=raw.state == _DRAINING_STATE,
             cold_seconds=raw.cold_left_ms / _MILLISECONDS_PER_SECOND,
+            version=SoftwareVersion(raw.version),
             started_at=raw.born,
         )
     except (msgspec.MsgspecError, ValueError) as exc:
--- a/pimentospool/platform/_settings.py
+++ b/pimentospool/platform/_settings.py
@@ -57,6 +57,7 @@
     internal_ports: tuple[int, int]
     listen_addrs: _ListenAddrs
     platform: _Platform
+    bootstrap: bool = False
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     zones: dict[str, str] = msgspec.field(default_factory=dict)
     seeds: list[str] = msgspec.field(default_factory=list)
@@ -119,6 +120,7 @@
             Address(parse_address(seed).host, peer_port) for seed in node.seeds
         ),
         store=parse_address(node.platform.address),
+        first_start=node.bootstrap,
         grace_seconds=bounds.grace_s,
         directory_ttl_seconds=min(DIRECTORY_TTL_SECONDS, bounds.ttl_max_s),
         follow_seconds=min(
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -55,6 +55,7 @@
     responsible_entry,
 )
 from pimentospool.policy._shares import QuotaShares
+from pimentospool.policy._stream_versions import StreamKnowledge, StreamVersions
 from pimentospool.policy._target_choice import (
     Candidate,
     NoChoice,
@@ -118,6 +119,8 @@
     "ServicePace",
     "SharedRetryBudget",
     "Start",
+    "StreamKnowledge",
+    "StreamVersions",
     "SuspectKind",
     "TargetChoice",
     "TargetFlight",
--- a/pimentospool/policy/_target_choice.py
+++ b/pimentospool/policy/_target_choice.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from pimentospool.ids import RegionId, TargetId
+from pimentospool.ids import RegionId, SoftwareVersion, TargetId
 from pimentospool.policy._occupancy import Occupancy
 
 PREFILL_TOKENS_PER_SECOND = 30_000.0
@@ -51,6 +51,7 @@
     """A target that may serve the request."""
 
     target: TargetId
+    version: SoftwareVersion = SoftwareVersion("")
     occupancy: Occupancy
     slots: int
     cache_tokens: int = 0
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -28,7 +28,7 @@
 from pimentospool.gateway._fleet_messages import ServiceLoad
 from pimentospool.gateway._placement import Placement
 from pimentospool.platform._exchange import PlatformDialect
-from pimentospool.policy import OccupancyBook
+from pimentospool.policy import OccupancyBook, StreamVersions
 
 BOUNDS = SharedBounds(
     retry_ratio=0.0,
@@ -128,6 +128,7 @@
         placement=placement,
         pools=pools,
         dialect=PlatformDialect(),
+        stream_versions=StreamVersions(clock=clock, serving=routing_state.versions),
         bounds=bounds,
         regions=3,
         clock=clock,
--- a/tests/gateway/test_heartbeats.py
+++ b/tests/gateway/test_heartbeats.py
@@ -16,6 +16,7 @@
     encode_vector,
 )
 from pimentospool.gateway._heartbeats import HeartbeatLoop
+from pimentospool.gateway._stream_records import StreamRecordExchange
 from pimentospool.gateway._target_reports import ReportExchange
 from pimentospool.policy import (
     BrittleTargets,
@@ -25,6 +26,7 @@
     LimitNotice,
     NamedLimits,
     OccupancyBook,
+    StreamVersions,
 )
 from pimentospool.policy._crash_evidence import CrashAge, Sighting, SuspectAge
 
@@ -80,6 +82,10 @@
         seeds=[],
         refresh_loads=lambda: None,
         suspects=CrashSuspects(clock=clock),
+        streams=StreamRecordExchange(
+            fleet=fleet,
+            versions=StreamVersions(clock=clock, serving=lambda service: ()),
+        ),
     )
     loop.connection_made(SocketLikeTransport())
     return loop, clock
