Skip odd entries in the list of targets whatever they hold

One odd entry made entry VMs stop following the list: a deeply nested field raised RecursionError, which ended the task that follows the store, again and again, as the entry came with each read; slots or a start time of more than 64 bits were taken, and then neither the view nor the changes could be sent to other entry VMs; a version of 100 KB would have gone into headers and datagrams.

Cause: errors of decoding were listed by class without that one, and numbers were checked for their type and sign only. Values are now checked for their ranges in one place, and a nested value is skipped with a log line like any other that can't be read.

Of the 13 cases of test_odd_entry_names_no_target_and_the_others_are_followed five failed before (nested unknown field, many slots, late start, early start, long version); all pass. Ports out of range were refused before.

--- a/pimentospool/platform/_records.py
+++ b/pimentospool/platform/_records.py
@@ -29,6 +29,14 @@
 _MILLISECONDS_PER_SECOND = 1000.0
 _MAX_COLD_MILLISECONDS = 3_600_000.0
 """Cold times above an hour come from a faulty writer."""
+_MAX_SLOTS = 1_000_000
+_MAX_START_MILLISECONDS = 1 << 53
+"""Start times above this are no Unix milliseconds; entry VMs can't send each other
+integers of more than 64 bits."""
+_MAX_VERSION_LENGTH = 64
+"""Longest software version, which is sent in headers and datagrams."""
+_DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
+"""Errors of a value that can't be read; a deeply nested one raises the last."""
 
 
 class RecordError(PimentospoolError):
@@ -119,7 +127,7 @@
                 / _MILLISECONDS_PER_SECOND,
             ),
         )
-    except (msgspec.MsgspecError, ValueError, KeyError) as exc:
+    except (*_DECODE_ERRORS, KeyError) as exc:
         raise RecordError(f"invalid configuration: {exc!r}") from exc
 
 
@@ -138,10 +146,7 @@
         raw = msgspec.json.decode(value, type=_Server)
         if raw.state not in _SERVER_STATES:
             raise RecordError(f"unknown server state {raw.state!r}")
-        if not raw.version.isascii() or not raw.version.isprintable():
-            raise RecordError("the software version is not printable ASCII")
-        if raw.slots < 0 or not 0.0 <= raw.cold_left_ms <= _MAX_COLD_MILLISECONDS:
-            raise RecordError("the slots or the remaining cold time are out of range")
+        _check_ranges(raw)
         return Registration(
             id=TargetId(server),
             service=ServiceId(raw.service),
@@ -153,10 +158,25 @@
             version=SoftwareVersion(raw.version),
             started_at=raw.born,
         )
-    except (msgspec.MsgspecError, ValueError) as exc:
+    except _DECODE_ERRORS as exc:
         raise RecordError(f"invalid server entry: {exc}") from exc
 
 
+def _check_ranges(raw: _Server) -> None:
+    """Raise RecordError for values that no server writes."""
+    version = raw.version
+    if not (version.isascii() and version.isprintable()):
+        raise RecordError("the software version is not printable ASCII")
+    if len(version) > _MAX_VERSION_LENGTH:
+        raise RecordError("the software version is too long")
+    if not 0 <= raw.slots <= _MAX_SLOTS:
+        raise RecordError("the slots are out of range")
+    if not 0.0 <= raw.cold_left_ms <= _MAX_COLD_MILLISECONDS:
+        raise RecordError("the remaining cold time is out of range")
+    if not 0 <= raw.born <= _MAX_START_MILLISECONDS:
+        raise RecordError("the start time is out of range")
+
+
 def _to_route(raw: _Route) -> HttpRoute:
     services = tuple(
         WeightedService(service=ServiceId(item.service), weight=item.weight)
--- a/pimentospool/platform/_store.py
+++ b/pimentospool/platform/_store.py
@@ -233,7 +233,12 @@
                     raise SourceError(f"{path} responded with status {resp.status}")
                 data = await read_body(resp, MAX_RESPONSE_BYTES)
             return msgspec.json.decode(data, type=response_type), response_era
-        except (*TRANSPORT_ERRORS, WrappedTransportError, msgspec.MsgspecError) as exc:
+        except (
+            *TRANSPORT_ERRORS,
+            WrappedTransportError,
+            msgspec.MsgspecError,
+            RecursionError,
+        ) as exc:
             # A connection that lost a response delivers nothing more: replace them all.
             session, self._session = self._session, None
             await session.close()
--- a/tests/platform/test_store_feed.py
+++ b/tests/platform/test_store_feed.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+import pytest
 from platform_site import running_site
 
 from pimentospool.standins import platform_configuration, platform_route, target_entry
@@ -47,6 +49,51 @@
     run_with_site(runner, tmp_path, check)
 
 
+def odd_entry(old, new):
+    """Return an entry in which another writer has put `new` in the place of `old`."""
+    value = msgspec.json.encode(target_entry("127.0.0.1:7"))
+    assert old in value
+    return value.replace(old, new)
+
+
+NESTED = b"[" * 20_000 + b"]" * 20_000
+ODD_ENTRIES = {
+    "nested entry": NESTED,
+    "nested objects": b'{"Service":' * 20_000 + b"1" + b"}" * 20_000,
+    "nested unknown field": odd_entry(b'"Sequence":1', b'"Other":' + NESTED),
+    "many slots": odd_entry(b'"Slots":8', b'"Slots":18446744073709551616'),
+    "negative slots": odd_entry(b'"Slots":8', b'"Slots":-1'),
+    "number too large": odd_entry(b'"ColdLeftMs":0', b'"ColdLeftMs":1e999'),
+    "long integer": odd_entry(b'"born":1', b'"born":' + b"9" * 5000),
+    "late start": odd_entry(b'"born":1', b'"born":36893488147419103232'),
+    "early start": odd_entry(b'"born":1', b'"born":-36893488147419103232'),
+    "port out of range": odd_entry(b"127.0.0.1:7", b"127.0.0.1:65536"),
+    "long port": odd_entry(b"127.0.0.1:7", b"127.0.0.1:" + b"9" * 5000),
+    "port 0": odd_entry(b"127.0.0.1:7", b"127.0.0.1:0"),
+    "long version": odd_entry(b'"v1"', b'"' + b"v" * 100_000 + b'"'),
+}
+
+
+@pytest.mark.parametrize("name", ODD_ENTRIES)
+def test_odd_entry_names_no_target_and_the_others_are_followed(runner, tmp_path, name):
+    async def check(site):
+        await site.store.put("servers/i-1", target_entry("127.0.0.1:1"))
+        await site.store.put("servers/odd", ODD_ENTRIES[name])
+        await site.store.put("servers/i-2", target_entry("127.0.0.1:2"))
+        await site.wait_until(lambda: usable_ids(site) == {"i-1", "i-2"})
+        late = await site.add_node("gulf-a")
+        state = late.gateway.routing_state
+        await site.wait_until(lambda: set(state.known_targets()) == {"i-1", "i-2"})
+        await site.store.put("servers/i-3", target_entry("127.0.0.1:3"))
+        await site.wait_until(lambda: len(state.known_targets()) == 3)
+        view = routing_state(site).view()
+        assert msgspec.msgpack.decode(
+            msgspec.msgpack.encode(view), type=type(view)
+        ).targets
+
+    run_with_site(runner, tmp_path, check)
+
+
 def test_skips_entries_that_cannot_be_decoded(runner, tmp_path):
     async def check(site):
         await site.store.put("servers/bad-1", b"\x00\xff")
