--- a/pimentospool/callers/_parsing.py
+++ b/pimentospool/callers/_parsing.py
@@ -213,7 +213,7 @@
         raise _refusal(Reason.UNSUPPORTED_MEDIA_TYPE, f"the body must be {_JSON_TYPE}")
     try:
         return msgspec.json.decode(http.body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise _refusal(Reason.BAD_REQUEST, f"the body is refused: {exc}") from exc
 
 
--- a/pimentospool/configuration_service.py
+++ b/pimentospool/configuration_service.py
@@ -145,5 +145,5 @@
 def _decode(data: bytes, kind: type[T]) -> T:
     try:
         return msgspec.json.decode(data, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise PlatformError(f"response is not a valid {kind.__name__}: {exc}") from exc
--- a/pimentospool/gateway/_heartbeats.py
+++ b/pimentospool/gateway/_heartbeats.py
@@ -85,7 +85,7 @@
         """Process a message; log and skip one that can't be decoded."""
         try:
             msg = self._decoder.decode(data)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             log_event(Event.PEER_MESSAGE_REFUSED, reason=str(exc), sender=str(addr))
             return
         if isinstance(msg, ReportMessage):
--- a/pimentospool/gateway/_view_exchange.py
+++ b/pimentospool/gateway/_view_exchange.py
@@ -218,6 +218,6 @@
                 if resp.status != 200:
                     return None
                 return decoder.decode(await read_body(resp, MAX_VIEW_BYTES))
-        except (*TRANSPORT_ERRORS, msgspec.MsgspecError) as exc:
+        except (*TRANSPORT_ERRORS, msgspec.MsgspecError, RecursionError) as exc:
             log_event(Event.VIEW_REFUSED, entry=record.id, reason=repr(exc))
             return None
--- a/pimentospool/loading.py
+++ b/pimentospool/loading.py
@@ -76,7 +76,7 @@
                 customers += shard.customers
             core = {"targets": [], "customers": []} | core
             manifest = msgspec.convert(core, Manifest)
-        except (KeyError, msgspec.MsgspecError, UnicodeDecodeError):
+        except (KeyError, msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
             return None
         manifest.targets += targets
         manifest.customers += customers
--- a/pimentospool/readers.py
+++ b/pimentospool/readers.py
@@ -45,7 +45,7 @@
         document = msgspec.json.decode(data, type=kind)
     except msgspec.ValidationError:
         return _convert(json.loads(data), kind, check)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise _syntax_error(kind, f"not valid JSON: {exc}") from exc
     raise_document_errors(_refusal_message(kind), check(document))
     return document
--- a/tests/test_readers.py
+++ b/tests/test_readers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from pimentospool import readers
+from pimentospool._generated.platform import RevisionIndex
 from pimentospool.errors import DocumentErrors
 from pimentospool.manifest import parse_manifest
 
@@ -60,3 +61,9 @@
         parse_manifest(msgspec.json.encode(raw))
     paths = [fault.path for fault in caught.value.exceptions]
     assert paths[0] == "zones[0]"
+
+
+def test_deeply_nested_document_is_refused():
+    data = b'{"unknown": ' + b"[" * 20_000 + b"]" * 20_000 + b"}"
+    with pytest.raises(DocumentErrors):
+        readers.decode_json(data, RevisionIndex, lambda document: [])
