Don't take a refusal that was written once more for proof

A faulty target wrote an earlier rejection once more on a kept connection. A request that may run once then ran twice, as it was sent again to the same target on the same connection and the copy, which bears its id, was read as the second answer (TWICE). A copy without an id was read as the answer to the next request, whose caller was told that it had not run while it was running (REFUSED). A copy with another id was skipped before.

A request that is sent to a target again now goes on a new connection, in place of an idle one if the limit is reached, and a rejection without an id proves nothing on a connection that carried another exchange. Of the six cases of the two new tests in tests/platform/test_exchanges.py four failed before; all pass.

--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -122,6 +122,16 @@
                 refusal=refusal,
             )
         answer_class = dialect.classify(head)
+        if (
+            answer_class in (AnswerClass.REJECTION, AnswerClass.MISDIRECTED)
+            and stream.conn_was_used
+            and not dialect.names_request(head)
+        ):
+            raise AttemptFailure(
+                detail="the rejection may be that of an earlier request",
+                verdict=Verdict.MAY_HAVE_RUN,
+                cause=FailureCause.BROKEN,
+            )
         if answer_class not in (AnswerClass.MISDIRECTED, AnswerClass.INVALID):
             on_head(head)
         if answer_class is AnswerClass.REJECTION:
--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -130,7 +130,9 @@
                 log_event(Event.TARGET_QUIET, target=state.id, seconds=quiet_seconds)
 
         try:
-            conn = await pool.acquire()
+            # An earlier rejection of the same request may come again on a kept one.
+            sent_before = candidate.target in self._progress.excluded_targets
+            conn = await pool.acquire(unused=sent_before)
             try:
                 encoded = self._encode_for_target(state)
                 self._record_send()
--- a/pimentospool/gateway/_connection_pool.py
+++ b/pimentospool/gateway/_connection_pool.py
@@ -41,20 +41,25 @@
         self._open_count = 0
         self._draining = False
 
-    async def acquire(self) -> Connection:
+    async def acquire(self, *, unused: bool = False) -> Connection:
         """Return an idle connection, or a new one if there is none.
 
+        Parameters
+        ----------
+        unused : bool
+            Whether it must be a new one, in place of an idle one if need be.
+
         Raises
         ------
         AttemptFailure
             If no connection can be opened; nothing was sent.
         """
-        while self._idle:
+        while self._idle and not unused:
             conn = self._idle.pop()
             self._idle_timers.pop(conn).cancel()
             if conn.reusable:
                 return conn
-        if self._open_count >= self.limit:
+        if self._open_count >= self.limit and not (unused and self._close_oldest()):
             raise _connect_failure("all connections are in use", FailureCause.REFUSED)
         self._open_count += 1
         try:
@@ -87,6 +92,13 @@
         self._draining = True
         self.close_idle()
 
+    def _close_oldest(self) -> bool:
+        """Close the connection that was idle for longest; return whether one was."""
+        if not self._idle:
+            return False
+        self._close_idle_connection(self._idle[0])
+        return True
+
     def _close_idle_connection(self, conn: Connection) -> None:
         if conn in self._idle:
             self._idle.remove(conn)
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -72,7 +72,11 @@
 class AnswerStream:
     """One response, read while it arrives on its connection."""
 
-    def __init__(self, *, conn: "Connection", req: EncodedRequest) -> None:
+    def __init__(
+        self, *, conn: "Connection", req: EncodedRequest, conn_was_used: bool
+    ) -> None:
+        self.conn_was_used = conn_was_used
+        """Whether the connection carried another exchange before."""
         self.head: AnswerHead | None = None
         self.body_end: BodyEnd | None = None
         self.complete = False
@@ -174,6 +178,7 @@
         self._headers: Headers = []
         self._ignoring_message = False
         self._must_close = False
+        self._was_used = False
         self._peer_closed = False
         self._paused = False
         self._received_bytes = 0
@@ -203,7 +208,8 @@
         """Write `req` and return the stream of its response."""
         assert self._transport is not None
         assert self._stream is None
-        self._stream = AnswerStream(conn=self, req=req)
+        self._stream = AnswerStream(conn=self, req=req, conn_was_used=self._was_used)
+        self._was_used = True
         self._parser = httptools.HttpResponseParser(self)
         self._received_bytes = self._body_bytes = 0
         self._transport.write(req.data)
--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -100,6 +100,9 @@
     def accepts(self, head: AnswerHead, req: InboundRequest) -> bool:
         """Whether a response with `head` may belong to `req`."""
 
+    def names_request(self, head: AnswerHead) -> bool:
+        """Whether the response says to which request it belongs."""
+
     def classify(self, head: AnswerHead) -> AnswerClass:
         """Return what a response with `head` says about the request."""
 
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -110,6 +110,10 @@
         answer_id = head.get(REQUEST_ID_HEADER)
         return answer_id is None or not req.id or answer_id == _to_bytes(req.id)
 
+    def names_request(self, head: AnswerHead) -> bool:
+        """Whether the response says to which request it belongs."""
+        return head.get(REQUEST_ID_HEADER) is not None
+
     def classify(self, head: AnswerHead) -> AnswerClass:
         """Return the class of the response that begins with `head`."""
         status = head.status
--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -43,6 +43,10 @@
     EXTRA_BYTES = "a response followed by extra bytes"
     LATE_SECOND = "a second response, some time after the first"
     FOREIGN = "a response to another request before its own"
+    REPEATED_REFUSAL = (
+        "the connection's last rejection once more, then its own response"
+    )
+    UNNAMED_REFUSAL = "the same without the id of a request"
     UNSEALED = "a success without X-Response-Seal"
     ENCODED = "a body with a content encoding"
     EARLY = "a response before the request body is read"
@@ -128,6 +132,8 @@
         self.answer_headers: dict[str, str] = {}
         self.room: int | None = None
         self._busy = 0
+        self._refusals: dict[asyncio.StreamWriter, bytes] = {}
+        """Last rejection on each connection."""
         self.crash_part = ""
         self.crash_path = ""
         self.crashed_at: float | None = None
@@ -168,6 +174,7 @@
             while await self._serve_request(reader, writer):
                 pass
         self._writers.discard(writer)
+        self._refusals.pop(writer, None)
         writer.close()
 
     async def _serve_request(
@@ -187,8 +194,15 @@
         is_full = self.room is not None and self._busy >= self.room
         if fault is Fault.REJECT or is_full:
             req.executed = False
-            writer.write(self._response_head(req, 503, "X-Not-Executed: 1", length=0))
+            refusal = self._response_head(req, 503, "X-Not-Executed: 1", length=0)
+            self._refusals[writer] = refusal
+            writer.write(refusal)
             return True
+        if fault in (Fault.REPEATED_REFUSAL, Fault.UNNAMED_REFUSAL):
+            refusal = self._refusals.get(writer, b"")
+            if fault is Fault.UNNAMED_REFUSAL:
+                refusal = _without_id(refusal)
+            writer.write(refusal)
         if req.path == HEALTH_PATH:
             req.executed = False
             writer.write(
@@ -377,6 +391,11 @@
         return "\r\n".join(lines).encode("latin-1") + _HEADER_END
 
 
+def _without_id(response: bytes) -> bytes:
+    lines = response.split(_CRLF)
+    return _CRLF.join(line for line in lines if not line.startswith(b"X-Request-Id"))
+
+
 async def _wait_for_disconnect(reader: asyncio.StreamReader) -> None:
     """Wait until the client closes; it sends nothing before it gets its response."""
     while not (reader.at_eof() or reader.exception()):
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -53,6 +53,8 @@
 
 
 class CannedStream:
+    conn_was_used = False
+
     def __init__(self, head):
         self.head = AnswerHead(*head)
         self.body_end = BodyEnd.LENGTH
@@ -73,7 +75,7 @@
         self._answer = answer
         self._sent = sent
 
-    async def acquire(self):
+    async def acquire(self, *, unused=False):
         return self
 
     def send(self, wire):
--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -518,3 +518,36 @@
             await call(site, b"r-2")
 
     run_with_site(runner, tmp_path, check)
+
+
+@pytest.mark.parametrize("path", ["/book/", "/plan/"])
+def test_repeated_refusal_is_no_proof_that_a_request_sent_again_did_not_run(
+    runner, tmp_path, path
+):
+    async def check(site):
+        for target in site.targets.values():
+            target.faults = [Fault.REJECT, Fault.REPEATED_REFUSAL]
+        status, _, _ = await site.call(path, method="POST", data=b"1")
+        assert count_runs(site) == 1
+        assert status == 200
+
+    run_with_site(runner, tmp_path, check)
+
+
+@pytest.mark.parametrize("path", ["/book/", "/plan/"])
+@pytest.mark.parametrize("fault", [Fault.REPEATED_REFUSAL, Fault.UNNAMED_REFUSAL])
+def test_refusal_of_an_earlier_request_is_no_proof_that_a_later_one_did_not_run(
+    runner, tmp_path, path, fault
+):
+    async def check(site):
+        for target in site.targets.values():
+            target.faults = [Fault.REJECT] * 4
+        status, _, _ = await site.call(path, method="POST", data=b"1")
+        assert status == 503
+        for target in site.targets.values():
+            target.faults = [fault]
+        status, _, _ = await site.call(path, method="POST", data=b"1", request_id="r-2")
+        assert count_runs(site, "r-2") == 1
+        assert status in (200, 502)
+
+    run_with_site(runner, tmp_path, check)
