Don't let a hop start a process that has no configuration

A hop to a process that had just started made it read the sender's configuration, without the targets: it would have counted as ready while it knew none. Such a process refuses the hop as not run, as it did before hops came with configurations.

--- a/pimentospool/gateway/_configuration_catch_up.py
+++ b/pimentospool/gateway/_configuration_catch_up.py
@@ -48,11 +48,14 @@
     async def reach(self, origin: HopOrigin) -> bool:
         """Return whether the configuration of `origin`, or a later one, is active.
 
-        Waits for it, and reads it from the entry VM that follows it, if it isn't.
+        Waits for it, and reads it from the entry VM that follows it, if it isn't. A
+        process without any configuration has no targets yet either, so it doesn't wait.
         """
+        known = self._routing_state.stamp
+        if known is None:
+            return False
         if self._is_reached(origin.stamp):
             return True
-        known = self._routing_state.stamp
         await self._wait_for_own_news(origin.stamp)
         if not self._is_reached(origin.stamp):
             await asyncio.shield(self._shared_fetch(origin))
@@ -61,7 +64,7 @@
             Event.CONFIGURATION_BEHIND,
             entry=origin.entry,
             version=origin.stamp.version,
-            known=None if known is None else known.version,
+            known=known.version,
             adopted=reached,
         )
         return reached
--- a/tests/gateway/test_configuration_catch_up.py
+++ b/tests/gateway/test_configuration_catch_up.py
@@ -19,7 +19,8 @@
     def __init__(self, *, fetched=None, known=1):
         self.clock = Clock()
         self.state = RoutingState(clock=self.clock, zone_regions={})
-        self.state.adopt(make_configuration(version=known), era=1)
+        if known is not None:
+            self.state.adopt(make_configuration(version=known), era=1)
         fleet = Fleet(local_record=make_record(), clock=self.clock, rng=Random(1))
         announce(fleet, SENDER)
         self.fetches = []
@@ -89,3 +90,12 @@
         assert not fixture.fetches
 
     runner.run(run())
+
+
+def test_process_without_a_configuration_takes_none_from_a_hop(runner):
+    async def run():
+        fixture = Fixture(known=None, fetched=2)
+        assert not await fixture.reach(2)
+        assert not fixture.fetches
+
+    runner.run(run())
