Don't reset the connection of a caller that is still sending

Seen by callers: the response that ends a connection early (a request timeout, a malformed or oversized request) can be lost, as the connection is reset before it is read.

Cause: sanic closes the socket once it has responded. A byte that arrives then is answered with a reset, which discards what the caller has not read. Whether a byte arrives in that moment was a matter of chance in the test that failed; the test was right.

Change: at the end of a connection, CallerProtocol ends its own direction only, discards what arrives, and closes after the caller's end or one second. The front of the nodes is aiohttp's, which reads the rest of a body before it closes.

Evidence: test_bytes_sent_after_a_request_timeout_do_not_reset_its_response sends bytes after the response has come. Before: [header] failed with BrokenPipeError; [body] passed, as there the connection was kept for the body. After: both pass, and tests/callers.

--- a/pimentospool/callers/_connections.py
+++ b/pimentospool/callers/_connections.py
@@ -14,17 +14,42 @@
 from pimentospool.log import Event, log_event
 
 _DRAIN_POLL_SECONDS = 0.02
+_LINGER_SECONDS = 1.0
+"""Time in which bytes that were under way when a connection ended are discarded; a few
+round trips between regions."""
 
 
 class CallerProtocol(HttpProtocol):
     """Connection with a fixed timeout for the whole request header.
 
     Sanic restarts the request timeout with every byte that arrives, so a caller
-    that sends a byte now and then could hold its connection for ever.
+    that sends a byte now and then could hold its connection for ever. Sanic also
+    closes the socket of a caller that is still sending, and the reset that follows
+    can discard the response before the caller has read it.
     """
 
+    __slots__ = ("_lingering",)
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._lingering = False
+
+    def close(self, timeout: float | None = None) -> None:
+        """Stop sending and discard what arrives for a while; a second call closes."""
+        transport = self.transport
+        if self._lingering or transport is None or transport.is_closing():
+            super().close(timeout)
+            return
+        self._lingering = True
+        self.loop.call_later(_LINGER_SECONDS, self.close)
+        if transport.can_write_eof():
+            transport.write_eof()
+        transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
         """Process bytes without restarting the timeout of a partly received header."""
+        if self._lingering:
+            return
         header_started_at = self._time if self._is_reading_header() else None
         super().data_received(data)
         if header_started_at is not None:
--- a/tests/callers/test_callers_app.py
+++ b/tests/callers/test_callers_app.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import re
+import socket
 
 import msgspec
 import openai
@@ -160,12 +161,12 @@
     assert {problem.verdict for problem in problems.values()} == {Verdict.NOT_RUN}
 
 
-async def send_slowly(first_bytes):
-    """Send `first_bytes`, then up to 30 bytes 0.1 s apart; return the response."""
+def shorten_request_timeout(cfg):
+    cfg.callers.request_timeout_seconds = 0.6
 
-    def shorten_request_timeout(cfg):
-        cfg.callers.request_timeout_seconds = 0.6
 
+async def send_slowly(first_bytes):
+    """Send `first_bytes`, then up to 30 bytes 0.1 s apart; return the response."""
     async with gateway(settings=shorten_request_timeout) as running:
         host, _, port = running.entries[0]._cfg.entry.caller_address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
@@ -193,6 +194,30 @@
     assert problem.verdict is Verdict.NOT_RUN
 
 
+@pytest.mark.parametrize(
+    "first_bytes", [SLOW_HEADER, SLOW_BODY], ids=["header", "body"]
+)
+def test_bytes_sent_after_a_request_timeout_do_not_reset_its_response(
+    runner, first_bytes
+):
+    async def check():
+        async with gateway(settings=shorten_request_timeout) as running:
+            host, _, port = running.entries[0]._cfg.entry.caller_address.rpartition(":")
+            loop, response = asyncio.get_running_loop(), b""
+            with socket.create_connection((host, int(port))) as sock:
+                sock.setblocking(False)
+                await loop.sock_sendall(sock, first_bytes)
+                async with asyncio.timeout(RESPONSE_TIMEOUT_SECONDS):
+                    while not count_complete_responses(response):
+                        response += await loop.sock_recv(sock, 65536)
+                for _ in range(3):
+                    await loop.sock_sendall(sock, b"x")
+                    await asyncio.sleep(0.05)
+            return response
+
+    assert decode_problem(runner.run(check())).verdict is Verdict.NOT_RUN
+
+
 def test_sanic_alone_would_wait_for_a_slow_sender(runner, monkeypatch):
     """Shows that the override of `data_received` is what ends a slow header."""
     monkeypatch.setattr(CallerProtocol, "data_received", HttpProtocol.data_received)
