Don't hold a request past its time while a connection is opened

To another region a connection attempt lasts 0.6 s, so that a request could be held for longer than the half second after its route's time-out that CONFIG allows.

Cause: opening a connection had a timeout of its own, which did not look at the time that the request has left. The class: a wait inside an attempt that isn't bounded by the attempt's deadline.

Change: the time left ends the connect timeout sooner. Such a failure doesn't count against the target: it may be sound. A failure after which nothing was sent no longer counts as one of the target, unless it can't be reached.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -132,7 +132,9 @@
         try:
             # An earlier rejection of the same request may come again on a kept one.
             sent_before = candidate.target in self._progress.excluded_targets
-            conn = await pool.acquire(unused=sent_before)
+            conn = await pool.acquire(
+                unused=sent_before, within_seconds=self._remaining_seconds()
+            )
             try:
                 encoded = self._encode_for_target(state)
                 self._record_send()
@@ -184,7 +186,7 @@
         def record_head(head: AnswerHead) -> None:
             self._progress.attempt_version = deps.dialect.hop_version(head)
 
-        conn = await pool.acquire()
+        conn = await pool.acquire(within_seconds=self._remaining_seconds())
         try:
             remaining_seconds = self._remaining_seconds()
             if remaining_seconds <= 0:
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -259,7 +259,7 @@
                     cause=exc.cause.value,
                     detail=exc.detail,
                 )
-            elif exc.cause is not FailureCause.REFUSED:
+            elif exc.verdict is not Verdict.NOT_RUN:
                 health.record_failure()
         else:
             region = choice.region
--- a/pimentospool/gateway/_connection_pool.py
+++ b/pimentospool/gateway/_connection_pool.py
@@ -1,6 +1,7 @@
 """Pool of keep-alive connections to one address."""
 
 import asyncio
+import math
 
 from pimentospool.gateway._connections import Connection
 from pimentospool.gateway._model import Address
@@ -41,13 +42,17 @@
         self._open_count = 0
         self._draining = False
 
-    async def acquire(self, *, unused: bool = False) -> Connection:
+    async def acquire(
+        self, *, unused: bool = False, within_seconds: float = math.inf
+    ) -> Connection:
         """Return an idle connection, or a new one if there is none.
 
         Parameters
         ----------
         unused : bool
             Whether it must be a new one, in place of an idle one if need be.
+        within_seconds : float
+            Time that the request has left, which ends the connect timeout sooner.
 
         Raises
         ------
@@ -63,7 +68,7 @@
             raise _connect_failure("all connections are in use", FailureCause.REFUSED)
         self._open_count += 1
         try:
-            return await self._open()
+            return await self._open(within_seconds)
         except BaseException:
             self._open_count -= 1
             raise
@@ -111,16 +116,24 @@
             self._idle.remove(conn)
             self._idle_timers.pop(conn).cancel()
 
-    async def _open(self) -> Connection:
+    async def _open(self, within_seconds: float) -> Connection:
         loop = asyncio.get_running_loop()
         sock = open_socket()
         try:
-            async with asyncio.timeout(self._connect_timeout_seconds):
+            async with asyncio.timeout(
+                min(self._connect_timeout_seconds, within_seconds)
+            ):
                 await loop.sock_connect(sock, (self.address.host, self.address.port))
                 _, conn = await loop.create_connection(Connection, sock=sock)
         except (OSError, TimeoutError) as exc:
             sock.close()
-            raise _connect_failure(f"no connection: {exc!r}") from exc
+            ended_early = within_seconds < self._connect_timeout_seconds
+            raise _connect_failure(
+                f"no connection: {exc!r}",
+                FailureCause.LATE
+                if ended_early and isinstance(exc, TimeoutError)
+                else FailureCause.UNREACHABLE,
+            ) from exc
         except BaseException:
             sock.close()
             raise
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import random
+import socket
+import time
+from contextlib import contextmanager
 
 import pytest
 from gateway_factories import (
@@ -16,12 +19,14 @@
 )
 
 from pimentospool.gateway import (
+    Address,
     AnswerHead,
     ConfigurationStamp,
     RoutingState,
     SharedBounds,
 )
 from pimentospool.gateway._attempts import AttemptLoop
+from pimentospool.gateway._connection_pool import ConnectionPool
 from pimentospool.gateway._connections import BodyEnd
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._fleet import Fleet
@@ -75,7 +80,7 @@
         self._answer = answer
         self._sent = sent
 
-    async def acquire(self, *, unused=False):
+    async def acquire(self, *, unused=False, within_seconds=0.0):
         return self
 
     def send(self, wire):
@@ -102,6 +107,31 @@
         return CannedPool(self._hop_answer, self.sent_to_peers)
 
 
+class HangingPools:
+    """Pools whose new connections hang until their timeout."""
+
+    def __init__(self, address):
+        self._address = address
+
+    def target_pool(self, registration, service):
+        return ConnectionPool(
+            address=self._address, limit=1, connect_timeout_seconds=2.0
+        )
+
+    def peer_pool(self, address):
+        return self.target_pool(None, None)
+
+
+@contextmanager
+def unresponsive_address():
+    """Yield an address at which new connections hang, as its backlog is full."""
+    with (
+        socket.create_server(("127.0.0.1", 0), backlog=0) as server,
+        socket.create_connection(server.getsockname()),
+    ):
+        yield Address(*server.getsockname())
+
+
 class RecordingReply:
     started = False
 
@@ -138,9 +168,9 @@
     )
 
 
-def serve(deps):
+def serve(deps, **options):
     reply = RecordingReply()
-    req = make_request(received_at=deps.clock())
+    req = make_request(received_at=deps.clock(), **options)
     attempt_loop = AttemptLoop(
         deps=deps,
         req=req,
@@ -219,3 +249,19 @@
     )
     serve(deps)
     assert bool(lost) is checked
+
+
+@pytest.mark.parametrize("destination", ["target", "region"])
+def test_connection_that_hangs_does_not_hold_a_request_past_its_time(destination):
+    with unresponsive_address() as address:
+        deps = make_deps(HangingPools(address), time.monotonic)
+        if destination == "target":
+            deps.routing_state.register(make_registration("i-1"))
+        else:
+            record = make_record("delta", region="delta")
+            announce(deps.fleet, record, loads={"desk": ServiceLoad(0.0, 0.0)})
+        started_at = time.monotonic()
+        reply = serve(deps, client_timeout_seconds=0.5)
+    assert time.monotonic() - started_at < 0.5 + 0.25
+    assert reply.refusal.verdict.value == "not-run"
+    assert not deps.placement.health("i-1").ejected
