Choose relays with fast links

The class: a duty for all was given out without looking at what its holder can carry.

Change: entry VMs publish the bandwidth of their link in their record, and relays are chosen by it, from different zones as before. Where links are equal or unknown the choice is what it was. The choice is made in one place now (Fleet.relays) instead of three.

--- a/pimentospool/gateway/_fact_feed.py
+++ b/pimentospool/gateway/_fact_feed.py
@@ -30,8 +30,8 @@
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._fleet_messages import EntryRecord
 from pimentospool.gateway._routing_state import RoutingState
+from pimentospool.ids import MemberKey
 from pimentospool.log import Event, log_event
-from pimentospool.policy import choose_relays
 
 HOLD_SECONDS = 2.5
 """Time for which the source holds a watch open without changes. It bounds the time
@@ -179,11 +179,10 @@
         position = self._changes.position
         return None if position is None else position.revision
 
-    def _relays(self) -> list[int]:
+    def _relays(self) -> list[MemberKey]:
         if not self._relays_allowed:
             return []
-        ready = self._fleet.ready(self._fleet.local_region)
-        return list(choose_relays({rec.key: rec.zone for rec in ready}))
+        return self._fleet.relays(self._fleet.local_region)
 
     def _reads_source(self) -> bool:
         """Whether this entry VM has to read the source instead of following a relay."""
--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -22,7 +22,12 @@
 from pimentospool.gateway._model import Address
 from pimentospool.ids import EntryId, MemberKey, RegionId, ServiceId
 from pimentospool.log import Event, log_event
-from pimentospool.policy import EntryState, HeartbeatTable
+from pimentospool.policy import (
+    EntryState,
+    HeartbeatTable,
+    RelayCandidate,
+    choose_relays,
+)
 
 MEMBER_TIMEOUT_SECONDS = 3.0
 """Silence after which an entry VM of the own region is considered gone. At 5% loss a
@@ -153,6 +158,13 @@
         """Return leaving entry VMs of `region`, which still accept connections."""
         return self._in_state(EntryState.LEAVING, region)
 
+    def relays(self, region: RegionId) -> list[MemberKey]:
+        """Return the relays of `region`; a small region has none."""
+        return choose_relays(
+            RelayCandidate(key=rec.key, zone=rec.zone, link_mbps=rec.link_mbps)
+            for rec in self.ready(region)
+        )
+
     def record(self, key: MemberKey) -> EntryRecord | None:
         """Return the record of a member, None if it isn't known."""
         member = self._members.get(key)
--- a/pimentospool/gateway/_fleet_messages.py
+++ b/pimentospool/gateway/_fleet_messages.py
@@ -1,6 +1,7 @@
 """Datagrams that entry VMs exchange, encoded as MessagePack arrays."""
 
 import hashlib
+import math
 import struct
 from collections.abc import Sequence
 from functools import cached_property
@@ -48,9 +49,13 @@
     """Address at which callers connect."""
     peer: Address
     """Address for requests and heartbeats of other entry VMs."""
+    link_mbps: float = 0.0
+    """Bandwidth of its link in Mbit/s, 0 if it isn't known."""
 
     def __post_init__(self) -> None:
-        """Reject addresses to which nothing can be sent."""
+        """Reject addresses to which nothing can be sent, and a bandwidth of no link."""
+        if not (0.0 <= self.link_mbps < math.inf):
+            raise ValueError("the bandwidth is out of range")
         for address in (self.front, self.peer):
             if not 0 < address.port <= MAX_PORT:
                 raise ValueError("the port is out of range")
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -74,6 +74,7 @@
             zone=cfg.zone,
             front=cfg.front,
             peer=cfg.peer,
+            link_mbps=cfg.link_mbps,
         )
         self.fleet = Fleet(local_record=local_record, clock=clock, rng=random.Random())
         self.book = OccupancyBook(clock=clock)
--- a/pimentospool/gateway/_settings.py
+++ b/pimentospool/gateway/_settings.py
@@ -36,4 +36,6 @@
     """Time for which callers may cache a response of the directory."""
     follow_seconds: float
     """Time within which a published change has to be followed."""
+    link_mbps: float
+    """Bandwidth of this VM's link in Mbit/s, 0 if it isn't known."""
     bounds: SharedBounds
--- a/pimentospool/gateway/_stream_records.py
+++ b/pimentospool/gateway/_stream_records.py
@@ -7,8 +7,8 @@
 
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._fleet_messages import EntryRecord, StreamMessage
-from pimentospool.ids import MemberKey, RegionId, SoftwareVersion, StreamKey
-from pimentospool.policy import StreamVersions, choose_relays
+from pimentospool.ids import RegionId, SoftwareVersion, StreamKey
+from pimentospool.policy import StreamVersions
 
 MAX_KEYS_PER_MESSAGE = 250
 """Limit on the records in one datagram, so that it fits into a packet."""
@@ -73,10 +73,7 @@
     def _receivers(self, region: RegionId) -> tuple[list[EntryRecord], bool]:
         """Return the entry VMs of a region to send to, and whether they relay."""
         others = self._fleet.live(region=region)
-        zones: dict[MemberKey, str] = {
-            rec.key: rec.zone for rec in self._fleet.ready(region)
-        }
-        relays = choose_relays(zones)
+        relays = self._fleet.relays(region)
         if not relays or self._fleet.local_record.key in relays:
             return others, False
         return [record for record in others if record.key in relays], True
--- a/pimentospool/gateway/_target_reports.py
+++ b/pimentospool/gateway/_target_reports.py
@@ -22,7 +22,6 @@
     LimitNotice,
     NamedLimits,
     OccupancyBook,
-    choose_relays,
 )
 
 REFRESH_ROUNDS = 5
@@ -119,9 +118,7 @@
         own = self._next_own_report()
         local = self._fleet.local_record
         others = self._fleet.live(region=self._fleet.local_region)
-        relays = choose_relays(
-            {rec.key: rec.zone for rec in self._fleet.ready(self._fleet.local_region)}
-        )
+        relays = self._fleet.relays(self._fleet.local_region)
         reports = [own] if own is not None else []
         messages: list[tuple[ReportMessage, list[EntryRecord]]] = []
         if not relays:
--- a/pimentospool/platform/_settings.py
+++ b/pimentospool/platform/_settings.py
@@ -1,5 +1,6 @@
 """Settings file of a process on the platform."""
 
+import math
 import tomllib
 from ipaddress import IPv4Address
 from pathlib import Path
@@ -47,6 +48,10 @@
     address: str
 
 
+class _Limits(msgspec.Struct, rename="pascal"):
+    link_mbps: float = 0.0
+
+
 class _NodeFile(msgspec.Struct, rename="pascal"):
     """The settings file with the platform's names; the suffix of a time is its unit."""
 
@@ -59,6 +64,7 @@
     platform: _Platform
     bootstrap: bool = False
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     zones: dict[str, str] = msgspec.field(default_factory=dict)
     seeds: list[str] = msgspec.field(default_factory=list)
     """Control addresses of other machines; their peer addresses have the peer port."""
@@ -103,6 +109,11 @@
     return True
 
 
+def _bandwidth(mbps: float) -> float:
+    """Return a bandwidth, 0 for one that no link has."""
+    return mbps if 0.0 < mbps < math.inf else 0.0
+
+
 def _to_settings(node: _NodeFile) -> GatewaySettings:
     listen, bounds = node.listen_addrs, node.bounds
     peer_port = node.internal_ports[0]
@@ -127,6 +138,7 @@
             bounds.config_apply_ms, bounds.drain_ms, bounds.evacuation_ms
         )
         / _MILLISECONDS_PER_SECOND,
+        link_mbps=_bandwidth(node.limits.link_mbps),
         bounds=SharedBounds(
             retry_ratio=bounds.retry_budget_ratio,
             retry_reserve=bounds.retry_budget_extra,
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -35,7 +35,7 @@
 )
 from pimentospool.policy._queue import QueueRefusal, QueueTicket, WaitQueue
 from pimentospool.policy._refusals import Refusal, owner_gone
-from pimentospool.policy._relays import choose_relays
+from pimentospool.policy._relays import RelayCandidate, choose_relays
 from pimentospool.policy._rendezvous import rank_members
 from pimentospool.policy._reports import ReportBook, newer_report
 from pimentospool.policy._retries import RetryDecision, RetryPolicy
@@ -103,6 +103,7 @@
     "RegionChoice",
     "RegionFlight",
     "RegionRoute",
+    "RelayCandidate",
     "RemoteRegion",
     "Replay",
     "ReportBook",
--- a/pimentospool/policy/_relays.py
+++ b/pimentospool/policy/_relays.py
@@ -1,6 +1,8 @@
 """Choice of the entry VMs that relay reports and store changes within a region."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable
+
+import msgspec
 
 from pimentospool.ids import MemberKey
 
@@ -11,26 +13,35 @@
 """Number of relays; one goes on while the loss of the other is not yet known."""
 
 
-def choose_relays(zone_by_member: Mapping[MemberKey, str]) -> list[MemberKey]:
+class RelayCandidate(msgspec.Struct, kw_only=True, frozen=True):
+    """An entry VM that accepts requests and may be a relay."""
+
+    key: MemberKey
+    zone: str
+    link_mbps: float
+    """Bandwidth of its link in Mbit/s, 0 if it isn't known."""
+
+
+def choose_relays(candidates: Iterable[RelayCandidate]) -> list[MemberKey]:
     """Return the relays of a region, from different zones if there are several.
 
-    Keys are hashes, so the members with the lowest ones are a random choice on which
-    all entry VMs with the same members agree.
+    A relay sends what all entry VMs report to each of them, which can be more than a
+    slow link carries, so fast links come first. Among equal ones, keys are hashes, so
+    the lowest are a random choice on which all entry VMs with the same members agree.
 
     Parameters
     ----------
-    zone_by_member : mapping of MemberKey to str
-        Availability zone of each entry VM of the region that accepts requests.
+    candidates : iterable of RelayCandidate
+        Entry VMs of the region that accept requests.
 
     Returns
     -------
     list of MemberKey
         Empty in a small region.
     """
-    if len(zone_by_member) <= DIRECT_MEMBERS:
+    ranked = sorted(candidates, key=lambda item: (-item.link_mbps, item.key))
+    if len(ranked) <= DIRECT_MEMBERS:
         return []
-    ranked = sorted(zone_by_member)
     first = ranked[0]
-    zone = zone_by_member[first]
-    others = [key for key in ranked[1:] if zone_by_member[key] != zone] or ranked[1:]
-    return [first, *others[: RELAYS - 1]]
+    others = [item for item in ranked[1:] if item.zone != first.zone] or ranked[1:]
+    return [item.key for item in [first, *others[: RELAYS - 1]]]
--- a/pimentospool/standins/_platform_documents.py
+++ b/pimentospool/standins/_platform_documents.py
@@ -88,6 +88,7 @@
             "Control": f"{ip}:{ports.control}",
             "Directory": f"{ip}:{ports.directory}",
         },
+        "Limits": {"LinkMbps": 100.0},
         "Bounds": {
             "GraceS": GRACE_SECONDS,
             "RetryBudgetRatio": RETRY_BUDGET_RATIO,
--- a/tests/gateway/test_fact_feed.py
+++ b/tests/gateway/test_fact_feed.py
@@ -27,7 +27,7 @@
 from pimentospool.gateway._change_log import ChangeLog
 from pimentospool.gateway._fact_feed import FRESH_SECONDS, FactFeed
 from pimentospool.gateway._fleet import Fleet
-from pimentospool.policy import EntryState, choose_relays
+from pimentospool.policy import EntryState, RelayCandidate, choose_relays
 
 MEMBERS = 20
 START = FactPosition(1, 10)
@@ -86,7 +86,9 @@
             make_record(f"e-{number}", zone=f"gulf-{'ab'[number % 2]}")
             for number in range(members)
         ]
-        self.relays = choose_relays({rec.key: rec.zone for rec in records})
+        self.relays = choose_relays(
+            RelayCandidate(key=rec.key, zone=rec.zone, link_mbps=0.0) for rec in records
+        )
         own = next(rec for rec in records if (rec.key in self.relays) == as_relay)
         self.fleet = Fleet(local_record=own, clock=loop.time, rng=random.Random(1))
         self.fleet.local_state = EntryState.READY
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,5 +1,7 @@
 """Settings file of a process on the platform."""
 
+import math
+
 import pytest
 import tomli_w
 
@@ -35,6 +37,16 @@
     assert cfg.grace_seconds == 4
 
 
+@pytest.mark.parametrize(
+    ("limits", "link_mbps"),
+    [({"LinkMbps": 5}, 5.0), ({}, 0.0)]
+    + [({"LinkMbps": value}, 0.0) for value in (-1.0, math.nan, math.inf)],
+)
+def test_bandwidth_of_the_link_is_read_if_it_is_one(tmp_path, limits, link_mbps):
+    cfg = read_node_settings(write(tmp_path, raw_file() | {"Limits": limits}))
+    assert cfg.link_mbps == link_mbps
+
+
 @pytest.mark.parametrize(
     ("change", "field"),
     [
