Reset the connections of attempts that are given up

What can be seen: a target goes on with a request whose caller has left (GONE), if it takes the end of its sender's data for a sender that still reads, or if much data waits before that end.

Cause: an attempt that was given up closed its connection in an orderly way. The class: a cancellation that relies on how the other side reads a close.

Change: Connection.abort resets the connection.

--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -14,6 +14,7 @@
 import httptools
 import msgspec
 
+from pimentospool.sockets import set_reset_on_close
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
@@ -222,9 +223,14 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Close at once and discard buffered data."""
+        """Reset the connection and discard buffered data.
+
+        A server may take the end of the data that it receives for a sender that still
+        reads, and run on; it is also sent only after all data before it.
+        """
         self._must_close = True
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
+            set_reset_on_close(self._transport, enabled=True)
             self._transport.abort()
 
     def pause(self) -> None:
--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -346,16 +346,14 @@
         req.expected_body = b"".join(map(_event, range(1, self.events + 1)))
         first = int(req.headers.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
-            await asyncio.wait([disconnected], timeout=self.gap_seconds)
-            if disconnected.done():
+            if await _pause(writer, disconnected, self.gap_seconds):
                 return False
             if fault is Fault.STALL and number > first:
                 await disconnected
                 return False
             if fault is Fault.STALL_WITH_BYTES and number > first:
-                while not (disconnected.done() or writer.is_closing()):
+                while not await _pause(writer, disconnected, _STALL_BYTE_SECONDS):
                     writer.write(_chunk(b"d"))
-                    await asyncio.wait([disconnected], timeout=_STALL_BYTE_SECONDS)
                 return False
             event = _event(number)
             if fault in _CUT_STREAM_FAULTS and number > first:
@@ -402,6 +400,17 @@
         await asyncio.sleep(_CLOSE_POLL_SECONDS)
 
 
+async def _pause(
+    writer: asyncio.StreamWriter, disconnected: "asyncio.Future[None]", seconds: float
+) -> bool:
+    """Wait between two writes; return whether the client has disconnected."""
+    await asyncio.wait([disconnected], timeout=seconds)
+    if writer.is_closing():
+        # A reset closes the transport before the reader learns of it.
+        await asyncio.wait([disconnected])
+    return disconnected.done()
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Close the connection with a reset; an abort alone may close it gracefully."""
     set_reset_on_close(writer.transport, enabled=True)
