Send each report through one relay, within a share of its link

Change: a relay drops a report that waits to be relayed once the other relay has sent it. What it sends is limited to a quarter of its link, for regions without a fast one: beyond that, reports wait, and newer ones of the same entry VM take their place. Announcements of changes don't wait.

--- a/pimentospool/gateway/_heartbeats.py
+++ b/pimentospool/gateway/_heartbeats.py
@@ -121,7 +121,8 @@
             if evidence is not None:
                 self._send(CrashMessage(evidence), addresses)
         for report, receivers in self._reports.next_round():
-            self._send(report, [record.peer for record in receivers])
+            size_bytes = self._send(report, [record.peer for record in receivers])
+            self._reports.record_sent(size_bytes)
         for records, receivers in self._streams.next_round():
             self._send(records, [record.peer for record in receivers])
         if self._round % SEED_ROUNDS == 0 or not fleet.live():
@@ -142,9 +143,11 @@
         self,
         msg: GossipMessage | ReportMessage | CrashMessage | StreamMessage,
         addresses: Sequence[Address],
-    ) -> None:
+    ) -> int:
+        """Send a message; return the bytes of all its datagrams."""
         if self._transport is None or self._transport.is_closing() or not addresses:
-            return
+            return 0
         data = self._encoder.encode(msg)
         for address in addresses:
             self._transport.sendto(data, (address.host, address.port))
+        return len(data) * len(addresses)
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -19,7 +19,7 @@
 from pimentospool.gateway._facts import FactSource
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._fleet_messages import EntryRecord
-from pimentospool.gateway._heartbeats import HeartbeatLoop
+from pimentospool.gateway._heartbeats import INTERVAL_SECONDS, HeartbeatLoop
 from pimentospool.gateway._metrics import GatewayMetrics
 from pimentospool.gateway._model import Configuration
 from pimentospool.gateway._placement import Placement
@@ -27,7 +27,7 @@
 from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._settings import GatewaySettings
 from pimentospool.gateway._stream_records import StreamRecordExchange
-from pimentospool.gateway._target_reports import ReportExchange
+from pimentospool.gateway._target_reports import ReportExchange, relay_bytes
 from pimentospool.gateway._view_exchange import ViewExchange, view_address
 from pimentospool.ids import ServiceId
 from pimentospool.log import Event, log_event
@@ -157,6 +157,7 @@
             receive_cold_report=self.routing_state.receive_cold_report,
             position=self.feed.announced_position,
             receive_position=self.feed.receive_position,
+            bytes_per_round=relay_bytes(cfg.link_mbps, INTERVAL_SECONDS),
         )
         self.heartbeats = HeartbeatLoop(
             fleet=self.fleet,
--- a/pimentospool/gateway/_target_reports.py
+++ b/pimentospool/gateway/_target_reports.py
@@ -1,10 +1,12 @@
 """Exchange of the work at each target between the entry VMs of a region.
 
 In a small region every entry VM reports to all others. In a large one it reports to two
-relays, each of which forwards what it received, together, to the whole region: the
-number of datagrams then grows with the number of entry VMs instead of its square.
+relays. Each of them forwards what it received, together, to the whole region, unless
+the other one was first: the number of datagrams then grows with the number of entry VMs
+instead of its square.
 """
 
+import math
 from collections.abc import Callable
 
 from pimentospool.gateway._facts import FactPosition
@@ -35,6 +37,21 @@
 """Limit on the reports in one datagram, so that it fits into a packet."""
 
 
+LINK_SHARE = 0.25
+"""Share of a relay's link for reports; the link also carries requests and responses."""
+_BYTES_PER_MEGABIT = 125_000.0
+
+
+def relay_bytes(link_mbps: float, seconds: float) -> float:
+    """Return the bytes of reports that a link is to carry in some time.
+
+    The link of an entry VM that doesn't know its bandwidth (0) isn't limited.
+    """
+    if not link_mbps:
+        return math.inf
+    return LINK_SHARE * link_mbps * _BYTES_PER_MEGABIT * seconds
+
+
 class ReportExchange:
     """Reports of this entry VM, and those of others that it receives or relays.
 
@@ -57,6 +74,8 @@
         the seconds since the source responded; None while it doesn't read the source.
     receive_position : callable
         Called with the sender, position and age that another entry VM announces.
+    bytes_per_round : float
+        Bytes that reports may take of the link in one round; see `relay_bytes`.
     """
 
     def __init__(
@@ -70,7 +89,12 @@
         receive_cold_report: Callable[[TargetId, float], None],
         position: Callable[[], tuple[FactPosition, float] | None],
         receive_position: Callable[[EntryRecord, FactPosition, float], None],
+        bytes_per_round: float = math.inf,
     ) -> None:
+        self._bytes_per_round = bytes_per_round
+        self._unpaid_bytes = 0.0
+        """Bytes sent beyond what the link is to carry; while there are any, reports of
+        others wait, and newer ones of the same sender take their place."""
         self._fleet = fleet
         self._book = book
         self._limits = limits
@@ -97,6 +121,8 @@
         for report in msg.reports:
             if report.sender == self._own.sender:
                 continue
+            if not msg.to_relay:
+                self._drop_relayed(report)
             if report.number < self._numbers.get(report.sender, 0):
                 continue
             self._numbers[report.sender] = report.number
@@ -112,9 +138,14 @@
             if msg.to_relay:
                 self._to_relay[report.sender] = report
 
+    def record_sent(self, size_bytes: int) -> None:
+        """Count bytes that were sent, all receivers together, against the link."""
+        self._unpaid_bytes += size_bytes
+
     def next_round(self) -> list[tuple[ReportMessage, list[EntryRecord]]]:
         """Return the messages of the next round, each with its receivers."""
         self._round += 1
+        self._unpaid_bytes = max(0.0, self._unpaid_bytes - self._bytes_per_round)
         own = self._next_own_report()
         local = self._fleet.local_record
         others = self._fleet.live(region=self._fleet.local_region)
@@ -127,10 +158,11 @@
         elif local.key not in relays and reports:
             receivers = [rec for rec in others if rec.key in relays]
             messages.append((ReportMessage(reports, to_relay=True), receivers))
-        relayed, self._to_relay = list(self._to_relay.values()), {}
-        if local.key in relays:
-            # The other relays receive these reports from their senders.
-            relayed += reports
+        if local.key in relays and own is not None:
+            self._to_relay[own.sender] = own
+        relayed: list[TargetReport] = []
+        if not self._unpaid_bytes:
+            relayed, self._to_relay = list(self._to_relay.values()), {}
         position = self._position() if local.key in relays else None
         if relayed or self._announces(position):
             messages += [
@@ -165,6 +197,12 @@
         )
         return self._own
 
+    def _drop_relayed(self, report: TargetReport) -> None:
+        """Drop a report that waits to be relayed if another relay has sent it."""
+        waiting = self._to_relay.get(report.sender)
+        if waiting is not None and waiting.number <= report.number:
+            del self._to_relay[report.sender]
+
     def _announces(self, position: tuple[FactPosition, float] | None) -> bool:
         if position is None:
             return False
--- a/tests/gateway/test_target_reports.py
+++ b/tests/gateway/test_target_reports.py
@@ -3,12 +3,18 @@
 import math
 import random
 
+import msgspec
 import pytest
 from gateway_factories import Clock, announce, make_record
 
 from pimentospool.gateway import FactPosition
 from pimentospool.gateway._fleet import Fleet
-from pimentospool.gateway._target_reports import EMPTY_REPORTS, ReportExchange
+from pimentospool.gateway._target_reports import (
+    EMPTY_REPORTS,
+    LINK_SHARE,
+    ReportExchange,
+    relay_bytes,
+)
 from pimentospool.policy import (
     BrittleTargets,
     EntryState,
@@ -16,6 +22,7 @@
     Occupancy,
     OccupancyBook,
 )
+from pimentospool.policy._occupancy import PEER_REPORT_TTL_SECONDS
 
 LARGE = 65
 ROUND_SECONDS = 0.2
@@ -23,6 +30,8 @@
 
 class Node:
     def __init__(self, record, clock):
+        self.relayed_bytes = []
+        """Bytes that it relayed in each round, all receivers together."""
         self.record = record
         self.fleet = Fleet(local_record=record, clock=clock, rng=random.Random(1))
         self.fleet.local_state = EntryState.READY
@@ -43,16 +52,19 @@
             receive_cold_report=self.cold_received.__setitem__,
             position=lambda: self.position,
             receive_position=lambda *announced: self.positions.append(announced),
+            bytes_per_round=relay_bytes(record.link_mbps, ROUND_SECONDS),
         )
 
 
 class Region:
     """Entry VMs of one region that know each other, on a network without delay."""
 
-    def __init__(self, size):
+    def __init__(self, size, *, link_mbps=0.0):
         self.clock = Clock()
         records = [
-            make_record(f"e-{number}", zone=f"gulf-{'ab'[number % 2]}")
+            make_record(
+                f"e-{number}", zone=f"gulf-{'ab'[number % 2]}", link_mbps=link_mbps
+            )
             for number in range(size)
         ]
         self.nodes = {rec.key: Node(rec, self.clock) for rec in records}
@@ -73,7 +85,12 @@
             for key, node in self.nodes.items():
                 if key in self.stopped:
                     continue
+                node.relayed_bytes.append(0)
                 for msg, receivers in node.exchange.next_round():
+                    size_bytes = len(msgspec.msgpack.encode(msg)) * len(receivers)
+                    node.exchange.record_sent(size_bytes)
+                    if not msg.to_relay:
+                        node.relayed_bytes[-1] += size_bytes
                     for record in receivers:
                         datagrams += 1
                         if record.key not in self.stopped:
@@ -125,6 +142,53 @@
     assert all(node.book.total("i-1").running == 1 for node in running)
 
 
+def run_busy_rounds(region, count):
+    """Run rounds in each of which the work of all entry VMs changes."""
+    for number in range(count):
+        for node in region.list:
+            for target in range(10):
+                node.book.begin(f"i-{target:010x}", held_tokens=number)
+        region.run_rounds()
+
+
+def test_report_is_relayed_by_one_relay_only():
+    region = Region(26)
+    run_busy_rounds(region, 5)
+    relayed = []
+    receiver = next(
+        node for node in region.list if node.record.key not in _relay_keys(region)
+    )
+    receive = receiver.exchange.receive
+
+    def count(msg):
+        relayed.extend((report.sender, report.number) for report in msg.reports)
+        receive(msg)
+
+    receiver.exchange.receive = count
+    run_busy_rounds(region, 10)
+    assert len(relayed) == len(set(relayed))
+    assert len(relayed) >= 9 * 25
+
+
+def test_relay_with_a_slow_link_keeps_to_its_share_and_reports_stay_recent():
+    region = Region(26, link_mbps=5.0)
+    receiver = next(
+        node for node in region.list if node.record.key not in _relay_keys(region)
+    )
+    newest = {}
+    for _ in range(50):
+        run_busy_rounds(region, 1)
+        for sender, number in receiver.exchange._numbers.items():
+            if newest.get(sender, (0, 0.0))[0] != number:
+                newest[sender] = (number, region.clock.now)
+        oldest = min((at for _, at in newest.values()), default=region.clock.now)
+        assert region.clock.now - oldest < PEER_REPORT_TTL_SECONDS
+    seconds = 50 * ROUND_SECONDS
+    limit = LINK_SHARE * 5e6 / 8 * seconds
+    for node in region.list:
+        assert sum(node.relayed_bytes) < limit + max(node.relayed_bytes)
+
+
 def test_late_report_does_not_replace_a_newer_one():
     region = Region(3)
     sender, receiver, _ = region.list
@@ -182,8 +246,4 @@
 
 
 def _relay_keys(region):
-    return {
-        key
-        for key, node in region.nodes.items()
-        if node.exchange._announced is not None
-    }
+    return set(region.list[0].fleet.relays("gulf"))
