Test that changes are followed in time without relays

Two tests play it against the bound of 5 s of the deployments with relays: both relays fall silent right before the change and the first read of the source fails after 1 s; a relay announces the change but its answers don't come. Both pass without a change of the code, so the hypothesis is refuted for these cases. With two failed reads in a row the time is exceeded; the store is in disruption then, which stretches the bound.

--- a/tests/gateway/test_fact_feed.py
+++ b/tests/gateway/test_fact_feed.py
@@ -27,10 +27,13 @@
 from pimentospool.gateway._change_log import ChangeLog
 from pimentospool.gateway._fact_feed import FRESH_SECONDS, FactFeed
 from pimentospool.gateway._fleet import Fleet
+from pimentospool.gateway._view_exchange import REQUEST_TIMEOUT_SECONDS
 from pimentospool.policy import EntryState, RelayCandidate, choose_relays
 
 MEMBERS = 20
 START = FactPosition(1, 10)
+CHANGE_BOUND_SECONDS = 5.0
+"""Time in which deployments with relays have to follow a change of the configuration."""
 
 
 class ScriptedSource:
@@ -199,6 +202,48 @@
     run_feed(runner, check)
 
 
+def test_change_is_followed_in_time_though_both_relays_are_lost_and_a_read_fails(
+    runner,
+):
+    async def check(site):
+        loop = asyncio.get_running_loop()
+        site.announce_position()
+        changed_at = loop.time()
+        await wait_until(lambda: site.source.reads)
+
+        async def watch_slowly(after, *, hold_seconds):
+            site.source.watched.append(after)
+            if len(site.source.watched) == 1:
+                await asyncio.sleep(1.0)
+                raise SourceError("no response")
+            return registered("i-2")
+
+        site.source.watch = watch_slowly
+        async with asyncio.timeout(CHANGE_BOUND_SECONDS - (loop.time() - changed_at)):
+            while site.targets() != {"i-1", "i-2"}:
+                await asyncio.sleep(0.01)
+
+    run_feed(runner, check, bound_seconds=CHANGE_BOUND_SECONDS)
+
+
+def test_change_is_followed_in_time_though_a_relay_does_not_hand_it_out(runner):
+    async def check(site):
+        site.announce_position()
+        await wait_until(lambda: site.source.reads)
+
+        async def fetch_in_vain(record, after):
+            await asyncio.sleep(REQUEST_TIMEOUT_SECONDS)
+
+        site.reader.fetch_changes = fetch_in_vain
+        site.source.results.put_nowait(registered("i-2"))
+        site.announce_position(FactPosition(1, 11))
+        async with asyncio.timeout(CHANGE_BOUND_SECONDS):
+            while site.targets() != {"i-1", "i-2"}:
+                await asyncio.sleep(0.01)
+
+    run_feed(runner, check, bound_seconds=CHANGE_BOUND_SECONDS)
+
+
 def test_large_configuration_is_read_from_the_source(runner):
     async def check(site):
         site.announce_position()
