--- a/tests/gateway/test_fact_feed.py
+++ b/tests/gateway/test_fact_feed.py
@@ -33,7 +33,7 @@
 MEMBERS = 20
 START = FactPosition(1, 10)
 CHANGE_BOUND_SECONDS = 5.0
-"""Time in which deployments with relays have to follow a change of the configuration."""
+"""Time in which deployments with relays have to follow a changed configuration."""
 
 
 class ScriptedSource:
