Abort connections that are already closing, too

Found while reading the diff: since attempts reset their connections, abort did nothing for a connection that was closing with data left to send, which it ended before. The reset is left out only for those: their socket may be gone. tests/gateway/test_connections.py and tests/platform/test_callers_that_leave.py pass.

--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -229,9 +229,11 @@
         reads, and run on; it is also sent only after all data before it.
         """
         self._must_close = True
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is None:
+            return
+        if not self._transport.is_closing():
             set_reset_on_close(self._transport, enabled=True)
-            self._transport.abort()
+        self._transport.abort()
 
     def pause(self) -> None:
         """Stop reading until `resume`."""
--- a/pimentospool/gateway/_target_reports.py
+++ b/pimentospool/gateway/_target_reports.py
@@ -35,8 +35,6 @@
 """Interval, in rounds, at which a relay sends its position even without reports."""
 MAX_REPORTS_PER_MESSAGE = 16
 """Limit on the reports in one datagram, so that it fits into a packet."""
-
-
 LINK_SHARE = 0.25
 """Share of a relay's link for reports; the link also carries requests and responses."""
 _BYTES_PER_MEGABIT = 125_000.0
