--- a/review/harness.py
+++ b/review/harness.py
@@ -38,6 +38,8 @@
 CONTACT_SECONDS = 5.0
 CONFIG_APPLY_SECONDS = 3.0
 RESTART_DELAY_SECONDS = 0.5
+MAX_CONNECTIONS = {"desk": 110, "llm": 370}
+"""Connections that each target of a service accepts, as on the site `magfold-serve`."""
 KEPT, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 
@@ -166,6 +168,8 @@
     async def configure(self, version: int, routes: list[dict[str, Any]]) -> None:
         """Write a configuration; returns with the store's acknowledgement."""
         self._configuration = platform_configuration(version=version, routes=routes)
+        for service in self._configuration["Services"]:
+            service["MaxConnections"] = MAX_CONNECTIONS[service["Name"]]
         await self.store.put(CONFIGURATION_KEY, self._configuration)
 
     async def copy_configuration(self, store: StoreStandin) -> None:
