--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,16 +1,16 @@
-"""Bodies of a burst fill the memory of a node, whose process is then ended.
+"""Streams that are cut by a rolling restart can't be taken up at the new processes.
 
-Clients with kept connections book by bodies just under the configured limit. The
-platform ends a process that exceeds the memory of its settings, as the deploy page
-says.
+Seven machines serve long streams and are stopped and started in turn, one a second.
+Clients ask the directory where to connect. All targets have one software version.
 """
 
 import asyncio
+import json
+import random
 import signal
 import sys
 import time
 from pathlib import Path
-from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
@@ -19,6 +19,7 @@
     CONTACT_SECONDS,
     COULD_NOT_RUN,
     KEPT,
+    RESTART_DELAY_SECONDS,
     Answer,
     Deployment,
     Node,
@@ -26,145 +27,246 @@
     disruption_enabled,
     encode_request,
     read_answer,
+    read_head,
     run_case,
 )
 
-from pimentospool.standins import ReceivedRequest, SigningTarget, platform_route
+from pimentospool.standins import HOST, platform_route
 
-BODY_BYTES = 4_000_000
-"""Just under the limit of the configuration, 4,194,304 bytes."""
-USUAL_CLIENTS = 16
-BURST = 2.5
-UPLOAD_SECONDS = 1.0
-"""Time in which each client sends its body."""
-ARRIVAL_SECONDS = 1.2
-"""Time over which the clients begin: 40 bodies in 2.2 s are 0.6 Gbit/s."""
-WORK_SECONDS = 1.5
-MEMORY_MB = 300
-MEMORY_POLL_SECONDS = 0.01
-ALLOWED_LOSSES = 3
-CHUNK_BYTES = 64 * 1024
+MACHINES = 7
+GAP_SECONDS = 1.0
+STREAM_INTERVAL_SECONDS = 0.07
+EVENTS = 50
+EVENT_GAP_SECONDS = 0.25
+DEADLINE_SECONDS = 15.0
+BEFORE_SECONDS = 3.0
+AFTER_SECONDS = 20.0
+MAX_TRIES = 4
+MIN_TAKEN_UP = 12
+MIN_SHARE_RATIO = 0.5
 
 
-class ShortAnswerTarget(SigningTarget):
-    """A target whose answers don't repeat the body of the request."""
+class Machine:
+    """A node, and since when it has run undisturbed."""
 
-    async def _read_request(self, *args: Any) -> ReceivedRequest:
-        req = await super()._read_request(*args)
-        req.body = b""
-        return req
+    def __init__(self, *, node: Node) -> None:
+        self.node = node
+        self.calm_since = time.monotonic()
+
+    @property
+    def in_touch(self) -> bool:
+        """Whether nothing has happened to it for the contact time."""
+        return time.monotonic() - self.calm_since >= CONTACT_SECONDS
+
+    async def restart(self, record: Record) -> None:
+        """Stop the process by SIGTERM, with SIGKILL after the grace, and start it."""
+        self.calm_since = float("inf")
+        self.node.signal(signal.SIGTERM)
+        record.add(f"{self.node.ip} gets SIGTERM")
+        if await self.node.wait(8.0) is None:
+            await self.node.kill()
+        await asyncio.sleep(RESTART_DELAY_SECONDS)
+        await self.node.restart()
+        self.calm_since = time.monotonic()
+        record.add(f"{self.node.ip} starts again")
+
+
+class Tally:
+    """Tries at machines in touch: how many, and how many went well."""
+
+    def __init__(self) -> None:
+        self.tries = 0
+        self.went_well = 0
+
+    def add(self, went_well: bool) -> None:
+        """Count one try."""
+        self.tries += 1
+        self.went_well += went_well
+
+    @property
+    def share(self) -> float:
+        """Share of the tries that went well."""
+        return self.went_well / max(self.tries, 1)
 
 
 class Client:
-    """A client that sends a small request, keeps its connection and books on it."""
-
-    def __init__(self, *, number: int, node: Node) -> None:
-        self.id = f"booking-{number}"
-        self.answer = Answer()
-        self._number = number
-        self._address = node.ports["Front"]
-
-    async def connect(self) -> None:
-        """Open the connection and use it once."""
-        host, _, port = self._address.rpartition(":")
-        self._reader, self._writer = await asyncio.open_connection(host, int(port))
-        self._writer.write(encode_request("/look/1", request_id=f"look-{self._number}"))
-        await read_answer(self._reader, Answer())
-
-    async def book(self, *, after_seconds: float) -> None:
-        """Send the booking at an even pace and read its answer."""
-        await asyncio.sleep(after_seconds)
-        data = encode_request(
-            "/book/1",
-            request_id=self.id,
-            method="POST",
-            body=b"b" * BODY_BYTES,
-            deadline_ms=8000,
+    """A client of one stream, which it takes up where it broke."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        machines: list[Machine],
+        record: Record,
+        tallies: list[Tally],
+    ) -> None:
+        self.name = name
+        self.events: list[int] = []
+        self.done = False
+        self._machines = {item.node.ports["Front"]: item for item in machines}
+        self._record = record
+        self._begun, self._taken_up = tallies
+        self._first_id = ""
+        self._ends_at = time.monotonic() + DEADLINE_SECONDS
+
+    async def run(self) -> None:
+        """Follow the stream over at most `MAX_TRIES` tries."""
+        for number in range(MAX_TRIES):
+            retry_after = await self._try(f"{self.name}-try{number + 1}")
+            if self.done or time.monotonic() + retry_after >= self._ends_at:
+                return
+            await asyncio.sleep(retry_after)
+
+    async def _try(self, request_id: str) -> float:
+        addresses = await _resolve(list(self._machines.values()))
+        if not addresses:
+            self._record.add(f"{request_id}: no address")
+            return 0.5
+        address = random.choice(addresses)
+        machine = self._machines[address]
+        in_touch, taken_up = machine.in_touch, bool(self.events)
+        before = len(self.events)
+        answer = Answer()
+        try:
+            async with asyncio.timeout(self._ends_at - time.monotonic()):
+                await self._read_stream(address, request_id, answer)
+        except (OSError, TimeoutError, EOFError, ValueError) as exc:
+            answer.error = type(exc).__name__
+        went_well = len(self.events) > before or self.done
+        if in_touch:
+            (self._taken_up if taken_up else self._begun).add(went_well)
+        self._record.add(
+            f"{request_id} at {machine.node.ip}{' (in touch)' if in_touch else ''}: "
+            f"status {answer.status or 'none'}, events {before} to {len(self.events)} "
+            f"{answer.error}"
         )
-        started_at = time.monotonic()
+        return max(0.1, float(answer.headers.get("retry-after", 0)))
+
+    async def _read_stream(self, address: str, request_id: str, answer: Answer) -> None:
+        headers = {}
+        if self.events:
+            headers = {
+                "Last-Event-Id": str(self.events[-1]),
+                "Resumes": self._first_id,
+            }
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
         try:
-            for start in range(0, len(data), CHUNK_BYTES):
-                self._writer.write(data[start : start + CHUNK_BYTES])
-                await self._writer.drain()
-                due_at = started_at + UPLOAD_SECONDS * start / len(data)
-                await asyncio.sleep(max(0.0, due_at - time.monotonic()))
-            async with asyncio.timeout(10.0):
-                await read_answer(self._reader, self.answer)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError) as exc:
-            self.answer.error = repr(exc)
+            writer.write(
+                encode_request(
+                    "/ask/1",
+                    request_id=request_id,
+                    method="POST",
+                    deadline_ms=int((self._ends_at - time.monotonic()) * 1000),
+                    headers=headers,
+                )
+            )
+            await read_head(reader, answer)
+            while answer.status == 200:
+                size = int((await reader.readline()).strip(), 16)
+                if not size:
+                    self.done = True
+                    return
+                data = await reader.readexactly(size)
+                await reader.readexactly(2)
+                for line in data.split(b"\n"):
+                    if line.startswith(b"id: "):
+                        self._first_id = self._first_id or request_id
+                        self.events.append(int(line[4:]))
         finally:
-            self._writer.transport.abort()
-
-
-async def enforce_memory_limit(node: Node, record: Record) -> None:
-    """End the process if it exceeds its memory, as the platform does."""
-    assert node.process is not None
-    status = Path(f"/proc/{node.process.pid}/status")
-    peak_mb = 0.0
-    try:
-        while node.process.returncode is None:
-            lines = status.read_text().splitlines()
-            kib = next((line.split()[1] for line in lines if "VmRSS" in line), "0")
-            if int(kib) / 1024 > peak_mb + 20:
-                peak_mb = int(kib) / 1024
-                record.add(f"the node holds {peak_mb:.0f} MB")
-            if peak_mb > MEMORY_MB:
-                record.add(f"the platform ends the node: over {MEMORY_MB} MB")
-                node.signal(signal.SIGKILL)
-                return
-            await asyncio.sleep(MEMORY_POLL_SECONDS)
-    except OSError:
-        return
+            writer.transport.abort()
+
+
+async def _resolve(machines: list[Machine]) -> list[str]:
+    """Return the addresses that a directory names, of the first that answers."""
+    for machine in random.sample(machines, len(machines)):
+        answer = Answer()
+        try:
+            async with asyncio.timeout(1.0):
+                host, _, port = machine.node.ports["Directory"].rpartition(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                query = f"Name={HOST}&Region=gulf&Zone=gulf-a"
+                writer.write(
+                    f"GET /resolve?{query} HTTP/1.1\r\nHost: resolve\r\n\r\n".encode()
+                )
+                await read_answer(reader, answer)
+                writer.close()
+        except (OSError, TimeoutError, EOFError):
+            continue
+        if answer.status == 200:
+            return json.loads(answer.body)["Addresses"]
+    return []
 
 
 async def run(deployment: Deployment, record: Record) -> int:
     """Run the case and return its verdict."""
     await deployment.start(
         [
-            platform_route("/look/", "idempotent"),
-            platform_route("/book/", "non_idempotent", MaxAttempts=1, TimeoutMs=8000),
+            platform_route(
+                "/ask/",
+                "streaming",
+                "llm",
+                Resumable=True,
+                TimeoutMs=int(DEADLINE_SECONDS * 1000),
+                TargetLatencyMs=600,
+                TargetGapMs=300,
+            )
         ]
     )
-    for number in range(3):
+    for number in range(4):
         await deployment.add_target(
-            f"desk-{number}",
-            factory=ShortAnswerTarget,
-            gap_seconds=WORK_SECONDS,
+            f"llm-{number}",
+            service="llm",
             Slots=64,
+            events=EVENTS,
+            gap_seconds=EVENT_GAP_SECONDS,
         )
-    node = deployment.add_node(zone="gulf-a")
+    nodes = [deployment.add_node(zone="gulf-a") for _ in range(MACHINES)]
     await deployment.start_nodes()
+    machines = [Machine(node=node) for node in nodes]
     await asyncio.sleep(CONTACT_SECONDS + 1.0)
-    watch = asyncio.create_task(enforce_memory_limit(node, record))
-    burst = BURST if disruption_enabled() else 1.0
-    clients = [
-        Client(number=number, node=node) for number in range(int(USUAL_CLIENTS * burst))
-    ]
-    await asyncio.gather(*(client.connect() for client in clients))
-    record.add(f"{len(clients)} clients book with {BODY_BYTES} bytes each")
-    await asyncio.gather(
-        *(
-            client.book(after_seconds=ARRIVAL_SECONDS * number / len(clients))
-            for number, client in enumerate(clients)
-        )
+    begun, taken_up = Tally(), Tally()
+    clients: list[Client] = []
+    tasks: list[asyncio.Task[None]] = []
+
+    async def begin_streams(seconds: float) -> None:
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            client = Client(
+                name=f"stream-{len(clients)}",
+                machines=machines,
+                record=record,
+                tallies=[begun, taken_up],
+            )
+            clients.append(client)
+            tasks.append(asyncio.create_task(client.run()))
+            await asyncio.sleep(STREAM_INTERVAL_SECONDS)
+
+    async def roll() -> None:
+        async with asyncio.TaskGroup() as group:
+            for machine in machines:
+                group.create_task(machine.restart(record))
+                await asyncio.sleep(GAP_SECONDS)
+
+    load = asyncio.create_task(begin_streams(BEFORE_SECONDS + AFTER_SECONDS))
+    await asyncio.sleep(BEFORE_SECONDS)
+    if disruption_enabled():
+        await roll()
+    await load
+    await asyncio.gather(*tasks)
+    record.add(
+        f"at machines in touch: {begun.went_well} of {begun.tries} new streams begin, "
+        f"{taken_up.went_well} of {taken_up.tries} that are taken up go on; "
+        f"{sum(client.done for client in clients)} of {len(clients)} complete"
     )
-    watch.cancel()
-    arrived = {
-        req.id for target in deployment.targets.values() for req in target.received
-    }
-    lost = 0
-    for client in clients:
-        answer = client.answer
-        was_passed_on = client.id in arrived
-        lost += was_passed_on and not answer.status
-        record.add(
-            f"{client.id}: status {answer.status or 'none'}, "
-            f"passed on: {was_passed_on}, {answer.error or 'no error'}"
-        )
-    record.add(f"passed on and closed without an answer: {lost}")
-    if not arrived:
+    if not begun.went_well:
         return COULD_NOT_RUN
-    return BROKEN if lost > ALLOWED_LOSSES else KEPT
+    if (
+        taken_up.tries >= MIN_TAKEN_UP
+        and taken_up.share < MIN_SHARE_RATIO * begun.share
+    ):
+        return BROKEN
+    return KEPT
 
 
 if __name__ == "__main__":
--- a/review/harness.py
+++ b/review/harness.py
@@ -37,7 +37,7 @@
 GRACE_SECONDS = 8
 CONTACT_SECONDS = 5.0
 CONFIG_APPLY_SECONDS = 3.0
-RESTART_DELAY_SECONDS = 0.5
+RESTART_DELAY_SECONDS = 0.8
 MAX_CONNECTIONS = {"desk": 110, "llm": 370}
 """Connections that each target of a service accepts, as on the site `magfold-serve`."""
 KEPT, BROKEN, COULD_NOT_RUN = 0, 1, 2
