--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -285,6 +285,7 @@
             body_end=self._body_end_name(),
             within_event=progress.within_event,
             events=progress.chunks_sent,
+            silent_seconds=round(self._deps.clock() - progress.last_progress_at, 3),
             shared_parts=list(self._traits.parts),
             content=f"{self._traits.content_key:08x}",
             attempt=progress.attempts,
--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -111,6 +111,8 @@
         Headers of all its answers, by which it says something of itself.
     room : int or None
         Requests that it lets in at once; it rejects any others.
+    silent_until : float
+        Monotonic time in seconds until which it sends nothing, and then goes on.
     crash_part : str
         Part of a prompt, not its last, under which the target crashes as it begins to
         answer; with an empty one it never does.
@@ -131,6 +133,7 @@
         self.cold_remaining_ms = 0
         self.answer_headers: dict[str, str] = {}
         self.room: int | None = None
+        self.silent_until = 0.0
         self._busy = 0
         self._refusals: dict[asyncio.StreamWriter, bytes] = {}
         """Last rejection on each connection."""
@@ -187,6 +190,7 @@
             _reset(writer)
             return False
         req = await self._read_request(head, reader, writer, fault)
+        await asyncio.sleep(self._silent_seconds)
         if req.headers.get("x-expect-instance", self.instance) != self.instance:
             req.executed = False
             writer.write(self._response_head(req, 421, length=0))
@@ -265,6 +269,7 @@
         if self.events:
             return await self._respond_with_stream(req, writer, fault, disconnected)
         await asyncio.wait([disconnected], timeout=self.gap_seconds)
+        await asyncio.wait([disconnected], timeout=self._silent_seconds)
         if crashes:
             self._crash()
             return False
@@ -348,6 +353,8 @@
         for number in range(first, self.events + 1):
             if await _pause(writer, disconnected, self.gap_seconds):
                 return False
+            if await _pause(writer, disconnected, self._silent_seconds):
+                return False
             if fault is Fault.STALL and number > first:
                 await disconnected
                 return False
@@ -369,6 +376,10 @@
             writer.write(b"0" + _HEADER_END)
         return framed
 
+    @property
+    def _silent_seconds(self) -> float:
+        return max(0.0, self.silent_until - time.monotonic())
+
     def _response_head(
         self,
         req: ReceivedRequest,
