Let an attempt at a silent target go on until another one answers

Callers saw: streams that ended in the middle and 502 for plain requests beside changes of the configuration, while their targets were silent for a second and went on (LOST). Cause: the attempt was given up after half of the callers' event timeout, or 0.4 of the time of a plain request, before the retry budget, the placement and the next target were asked. Change: the attempt goes on beside the next one; the response that continues first is the caller's, and the other attempt is cancelled. Without a grant the request waits. Conclusion: nothing is given up any more for a send that may not come.

--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -10,15 +10,13 @@
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._relay import relay_stream
 from pimentospool.gateway._replies import Reply
+from pimentospool.gateway._running_attempts import RunningAttempt
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
 DEADLINE_TOLERANCE_SECONDS = 0.01
 """Remaining time at which a deadline counts as reached. The event loop's timers and the
 monotonic clock differ by some milliseconds."""
-STALL_TIMEOUT_SHARE = 0.5
-"""Share of the client's event timeout after which a paused stream is resumed at another
-target, so that the next event can still arrive in time."""
 MAX_WHOLE_BODY_BYTES = 4 * 1024 * 1024
 """Limit on a response that is held until it is whole. A faulty server sends one without
 end, and several of them must not fill the memory of a small VM."""
@@ -80,9 +78,9 @@
     async def receive(
         self,
         stream: AnswerStream,
+        attempt: RunningAttempt,
         *,
         from_target: bool,
-        head_timeout_seconds: float,
         on_event: Callable[[], None] = lambda: None,
         on_head: Callable[[AnswerHead], None] = lambda head: None,
     ) -> None:
@@ -92,10 +90,10 @@
         ----------
         stream : AnswerStream
             The response.
+        attempt : RunningAttempt
+            The attempt to which it is the response.
         from_target : bool
             Whether a target responds, not an entry VM.
-        head_timeout_seconds : float
-            Longest wait for the status and headers.
         on_event : callable
             Called for each part of a stream that arrives.
         on_head : callable
@@ -107,11 +105,11 @@
             If the response is a refusal, is invalid, or does not arrive in full.
         """
         try:
-            async with asyncio.timeout(head_timeout_seconds):
+            async with asyncio.timeout(self._remaining_seconds()):
                 head = await stream.wait_head()
         except TimeoutError as exc:
             raise self._timeout_failure(exc) from exc
-        self._progress.body_end = stream.body_end
+        attempt.body_end = stream.body_end
         dialect = self._deps.dialect
         refusal = None if from_target else dialect.hop_refusal(head)
         if refusal is not None:
@@ -177,29 +175,18 @@
                         head,
                         self._reply,
                         self._progress,
+                        attempt,
                         resumable=self._route.resumable,
                         clock=self._deps.clock,
                         on_event=on_event,
-                        stall_timeout_seconds=self._stall_timeout_seconds(from_target),
                     )
                 else:
-                    await self._relay_whole_body(stream, answer_class)
+                    await self._relay_whole_body(stream, attempt)
         except TimeoutError as exc:
             raise self._timeout_failure(exc) from exc
 
-    def _stall_timeout_seconds(self, from_target: bool) -> float | None:
-        """Return the pause after which a stream is resumed at another target.
-
-        None means that this entry VM doesn't resume it. For a stream served through
-        another entry VM, that VM does.
-        """
-        can_resume = self._route.resumable and self._progress.targets_left > 1
-        if not (from_target and can_resume):
-            return None
-        return self._route.client_event_timeout_seconds * STALL_TIMEOUT_SHARE
-
     async def _relay_whole_body(
-        self, stream: AnswerStream, answer_class: AnswerClass
+        self, stream: AnswerStream, attempt: RunningAttempt
     ) -> None:
         chunks = []
         size_bytes = 0
@@ -219,6 +206,7 @@
                 verdict=Verdict.MAY_HAVE_RUN,
                 cause=FailureCause.TARGET_ERROR,
             )
+        self._progress.running.claim_reply(attempt)
         await self._reply.send_response(stream.head, b"".join(chunks))
 
     def _retries_target_errors(self) -> bool:
--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -18,6 +18,8 @@
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._replies import Reply
 from pimentospool.gateway._routing_state import TargetState
+from pimentospool.gateway._running_attempts import RunningAttempt
+from pimentospool.ids import SoftwareVersion
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
     Assignment,
@@ -29,10 +31,6 @@
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
-FIRST_ATTEMPT_TIMEOUT_SHARE = 0.4
-"""Share of the remaining time that the first attempt of an idempotent request waits for
-a response, so that there is time for another attempt."""
-
 
 class ConfigurationOutdatedError(PimentospoolError):
     """An entry VM refused a hop, as it follows a later configuration than this one.
@@ -110,7 +108,24 @@
             remaining_seconds=remaining_seconds,
         )
 
-    async def send_to_target(self, choice: TargetChoice) -> None:
+    async def send(self, attempt: RunningAttempt) -> None:
+        """Send the request to where `attempt` goes and relay the response.
+
+        Raises
+        ------
+        AttemptFailure
+            If no complete response arrived.
+        ConfigurationOutdatedError
+            If the request has to be routed by a later configuration first.
+        """
+        if isinstance(attempt.choice, TargetChoice):
+            await self._send_to_target(attempt, attempt.choice)
+        else:
+            await self._send_to_region(attempt, attempt.choice)
+
+    async def _send_to_target(
+        self, attempt: RunningAttempt, choice: TargetChoice
+    ) -> None:
         """Send the request to a target and relay its response.
 
         Raises
@@ -128,11 +143,11 @@
         exposure = deps.crash_watch.expose(self._traits)
         started_at = deps.clock()
 
-        self._progress.attempt_version = state.registration.version
+        attempt.version = state.registration.version
 
         def record_event() -> None:
             assignment.first_event()
-            self._record_stream()
+            self._record_stream(attempt.version)
             exposure.record_event()
 
         def record_head(head: AnswerHead) -> None:
@@ -154,9 +169,8 @@
 
         try:
             # An earlier rejection of the same request may come again on a kept one.
-            sent_before = candidate.target in self._progress.excluded_targets
             conn = await pool.acquire(
-                unused=sent_before, within_seconds=self._remaining_seconds()
+                unused=attempt.sent_before, within_seconds=self._remaining_seconds()
             )
             try:
                 encoded = self._encode_for_target(state)
@@ -168,18 +182,18 @@
                     )
                 )
                 stream = conn.send(encoded)
+                if self._route.kind is RequestKind.IDEMPOTENT:
+                    attempt.expect_part(sent_at)
                 await self._receiver.receive(
                     stream,
+                    attempt,
                     from_target=True,
                     on_event=record_event,
                     on_head=record_head,
-                    head_timeout_seconds=self._head_timeout_seconds(),
                 )
                 assignment.first_event()
                 exposure.record_survival()
             except AttemptFailure as exc:
-                if exc.cause is FailureCause.SILENT:
-                    pool.close_idle()
                 if conn.closed_by_peer and exc.verdict is not Verdict.NOT_RUN:
                     deps.crash_watch.connection_lost(state, pool, exposure)
                 raise
@@ -192,7 +206,9 @@
             assignment.end()
             deps.placement.health(state.id).record_end(deps.clock() - started_at)
 
-    async def send_to_region(self, choice: RegionChoice) -> None:
+    async def _send_to_region(
+        self, attempt: RunningAttempt, choice: RegionChoice
+    ) -> None:
         """Send the request to an entry VM of another region and relay the response.
 
         Raises
@@ -209,7 +225,7 @@
         pool = deps.pools.peer_pool(deps.rng.choice(peers).peer)
 
         def record_head(head: AnswerHead) -> None:
-            self._progress.attempt_version = deps.dialect.hop_version(head)
+            attempt.version = deps.dialect.hop_version(head)
 
         conn = await pool.acquire(within_seconds=self._remaining_seconds())
         try:
@@ -241,10 +257,10 @@
             try:
                 await self._receiver.receive(
                     stream,
+                    attempt,
                     from_target=False,
-                    on_event=self._record_stream,
+                    on_event=lambda: self._record_stream(attempt.version),
                     on_head=record_head,
-                    head_timeout_seconds=remaining_seconds,
                 )
             except HopRefusedError as exc:
                 newer = exc.refusal.newer
@@ -270,15 +286,15 @@
             or progress.verdict is not Verdict.NOT_RUN
         )
 
-    def _record_stream(self) -> None:
+    def _record_stream(self, version: SoftwareVersion) -> None:
         """Record the software version of a stream with its first event."""
         progress, req = self._progress, self._req
         if progress.chunks_sent or not self._route.resumable:
             return
-        progress.stream_version = progress.attempt_version
+        progress.stream_version = version
         if not req.is_hop:
             self._deps.stream_versions.record(
-                self._service.id, req.resumes or req.id, progress.attempt_version
+                self._service.id, req.resumes or req.id, version
             )
 
     def _record_send(self) -> None:
@@ -327,13 +343,6 @@
         last = self._progress.last_event_id
         return self._req.resume_after if last is None else last
 
-    def _head_timeout_seconds(self) -> float:
-        """Return how long the attempt waits for the status and headers."""
-        remaining_seconds = self._remaining_seconds()
-        if self._route.kind is RequestKind.IDEMPOTENT and not self._progress.attempts:
-            return remaining_seconds * FIRST_ATTEMPT_TIMEOUT_SHARE
-        return remaining_seconds
-
 
 def _unsent_failure(
     detail: str, cause: FailureCause = FailureCause.REFUSED
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -1,5 +1,8 @@
 """Attempts of one request, up to the final response."""
 
+import asyncio
+import math
+
 from pimentospool.gateway._answers import (
     DEADLINE_TOLERANCE_SECONDS,
 )
@@ -16,6 +19,7 @@
 from pimentospool.gateway._outcomes import RoutedOutcome, RoutedResult
 from pimentospool.gateway._progress import DEFAULT_RETRY_SECONDS, RequestProgress
 from pimentospool.gateway._replies import Refusal, RefusalReason, Reply
+from pimentospool.gateway._running_attempts import RunningAttempt
 from pimentospool.ids import EntryId, SoftwareVersion
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
@@ -27,10 +31,22 @@
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
+STREAM_STALL_SHARE = 0.5
+"""Share of the client's event timeout after which a silent stream counts as stalled, so
+that the next event can still arrive in time from another target."""
+IDEMPOTENT_STALL_SHARE = 0.4
+"""Share of the remaining time after which an unanswered idempotent request counts as
+stalled, so that another target has time to answer."""
+STANDBY_INTERVAL_SECONDS = 0.25
+"""Time between checks whether an attempt may begin beside a stalled one."""
+
 
 class AttemptLoop:
     """Sends one request to targets and regions until one answers.
 
+    An attempt whose target is silent goes on beside another one, until one of the two
+    answers; a sound target may be silent for a second.
+
     Parameters
     ----------
     deps : GatewayDependencies
@@ -72,6 +88,7 @@
         timeout_seconds = min(req.client_timeout_seconds, route.timeout_seconds)
         self._deadline = req.received_at + timeout_seconds
         self._progress.last_progress_at = req.received_at
+        self._standby_at = 0.0
         self._destination = ""
         self._traits = request_traits(req)
         self._sender = AttemptSender(
@@ -100,7 +117,7 @@
         ConfigurationOutdatedError
             If the request has to be routed by a later configuration first.
         """
-        deps, progress = self._deps, self._progress
+        progress = self._progress
         if self._route.resumable and self._req.takes_up_stream:
             progress.stream_version = self._begun_version()
             if progress.stream_version is None:
@@ -112,34 +129,24 @@
                     )
                 )
                 return
+        try:
+            await self._make_attempts()
+        finally:
+            await progress.running.cancel()
+
+    async def _make_attempts(self) -> None:
+        progress = self._progress
         while True:
-            if self.remaining_seconds <= DEADLINE_TOLERANCE_SECONDS:
-                await self._give_up("the request's time is over", None)
-                return
-            wait_seconds = self._quarantine_seconds()
-            if wait_seconds is not None:
-                await self._refuse_quarantined(wait_seconds)
-                return
-            choice = deps.placement.choose(
-                self._req,
-                self._route,
-                self._service,
-                progress,
-                first_byte_timeout_seconds=self._first_byte_timeout_seconds(),
-            )
-            if isinstance(choice, NoChoice):
-                await self._give_up(choice.detail, choice.retry_after_seconds)
+            if not progress.running and not await self._start_next():
                 return
-            self._log_choice(choice)
-            try:
-                if isinstance(choice, TargetChoice):
-                    await self._sender.send_to_target(choice)
-                else:
-                    await self._sender.send_to_region(choice)
-                self._record_success()
+            ended = await progress.running.wait_for_end(self._standby_wait_seconds())
+            if ended is None:
+                self._start_standby()
+                continue
+            if self._record_end(ended):
                 return
-            except AttemptFailure as exc:
-                self._record_failure(choice, exc)
+            if progress.running:
+                continue
             if not progress.may_retry(reply_started=self._reply.started):
                 await self._give_up("", None)
                 return
@@ -147,6 +154,97 @@
                 await self._give_up("the budget of repeated sends is used up", None)
                 return
 
+    async def _start_next(self) -> bool:
+        """Start the next attempt; return False if the request was refused instead."""
+        if self.remaining_seconds <= DEADLINE_TOLERANCE_SECONDS:
+            await self._give_up("the request's time is over", None)
+            return False
+        wait_seconds = self._quarantine_seconds()
+        if wait_seconds is not None:
+            await self._refuse_quarantined(wait_seconds)
+            return False
+        choice = self._choose()
+        if isinstance(choice, NoChoice):
+            await self._give_up(choice.detail, choice.retry_after_seconds)
+            return False
+        self._start(choice)
+        return True
+
+    def _standby_wait_seconds(self) -> float:
+        """Return the time until an attempt may have to begin beside the running one."""
+        attempt = self._progress.running.sole
+        if attempt is None or math.isinf(attempt.stall_seconds):
+            return math.inf
+        now = self._deps.clock()
+        stalls_at = min(attempt.stalls_at, now + attempt.stall_seconds)
+        return max(0.0, max(stalls_at, self._standby_at) - now)
+
+    def _start_standby(self) -> None:
+        """Start an attempt beside a stalled one if another send is allowed."""
+        progress, now = self._progress, self._deps.clock()
+        stalled = progress.running.sole
+        if stalled is None or now < stalled.stalls_at or now < self._standby_at:
+            return
+        self._standby_at = now + STANDBY_INTERVAL_SECONDS
+        if (
+            not progress.may_retry(reply_started=self._reply.started)
+            or self._quarantine_seconds() is not None
+            or not self._acquire_retry()
+        ):
+            return
+        choice = self._choose()
+        if not isinstance(choice, NoChoice):
+            stalled.stalled = True
+            self._start(choice)
+
+    def _choose(self) -> TargetChoice | RegionChoice | NoChoice:
+        return self._deps.placement.choose(
+            self._req,
+            self._route,
+            self._service,
+            self._progress,
+            first_byte_timeout_seconds=self._first_byte_timeout_seconds(),
+        )
+
+    def _start(self, choice: TargetChoice | RegionChoice) -> None:
+        self._log_choice(choice)
+        progress = self._progress
+        attempt = RunningAttempt(choice=choice, stall_seconds=self._stall_seconds())
+        attempt.sent_before = attempt.target in progress.tried_targets
+        progress.running.start(attempt, self._sender.send(attempt))
+
+    def _stall_seconds(self) -> float:
+        """Return the silence after which an attempt that begins now counts as stalled.
+
+        A request that may not be repeated waits for its target.
+        """
+        if not self._route.retryable:
+            return math.inf
+        if self._route.kind is RequestKind.STREAM:
+            return self._route.client_event_timeout_seconds * STREAM_STALL_SHARE
+        return self.remaining_seconds * IDEMPOTENT_STALL_SHARE
+
+    def _record_end(self, attempt: RunningAttempt) -> bool:
+        """Record the end of an attempt; return whether it answered the request."""
+        assert attempt.task is not None
+        try:
+            attempt.task.result()
+        except asyncio.CancelledError:
+            if not attempt.superseded:
+                raise
+            exc = AttemptFailure(
+                detail="another attempt answered first",
+                verdict=Verdict.MAY_HAVE_RUN,
+                cause=FailureCause.SILENT,
+            )
+            self._record_failure(attempt, exc)
+            return False
+        except AttemptFailure as exc:
+            self._record_failure(attempt, exc)
+            return False
+        self._record_success(attempt)
+        return True
+
     def caller_left(self) -> None:
         """Log that the caller disconnected, and where its request was then."""
         progress = self._progress
@@ -162,7 +260,7 @@
         )
         self._report_outcome(RoutedResult.CALLER_LEFT)
 
-    def _record_success(self) -> None:
+    def _record_success(self, attempt: RunningAttempt) -> None:
         self._progress.verdict = Verdict.RAN
         log_event(
             Event.REQUEST_SERVED,
@@ -171,8 +269,8 @@
             place=self._destination,
             attempts=self._progress.attempts + 1,
             events=self._progress.chunks_sent,
-            body_end=self._body_end_name(),
-            within_event=self._progress.within_event,
+            body_end=_body_end_name(attempt),
+            within_event=attempt.within_event,
             first_event_seconds=self._first_event_seconds(),
             seconds=self._elapsed_seconds(),
         )
@@ -253,13 +351,10 @@
             **fields,
         )
 
-    def _record_failure(
-        self, choice: TargetChoice | RegionChoice, exc: AttemptFailure
-    ) -> None:
+    def _record_failure(self, attempt: RunningAttempt, exc: AttemptFailure) -> None:
         progress = self._progress
-        target = region = None
-        if isinstance(choice, TargetChoice):
-            target = choice.candidate.target
+        target, region = attempt.target, attempt.region
+        if target is not None:
             health = self._deps.placement.health(target)
             if exc.cause is FailureCause.UNREACHABLE:
                 health.record_connect_failure()
@@ -269,10 +364,12 @@
                     cause=exc.cause.value,
                     detail=exc.detail,
                 )
-            elif exc.verdict is not Verdict.NOT_RUN:
+            elif exc.verdict is not Verdict.NOT_RUN and (
+                attempt.stalled or not attempt.superseded
+            ):
                 health.record_failure()
-        else:
-            region = choice.region
+        if target is not None and attempt.stalled:
+            self._deps.pools.close_idle(target)
         progress.record_failure(exc, target=target, region=region)
         log_event(
             Event.ATTEMPT_FAILED,
@@ -282,19 +379,14 @@
             verdict=exc.verdict.value,
             cause=exc.cause.value,
             detail=exc.detail,
-            body_end=self._body_end_name(),
-            within_event=progress.within_event,
+            body_end=_body_end_name(attempt),
+            within_event=attempt.within_event,
             events=progress.chunks_sent,
             silent_seconds=round(self._deps.clock() - progress.last_progress_at, 3),
             shared_parts=list(self._traits.parts),
             content=f"{self._traits.content_key:08x}",
             attempt=progress.attempts,
         )
-        progress.body_end, progress.within_event = None, False
-
-    def _body_end_name(self) -> str | None:
-        body_end = self._progress.body_end
-        return None if body_end is None else body_end.value
 
     def _acquire_retry(self) -> bool:
         """Return whether the retry budget covers the next send."""
@@ -362,3 +454,7 @@
         return min(
             remaining_seconds, self._route.client_event_timeout_seconds - waited_seconds
         )
+
+
+def _body_end_name(attempt: RunningAttempt) -> str | None:
+    return None if attempt.body_end is None else attempt.body_end.value
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -276,9 +276,8 @@
         `has_preferred_target` tells whether one of them is preferred because it is
         expected to have the shared part of the prompt in its cache.
         """
-        untried = [
-            state for state in states if state.id not in progress.excluded_targets
-        ]
+        tried = progress.tried_targets
+        untried = [state for state in states if state.id not in tried]
         states = untried or states
         prompt = req.prompt
         if prompt is None or service.engine is None:
--- a/pimentospool/gateway/_pools.py
+++ b/pimentospool/gateway/_pools.py
@@ -61,6 +61,12 @@
             self._peer_pools[address] = pool
         return pool
 
+    def close_idle(self, target: TargetId) -> None:
+        """Close the idle connections to a target, which may have gone silent, too."""
+        pool = self._target_pools.get(target)
+        if pool is not None:
+            pool.close_idle()
+
     def drain_target(self, target: TargetId) -> None:
         """Close the connections of a removed target as soon as they are idle."""
         pool = self._target_pools.pop(target, None)
--- a/pimentospool/gateway/_progress.py
+++ b/pimentospool/gateway/_progress.py
@@ -1,8 +1,8 @@
 """State of one request across its attempts."""
 
-from pimentospool.gateway._connections import BodyEnd
 from pimentospool.gateway._model import HttpRoute
 from pimentospool.gateway._replies import Refusal, RefusalReason
+from pimentospool.gateway._running_attempts import RunningAttempts
 from pimentospool.ids import RegionId, SoftwareVersion, TargetId
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
@@ -26,7 +26,9 @@
 
     def __init__(self, *, route: HttpRoute, max_targets: int) -> None:
         self.verdict = Verdict.NOT_RUN
+        self.running = RunningAttempts()
         self.attempts = 0
+        """Number of attempts that have ended."""
         self.reached_target = False
         """Whether a target may have received the request, even if it rejected it."""
         self.retry_granted = False
@@ -36,14 +38,8 @@
         """Id of the last event that was sent to the caller."""
         self.stream_version: SoftwareVersion | None = None
         """Software version that began the stream, None before its first event."""
-        self.attempt_version = SoftwareVersion("")
-        """Software version of the target that answers the current attempt."""
         self.chunks_sent = 0
         """Chunks of a stream that were sent to the caller."""
-        self.body_end: BodyEnd | None = None
-        """What tells the end of the last response's body."""
-        self.within_event = False
-        """Whether the last event of the stream received so far is incomplete."""
         self.first_event_at: float | None = None
         self.last_progress_at = 0.0
         """Time of the last chunk, or of the request's arrival before the first one."""
@@ -76,22 +72,30 @@
                 # The entry VM there may have sent it to all remaining targets.
                 self._max_targets = len(self._may_have_run_targets)
 
+    @property
+    def tried_targets(self) -> set[TargetId]:
+        """Targets that have been sent the request."""
+        return self.excluded_targets | self.running.targets
+
     @property
     def targets_left(self) -> int:
         """Number of further targets that may run the request."""
-        return max(0, self._max_targets - len(self._may_have_run_targets))
+        used = self._may_have_run_targets | self.running.targets
+        return max(0, self._max_targets - len(used))
 
     def may_use(self, target: TargetId) -> bool:
-        """Whether `target` may run the request within the limit on targets."""
-        return target in self._may_have_run_targets or self.targets_left > 0
+        """Whether `target` may be sent the request within the limit on targets."""
+        used = self._may_have_run_targets | self.running.targets
+        return target in used or self.targets_left > 0
 
     def may_retry(self, *, reply_started: bool) -> bool:
         """Whether the route and the attempts so far allow another attempt."""
-        if self.attempts >= MAX_ATTEMPTS:
+        if self.attempts + len(self.running) >= MAX_ATTEMPTS:
             return False
         if reply_started:
             return self._route.resumable
-        return self.verdict is Verdict.NOT_RUN or self._route.retryable
+        may_have_run = self.running or self.verdict is not Verdict.NOT_RUN
+        return not may_have_run or self._route.retryable
 
     def refusal(self, detail: str, retry_after_seconds: float | None) -> Refusal:
         """Return the refusal to send if no further attempt is made."""
--- a/pimentospool/gateway/_relay.py
+++ b/pimentospool/gateway/_relay.py
@@ -1,11 +1,12 @@
 """Relays the events of a stream as they arrive."""
 
-import asyncio
+import math
 from collections.abc import Callable
 
 from pimentospool.gateway._connections import AnswerHead, AnswerStream, BodyEnd
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._replies import Reply
+from pimentospool.gateway._running_attempts import RunningAttempt
 from pimentospool.targets import (
     AttemptFailure,
     EventBoundary,
@@ -23,11 +24,11 @@
     head: AnswerHead,
     reply: Reply,
     progress: RequestProgress,
+    attempt: RunningAttempt,
     *,
     resumable: bool,
     clock: Callable[[], float],
     on_event: Callable[[], None],
-    stall_timeout_seconds: float | None,
 ) -> None:
     """Relay a stream to `reply`; a resumed stream keeps the head of the first target.
 
@@ -47,36 +48,28 @@
         Sends the response to the caller.
     progress : RequestProgress
         Records which events the caller received.
+    attempt : RunningAttempt
+        The attempt that brought the response. It stalls while no event is completed:
+        a slow stream has events, a stalled one may still send single bytes.
     resumable : bool
         Whether another target can resume the stream.
     clock : callable
         Returns a monotonic time in seconds.
     on_event : callable
         Called for each part of the stream that is relayed.
-    stall_timeout_seconds : float or None
-        Longest pause between complete events of a resumable stream; None for no limit.
-        Bytes that complete no event don't end a pause: a slow stream has events, a
-        stalled one may still send single bytes.
 
     Raises
     ------
     AttemptFailure
         If the stream ends early, or an event is too long.
-    TimeoutError
-        If no event arrives within `stall_timeout_seconds`.
     """
     splitter = EventSplitter() if resumable else None
     boundary = EventBoundary()
-    last_event_at = clock()
-    while True:
-        timeout_seconds = None
-        if stall_timeout_seconds is not None and progress.chunks_sent:
-            timeout_seconds = last_event_at + stall_timeout_seconds - clock()
-        chunk = await _read_chunk(stream, timeout_seconds)
-        if not chunk:
-            break
+    if progress.chunks_sent:
+        attempt.expect_part(clock())
+    while chunk := await stream.read():
         boundary.feed(chunk)
-        progress.within_event = boundary.within_event
+        attempt.within_event = boundary.within_event
         if splitter is not None:
             batch = splitter.feed(chunk)
             if splitter.pending_bytes > MAX_PENDING_EVENT_BYTES:
@@ -88,20 +81,25 @@
             chunk = batch.data
             if batch.last_id is not None:
                 progress.last_event_id = batch.last_id
+        progress.running.claim_reply(attempt)
+        # The time of a write is the caller's, not a silence of the target.
+        attempt.stalls_at = math.inf
         on_event()
         if not reply.started:
-            await reply.start_stream(head, progress.attempt_version)
+            await reply.start_stream(head, attempt.version)
         progress.chunks_sent += 1
-        progress.last_progress_at = last_event_at = clock()
+        progress.last_progress_at = clock()
         if progress.first_event_at is None:
             progress.first_event_at = progress.last_progress_at
         await reply.write(chunk)
+        attempt.expect_part(clock())
     if boundary.within_event or (splitter is not None and splitter.pending_bytes):
         raise _broken_off("the stream ended within an event")
     if boundary.empty and stream.body_end is BodyEnd.CLOSE:
         raise _broken_off("the connection was closed before the first event")
+    progress.running.claim_reply(attempt)
     if not reply.started:
-        await reply.start_stream(head, progress.attempt_version)
+        await reply.start_stream(head, attempt.version)
     await reply.end_stream()
 
 
@@ -109,10 +107,3 @@
     return AttemptFailure(
         detail=detail, verdict=Verdict.MAY_HAVE_RUN, cause=FailureCause.BROKEN
     )
-
-
-async def _read_chunk(stream: AnswerStream, timeout_seconds: float | None) -> bytes:
-    if timeout_seconds is None:
-        return await stream.read()
-    async with asyncio.timeout(timeout_seconds):
-        return await stream.read()
--- /dev/null
+++ b/pimentospool/gateway/_running_attempts.py
@@ -0,0 +1,115 @@
+"""Attempts of one request that are in progress, and which of them answers it.
+
+A second attempt may run beside one whose target is silent. The one whose response
+continues first answers the request, and the other one is cancelled.
+"""
+
+import asyncio
+import math
+from collections.abc import Coroutine
+
+from pimentospool.gateway._connections import BodyEnd
+from pimentospool.ids import RegionId, SoftwareVersion, TargetId
+from pimentospool.policy import RegionChoice, TargetChoice
+from pimentospool.tasks import cancel_tasks
+
+
+class RunningAttempt:
+    """One attempt, from its start to its end.
+
+    Parameters
+    ----------
+    choice : TargetChoice or RegionChoice
+        Where the request is sent.
+    stall_seconds : float
+        Silence after which another attempt may begin beside this one.
+    """
+
+    def __init__(
+        self, *, choice: TargetChoice | RegionChoice, stall_seconds: float = math.inf
+    ) -> None:
+        self.choice = choice
+        self.stall_seconds = stall_seconds
+        self.stalls_at = math.inf
+        """Time at which the attempt counts as stalled if nothing arrives before."""
+        self.sent_before = False
+        """Whether the target has been sent the request before."""
+        self.stalled = False
+        """Whether another attempt has begun beside this one."""
+        self.superseded = False
+        """Whether another attempt has answered the request."""
+        self.version = SoftwareVersion("")
+        """Software version of the target that answers."""
+        self.body_end: BodyEnd | None = None
+        """What tells the end of the response's body."""
+        self.within_event = False
+        """Whether the last event of the stream received so far is incomplete."""
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def target(self) -> TargetId | None:
+        """Target to which the request is sent, None for another region."""
+        choice = self.choice
+        return choice.candidate.target if isinstance(choice, TargetChoice) else None
+
+    @property
+    def region(self) -> RegionId | None:
+        """Region to which the request is sent, None for a target of this one."""
+        choice = self.choice
+        return choice.region if isinstance(choice, RegionChoice) else None
+
+    def expect_part(self, now: float) -> None:
+        """Record that the next part of the response is waited for from now on."""
+        self.stalls_at = now + self.stall_seconds
+
+
+class RunningAttempts:
+    """The attempts of one request that are in progress."""
+
+    def __init__(self) -> None:
+        self._attempts: list[RunningAttempt] = []
+
+    def __len__(self) -> int:
+        return len(self._attempts)
+
+    @property
+    def targets(self) -> set[TargetId]:
+        """Targets that may be running the request now."""
+        return {item.target for item in self._attempts if item.target is not None}
+
+    @property
+    def sole(self) -> RunningAttempt | None:
+        """The only attempt in progress, None if there are none or several."""
+        return self._attempts[0] if len(self._attempts) == 1 else None
+
+    def start(self, attempt: RunningAttempt, send: Coroutine[None, None, None]) -> None:
+        """Run `send`, which makes `attempt`."""
+        attempt.task = asyncio.create_task(send)
+        self._attempts.append(attempt)
+
+    def claim_reply(self, attempt: RunningAttempt) -> None:
+        """Let `attempt` write the next part of the response; cancel any other one."""
+        for other in self._attempts:
+            if other is not attempt and other.task is not None:
+                other.superseded = True
+                other.task.cancel()
+
+    async def wait_for_end(self, timeout_seconds: float) -> RunningAttempt | None:
+        """Return an attempt that has ended, None if none does within the timeout."""
+        await asyncio.wait(
+            [item.task for item in self._attempts if item.task is not None],
+            timeout=timeout_seconds if math.isfinite(timeout_seconds) else None,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for attempt in self._attempts:
+            if attempt.task is not None and attempt.task.done():
+                self._attempts.remove(attempt)
+                return attempt
+        return None
+
+    async def cancel(self) -> None:
+        """Cancel all attempts and return when they have ended."""
+        await cancel_tasks(
+            item.task for item in self._attempts if item.task is not None
+        )
+        self._attempts.clear()
