Keep connections to targets that acknowledge nothing for a second

Callers saw: 502, or a stream that ended, 1.5 s after their target had fallen silent (LOST). Cause: TCP_USER_TIMEOUT of 1.5 s on connections to targets. It also decides when keepalive probes give up, so that the kernel closed idle and busy connections of silent targets. Change: 3 s for targets, longer than a sound one is silent and within the time in which a cut has to be noticed. Connections to the store and to other entry VMs keep 1.5 s. Conclusion: a silence of a target ends no answer before the request's time is over.

--- a/pimentospool/gateway/_connection_pool.py
+++ b/pimentospool/gateway/_connection_pool.py
@@ -5,7 +5,7 @@
 
 from pimentospool.gateway._connections import Connection
 from pimentospool.gateway._model import Address
-from pimentospool.sockets import open_socket
+from pimentospool.sockets import SILENCE_SECONDS, open_socket
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
@@ -25,6 +25,9 @@
         Limit on open connections.
     connect_timeout_seconds : float
         Timeout for opening a connection.
+    silence_seconds : float
+        Time for which the other side may acknowledge nothing before a connection is
+        closed.
     """
 
     def __init__(
@@ -33,10 +36,12 @@
         address: Address,
         limit: int,
         connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
+        silence_seconds: float = SILENCE_SECONDS,
     ) -> None:
         self.address = address
         self.limit = limit
         self._connect_timeout_seconds = connect_timeout_seconds
+        self._silence_seconds = silence_seconds
         self._idle: list[Connection] = []
         self._idle_timers: dict[Connection, asyncio.TimerHandle] = {}
         self._open_count = 0
@@ -118,7 +123,7 @@
 
     async def _open(self, within_seconds: float) -> Connection:
         loop = asyncio.get_running_loop()
-        sock = open_socket()
+        sock = open_socket(self._silence_seconds)
         try:
             async with asyncio.timeout(
                 min(self._connect_timeout_seconds, within_seconds)
--- a/pimentospool/gateway/_pools.py
+++ b/pimentospool/gateway/_pools.py
@@ -9,6 +9,9 @@
 
 MAX_PEER_CONNECTIONS = 128
 """Limit on the connections to one entry VM of another region."""
+TARGET_SILENCE_SECONDS = 3.0
+"""Time for which a target may acknowledge nothing. A sound one may fall silent for a
+second or so, and its answers go on after that."""
 PEER_CONNECT_TIMEOUT_SECONDS = 0.6
 """Connect timeout to another region; several round trips."""
 USABLE_CONNECTIONS_SHARE = 0.8
@@ -44,7 +47,11 @@
         if pool is None or pool.address != registration.address:
             if pool is not None:
                 pool.drain()
-            pool = ConnectionPool(address=registration.address, limit=limit)
+            pool = ConnectionPool(
+                address=registration.address,
+                limit=limit,
+                silence_seconds=TARGET_SILENCE_SECONDS,
+            )
             self._target_pools[registration.id] = pool
         pool.limit = limit
         return pool
--- a/pimentospool/sockets.py
+++ b/pimentospool/sockets.py
@@ -5,26 +5,34 @@
 import socket
 import struct
 
-UNACKNOWLEDGED_TIMEOUT_MS = 1500
-"""Time after which the kernel closes a connection whose bytes are unacknowledged."""
+SILENCE_SECONDS = 1.5
+"""Time after which the kernel closes a connection whose peer acknowledges nothing,
+neither bytes nor keepalive probes."""
 KEEPALIVE_IDLE_SECONDS = 1
 """Idle time before the first keepalive probe, and time between probes."""
-KEEPALIVE_PROBES = 2
-"""Unanswered probes after which the kernel closes the connection."""
+_MILLISECONDS = 1000
 
 
-def open_socket() -> socket.socket:
-    """Return a non-blocking TCP socket that detects an unresponsive connection."""
+def open_socket(silence_seconds: float = SILENCE_SECONDS) -> socket.socket:
+    """Return a non-blocking TCP socket that detects an unresponsive connection.
+
+    Parameters
+    ----------
+    silence_seconds : float
+        Time for which the other side may acknowledge nothing.
+    """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    # It also decides when keepalive probes give up, whatever their count.
     sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        int(silence_seconds * _MILLISECONDS),
     )
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_SECONDS)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     return sock
 
 
