Refuse requests by the wait that load adds, not by the time of the service

Callers saw: 503 from a service whose requests take 1.0 s, with slots free. Cause: a request was refused when its first byte was expected later than four latency objectives, also where idle targets take as long, so that coming back later gains nothing; and the pace of a service could not follow requests above 0.3 s.

--- a/pimentospool/policy/_service_pace.py
+++ b/pimentospool/policy/_service_pace.py
@@ -10,7 +10,8 @@
 MIN_STEP = 0.03
 """Least change of the logarithm of the pace with one answer."""
 MIN_PACE = 0.1
-MAX_PACE = 10.0
+MAX_PACE = 100.0
+"""Pace of a service whose plain requests take 3 s; beyond it, callers have no time."""
 
 
 class ServicePace:
@@ -29,7 +30,7 @@
     def record(self, ratio: float) -> None:
         """Record an answer that took `ratio` times the time of a reference target."""
         self._answers += 1
-        step = max(MIN_STEP, 1.0 / (self._answers + 1))
+        step = max(MIN_STEP, 1.0 / self._answers)
         if ratio < self.value:
             step = -step
         pace = self.value * math.exp(step)
--- a/pimentospool/policy/_target_choice.py
+++ b/pimentospool/policy/_target_choice.py
@@ -41,8 +41,9 @@
 """Share of the first byte timeout that the expected wait may take."""
 MAX_WAIT_OBJECTIVES = 4.0
 """Expected wait for the first byte above which a request is refused, as a multiple of
-the latency objective. A request that is refused early can be retried with time left,
-and doesn't delay the requests queued behind it."""
+the latency objective, or of the time at an idle target where that is longer. A request
+that is refused early can be retried with time left, and doesn't delay the requests
+queued behind it; it would gain nothing if idle targets take as long."""
 MIN_RETRY_AFTER_SECONDS = 0.2
 MAX_RETRY_AFTER_SECONDS = 10.0
 
@@ -80,6 +81,16 @@
         tokens = load.waiting_tokens + self.prefill_tokens
         return FIRST_TOKEN_BASE_SECONDS + tokens / PREFILL_TOKENS_PER_SECOND
 
+    @property
+    def idle_seconds(self) -> float:
+        """Time to the first byte if the target served nothing else."""
+        if not self.cache_tokens:
+            return PROMPTLESS_REQUEST_SECONDS * self.service_pace
+        seconds = (
+            FIRST_TOKEN_BASE_SECONDS + self.prefill_tokens / PREFILL_TOKENS_PER_SECOND
+        )
+        return seconds * self.service_pace
+
     @property
     def queue_seconds(self) -> float:
         """Expected wait for a slot of an engine."""
@@ -135,6 +146,12 @@
         """Expected time of the prefill."""
         return self.prefill_tokens / PREFILL_TOKENS_PER_SECOND * self.service_pace
 
+    @property
+    def idle_seconds(self) -> float:
+        """Time to the first byte if the region's targets served nothing else."""
+        base_seconds = PROMPTLESS_REQUEST_SECONDS * self.service_pace
+        return base_seconds + self.prefill_seconds + HOP_ROUND_TRIP_SECONDS
+
     @property
     def first_byte_seconds(self) -> float:
         """Expected time to the first byte of the response, round trip included."""
@@ -218,7 +235,7 @@
     wait_seconds = destination.first_byte_seconds
     max_wait_seconds = min(
         first_byte_timeout_seconds * MAX_WAIT_SHARE,
-        objective_seconds * MAX_WAIT_OBJECTIVES,
+        max(objective_seconds, destination.idle_seconds) * MAX_WAIT_OBJECTIVES,
     )
     if wait_seconds > max_wait_seconds:
         return NoChoice(
--- a/tests/policy/test_target_choice.py
+++ b/tests/policy/test_target_choice.py
@@ -90,6 +90,27 @@
     )
 
 
+@pytest.mark.parametrize(("running", "served"), [(0, True), (4, True), (6, False)])
+def test_slow_service_is_not_refused_while_it_has_free_slots(running, served):
+    choice = choose_destination(
+        [promptless(running=running, service_pace=33.0)],
+        [],
+        first_byte_timeout_seconds=2.0,
+        objective_seconds=0.3,
+    )
+    assert isinstance(choice, TargetChoice) is served
+
+
+def test_long_prompt_is_not_refused_if_idle_targets_take_as_long():
+    choice = choose_destination(
+        [engine(prefill=60_000)],
+        [],
+        first_byte_timeout_seconds=3.0,
+        objective_seconds=0.4,
+    )
+    assert isinstance(choice, TargetChoice)
+
+
 def test_long_prompts_avoid_batches_whose_requests_they_would_delay():
     crowded, calm = engine("crowded", running=60), engine("calm", running=5)
     remote = RemoteRegion(region="delta", wait_seconds=0.02, slot_utilisation=0.1)
