Send a repeatable request once to a service that is slow for all

Callers saw: more refusals, as sends beside sound targets took the slots of others. Cause: a plain request counted as stalled at 0.4 of its time, whatever its target is expected to take. Evidence: test_request_to_a_service_that_is_slow_for_all_is_sent_once failed. Change: an attempt isn't stalled before twice the expected time to its first byte. Conclusion: sends beside a target are kept for targets that are silent.

--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -37,6 +37,9 @@
 IDEMPOTENT_STALL_SHARE = 0.4
 """Share of the remaining time after which an unanswered idempotent request counts as
 stalled, so that another target has time to answer."""
+EXPECTED_TIMES = 2.0
+"""Multiple of the expected time to the first byte before which an attempt isn't
+stalled: a second send to a service that is slow for all would only add to its load."""
 STANDBY_INTERVAL_SECONDS = 0.25
 """Time between checks whether an attempt may begin beside a stalled one."""
 
@@ -209,11 +212,13 @@
     def _start(self, choice: TargetChoice | RegionChoice) -> None:
         self._log_choice(choice)
         progress = self._progress
-        attempt = RunningAttempt(choice=choice, stall_seconds=self._stall_seconds())
+        attempt = RunningAttempt(
+            choice=choice, stall_seconds=self._stall_seconds(choice)
+        )
         attempt.sent_before = attempt.target in progress.tried_targets
         progress.running.start(attempt, self._sender.send(attempt))
 
-    def _stall_seconds(self) -> float:
+    def _stall_seconds(self, choice: TargetChoice | RegionChoice) -> float:
         """Return the silence after which an attempt that begins now counts as stalled.
 
         A request that may not be repeated waits for its target.
@@ -222,7 +227,13 @@
             return math.inf
         if self._route.kind is RequestKind.STREAM:
             return self._route.client_event_timeout_seconds * STREAM_STALL_SHARE
-        return self.remaining_seconds * IDEMPOTENT_STALL_SHARE
+        destination = (
+            choice.candidate if isinstance(choice, TargetChoice) else choice.remote
+        )
+        return max(
+            self.remaining_seconds * IDEMPOTENT_STALL_SHARE,
+            destination.first_byte_seconds * EXPECTED_TIMES,
+        )
 
     def _record_end(self, attempt: RunningAttempt) -> bool:
         """Record the end of an attempt; return whether it answered the request."""
--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -270,6 +270,8 @@
             return await self._respond_with_stream(req, writer, fault, disconnected)
         await asyncio.wait([disconnected], timeout=self.gap_seconds)
         await asyncio.wait([disconnected], timeout=self._silent_seconds)
+        if writer.is_closing():
+            return False
         if crashes:
             self._crash()
             return False
--- a/tests/platform/test_silent_targets.py
+++ b/tests/platform/test_silent_targets.py
@@ -14,11 +14,14 @@
 """More than half of the time after which callers of the streams disconnect."""
 
 
-class UsedUpBudget:
-    """Retry budget that covers no further send."""
+class FixedBudget:
+    """Retry budget that covers all further sends, or none."""
+
+    def __init__(self, *, covers):
+        self._covers = covers
 
     def acquire(self, members, *, complete):
-        return False
+        return self._covers
 
     def record_request(self):
         pass
@@ -29,10 +32,9 @@
         target.silent_until = time.monotonic() + seconds
 
 
-def use_up_retry_budget(site):
+def set_retry_budget(site, *, covers):
     for node in site.nodes:
-        budgets = node.gateway.deps._retry_budgets
-        budgets["desk"] = budgets["llm"] = UsedUpBudget()
+        node.gateway.deps._retry_budgets["desk"] = FixedBudget(covers=covers)
 
 
 async def add_targets(site, count=2, *, zone="gulf-a"):
@@ -106,7 +108,7 @@
     async def run():
         async with running_site(tmp_path) as site:
             await add_targets(site)
-            use_up_retry_budget(site)
+            set_retry_budget(site, covers=False)
             await site.call(path, method="POST")
             fall_silent(site)
             status, _, _ = await site.call(path, method="POST", request_id="r-2")
@@ -155,3 +157,21 @@
             assert not serving.received[0].sender_disconnected
 
     runner.run(run())
+
+
+def test_request_to_a_service_that_is_slow_for_all_is_sent_once(runner, tmp_path):
+    async def run():
+        async with running_site(tmp_path) as site:
+            await add_targets(site, 4)
+            set_retry_budget(site, covers=True)
+            for target in site.targets.values():
+                target.gap_seconds = 0.9
+            await asyncio.gather(
+                *(site.call("/look/", request_id=f"r-{number}") for number in range(24))
+            )
+            status, _, _ = await site.call("/look/", request_id="last")
+            received = [req for t in site.targets.values() for req in t.received]
+            assert status == 200
+            assert sum(req.id == "last" for req in received) == 1
+
+    runner.run(run())
