Add a failing test of a stalled stream whose service has one target

Cause, suspected: Placement falls back to targets that are running the request, as may_use allows them and tried_targets only ranks them lower. The standby attempt goes to the silent target itself. Callers see nothing; the target runs the request twice at once, and the retry budget and the four attempts are used up.

--- a/tests/platform/test_standby_attempts.py
+++ b/tests/platform/test_standby_attempts.py
@@ -67,3 +67,19 @@
             assert max(reached.values()) <= 2, reached
 
     runner.run(run())
+
+
+def test_stalled_stream_is_not_sent_again_to_the_target_that_runs_it(runner, tmp_path):
+    async def run():
+        async with running_site(tmp_path) as site:
+            await add_engines(site, 1)
+            call = asyncio.create_task(site.call("/ask/", method="POST"))
+            await asyncio.sleep(0.3)
+            fall_silent(site, 1.9)
+            status, _, body = await call
+            [target] = site.targets.values()
+            assert status == 200
+            assert event_ids(body) == list(range(1, EVENTS + 1))
+            assert len(target.received) == 1
+
+    runner.run(run())
