Add a failing test of two targets that work on one stream for over 400 ms

Cause, suspected: the attempt at the silent target is only cancelled with the first event of the next one, however long that target takes to prefill.

--- a/tests/platform/test_standby_attempts.py
+++ b/tests/platform/test_standby_attempts.py
@@ -83,3 +83,25 @@
             assert len(target.received) == 1
 
     runner.run(run())
+
+
+def test_target_before_ends_its_work_soon_after_a_stream_goes_on_elsewhere(
+    runner, tmp_path
+):
+    async def run():
+        async with running_site(tmp_path) as site:
+            await add_engines(site, 2)
+            call = asyncio.create_task(site.call("/ask/", method="POST"))
+            await asyncio.sleep(0.3)
+            [before] = [t for t in site.targets.values() if t.received]
+            before.silent_until = time.monotonic() + 3.0
+            [other] = [t for t in site.targets.values() if t is not before]
+            other.gap_seconds = 0.7
+            await site.wait_until(lambda: other.received)
+            await asyncio.sleep(0.4)
+            still_works = not before.received[0].sender_disconnected
+            call.cancel()
+            await asyncio.gather(call, return_exceptions=True)
+            assert not still_works
+
+    runner.run(run())
