Add a failing test of an error beside a silent target's answer

Cause, suspected: _retries_target_errors looks at the attempts that have ended only. After an earlier rejection, an error of the standby target claims the reply and cancels the attempt at a sound target that is only silent. Callers see 500 where the silent target would have answered 200 in time.

--- a/tests/platform/test_standby_attempts.py
+++ b/tests/platform/test_standby_attempts.py
@@ -6,11 +6,30 @@
 import pytest
 from platform_site import running_site
 
-from pimentospool.standins import platform_configuration, platform_route
+from pimentospool.standins import Fault
 
 EVENTS = 10
 
 
+class FaultsByArrival(list):
+    """Faults of a target, by how many requests all targets have received before.
+
+    The first is rejected, the second is answered late and the third fails.
+    """
+
+    def __init__(self, target, arrivals):
+        super().__init__([None])
+        self._target = target
+        self._arrivals = arrivals
+
+    def pop(self, index=-1):
+        self._arrivals.append(self._target)
+        number = len(self._arrivals)
+        if number == 2:
+            self._target.gap_seconds = 1.2
+        return {1: Fault.REJECT, 3: Fault.ERROR}.get(number)
+
+
 async def add_engines(site, count, *, zone="gulf-a", gap_seconds=0.05):
     for number in range(count):
         target = await site.add_target(
@@ -105,3 +124,26 @@
             assert not still_works
 
     runner.run(run())
+
+
+def test_error_of_the_next_target_does_not_replace_the_answer_of_a_silent_one(
+    runner, tmp_path
+):
+    async def run():
+        async with running_site(tmp_path) as site:
+            targets = [await site.add_target(f"d-{number}") for number in range(3)]
+            gateway = site.nodes[0].gateway
+            await site.wait_until(
+                lambda: (
+                    len(gateway.routing_state.known_targets()) == 3
+                    and gateway.routing_state.configuration
+                )
+            )
+            arrivals = []
+            for target in targets:
+                target.faults = FaultsByArrival(target, arrivals)
+            status, _, _ = await site.call("/look/")
+            assert len(set(map(id, arrivals))) == 3
+            assert status == 200
+
+    runner.run(run())
