Add failing tests of requests that arrive in one iteration of the event loop

Cause, suspected: since attempts run in tasks of their own, the request is counted at its target (begin_assignment) an iteration of the loop after the target was chosen. All requests that are read together choose by the same counts.

--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -34,6 +34,8 @@
 from pimentospool.gateway._placement import Placement
 from pimentospool.platform._exchange import PlatformDialect
 from pimentospool.policy import OccupancyBook, StreamVersions
+from pimentospool.targets import AttemptFailure, FailureCause
+from pimentospool.verdicts import Verdict
 
 BOUNDS = SharedBounds(
     retry_ratio=0.0,
@@ -265,3 +267,68 @@
     assert time.monotonic() - started_at < 0.5 + 0.25
     assert reply.refusal.verdict.value == "not-run"
     assert not deps.placement.health("i-1").ejected
+
+
+class HoldingPools:
+    """Pools whose connections are opened by no one until the test ends them."""
+
+    def __init__(self):
+        self.targets = []
+        self.ended = asyncio.Event()
+
+    def target_pool(self, registration, service):
+        self.targets.append(registration.id)
+        return self
+
+    async def acquire(self, *, unused=False, within_seconds=0.0):
+        await self.ended.wait()
+        raise AttemptFailure(
+            detail="ended", verdict=Verdict.NOT_RUN, cause=FailureCause.LATE
+        )
+
+
+async def serve_at_once(deps, pools, count):
+    """Start `count` requests in one iteration of the event loop."""
+    loops = [
+        AttemptLoop(
+            deps=deps,
+            req=make_request(id=f"r-{number}", received_at=deps.clock()),
+            reply=RecordingReply(),
+            route=make_route(max_targets=1),
+            service=make_service(),
+            stamp=ConfigurationStamp(1, 0),
+        )
+        for number in range(count)
+    ]
+    tasks = [asyncio.create_task(item.run()) for item in loops]
+    await asyncio.sleep(0.05)
+    targets = list(pools.targets)
+    pools.ended.set()
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return targets
+
+
+def test_requests_that_arrive_at_once_are_spread_over_the_targets():
+    async def check():
+        pools = HoldingPools()
+        deps = make_deps(pools, Clock())
+        for number in range(4):
+            deps.routing_state.register(make_registration(f"i-{number}"))
+        return await serve_at_once(deps, pools, 4)
+
+    assert len(set(asyncio.run(check()))) == 4
+
+
+def test_requests_that_arrive_at_once_do_not_overfill_a_brittle_target():
+    async def check():
+        pools, clock = HoldingPools(), Clock()
+        deps = make_deps(pools, clock)
+        deps.routing_state.register(make_registration("i-1", slots=1))
+        deps.placement.brittle_targets.record_answer(
+            "i-1", 5.0, sent_at=clock(), rejected=False
+        )
+        return await serve_at_once(deps, pools, 4)
+
+    assert len(asyncio.run(check())) == 1
