Count a request at its target when the target is chosen (proposal)

Cause: begin_assignment ran in the attempt's task, an iteration of the loop after the choice. Change: the assignment is begun with the choice; the end of the task ends it, also if the task is cancelled before it starts.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -133,12 +133,12 @@
         AttemptFailure
             If no complete response arrived.
         """
-        deps, req = self._deps, self._req
-        candidate = choice.candidate
+        deps = self._deps
+        candidate, assignment = choice.candidate, attempt.assignment
+        assert assignment is not None
         state = deps.routing_state.target(candidate.target)
         if state is None:
             raise _unsent_failure("the target was removed")
-        assignment = deps.placement.begin_assignment(req, candidate)
         pool = deps.pools.target_pool(state.registration, self._service)
         exposure = deps.crash_watch.expose(self._traits)
         started_at = deps.clock()
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -209,7 +209,15 @@
     def _start(self, choice: TargetChoice | RegionChoice) -> None:
         self._log_choice(choice)
         progress = self._progress
-        attempt = RunningAttempt(choice=choice, stall_seconds=self._stall_seconds())
+        # Requests that are placed before the task starts have to be placed beside it.
+        assignment = (
+            self._deps.placement.begin_assignment(self._req, choice.candidate)
+            if isinstance(choice, TargetChoice)
+            else None
+        )
+        attempt = RunningAttempt(
+            choice=choice, stall_seconds=self._stall_seconds(), assignment=assignment
+        )
         attempt.sent_before = attempt.target in progress.tried_targets
         progress.running.start(attempt, self._sender.send(attempt))
 
--- a/pimentospool/gateway/_running_attempts.py
+++ b/pimentospool/gateway/_running_attempts.py
@@ -10,7 +10,7 @@
 
 from pimentospool.gateway._connections import BodyEnd
 from pimentospool.ids import RegionId, SoftwareVersion, TargetId
-from pimentospool.policy import RegionChoice, TargetChoice
+from pimentospool.policy import Assignment, RegionChoice, TargetChoice
 from pimentospool.tasks import cancel_tasks
 
 
@@ -23,12 +23,19 @@
         Where the request is sent.
     stall_seconds : float
         Silence after which another attempt may begin beside this one.
+    assignment : Assignment or None
+        Counts the request at its target, None for another region.
     """
 
     def __init__(
-        self, *, choice: TargetChoice | RegionChoice, stall_seconds: float = math.inf
+        self,
+        *,
+        choice: TargetChoice | RegionChoice,
+        stall_seconds: float = math.inf,
+        assignment: Assignment | None = None,
     ) -> None:
         self.choice = choice
+        self.assignment = assignment
         self.stall_seconds = stall_seconds
         self.stalls_at = math.inf
         """Time at which the attempt counts as stalled if nothing arrives before."""
@@ -86,6 +93,10 @@
         """Run `send`, which makes `attempt`."""
         attempt.task = asyncio.create_task(send)
         self._attempts.append(attempt)
+        assignment = attempt.assignment
+        if assignment is not None:
+            # A task that is cancelled before it starts runs none of its own cleanup.
+            attempt.task.add_done_callback(lambda _: assignment.end())
 
     def claim_reply(self, attempt: RunningAttempt) -> None:
         """Let `attempt` write the next part of the response; cancel any other one."""
