Add tests of callers that leave, deadlines and removed targets beside silent targets

Suspected: the standby attempt outlives the caller (GONE), the deadline passes beside two attempts without an answer, or streams end as their route, service and targets' entries go.

--- a/tests/platform/test_standby_attempts.py
+++ b/tests/platform/test_standby_attempts.py
@@ -6,7 +6,7 @@
 import pytest
 from platform_site import running_site
 
-from pimentospool.standins import Fault
+from pimentospool.standins import Fault, platform_configuration, platform_route
 
 EVENTS = 10
 
@@ -45,6 +45,18 @@
     )
 
 
+async def add_desks(site, count):
+    for number in range(count):
+        await site.add_target(f"d-{number}")
+    gateway = site.nodes[0].gateway
+    await site.wait_until(
+        lambda: (
+            len(gateway.routing_state.known_targets()) == count
+            and gateway.routing_state.configuration
+        )
+    )
+
+
 def event_ids(body):
     lines = body.decode().split("\n")
     return [int(line[4:]) for line in lines if line.startswith("id: ")]
@@ -131,19 +143,81 @@
 ):
     async def run():
         async with running_site(tmp_path) as site:
-            targets = [await site.add_target(f"d-{number}") for number in range(3)]
-            gateway = site.nodes[0].gateway
-            await site.wait_until(
-                lambda: (
-                    len(gateway.routing_state.known_targets()) == 3
-                    and gateway.routing_state.configuration
-                )
-            )
+            await add_desks(site, 3)
             arrivals = []
-            for target in targets:
+            for target in site.targets.values():
                 target.faults = FaultsByArrival(target, arrivals)
             status, _, _ = await site.call("/look/")
             assert len(set(map(id, arrivals))) == 3
             assert status == 200
 
     runner.run(run())
+
+
+@pytest.mark.parametrize("path", ["/ask/", "/look/"])
+def test_both_targets_stop_when_the_caller_leaves(runner, tmp_path, path):
+    async def run():
+        async with running_site(tmp_path) as site:
+            if path == "/ask/":
+                await add_engines(site, 2)
+            else:
+                await add_desks(site, 2)
+            targets = list(site.targets.values())
+            call = asyncio.create_task(site.call(path, method="POST"))
+            await asyncio.sleep(0.2 if path == "/ask/" else 0.0)
+            for target in targets:
+                target.gap_seconds = 4.0
+            await site.wait_until(lambda: all(t.received for t in targets))
+            await asyncio.sleep(0.05)
+            call.cancel()
+            await site.wait_until(
+                lambda: all(t.received[0].sender_disconnected for t in targets), 0.5
+            )
+
+    runner.run(run())
+
+
+def test_request_whose_two_targets_are_silent_is_answered_at_its_deadline(
+    runner, tmp_path
+):
+    async def run():
+        async with running_site(tmp_path) as site:
+            await add_desks(site, 2)
+            for target in site.targets.values():
+                target.gap_seconds = 4.0
+            started_at = time.monotonic()
+            status, _, _ = await site.call("/look/", method="POST")
+            assert status == 504
+            assert 1.9 < time.monotonic() - started_at < 2.25
+            assert all(len(t.received) == 1 for t in site.targets.values())
+
+    runner.run(run())
+
+
+def test_streams_of_silent_targets_outlast_their_route_service_and_entries(
+    runner, tmp_path
+):
+    async def run():
+        async with running_site(tmp_path) as site:
+            await add_engines(site, 2)
+            calls = [
+                asyncio.create_task(
+                    site.call(path, method="POST", request_id=f"r-{number}")
+                )
+                for number, path in enumerate(["/ask/", "/plan/"] * 4)
+            ]
+            await asyncio.sleep(0.2)
+            fall_silent(site, 1.4)
+            routes = [platform_route("/look/", "idempotent")]
+            await site.store.put("op/config", platform_configuration(2, routes))
+            await site.register(
+                site.targets["m-0"], service="llm", State="draining", Sequence=2
+            )
+            await site.store.delete("servers/m-1")
+            answers = await asyncio.gather(*calls, return_exceptions=True)
+            cut = [answer for answer in answers if isinstance(answer, Exception)]
+            assert not cut
+            whole = list(range(1, EVENTS + 1))
+            assert [event_ids(body) for _, _, body in answers] == [whole] * 8
+
+    runner.run(run())
