Add a failing test of a quarantine's trial beside a stalled request

Cause, suspected: _start_standby asks the quarantine before the retry budget; None takes the trial that is due, each 0.25 s, though no send follows. Callers see a quarantine that lasts up to its end, as its trials were taken for nothing.

--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -332,3 +332,46 @@
         return await serve_at_once(deps, pools, 4)
 
     assert len(asyncio.run(check())) == 1
+
+
+class RecordedQuarantine:
+    """Quarantine whose trial is due; asking for the wait takes the trial."""
+
+    def __init__(self):
+        self.trials_taken = 0
+
+    def wait_seconds(self, request, *, makes_trial):
+        self.trials_taken += 1
+
+
+class SilentStream:
+    conn_was_used = False
+    body_end = None
+
+    async def wait_head(self):
+        await asyncio.Event().wait()
+
+
+class SilentPool(CannedPool):
+    def send(self, wire):
+        self._sent.append(wire.data)
+        return SilentStream()
+
+
+class SilentPools(CannedPools):
+    def target_pool(self, registration, service):
+        return SilentPool(None, self.sent_to_targets)
+
+    def close_idle(self, target):
+        pass
+
+
+def test_stalled_request_without_a_grant_takes_no_trial_of_a_quarantine():
+    pools = SilentPools()
+    deps = make_deps(pools, time.monotonic)
+    deps.crash_suspects = quarantine = RecordedQuarantine()
+    for number in range(2):
+        deps.routing_state.register(make_registration(f"i-{number}"))
+    serve(deps, client_timeout_seconds=1.0)
+    assert len(pools.sent_to_targets) == 1
+    assert quarantine.trials_taken == 1
