--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -188,8 +188,8 @@
         self._standby_at = now + STANDBY_INTERVAL_SECONDS
         if (
             not progress.may_retry(reply_started=self._reply.started)
-            or self._quarantine_seconds() is not None
             or not self._acquire_retry()
+            or self._quarantine_seconds() is not None
         ):
             return
         choice = self._choose()
