Add a failing test of silent targets behind the product's own front

Cause, suspected: exchanges._answer_timeout_seconds gives an idempotent request's attempt up after half of the time left, before it is known that another one can answer in time. Callers see 502 with a deadline of 2 s and targets that are silent for 1.3 s.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -260,3 +260,26 @@
     monkeypatch.setattr(relaying, "_continue_after", lambda number, batch: batch)
     _, ids, _ = streamed_text(runner.run(stream_with_reset()))
     assert len(ids) > len(set(ids))
+
+
+def test_answer_of_a_target_that_is_silent_for_a_while_is_not_given_up(runner):
+    async def check():
+        def use_default_timeouts(cfg):
+            cfg.targets.progress_timeout_seconds = 5.0
+            cfg.targets.answer_timeout_seconds = 15.0
+
+        async with (
+            gateway(settings=use_default_timeouts) as running,
+            running.session() as session,
+        ):
+            for proxy in running.engine_proxies():
+                proxy.state = LinkState(delay_seconds=0.65)
+            async with session.post(
+                "/v1/chat/completions",
+                json=chat(stream=False, max_tokens=3),
+                headers={"X-Deadline-Seconds": "2.0"},
+            ) as resp:
+                return resp.status, await resp.read()
+
+    status, data = runner.run(check())
+    assert status == 200, data
