--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -215,8 +215,10 @@
             if isinstance(choice, TargetChoice)
             else None
         )
+        # The entry VM of another region makes the standby attempts there.
+        stall_seconds = math.inf if assignment is None else self._stall_seconds()
         attempt = RunningAttempt(
-            choice=choice, stall_seconds=self._stall_seconds(), assignment=assignment
+            choice=choice, stall_seconds=stall_seconds, assignment=assignment
         )
         attempt.sent_before = attempt.target in progress.tried_targets
         progress.running.start(attempt, self._sender.send(attempt))
