--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -214,7 +214,7 @@
         progress = self._progress
         return (
             self._route.retryable
-            and progress.attempts == 0
+            and (progress.attempts == 0 or len(progress.running) > 1)
             and self._route.max_targets > 1
             and not self._reply.started
         )
