Add a failing test of a grant kept by a stalled request

Cause, suspected: _start_standby acquires from the retry budget before the placement is asked, and keeps the grant if that finds no target. Each stalled request holds one for the window of the budget. Callers see failures of other requests, whose repeats are not granted.

--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -375,3 +375,28 @@
     serve(deps, client_timeout_seconds=1.0)
     assert len(pools.sent_to_targets) == 1
     assert quarantine.trials_taken == 1
+
+
+def test_stalled_request_for_which_no_target_is_left_keeps_no_grant():
+    async def check():
+        deps = make_deps(SilentPools(), time.monotonic, bounds=ONE_RETRY_BOUNDS)
+        deps.routing_state.register(make_registration("i-1"))
+        attempt_loop = AttemptLoop(
+            deps=deps,
+            req=make_request(received_at=deps.clock(), client_timeout_seconds=1.0),
+            reply=RecordingReply(),
+            route=make_route(),
+            service=make_service(),
+            stamp=ConfigurationStamp(1, 0),
+        )
+        task = asyncio.create_task(attempt_loop.run())
+        await asyncio.sleep(0.1)
+        for _ in range(4):
+            deps.placement.health("i-1").record_connect_failure()
+        await asyncio.sleep(0.6)
+        granted = deps.retry_budget("desk").acquire(len(deps.fleet.known_ids()))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return granted
+
+    assert asyncio.run(check())
