--- a/tests/platform/test_standby_attempts.py
+++ b/tests/platform/test_standby_attempts.py
@@ -6,7 +6,7 @@
 import pytest
 from platform_site import running_site
 
-from pimentospool.standins import Fault, platform_configuration, platform_route
+from pimentospool.standins import HOST, Fault, platform_configuration, platform_route
 
 EVENTS = 10
 
@@ -221,3 +221,27 @@
             assert [event_ids(body) for _, _, body in answers] == [whole] * 8
 
     runner.run(run())
+
+
+def test_caller_that_reads_late_causes_no_standby_attempt(runner, tmp_path):
+    async def run():
+        async with running_site(tmp_path) as site:
+            await add_engines(site, 2, gap_seconds=0.0)
+            for target in site.targets.values():
+                target.events = 60_000
+            host, port = site.nodes[0].cfg.front.host, site.nodes[0].cfg.front.port
+            reader, writer = await asyncio.open_connection(host, port, limit=1024)
+            writer.write(
+                f"POST /ask/ HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r-1\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(3.0)
+            received = sum(len(t.received) for t in site.targets.values())
+            node = site.nodes[0].gateway
+            assert node.in_progress == 1
+            writer.transport.abort()
+            await site.wait_until(lambda: not node.in_progress, 0.5)
+            assert received == 1
+
+    runner.run(run())
