Add a failing test of the log of an answer beside a standby attempt

Cause, suspected: REQUEST_SERVED and CALLER_LEFT name the place that was chosen last. Callers see nothing; a trace of an incident names the wrong target.

--- a/tests/platform/test_standby_attempts.py
+++ b/tests/platform/test_standby_attempts.py
@@ -3,9 +3,11 @@
 import asyncio
 import time
 
+import logbook
 import pytest
 from platform_site import running_site
 
+from pimentospool.log import Event
 from pimentospool.standins import HOST, Fault, platform_configuration, platform_route
 
 EVENTS = 10
@@ -245,3 +247,28 @@
             assert received == 1
 
     runner.run(run())
+
+
+def test_log_names_the_target_that_answered_beside_a_standby(runner, tmp_path):
+    async def run():
+        async with running_site(tmp_path) as site:
+            await add_engines(site, 2)
+            call = asyncio.create_task(site.call("/ask/", method="POST"))
+            await asyncio.sleep(0.3)
+            [serving] = [t for t in site.targets.values() if t.received]
+            [other] = [t for t in site.targets.values() if t is not serving]
+            serving.silent_until = time.monotonic() + 1.4
+            other.gap_seconds = 2.0
+            status, _, _ = await call
+            assert status == 200
+            assert len(other.received) == 1
+            return serving.instance
+
+    with logbook.TestHandler().applicationbound() as handler:
+        instance = runner.run(run())
+    [served] = [
+        record.extra["fields"]
+        for record in handler.records
+        if record.extra["event"] is Event.REQUEST_SERVED
+    ]
+    assert served["place"] == instance
