--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -276,7 +276,7 @@
             Event.REQUEST_SERVED,
             request=self._req.id,
             route=self._route.name,
-            place=self._destination,
+            place=attempt.target or attempt.region,
             attempts=self._progress.attempts + 1,
             events=self._progress.chunks_sent,
             body_end=_body_end_name(attempt),
