Add tests of plain hops and of SIGTERM beside silent targets

Suspected: plain requests through another region, or streams of a leaving entry VM, end without an answer.

--- a/tests/platform/test_standby_attempts.py
+++ b/tests/platform/test_standby_attempts.py
@@ -272,3 +272,51 @@
         if record.extra["event"] is Event.REQUEST_SERVED
     ]
     assert served["place"] == instance
+
+
+@pytest.mark.parametrize("path", ["/look/", "/book/"])
+def test_plain_hop_to_silent_targets_is_answered_beside_changes(runner, tmp_path, path):
+    async def run():
+        async with running_site(tmp_path, zones=("gulf-a", "delta-a")) as site:
+            for number in range(2):
+                await site.add_target(f"d-{number}", zone="delta-a")
+            await site.wait_until(
+                lambda: site.nodes[0].gateway.fleet.loads("desk").get("delta")
+            )
+            for target in site.targets.values():
+                target.gap_seconds = 1.3
+            calls = [
+                asyncio.create_task(
+                    site.call(path, method="POST", request_id=f"r-{number}")
+                )
+                for number in range(6)
+            ]
+            for version in range(2, 8):
+                await site.store.put("op/config", platform_configuration(version))
+                await asyncio.sleep(0.2)
+            answers = await asyncio.gather(*calls, return_exceptions=True)
+            assert [answer[0] for answer in answers] == [200] * 6
+
+    runner.run(run())
+
+
+def test_streams_of_silent_targets_end_whole_after_sigterm(runner, tmp_path):
+    async def run():
+        async with running_site(tmp_path) as site:
+            await add_engines(site, 2)
+            calls = [
+                asyncio.create_task(
+                    site.call(path, method="POST", request_id=f"r-{number}")
+                )
+                for number, path in enumerate(["/ask/", "/plan/"] * 4)
+            ]
+            await asyncio.sleep(0.2)
+            fall_silent(site, 1.8)
+            site.nodes[0].terminate()
+            answers = await asyncio.gather(*calls, return_exceptions=True)
+            cut = [answer for answer in answers if isinstance(answer, Exception)]
+            assert not cut
+            whole = list(range(1, EVENTS + 1))
+            assert [event_ids(body) for _, _, body in answers] == [whole] * 8
+
+    runner.run(run())
