--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -170,6 +170,7 @@
                     self._route.kind is RequestKind.STREAM
                     and answer_class is AnswerClass.SUCCESS
                 ):
+                    self._progress.running.limit_overlap(attempt)
                     await relay_stream(
                         stream,
                         head,
@@ -214,7 +215,7 @@
         progress = self._progress
         return (
             self._route.retryable
-            and progress.attempts == 0
+            and (progress.attempts == 0 or len(progress.running) > 1)
             and self._route.max_targets > 1
             and not self._reply.started
         )
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 
 from pimentospool.gateway._answers import (
     DEADLINE_TOLERANCE_SECONDS,
@@ -189,16 +190,17 @@
         if stalled is None or now < stalled.stalls_at or now < self._standby_at:
             return
         self._standby_at = now + STANDBY_INTERVAL_SECONDS
-        if (
-            not progress.may_retry(reply_started=self._reply.started)
-            or self._quarantine_seconds() is not None
-            or not self._acquire_retry()
+        if not (
+            progress.may_retry(reply_started=self._reply.started)
+            and self._retry_covered()
         ):
             return
         choice = self._choose()
-        if not isinstance(choice, NoChoice):
-            stalled.stalled = True
-            self._start(choice)
+        if isinstance(choice, NoChoice) or self._quarantine_seconds() is not None:
+            return
+        self._acquire_retry()
+        stalled.stalled = True
+        self._start(choice)
 
     def _choose(self) -> TargetChoice | RegionChoice | NoChoice:
         return self._deps.placement.choose(
@@ -212,8 +214,16 @@
     def _start(self, choice: TargetChoice | RegionChoice) -> None:
         self._log_choice(choice)
         progress = self._progress
+        # Requests that are placed before the task starts have to be placed beside it.
+        assignment = (
+            self._deps.placement.begin_assignment(self._req, choice.candidate)
+            if isinstance(choice, TargetChoice)
+            else None
+        )
         attempt = RunningAttempt(
-            choice=choice, stall_seconds=self._stall_seconds(choice)
+            choice=choice,
+            stall_seconds=self._stall_seconds(choice),
+            assignment=assignment,
         )
         attempt.sent_before = attempt.target in progress.tried_targets
         progress.running.start(attempt, self._sender.send(attempt))
@@ -221,18 +231,16 @@
     def _stall_seconds(self, choice: TargetChoice | RegionChoice) -> float:
         """Return the silence after which an attempt that begins now counts as stalled.
 
-        A request that may not be repeated waits for its target.
+        A request that may not be repeated waits for its target. For one that is sent
+        to another region, the entry VM there sends it to a second target.
         """
-        if not self._route.retryable:
+        if not self._route.retryable or isinstance(choice, RegionChoice):
             return math.inf
         if self._route.kind is RequestKind.STREAM:
             return self._route.client_event_timeout_seconds * STREAM_STALL_SHARE
-        destination = (
-            choice.candidate if isinstance(choice, TargetChoice) else choice.remote
-        )
         return max(
             self.remaining_seconds * IDEMPOTENT_STALL_SHARE,
-            destination.first_byte_seconds * EXPECTED_TIMES,
+            choice.candidate.first_byte_seconds * EXPECTED_TIMES,
         )
 
     def _record_end(self, attempt: RunningAttempt) -> bool:
@@ -277,7 +285,7 @@
             Event.REQUEST_SERVED,
             request=self._req.id,
             route=self._route.name,
-            place=self._destination,
+            place=attempt.target or attempt.region,
             attempts=self._progress.attempts + 1,
             events=self._progress.chunks_sent,
             body_end=_body_end_name(attempt),
@@ -399,18 +407,28 @@
             attempt=progress.attempts,
         )
 
+    def _retry_covered(self) -> bool:
+        """Return whether the retry budget would cover the next send."""
+        return self._progress.retry_granted or self._ask_budget(
+            self._deps.retry_budget(self._service.id).covers
+        )
+
     def _acquire_retry(self) -> bool:
-        """Return whether the retry budget covers the next send."""
+        """Return whether the retry budget covers the next send, and charge it."""
         progress = self._progress
         if not progress.retry_granted:
-            budget = self._deps.retry_budget(self._service.id)
-            fleet = self._deps.fleet
-            progress.retry_granted = budget.acquire(
-                len(fleet.known_ids()),
-                complete=fleet.has_known_regions(self._deps.regions),
+            progress.retry_granted = self._ask_budget(
+                self._deps.retry_budget(self._service.id).acquire
             )
         return progress.retry_granted
 
+    def _ask_budget(self, ask: Callable[..., bool]) -> bool:
+        fleet = self._deps.fleet
+        return ask(
+            len(fleet.known_ids()),
+            complete=fleet.has_known_regions(self._deps.regions),
+        )
+
     def _begun_version(self) -> SoftwareVersion | None:
         """Return the version that began the stream, None if it isn't known."""
         if self._req.is_hop:
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -276,9 +276,12 @@
         `has_preferred_target` tells whether one of them is preferred because it is
         expected to have the shared part of the prompt in its cache.
         """
-        tried = progress.tried_targets
-        untried = [state for state in states if state.id not in tried]
-        states = untried or states
+        tried, running = progress.tried_targets, progress.running.targets
+        states = (
+            [state for state in states if state.id not in tried]
+            or [state for state in states if state.id not in running]
+            or states
+        )
         prompt = req.prompt
         if prompt is None or service.engine is None:
             return [
--- a/pimentospool/gateway/_running_attempts.py
+++ b/pimentospool/gateway/_running_attempts.py
@@ -10,9 +10,13 @@
 
 from pimentospool.gateway._connections import BodyEnd
 from pimentospool.ids import RegionId, SoftwareVersion, TargetId
-from pimentospool.policy import RegionChoice, TargetChoice
+from pimentospool.policy import Assignment, RegionChoice, TargetChoice
 from pimentospool.tasks import cancel_tasks
 
+OVERLAP_SECONDS = 0.25
+"""Time for which a target may still work on a stream that another one has accepted. A
+target must not be at work 0.4 s after the stream goes on elsewhere."""
+
 
 class RunningAttempt:
     """One attempt, from its start to its end.
@@ -23,12 +27,19 @@
         Where the request is sent.
     stall_seconds : float
         Silence after which another attempt may begin beside this one.
+    assignment : Assignment or None
+        Counts the request at its target, None for another region.
     """
 
     def __init__(
-        self, *, choice: TargetChoice | RegionChoice, stall_seconds: float = math.inf
+        self,
+        *,
+        choice: TargetChoice | RegionChoice,
+        stall_seconds: float = math.inf,
+        assignment: Assignment | None = None,
     ) -> None:
         self.choice = choice
+        self.assignment = assignment
         self.stall_seconds = stall_seconds
         self.stalls_at = math.inf
         """Time at which the attempt counts as stalled if nothing arrives before."""
@@ -58,6 +69,11 @@
         choice = self.choice
         return choice.region if isinstance(choice, RegionChoice) else None
 
+    @property
+    def ended(self) -> bool:
+        """Whether the attempt has answered the request or failed."""
+        return self.task is not None and self.task.done()
+
     def expect_part(self, now: float) -> None:
         """Record that the next part of the response is waited for from now on."""
         self.stalls_at = now + self.stall_seconds
@@ -86,14 +102,30 @@
         """Run `send`, which makes `attempt`."""
         attempt.task = asyncio.create_task(send)
         self._attempts.append(attempt)
+        assignment = attempt.assignment
+        if assignment is not None:
+            # A task that is cancelled before it starts runs none of its own cleanup.
+            attempt.task.add_done_callback(lambda _: assignment.end())
 
     def claim_reply(self, attempt: RunningAttempt) -> None:
         """Let `attempt` write the next part of the response; cancel any other one."""
+        if attempt not in self._attempts or attempt.superseded or attempt.ended:
+            return
         for other in self._attempts:
             if other is not attempt and other.task is not None:
                 other.superseded = True
                 other.task.cancel()
 
+    def limit_overlap(self, attempt: RunningAttempt) -> None:
+        """Let a stream go on at `attempt`, whose target has accepted it.
+
+        An event of the other attempt within `OVERLAP_SECONDS` keeps it there.
+        """
+        if any(item.target != attempt.target for item in self._attempts):
+            asyncio.get_running_loop().call_later(
+                OVERLAP_SECONDS, self.claim_reply, attempt
+            )
+
     async def wait_for_end(self, timeout_seconds: float) -> RunningAttempt | None:
         """Return an attempt that has ended, None if none does within the timeout."""
         await asyncio.wait(
--- a/pimentospool/policy/_shared_limits.py
+++ b/pimentospool/policy/_shared_limits.py
@@ -73,7 +73,14 @@
         self._request_times.append(self._clock())
 
     def acquire(self, members: int, *, complete: bool = False) -> bool:
-        """Return whether a retry is allowed, and record it if so.
+        """Return whether a retry is allowed, and record it if so; see `covers`."""
+        if not self.covers(members, complete=complete):
+            return False
+        self._retry_times.append(self._clock())
+        return True
+
+    def covers(self, members: int, *, complete: bool = False) -> bool:
+        """Return whether a retry is allowed.
 
         Parameters
         ----------
@@ -83,16 +90,13 @@
             Whether this entry VM has known some of all regions since its start. Its
             count then includes those that a partition hides.
         """
-        now = self._clock()
-        self._drop_old(now)
+        self._drop_old(self._clock())
         if complete:
             share = self._reserve / members
         else:
             share = self._partial_view_reserve / max(members, MIN_MEMBER_COUNT)
-        if len(self._retry_times) + 1 > self._ratio * len(self._request_times) + share:
-            return False
-        self._retry_times.append(now)
-        return True
+        allowed = self._ratio * len(self._request_times) + share
+        return len(self._retry_times) + 1 <= allowed
 
     def _drop_old(self, now: float) -> None:
         oldest = now - self._window_seconds
