Check what continues a stream before the caller gets a byte of it

What callers saw: a resumable stream broke off, the next target answered with something else than its rest, and the caller found that inside its stream, or a stream that had ended as complete: an error's text or whole head under status 200, an event without an id that names an error, JSON or plain text, events a second time or with a gap, a body that was not event-stream; with 204, 206 or an empty body of another type the stream ended as complete after its first event. The same with a hop in between, and for streams that callers take up with Last-Event-Id.

Cause: the answer of a later attempt was classified like a first one (any signed 2xx) and its events were relayed without a look at their ids.

Answers with an error status were handled before.

What fails is a failed attempt before it claims the reply, so an attempt that is stalled beside it goes on. An answer without events is the rest of a stream, as streams have no end mark, unless its end is only a close or a part of the next event had arrived before. A stream whose last event has no id is not continued, as nothing tells where.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -236,7 +236,7 @@
             data = deps.dialect.encode_hop(
                 req,
                 remaining_seconds=remaining_seconds,
-                resume_after=self._resume_after,
+                resume_after=self._progress.position.last_id,
                 max_targets=self._progress.targets_left,
                 origin=HopOrigin(
                     entry=deps.fleet.local_id,
@@ -326,7 +326,7 @@
             registration=state.registration,
             remaining_seconds=remaining_seconds,
             urgency=self._route.priority if self._service.engine else None,
-            resume_after=self._resume_after,
+            resume_after=self._progress.position.last_id,
         )
         return self._make_encoded_request(data)
 
@@ -338,11 +338,6 @@
             without_body=req.method == "HEAD",
         )
 
-    @property
-    def _resume_after(self) -> int | None:
-        last = self._progress.last_event_id
-        return self._req.resume_after if last is None else last
-
 
 def _unsent_failure(
     detail: str, cause: FailureCause = FailureCause.REFUSED
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -84,7 +84,9 @@
         max_targets = route.max_targets
         if req.max_targets is not None:
             max_targets = min(max_targets, req.max_targets)
-        self._progress = RequestProgress(route=route, max_targets=max_targets)
+        self._progress = RequestProgress(
+            route=route, max_targets=max_targets, resume_after=req.resume_after
+        )
         timeout_seconds = min(req.client_timeout_seconds, route.timeout_seconds)
         self._deadline = req.received_at + timeout_seconds
         self._progress.last_progress_at = req.received_at
--- a/pimentospool/gateway/_progress.py
+++ b/pimentospool/gateway/_progress.py
@@ -4,6 +4,7 @@
 from pimentospool.gateway._replies import Refusal, RefusalReason
 from pimentospool.gateway._running_attempts import RunningAttempts
 from pimentospool.ids import RegionId, SoftwareVersion, TargetId
+from pimentospool.policy import StreamPosition
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
@@ -22,9 +23,13 @@
         Route of the request.
     max_targets : int
         Number of targets that this entry VM may let run the request.
+    resume_after : int or None
+        Id of the last event that the caller has from an earlier request.
     """
 
-    def __init__(self, *, route: HttpRoute, max_targets: int) -> None:
+    def __init__(
+        self, *, route: HttpRoute, max_targets: int, resume_after: int | None = None
+    ) -> None:
         self.verdict = Verdict.NOT_RUN
         self.running = RunningAttempts()
         self.attempts = 0
@@ -34,8 +39,8 @@
         self.retry_granted = False
         """Whether the retry budget was charged for the next send. An attempt that
         reaches no target leaves the grant to the following attempt."""
-        self.last_event_id: int | None = None
-        """Id of the last event that was sent to the caller."""
+        self.position = StreamPosition(resume_after=resume_after)
+        """How far the caller has the stream."""
         self.stream_version: SoftwareVersion | None = None
         """Software version that began the stream, None before its first event."""
         self.chunks_sent = 0
@@ -93,7 +98,7 @@
         if self.attempts + len(self.running) >= MAX_ATTEMPTS:
             return False
         if reply_started:
-            return self._route.resumable
+            return self._route.resumable and self.position.can_continue
         may_have_run = self.running or self.verdict is not Verdict.NOT_RUN
         return not may_have_run or self._route.retryable
 
--- a/pimentospool/gateway/_relay.py
+++ b/pimentospool/gateway/_relay.py
@@ -7,6 +7,7 @@
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._replies import Reply
 from pimentospool.gateway._running_attempts import RunningAttempt
+from pimentospool.policy import continuation_head_fault
 from pimentospool.targets import (
     AttemptFailure,
     EventBoundary,
@@ -65,6 +66,11 @@
     """
     splitter = EventSplitter() if resumable else None
     boundary = EventBoundary()
+    position = progress.position
+    continues = resumable and (reply.started or position.last_id is not None)
+    resumed_after = position.last_id
+    if continues:
+        _check(continuation_head_fault(head.status, head.get(b"content-type")))
     if progress.chunks_sent:
         attempt.expect_part(clock())
     while chunk := await stream.read():
@@ -77,10 +83,15 @@
                     f"an event is longer than {MAX_PENDING_EVENT_BYTES} bytes"
                 )
             if batch is None:
+                if position.last_id != resumed_after:
+                    position.next_has_begun |= splitter.has_begun_event
                 continue
             chunk = batch.data
-            if batch.last_id is not None:
-                progress.last_event_id = batch.last_id
+            if continues:
+                at_start = position.last_id == resumed_after
+                _check(position.events_fault(chunk, at_start=at_start))
+            position.record(chunk)
+            position.next_has_begun = splitter.has_begun_event
         progress.running.claim_reply(attempt)
         # The time of a write is the caller's, not a silence of the target.
         attempt.stalls_at = math.inf
@@ -97,12 +108,25 @@
         raise _broken_off("the stream ended within an event")
     if boundary.empty and stream.body_end is BodyEnd.CLOSE:
         raise _broken_off("the connection was closed before the first event")
+    if continues:
+        _check(
+            position.end_fault(
+                has_events=position.last_id != resumed_after,
+                ends_by_close=stream.body_end is BodyEnd.CLOSE,
+            )
+        )
     progress.running.claim_reply(attempt)
     if not reply.started:
         await reply.start_stream(head, attempt.version)
     await reply.end_stream()
 
 
+def _check(fault: str | None) -> None:
+    """Raise if `fault` says why a response does not continue the stream."""
+    if fault is not None:
+        raise _broken_off(fault)
+
+
 def _broken_off(detail: str) -> AttemptFailure:
     return AttemptFailure(
         detail=detail, verdict=Verdict.MAY_HAVE_RUN, cause=FailureCause.BROKEN
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -2,6 +2,7 @@
 
 from pimentospool.policy._brittle_targets import BrittleTargets
 from pimentospool.policy._cached_parts import CachedParts, preferred_target
+from pimentospool.policy._continuations import StreamPosition, continuation_head_fault
 from pimentospool.policy._crash_evidence import (
     CrashEvidence,
     RequestTraits,
@@ -121,6 +122,7 @@
     "SharedRetryBudget",
     "Start",
     "StreamKnowledge",
+    "StreamPosition",
     "StreamVersions",
     "SuspectKind",
     "TargetChoice",
@@ -130,6 +132,7 @@
     "WaitQueue",
     "choose_destination",
     "choose_relays",
+    "continuation_head_fault",
     "is_newer",
     "newer_member",
     "newer_report",
--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import time
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
@@ -21,6 +22,8 @@
 _ENDLESS_CHUNK_BYTES = 16 * 1024
 _STALL_BYTE_SECONDS = 0.2
 _CLOSE_POLL_SECONDS = 0.005
+_RESET_SECONDS = 0.02
+"""Time for what was sent to be read before a reset, which discards the rest."""
 
 
 class Fault(Enum):
@@ -34,6 +37,7 @@
     SILENT = "no response"
     CUT_BODY = "a response that ends early"
     CUT_STREAM = "a stream that ends within an event"
+    RESET_STREAM = "a stream that is reset after its first event"
     STALL = "a stream that stops after its first event"
     UNFRAMED = "a response that ends when the connection closes"
     UNFRAMED_RESET = "a response without a length, ended by a reset"
@@ -121,6 +125,9 @@
         prompt.
     crashed_at : float or None
         Monotonic time in seconds at which it crashed.
+    continuation : callable or None
+        Returns the bytes that it sends, before it closes the connection, in place of
+        the rest of a stream.
     """
 
     def __init__(self, *, instance: str, events: int = 0) -> None:
@@ -140,6 +147,7 @@
         self.crash_part = ""
         self.crash_path = ""
         self.crashed_at: float | None = None
+        self.continuation: Callable[[ReceivedRequest], bytes] | None = None
         self.address = ""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -259,6 +267,9 @@
         if fault is Fault.SILENT:
             await disconnected
             return False
+        if self.continuation is not None and "last-event-id" in req.headers:
+            writer.write(self.continuation(req))
+            return False
         if fault in (Fault.ENDLESS_HEAD, Fault.ENDLESS_BODY, Fault.TRICKLE):
             await self._send_endlessly(req, writer, fault, disconnected)
             return False
@@ -355,6 +366,11 @@
                 return False
             if await _pause(writer, disconnected, self._silent_seconds):
                 return False
+            if fault is Fault.RESET_STREAM and number > first:
+                await writer.drain()
+                await asyncio.sleep(_RESET_SECONDS)
+                _reset(writer)
+                return False
             if fault is Fault.STALL and number > first:
                 await disconnected
                 return False
--- a/pimentospool/targets/_events.py
+++ b/pimentospool/targets/_events.py
@@ -76,6 +76,11 @@
         """Size of the buffered, incomplete event."""
         return len(self._incomplete_event)
 
+    @property
+    def has_begun_event(self) -> bool:
+        """Whether the buffered bytes are the beginning of an event with an id."""
+        return self._incomplete_event.startswith(b"id:")
+
     def feed(self, chunk: bytes) -> EventBatch | None:
         """Add a chunk; return the events that are complete now, None if none are."""
         data = self._incomplete_event + chunk if self._incomplete_event else chunk
