Check the events that continue a stream of the own front

What callers saw: after a stream had broken off, text without an id from the next target (an error, a head, JSON) in the middle of the stream, also one that then ended as complete with its end event; events a second time or with falling ids after the first one. A stream whose last event had no id was continued, so that this event could come twice.

Cause: only the first id of the rest was checked.

Fix: relaying.py asks policy/_continuations.py for each batch; the end event, which has no id, and settings and comments pass. test_resume_check_prevents_duplicate_events took the old check for the only one: it failed, as duplicates are now found without it, and now asserts that, and that they appear once both are taken out.

--- a/pimentospool/relaying.py
+++ b/pimentospool/relaying.py
@@ -3,7 +3,13 @@
 import msgspec
 
 from pimentospool.errors import Problem
-from pimentospool.policy import RegionFlight, RegionRoute, TargetFlight, TargetRoute
+from pimentospool.policy import (
+    RegionFlight,
+    RegionRoute,
+    StreamPosition,
+    TargetFlight,
+    TargetRoute,
+)
 from pimentospool.requests import AnswerSink
 from pimentospool.targets import Answer, AttemptFailure, EventBatch, FailureCause
 from pimentospool.verdicts import Verdict
@@ -21,12 +27,17 @@
     """
 
     def __init__(self, *, resume_after: int | None) -> None:
-        self.last_id = resume_after
+        self._position = StreamPosition(resume_after=resume_after)
+
+    @property
+    def last_id(self) -> int | None:
+        """Number of the last event that the caller has, None if it has none."""
+        return self._position.last_id
 
     @property
     def resumable(self) -> bool:
-        """Whether another source can continue after the last numbered event sent."""
-        return self.last_id is not None
+        """Whether another source can continue after the last event sent."""
+        return self.last_id is not None and self._position.can_continue
 
     def can_continue_at(self, route: TargetRoute | RegionRoute) -> bool:
         """Whether `route` can continue after the events that the caller already has."""
@@ -40,11 +51,13 @@
         Raises
         ------
         AttemptFailure
-            If the stream fails before its end event; only complete events were sent.
+            If the stream fails before its end event, or does not continue what the
+            caller has; only complete events were sent.
         """
         if answer.status != _OK or not answer.is_stream:
             raise _unknown_outcome_failure("the answer is no stream of events")
         resumed_from = self.last_id
+        continues = resumed_from is not None
         while (batch := await answer.next_events()) is not None:
             failure = _failure_from_error_event(batch)
             if failure is not None:
@@ -52,6 +65,8 @@
             if resumed_from is not None and batch.first_id is not None:
                 batch = _continue_after(resumed_from, batch)
                 resumed_from = None
+            if continues:
+                self._check_events(batch)
             await self._send(answer, batch, sink)
             if batch.done:
                 await sink.finish()
@@ -62,11 +77,14 @@
     async def _send(self, answer: Answer, batch: EventBatch, sink: AnswerSink) -> None:
         if not sink.started:
             await sink.start(status=answer.status, content_type=answer.content_type)
-        last_id = batch.last_id
-        if last_id is not None:
-            self.last_id = last_id
+        self._position.record(batch.without_end)
         await sink.write(batch.data)
 
+    def _check_events(self, batch: EventBatch) -> None:
+        fault = self._position.events_fault(batch.without_end, at_start=False)
+        if fault is not None:
+            raise _unknown_outcome_failure(fault)
+
 
 class FirstByteReportingSink:
     """Sink that reports the first bytes of a response to the router.
--- a/pimentospool/targets/_events.py
+++ b/pimentospool/targets/_events.py
@@ -47,6 +47,11 @@
         """Whether the last event of the batch ends the stream."""
         return self.data.rstrip().endswith(DONE_EVENT)
 
+    @property
+    def without_end(self) -> bytes:
+        """The events before the one that ends the stream."""
+        return self.data.rstrip().removesuffix(DONE_EVENT) if self.done else self.data
+
     @property
     def error(self) -> bytes | None:
         """Data of the first error event, None without one."""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -259,4 +259,7 @@
     ignore_last_event_header(monkeypatch)
     monkeypatch.setattr(relaying, "_continue_after", lambda number, batch: batch)
     _, ids, _ = streamed_text(runner.run(stream_with_reset()))
+    assert len(ids) == len(set(ids))
+    monkeypatch.setattr(relaying.StreamRelay, "_check_events", lambda relay, batch: 0)
+    _, ids, _ = streamed_text(runner.run(stream_with_reset()))
     assert len(ids) > len(set(ids))
