--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -81,6 +81,8 @@
     executed: bool = True
     expected_body: bytes = b""
     """Complete body of its response; for a stream, from the first event on."""
+    on_used_connection: bool = False
+    """Whether another request came before it on its connection."""
     sender_disconnected: bool = False
     """Whether the sender closed the connection before the end of the response."""
 
@@ -128,6 +130,10 @@
     continuation : callable or None
         Returns the bytes that it sends, before it closes the connection, in place of
         the rest of a stream.
+    raw_answer : callable or None
+        Likewise, in place of any answer.
+    resets : bool
+        Whether it then resets the connection.
     """
 
     def __init__(self, *, instance: str, events: int = 0) -> None:
@@ -148,9 +154,12 @@
         self.crash_path = ""
         self.crashed_at: float | None = None
         self.continuation: Callable[[ReceivedRequest], bytes] | None = None
+        self.raw_answer: Callable[[ReceivedRequest], bytes] | None = None
+        self.resets = False
         self.address = ""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._used_writers: set[asyncio.StreamWriter] = set()
 
     @property
     def executed_requests(self) -> list[ReceivedRequest]:
@@ -185,6 +194,7 @@
             while await self._serve_request(reader, writer):
                 pass
         self._writers.discard(writer)
+        self._used_writers.discard(writer)
         self._refusals.pop(writer, None)
         writer.close()
 
@@ -245,6 +255,8 @@
         pairs = (line.partition(":")[::2] for line in head[1:] if line)
         headers = {name.lower(): value.strip() for name, value in pairs}
         req = ReceivedRequest(method=method, path=path, headers=headers, body=b"")
+        req.on_used_connection = writer in self._used_writers
+        self._used_writers.add(writer)
         self.received.append(req)
         if fault is Fault.EARLY:
             req.expected_body = b"early"
@@ -267,8 +279,15 @@
         if fault is Fault.SILENT:
             await disconnected
             return False
-        if self.continuation is not None and "last-event-id" in req.headers:
-            writer.write(self.continuation(req))
+        raw_answer = self.raw_answer
+        if "last-event-id" in req.headers:
+            raw_answer = self.continuation or raw_answer
+        if raw_answer is not None:
+            writer.write(raw_answer(req))
+            if self.resets:
+                await writer.drain()
+                await asyncio.sleep(_RESET_SECONDS)
+                _reset(writer)
             return False
         if fault in (Fault.ENDLESS_HEAD, Fault.ENDLESS_BODY, Fault.TRICKLE):
             await self._send_endlessly(req, writer, fault, disconnected)
