--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import time
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
@@ -21,6 +22,8 @@
 _ENDLESS_CHUNK_BYTES = 16 * 1024
 _STALL_BYTE_SECONDS = 0.2
 _CLOSE_POLL_SECONDS = 0.005
+_RESET_SECONDS = 0.02
+"""Time for what was sent to be read before a reset, which discards the rest."""
 
 
 class Fault(Enum):
@@ -34,6 +37,7 @@
     SILENT = "no response"
     CUT_BODY = "a response that ends early"
     CUT_STREAM = "a stream that ends within an event"
+    RESET_STREAM = "a stream that is reset after its first event"
     STALL = "a stream that stops after its first event"
     UNFRAMED = "a response that ends when the connection closes"
     UNFRAMED_RESET = "a response without a length, ended by a reset"
@@ -77,6 +81,8 @@
     executed: bool = True
     expected_body: bytes = b""
     """Complete body of its response; for a stream, from the first event on."""
+    on_used_connection: bool = False
+    """Whether another request came before it on its connection."""
     sender_disconnected: bool = False
     """Whether the sender closed the connection before the end of the response."""
 
@@ -121,6 +127,13 @@
         prompt.
     crashed_at : float or None
         Monotonic time in seconds at which it crashed.
+    continuation : callable or None
+        Returns the bytes that it sends, before it closes the connection, in place of
+        the rest of a stream.
+    raw_answer : callable or None
+        Likewise, in place of any answer.
+    resets : bool
+        Whether it then resets the connection.
     """
 
     def __init__(self, *, instance: str, events: int = 0) -> None:
@@ -140,9 +153,13 @@
         self.crash_part = ""
         self.crash_path = ""
         self.crashed_at: float | None = None
+        self.continuation: Callable[[ReceivedRequest], bytes] | None = None
+        self.raw_answer: Callable[[ReceivedRequest], bytes] | None = None
+        self.resets = False
         self.address = ""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._used_writers: set[asyncio.StreamWriter] = set()
 
     @property
     def executed_requests(self) -> list[ReceivedRequest]:
@@ -177,6 +194,7 @@
             while await self._serve_request(reader, writer):
                 pass
         self._writers.discard(writer)
+        self._used_writers.discard(writer)
         self._refusals.pop(writer, None)
         writer.close()
 
@@ -237,6 +255,8 @@
         pairs = (line.partition(":")[::2] for line in head[1:] if line)
         headers = {name.lower(): value.strip() for name, value in pairs}
         req = ReceivedRequest(method=method, path=path, headers=headers, body=b"")
+        req.on_used_connection = writer in self._used_writers
+        self._used_writers.add(writer)
         self.received.append(req)
         if fault is Fault.EARLY:
             req.expected_body = b"early"
@@ -259,6 +279,16 @@
         if fault is Fault.SILENT:
             await disconnected
             return False
+        raw_answer = self.raw_answer
+        if "last-event-id" in req.headers:
+            raw_answer = self.continuation or raw_answer
+        if raw_answer is not None:
+            writer.write(raw_answer(req))
+            if self.resets:
+                await writer.drain()
+                await asyncio.sleep(_RESET_SECONDS)
+                _reset(writer)
+            return False
         if fault in (Fault.ENDLESS_HEAD, Fault.ENDLESS_BODY, Fault.TRICKLE):
             await self._send_endlessly(req, writer, fault, disconnected)
             return False
@@ -357,6 +387,11 @@
                 return False
             if await _pause(writer, disconnected, self._silent_seconds):
                 return False
+            if fault is Fault.RESET_STREAM and number > first:
+                await writer.drain()
+                await asyncio.sleep(_RESET_SECONDS)
+                _reset(writer)
+                return False
             if fault is Fault.STALL and number > first:
                 await disconnected
                 return False
--- a/pimentospool/targets/_events.py
+++ b/pimentospool/targets/_events.py
@@ -47,6 +47,11 @@
         """Whether the last event of the batch ends the stream."""
         return self.data.rstrip().endswith(DONE_EVENT)
 
+    @property
+    def without_end(self) -> bytes:
+        """The events before the one that ends the stream."""
+        return self.data.rstrip().removesuffix(DONE_EVENT) if self.done else self.data
+
     @property
     def error(self) -> bytes | None:
         """Data of the first error event, None without one."""
@@ -76,6 +81,11 @@
         """Size of the buffered, incomplete event."""
         return len(self._incomplete_event)
 
+    @property
+    def has_begun_event(self) -> bool:
+        """Whether the buffered bytes are the beginning of an event with an id."""
+        return self._incomplete_event.startswith(b"id:")
+
     def feed(self, chunk: bytes) -> EventBatch | None:
         """Add a chunk; return the events that are complete now, None if none are."""
         data = self._incomplete_event + chunk if self._incomplete_event else chunk
