Look at the store before a stream goes on at the only known version

Callers got streams with events of two software versions (ORDER): an entry VM that was cut off, stood still or followed a slow store, while a version joined, believed that the one it knew served alone, and sent streams that others had begun at the new one there.

Cause: StreamVersions.sole_version asked for how long the versions were known, not up to when.

Now a take-up without a record reads the store. A stream begins at a version after that has registered, so a read that is sent after the take-up shows it, whatever is late at this entry VM. While the store is silent, others of each zone are asked, else the take-up is refused as not run. The clock counts suspension.

test_attempts names the new dependency.

--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -119,7 +119,7 @@
         """
         progress = self._progress
         if self._route.resumable and self._req.takes_up_stream:
-            progress.stream_version = self._begun_version()
+            progress.stream_version = await self._begun_version()
             if progress.stream_version is None:
                 await self._refuse(
                     Refusal(
@@ -400,11 +400,11 @@
             )
         return progress.retry_granted
 
-    def _begun_version(self) -> SoftwareVersion | None:
+    async def _begun_version(self) -> SoftwareVersion | None:
         """Return the version that began the stream, None if it isn't known."""
         if self._req.is_hop:
             return self._req.stream_version
-        return self._deps.stream_versions.version_of(
+        return await self._deps.stream_origins.version_of(
             self._service.id, self._req.resumes
         )
 
--- a/pimentospool/gateway/_dependencies.py
+++ b/pimentospool/gateway/_dependencies.py
@@ -10,6 +10,7 @@
 from pimentospool.gateway._placement import Placement, SharedBounds
 from pimentospool.gateway._pools import ConnectionPools
 from pimentospool.gateway._routing_state import RoutingState
+from pimentospool.gateway._stream_origins import StreamOrigins
 from pimentospool.ids import ServiceId, SuspectKey
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
@@ -38,6 +39,8 @@
         Encoding of requests and reading of responses.
     stream_versions : StreamVersions
         Software versions at which streams began.
+    stream_origins : StreamOrigins
+        Finds the version that began a stream which is taken up.
     bounds : SharedBounds
         Limits on retries.
     regions : int
@@ -57,6 +60,7 @@
         pools: ConnectionPools,
         dialect: TargetDialect,
         stream_versions: StreamVersions,
+        stream_origins: StreamOrigins,
         bounds: SharedBounds,
         regions: int,
         clock: Callable[[], float],
@@ -68,6 +72,7 @@
         self.pools = pools
         self.dialect = dialect
         self.stream_versions = stream_versions
+        self.stream_origins = stream_origins
         self.clock = clock
         self.rng = rng
         self.request_ended: Signal[RoutedOutcome] = Signal(name="request_ended")
--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -72,6 +72,8 @@
 """Limit on the records in one datagram, so that it fits into a packet."""
 MAX_RECORDS_PER_REQUEST = 60
 """Limit on the records that one message asks for."""
+WITNESSES_PER_ZONE = 2
+"""Number of entry VMs of a zone that are asked what they know of a stream."""
 RECORD_RETRY_SECONDS = 0.3
 """Time after which a record that did not arrive is asked for again."""
 
@@ -147,6 +149,26 @@
             if self._table.state(key) is not EntryState.STARTING
         ]
 
+    def witnesses(self) -> list[list[EntryRecord]]:
+        """Return entry VMs to ask, for each zone in which others were known.
+
+        They are one that has run for long and a random one; none for a zone of which
+        all are gone, as they may be behind a partition.
+        """
+        local = self.local_record
+        zones: dict[str, list[EntryRecord]] = {}
+        for member in self._members.values():
+            if member.record.id != local.id:
+                zones.setdefault(member.record.zone, [])
+        for record in self._live.values():
+            zones[record.zone].append(record)
+        for records in zones.values():
+            records.sort(key=lambda record: record.generation)
+            if len(records) > WITNESSES_PER_ZONE:
+                rest = records[1:]
+                records[1:] = self._rng.sample(rest, WITNESSES_PER_ZONE - 1)
+        return list(zones.values())
+
     def ready(self, region: RegionId | None = None) -> list[EntryRecord]:
         """Return the entry VMs that accept requests, this one included.
 
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from pimentospool.clocks import boot_time
 from pimentospool.gateway._change_log import ChangeLog
 from pimentospool.gateway._cold_checks import ColdTargetChecker
 from pimentospool.gateway._configuration_catch_up import ConfigurationCatchUp
@@ -26,6 +27,7 @@
 from pimentospool.gateway._pools import ConnectionPools
 from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._settings import GatewaySettings
+from pimentospool.gateway._stream_origins import StreamOrigins
 from pimentospool.gateway._stream_records import StreamRecordExchange
 from pimentospool.gateway._target_reports import ReportExchange, relay_bytes
 from pimentospool.gateway._view_exchange import ViewExchange, view_address
@@ -57,10 +59,17 @@
         Encoding of requests and reading of responses.
     source : FactSource
         Where configurations and registrations are published.
+    origin_source : FactSource
+        The same, with connections of its own, read when a stream is taken up.
     """
 
     def __init__(
-        self, *, cfg: GatewaySettings, dialect: TargetDialect, source: FactSource
+        self,
+        *,
+        cfg: GatewaySettings,
+        dialect: TargetDialect,
+        source: FactSource,
+        origin_source: FactSource,
     ) -> None:
         clock = time.monotonic
         self.cfg = cfg
@@ -97,7 +106,7 @@
             clock=clock,
         )
         stream_versions = StreamVersions(
-            clock=clock,
+            clock=boot_time,
             serving=self.routing_state.versions,
             first_start=cfg.first_start,
             on_mixed=_log_mixed_versions,
@@ -107,6 +116,22 @@
                 registration.service, registration.version
             )
         )
+        changes = ChangeLog()
+        self._view_exchange = ViewExchange(
+            routing_state=self.routing_state,
+            changes=changes,
+            fleet=self.fleet,
+            stream_versions=stream_versions,
+            rng=random.Random(),
+        )
+        self._stream_origins = StreamOrigins(
+            versions=stream_versions,
+            source=origin_source,
+            changes=changes,
+            fleet=self.fleet,
+            peers=self._view_exchange,
+            clock=boot_time,
+        )
         self.deps = GatewayDependencies(
             routing_state=self.routing_state,
             fleet=self.fleet,
@@ -114,19 +139,12 @@
             pools=pools,
             dialect=dialect,
             stream_versions=stream_versions,
+            stream_origins=self._stream_origins,
             bounds=cfg.bounds,
             regions=len(set(cfg.zone_regions.values())) or 1,
             clock=clock,
             rng=random.Random(),
         )
-        changes = ChangeLog()
-        self._view_exchange = ViewExchange(
-            routing_state=self.routing_state,
-            changes=changes,
-            fleet=self.fleet,
-            stream_versions=stream_versions,
-            rng=random.Random(),
-        )
         self.dispatcher = Dispatcher(
             deps=self.deps,
             catch_up=ConfigurationCatchUp(
@@ -225,6 +243,7 @@
             self._view_server.close()
         await cancel_tasks(self._tasks)
         await self._view_exchange.close()
+        await self._stream_origins.close()
         log_event(Event.ENTRY_STOPPED)
 
     def _start_task(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
--- /dev/null
+++ b/pimentospool/gateway/_stream_origins.py
@@ -0,0 +1,181 @@
+"""Finds the software version that began a stream which a caller takes up.
+
+An entry VM that was cut off, stood still or follows a slow source doesn't know of a
+version that has joined meanwhile. That one version alone serves is therefore believed
+only after a read of the source that began with the request, or, while the source
+doesn't respond, if entry VMs of all zones say so. All VMs learn of a version from the
+source, so no stream can have begun at one that such a read doesn't show.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Protocol
+
+from pimentospool.gateway._change_log import ChangeLog
+from pimentospool.gateway._facts import (
+    FactSource,
+    HistoryLostError,
+    SourceError,
+    SourceRestoredError,
+    TargetRegistered,
+)
+from pimentospool.gateway._fleet import Fleet
+from pimentospool.gateway._fleet_messages import EntryRecord
+from pimentospool.ids import ServiceId, SoftwareVersion, StreamKey
+from pimentospool.log import Event, log_event
+from pimentospool.policy import OriginEvidence, StreamVersions, stream_key
+
+SOURCE_TIMEOUT_SECONDS = 0.5
+"""Longest wait for the source; far above its usual response time."""
+SOURCE_RETRY_SECONDS = 0.5
+"""Time after a failed read in which the source isn't read again; reads are priced."""
+PEER_TIMEOUT_SECONDS = 0.5
+"""Longest wait for other entry VMs; some round trips between regions."""
+MAX_QUESTIONS = 32
+"""Limit on the streams for which others are asked at the same time."""
+
+
+class PeerReader(Protocol):
+    """Asks other entry VMs what they know of a stream."""
+
+    async def learn_stream(self, record: EntryRecord, key: StreamKey) -> bool:
+        """Store what another entry VM knows; return whether it responded."""
+
+
+class StreamOrigins:
+    """Finds the versions that began streams, from records, the source and others.
+
+    Parameters
+    ----------
+    versions : StreamVersions
+        Software versions at which streams began.
+    source : FactSource
+        Where facts are read; used by nothing else, as a failure closes its connections.
+    changes : ChangeLog
+        Tells how far the routing state has followed the source.
+    fleet : Fleet
+        Membership of the entry VMs.
+    peers : PeerReader
+        Asks other entry VMs.
+    clock : callable
+        Returns a monotonic time in seconds that also counts while the VM is suspended.
+    """
+
+    def __init__(
+        self,
+        *,
+        versions: StreamVersions,
+        source: FactSource,
+        changes: ChangeLog,
+        fleet: Fleet,
+        peers: PeerReader,
+        clock: Callable[[], float],
+    ) -> None:
+        self._versions = versions
+        self._source = source
+        self._changes = changes
+        self._fleet = fleet
+        self._peers = peers
+        self._clock = clock
+        self._reading: asyncio.Task[bool] | None = None
+        self._failed_at = float("-inf")
+        self._questions = 0
+
+    async def version_of(
+        self, service: ServiceId, request_id: str | None
+    ) -> SoftwareVersion | None:
+        """Return the version that began a stream, None if it can't be found out.
+
+        `request_id` is that of the request to which the caller got the first event.
+        """
+        versions, asked_at = self._versions, self._clock()
+        version = versions.recorded_version(service, request_id)
+        evidence = OriginEvidence.RECORD
+        if version is None:
+            await self._read_source(asked_at)
+            evidence = OriginEvidence.SOURCE
+            if versions.follows(asked_at):
+                version = versions.sole_version(service)
+        if version is None:
+            all_zones = await self._ask_others(service, request_id)
+            evidence = OriginEvidence.PEERS
+            version = versions.recorded_version(service, request_id)
+            if version is None and (all_zones or versions.follows(asked_at)):
+                version = versions.sole_version(service)
+        if evidence is not OriginEvidence.RECORD:
+            log_event(
+                Event.STREAM_ORIGIN_SOUGHT,
+                service=service,
+                resumes=request_id,
+                version=version,
+                evidence=evidence.value,
+                complete=versions.complete,
+                follows=versions.follows(asked_at),
+                seconds=round(self._clock() - asked_at, 3),
+            )
+        return version
+
+    async def close(self) -> None:
+        """Close the connections to the source."""
+        if self._reading is not None:
+            self._reading.cancel()
+            await asyncio.gather(self._reading, return_exceptions=True)
+        await self._source.close()
+
+    async def _read_source(self, asked_at: float) -> None:
+        """Follow the source up to `asked_at`; requests of one moment share a read."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SOURCE_TIMEOUT_SECONDS):
+                while not self._versions.follows(asked_at):
+                    if self._reading is None:
+                        if self._clock() - self._failed_at < SOURCE_RETRY_SECONDS:
+                            return
+                        self._reading = asyncio.create_task(self._read())
+                    if not await asyncio.shield(self._reading):
+                        return
+
+    async def _read(self) -> bool:
+        """Read the latest registrations; return whether the source responded."""
+        try:
+            position, sent_at = self._changes.position, self._clock()
+            if position is None:
+                return False
+            batch = await self._source.watch(position, hold_seconds=0.0)
+        except (SourceError, SourceRestoredError, HistoryLostError):
+            self._failed_at = self._clock()
+            return False
+        else:
+            for dated in batch.facts:
+                if isinstance(dated.fact, TargetRegistered):
+                    registration = dated.fact.registration
+                    self._versions.observe(registration.service, registration.version)
+            self._versions.record_followed(sent_at)
+            return True
+        finally:
+            self._reading = None
+
+    async def _ask_others(self, service: ServiceId, request_id: str | None) -> bool:
+        """Ask entry VMs of each zone; return whether one of each has responded."""
+        if self._questions >= MAX_QUESTIONS:
+            return False
+        key = stream_key(service, request_id or "")
+        self._questions += 1
+        try:
+            zones = self._fleet.witnesses()
+            responses = await asyncio.gather(
+                *(self._ask_zone(records, key) for records in zones)
+            )
+        finally:
+            self._questions -= 1
+        return all(responses)
+
+    async def _ask_zone(self, records: list[EntryRecord], key: StreamKey) -> bool:
+        async def ask(record: EntryRecord) -> bool:
+            try:
+                async with asyncio.timeout(PEER_TIMEOUT_SECONDS):
+                    return await self._peers.learn_stream(record, key)
+            except TimeoutError:
+                return False
+
+        return any(await asyncio.gather(*(ask(record) for record in records)))
--- a/pimentospool/gateway/_view_exchange.py
+++ b/pimentospool/gateway/_view_exchange.py
@@ -19,6 +19,7 @@
 from pimentospool.gateway._fleet_messages import EntryRecord
 from pimentospool.gateway._model import Address
 from pimentospool.gateway._routing_state import RoutingState, RoutingView
+from pimentospool.ids import StreamKey
 from pimentospool.log import Event, log_event
 from pimentospool.policy import StreamKnowledge, StreamVersions
 from pimentospool.sending import TRANSPORT_ERRORS, open_session, read_body
@@ -101,10 +102,17 @@
         if http.path == CHANGES_PATH:
             return self._handle_changes(http)
         if http.path == STREAMS_PATH:
-            knowledge = self._stream_versions.knowledge()
-            return web.Response(body=self._encoder.encode(knowledge))
+            return self._handle_streams(http)
         return web.Response(status=404)
 
+    def _handle_streams(self, http: web.BaseRequest) -> web.Response:
+        try:
+            key = StreamKey(int(http.query["key"])) if "key" in http.query else None
+        except ValueError:
+            return web.Response(status=400)
+        knowledge = self._stream_versions.knowledge(key)
+        return web.Response(body=self._encoder.encode(knowledge))
+
     def _handle_changes(self, http: web.BaseRequest) -> web.Response:
         try:
             after = FactPosition(
@@ -171,6 +179,14 @@
         if view is not None:
             self._routing_state.adopt(view.configuration, era=view.configuration_era)
 
+    async def learn_stream(self, record: EntryRecord, key: StreamKey) -> bool:
+        """Store what another entry VM knows of a stream; return if it responded."""
+        path = f"{STREAMS_PATH}?key={key}"
+        knowledge = await self._fetch(record, path, self._streams_decoder)
+        if knowledge is not None:
+            self._stream_versions.merge(knowledge)
+        return knowledge is not None
+
     async def _learn_streams_from(self, record: EntryRecord) -> bool:
         knowledge = await self._fetch(record, STREAMS_PATH, self._streams_decoder)
         if knowledge is None:
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -95,6 +95,11 @@
         logbook.NOTICE,
         "versions of earlier streams read from another entry VM",
     )
+    STREAM_ORIGIN_SOUGHT = (
+        3129,
+        logbook.NOTICE,
+        "version that began a stream sought beyond the records of this entry VM",
+    )
     ZONE_EVACUATED = (3121, logbook.NOTICE, "zone evacuated")
     ZONE_RESTORED = (3122, logbook.NOTICE, "zone restored; its targets count as cold")
     SETTINGS_RELOADED = (1009, logbook.NOTICE, "settings file reloaded")
--- a/pimentospool/platform/_node.py
+++ b/pimentospool/platform/_node.py
@@ -42,7 +42,12 @@
         self._cfg = cfg
         self._path = path
         self._store = StoreClient(address=cfg.store)
-        self._gateway = Gateway(cfg=cfg, dialect=PlatformDialect(), source=self._store)
+        self._gateway = Gateway(
+            cfg=cfg,
+            dialect=PlatformDialect(),
+            source=self._store,
+            origin_source=StoreClient(address=cfg.store),
+        )
         self._servers: list[asyncio.Server] = []
         self._frontends = [
             HttpFrontend(gateway=self._gateway, is_hop=False),
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -55,7 +55,12 @@
     responsible_entry,
 )
 from pimentospool.policy._shares import QuotaShares
-from pimentospool.policy._stream_versions import StreamKnowledge, StreamVersions
+from pimentospool.policy._stream_versions import (
+    OriginEvidence,
+    StreamKnowledge,
+    StreamVersions,
+    stream_key,
+)
 from pimentospool.policy._target_choice import (
     Candidate,
     NoChoice,
@@ -95,6 +100,7 @@
     "OperationLedger",
     "OperationRef",
     "OperationState",
+    "OriginEvidence",
     "QueueRefusal",
     "QueueTicket",
     "QuotaShares",
@@ -139,4 +145,5 @@
     "rank_entries",
     "rank_members",
     "responsible_entry",
+    "stream_key",
 ]
--- a/pimentospool/policy/_stream_versions.py
+++ b/pimentospool/policy/_stream_versions.py
@@ -8,13 +8,16 @@
 - The versions of a service. If only one of them served for as long as a stream may
   last, every stream of the service began at it, also those without a record.
 
-A version that follows from neither isn't known, and the stream may not go on.
+The second holds only as far as the registrations were followed; an entry VM that was
+cut off or stood still knows nothing of versions that joined meanwhile. A version that
+follows from neither isn't known, and the stream may not go on.
 """
 
 import hashlib
 import math
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Mapping
+from enum import Enum
 
 import msgspec
 
@@ -27,10 +30,21 @@
 """Limit on the records that are kept, the newest ones."""
 SENDS_PER_RECORD = 2
 """How often a record is sent to the other entry VMs, as a datagram may get lost."""
+FOLLOWED_SECONDS = 0.2
+"""Age of a read of the registrations that shows all versions that serve. Streams do not
+begin, break off and reach another entry VM in less time."""
 _KEY_BYTES = 4
 _MAX_KNOWN_SECONDS = 1e9
 
 
+class OriginEvidence(Enum):
+    """What the version that began a stream is known from."""
+
+    RECORD = "record"
+    SOURCE = "source"
+    PEERS = "peers"
+
+
 class StreamKnowledge(msgspec.Struct, array_like=True, frozen=True):
     """What one entry VM knows, for another one that has just started."""
 
@@ -83,6 +97,7 @@
         self._serving = serving
         self._on_mixed = on_mixed
         self._complete_since = -math.inf if first_start else clock()
+        self._followed_until = -math.inf
         self._seen_at: dict[ServiceId, dict[SoftwareVersion, float]] = {}
         self._records: OrderedDict[StreamKey, _Record] = OrderedDict()
         self._mixed: set[ServiceId] = set()
@@ -96,8 +111,19 @@
         """Record that a target of `service` serves, or has just stopped to serve."""
         self._seen_at.setdefault(service, {})[version] = self._clock()
 
+    def record_followed(self, at: float) -> None:
+        """Record that all versions that had registered by a time are known."""
+        self._followed_until = max(self._followed_until, at)
+
+    def follows(self, at: float) -> bool:
+        """Whether the registrations were followed up to a time."""
+        return self._followed_until > at - FOLLOWED_SECONDS
+
     def sole_version(self, service: ServiceId) -> SoftwareVersion | None:
-        """Return the version at which all streams of `service` began, if it is one."""
+        """Return the version at which all streams of `service` began, if it is one.
+
+        It holds for streams that began as long as the registrations were followed.
+        """
         versions = self._recent_versions(service)
         mixed = len(versions) > 1
         if mixed != (service in self._mixed):
@@ -111,19 +137,27 @@
         """Record the version at which the stream of a caller's request began."""
         self._store(stream_key(service, request_id), version, SENDS_PER_RECORD)
 
-    def version_of(
+    def recorded_version(
         self, service: ServiceId, request_id: str | None
     ) -> SoftwareVersion | None:
-        """Return the version at which a stream began, None if it isn't known.
+        """Return the version of which there is a record for a stream.
 
         `request_id` is that of the request to which the caller got the first event.
         """
+        if request_id is None:
+            return None
         self._expire()
-        if request_id is not None:
-            record = self._records.get(stream_key(service, request_id))
-            if record is not None:
-                return record.version
-        return self.sole_version(service)
+        record = self._records.get(stream_key(service, request_id))
+        return None if record is None else record.version
+
+    def version_of(
+        self, service: ServiceId, request_id: str | None
+    ) -> SoftwareVersion | None:
+        """Return the version at which a stream began, as far as this entry VM follows.
+
+        It is that of its record, or the only one.
+        """
+        return self.recorded_version(service, request_id) or self.sole_version(service)
 
     # Exchange with other entry VMs.
 
@@ -151,13 +185,16 @@
             for key in keys:
                 self._store(StreamKey(key), SoftwareVersion(version), 0)
 
-    def knowledge(self) -> StreamKnowledge:
-        """Return what this entry VM knows, for one that has just started."""
+    def knowledge(self, key: StreamKey | None = None) -> StreamKnowledge:
+        """Return what this entry VM knows, of all streams or of one."""
         self._expire()
         now = self._clock()
         records: dict[str, list[int]] = {}
-        for key, record in self._records.items():
-            records.setdefault(record.version, []).append(key)
+        if key is None:
+            for known, record in self._records.items():
+                records.setdefault(record.version, []).append(known)
+        elif key in self._records:
+            records[self._records[key].version] = [key]
         return StreamKnowledge(
             complete_seconds=min(now - self._complete_since, _MAX_KNOWN_SECONDS),
             ages={
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -161,6 +161,7 @@
         pools=pools,
         dialect=PlatformDialect(),
         stream_versions=StreamVersions(clock=clock, serving=routing_state.versions),
+        stream_origins=None,
         bounds=bounds,
         regions=3,
         clock=clock,
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -7,6 +7,7 @@
 import pytest
 from platform_site import running_site
 
+from pimentospool.gateway import SourceError
 from pimentospool.policy import EntryState
 from pimentospool.standins import Fault
 
@@ -178,3 +179,63 @@
         assert not second.received
 
     run_with_site(runner, tmp_path, check)
+
+
+async def refuse(*args, **options):
+    raise SourceError("cut off")
+
+
+async def hang(*args, **options):
+    await asyncio.sleep(4.0)
+    raise SourceError("slow")
+
+
+async def no_response(*args):
+    return None
+
+
+def cut_off(monkeypatch, node, *, store, peers):
+    """Cut a node from the store, by `store`, and from the other nodes."""
+    gateway = node.gateway
+    sources = [gateway.feed._source, getattr(gateway, "origin_source", None)]
+    for source in filter(None, sources):
+        monkeypatch.setattr(source, "watch", store)
+    if peers:
+        monkeypatch.setattr(gateway.heartbeats, "datagram_received", lambda *_: None)
+        monkeypatch.setattr(gateway.heartbeats, "_send", lambda *_: 0)
+        monkeypatch.setattr(gateway._view_exchange, "_fetch", no_response)
+
+
+@pytest.mark.parametrize("zones", [("gulf-a", "gulf-a"), REGIONS])
+@pytest.mark.parametrize("store", [refuse, hang])
+@pytest.mark.parametrize("peers", [True, False])
+def test_entry_vm_out_of_step_does_not_join_versions(
+    runner, tmp_path, monkeypatch, zones, store, peers
+):
+    async def check(site):
+        old = await add_engine(site, "gulf-a-v1", "v1")
+        await wait_until_ready(site)
+        out_of_step = site.nodes[1].gateway
+        cut_off(monkeypatch, site.nodes[1], store=store, peers=peers)
+        await asyncio.sleep(2.6)
+        await add_engine(site, "gulf-a-v2", "v2")
+        await set_state(site, "v1", "draining")
+        origin, holder = await begin(site)
+        assert holder.instance == "gulf-a-v2"
+        before = len(old.received)
+        status, target = await take_up(site, origin, node=1)
+        assert (status, target) == (503, None)
+        assert len(old.received) == before
+        assert out_of_step.routing_state.versions("llm") == {"v1"}
+        monkeypatch.undo()
+        await site.wait_until(
+            lambda: (
+                len(out_of_step.routing_state.known_targets()) == 2
+                and len(out_of_step.fleet.ready()) == 2
+            )
+        )
+        status, target = await take_up(site, origin, node=1)
+        assert status == 200
+        assert target.instance == "gulf-a-v2"
+
+    run_with_site(runner, tmp_path, check, zones=zones)
