Ask entry VMs that drain what they know of streams

Cause: a process that starts asked only members in state READY or LEAVING. One that drains says CLOSED 1.2 s after SIGTERM, but runs, knows all versions and serves them until its last request has ended. With all old processes closed, the new ones asked only each other.

Heartbeats of closed members go on, so who is heard still runs.

--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -149,18 +149,29 @@
             if self._table.state(key) is not EntryState.STARTING
         ]
 
+    def running(self) -> list[EntryRecord]:
+        """Return the other entry VMs that run, also those that start or are closed.
+
+        One that is closed runs until its last request has ended.
+        """
+        return [
+            member.record
+            for key, member in self._members.items()
+            if self._table.silence_seconds(key) < MEMBER_TIMEOUT_SECONDS
+        ]
+
     def witnesses(self) -> list[list[EntryRecord]]:
         """Return entry VMs to ask, for each zone in which others were known.
 
-        They are one that has run for long and a random one; none for a zone of which
-        all are gone, as they may be behind a partition.
+        They are the one that has run for longest and a random one; none for a zone of
+        which all are gone, as they may be behind a partition.
         """
         local = self.local_record
         zones: dict[str, list[EntryRecord]] = {}
         for member in self._members.values():
             if member.record.id != local.id:
                 zones.setdefault(member.record.zone, [])
-        for record in self._live.values():
+        for record in self.running():
             zones[record.zone].append(record)
         for records in zones.values():
             records.sort(key=lambda record: record.generation)
--- a/pimentospool/gateway/_view_exchange.py
+++ b/pimentospool/gateway/_view_exchange.py
@@ -40,7 +40,7 @@
 """Time after the start in which others are asked for what they know of streams; by then
 their answers are known, or they have just started, too."""
 LEARNING_MEMBERS = 3
-"""Number of entry VMs that are asked, those that have run for the longest time."""
+"""Number of entry VMs that are asked at a time, the oldest ones first."""
 MAX_CONFIGURATION_BYTES = 16 * 1024
 """Size above which a configuration is left out of the changes that are sent to another
 entry VM. A relay with a slow link could not send it to all of its region in time."""
@@ -155,9 +155,10 @@
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + LEARNING_SECONDS
         while not versions.complete and loop.time() < ends_at:
-            oldest = sorted(self._fleet.started(), key=lambda rec: rec.generation)
-            for record in oldest[:LEARNING_MEMBERS]:
-                if record.key not in asked and await self._learn_streams_from(record):
+            others = [rec for rec in self._fleet.running() if rec.key not in asked]
+            others.sort(key=lambda rec: rec.generation)
+            for record in others[:LEARNING_MEMBERS]:
+                if await self._learn_streams_from(record):
                     asked.add(record.key)
             await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -211,3 +211,17 @@
     (answer,) = known.receive(request)
     fleet.receive(answer)
     assert record in fleet.live()
+
+
+def test_closed_member_runs_until_it_is_silent():
+    clock = Clock()
+    fleet, other = make_fleet(clock), make_record("e-1")
+    for heartbeat in range(1, 4):
+        clock.now += 2.0
+        announce(fleet, other, state=EntryState.CLOSED, heartbeat=heartbeat)
+        assert fleet.running() == [other]
+        assert fleet.live() == []
+        assert fleet.witnesses() == [[other]]
+    clock.now += 3.0
+    assert fleet.running() == []
+    assert fleet.witnesses() == [[]]
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -239,3 +239,47 @@
         assert target.instance == "gulf-a-v2"
 
     run_with_site(runner, tmp_path, check, zones=zones)
+
+
+async def drain(site, nodes):
+    """Let nodes leave while each still serves a stream; return the streams."""
+    streams = []
+    for number in nodes:
+        options = {"method": "POST", "data": b"p", "node": number}
+        call = site.call("/ask/", request_id=f"d-{next(_numbers)}", **options)
+        streams.append(asyncio.create_task(call))
+    await asyncio.sleep(0.2)
+    for number in nodes:
+        site.nodes[number].terminate()
+    await site.wait_until(
+        lambda: all(
+            site.nodes[number].gateway.state is EntryState.CLOSED for number in nodes
+        )
+    )
+    return streams
+
+
+@pytest.mark.parametrize("other", [None, "v2"])
+def test_stream_goes_on_after_all_entry_vms_were_replaced_with_overlap(
+    runner, tmp_path, other
+):
+    async def check(site):
+        target = await add_engine(site, "m-v1", "v1")
+        target.events, target.gap_seconds = 60, 0.05
+        await wait_until_ready(site)
+        origins = [(await begin(site, node=number))[0] for number in (0, 1)]
+        if other is not None:
+            await add_engine(site, "m-v2", other)
+            await asyncio.sleep(1.0)
+        streams = await drain(site, (0, 1))
+        for _ in range(2):
+            gateway = (await site.add_node("gulf-a", first_start=False)).gateway
+            while gateway.state is not EntryState.READY:
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(0.7)
+        for node in (2, 3):
+            for origin in origins:
+                assert await take_up(site, origin, node=node) == (200, target)
+        await asyncio.gather(*streams, return_exceptions=True)
+
+    run_with_site(runner, tmp_path, check)
