Keep crashes against a part until it survives, not for 30 s

Cause: a crash counted against a part for 30 s, so that a part that came less often than every 10 s never had the four crashes that quarantine it. The evidence moves to a module of its own. Why it works: only an answer contradicts a suspicion, so that the rate at which a part comes no longer matters.

--- a/pimentospool/policy/_crash_suspects.py
+++ b/pimentospool/policy/_crash_suspects.py
@@ -13,15 +13,19 @@
 
 from pimentospool.ids import CrashKey, SuspectKey
 from pimentospool.policy._crash_evidence import (
-    CrashAge,
     CrashEvidence,
     RequestTraits,
-    Sighting,
     SuspectAge,
     SuspectKind,
     crash_key,
     suspect_kind,
 )
+from pimentospool.policy._crash_records import (
+    CrashRecords,
+    SeenCrash,
+    to_ms,
+    to_seconds,
+)
 
 MIN_STRIKES = 4
 """Crashes at different times, without an answer in between, after which a part may be
@@ -38,37 +42,23 @@
 """Share of all crashes since its first one above which a part is quarantined: with just
 `MIN_STRIKES`, and with more. While targets crash for other reasons, seldom used parts
 are in some of these crashes by chance."""
-EVIDENCE_SECONDS = 30.0
-"""Age at which a crash no longer counts against a part, and is no longer reported;
-targets are back within seconds."""
-REQUEST_EVIDENCE_SECONDS = 300.0
-"""Age at which a crash no longer counts against a request, which may come seldom."""
-EXPIRY_INTERVAL_SECONDS = 0.2
-"""Time between searches for what has expired."""
 SURVIVAL_SECONDS = 0.25
 """Time from the first event of a response after which its target has survived it. The
 crash follows within tens of milliseconds."""
-MIN_SURVIVAL_NEWS_SECONDS = 0.5
-"""Time by which a survival reported by another entry VM is newer than the known one;
-less may be the delay of the same report on its way back."""
-TRIAL_AGES_SECONDS = (60.0, 180.0, 420.0)
+TRIAL_AGES_SECONDS = (60.0, 180.0, 420.0, 900.0, 1860.0)
 """Ages of a quarantine at which one request is sent in the whole fleet, so that what
 was quarantined wrongly, or whose targets were mended, returns."""
-QUARANTINE_SECONDS = 900.0
-"""Age at which a quarantine ends."""
-MAX_SUSPECTS = 512
-MAX_SIGHTINGS_PER_SUSPECT = 16
-"""Limits on what is kept; the suspects with the fewest and oldest crashes are
-dropped."""
-MAX_CRASHES = 256
-MAX_SENT_SIGHTINGS = 40
-MAX_SENT_LEADING_SIGHTINGS = 20
-"""Sightings that one message holds, and how many of them are of the suspects with the
-most crashes. The others take turns, as each may be the second crash that another entry
-VM lacks."""
-MAX_SENT_SIGHTINGS_PER_SUSPECT = 8
-MAX_SENT_AGES = 24
-"""Limits on what one message holds, so that it fits into a packet."""
+MAX_EARLY_STRIKES = 5
+SHARING_SECONDS = 5.0
+"""Crashes of a part, and time after them, that may pass until all entry VMs know it.
+Each later crash before its quarantine stands for a trial."""
+QUARANTINE_SECONDS = 3600.0
+"""Age at which a quarantine ends. One more crash begins it again if there were crashes
+in its trials, as these still count."""
+MIN_CONCLUSIVE_STRIKES = 7
+"""Crashes at different times, without an answer in between, after which a part is
+quarantined whatever its share of all crashes. Targets may crash for other reasons more
+often than the part comes. The platform's rule allows eight."""
 MIN_EXPLAINED_SHARE = 0.5
 """Share of a part's crashes above which a part deeper in the prompts may be the cause
 instead: the parts before it are in the same crashes."""
@@ -77,11 +67,6 @@
 that request but the part may be the cause."""
 
 
-class _Crash(msgspec.Struct, frozen=True):
-    at: float
-    depth: int
-
-
 class _Quarantine(msgspec.Struct, frozen=True):
     at: float
     depth: int
@@ -115,15 +100,11 @@
         self._clock = clock
         self._on_quarantine = on_quarantine
         self._on_release = on_release
-        self._crash_times: dict[CrashKey, float] = {}
-        self._crashes: dict[SuspectKey, dict[CrashKey, _Crash]] = {}
-        """Crashes in which each suspect was seen."""
-        self._survived_at: dict[SuspectKey, float] = {}
-        """Last survival of what was suspected or quarantined then."""
+        self._records = CrashRecords(clock=clock)
         self._quarantines: dict[SuspectKey, _Quarantine] = {}
         self._trials_made: dict[SuspectKey, int] = {}
-        self._messages = 0
-        self._expired_at = -math.inf
+        self._released_at: dict[SuspectKey, float] = {}
+        """End of each quarantine that ended by its age."""
 
     def quarantined_count(self, kind: SuspectKind) -> int:
         """Return the number of parts or requests that are quarantined."""
@@ -141,15 +122,15 @@
             Requests that it had not answered.
         """
         crash = crash_key(start)
-        self._add_crash(crash, self._clock())
+        self._records.add_crash(crash, self._clock())
         for request in requests:
             for suspect, depth in request.suspects:
-                self._add(suspect, crash, _Crash(self._clock(), depth))
+                self._records.add(suspect, crash, SeenCrash(self._clock(), depth))
         self._evaluate()
 
     def record_survival(self, request: RequestTraits) -> None:
         """Record that a target has begun an answer and is still alive."""
-        if not self._crashes and not self._quarantines:
+        if not self._records and not self._quarantines:
             return
         for suspect, _ in request.suspects:
             self._survive(suspect, self._clock())
@@ -180,45 +161,27 @@
     def evidence(self) -> CrashEvidence | None:
         """Return what other entry VMs should know, None if there is nothing."""
         self._expire()
-        if not (self._crash_times or self._quarantines or self._survived_at):
-            return None
         now = self._clock()
-        newest = sorted(self._crash_times.items(), key=lambda item: -item[1])
-        return CrashEvidence(
-            crashes=[
-                CrashAge(crash, _to_ms(now - at))
-                for crash, at in newest[:MAX_SENT_AGES]
-            ],
-            sightings=self._next_sightings(now),
-            survivals=[
-                SuspectAge(suspect, _to_ms(now - at))
-                for suspect, at in sorted(
-                    self._survived_at.items(), key=lambda item: -item[1]
-                )[:MAX_SENT_AGES]
-            ],
-            quarantines=[
-                SuspectAge(suspect, _to_ms(now - item.at), item.depth)
-                for suspect, item in sorted(
-                    self._quarantines.items(), key=lambda item: -item[1].at
-                )[:MAX_SENT_AGES]
-            ],
+        latest = sorted(self._quarantines.items(), key=lambda item: -item[1].at)
+        return self._records.message(
+            [SuspectAge(key, to_ms(now - item.at), item.depth) for key, item in latest]
         )
 
     def merge(self, evidence: CrashEvidence) -> None:
         """Add the evidence of another entry VM."""
         now = self._clock()
         changed = False
+        records = self._records
         for age in evidence.crashes:
-            self._add_crash(age.crash, now - _to_seconds(age.age_ms))
+            records.add_crash(age.crash, now - to_seconds(age.age_ms))
         for item in evidence.sightings:
-            at = now - _to_seconds(item.age_ms)
-            if now - at < EVIDENCE_SECONDS:
-                changed |= self._add(item.suspect, item.crash, _Crash(at, item.depth))
+            seen = SeenCrash(now - to_seconds(item.age_ms), item.depth)
+            changed |= records.add(item.suspect, item.crash, seen)
         for quarantine in evidence.quarantines:
             self._merge_quarantine(quarantine)
         for survival in evidence.survivals:
-            at = now - _to_seconds(survival.age_ms)
-            if at > self._last_survival(survival.suspect) + MIN_SURVIVAL_NEWS_SECONDS:
+            at = now - to_seconds(survival.age_ms)
+            if records.is_news(survival.suspect, at):
                 self._survive(survival.suspect, at)
         if changed:
             self._evaluate()
@@ -228,10 +191,10 @@
     def _merge_quarantine(self, quarantine: SuspectAge) -> None:
         suspect, depth = quarantine.suspect, quarantine.depth
         now = self._clock()
-        at = now - _to_seconds(quarantine.age_ms)
+        at = now - to_seconds(quarantine.age_ms)
         if (
             now - at >= QUARANTINE_SECONDS
-            or at <= self._last_survival(suspect)
+            or at <= self._records.last_survival(suspect)
             or self._has_other_cause(suspect, depth)
         ):
             return
@@ -240,6 +203,8 @@
         known_at = math.inf if known is None else known.at
         self._quarantines[suspect] = _Quarantine(min(at, known_at), depth)
         if known is None:
+            # Those that knew of it earlier have made the trials that were due.
+            self._trials_made[suspect] = _trials_due(now - at)
             self._on_quarantine(suspect_kind(depth), suspect, 0)
 
     def _wait_for(
@@ -249,8 +214,12 @@
         if quarantine is None:
             return None
         age = self._clock() - quarantine.at
-        due = sum(age >= trial_age for trial_age in TRIAL_AGES_SECONDS)
-        if due > self._trials_made.get(suspect, 0) and makes_trial(f"{suspect}/{due}"):
+        due = _trials_due(age)
+        made = max(
+            self._trials_made.get(suspect, 0),
+            _late_crashes(self._records.crashes(suspect)),
+        )
+        if due > made and makes_trial(f"{suspect}/{due}"):
             self._trials_made[suspect] = due
             return None
         ages = (*TRIAL_AGES_SECONDS, QUARANTINE_SECONDS)
@@ -264,7 +233,7 @@
             by_requests = self._explained_by(SuspectKind.REQUEST)
             open_crashes = {
                 suspect: found
-                for suspect, crashes in self._crashes.items()
+                for suspect, crashes in self._records.suspects().items()
                 if len(crashes) >= MIN_REQUEST_CRASHES
                 and suspect not in self._quarantines
                 and (found := self._open_crashes(suspect))
@@ -300,22 +269,24 @@
                 self._release(suspect)
 
     def _explains_crashes(
-        self, crashes: dict[CrashKey, _Crash], explained: frozenset[CrashKey]
+        self, crashes: dict[CrashKey, SeenCrash], explained: frozenset[CrashKey]
     ) -> bool:
         """Whether a part that was in `crashes` is in most of the recent ones."""
         strikes = _strikes(crashes)
         if strikes < MIN_STRIKES:
             return False
-        share = len(crashes) / max(1, self._count_since(crashes, explained))
+        if strikes >= MIN_CONCLUSIVE_STRIKES:
+            return True
+        share = self._records.share_of_crashes(crashes, explained)
         repeated = strikes > MIN_STRIKES
         return share > (MIN_REPEATED_CRASH_SHARE if repeated else MIN_CRASH_SHARE)
 
-    def _is_explained_by_a_request(self, crashes: dict[CrashKey, _Crash]) -> bool:
+    def _is_explained_by_a_request(self, crashes: dict[CrashKey, SeenCrash]) -> bool:
         """Whether one request that comes again was in almost all of `crashes`."""
         return any(
             suspect_kind(_depth(others)) is SuspectKind.REQUEST
             and len(crashes.keys() - others.keys()) < MIN_UNEXPLAINED_CRASHES
-            for others in self._crashes.values()
+            for others in self._records.suspects().values()
         )
 
     def _explained_by(self, kind: SuspectKind) -> frozenset[CrashKey]:
@@ -324,7 +295,7 @@
             crash
             for suspect, quarantine in self._quarantines.items()
             if suspect_kind(quarantine.depth) is kind
-            for crash in self._crashes.get(suspect, ())
+            for crash in self._records.crashes(suspect)
         )
 
     def _has_other_cause(self, suspect: SuspectKey, depth: int) -> bool:
@@ -334,12 +305,12 @@
         """
         if not self._quarantines:
             return False
-        crashes = self._crashes.get(suspect, {})
+        crashes = self._records.crashes(suspect)
         explained = frozenset(
             crash
             for other, quarantine in self._quarantines.items()
             if other != suspect
-            and (len(others := self._crashes.get(other, {})), quarantine.depth)
+            and (len(others := self._records.crashes(other)), quarantine.depth)
             > (len(crashes), depth)
             for crash in others
         )
@@ -347,13 +318,9 @@
         return len(rest) < len(crashes) and _strikes(rest) < MIN_STRIKES
 
     def _survive(self, suspect: SuspectKey, at: float) -> None:
-        if suspect not in self._crashes and suspect not in self._quarantines:
+        if not self._records.crashes(suspect) and suspect not in self._quarantines:
             return
-        self._survived_at[suspect] = max(at, self._last_survival(suspect))
-        crashes = self._crashes.get(suspect, {})
-        for crash, seen in list(crashes.items()):
-            if seen.at <= at:
-                del crashes[crash]
+        self._records.survive(suspect, at)
         quarantine = self._quarantines.get(suspect)
         if quarantine is not None and at > quarantine.at:
             self._release(suspect)
@@ -363,116 +330,48 @@
         self._trials_made.pop(suspect, None)
         self._on_release(suspect_kind(quarantine.depth), suspect)
 
-    # Evidence.
-
-    def _next_sightings(self, now: float) -> list[Sighting]:
-        """Return the sightings of the next message."""
-        suspects = {suspect: self._open_crashes(suspect) for suspect in self._crashes}
-        leading: list[Sighting] = []
-        others: list[Sighting] = []
-        for suspect in sorted(
-            suspects, key=lambda key: (-len(suspects[key]), -_depth(suspects[key]), key)
-        ):
-            recent = [
-                Sighting(suspect, crash, seen.depth, _to_ms(now - seen.at))
-                for crash, seen in sorted(
-                    suspects[suspect].items(), key=lambda item: -item[1].at
-                )
-                if now - seen.at < EVIDENCE_SECONDS
-            ][:MAX_SENT_SIGHTINGS_PER_SUSPECT]
-            fits = len(leading) + len(recent) <= MAX_SENT_LEADING_SIGHTINGS
-            (leading if fits else others).extend(recent)
-        if not others:
-            return leading
-        count = MAX_SENT_SIGHTINGS - len(leading)
-        first = self._messages * count % len(others)
-        self._messages += 1
-        return leading + (others[first:] + others[:first])[:count]
-
-    def _add_crash(self, crash: CrashKey, at: float) -> None:
-        self._crash_times.setdefault(crash, at)
-        if len(self._crash_times) > MAX_CRASHES:
-            del self._crash_times[
-                min(self._crash_times, key=self._crash_times.__getitem__)
-            ]
-
-    def _count_since(
-        self, crashes: dict[CrashKey, _Crash], explained: frozenset[CrashKey]
-    ) -> int:
-        """Return the number of crashes since the first of `crashes`.
-
-        Those that are explained by what is quarantined count only if they are in it.
-        """
-        first_at = min(self._crash_times.get(crash, math.inf) for crash in crashes)
-        return sum(
-            at >= first_at and (crash in crashes or crash not in explained)
-            for crash, at in self._crash_times.items()
-        )
-
-    def _add(self, suspect: SuspectKey, crash: CrashKey, seen: _Crash) -> bool:
-        """Add a crash under `suspect`; return whether it is new."""
-        crashes = self._crashes.setdefault(suspect, {})
-        if crash in crashes or seen.at <= self._last_survival(suspect):
-            return False
-        crashes[crash] = seen
-        if len(crashes) > MAX_SIGHTINGS_PER_SUSPECT:
-            del crashes[min(crashes, key=lambda key: crashes[key].at)]
-        if len(self._crashes) > MAX_SUSPECTS:
-            del self._crashes[
-                min(
-                    self._crashes,
-                    key=lambda key: (
-                        len(self._crashes[key]),
-                        _last_at(self._crashes[key]),
-                    ),
-                )
-            ]
-        return True
-
-    def _open_crashes(self, suspect: SuspectKey) -> dict[CrashKey, _Crash]:
-        """Return the crashes of `suspect` since its last survival."""
-        survived_at = self._last_survival(suspect)
-        return {
-            crash: seen
-            for crash, seen in self._crashes.get(suspect, {}).items()
-            if seen.at > survived_at
-        }
-
-    def _last_survival(self, suspect: SuspectKey) -> float:
-        return self._survived_at.get(suspect, -math.inf)
+    def _open_crashes(self, suspect: SuspectKey) -> dict[CrashKey, SeenCrash]:
+        """Return the crashes of `suspect`, none after a quarantine without new ones."""
+        crashes = self._records.crashes(suspect)
+        released_at = self._released_at.get(suspect, -math.inf)
+        is_new = any(seen.at > released_at for seen in crashes.values())
+        return crashes if is_new else {}
 
     def _expire(self) -> None:
-        now = self._clock()
-        if now - self._expired_at < EXPIRY_INTERVAL_SECONDS:
+        if not self._records.expire():
             return
-        self._expired_at = now
-        for crash, at in list(self._crash_times.items()):
-            if now - at >= EVIDENCE_SECONDS:
-                del self._crash_times[crash]
-        for suspect, crashes in list(self._crashes.items()):
-            for crash, seen in list(crashes.items()):
-                is_request = suspect_kind(seen.depth) is SuspectKind.REQUEST
-                max_age = REQUEST_EVIDENCE_SECONDS if is_request else EVIDENCE_SECONDS
-                if now - seen.at >= max_age:
-                    del crashes[crash]
-            if not crashes:
-                del self._crashes[suspect]
+        now = self._clock()
         for suspect, quarantine in list(self._quarantines.items()):
             if now - quarantine.at >= QUARANTINE_SECONDS:
+                self._released_at[suspect] = now
                 self._release(suspect)
-        for suspect, at in list(self._survived_at.items()):
-            if now - at >= EVIDENCE_SECONDS and suspect not in self._quarantines:
-                del self._survived_at[suspect]
+        for suspect in list(self._released_at):
+            if not self._records.crashes(suspect):
+                del self._released_at[suspect]
+
+
+def _late_crashes(crashes: dict[CrashKey, SeenCrash]) -> int:
+    """Return the number of `crashes` that all entry VMs could have prevented."""
+    times = sorted(seen.at for seen in crashes.values())
+    if len(times) <= MAX_EARLY_STRIKES:
+        return 0
+    known_at = times[MAX_EARLY_STRIKES - 1] + SHARING_SECONDS
+    return sum(at > known_at for at in times)
+
+
+def _trials_due(age_seconds: float) -> int:
+    return sum(age_seconds >= trial_age for trial_age in TRIAL_AGES_SECONDS)
 
 
 def _without(
-    crashes: dict[CrashKey, _Crash], explained: frozenset[CrashKey]
-) -> dict[CrashKey, _Crash]:
+    crashes: dict[CrashKey, SeenCrash], explained: frozenset[CrashKey]
+) -> dict[CrashKey, SeenCrash]:
     return {crash: seen for crash, seen in crashes.items() if crash not in explained}
 
 
 def _has_deeper_part(
-    crashes: dict[CrashKey, _Crash], parts: dict[SuspectKey, dict[CrashKey, _Crash]]
+    crashes: dict[CrashKey, SeenCrash],
+    parts: dict[SuspectKey, dict[CrashKey, SeenCrash]],
 ) -> bool:
     """Whether most of `crashes` are also those of one part deeper in the prompts."""
     depth = _depth(crashes)
@@ -483,26 +382,14 @@
     )
 
 
-def _depth(crashes: dict[CrashKey, _Crash]) -> int:
+def _depth(crashes: dict[CrashKey, SeenCrash]) -> int:
     return max((seen.depth for seen in crashes.values()), default=0)
 
 
-def _last_at(crashes: dict[CrashKey, _Crash]) -> float:
-    return max((seen.at for seen in crashes.values()), default=-math.inf)
-
-
-def _strikes(crashes: dict[CrashKey, _Crash]) -> int:
+def _strikes(crashes: dict[CrashKey, SeenCrash]) -> int:
     """Return the number of crashes, where those close together count once."""
     strikes, last_at = 0, -math.inf
     for at in sorted(seen.at for seen in crashes.values()):
         if at - last_at >= STRIKE_SEPARATION_SECONDS:
             strikes, last_at = strikes + 1, at
     return strikes
-
-
-def _to_ms(seconds: float) -> int:
-    return round(seconds * 1000)
-
-
-def _to_seconds(milliseconds: int) -> float:
-    return max(0, milliseconds) / 1000
