Prove the start of a target whose connections all broke

Cause: the version of a target is that of its last known entry, whichever process answers at its address; the id that requests name is the same.

Now a start is in doubt once all connections to it were lost or one was refused, until its report names the start that it registered (born), or a read of the store 2 s after it was reached still lists that. Without proof a stream that has begun is not sent there, which is a failed attempt that has not run, and one that begins there is recorded as of no version, so that it goes on nowhere.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -4,6 +4,7 @@
 
 from pimentospool.errors import PimentospoolError
 from pimentospool.gateway._answers import AnswerReceiver, HopRefusedError
+from pimentospool.gateway._connection_pool import ConnectionPool
 from pimentospool.gateway._connections import AnswerHead, EncodedRequest
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._dialect import AnswerClass
@@ -22,6 +23,7 @@
 from pimentospool.ids import SoftwareVersion
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
+    UNPROVED_VERSION,
     Assignment,
     Candidate,
     RegionChoice,
@@ -173,6 +175,7 @@
                 unused=attempt.sent_before, within_seconds=self._remaining_seconds()
             )
             try:
+                await self._prove_start(attempt, state, pool)
                 encoded = self._encode_for_target(state)
                 self._record_send()
                 sent_at = deps.clock()
@@ -206,6 +209,24 @@
             assignment.end()
             deps.placement.health(state.id).record_end(deps.clock() - started_at)
 
+    async def _prove_start(
+        self, attempt: RunningAttempt, state: TargetState, pool: ConnectionPool
+    ) -> None:
+        """Make sure that a stream goes on at its version, not at a newer start.
+
+        Raises
+        ------
+        AttemptFailure
+            If the stream has begun, and the target's start can't be proved.
+        """
+        if not self._route.resumable or not pool.in_doubt:
+            return
+        if await self._deps.start_proofs.prove(state.registration, pool):
+            return
+        if self._progress.stream_version is not None:
+            raise _unsent_failure("the target may have started again")
+        attempt.version = UNPROVED_VERSION
+
     async def _send_to_region(
         self, attempt: RunningAttempt, choice: RegionChoice
     ) -> None:
--- a/pimentospool/gateway/_connection_pool.py
+++ b/pimentospool/gateway/_connection_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import time
 
 from pimentospool.gateway._connections import Connection
 from pimentospool.gateway._model import Address
@@ -46,6 +47,34 @@
         self._idle_timers: dict[Connection, asyncio.TimerHandle] = {}
         self._open_count = 0
         self._draining = False
+        self.in_doubt = False
+        """Whether all connections were lost, so that another start may answer."""
+        self.losses = 0
+        """How often all connections were lost, or none could be opened."""
+        self._reached_at = math.inf
+        self._proof_tried_at = -math.inf
+
+    @property
+    def reached_seconds(self) -> float:
+        """Time since a connection was opened again after all were lost."""
+        return time.monotonic() - self._reached_at
+
+    def may_try_proof(self, interval_seconds: float) -> bool:
+        """Whether a proof of the start may be tried again, which then counts."""
+        now = time.monotonic()
+        if now - self._proof_tried_at < interval_seconds:
+            return False
+        self._proof_tried_at = now
+        return True
+
+    def end_doubt(self) -> None:
+        """Note that the start of the other side is proved."""
+        self.in_doubt = False
+
+    def _record_loss(self) -> None:
+        self.in_doubt = True
+        self.losses += 1
+        self._reached_at = math.inf
 
     async def acquire(
         self, *, unused: bool = False, within_seconds: float = math.inf
@@ -117,6 +146,8 @@
 
     def _on_connection_closed(self, conn: Connection) -> None:
         self._open_count -= 1
+        if conn.lost and not self._open_count:
+            self._record_loss()
         if conn in self._idle:
             self._idle.remove(conn)
             self._idle_timers.pop(conn).cancel()
@@ -132,6 +163,9 @@
                 _, conn = await loop.create_connection(Connection, sock=sock)
         except (OSError, TimeoutError) as exc:
             sock.close()
+            # This attempt is still counted.
+            if isinstance(exc, ConnectionRefusedError) and self._open_count <= 1:
+                self._record_loss()
             ended_early = within_seconds < self._connect_timeout_seconds
             raise _connect_failure(
                 f"no connection: {exc!r}",
@@ -143,6 +177,7 @@
             sock.close()
             raise
         conn.on_closed = self._on_connection_closed
+        self._reached_at = min(self._reached_at, time.monotonic())
         return conn
 
 
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -171,6 +171,8 @@
 
     def __init__(self) -> None:
         self.closed = False
+        self.lost = False
+        """Whether it ended though neither side had announced that."""
         self.idle_seconds = DEFAULT_IDLE_SECONDS
         self.on_closed: Callable[[Connection], None] | None = None
         self._transport: asyncio.Transport | None = None
@@ -281,6 +283,7 @@
         self.closed = True
         self._peer_closed |= isinstance(exc, ConnectionError)
         stream, self._stream = self._stream, None
+        self.lost = (self._peer_closed or exc is not None) and not self._must_close
         if stream is not None and not stream.complete:
             ends_by_close = stream.body_end is BodyEnd.CLOSE
             if exc is None and self._peer_closed and ends_by_close:
--- a/pimentospool/gateway/_dependencies.py
+++ b/pimentospool/gateway/_dependencies.py
@@ -10,6 +10,7 @@
 from pimentospool.gateway._placement import Placement, SharedBounds
 from pimentospool.gateway._pools import ConnectionPools
 from pimentospool.gateway._routing_state import RoutingState
+from pimentospool.gateway._start_proofs import StartProofs
 from pimentospool.gateway._stream_origins import StreamOrigins
 from pimentospool.ids import ServiceId, SuspectKey
 from pimentospool.log import Event, log_event
@@ -75,6 +76,7 @@
         self.stream_origins = stream_origins
         self.clock = clock
         self.rng = rng
+        self.start_proofs = StartProofs(dialect=dialect, origins=stream_origins)
         self.request_ended: Signal[RoutedOutcome] = Signal(name="request_ended")
         self._bounds = bounds
         self.regions = regions
--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -69,6 +69,12 @@
     def encode_health(self, registration: Registration, path: str) -> bytes:
         """Return an encoded health check of one target."""
 
+    def encode_report(self, registration: Registration) -> bytes:
+        """Return an encoded request for what one target says of itself."""
+
+    def reported_start(self, head: AnswerHead, body: bytes) -> int | None:
+        """Return the start that a target names in its report, None if it names none."""
+
     def cold_seconds(self, head: AnswerHead) -> float | None:
         """Return how long a target stays cold, None if its response doesn't say."""
 
--- /dev/null
+++ b/pimentospool/gateway/_start_proofs.py
@@ -0,0 +1,101 @@
+"""Proves that a target whose connections all broke is still in the same start.
+
+A target may start again under its id and address with another software version, and
+answer before its entry shows that. So a start is in doubt once all of its connections
+were lost, until the target itself names it or the source still lists it some time
+after the target was reached again.
+"""
+
+import asyncio
+
+from pimentospool.gateway._connection_pool import ConnectionPool
+from pimentospool.gateway._connections import AnswerHead, EncodedRequest
+from pimentospool.gateway._dialect import TargetDialect
+from pimentospool.gateway._model import Registration
+from pimentospool.gateway._stream_origins import StreamOrigins
+from pimentospool.log import Event, log_event
+from pimentospool.targets import AttemptFailure
+
+REPORT_TIMEOUT_SECONDS = 0.2
+"""Longest wait for a target's report on itself."""
+PROOF_INTERVAL_SECONDS = 0.5
+"""Time between two attempts to prove a start; reports are priced."""
+REGISTRATION_SECONDS = 2.0
+"""Time after a target is reached in which it registers if it has started again; it does
+so as it begins to listen."""
+MAX_REPORT_BYTES = 64 * 1024
+"""Size above which a report is not read."""
+
+
+class StartProofs:
+    """Proofs of the starts of targets that are in doubt.
+
+    Parameters
+    ----------
+    dialect : TargetDialect
+        Encoding and reading of a target's report on itself.
+    origins : StreamOrigins
+        Reads the registrations.
+    """
+
+    def __init__(self, *, dialect: TargetDialect, origins: StreamOrigins) -> None:
+        self._dialect = dialect
+        self._origins = origins
+        self._proofs: dict[ConnectionPool, asyncio.Task[None]] = {}
+
+    async def prove(self, registration: Registration, pool: ConnectionPool) -> bool:
+        """Return whether the target is in the start that it registered."""
+        if not pool.in_doubt:
+            return True
+        proof = self._proofs.get(pool)
+        if proof is None:
+            if not pool.may_try_proof(PROOF_INTERVAL_SECONDS):
+                return False
+            proof = asyncio.create_task(self._prove(registration, pool))
+            self._proofs[pool] = proof
+            proof.add_done_callback(lambda _: self._proofs.pop(pool, None))
+        await asyncio.shield(proof)
+        return not pool.in_doubt
+
+    async def _prove(self, registration: Registration, pool: ConnectionPool) -> None:
+        losses = pool.losses
+        started_at = await self._read_start(registration, pool)
+        evidence = "report"
+        if started_at is None and pool.reached_seconds >= REGISTRATION_SECONDS:
+            started_at = await self._origins.registered_start(registration)
+            evidence = "source"
+        proved = started_at == registration.started_at and losses == pool.losses
+        if proved:
+            pool.end_doubt()
+        log_event(
+            Event.TARGET_START_CHECKED,
+            target=registration.id,
+            proved=proved,
+            evidence=None if started_at is None else evidence,
+        )
+
+    async def _read_start(
+        self, registration: Registration, pool: ConnectionPool
+    ) -> int | None:
+        """Return the start that the target names, None if it names none."""
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT_SECONDS):
+                conn = await pool.acquire()
+                try:
+                    data = self._dialect.encode_report(registration)
+                    stream = conn.send(EncodedRequest(data=data, accepts=_accept_any))
+                    head = await stream.wait_head()
+                    body = b""
+                    while chunk := await stream.read():
+                        body += chunk
+                        if len(body) > MAX_REPORT_BYTES:
+                            return None
+                finally:
+                    pool.release(conn)
+        except (AttemptFailure, TimeoutError):
+            return None
+        return self._dialect.reported_start(head, body)
+
+
+def _accept_any(head: AnswerHead) -> bool:
+    return True
--- a/pimentospool/gateway/_stream_origins.py
+++ b/pimentospool/gateway/_stream_origins.py
@@ -22,9 +22,15 @@
 )
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._fleet_messages import EntryRecord
-from pimentospool.ids import ServiceId, SoftwareVersion, StreamKey
+from pimentospool.gateway._model import Registration
+from pimentospool.ids import ServiceId, SoftwareVersion, StreamKey, TargetId
 from pimentospool.log import Event, log_event
-from pimentospool.policy import OriginEvidence, StreamVersions, stream_key
+from pimentospool.policy import (
+    FOLLOWED_SECONDS,
+    OriginEvidence,
+    StreamVersions,
+    stream_key,
+)
 
 SOURCE_TIMEOUT_SECONDS = 0.5
 """Longest wait for the source; far above its usual response time."""
@@ -80,6 +86,8 @@
         self._clock = clock
         self._reading: asyncio.Task[bool] | None = None
         self._failed_at = float("-inf")
+        self._starts_ahead: dict[TargetId, int] = {}
+        """Starts in the last response that the routing state may not show yet."""
         self._questions = 0
 
     async def version_of(
@@ -116,6 +124,14 @@
             )
         return version
 
+    async def registered_start(self, registration: Registration) -> int | None:
+        """Return the start of a target that the source lists now, None if unknown."""
+        asked_at = self._clock()
+        await self._read_source(asked_at, max_age_seconds=0.0)
+        if not self._versions.follows(asked_at, max_age_seconds=0.0):
+            return None
+        return self._starts_ahead.get(registration.id, registration.started_at)
+
     async def close(self) -> None:
         """Close the connections to the source."""
         if self._reading is not None:
@@ -123,11 +139,15 @@
             await asyncio.gather(self._reading, return_exceptions=True)
         await self._source.close()
 
-    async def _read_source(self, asked_at: float) -> None:
+    async def _read_source(
+        self, asked_at: float, *, max_age_seconds: float = FOLLOWED_SECONDS
+    ) -> None:
         """Follow the source up to `asked_at`; requests of one moment share a read."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SOURCE_TIMEOUT_SECONDS):
-                while not self._versions.follows(asked_at):
+                while not self._versions.follows(
+                    asked_at, max_age_seconds=max_age_seconds
+                ):
                     if self._reading is None:
                         if self._clock() - self._failed_at < SOURCE_RETRY_SECONDS:
                             return
@@ -146,9 +166,11 @@
             self._failed_at = self._clock()
             return False
         else:
+            self._starts_ahead = {}
             for dated in batch.facts:
                 if isinstance(dated.fact, TargetRegistered):
                     registration = dated.fact.registration
+                    self._starts_ahead[registration.id] = registration.started_at
                     self._versions.observe(registration.service, registration.version)
             self._versions.record_followed(sent_at)
             return True
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -100,6 +100,11 @@
         logbook.NOTICE,
         "version that began a stream sought beyond the records of this entry VM",
     )
+    TARGET_START_CHECKED = (
+        3130,
+        logbook.NOTICE,
+        "start of a target checked whose connections were lost",
+    )
     ZONE_EVACUATED = (3121, logbook.NOTICE, "zone evacuated")
     ZONE_RESTORED = (3122, logbook.NOTICE, "zone restored; its targets count as cold")
     SETTINGS_RELOADED = (1009, logbook.NOTICE, "settings file reloaded")
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -2,6 +2,8 @@
 
 import math
 
+import msgspec
+
 from pimentospool.gateway import (
     AnswerClass,
     AnswerHead,
@@ -35,6 +37,7 @@
 from pimentospool.platform._numbers import parse_decimal, parse_duration
 from pimentospool.verdicts import Verdict
 
+REPORT_PATH = "/report"
 _OK = 200
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
@@ -47,6 +50,10 @@
 _NO_TARGET_REACHED = b"0"
 
 
+class _Report(msgspec.Struct):
+    born: int
+
+
 class PlatformDialect:
     """Wire format of requests and responses on the platform."""
 
@@ -92,6 +99,19 @@
             "latin-1"
         )
 
+    def encode_report(self, registration: Registration) -> bytes:
+        """Return an encoded request for a server's report on itself."""
+        return self.encode_health(registration, REPORT_PATH)
+
+    def reported_start(self, head: AnswerHead, body: bytes) -> int | None:
+        """Return the Unix millisecond of its start that a server's report names."""
+        if head.status != _OK:
+            return None
+        try:
+            return msgspec.json.decode(body, type=_Report).born
+        except (msgspec.MsgspecError, RecursionError):
+            return None
+
     def cold_seconds(self, head: AnswerHead) -> float | None:
         """Return how long a server stays cold, None if its response does not say."""
         if head.status != _OK:
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -56,6 +56,8 @@
 )
 from pimentospool.policy._shares import QuotaShares
 from pimentospool.policy._stream_versions import (
+    FOLLOWED_SECONDS,
+    UNPROVED_VERSION,
     OriginEvidence,
     StreamKnowledge,
     StreamVersions,
@@ -72,7 +74,9 @@
 from pimentospool.policy._target_health import TargetHealth
 
 __all__ = [
+    "FOLLOWED_SECONDS",
     "SURVIVAL_SECONDS",
+    "UNPROVED_VERSION",
     "Assignment",
     "BrittleTargets",
     "CachedParts",
--- a/pimentospool/policy/_stream_versions.py
+++ b/pimentospool/policy/_stream_versions.py
@@ -33,6 +33,9 @@
 FOLLOWED_SECONDS = 0.2
 """Age of a read of the registrations that shows all versions that serve. Streams do not
 begin, break off and reach another entry VM in less time."""
+UNPROVED_VERSION = SoftwareVersion("unproved start " * 5)
+"""In place of the version of a target whose start is in doubt; longer than any, so that
+no target has it."""
 _KEY_BYTES = 4
 _MAX_KNOWN_SECONDS = 1e9
 
@@ -115,9 +118,9 @@
         """Record that all versions that had registered by a time are known."""
         self._followed_until = max(self._followed_until, at)
 
-    def follows(self, at: float) -> bool:
-        """Whether the registrations were followed up to a time."""
-        return self._followed_until > at - FOLLOWED_SECONDS
+    def follows(self, at: float, *, max_age_seconds: float = FOLLOWED_SECONDS) -> bool:
+        """Whether the registrations were followed up to a time, or nearly."""
+        return self._followed_until >= at - max_age_seconds
 
     def sole_version(self, service: ServiceId) -> SoftwareVersion | None:
         """Return the version at which all streams of `service` began, if it is one.
--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -18,6 +18,7 @@
 _CRLF = b"\r\n"
 _HEADER_END = b"\r\n\r\n"
 HEALTH_PATH = "/healthz"
+REPORT_PATH = "/report"
 _ENDLESS_CHUNK_BYTES = 16 * 1024
 _STALL_BYTE_SECONDS = 0.2
 _CLOSE_POLL_SECONDS = 0.005
@@ -107,6 +108,8 @@
         Pause before each event, or before a single body.
     connections : int
         Number of connections accepted so far.
+    born : int or None
+        Unix millisecond of its start, which its report names.
     answer_headers : dict of str to str
         Headers of all its answers, by which it says something of itself.
     room : int or None
@@ -131,6 +134,7 @@
         self.received: list[ReceivedRequest] = []
         self.connections = 0
         self.cold_remaining_ms = 0
+        self.born: int | None = None
         self.answer_headers: dict[str, str] = {}
         self.room: int | None = None
         self.silent_until = 0.0
@@ -215,6 +219,11 @@
                 )
             )
             return True
+        if req.path == REPORT_PATH and self.born is not None:
+            req.executed = False
+            body = b'{"born":%d}' % self.born
+            writer.write(self._response_head(req, 200, length=len(body)) + body)
+            return True
         if fault is Fault.EARLY:
             return True
         disconnected = asyncio.ensure_future(_wait_for_disconnect(reader))
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -9,7 +9,7 @@
 
 from pimentospool.gateway import SourceError
 from pimentospool.policy import EntryState
-from pimentospool.standins import Fault
+from pimentospool.standins import Fault, SigningTarget
 
 EVENTS = 6
 REGIONS = ("gulf-a", "delta-a")
@@ -259,27 +259,102 @@
     return streams
 
 
-@pytest.mark.parametrize("other", [None, "v2"])
+@pytest.mark.parametrize(
+    ("zones", "others"),
+    [
+        (("gulf-a", "gulf-a"), ()),
+        (("gulf-a", "gulf-a"), ("v2",)),
+        (REGIONS, ("v2", "v3")),
+    ],
+)
 def test_stream_goes_on_after_all_entry_vms_were_replaced_with_overlap(
-    runner, tmp_path, other
+    runner, tmp_path, zones, others
 ):
     async def check(site):
         target = await add_engine(site, "m-v1", "v1")
         target.events, target.gap_seconds = 60, 0.05
         await wait_until_ready(site)
+        loads = site.nodes[1].gateway.fleet.loads
+        await site.wait_until(lambda: zones != REGIONS or loads("llm"))
         origins = [(await begin(site, node=number))[0] for number in (0, 1)]
-        if other is not None:
-            await add_engine(site, "m-v2", other)
+        for other in others:
+            await add_engine(site, f"m-{other}", other)
             await asyncio.sleep(1.0)
         streams = await drain(site, (0, 1))
-        for _ in range(2):
-            gateway = (await site.add_node("gulf-a", first_start=False)).gateway
+        for zone in zones:
+            gateway = (await site.add_node(zone, first_start=False)).gateway
             while gateway.state is not EntryState.READY:
                 await asyncio.sleep(0.02)
-            await asyncio.sleep(0.7)
+            await asyncio.sleep(2.0 if zones == REGIONS else 0.7)
         for node in (2, 3):
             for origin in origins:
                 assert await take_up(site, origin, node=node) == (200, target)
         await asyncio.gather(*streams, return_exceptions=True)
 
+    run_with_site(runner, tmp_path, check, zones=zones)
+
+
+async def start_again(site, target, *, born):
+    """End a target, and start one under its id and address."""
+    host, _, port = target.address.rpartition(":")
+    target._crash()
+    await asyncio.sleep(0.1)
+    again = SigningTarget(instance=target.instance, events=EVENTS)
+    again.born = born
+    await again.start(host, int(port))
+    site.targets[target.instance] = again
+    return again
+
+
+def streams_of(target):
+    return [req.id for req in target.received if req.path == "/ask/"]
+
+
+@pytest.mark.parametrize("born", [2, None])
+def test_stream_is_not_continued_by_a_newer_start_that_has_not_registered(
+    runner, tmp_path, born
+):
+    async def check(site):
+        target = await add_engine(site, "m-1", "v1")
+        target.gap_seconds = 0.3
+        await wait_until_ready(site)
+        running = asyncio.create_task(
+            site.call("/ask/", request_id="b-1", method="POST", data=b"p")
+        )
+        await asyncio.sleep(0.8)
+        again = await start_again(site, target, born=born)
+        await asyncio.gather(running, return_exceptions=True)
+        for _ in range(3):
+            assert await take_up(site, "b-1") == (503, None)
+            await asyncio.sleep(0.2)
+        assert not streams_of(again)
+        # A stream that begins there now is not taken for one of the old start.
+        assert (await site.call("/ask/", request_id="n-1", method="POST"))[0] == 200
+        await add_engine(site, "m-2", "v1")
+        await asyncio.sleep(1.0)
+        assert (await take_up(site, "n-1"))[0] == 503
+        await site.register(again, service="llm", Version="v2", born=2)
+
+    run_with_site(runner, tmp_path, check)
+
+
+@pytest.mark.parametrize(("born", "seconds"), [(1, 0.2), (None, 4.0)])
+def test_stream_goes_on_at_a_target_that_only_lost_its_connections(
+    runner, tmp_path, born, seconds
+):
+    async def check(site):
+        target = await add_engine(site, "m-1", "v1")
+        target.gap_seconds, target.born = 0.3, born
+        await wait_until_ready(site)
+        running = asyncio.create_task(
+            site.call("/ask/", request_id="b-1", method="POST", data=b"p")
+        )
+        await asyncio.sleep(0.8)
+        for writer in target._writers:
+            writer.transport.abort()
+        await asyncio.gather(running, return_exceptions=True)
+        async with asyncio.timeout(seconds + EVENTS * target.gap_seconds):
+            while (await take_up(site, "b-1"))[0] != 200:
+                await asyncio.sleep(0.1)
+
     run_with_site(runner, tmp_path, check)
