Keep what a start of a target has said while its entry lapses

What callers saw: a target that had rejected a request with 503 and Retry-After, or had named Server-Limit, got requests again as soon as its entry was removed or expired and came back with the same id and start.

Cause: Placement dropped quiet times, limits, brittleness and ejections with the removal of the entry. Besides, a late rejection by an earlier start was booked on the id, and so kept the new start from requests.

Evidence: failed before, passes now, on real sockets: in tests/platform/test_target_notices.py test_quiet_time_holds_though_the_entry_lapses_and_returns (5 of 5 requests answered 200 by the quiet target, 503 wanted), test_limit_holds_though_the_entry_lapses_and_returns (4 more requests in four lapses at a limit of 0.2 a second, 1 allowed) and test_rejection_by_a_start_whose_entry_lapsed_counts_for_that_start_only[2] (the new start refused for the old one's Retry-After); its case [1], an answer that comes while the entry is gone, passed before and is kept as a guard. Five of the cases of tests/gateway/test_placement_starts.py failed before.

Why it works: KnownStarts remembers to which start the knowledge belongs. Health of a target that is not known is no longer stored, so late failures can't add entries.

Not covered: a failed connection to an earlier start that is booked by _attempts.py after the new one has registered still ejects the new one for up to 4 s.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -144,6 +144,7 @@
         started_at = deps.clock()
 
         attempt.version = state.registration.version
+        start = state.registration
 
         def record_event() -> None:
             assignment.first_event()
@@ -151,6 +152,10 @@
             exposure.record_event()
 
         def record_head(head: AnswerHead) -> None:
+            if deps.dialect.is_leaving(head):
+                deps.routing_state.receive_leaving(state.registration)
+            if not deps.placement.counts(start):
+                return
             deps.placement.named_limits.record_answer(
                 state.id, deps.dialect.request_limit(head), sent_at=sent_at
             )
@@ -160,8 +165,6 @@
                 sent_at=sent_at,
                 rejected=deps.dialect.classify(head) is AnswerClass.REJECTION,
             )
-            if deps.dialect.is_leaving(head):
-                deps.routing_state.receive_leaving(state.registration)
             quiet_seconds = deps.dialect.quiet_seconds(head)
             if quiet_seconds is not None:
                 deps.placement.health(state.id).record_quiet(quiet_seconds)
@@ -204,7 +207,9 @@
                 assignment, deps.clock() - started_at, candidate
             )
             assignment.end()
-            deps.placement.health(state.id).record_end(deps.clock() - started_at)
+            if deps.placement.counts(start):
+                health = deps.placement.health(state.id)
+                health.record_end(deps.clock() - started_at)
 
     async def _send_to_region(
         self, attempt: RunningAttempt, choice: RegionChoice
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -8,7 +8,12 @@
 
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._fleet_messages import ServiceLoad
-from pimentospool.gateway._model import HttpRoute, InboundRequest, ServiceSpec
+from pimentospool.gateway._model import (
+    HttpRoute,
+    InboundRequest,
+    Registration,
+    ServiceSpec,
+)
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._routing_state import RoutingState, TargetState
 from pimentospool.ids import EntryId, RegionId, ServiceId, SoftwareVersion, TargetId
@@ -19,6 +24,7 @@
     CachedParts,
     Candidate,
     ColdStartLimiter,
+    KnownStarts,
     NamedLimits,
     NoChoice,
     OccupancyBook,
@@ -95,7 +101,13 @@
         )
         self._health: dict[TargetId, TargetHealth] = {}
         self._paces: dict[ServiceId, ServicePace] = {}
-        routing_state.target_removed.connect(self._forget_target)
+        self._starts = KnownStarts(clock=clock, forget=self._forget_target)
+        for target in routing_state.known_targets():
+            state = routing_state.target(target)
+            assert state is not None
+            self._register_start(state.registration)
+        routing_state.target_started.connect(self._register_start)
+        routing_state.target_removed.connect(self._lapse)
 
     def choose(
         self,
@@ -174,9 +186,19 @@
         """Return the health of `target`."""
         health = self._health.get(target)
         if health is None:
-            health = self._health[target] = TargetHealth(clock=self._clock)
+            health = TargetHealth(clock=self._clock)
+            if self._starts.is_known(target):
+                self._health[target] = health
         return health
 
+    def counts(self, registration: Registration) -> bool:
+        """Whether what this start of a target says still matters.
+
+        It does while the target's entry has lapsed, and no longer once the target has
+        started again.
+        """
+        return self._starts.counts(registration.id, _start(registration))
+
     def pace(self, service: ServiceId) -> ServicePace:
         """Return the speed of the targets of `service`."""
         pace = self._paces.get(service)
@@ -422,13 +444,24 @@
             members=self._fleet.known_ids(self._region),
         )
 
+    def _register_start(self, registration: Registration) -> None:
+        self._starts.register(registration.id, _start(registration))
+
+    def _lapse(self, target: TargetId) -> None:
+        self._cached_parts.forget(target)
+        self._starts.lapse(target)
+
     def _forget_target(self, target: TargetId) -> None:
         self._health.pop(target, None)
-        self._cached_parts.forget(target)
         self.named_limits.forget(target)
         self.brittle_targets.forget(target)
 
 
+def _start(registration: Registration) -> object:
+    """Return what tells a start of a target from its others."""
+    return registration.started_at or registration.address
+
+
 def _log_limit(target: TargetId, rate: float) -> None:
     if math.isinf(rate):
         log_event(Event.TARGET_UNLIMITED, target=target)
--- a/pimentospool/gateway/_routing_state.py
+++ b/pimentospool/gateway/_routing_state.py
@@ -102,6 +102,8 @@
             name="configuration_adopted"
         )
         self.zone_restored: Signal[ZoneId] = Signal(name="zone_restored")
+        self.target_started: Signal[Registration] = Signal(name="target_started")
+        """Sent when a target registers that had no entry, or starts again."""
         self.target_removed: Signal[TargetId] = Signal(name="target_removed")
         self.target_observed: Signal[Registration] = Signal(name="target_observed")
         """Sent when a target registers, and when it has just stopped to serve."""
@@ -168,6 +170,7 @@
                 zone=registration.zone,
                 cold_seconds=registration.cold_seconds,
             )
+            self.target_started.send(registration)
         elif registration.leaving and not state.registration.leaving:
             log_event(Event.TARGET_LEAVING, target=registration.id)
         state.registration = registration
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -13,6 +13,11 @@
 from pimentospool.policy._entries import rank_entries
 from pimentospool.policy._flights import RegionFlight, TargetFlight
 from pimentospool.policy._heartbeat_table import EntryState, HeartbeatTable
+from pimentospool.policy._known_starts import (
+    LAPSED_SECONDS,
+    MAX_LAPSED_STARTS,
+    KnownStarts,
+)
 from pimentospool.policy._limits import CustomerLimiter, LimitRefusal
 from pimentospool.policy._membership import (
     ChangeKind,
@@ -67,6 +72,8 @@
 from pimentospool.policy._target_health import TargetHealth
 
 __all__ = [
+    "LAPSED_SECONDS",
+    "MAX_LAPSED_STARTS",
     "SURVIVAL_SECONDS",
     "Assignment",
     "BrittleTargets",
@@ -82,6 +89,7 @@
     "HeartbeatTable",
     "HeldAnswer",
     "Join",
+    "KnownStarts",
     "LedgerLimits",
     "LimitNotice",
     "LimitRefusal",
--- /dev/null
+++ b/tests/gateway/test_placement_starts.py
@@ -0,0 +1,163 @@
+"""What is known of a start of a target, while its entry lapses and returns."""
+
+import math
+import random
+
+import pytest
+from gateway_factories import (
+    Clock,
+    make_configuration,
+    make_record,
+    make_registration,
+    make_service,
+)
+
+from pimentospool.gateway import RoutingState, SharedBounds
+from pimentospool.gateway._fleet import Fleet
+from pimentospool.gateway._placement import Placement
+from pimentospool.policy import MAX_LAPSED_STARTS, OccupancyBook
+
+BOUNDS = SharedBounds(
+    retry_ratio=0.2,
+    retry_reserve=56,
+    retry_window_seconds=10.0,
+    cold_overage=1.5,
+    cold_slack=3.0,
+)
+START = make_registration(started_at=1)
+
+
+class Region:
+    """Placement and routing state of one entry VM."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.routing_state = RoutingState(
+            clock=self.clock, zone_regions={"gulf-a": "gulf"}
+        )
+        self.routing_state.adopt(make_configuration(services=[make_service()]))
+        fleet = Fleet(
+            local_record=make_record("own"), clock=self.clock, rng=random.Random(1)
+        )
+        self.placement = Placement(
+            region="gulf",
+            routing_state=self.routing_state,
+            fleet=fleet,
+            book=OccupancyBook(clock=self.clock),
+            bounds=BOUNDS,
+            clock=self.clock,
+        )
+        self.routing_state.register(START)
+
+    def tell_all(self):
+        """Record each restriction that an answer or a failure can name."""
+        sent_at = self.clock()
+        placement = self.placement
+        placement.health("i-1").record_quiet(30.0)
+        placement.health("i-1").record_connect_failure()
+        placement.named_limits.record_answer("i-1", 1.5, sent_at=sent_at)
+        placement.brittle_targets.record_answer(
+            "i-1", 3.0, sent_at=sent_at, rejected=True
+        )
+
+    def restrictions(self):
+        """Return which restrictions of the target hold."""
+        placement = self.placement
+        health = placement.health("i-1")
+        held = {
+            "quiet": health.quiet_seconds > 0,
+            "ejected": health.ejected,
+            "limit": not math.isinf(placement.named_limits.limit("i-1")),
+            "brittle": not placement.brittle_targets.allows(
+                "i-1", slots=8, in_progress=0, members=["own"]
+            ),
+        }
+        return {name for name, holds in held.items() if holds}
+
+
+ALL = {"quiet", "ejected", "limit", "brittle"}
+
+
+@pytest.fixture
+def region():
+    return Region()
+
+
+def lapse_by_removal(region):
+    region.routing_state.deregister("i-1")
+
+
+def lapse_by_expiry(region):
+    region.routing_state.deregister("i-1", expired=True)
+    region.clock.now += 2.3
+    region.routing_state.usable_targets("desk", "gulf")
+
+
+def test_restrictions_hold_after_the_entry_was_removed_and_returned(region):
+    region.tell_all()
+    lapse_by_removal(region)
+    region.clock.now += 0.2
+    region.routing_state.register(START)
+    assert region.restrictions() == ALL
+
+
+def test_quiet_time_and_limit_hold_after_the_entry_expired_and_returned(region):
+    region.tell_all()
+    lapse_by_expiry(region)
+    region.routing_state.register(START)
+    assert {"quiet", "limit"} <= region.restrictions()
+
+
+def test_answer_that_comes_while_the_entry_has_lapsed_counts_on_its_return(region):
+    lapse_by_removal(region)
+    region.tell_all()
+    region.routing_state.register(START)
+    assert region.restrictions() == ALL
+
+
+@pytest.mark.parametrize("lapses", [False, True])
+def test_new_start_has_no_restrictions_of_the_earlier_one(region, lapses):
+    region.tell_all()
+    if lapses:
+        lapse_by_removal(region)
+    region.routing_state.register(make_registration(started_at=2))
+    assert region.restrictions() == set()
+
+
+def test_start_that_moves_to_another_address_keeps_its_restrictions(region):
+    region.tell_all()
+    region.routing_state.register(make_registration(started_at=1, port=9001))
+    assert region.restrictions() == ALL
+
+
+def test_other_address_without_a_start_time_is_another_start(region):
+    region.routing_state.register(make_registration())
+    region.tell_all()
+    region.routing_state.register(make_registration(port=9001))
+    assert region.restrictions() == set()
+
+
+def test_answer_of_an_earlier_start_does_not_count_for_the_new_one(region):
+    placement = region.placement
+    assert placement.counts(START)
+    lapse_by_removal(region)
+    assert placement.counts(START)
+    region.routing_state.register(make_registration(started_at=2))
+    assert not placement.counts(START)
+
+
+def test_targets_that_never_return_are_forgotten_in_time_and_number(region):
+    routing_state, placement = region.routing_state, region.placement
+    for number in range(2 * MAX_LAPSED_STARTS):
+        target = f"x-{number}"
+        routing_state.register(make_registration(target, started_at=1))
+        placement.health(target).record_quiet(5.0)
+        placement.named_limits.record_answer(target, 1.0, sent_at=region.clock())
+        routing_state.deregister(target)
+    assert len(placement._health) <= MAX_LAPSED_STARTS + 1
+    assert len(placement.named_limits._notices) <= MAX_LAPSED_STARTS + 1
+    region.clock.now += 1e4
+    routing_state.deregister("i-1")
+    for number in range(2 * MAX_LAPSED_STARTS):
+        placement.health(f"x-{number}").record_quiet(5.0)
+    assert len(placement._health) <= 1
--- a/tests/platform/test_target_notices.py
+++ b/tests/platform/test_target_notices.py
@@ -150,3 +150,79 @@
             assert statuses.count(200) > 0.5 * 2 * 8 / 0.3 * 6.0
 
     runner.run(run())
+
+
+async def lapse(site, target):
+    """Remove the entry of `target` until the node has followed that."""
+    routing_state = site.nodes[0].gateway.routing_state
+    await site.store.delete(f"servers/{target.instance}")
+    await site.wait_until(lambda: target.instance not in routing_state.known_targets())
+
+
+async def come_back(site, target, **options):
+    """Write the entry of `target` again until the node has followed that."""
+    routing_state = site.nodes[0].gateway.routing_state
+    await site.register(target, **options)
+    await site.wait_until(lambda: target.instance in routing_state.known_targets())
+
+
+def test_quiet_time_holds_though_the_entry_lapses_and_returns(runner, tmp_path):
+    async def run():
+        async with running_site(tmp_path) as site:
+            [quiet] = await start_targets(site, 1)
+            quiet.answer_headers["Retry-After"] = "20"
+            quiet.faults = [Fault.REJECT]
+            await send(site, 1)
+            for _ in range(2):
+                await lapse(site, quiet)
+                await come_back(site, quiet)
+                results = await send(site, 5)
+                assert [status for status, _, _ in results] == [503] * 5
+            assert len(quiet.received) == 1
+            await lapse(site, quiet)
+            await come_back(site, quiet, born=2)
+            await site.wait_until_received(quiet)
+
+    runner.run(run())
+
+
+def test_limit_holds_though_the_entry_lapses_and_returns(runner, tmp_path):
+    async def run():
+        async with running_site(tmp_path) as site:
+            [limited] = await start_targets(site, 1)
+            limited.answer_headers["Server-Limit"] = "0.2"
+            await site.wait_until_received(limited)
+            before = len(limited.received)
+            for _ in range(4):
+                await lapse(site, limited)
+                await come_back(site, limited)
+                await send(site, 5)
+            assert len(limited.received) - before <= 1
+
+    runner.run(run())
+
+
+@pytest.mark.parametrize("born", [1, 2])
+def test_rejection_by_a_start_whose_entry_lapsed_counts_for_that_start_only(
+    runner, tmp_path, born
+):
+    async def run():
+        async with running_site(tmp_path) as site:
+            [target] = await start_targets(site, 1)
+            target.silent_until = time.monotonic() + 1.2
+            target.faults = [Fault.REJECT]
+            target.answer_headers["Retry-After"] = "20"
+            late = asyncio.create_task(site.call("/look/x", request_id="late"))
+            await site.wait_until(lambda: target.received)
+            await lapse(site, target)
+            if born == 2:
+                await come_back(site, target, born=2)
+            await late
+            del target.answer_headers["Retry-After"]
+            if born == 1:
+                await come_back(site, target)
+            results = await send(site, 5)
+            status = 503 if born == 1 else 200
+            assert {result[0] for result in results} == {status}
+
+    runner.run(run())
