Send nothing new to a target whose entry has become unreadable

What callers saw: after another writer had replaced the entry of a target, requests went on to the target by the facts of the earlier entry, without end; only a read of all entries removed it, with its connections and what it had said of itself.

Cause: a watch event that can't be decoded was skipped, while a range read left the target out, which counts as its removal.

Why it works: the reader of the store states such an entry as a fact of its own, which both ways of reading and the relays pass on.

--- a/pimentospool/gateway/__init__.py
+++ b/pimentospool/gateway/__init__.py
@@ -24,6 +24,7 @@
     SourceRestoredError,
     TargetDeregistered,
     TargetRegistered,
+    TargetUnreadable,
 )
 from pimentospool.gateway._model import (
     Address,
@@ -89,5 +90,6 @@
     "TargetDeregistered",
     "TargetDialect",
     "TargetRegistered",
+    "TargetUnreadable",
     "WeightedService",
 ]
--- a/pimentospool/gateway/_fact_feed.py
+++ b/pimentospool/gateway/_fact_feed.py
@@ -26,6 +26,7 @@
     SourceRestoredError,
     TargetDeregistered,
     TargetRegistered,
+    TargetUnreadable,
 )
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._fleet_messages import EntryRecord
@@ -301,6 +302,8 @@
                 state.register(registration)
             case TargetDeregistered(target=target, may_have_expired=expired):
                 state.deregister(target, expired=expired)
+            case TargetUnreadable(target=target):
+                state.receive_unreadable(target)
             case EvacuationChanged(zone=zone, evacuated=evacuated):
                 state.set_evacuated(zone, evacuated)
             case ConfigurationPublished(configuration=configuration):
--- a/pimentospool/gateway/_facts.py
+++ b/pimentospool/gateway/_facts.py
@@ -31,6 +31,12 @@
     """Whether it may have expired while its target could not renew it."""
 
 
+class TargetUnreadable(msgspec.Struct, frozen=True, tag="unreadable"):
+    """The entry of a target was replaced by one that can't be read."""
+
+    target: TargetId
+
+
 class EvacuationChanged(msgspec.Struct, frozen=True, tag="evacuation"):
     """The evacuation of a zone began or ended."""
 
@@ -48,7 +54,11 @@
 
 
 Fact = (
-    TargetRegistered | TargetDeregistered | EvacuationChanged | ConfigurationPublished
+    TargetRegistered
+    | TargetDeregistered
+    | TargetUnreadable
+    | EvacuationChanged
+    | ConfigurationPublished
 )
 
 
@@ -73,6 +83,8 @@
     configuration: Configuration | None
     registrations: list[Registration]
     evacuated: frozenset[ZoneId]
+    unreadable: frozenset[TargetId] = frozenset()
+    """Targets whose entries are there and can't be read."""
 
 
 class SourceError(PimentospoolError):
--- a/pimentospool/gateway/_routing_state.py
+++ b/pimentospool/gateway/_routing_state.py
@@ -42,6 +42,8 @@
         self.cold_until = 0.0
         self.assumed_cold = False
         """Whether it counts as cold only because its zone's evacuation has ended."""
+        self.unreadable = False
+        """Whether its entry has become unreadable, so that it gets no new requests."""
         self.expires_at: float | None = None
         """Time at which the target is removed unless it registers again."""
 
@@ -174,6 +176,7 @@
         elif registration.leaving and not state.registration.leaving:
             log_event(Event.TARGET_LEAVING, target=registration.id)
         state.registration = registration
+        state.unreadable = False
         self.target_observed.send(registration)
         state.expires_at = None
         if registration.cold_seconds > 0:
@@ -193,6 +196,17 @@
         self._said_leaving[instance] = None
         log_event(Event.TARGET_LEAVING, target=registration.id)
 
+    def receive_unreadable(self, target: TargetId) -> None:
+        """Store that the entry of `target` can't be read any more.
+
+        Until it is readable, the target gets no new requests. It isn't removed, so that
+        its connections and what is known of it last.
+        """
+        state = self._targets.get(target)
+        if state is not None and not state.unreadable:
+            state.unreadable = True
+            log_event(Event.TARGET_UNREADABLE, target=target)
+
     def deregister(self, target: TargetId, *, expired: bool = False) -> None:
         """Remove a target.
 
@@ -219,6 +233,7 @@
             state
             for state in self._targets.values()
             if state.assumed_cold
+            and not state.unreadable
             and state.is_cold(now)
             and zone in (None, state.registration.zone)
         ]
@@ -273,7 +288,9 @@
         self.replace_evacuated(zones)
         present = {registration.id for registration in snapshot.registrations}
         for target in self.known_targets():
-            if target not in present:
+            if target in snapshot.unreadable:
+                self.receive_unreadable(target)
+            elif target not in present:
                 self.deregister(target, expired=restored or may_have_expired)
         for registration in snapshot.registrations:
             if not (restored and self._has_departed(registration)):
@@ -312,6 +329,7 @@
                     cold_seconds=max(0.0, state.cold_until - now),
                 )
                 for state in self._targets.values()
+                if not state.unreadable
             ),
             evacuated=self.evacuated,
             configuration_era=self.configuration_era,
@@ -351,6 +369,7 @@
             for state in self._targets.values()
             if state.registration.service == service
             and not state.registration.leaving
+            and not state.unreadable
             and _instance(state.registration) not in self._said_leaving
             and state.registration.zone not in self._evacuated
             and self.region_of(state.registration.zone) == region
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -81,6 +81,7 @@
     REQUEST_QUARANTINED = (3123, logbook.WARNING, "request kept from targets")
     REQUEST_RELEASED = (3124, logbook.NOTICE, "request sent to targets again")
     TARGET_LIMITED = (3119, logbook.WARNING, "target named the rate that it takes")
+    TARGET_UNREADABLE = (3130, logbook.WARNING, "entry of a target became unreadable")
     TARGET_QUIET = (3125, logbook.NOTICE, "target wants no requests for a time")
     TARGET_BRITTLE = (3126, logbook.NOTICE, "target says whether it is brittle")
     TARGET_UNLIMITED = (3120, logbook.NOTICE, "target names no limit any more")
--- a/pimentospool/platform/_store.py
+++ b/pimentospool/platform/_store.py
@@ -24,6 +24,7 @@
     SourceRestoredError,
     TargetDeregistered,
     TargetRegistered,
+    TargetUnreadable,
 )
 from pimentospool.ids import TargetId, ZoneId
 from pimentospool.log import Event, log_event
@@ -158,11 +159,14 @@
     def _to_snapshot(self, items: list[_Item], position: FactPosition) -> FactSnapshot:
         configuration: Configuration | None = None
         registrations: list[Registration] = []
+        unreadable: set[TargetId] = set()
         evacuated: set[ZoneId] = set()
         for item in items:
             match self._to_fact(item):
                 case TargetRegistered(registration=registration):
                     registrations.append(registration)
+                case TargetUnreadable(target=target):
+                    unreadable.add(target)
                 case EvacuationChanged(zone=zone):
                     evacuated.add(zone)
                 case ConfigurationPublished(configuration=published):
@@ -172,10 +176,14 @@
             configuration=configuration,
             registrations=registrations,
             evacuated=frozenset(evacuated),
+            unreadable=frozenset(unreadable),
         )
 
     def _to_fact(self, item: _Item) -> Fact | None:
-        """Return the fact that an item states, None for one that can't be decoded."""
+        """Return the fact that an item states, None for one that says nothing.
+
+        An entry of a target that can't be decoded says that it names no target to use.
+        """
         key = item.key
         try:
             if key.startswith(SERVER_PREFIX):
@@ -199,6 +207,8 @@
                 reason=str(exc),
                 skipped=self.skipped_entries,
             )
+            if key.startswith(SERVER_PREFIX):
+                return TargetUnreadable(TargetId(key.removeprefix(SERVER_PREFIX)))
         return None
 
     async def _get(
--- a/tests/gateway/test_fact_feed.py
+++ b/tests/gateway/test_fact_feed.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 from gateway_factories import (
     announce,
@@ -23,6 +24,7 @@
     SourceRestoredError,
     TargetDeregistered,
     TargetRegistered,
+    TargetUnreadable,
 )
 from pimentospool.gateway._change_log import ChangeLog
 from pimentospool.gateway._fact_feed import FRESH_SECONDS, FactFeed
@@ -290,6 +292,39 @@
     run_feed(runner, check, as_relay=True)
 
 
+def test_entry_that_a_relay_could_not_read_names_no_target_at_its_followers(runner):
+    async def check(site):
+        site.announce_position()
+        await wait_until(lambda: site.targets() == {"i-1"})
+        usable = site.routing_state.usable_targets
+        assert usable("desk", "gulf")
+        fact = TargetUnreadable("i-1")
+        batch = FactBatch(FactPosition(1, 11), [DatedFact(11, fact)])
+        encoded = msgspec.msgpack.encode(batch)
+        site.reader.batch = msgspec.msgpack.decode(encoded, type=FactBatch)
+        site.announce_position(FactPosition(1, 11))
+        await wait_until(lambda: not usable("desk", "gulf"))
+        (dated,) = site.changes.after(START).facts
+        assert dated.fact == fact
+        assert not site.source.watched
+
+    run_feed(runner, check)
+
+
+def test_unreadable_entry_names_no_target_after_an_outage_either(runner):
+    async def check(site):
+        await wait_until(lambda: site.source.watched)
+        site.feed._last_response_at -= 5.0
+        site.source.results.put_nowait(SourceError("down"))
+        await wait_until(lambda: site.feed.failing)
+        dated = DatedFact(11, TargetUnreadable("i-1"))
+        site.source.results.put_nowait(FactBatch(FactPosition(1, 11), [dated]))
+        await wait_until(lambda: site.changes.position == FactPosition(1, 11))
+        assert not site.routing_state.usable_targets("desk", "gulf")
+
+    run_feed(runner, check, as_relay=True)
+
+
 def test_entry_vm_with_relays_waits_for_their_news_while_the_source_is_away(runner):
     async def check(site):
         await wait_until(lambda: site.source.watched)
--- a/tests/gateway/test_routing_state.py
+++ b/tests/gateway/test_routing_state.py
@@ -1,5 +1,6 @@
 """Registration, expiry and cold times of targets, and evacuated zones."""
 
+import msgspec
 import pytest
 from gateway_factories import (
     Clock,
@@ -205,3 +206,52 @@
     routing_state.apply_snapshot(snapshot, restored=False, may_have_expired=False)
     assert usable_ids(routing_state) == ["i-2"]
     assert routing_state.evacuated == frozenset()
+
+
+def test_target_whose_entry_is_unreadable_gets_no_requests_and_is_not_removed(
+    routing_state,
+):
+    removed = []
+    routing_state.target_removed.connect(removed.append)
+    routing_state.register(make_registration("i-1", started_at=1))
+    routing_state.receive_unreadable("i-1")
+    routing_state.receive_unreadable("i-2")
+    assert usable_ids(routing_state) == []
+    assert routing_state.view().targets == ()
+    assert routing_state.versions("desk") == {""}
+    assert routing_state.known_targets() == ["i-1"]
+    routing_state.register(make_registration("i-1", started_at=1))
+    assert usable_ids(routing_state) == ["i-1"]
+    assert removed == []
+
+
+def test_target_whose_entry_is_unreadable_is_not_asked_whether_it_is_cold(
+    routing_state,
+):
+    routing_state.register(make_registration("i-1"))
+    routing_state.set_evacuated("gulf-a", True)
+    routing_state.set_evacuated("gulf-a", False)
+    routing_state.receive_unreadable("i-1")
+    assert routing_state.assumed_cold() == []
+    routing_state.register(make_registration("i-1"))
+    assert [state.id for state in routing_state.assumed_cold()] == ["i-1"]
+
+
+@pytest.mark.parametrize("restored", [False, True])
+def test_snapshot_with_an_unreadable_entry_names_no_target(routing_state, restored):
+    routing_state.register(make_registration("i-1"))
+    routing_state.register(make_registration("i-2", port=9001))
+    snapshot = msgspec.structs.replace(
+        make_snapshot(make_registration("i-2", port=9001)),
+        unreadable=frozenset({"i-1", "i-3"}),
+    )
+    routing_state.apply_snapshot(snapshot, restored=restored, may_have_expired=restored)
+    assert usable_ids(routing_state) == ["i-2"]
+    assert set(routing_state.known_targets()) == {"i-1", "i-2"}
+
+
+def test_unreadable_entry_that_is_removed_removes_its_target(routing_state):
+    routing_state.register(make_registration("i-1"))
+    routing_state.receive_unreadable("i-1")
+    routing_state.deregister("i-1")
+    assert routing_state.known_targets() == []
--- a/tests/platform/test_store_feed.py
+++ b/tests/platform/test_store_feed.py
@@ -94,6 +94,74 @@
     run_with_site(runner, tmp_path, check)
 
 
+@pytest.mark.parametrize("name", ODD_ENTRIES)
+def test_target_whose_entry_becomes_unreadable_is_not_used_until_it_is_readable(
+    runner, tmp_path, name
+):
+    async def check(site):
+        sound = target_entry("127.0.0.1:7")
+        await site.store.put("servers/i-1", target_entry("127.0.0.1:1"))
+        await site.store.put("servers/odd", sound)
+        await site.wait_until(lambda: usable_ids(site) == {"i-1", "odd"})
+        await site.store.put("servers/odd", ODD_ENTRIES[name])
+        await site.wait_until(lambda: usable_ids(site) == {"i-1"}, timeout_seconds=2.0)
+        await site.store.put("servers/odd", sound)
+        await site.wait_until(lambda: usable_ids(site) == {"i-1", "odd"})
+
+    run_with_site(runner, tmp_path, check)
+
+
+def test_entry_that_becomes_unreadable_while_history_is_lost_names_no_target(
+    runner, tmp_path
+):
+    async def check(site):
+        for name in ("i-1", "i-2"):
+            await site.store.put(f"servers/{name}", target_entry("127.0.0.1:1"))
+        await site.wait_until(lambda: usable_ids(site) == {"i-1", "i-2"})
+        removed = []
+        routing_state(site).target_removed.connect(removed.append)
+        site.store.refusal_status = 503
+        await site.store.put("op/wake", {})
+        await asyncio.sleep(0.3)
+        await site.store.put("servers/i-1", b"\xff")
+        await site.store.drop_history()
+        site.store.refusal_status = 0
+        await site.wait_until(lambda: usable_ids(site) == {"i-2"})
+        await site.store.put("servers/i-1", target_entry("127.0.0.1:1"))
+        await site.wait_until(lambda: usable_ids(site) == {"i-1", "i-2"})
+        assert removed == []
+        await site.store.put("servers/i-1", b"\xff")
+        await site.wait_until(lambda: usable_ids(site) == {"i-2"})
+        await site.store.delete("servers/i-1")
+        await site.wait_until(lambda: removed == ["i-1"])
+
+    run_with_site(runner, tmp_path, check)
+
+
+def test_request_at_a_target_whose_entry_becomes_unreadable_is_answered(
+    runner, tmp_path
+):
+    async def check(site):
+        target = await site.add_target("d-1")
+        await site.wait_until(lambda: usable_ids(site) == {"d-1"})
+        target.gap_seconds = 1.2
+        call = asyncio.create_task(site.call("/look/x", request_id="r-1"))
+        await site.wait_until(lambda: target.received)
+        await site.store.put("servers/d-1", b"\xff")
+        await site.wait_until(lambda: not usable_ids(site), timeout_seconds=1.0)
+        status, _, _ = await call
+        assert status == 200
+        target.gap_seconds = 0.0
+        status, _, _ = await site.call("/look/x", request_id="r-2")
+        assert status == 503
+        connections = target.connections
+        await site.register(target)
+        await site.wait_until_received(target)
+        assert target.connections == connections
+
+    run_with_site(runner, tmp_path, check)
+
+
 def test_skips_entries_that_cannot_be_decoded(runner, tmp_path):
     async def check(site):
         await site.store.put("servers/bad-1", b"\x00\xff")
