Refuse server entries with fields missing, and those without a known start

What callers saw: an entry of another writer that lacks Version, Slots, ColdLeftMs or Sequence, or whose Sequence is of another type, counted as the target's; one without born replaced a running target by a "new start" at the address that the entry names, dropping connections and restrictions.

Cause: the decoder filled in values for missing fields and didn't read Sequence; a missing born was taken as start 0, which differs from any other.

Why it works: such an entry is unreadable, so the target gets nothing new until its own entry is back. An unknown target without born is still taken, as the users' example of an entry has none. Their example has the eight fields that are now required.

--- a/pimentospool/gateway/_routing_state.py
+++ b/pimentospool/gateway/_routing_state.py
@@ -157,6 +157,14 @@
         """Store the registration that a target published."""
         now = self._clock()
         state = self._targets.get(registration.id)
+        if (
+            state is not None
+            and state.registration.started_at
+            and not registration.started_at
+        ):
+            # The target itself always names its start: this is another writer's.
+            self.receive_unreadable(registration.id)
+            return
         if state is None or _is_new_instance(state.registration, registration):
             if state is not None:
                 self._remember_departed(state.registration)
--- a/pimentospool/platform/_records.py
+++ b/pimentospool/platform/_records.py
@@ -98,9 +98,11 @@
     address: str
     zone: str
     state: str
-    version: str = ""
-    slots: int = 1
-    cold_left_ms: float = 0.0
+    version: str
+    slots: int
+    cold_left_ms: float
+    sequence: int
+    """Not used, but without it the entry is another writer's."""
     born: int = msgspec.field(name="born", default=0)
 
 
--- a/tests/gateway/test_placement_starts.py
+++ b/tests/gateway/test_placement_starts.py
@@ -131,6 +131,7 @@
 
 
 def test_other_address_without_a_start_time_is_another_start(region):
+    lapse_by_removal(region)
     region.routing_state.register(make_registration())
     region.tell_all()
     region.routing_state.register(make_registration(port=9001))
--- a/tests/gateway/test_routing_state.py
+++ b/tests/gateway/test_routing_state.py
@@ -255,3 +255,17 @@
     routing_state.receive_unreadable("i-1")
     routing_state.deregister("i-1")
     assert routing_state.known_targets() == []
+
+
+def test_entry_that_lacks_the_known_start_names_no_target(routing_state):
+    removed = []
+    routing_state.target_removed.connect(removed.append)
+    routing_state.register(make_registration("i-1", started_at=7))
+    routing_state.register(make_registration("i-1", port=9001))
+    assert usable_ids(routing_state) == []
+    snapshot = make_snapshot(make_registration("i-1"))
+    routing_state.apply_snapshot(snapshot, restored=False, may_have_expired=False)
+    assert usable_ids(routing_state) == []
+    assert removed == []
+    routing_state.register(make_registration("i-1", started_at=7))
+    assert usable_ids(routing_state) == ["i-1"]
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -89,6 +89,30 @@
         decode_registration("i-1", encode(raw))
 
 
+@pytest.mark.parametrize(
+    "field",
+    [
+        "Service",
+        "Address",
+        "Zone",
+        "Version",
+        "Slots",
+        "State",
+        "ColdLeftMs",
+        "Sequence",
+    ],
+)
+@pytest.mark.parametrize("value", ["missing", None, [], {}])
+def test_server_entry_with_a_field_missing_or_of_another_type_is_refused(field, value):
+    raw = target_entry("10.0.0.1:80")
+    if value == "missing":
+        del raw[field]
+    else:
+        raw[field] = value
+    with pytest.raises(RecordError):
+        decode_registration("i-1", encode(raw))
+
+
 @given(st.binary(max_size=200))
 def test_any_bytes_are_decoded_or_refused(value):
     for decode in (decode_configuration, lambda data: decode_registration("i", data)):
