--- a/pimentospool/gateway/_routing_state.py
+++ b/pimentospool/gateway/_routing_state.py
@@ -42,6 +42,8 @@
         self.cold_until = 0.0
         self.assumed_cold = False
         """Whether it counts as cold only because its zone's evacuation has ended."""
+        self.unreadable = False
+        """Whether its entry has become unreadable, so that it gets no new requests."""
         self.expires_at: float | None = None
         """Time at which the target is removed unless it registers again."""
 
@@ -102,6 +104,8 @@
             name="configuration_adopted"
         )
         self.zone_restored: Signal[ZoneId] = Signal(name="zone_restored")
+        self.target_started: Signal[Registration] = Signal(name="target_started")
+        """Sent when a target registers that had no entry, or starts again."""
         self.target_removed: Signal[TargetId] = Signal(name="target_removed")
         self.target_observed: Signal[Registration] = Signal(name="target_observed")
         """Sent when a target registers, and when it has just stopped to serve."""
@@ -153,6 +157,14 @@
         """Store the registration that a target published."""
         now = self._clock()
         state = self._targets.get(registration.id)
+        if (
+            state is not None
+            and state.registration.started_at
+            and not registration.started_at
+        ):
+            # The target itself always names its start: this is another writer's.
+            self.receive_unreadable(registration.id)
+            return
         if state is None or _is_new_instance(state.registration, registration):
             if state is not None:
                 self._remember_departed(state.registration)
@@ -168,9 +180,11 @@
                 zone=registration.zone,
                 cold_seconds=registration.cold_seconds,
             )
+            self.target_started.send(registration)
         elif registration.leaving and not state.registration.leaving:
             log_event(Event.TARGET_LEAVING, target=registration.id)
         state.registration = registration
+        state.unreadable = False
         self.target_observed.send(registration)
         state.expires_at = None
         if registration.cold_seconds > 0:
@@ -190,6 +204,17 @@
         self._said_leaving[instance] = None
         log_event(Event.TARGET_LEAVING, target=registration.id)
 
+    def receive_unreadable(self, target: TargetId) -> None:
+        """Store that the entry of `target` can't be read any more.
+
+        Until it is readable, the target gets no new requests. It isn't removed, so that
+        its connections and what is known of it last.
+        """
+        state = self._targets.get(target)
+        if state is not None and not state.unreadable:
+            state.unreadable = True
+            log_event(Event.TARGET_UNREADABLE, target=target)
+
     def deregister(self, target: TargetId, *, expired: bool = False) -> None:
         """Remove a target.
 
@@ -216,6 +241,7 @@
             state
             for state in self._targets.values()
             if state.assumed_cold
+            and not state.unreadable
             and state.is_cold(now)
             and zone in (None, state.registration.zone)
         ]
@@ -270,7 +296,9 @@
         self.replace_evacuated(zones)
         present = {registration.id for registration in snapshot.registrations}
         for target in self.known_targets():
-            if target not in present:
+            if target in snapshot.unreadable:
+                self.receive_unreadable(target)
+            elif target not in present:
                 self.deregister(target, expired=restored or may_have_expired)
         for registration in snapshot.registrations:
             if not (restored and self._has_departed(registration)):
@@ -309,6 +337,7 @@
                     cold_seconds=max(0.0, state.cold_until - now),
                 )
                 for state in self._targets.values()
+                if not state.unreadable
             ),
             evacuated=self.evacuated,
             configuration_era=self.configuration_era,
@@ -348,6 +377,7 @@
             for state in self._targets.values()
             if state.registration.service == service
             and not state.registration.leaving
+            and not state.unreadable
             and _instance(state.registration) not in self._said_leaving
             and state.registration.zone not in self._evacuated
             and self.region_of(state.registration.zone) == region
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -14,6 +14,11 @@
 from pimentospool.policy._entries import rank_entries
 from pimentospool.policy._flights import RegionFlight, TargetFlight
 from pimentospool.policy._heartbeat_table import EntryState, HeartbeatTable
+from pimentospool.policy._known_starts import (
+    LAPSED_SECONDS,
+    MAX_LAPSED_STARTS,
+    KnownStarts,
+)
 from pimentospool.policy._limits import CustomerLimiter, LimitRefusal
 from pimentospool.policy._membership import (
     ChangeKind,
@@ -76,6 +81,8 @@
 
 __all__ = [
     "FOLLOWED_SECONDS",
+    "LAPSED_SECONDS",
+    "MAX_LAPSED_STARTS",
     "SURVIVAL_SECONDS",
     "UNPROVED_VERSION",
     "Assignment",
@@ -92,6 +99,7 @@
     "HeartbeatTable",
     "HeldAnswer",
     "Join",
+    "KnownStarts",
     "LedgerLimits",
     "LimitNotice",
     "LimitRefusal",
