Bound the bytes of requests and answers in progress by the memory

Cause: a request held its body, a second copy with the encoded head and a third one in the transport; nothing counted the requests, and MemoryMb was not read.

policy/_memory_budget.py counts what all requests and answers hold against MemoryMb. Requests are let in below a lower share than answers may fill, so what doesn't fit is refused before it runs: 503 with Retry-After, before its body is read if its length is stated. An answer that doesn't fit fails its attempt, which ends with 502, isn't sent again and doesn't count against the target. Bodies are held once, in buffers whose pages are given back at once, and are handed to the transport as the socket takes them.

Not counted: memory of the kernel and of idle connections, for which 120 MB are kept with the rest of the process.

--- a/pimentospool/gateway/__init__.py
+++ b/pimentospool/gateway/__init__.py
@@ -46,7 +46,7 @@
 from pimentospool.gateway._replies import Refusal, RefusalReason, Reply
 from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._settings import GatewaySettings
-from pimentospool.policy import EntryState
+from pimentospool.policy import EntryState, MemoryHold
 
 __all__ = [
     "Address",
@@ -74,6 +74,7 @@
     "HopRefusal",
     "HttpRoute",
     "InboundRequest",
+    "MemoryHold",
     "Prompt",
     "PromptPart",
     "Refusal",
--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -3,7 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
-from pimentospool.gateway._connections import AnswerHead, AnswerStream
+from pimentospool.byte_buffers import ByteBuffer
+from pimentospool.gateway._connections import AnswerHead, AnswerStream, stated_length
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._dialect import AnswerClass, HopRefusal
 from pimentospool.gateway._model import HttpRoute, RequestKind
@@ -11,6 +12,7 @@
 from pimentospool.gateway._relay import relay_stream
 from pimentospool.gateway._replies import Reply
 from pimentospool.gateway._running_attempts import RunningAttempt
+from pimentospool.policy import MemoryHold
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
@@ -80,6 +82,7 @@
         stream: AnswerStream,
         attempt: RunningAttempt,
         *,
+        hold: MemoryHold,
         from_target: bool,
         on_event: Callable[[], None] = lambda: None,
         on_head: Callable[[AnswerHead], None] = lambda head: None,
@@ -92,6 +95,8 @@
             The response.
         attempt : RunningAttempt
             The attempt to which it is the response.
+        hold : MemoryHold
+            Memory of the response.
         from_target : bool
             Whether a target responds, not an entry VM.
         on_event : callable
@@ -181,25 +186,25 @@
                         on_event=on_event,
                     )
                 else:
-                    await self._relay_whole_body(stream, attempt)
+                    await self._relay_whole_body(stream, attempt, hold)
         except TimeoutError as exc:
             raise self._timeout_failure(exc) from exc
 
     async def _relay_whole_body(
-        self, stream: AnswerStream, attempt: RunningAttempt
+        self, stream: AnswerStream, attempt: RunningAttempt, hold: MemoryHold
     ) -> None:
-        chunks = []
-        size_bytes = 0
-        while chunk := await stream.read():
-            chunks.append(chunk)
-            size_bytes += len(chunk)
-            if size_bytes > MAX_WHOLE_BODY_BYTES:
-                raise AttemptFailure(
-                    detail=f"the answer is longer than {MAX_WHOLE_BODY_BYTES} bytes",
-                    verdict=Verdict.MAY_HAVE_RUN,
-                    cause=FailureCause.BROKEN,
-                )
         assert stream.head is not None
+        length = 0 if stream.without_body else stated_length(stream.head)
+        _check_answer_size(length or 0)
+        if not stream.hold_whole(length):
+            raise _no_memory()
+        body = ByteBuffer(length or 0)
+        while chunk := await stream.read():
+            _check_answer_size(len(body) + len(chunk))
+            if length is None and not hold.grow(len(chunk)):
+                raise _no_memory()
+            body.append(chunk)
+            chunk = b""
         if self._reply.started:
             raise AttemptFailure(
                 detail=f"status {stream.head.status} for the rest of a stream",
@@ -207,7 +212,7 @@
                 cause=FailureCause.TARGET_ERROR,
             )
         self._progress.running.claim_reply(attempt)
-        await self._reply.send_response(stream.head, b"".join(chunks))
+        await self._reply.send_response(stream.head, body.take())
 
     def _retries_target_errors(self) -> bool:
         """Whether another attempt is likely to be made after a target's error."""
@@ -239,3 +244,20 @@
             verdict=Verdict.MAY_HAVE_RUN,
             cause=FailureCause.LATE if deadline_passed else FailureCause.SILENT,
         )
+
+
+def _check_answer_size(size_bytes: int) -> None:
+    if size_bytes > MAX_WHOLE_BODY_BYTES:
+        raise AttemptFailure(
+            detail=f"the answer is longer than {MAX_WHOLE_BODY_BYTES} bytes",
+            verdict=Verdict.MAY_HAVE_RUN,
+            cause=FailureCause.BROKEN,
+        )
+
+
+def _no_memory() -> AttemptFailure:
+    return AttemptFailure(
+        detail="no memory for the answer",
+        verdict=Verdict.MAY_HAVE_RUN,
+        cause=FailureCause.NO_MEMORY,
+    )
--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -24,6 +24,7 @@
 from pimentospool.policy import (
     Assignment,
     Candidate,
+    MemoryHold,
     RegionChoice,
     RequestTraits,
     TargetChoice,
@@ -134,6 +135,7 @@
             If no complete response arrived.
         """
         deps, req = self._deps, self._req
+        hold = self._begin_answer()
         candidate = choice.candidate
         state = deps.routing_state.target(candidate.target)
         if state is None:
@@ -173,7 +175,7 @@
                 unused=attempt.sent_before, within_seconds=self._remaining_seconds()
             )
             try:
-                encoded = self._encode_for_target(state)
+                encoded = self._encode_for_target(state, hold)
                 self._record_send()
                 sent_at = deps.clock()
                 assignment.on_first_event = lambda now: (
@@ -187,6 +189,7 @@
                 await self._receiver.receive(
                     stream,
                     attempt,
+                    hold=hold,
                     from_target=True,
                     on_event=record_event,
                     on_head=record_head,
@@ -200,6 +203,7 @@
             finally:
                 pool.release(conn)
         finally:
+            hold.release()
             self._record_missing_first_event(
                 assignment, deps.clock() - started_at, candidate
             )
@@ -228,6 +232,7 @@
             attempt.version = deps.dialect.hop_version(head)
 
         conn = await pool.acquire(within_seconds=self._remaining_seconds())
+        hold = self._begin_answer()
         try:
             remaining_seconds = self._remaining_seconds()
             if remaining_seconds <= 0:
@@ -253,11 +258,12 @@
                 progress.retry_granted,
             )
             progress.reached_target, progress.retry_granted = True, False
-            stream = conn.send(self._make_encoded_request(data))
+            stream = conn.send(self._make_encoded_request(data, hold))
             try:
                 await self._receiver.receive(
                     stream,
                     attempt,
+                    hold=hold,
                     from_target=False,
                     on_event=lambda: self._record_stream(attempt.version),
                     on_head=record_head,
@@ -276,6 +282,11 @@
                 raise
         finally:
             pool.release(conn)
+            hold.release()
+
+    def _begin_answer(self) -> MemoryHold:
+        is_stream = self._route.kind is RequestKind.STREAM
+        return self._deps.memory.begin_answer(is_stream=is_stream)
 
     def _can_reroute(self) -> bool:
         """Whether the request may still be routed by a later configuration."""
@@ -316,7 +327,9 @@
                 seconds * candidate.latency_ratio / candidate.first_byte_seconds
             )
 
-    def _encode_for_target(self, state: TargetState) -> EncodedRequest:
+    def _encode_for_target(
+        self, state: TargetState, hold: MemoryHold
+    ) -> EncodedRequest:
         deps, req = self._deps, self._req
         remaining_seconds = self._remaining_seconds()
         if remaining_seconds <= 0:
@@ -328,12 +341,15 @@
             urgency=self._route.priority if self._service.engine else None,
             resume_after=self._resume_after,
         )
-        return self._make_encoded_request(data)
+        return self._make_encoded_request(data, hold)
 
-    def _make_encoded_request(self, data: bytes) -> EncodedRequest:
+    def _make_encoded_request(self, data: bytes, hold: MemoryHold) -> EncodedRequest:
         dialect, req = self._deps.dialect, self._req
         return EncodedRequest(
             data=data,
+            body=req.body,
+            body_hold=req.memory,
+            answer_hold=hold,
             accepts=lambda head: dialect.accepts(head, req),
             without_body=req.method == "HEAD",
         )
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -364,8 +364,10 @@
                     cause=exc.cause.value,
                     detail=exc.detail,
                 )
-            elif exc.verdict is not Verdict.NOT_RUN and (
-                attempt.stalled or not attempt.superseded
+            elif (
+                exc.verdict is not Verdict.NOT_RUN
+                and exc.cause is not FailureCause.NO_MEMORY
+                and (attempt.stalled or not attempt.superseded)
             ):
                 health.record_failure()
         if target is not None and attempt.stalled:
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -14,6 +14,7 @@
 import httptools
 import msgspec
 
+from pimentospool.policy import MemoryHold
 from pimentospool.sockets import set_reset_on_close
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
@@ -33,6 +34,12 @@
 MAX_FRAMING_RATIO = 8
 """Bytes of framing that are allowed in addition for each byte of the body; the smallest
 chunks take six."""
+WRITE_BYTES = 64 * 1024
+"""Bytes of a request's body that are handed to the transport at once; it copies what
+the socket doesn't take."""
+FLUSH_TIMEOUT_SECONDS = 5.0
+"""Time for which a server that has answered may take the rest of the request; it is
+held meanwhile."""
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -64,8 +71,15 @@
     """An encoded request and a check of which response belongs to it."""
 
     data: bytes
+    """Head of the request."""
     accepts: Callable[[AnswerHead], bool]
     """Returns whether a response with this head may belong to the request."""
+    body: bytes | memoryview = b""
+    """Body of the request; it is not copied."""
+    body_hold: MemoryHold | None = None
+    """Memory of the body, which is held until the body is sent."""
+    answer_hold: MemoryHold | None = None
+    """Memory of the response, which grows while the response waits to be read."""
     without_body: bool = False
     """Whether the response has no body, whatever its headers say (HEAD requests)."""
 
@@ -86,6 +100,9 @@
         self.without_body = req.without_body
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
+        self._hold = req.answer_hold
+        self._read_bytes = 0
+        """Size of the bytes that the last `read` returned."""
         self._error: AttemptFailure | None = None
         self._waiter: asyncio.Future[None] | None = None
 
@@ -106,11 +123,16 @@
     async def read(self) -> bytes:
         """Return the next bytes of the body, or empty bytes at its end.
 
+        The bytes that the last call returned are no longer held.
+
         Raises
         ------
         AttemptFailure
             If the connection fails before the end of the body.
         """
+        if self._hold is not None:
+            self._hold.shrink(self._read_bytes)
+        self._read_bytes = 0
         while not self._chunks:
             if self.complete:
                 return b""
@@ -120,9 +142,32 @@
         data = b"".join(self._chunks)
         self._chunks.clear()
         self._buffered_bytes = 0
+        self._read_bytes = len(data)
         self._conn.resume()
         return data
 
+    def hold_whole(self, length: int | None) -> bool:
+        """Count all of a response that the reader holds until it is whole.
+
+        Answers that fit only in part would otherwise keep each other from being whole.
+
+        Parameters
+        ----------
+        length : int or None
+            Length of the body; if it isn't known, the reader counts what it holds.
+
+        Returns
+        -------
+        bool
+            Whether the response fits.
+        """
+        if self._hold is None or length is None:
+            return True
+        if not self._hold.grow(length + min(length, MAX_BUFFERED_BYTES)):
+            return False
+        self._hold = None
+        return True
+
     def accepts(self, head: AnswerHead) -> bool:
         """Whether a response with `head` may belong to the request."""
         return self._accepts(head)
@@ -134,7 +179,17 @@
         self._wake()
 
     def feed_body(self, data: bytes) -> None:
-        """Append bytes of the body and wake the reader."""
+        """Append bytes of the body and wake the reader.
+
+        A response that doesn't fit in memory fails.
+        """
+        if self._error is not None:
+            return
+        if self._hold is not None and not self._hold.grow(len(data)):
+            self.fail("no memory for the answer", FailureCause.NO_MEMORY)
+            self._chunks.clear()
+            self._conn.abort()
+            return
         self._chunks.append(data)
         self._buffered_bytes += len(data)
         if self._buffered_bytes > MAX_BUFFERED_BYTES:
@@ -142,8 +197,8 @@
         self._wake()
 
     def finish(self) -> None:
-        """Mark the response as complete."""
-        self.complete = True
+        """Mark the response as complete, unless it has failed."""
+        self.complete = self._error is None
         self._wake()
 
     def fail(self, detail: str, cause: FailureCause = FailureCause.BROKEN) -> None:
@@ -185,6 +240,11 @@
         self._received_bytes = 0
         """Bytes received since the last request was sent."""
         self._body_bytes = 0
+        self._unsent = memoryview(b"")
+        """Rest of the request's body."""
+        self._unsent_hold: MemoryHold | None = None
+        self._writing_paused = False
+        self._closing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -213,13 +273,53 @@
         self._was_used = True
         self._parser = httptools.HttpResponseParser(self)
         self._received_bytes = self._body_bytes = 0
+        self._unsent = memoryview(req.body)
+        if req.body_hold is not None and req.body:
+            self._unsent_hold = req.body_hold
+            self._unsent_hold.share()
         self._transport.write(req.data)
+        self._write_unsent()
         return self._stream
 
+    def pause_writing(self) -> None:
+        """Send no more of the body until `resume_writing`."""
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Go on sending the body."""
+        self._writing_paused = False
+        self._write_unsent()
+
+    def _write_unsent(self) -> None:
+        assert self._transport is not None
+        while self._unsent and not self._writing_paused:
+            if self._transport.is_closing():
+                self._drop_unsent()
+                return
+            data, self._unsent = self._unsent[:WRITE_BYTES], self._unsent[WRITE_BYTES:]
+            # A view would keep the whole body until the last bytes are sent.
+            self._transport.write(bytes(data))
+        if not self._unsent:
+            self._drop_unsent()
+            if self._closing:
+                self._transport.close()
+
+    def _drop_unsent(self) -> None:
+        self._unsent = memoryview(b"")
+        if self._unsent_hold is not None:
+            self._unsent_hold.release()
+            self._unsent_hold = None
+
     def close(self) -> None:
-        """Close once all buffered data is written."""
+        """Close once all buffered data is written, or can't be."""
         self._must_close = True
-        if self._transport is not None:
+        if self._transport is None or self._closing:
+            return
+        self._closing = True
+        if self._unsent or self._transport.get_write_buffer_size():
+            loop = asyncio.get_running_loop()
+            loop.call_later(FLUSH_TIMEOUT_SECONDS, self._transport.abort)
+        if not self._unsent:
             self._transport.close()
 
     def abort(self) -> None:
@@ -233,6 +333,7 @@
             return
         if not self._transport.is_closing():
             set_reset_on_close(self._transport, enabled=True)
+        self._drop_unsent()
         self._transport.abort()
 
     def pause(self) -> None:
@@ -249,6 +350,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the response; unexpected bytes close the connection."""
+        if self._closing and self._stream is None:
+            return
         if self._stream is None or self._parser is None:
             self.abort()
             return
@@ -279,6 +382,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the response: as complete only if the peer's close ends its body."""
         self.closed = True
+        self._drop_unsent()
         self._peer_closed |= isinstance(exc, ConnectionError)
         stream, self._stream = self._stream, None
         if stream is not None and not stream.complete:
@@ -293,7 +397,7 @@
 
     def _end_exchange(self) -> None:
         assert self._transport is not None
-        if self._transport.get_write_buffer_size():
+        if self._unsent or self._transport.get_write_buffer_size():
             # The server responded before reading the whole request. The rest is still
             # sent, but the connection isn't reused.
             self._must_close = True
@@ -363,6 +467,12 @@
                 )
 
 
+def stated_length(head: AnswerHead) -> int | None:
+    """Return the length of the body that a response states, None if it states none."""
+    value = head.get(b"content-length") or b""
+    return int(value) if value.isdigit() else None
+
+
 def _body_end(head: AnswerHead) -> BodyEnd:
     if head.status in (204, 304):
         return BodyEnd.NO_BODY
--- a/pimentospool/gateway/_dependencies.py
+++ b/pimentospool/gateway/_dependencies.py
@@ -14,6 +14,7 @@
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
     CrashSuspects,
+    MemoryBudget,
     SharedRetryBudget,
     StreamVersions,
     SuspectKind,
@@ -38,6 +39,8 @@
         Encoding of requests and reading of responses.
     stream_versions : StreamVersions
         Software versions at which streams began.
+    memory : MemoryBudget
+        Limit on the bytes of requests and answers in progress.
     bounds : SharedBounds
         Limits on retries.
     regions : int
@@ -57,6 +60,7 @@
         pools: ConnectionPools,
         dialect: TargetDialect,
         stream_versions: StreamVersions,
+        memory: MemoryBudget,
         bounds: SharedBounds,
         regions: int,
         clock: Callable[[], float],
@@ -68,6 +72,7 @@
         self.pools = pools
         self.dialect = dialect
         self.stream_versions = stream_versions
+        self.memory = memory
         self.clock = clock
         self.rng = rng
         self.request_ended: Signal[RoutedOutcome] = Signal(name="request_ended")
--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -44,7 +44,7 @@
         urgency: int | None,
         resume_after: int | None,
     ) -> bytes:
-        """Return `req` encoded for the registered target and no other.
+        """Return the head of `req` for the registered target and no other.
 
         `urgency` is the route's priority for an engine, 0 being the most urgent;
         `resume_after` is the last event of the stream that the caller received.
@@ -60,7 +60,7 @@
         origin: HopOrigin,
         version: SoftwareVersion | None,
     ) -> bytes:
-        """Return `req` encoded for another entry VM.
+        """Return the head of `req` for another entry VM.
 
         `max_targets` limits the targets that may still run the request; `origin` tells
         who passes it on. Only targets of `version` may run it, if that is set.
--- a/pimentospool/gateway/_model.py
+++ b/pimentospool/gateway/_model.py
@@ -12,6 +12,7 @@
     TargetId,
     ZoneId,
 )
+from pimentospool.policy import MemoryHold
 
 
 class RequestKind(Enum):
@@ -200,7 +201,7 @@
     path: str
     host: str
     headers: list[tuple[bytes, bytes]]
-    body: bytes
+    body: bytes | memoryview
     received_at: float
     client_timeout_seconds: float
     """Time from the arrival for which the caller waits; infinite if it states none."""
@@ -217,6 +218,8 @@
     """Whether another entry VM passed the request on to this one."""
     origin: HopOrigin | None = None
     """Entry VM that passed the request on; None for a caller or if it isn't known."""
+    memory: MemoryHold | None = None
+    """Memory that the request holds until it has ended."""
     max_targets: int | None = None
     """Limit that the first entry VM sets on the targets that may run the request."""
 
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -31,7 +31,13 @@
 from pimentospool.gateway._view_exchange import ViewExchange, view_address
 from pimentospool.ids import ServiceId
 from pimentospool.log import Event, log_event
-from pimentospool.policy import EntryState, OccupancyBook, StreamVersions, SuspectKind
+from pimentospool.policy import (
+    EntryState,
+    MemoryBudget,
+    OccupancyBook,
+    StreamVersions,
+    SuspectKind,
+)
 from pimentospool.tasks import cancel_tasks, run_supervised
 
 ACCEPT_CONNECTIONS_SHARE = 0.15
@@ -114,6 +120,7 @@
             pools=pools,
             dialect=dialect,
             stream_versions=stream_versions,
+            memory=MemoryBudget(process_bytes=cfg.memory_bytes),
             bounds=cfg.bounds,
             regions=len(set(cfg.zone_regions.values())) or 1,
             clock=clock,
@@ -238,6 +245,11 @@
             "Requests that have not ended.",
             lambda: self.in_progress,
         )
+        metrics.add_gauge(
+            "pimentospool_request_bytes",
+            "Bytes that requests and answers in progress hold.",
+            lambda: self.deps.memory.used_bytes,
+        )
         metrics.add_gauge(
             "pimentospool_configuration_version",
             "Version of the configuration in force; 0 before the first.",
--- a/pimentospool/gateway/_progress.py
+++ b/pimentospool/gateway/_progress.py
@@ -60,6 +60,8 @@
     ) -> None:
         """Record a failed attempt at a target or at another region."""
         self.attempts += 1
+        # The frames of its traceback hold bodies, and refer to it in turn.
+        exc.__traceback__ = exc.__context__ = exc.__cause__ = None
         self._last_failure = exc
         self.verdict = self.verdict.merge(exc.verdict)
         if target is not None:
@@ -92,6 +94,9 @@
         """Whether the route and the attempts so far allow another attempt."""
         if self.attempts + len(self.running) >= MAX_ATTEMPTS:
             return False
+        failure = self._last_failure
+        if failure is not None and failure.cause is FailureCause.NO_MEMORY:
+            return False
         if reply_started:
             return self._route.resumable
         may_have_run = self.running or self.verdict is not Verdict.NOT_RUN
--- a/pimentospool/gateway/_replies.py
+++ b/pimentospool/gateway/_replies.py
@@ -21,6 +21,7 @@
     NO_ROUTE = "no route matches"
     OVERLOADED = "no target can take the request now"
     QUARANTINED = "targets have crashed under this request or a part of its prompt"
+    NO_MEMORY = "this entry VM has no memory for the request now"
     LEAVING = "this entry VM is shutting down"
     TIMED_OUT = "the request's time is over"
     FAILED = "no target gave a whole answer"
@@ -45,7 +46,7 @@
     started: bool
     """Whether the head of a response has been sent."""
 
-    async def send_response(self, head: AnswerHead, body: bytes) -> None:
+    async def send_response(self, head: AnswerHead, body: bytes | memoryview) -> None:
         """Send a target's response with its complete body."""
 
     async def start_stream(self, head: AnswerHead, version: SoftwareVersion) -> None:
--- a/pimentospool/gateway/_running_attempts.py
+++ b/pimentospool/gateway/_running_attempts.py
@@ -112,4 +112,7 @@
         await cancel_tasks(
             item.task for item in self._attempts if item.task is not None
         )
+        for item in self._attempts:
+            # A cancelled task refers to the frames that hold bodies and the attempt.
+            item.task = None
         self._attempts.clear()
--- a/pimentospool/gateway/_settings.py
+++ b/pimentospool/gateway/_settings.py
@@ -38,4 +38,6 @@
     """Time within which a published change has to be followed."""
     link_mbps: float
     """Bandwidth of this VM's link in Mbit/s, 0 if it isn't known."""
+    memory_bytes: float
+    """Memory that the process may use; it is ended if it uses more."""
     bounds: SharedBounds
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -59,13 +59,13 @@
         urgency: int | None,
         resume_after: int | None,
     ) -> bytes:
-        """Return `req` encoded for one server; any other server rejects it."""
+        """Return the head of `req` for one server; any other server rejects it."""
         extra_headers = [(EXPECT_INSTANCE_HEADER, registration.id.encode())]
         if urgency is not None:
             extra_headers.append(
                 (PRIORITY_HEADER, b"%d" % min(max(urgency, 0), _LEAST_URGENT_PRIORITY))
             )
-        return _encode(req, extra_headers, remaining_seconds, resume_after)
+        return _encode_head(req, extra_headers, remaining_seconds, resume_after)
 
     def encode_hop(
         self,
@@ -77,14 +77,14 @@
         origin: HopOrigin,
         version: SoftwareVersion | None,
     ) -> bytes:
-        """Return `req` encoded for another entry VM."""
+        """Return the head of `req` for another entry VM."""
         extra_headers = [
             (HOP_TARGETS_HEADER, b"%d" % max_targets),
             *encode_hop_origin(origin),
         ]
         if version is not None:
             extra_headers.append((HOP_VERSION_HEADER, version.encode()))
-        return _encode(req, extra_headers, remaining_seconds, resume_after)
+        return _encode_head(req, extra_headers, remaining_seconds, resume_after)
 
     def encode_health(self, registration: Registration, path: str) -> bytes:
         """Return an encoded health check of one server."""
@@ -187,7 +187,7 @@
         return min(stated, default=math.inf)
 
 
-def _encode(
+def _encode_head(
     req: InboundRequest,
     extra_headers: list[tuple[bytes, bytes]],
     remaining_seconds: float,
@@ -202,7 +202,7 @@
         lines.append(LAST_EVENT_HEADER + b": %d" % resume_after)
     if req.body or req.method in _BODY_METHODS:
         lines.append(b"content-length: %d" % len(req.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + req.body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def _to_text(value: bytes | None) -> str | None:
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -16,6 +16,7 @@
     Gateway,
     HopOrigin,
     InboundRequest,
+    MemoryHold,
     Prompt,
     PromptPart,
     Refusal,
@@ -23,6 +24,14 @@
 )
 from pimentospool.ids import SoftwareVersion
 from pimentospool.log import Event, log_event
+from pimentospool.platform._bodies import (
+    WRITE_BYTES,
+    InvalidRequestError,
+    NoMemoryError,
+    body_length,
+    read_body,
+    write_body,
+)
 from pimentospool.platform._headers import (
     CALLER_HEADERS,
     CONNECTION_HEADERS,
@@ -50,15 +59,20 @@
 """Longest idle time of a caller's connection; callers close idle connections sooner."""
 BODY_TIMEOUT_SECONDS = 30.0
 """Longest wait for a request body whose caller states no shorter deadline."""
+READ_BUFFER_BYTES = 64 * 1024
+"""Unread bytes of a body above which a caller's connection stops reading."""
 MAX_HEADER_LINE_BYTES = 64 * 1024
 """Longest header line; the limit of the platform is lower."""
 LEAVING_RETRY_AFTER_SECONDS = 0.02
 """Retry-After of a leaving entry VM; the retry goes to another entry VM."""
+NO_MEMORY_RETRY_AFTER_SECONDS = 0.2
+"""Retry-After of an entry VM without memory; the retry may go to another one."""
 _MILLISECOND = 0.001
 _STATUS_BY_REASON = {
     RefusalReason.NOT_CONFIGURED: 503,
     RefusalReason.OVERLOADED: 503,
     RefusalReason.QUARANTINED: 503,
+    RefusalReason.NO_MEMORY: 503,
     RefusalReason.LEAVING: 503,
     RefusalReason.OUTDATED: 503,
     RefusalReason.SENDER_OUTDATED: 503,
@@ -75,22 +89,6 @@
 null_logger.propagate = False
 
 
-class _InvalidRequestError(Exception):
-    """The request can't be read; it ends with a bare status.
-
-    Parameters
-    ----------
-    status : int
-        Status of the response.
-    detail : str
-        Reason for the log.
-    """
-
-    def __init__(self, *, status: int, detail: str) -> None:
-        super().__init__(detail)
-        self.status = status
-
-
 class HttpFrontend:
     """Serves requests of callers, or hops from other entry VMs.
 
@@ -109,6 +107,7 @@
             self._handle,
             handler_cancellation=True,
             keepalive_timeout=KEEP_ALIVE_TIMEOUT_SECONDS,
+            read_bufsize=READ_BUFFER_BYTES,
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
             auto_decompress=False,
@@ -131,10 +130,16 @@
         if self._closed:
             raise ConnectionResetError("the process is shutting down")
         gateway.in_progress += 1
+        hold = req = None
         try:
             try:
-                req = await self._read(http)
-            except _InvalidRequestError as exc:
+                hold = self._begin(http)
+                req = await self._read(http, hold)
+            except NoMemoryError:
+                await self._refuse_unread(http, reply)
+                assert reply.resp is not None
+                return reply.resp
+            except InvalidRequestError as exc:
                 log_event(
                     Event.REQUEST_INVALID,
                     request=http.headers.get(REQUEST_ID_HEADER.decode()),
@@ -165,25 +170,60 @@
             )
             raise
         finally:
+            if req is not None:
+                req.body = b""
+            if hold is not None:
+                hold.release()
             gateway.in_progress -= 1
 
-    async def _read(self, http: web.BaseRequest) -> InboundRequest:
+    def _begin(self, http: web.BaseRequest) -> MemoryHold:
+        """Return the hold of a request whose body has not been read."""
+        length = body_length(http)
+        if length is not None and length > self._limits.max_body_bytes:
+            raise InvalidRequestError(status=413, detail="the body is too large")
+        hold = self._gateway.deps.memory.begin_request(length)
+        if hold is None:
+            raise NoMemoryError
+        return hold
+
+    @property
+    def _limits(self) -> CallerLimits:
+        configuration = self._gateway.routing_state.configuration
+        return configuration.limits if configuration else CallerLimits()
+
+    async def _refuse_unread(self, http: web.BaseRequest, reply: "HttpReply") -> None:
+        """Refuse a request for which there is no memory; it was passed on to nobody."""
+        refusal = Refusal(
+            reason=RefusalReason.NO_MEMORY,
+            verdict=Verdict.NOT_RUN,
+            retry_after_seconds=NO_MEMORY_RETRY_AFTER_SECONDS,
+        )
+        log_event(
+            Event.REQUEST_REFUSED,
+            request=http.headers.get(REQUEST_ID_HEADER.decode()),
+            path=http.raw_path,
+            reason=refusal.reason.name.lower(),
+            verdict=refusal.verdict.value,
+            body_bytes=body_length(http),
+            held_bytes=self._gateway.deps.memory.used_bytes,
+        )
+        await reply.refuse(refusal)
+
+    async def _read(self, http: web.BaseRequest, hold: MemoryHold) -> InboundRequest:
         received_at = time.monotonic()
         headers = http.headers
         if not http.raw_path.startswith("/"):
-            raise _InvalidRequestError(status=400, detail="the target is not a path")
+            raise InvalidRequestError(status=400, detail="the target is not a path")
         client_timeout_seconds = _decode_timeout(headers.get(DEADLINE_HEADER.decode()))
         resume_after = _decode_event_id(headers.get(LAST_EVENT_HEADER.decode()))
-        configuration = self._gateway.routing_state.configuration
-        limits = configuration.limits if configuration else CallerLimits()
-        body = b""
+        body: bytes | memoryview = b""
         if http.can_read_body:
             timeout_seconds = min(client_timeout_seconds, BODY_TIMEOUT_SECONDS)
             try:
                 async with asyncio.timeout(timeout_seconds):
-                    body = await _read_body(http, limits.max_body_bytes)
+                    body = await read_body(http, self._limits.max_body_bytes, hold)
             except TimeoutError as exc:
-                raise _InvalidRequestError(
+                raise InvalidRequestError(
                     status=408, detail="the body did not arrive in time"
                 ) from exc
         return InboundRequest(
@@ -209,6 +249,7 @@
             stream_version=self._hop_version(http),
             is_hop=self._is_hop,
             origin=_hop_origin(http) if self._is_hop else None,
+            memory=hold,
             max_targets=self._hop_targets(http),
         )
 
@@ -244,12 +285,19 @@
         self._is_hop = is_hop
         self._gateway = gateway
 
-    async def send_response(self, head: AnswerHead, body: bytes) -> None:
+    async def send_response(self, head: AnswerHead, body: bytes | memoryview) -> None:
         """Send a target's response with its complete body."""
-        resp = web.Response(
-            status=head.status, headers=_answer_headers(head), body=body
-        )
-        await self._finish(resp)
+        headers = _answer_headers(head)
+        if len(body) <= WRITE_BYTES:
+            resp = web.Response(status=head.status, headers=headers, body=bytes(body))
+            await self._finish(resp)
+            return
+        self.resp = web.StreamResponse(status=head.status, headers=headers)
+        self.resp.content_length = len(body)
+        self._close_if_leaving(self.resp)
+        self.started = True
+        await self.resp.prepare(self._http)
+        await write_body(self.resp, body)
 
     async def start_stream(self, head: AnswerHead, version: SoftwareVersion) -> None:
         """Send the head of a stream that a target of a software version began."""
@@ -357,23 +405,12 @@
     )
 
 
-async def _read_body(http: web.BaseRequest, limit_bytes: int) -> bytes:
-    chunks = []
-    size_bytes = 0
-    while chunk := await http.content.readany():
-        size_bytes += len(chunk)
-        if size_bytes > limit_bytes:
-            raise _InvalidRequestError(status=413, detail="the body is too large")
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
 def _decode_timeout(value: str | None) -> float:
     if value is None:
         return math.inf
     seconds = parse_duration(value, unit_seconds=_MILLISECOND)
     if seconds is None:
-        raise _InvalidRequestError(status=400, detail="the deadline is not a number")
+        raise InvalidRequestError(status=400, detail="the deadline is not a number")
     return seconds
 
 
@@ -382,7 +419,7 @@
         return None
     event_id = parse_count(value)
     if event_id is None:
-        raise _InvalidRequestError(status=400, detail="the event id is not a number")
+        raise InvalidRequestError(status=400, detail="the event id is not a number")
     return event_id
 
 
--- a/pimentospool/platform/_settings.py
+++ b/pimentospool/platform/_settings.py
@@ -16,8 +16,11 @@
 DIRECTORY_TTL_SECONDS = 2.0
 """Time for which callers may cache a directory answer; short, so that they soon
 notice changes."""
+DEFAULT_MEMORY_MB = 300.0
+"""Memory of a process whose settings don't state it: that of a small entry VM."""
 _MAX_PORT = 65535
 _MILLISECONDS_PER_SECOND = 1000.0
+_BYTES_PER_MEGABYTE = 1_000_000
 
 
 class NodeSettingsError(PimentospoolError):
@@ -50,6 +53,7 @@
 
 class _Limits(msgspec.Struct, rename="pascal"):
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
 
 
 class _NodeFile(msgspec.Struct, rename="pascal"):
@@ -114,6 +118,12 @@
     return mbps if 0.0 < mbps < math.inf else 0.0
 
 
+def _memory_bytes(megabytes: float) -> float:
+    """Return a size of memory in bytes, the default for one that no process has."""
+    stated = 0.0 < megabytes < math.inf
+    return (megabytes if stated else DEFAULT_MEMORY_MB) * _BYTES_PER_MEGABYTE
+
+
 def _to_settings(node: _NodeFile) -> GatewaySettings:
     listen, bounds = node.listen_addrs, node.bounds
     peer_port = node.internal_ports[0]
@@ -139,6 +149,7 @@
         )
         / _MILLISECONDS_PER_SECOND,
         link_mbps=_bandwidth(node.limits.link_mbps),
+        memory_bytes=_memory_bytes(node.limits.memory_mb),
         bounds=SharedBounds(
             retry_ratio=bounds.retry_budget_ratio,
             retry_reserve=bounds.retry_budget_extra,
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -20,6 +20,7 @@
     Membership,
     newer_member,
 )
+from pimentospool.policy._memory_budget import MemoryBudget, MemoryHold
 from pimentospool.policy._named_limits import LimitNotice, NamedLimits
 from pimentospool.policy._occupancy import Assignment, Occupancy, OccupancyBook
 from pimentospool.policy._operations import (
@@ -87,6 +88,8 @@
     "LimitRefusal",
     "MemberChange",
     "Membership",
+    "MemoryBudget",
+    "MemoryHold",
     "NamedLimits",
     "NoChoice",
     "Occupancy",
--- a/pimentospool/policy/_crash_evidence.py
+++ b/pimentospool/policy/_crash_evidence.py
@@ -29,12 +29,15 @@
     ----------
     parts : sequence of str
         Parts of the prompt that other requests share, in order.
-    content : sequence of bytes
+    content : sequence of bytes or memoryview
         What makes up the request and is the same when it comes again.
     """
 
     def __init__(
-        self, *, parts: Sequence[str] = (), content: Sequence[bytes] = ()
+        self,
+        *,
+        parts: Sequence[str] = (),
+        content: Sequence[bytes | memoryview] = (),
     ) -> None:
         self.parts = parts
         self._content = content
@@ -44,7 +47,8 @@
         """Key of the whole request."""
         digest = hashlib.blake2b(digest_size=4)
         for item in self._content:
-            digest.update(b"%d:" % len(item) + item)
+            digest.update(b"%d:" % len(item))
+            digest.update(item)
         return SuspectKey(int.from_bytes(digest.digest(), "little"))
 
     @cached_property
--- a/pimentospool/targets/_failures.py
+++ b/pimentospool/targets/_failures.py
@@ -13,7 +13,8 @@
     of a hop or this entry VM refused the request. ``BROKEN``: the connection failed or
     the response was invalid. ``SILENT``: a read timed out. ``LATE``: the deadline of
     the request passed. ``FOREIGN_ANSWER``: the response belongs to another request.
-    ``TARGET_ERROR``: the target responded with an error.
+    ``TARGET_ERROR``: the target responded with an error. ``NO_MEMORY``: this entry VM
+    has no memory for the response.
     """
 
     UNREACHABLE = "unreachable"
@@ -23,6 +24,7 @@
     LATE = "late"
     FOREIGN_ANSWER = "foreign-answer"
     TARGET_ERROR = "target-error"
+    NO_MEMORY = "no-memory"
 
 
 class AttemptFailure(PimentospoolError):
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -1,6 +1,7 @@
 """Attempts of a request: the retry budget, refused hops and replaced targets."""
 
 import asyncio
+import math
 import random
 import socket
 import time
@@ -33,7 +34,7 @@
 from pimentospool.gateway._fleet_messages import ServiceLoad
 from pimentospool.gateway._placement import Placement
 from pimentospool.platform._exchange import PlatformDialect
-from pimentospool.policy import OccupancyBook, StreamVersions
+from pimentospool.policy import MemoryBudget, OccupancyBook, StreamVersions
 
 BOUNDS = SharedBounds(
     retry_ratio=0.0,
@@ -161,6 +162,7 @@
         pools=pools,
         dialect=PlatformDialect(),
         stream_versions=StreamVersions(clock=clock, serving=routing_state.versions),
+        memory=MemoryBudget(process_bytes=math.inf),
         bounds=bounds,
         regions=3,
         clock=clock,
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import tracemalloc
 
 import pytest
@@ -10,6 +11,7 @@
 from pimentospool.gateway import Address
 from pimentospool.gateway._connection_pool import ConnectionPool
 from pimentospool.gateway._connections import MAX_FRAMING_BYTES, EncodedRequest
+from pimentospool.policy import MemoryBudget
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
@@ -185,3 +187,69 @@
     else:
         with pytest.raises(AttemptFailure):
             runner.run(run())
+
+
+def test_answer_that_finds_no_memory_is_never_taken_for_whole(runner):
+    body_bytes = 300_000
+    budget = MemoryBudget(process_bytes=500_000)
+
+    async def run():
+        async with RawServer(endless_script(b"", b"", pause=1.0)) as server:
+            conn = await make_pool(server).acquire()
+            hold = budget.begin_answer(is_stream=True)
+            stream = conn.send(
+                EncodedRequest(
+                    data=REQUEST, accepts=lambda head: True, answer_hold=hold
+                )
+            )
+            # All of it arrives at once, and its last bytes would fit again.
+            head = OK + b"Content-Length: %d\r\n\r\n" % body_bytes
+            conn.data_received(head + b"a" * body_bytes)
+            with pytest.raises(AttemptFailure) as raised:
+                await stream.read()
+            hold.release()
+            return raised.value
+
+    assert runner.run(run()).cause is FailureCause.NO_MEMORY
+    assert budget.used_bytes == 0
+
+
+def test_body_is_held_until_a_server_that_answered_early_has_taken_it(runner):
+    body_bytes = 8_000_000
+    budget = MemoryBudget(process_bytes=math.inf)
+    read_on = asyncio.Event()
+
+    async def run():
+        received = []
+
+        async def script(server, reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(OK + b"Content-Length: 0\r\n\r\n")
+            await read_on.wait()
+            received.append(await reader.read(-1))
+
+        async with RawServer(script) as server:
+            pool = make_pool(server)
+            conn = await pool.acquire()
+            hold = budget.begin_request(body_bytes)
+            stream = conn.send(
+                EncodedRequest(
+                    data=REQUEST,
+                    accepts=lambda head: True,
+                    body=b"b" * body_bytes,
+                    body_hold=hold,
+                )
+            )
+            assert await stream.read() == b""
+            pool.release(conn)
+            hold.release()
+            assert budget.used_bytes > body_bytes
+            assert not conn.reusable
+            read_on.set()
+            async with asyncio.timeout(5.0):
+                while not received:
+                    await asyncio.sleep(0.01)
+            return received[0]
+
+    assert runner.run(run()) == b"b" * body_bytes
+    assert budget.used_bytes == 0
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -47,6 +47,16 @@
     assert cfg.link_mbps == link_mbps
 
 
+@pytest.mark.parametrize(
+    ("limits", "memory_bytes"),
+    [({"MemoryMb": 128}, 128e6), ({}, 300e6)]
+    + [({"MemoryMb": value}, 300e6) for value in (0, -1.0, math.nan, math.inf)],
+)
+def test_memory_is_bounded_whatever_the_settings_state(tmp_path, limits, memory_bytes):
+    cfg = read_node_settings(write(tmp_path, raw_file() | {"Limits": limits}))
+    assert cfg.memory_bytes == memory_bytes
+
+
 @pytest.mark.parametrize(
     ("change", "field"),
     [
