--- a/pimentospool/gateway/_dependencies.py
+++ b/pimentospool/gateway/_dependencies.py
@@ -16,6 +16,7 @@
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
     CrashSuspects,
+    MemoryBudget,
     SharedRetryBudget,
     StreamVersions,
     SuspectKind,
@@ -42,6 +43,8 @@
         Software versions at which streams began.
     stream_origins : StreamOrigins
         Finds the version that began a stream which is taken up.
+    memory : MemoryBudget
+        Limit on the bytes of requests and answers in progress.
     bounds : SharedBounds
         Limits on retries.
     regions : int
@@ -62,6 +65,7 @@
         dialect: TargetDialect,
         stream_versions: StreamVersions,
         stream_origins: StreamOrigins,
+        memory: MemoryBudget,
         bounds: SharedBounds,
         regions: int,
         clock: Callable[[], float],
@@ -74,6 +78,7 @@
         self.dialect = dialect
         self.stream_versions = stream_versions
         self.stream_origins = stream_origins
+        self.memory = memory
         self.clock = clock
         self.rng = rng
         self.start_proofs = StartProofs(dialect=dialect, origins=stream_origins)
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -1,6 +1,7 @@
 """Attempts of a request: the retry budget, refused hops and replaced targets."""
 
 import asyncio
+import math
 import random
 import socket
 import time
@@ -33,7 +34,7 @@
 from pimentospool.gateway._fleet_messages import ServiceLoad
 from pimentospool.gateway._placement import Placement
 from pimentospool.platform._exchange import PlatformDialect
-from pimentospool.policy import OccupancyBook, StreamVersions
+from pimentospool.policy import MemoryBudget, OccupancyBook, StreamVersions
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
@@ -164,6 +165,7 @@
         dialect=PlatformDialect(),
         stream_versions=StreamVersions(clock=clock, serving=routing_state.versions),
         stream_origins=None,
+        memory=MemoryBudget(process_bytes=math.inf),
         bounds=bounds,
         regions=3,
         clock=clock,
