--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -78,6 +78,7 @@
     """Pool and connection that gives the same response to every request."""
 
     closed_by_peer = False
+    reusable = True
 
     def __init__(self, answer, sent):
         self._answer = answer
