Keep reports on an earlier start of a target from its new one

What callers saw: a target that had started again was held to the limit, or to the places, that its earlier start had named, until an answer without them, as other entry VMs of the region went on to report the earlier notice.

Cause: reports name a target by its id, and one that arrives after the new start was taken over as news.

Evidence: failed before, passes now: test_reports_of_others_on_an_earlier_start_do_not_count_for_the_new_one in tests/gateway/test_placement_starts.py. test_reports_of_others_count_for_a_start_whose_entry_returned guards against too much of it.

Why it works: a notice that was given before this entry VM followed the new start is dropped; reports end 10 s after the answer that they were in, so the times of new starts are kept for as long.

--- a/pimentospool/policy/_brittle_targets.py
+++ b/pimentospool/policy/_brittle_targets.py
@@ -15,6 +15,7 @@
     MAX_TARGETS,
     NOTICE_REFRESH_SECONDS,
     REPORT_SECONDS,
+    ForgottenTargets,
 )
 from pimentospool.policy._rendezvous import MemberRanks
 
@@ -59,6 +60,7 @@
         self._on_change = on_change
         self._ranks = MemberRanks(entry=entry)
         self._targets: dict[TargetId, _BrittleTarget] = {}
+        self._forgotten = ForgottenTargets(clock=clock)
 
     def record_answer(
         self,
@@ -92,7 +94,7 @@
                 known.rejected_at = now
         # Answers overtake each other: one that says nothing may be the older one.
         elif known is not None and sent_at > known.told_at:
-            self.forget(target)
+            del self._targets[target]
             self._on_change(target, False)
 
     def notices(self) -> dict[TargetId, float]:
@@ -109,6 +111,8 @@
         if not 0.0 <= age_seconds < REPORT_SECONDS:
             return
         told_at = self._clock() - age_seconds
+        if self._forgotten.before(target, told_at):
+            return
         known = self._targets.get(target)
         if known is None:
             if len(self._targets) < MAX_TARGETS:
@@ -151,8 +155,9 @@
         return in_progress < places
 
     def forget(self, target: TargetId) -> None:
-        """Drop what is known of `target`."""
+        """Drop what is known of `target`, and what others were told before."""
         self._targets.pop(target, None)
+        self._forgotten.add(target)
 
     def _add(self, target: TargetId, told_at: float, *, own: bool) -> _BrittleTarget:
         known = self._targets[target] = _BrittleTarget(told_at=told_at, own=own)
--- a/pimentospool/policy/_named_limits.py
+++ b/pimentospool/policy/_named_limits.py
@@ -49,6 +49,34 @@
             raise ValueError("the age is out of range")
 
 
+class ForgottenTargets:
+    """Targets that have started again, of which others may still report old notices.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns a monotonic time in seconds.
+    """
+
+    def __init__(self, *, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._forgotten_at: dict[TargetId, float] = {}
+
+    def add(self, target: TargetId) -> None:
+        """Record that what was known of `target` until now is to be forgotten."""
+        now = self._clock()
+        self._forgotten_at = {
+            other: at
+            for other, at in self._forgotten_at.items()
+            if now - at < REPORT_SECONDS
+        }
+        self._forgotten_at[target] = now
+
+    def before(self, target: TargetId, at: float) -> bool:
+        """Return whether a notice of `target` that was given at `at` is forgotten."""
+        return at < self._forgotten_at.get(target, -math.inf)
+
+
 class _Notice(msgspec.Struct, frozen=True):
     rate: float
     """Requests per second; infinite if the target has ceased to name a limit."""
@@ -84,6 +112,7 @@
         self._notices: dict[TargetId, _Notice] = {}
         self._limited_at: dict[TargetId, float] = {}
         self._last_sent_at: dict[TargetId, float] = {}
+        self._forgotten = ForgottenTargets(clock=clock)
         self._ranks = MemberRanks(entry=entry)
 
     def limit(self, target: TargetId) -> float:
@@ -129,7 +158,7 @@
         now = self._clock()
         for target, notice in list(self._notices.items()):
             if notice.rate == math.inf and now - notice.at >= REPORT_SECONDS:
-                self.forget(target)
+                self._drop(target)
         return {
             target: LimitNotice(
                 None if notice.rate == math.inf else notice.rate, now - notice.at
@@ -144,13 +173,19 @@
         known = self._notices.get(target)
         if known is not None and at <= known.at:
             return
+        if self._forgotten.before(target, at):
+            return
         rate = math.inf if notice.rate is None else notice.rate
         if known is None and (rate == math.inf or len(self._notices) >= MAX_TARGETS):
             return
         self._set(target, _Notice(rate, at, own=False))
 
     def forget(self, target: TargetId) -> None:
-        """Drop what is known of `target`."""
+        """Drop what is known of `target`, and what others were told before."""
+        self._drop(target)
+        self._forgotten.add(target)
+
+    def _drop(self, target: TargetId) -> None:
         for known in (self._notices, self._limited_at, self._last_sent_at):
             known.pop(target, None)
 
--- a/tests/gateway/test_placement_starts.py
+++ b/tests/gateway/test_placement_starts.py
@@ -15,7 +15,7 @@
 from pimentospool.gateway import RoutingState, SharedBounds
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._placement import Placement
-from pimentospool.policy import MAX_LAPSED_STARTS, OccupancyBook
+from pimentospool.policy import MAX_LAPSED_STARTS, LimitNotice, OccupancyBook
 
 BOUNDS = SharedBounds(
     retry_ratio=0.2,
@@ -147,6 +147,31 @@
     assert not placement.counts(START)
 
 
+def test_reports_of_others_on_an_earlier_start_do_not_count_for_the_new_one(region):
+    placement, clock = region.placement, region.clock
+    region.routing_state.register(make_registration(started_at=2))
+    clock.now += 0.5
+    placement.named_limits.receive("i-1", LimitNotice(1.5, 0.7))
+    placement.brittle_targets.receive("i-1", 0.7)
+    assert region.restrictions() == set()
+    assert placement.brittle_targets.allows(
+        "i-1", slots=8, in_progress=7, members=["own"]
+    )
+    placement.named_limits.receive("i-1", LimitNotice(1.5, 0.3))
+    placement.brittle_targets.receive("i-1", 0.3)
+    assert region.restrictions() == {"limit"}
+    assert not placement.brittle_targets.allows(
+        "i-1", slots=8, in_progress=7, members=["own"]
+    )
+
+
+def test_reports_of_others_count_for_a_start_whose_entry_returned(region):
+    lapse_by_removal(region)
+    region.routing_state.register(START)
+    region.placement.named_limits.receive("i-1", LimitNotice(1.5, 3.0))
+    assert region.restrictions() == {"limit"}
+
+
 def test_targets_that_never_return_are_forgotten_in_time_and_number(region):
     routing_state, placement = region.routing_state, region.placement
     for number in range(2 * MAX_LAPSED_STARTS):
