Keep a target's cold time while its entry lapses and returns

What callers saw: a target that was assumed cold after its zone's evacuation, or had said in a health check that it is cold, counted as warm once its entry was removed or expired and came back, so that more requests than a cold target bears could be sent to it.

Cause: the return made a new state, whose cold time came from the entry alone; a zone's return also passed over targets whose entries had lapsed meanwhile.

Evidence: failed before, passes now, in tests/gateway/test_routing_state.py: test_target_assumed_cold_stays_so_though_its_entry_lapses_and_returns, test_target_whose_entry_has_lapsed_as_its_zone_is_restored_returns_cold and test_reported_cold_time_holds_though_the_entry_lapses_and_returns.

The same start at the same address takes its cold time from there; a new start does not.

--- a/pimentospool/gateway/_routing_state.py
+++ b/pimentospool/gateway/_routing_state.py
@@ -114,8 +114,8 @@
         self._evacuated: set[ZoneId] = set()
         self._said_leaving: dict[tuple[TargetId, int], None] = {}
         """Instances that said in an answer that they leave, the oldest first."""
-        self._departed: dict[tuple[TargetId, int], float] = {}
-        """Instances that left, by id and start, and when."""
+        self._departed: dict[tuple[TargetId, int], tuple[float, TargetState]] = {}
+        """Instances that left, by id and start: when, and their last state."""
         self._unconfirmed_evacuations: dict[ZoneId, float] = {}
         """Evacuations that a restored copy lacks, and until when they last."""
 
@@ -167,11 +167,16 @@
             return
         if state is None or _is_new_instance(state.registration, registration):
             if state is not None:
-                self._remember_departed(state.registration)
+                self._remember_departed(state)
                 self.target_removed.send(registration.id)
             state = TargetState(registration=registration)
             self._targets[registration.id] = state
-            self._departed.pop(_instance(registration), None)
+            _, earlier = self._departed.pop(_instance(registration), (0.0, None))
+            if earlier is not None and not _is_new_instance(
+                earlier.registration, registration
+            ):
+                state.cold_until = earlier.cold_until
+                state.assumed_cold = earlier.assumed_cold
             log_event(
                 Event.TARGET_REGISTERED,
                 target=registration.id,
@@ -411,23 +416,24 @@
                 self._remove(target, "did not register again after an outage")
 
     def _remove(self, target: TargetId, reason: str) -> None:
-        self._remember_departed(self._targets.pop(target).registration)
+        self._remember_departed(self._targets.pop(target))
         log_event(Event.TARGET_REMOVED, target=target, reason=reason)
         self.target_removed.send(target)
 
-    def _remember_departed(self, registration: Registration) -> None:
+    def _remember_departed(self, state: TargetState) -> None:
         now = self._clock()
-        self.target_observed.send(registration)
+        self.target_observed.send(state.registration)
         self._departed = {
-            instance: removed_at
-            for instance, removed_at in self._departed.items()
+            instance: (removed_at, departed)
+            for instance, (removed_at, departed) in self._departed.items()
             if now - removed_at < DEPARTED_SECONDS
         }
-        self._departed[_instance(registration)] = now
+        self._departed[_instance(state.registration)] = now, state
 
     def _assume_cold(self, zone: ZoneId) -> None:
         services = self.configuration.services if self.configuration else {}
-        for state in self._targets.values():
+        departed = (state for _, state in self._departed.values())
+        for state in (*self._targets.values(), *departed):
             spec = services.get(state.registration.service)
             if state.registration.zone == zone and spec is not None:
                 cold_until = self._clock() + spec.cold_seconds + COLD_MARGIN_SECONDS
--- a/tests/gateway/test_routing_state.py
+++ b/tests/gateway/test_routing_state.py
@@ -269,3 +269,44 @@
     assert removed == []
     routing_state.register(make_registration("i-1", started_at=7))
     assert usable_ids(routing_state) == ["i-1"]
+
+
+def lapse_and_return(routing_state, *, started_at=0):
+    routing_state.deregister("i-1")
+    routing_state.register(make_registration("i-1", started_at=started_at))
+
+
+def test_target_assumed_cold_stays_so_though_its_entry_lapses_and_returns(
+    routing_state, clock
+):
+    routing_state.register(make_registration("i-1"))
+    routing_state.set_evacuated("gulf-a", True)
+    routing_state.set_evacuated("gulf-a", False)
+    lapse_and_return(routing_state)
+    assert routing_state.target("i-1").is_cold(clock.now + 2.0)
+    assert [state.id for state in routing_state.assumed_cold()] == ["i-1"]
+    routing_state.receive_cold_report("i-1", 0.0)
+    lapse_and_return(routing_state)
+    assert not routing_state.target("i-1").is_cold(clock.now)
+
+
+def test_target_whose_entry_has_lapsed_as_its_zone_is_restored_returns_cold(
+    routing_state, clock
+):
+    routing_state.register(make_registration("i-1"))
+    routing_state.set_evacuated("gulf-a", True)
+    routing_state.deregister("i-1")
+    routing_state.set_evacuated("gulf-a", False)
+    routing_state.register(make_registration("i-1"))
+    assert routing_state.target("i-1").is_cold(clock.now + 2.0)
+
+
+def test_reported_cold_time_holds_though_the_entry_lapses_and_returns(
+    routing_state, clock
+):
+    routing_state.register(make_registration("i-1", started_at=1))
+    routing_state.receive_cold_report("i-1", 4.0)
+    lapse_and_return(routing_state, started_at=1)
+    assert routing_state.target("i-1").is_cold(clock.now + 4.0)
+    lapse_and_return(routing_state, started_at=2)
+    assert not routing_state.target("i-1").is_cold(clock.now)
