Move the doubt about a target's start to policy, and tell its evidence

A response that ends with its connection is no loss of that connection; before, it put the start of its target in doubt, so that the next stream there waited for a report. test_start_is_in_doubt_only_after_a_loss_and_not_after_an_announced_close covers it; it was not run on the code before, whose names differ.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -219,7 +219,7 @@
         AttemptFailure
             If the stream has begun, and the target's start can't be proved.
         """
-        if not self._route.resumable or not pool.in_doubt:
+        if not self._route.resumable or not pool.start_doubt.exists:
             return
         if await self._deps.start_proofs.prove(state.registration, pool):
             return
--- a/pimentospool/gateway/_connection_pool.py
+++ b/pimentospool/gateway/_connection_pool.py
@@ -6,6 +6,7 @@
 
 from pimentospool.gateway._connections import Connection
 from pimentospool.gateway._model import Address
+from pimentospool.policy import StartDoubt
 from pimentospool.sockets import SILENCE_SECONDS, open_socket
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
@@ -47,34 +48,8 @@
         self._idle_timers: dict[Connection, asyncio.TimerHandle] = {}
         self._open_count = 0
         self._draining = False
-        self.in_doubt = False
-        """Whether all connections were lost, so that another start may answer."""
-        self.losses = 0
-        """How often all connections were lost, or none could be opened."""
-        self._reached_at = math.inf
-        self._proof_tried_at = -math.inf
-
-    @property
-    def reached_seconds(self) -> float:
-        """Time since a connection was opened again after all were lost."""
-        return time.monotonic() - self._reached_at
-
-    def may_try_proof(self, interval_seconds: float) -> bool:
-        """Whether a proof of the start may be tried again, which then counts."""
-        now = time.monotonic()
-        if now - self._proof_tried_at < interval_seconds:
-            return False
-        self._proof_tried_at = now
-        return True
-
-    def end_doubt(self) -> None:
-        """Note that the start of the other side is proved."""
-        self.in_doubt = False
-
-    def _record_loss(self) -> None:
-        self.in_doubt = True
-        self.losses += 1
-        self._reached_at = math.inf
+        self.start_doubt = StartDoubt(clock=time.monotonic)
+        """Whether the other side may have started again."""
 
     async def acquire(
         self, *, unused: bool = False, within_seconds: float = math.inf
@@ -147,7 +122,7 @@
     def _on_connection_closed(self, conn: Connection) -> None:
         self._open_count -= 1
         if conn.lost and not self._open_count:
-            self._record_loss()
+            self.start_doubt.record_loss()
         if conn in self._idle:
             self._idle.remove(conn)
             self._idle_timers.pop(conn).cancel()
@@ -165,7 +140,7 @@
             sock.close()
             # This attempt is still counted.
             if isinstance(exc, ConnectionRefusedError) and self._open_count <= 1:
-                self._record_loss()
+                self.start_doubt.record_loss()
             ended_early = within_seconds < self._connect_timeout_seconds
             raise _connect_failure(
                 f"no connection: {exc!r}",
@@ -177,7 +152,7 @@
             sock.close()
             raise
         conn.on_closed = self._on_connection_closed
-        self._reached_at = min(self._reached_at, time.monotonic())
+        self.start_doubt.record_reached()
         return conn
 
 
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -288,6 +288,7 @@
             ends_by_close = stream.body_end is BodyEnd.CLOSE
             if exc is None and self._peer_closed and ends_by_close:
                 stream.finish()
+                self.lost = False
             else:
                 reason = "" if exc is None else f": {type(exc).__name__}"
                 stream.fail(f"the connection was lost{reason}")
--- a/pimentospool/gateway/_start_proofs.py
+++ b/pimentospool/gateway/_start_proofs.py
@@ -18,11 +18,6 @@
 
 REPORT_TIMEOUT_SECONDS = 0.2
 """Longest wait for a target's report on itself."""
-PROOF_INTERVAL_SECONDS = 0.5
-"""Time between two attempts to prove a start; reports are priced."""
-REGISTRATION_SECONDS = 2.0
-"""Time after a target is reached in which it registers if it has started again; it does
-so as it begins to listen."""
 MAX_REPORT_BYTES = 64 * 1024
 """Size above which a report is not read."""
 
@@ -45,28 +40,29 @@
 
     async def prove(self, registration: Registration, pool: ConnectionPool) -> bool:
         """Return whether the target is in the start that it registered."""
-        if not pool.in_doubt:
+        if not pool.start_doubt.exists:
             return True
         proof = self._proofs.get(pool)
         if proof is None:
-            if not pool.may_try_proof(PROOF_INTERVAL_SECONDS):
+            if not pool.start_doubt.try_proof():
                 return False
             proof = asyncio.create_task(self._prove(registration, pool))
             self._proofs[pool] = proof
             proof.add_done_callback(lambda _: self._proofs.pop(pool, None))
         await asyncio.shield(proof)
-        return not pool.in_doubt
+        return not pool.start_doubt.exists
 
     async def _prove(self, registration: Registration, pool: ConnectionPool) -> None:
-        losses = pool.losses
+        doubt = pool.start_doubt
+        losses = doubt.losses
         started_at = await self._read_start(registration, pool)
         evidence = "report"
-        if started_at is None and pool.reached_seconds >= REGISTRATION_SECONDS:
+        if started_at is None and doubt.registered_since:
             started_at = await self._origins.registered_start(registration)
             evidence = "source"
-        proved = started_at == registration.started_at and losses == pool.losses
-        if proved:
-            pool.end_doubt()
+        proved = doubt.end(
+            known=registration.started_at, shown=started_at, losses=losses
+        )
         log_event(
             Event.TARGET_START_CHECKED,
             target=registration.id,
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -55,6 +55,7 @@
     responsible_entry,
 )
 from pimentospool.policy._shares import QuotaShares
+from pimentospool.policy._start_doubt import StartDoubt
 from pimentospool.policy._stream_versions import (
     FOLLOWED_SECONDS,
     UNPROVED_VERSION,
@@ -130,6 +131,7 @@
     "ServicePace",
     "SharedRetryBudget",
     "Start",
+    "StartDoubt",
     "StreamKnowledge",
     "StreamVersions",
     "SuspectKind",
--- /dev/null
+++ b/pimentospool/policy/_start_doubt.py
@@ -0,0 +1,65 @@
+"""Whether a target may have started again since it was last known to run."""
+
+import math
+from collections.abc import Callable
+
+REGISTRATION_SECONDS = 2.0
+"""Time after a target is reached in which it registers if it has started again; it does
+so as it begins to listen."""
+PROOF_INTERVAL_SECONDS = 0.5
+"""Time between two attempts to prove a start; reports are priced."""
+
+
+class StartDoubt:
+    """Doubt whether the target at an address is still in its known start.
+
+    It begins when all connections were lost or one was refused, and ends with a proof
+    that began after that.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns a monotonic time in seconds.
+    """
+
+    def __init__(self, *, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self.exists = False
+        self.losses = 0
+        """How often all connections were lost or one was refused."""
+        self._reached_at = math.inf
+        self._tried_at = -math.inf
+
+    def record_loss(self) -> None:
+        """Record that all connections were lost, or that one was refused."""
+        self.exists = True
+        self.losses += 1
+        self._reached_at = math.inf
+
+    def record_reached(self) -> None:
+        """Record that a connection was opened."""
+        self._reached_at = min(self._reached_at, self._clock())
+
+    def try_proof(self) -> bool:
+        """Return whether a proof may be tried now; if so, it counts as tried."""
+        now = self._clock()
+        if now - self._tried_at < PROOF_INTERVAL_SECONDS:
+            return False
+        self._tried_at = now
+        return True
+
+    @property
+    def registered_since(self) -> bool:
+        """Whether a newer start would have registered by now."""
+        return self._clock() - self._reached_at >= REGISTRATION_SECONDS
+
+    def end(self, *, known: int, shown: int | None, losses: int) -> bool:
+        """End the doubt if a proof shows the known start; return whether it does.
+
+        `losses` is the number of losses before the proof began: one during it may have
+        been that of the target which gave it.
+        """
+        proved = shown == known and losses == self.losses
+        if proved:
+            self.exists = False
+        return proved
--- a/tests/gateway/test_pools.py
+++ b/tests/gateway/test_pools.py
@@ -1,9 +1,11 @@
 """Connections to targets."""
 
 import asyncio
+import contextlib
 import random
 import socket
 
+import pytest
 from gateway_factories import (
     Clock,
     make_record,
@@ -11,8 +13,12 @@
     make_service,
 )
 
+from pimentospool.gateway import Address
+from pimentospool.gateway._connection_pool import ConnectionPool
+from pimentospool.gateway._connections import EncodedRequest
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._pools import ConnectionPools
+from pimentospool.targets import AttemptFailure
 
 SILENCE_SECONDS = (2.0, 5.0)
 """Longer than a sound target is silent; shorter than it may take to notice a cut."""
@@ -36,3 +42,42 @@
 
     shortest, longest = SILENCE_SECONDS
     assert shortest <= asyncio.run(run()) <= longest
+
+
+@pytest.mark.parametrize(
+    ("answer", "in_doubt"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\nuntil the close", False),
+        (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", False),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", True),
+        (b"", True),
+    ],
+)
+def test_start_is_in_doubt_only_after_a_loss_and_not_after_an_announced_close(
+    answer, in_doubt
+):
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        address = Address(*server.sockets[0].getsockname()[:2])
+        pool = ConnectionPool(address=address, limit=2)
+        conn = await pool.acquire()
+        stream = conn.send(
+            EncodedRequest(data=b"GET / HTTP/1.1\r\n\r\n", accepts=lambda head: True)
+        )
+        with contextlib.suppress(AttemptFailure):
+            while await stream.read():
+                pass
+        pool.release(conn)
+        await asyncio.sleep(0.05)
+        doubts = [pool.start_doubt.exists]
+        server.close()
+        with pytest.raises(AttemptFailure):
+            await pool.acquire()
+        return [*doubts, pool.start_doubt.exists]
+
+    assert asyncio.run(run()) == [in_doubt, True]
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -58,3 +58,23 @@
         headers.append((b"x-not-executed", b"1"))
     quiet_seconds = PlatformDialect().quiet_seconds(AnswerHead(503, headers))
     assert quiet_seconds == (seconds if proof else None)
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "start"),
+    [
+        (200, b'{"born":7,"Busy":false}', 7),
+        (200, b'{"born":7.5}', None),
+        (200, b'{"born":"7"}', None),
+        (200, b'{"Busy":false}', None),
+        (200, b"[" * 100_000, None),
+        (404, b'{"born":7}', None),
+    ],
+)
+def test_odd_report_of_a_server_proves_no_start(status, body, start):
+    assert PlatformDialect().reported_start(AnswerHead(status, []), body) == start
+
+
+@given(st.binary())
+def test_arbitrary_report_proves_no_start(body):
+    assert PlatformDialect().reported_start(AnswerHead(200, []), body) is None
--- /dev/null
+++ b/tests/policy/test_start_doubt.py
@@ -0,0 +1,53 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pimentospool.policy._start_doubt import (
+    PROOF_INTERVAL_SECONDS,
+    REGISTRATION_SECONDS,
+    StartDoubt,
+)
+
+
+class Fixture:
+    def __init__(self):
+        self.now = 100.0
+        self.doubt = StartDoubt(clock=lambda: self.now)
+
+
+@pytest.mark.parametrize(
+    ("shown", "lost_meanwhile", "ends"),
+    [(1, False, True), (2, False, False), (None, False, False), (1, True, False)],
+)
+def test_doubt_ends_only_by_a_proof_of_the_known_start(shown, lost_meanwhile, ends):
+    doubt = Fixture().doubt
+    doubt.record_loss()
+    losses = doubt.losses
+    if lost_meanwhile:
+        doubt.record_loss()
+    assert doubt.end(known=1, shown=shown, losses=losses) is ends
+    assert doubt.exists is not ends
+
+
+@given(st.lists(st.sampled_from(["loss", "reached", "wait"])))
+def test_registrations_count_only_some_time_after_the_target_was_reached(steps):
+    fixture, reached_at = Fixture(), None
+    for step in steps:
+        if step == "loss":
+            fixture.doubt.record_loss()
+            reached_at = None
+        elif step == "reached":
+            fixture.doubt.record_reached()
+            reached_at = fixture.now if reached_at is None else reached_at
+        else:
+            fixture.now += 1.0
+        late = 0.0 if reached_at is None else fixture.now - reached_at
+        assert fixture.doubt.registered_since == (late >= REGISTRATION_SECONDS)
+
+
+def test_proofs_are_not_tried_more_often_than_they_may_cost():
+    fixture = Fixture()
+    assert fixture.doubt.try_proof()
+    assert not fixture.doubt.try_proof()
+    fixture.now += PROOF_INTERVAL_SECONDS
+    assert fixture.doubt.try_proof()
