Pass requests to a neighbour that reaches the targets of the region

Cause: requests were passed on to other regions only; a target was judged by one observer. Entry VMs report to their region which services they reach. A request goes by such a neighbour, once. Why it works: what the others reach tells a cut from targets that ended for all, and a hop is served where it arrives or refused.

--- a/pimentospool/bench/_heartbeats.py
+++ b/pimentospool/bench/_heartbeats.py
@@ -15,6 +15,8 @@
     HeartbeatLoop,
 )
 from pimentospool.gateway._model import Address
+from pimentospool.gateway._region_contact import RegionContact
+from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._stream_records import StreamRecordExchange
 from pimentospool.gateway._target_reports import ReportExchange
 from pimentospool.ids import TargetId
@@ -123,6 +125,11 @@
         book=book,
         limits=NamedLimits(entry=fleet.local_id, clock=clock),
         brittle=BrittleTargets(entry=fleet.local_id, clock=clock),
+        contact=RegionContact(
+            fleet=fleet,
+            routing_state=RoutingState(clock=clock, zone_regions={}),
+            clock=clock,
+        ),
         cold_reports=dict,
         receive_cold_report=lambda target, seconds: None,
         position=lambda: None,
--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -142,6 +142,7 @@
         pool = deps.pools.target_pool(state.registration, self._service)
         exposure = deps.crash_watch.expose(self._traits)
         started_at = deps.clock()
+        contact = deps.placement.contact.own
 
         attempt.version = state.registration.version
 
@@ -151,6 +152,7 @@
             exposure.record_event()
 
         def record_head(head: AnswerHead) -> None:
+            contact.record_answer(self._service.id, opened_at=conn.opened_at)
             deps.placement.named_limits.record_answer(
                 state.id, deps.dialect.request_limit(head), sent_at=sent_at
             )
@@ -169,9 +171,15 @@
 
         try:
             # An earlier rejection of the same request may come again on a kept one.
-            conn = await pool.acquire(
-                unused=attempt.sent_before, within_seconds=self._remaining_seconds()
-            )
+            try:
+                conn = await pool.acquire(
+                    unused=attempt.sent_before, within_seconds=self._remaining_seconds()
+                )
+            except AttemptFailure as exc:
+                if exc.cause is FailureCause.UNREACHABLE:
+                    contact.record_failure(state.id, self._service.id)
+                raise
+            stream = None
             try:
                 encoded = self._encode_for_target(state)
                 self._record_send()
@@ -196,6 +204,8 @@
             except AttemptFailure as exc:
                 if conn.closed_by_peer and exc.verdict is not Verdict.NOT_RUN:
                     deps.crash_watch.connection_lost(state, pool, exposure)
+                if conn.closed and stream is not None and stream.head is None:
+                    contact.record_failure(state.id, self._service.id)
                 raise
             finally:
                 pool.release(conn)
@@ -219,7 +229,7 @@
             If the request has to be routed by a later configuration first.
         """
         deps, req = self._deps, self._req
-        peers = deps.fleet.ready(choice.region)
+        peers = deps.placement.hop_receivers(choice.region, self._service.id)
         if not peers:
             raise _unsent_failure("no entry VM of the region is ready")
         pool = deps.pools.peer_pool(deps.rng.choice(peers).peer)
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -185,6 +185,10 @@
         stalled = progress.running.sole
         if stalled is None or now < stalled.stalls_at or now < self._standby_at:
             return
+        if stalled.target is not None:
+            self._deps.placement.contact.own.record_failure(
+                stalled.target, self._service.id
+            )
         self._standby_at = now + STANDBY_INTERVAL_SECONDS
         if (
             not progress.may_retry(reply_started=self._reply.started)
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -172,6 +173,7 @@
     def __init__(self) -> None:
         self.closed = False
         self.idle_seconds = DEFAULT_IDLE_SECONDS
+        self.opened_at = time.monotonic()
         self.on_closed: Callable[[Connection], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._stream: AnswerStream | None = None
--- a/pimentospool/gateway/_fleet_messages.py
+++ b/pimentospool/gateway/_fleet_messages.py
@@ -100,6 +100,8 @@
     """What targets have told the entry VM of the rates that they take."""
     brittle: dict[str, float] = {}
     """Seconds since targets told the entry VM that they are brittle."""
+    reached: dict[int, bool] = {}
+    """Whether the entry VM has reached targets lately, by the key of their service."""
 
 
 class ReportMessage(msgspec.Struct, array_like=True, tag=2):
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -7,9 +7,10 @@
 import msgspec
 
 from pimentospool.gateway._fleet import Fleet
-from pimentospool.gateway._fleet_messages import ServiceLoad
+from pimentospool.gateway._fleet_messages import EntryRecord, ServiceLoad
 from pimentospool.gateway._model import HttpRoute, InboundRequest, ServiceSpec
 from pimentospool.gateway._progress import RequestProgress
+from pimentospool.gateway._region_contact import RegionContact
 from pimentospool.gateway._routing_state import RoutingState, TargetState
 from pimentospool.ids import EntryId, RegionId, ServiceId, SoftwareVersion, TargetId
 from pimentospool.log import Event, log_event
@@ -20,6 +21,7 @@
     Candidate,
     ColdStartLimiter,
     NamedLimits,
+    NeighbourUse,
     NoChoice,
     OccupancyBook,
     RegionChoice,
@@ -28,6 +30,7 @@
     TargetChoice,
     TargetHealth,
     choose_destination,
+    neighbour_use,
     preferred_target,
 )
 
@@ -93,6 +96,9 @@
                 Event.TARGET_BRITTLE, target=target, brittle=brittle
             ),
         )
+        self.contact = RegionContact(
+            fleet=fleet, routing_state=routing_state, clock=clock
+        )
         self._health: dict[TargetId, TargetHealth] = {}
         self._paces: dict[ServiceId, ServicePace] = {}
         routing_state.target_removed.connect(self._forget_target)
@@ -137,6 +143,18 @@
                 progress,
                 has_preferred_target=not preferred_elsewhere,
             )
+            if not req.is_hop and progress.targets_left:
+                neighbours = self._neighbours(
+                    req,
+                    service,
+                    progress,
+                    has_candidates=bool(candidates),
+                    has_remotes=bool(remotes),
+                    is_preferred=preferred_region == self._region,
+                )
+                if neighbours is not None:
+                    candidates = []
+                    remotes.append(neighbours)
         choose = partial(
             choose_destination,
             remotes=remotes,
@@ -155,6 +173,12 @@
             self.named_limits.record_send(choice.candidate.target)
         return choice
 
+    def hop_receivers(self, region: RegionId, service: ServiceId) -> list[EntryRecord]:
+        """Return the entry VMs that may serve a request in `region`."""
+        if region != self._region:
+            return self._fleet.ready(region)
+        return self.contact.neighbours(service)
+
     def begin_assignment(self, req: InboundRequest, candidate: Candidate) -> Assignment:
         """Count `req` as in progress at the target of `candidate`."""
         prompt = req.prompt
@@ -197,7 +221,7 @@
     def local_loads(self) -> dict[str, ServiceLoad]:
         """Return the load of this region's targets by service."""
         configuration = self._routing_state.configuration
-        if configuration is None:
+        if configuration is None or self.contact.lost:
             return {}
         loads = {}
         for service in configuration.services.values():
@@ -375,6 +399,62 @@
             for region, load in loads.items()
         ]
 
+    def _neighbours(
+        self,
+        req: InboundRequest,
+        service: ServiceSpec,
+        progress: RequestProgress,
+        *,
+        has_candidates: bool,
+        has_remotes: bool,
+        is_preferred: bool,
+    ) -> RemoteRegion | None:
+        """Return the region's other entry VMs if the request has to go by them.
+
+        Their load is that of the targets, which all of the region report.
+        """
+        states = self._routing_state.usable_targets(service.id, self._region)
+        lost = self.contact.lost
+        all_failed = all(self.health(state.id).last_connect_failed for state in states)
+        use = neighbour_use(
+            contact_lost=lost,
+            all_targets_failed=all_failed,
+            unreachable_targets=len(progress.unreachable_targets),
+        )
+        # Those of another region that serve are a surer way than neighbours that
+        # have had nothing to try.
+        proven = has_remotes or not (lost or all_failed)
+        if (
+            not states
+            or use is NeighbourUse.NEVER
+            or (has_candidates and use is NeighbourUse.WITHOUT_TARGET)
+            or self._region in progress.excluded_regions
+            or not self._has_version(service.id, self._region, progress.stream_version)
+            or not self.contact.neighbours(service.id, proven=proven)
+        ):
+            return None
+        best = min(
+            (
+                msgspec.structs.replace(
+                    self._make_candidate(state, service, prefill_tokens=0, tokens=0),
+                    latency_ratio=1.0,
+                    failure_rate=0.0,
+                )
+                for state in states
+            ),
+            key=lambda item: item.cost_seconds,
+        )
+        return RemoteRegion(
+            region=self._region,
+            wait_seconds=best.first_byte_seconds,
+            slot_utilisation=best.slot_utilisation,
+            prefill_tokens=self._prefill_tokens_in_region(
+                req, service, is_preferred=is_preferred
+            ),
+            service_pace=self.pace(service.id).value,
+            round_trip_seconds=0.0,
+        )
+
     def _has_version(
         self, service: ServiceId, region: RegionId, version: SoftwareVersion | None
     ) -> bool:
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -24,6 +24,7 @@
 from pimentospool.gateway._model import Configuration
 from pimentospool.gateway._placement import Placement
 from pimentospool.gateway._pools import ConnectionPools
+from pimentospool.gateway._region_contact import ContactProber
 from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._settings import GatewaySettings
 from pimentospool.gateway._stream_records import StreamRecordExchange
@@ -96,6 +97,9 @@
             limits=self._placement.named_limits,
             clock=clock,
         )
+        self._contact_prober = ContactProber(
+            contact=self._placement.contact, pools=pools, clock=clock
+        )
         stream_versions = StreamVersions(
             clock=clock,
             serving=self.routing_state.versions,
@@ -153,6 +157,7 @@
             book=self.book,
             limits=self._placement.named_limits,
             brittle=self._placement.brittle_targets,
+            contact=self._placement.contact,
             cold_reports=self._cold_checker.recent_reports,
             receive_cold_report=self.routing_state.receive_cold_report,
             position=self.feed.announced_position,
@@ -191,6 +196,7 @@
         self._start_task("views", self._view_exchange.run)
         self._start_task("streams", self._view_exchange.learn_streams)
         self._start_task("cold checks", self._cold_checker.run)
+        self._start_task("contact probes", self._contact_prober.run)
 
     @property
     def serving(self) -> bool:
--- a/pimentospool/gateway/_progress.py
+++ b/pimentospool/gateway/_progress.py
@@ -45,6 +45,7 @@
         """Time of the last chunk, or of the request's arrival before the first one."""
         self.excluded_targets: set[TargetId] = set()
         self.excluded_regions: set[RegionId] = set()
+        self.unreachable_targets: set[TargetId] = set()
         self.retry_after_seconds: float | None = None
         self._route = route
         self._max_targets = max_targets
@@ -66,6 +67,8 @@
             if exc.verdict is not Verdict.NOT_RUN:
                 self._may_have_run_targets.add(target)
             self.excluded_targets.add(target)
+            if exc.cause is FailureCause.UNREACHABLE:
+                self.unreachable_targets.add(target)
         if region is not None:
             self.excluded_regions.add(region)
             if exc.verdict is not Verdict.NOT_RUN:
--- a/pimentospool/gateway/_target_reports.py
+++ b/pimentospool/gateway/_target_reports.py
@@ -18,6 +18,7 @@
     decode_occupancy,
     encode_occupancy,
 )
+from pimentospool.gateway._region_contact import RegionContact
 from pimentospool.ids import EntryId, MemberKey, TargetId
 from pimentospool.policy import (
     BrittleTargets,
@@ -63,6 +64,8 @@
         Limits that targets name, shared within the region.
     brittle : BrittleTargets
         Brittle targets, shared likewise.
+    contact : RegionContact
+        Which targets this entry VM and the others reach, shared likewise.
     cold_reports : callable
         Returns the seconds for which recently checked targets stay cold.
     receive_cold_report : callable
@@ -83,6 +86,7 @@
         book: OccupancyBook,
         limits: NamedLimits,
         brittle: BrittleTargets,
+        contact: RegionContact,
         cold_reports: Callable[[], dict[TargetId, float]],
         receive_cold_report: Callable[[TargetId, float], None],
         position: Callable[[], tuple[FactPosition, float] | None],
@@ -97,6 +101,7 @@
         self._book = book
         self._limits = limits
         self._brittle = brittle
+        self._contact = contact
         self._cold_reports = cold_reports
         self._receive_cold_report = receive_cold_report
         self._position = position
@@ -133,6 +138,7 @@
                 self._limits.receive(TargetId(target), notice)
             for target, age_seconds in report.brittle.items():
                 self._brittle.receive(TargetId(target), age_seconds)
+            self._contact.receive(MemberKey(report.sender), report.reached)
             if msg.to_relay:
                 self._to_relay[report.sender] = report
 
@@ -176,22 +182,30 @@
         cold = {str(key): value for key, value in self._cold_reports().items()}
         limits = {str(key): value for key, value in self._limits.notices().items()}
         brittle = {str(key): value for key, value in self._brittle.notices().items()}
+        reached = self._contact.report()
         changed = (
             occupancy != self._own.occupancy
             or cold.keys() != self._own.cold_seconds.keys()
             or _rates(limits) != _rates(self._own.limits)
             or brittle.keys() != self._own.brittle.keys()
+            or reached != self._own.reached
         )
         if changed:
             self._empty_reports_left = EMPTY_REPORTS
         elif self._round % REFRESH_ROUNDS:
             return None
-        elif not (occupancy or cold or limits or brittle):
+        elif not (occupancy or cold or limits or brittle or reached):
             if not self._empty_reports_left:
                 return None
             self._empty_reports_left -= 1
         self._own = TargetReport(
-            self._own.sender, self._own.number + 1, occupancy, cold, limits, brittle
+            self._own.sender,
+            self._own.number + 1,
+            occupancy,
+            cold,
+            limits,
+            brittle,
+            reached,
         )
         return self._own
 
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -84,6 +84,8 @@
     TARGET_QUIET = (3125, logbook.NOTICE, "target wants no requests for a time")
     TARGET_BRITTLE = (3126, logbook.NOTICE, "target says whether it is brittle")
     TARGET_UNLIMITED = (3120, logbook.NOTICE, "target names no limit any more")
+    TARGETS_OUT_OF_REACH = (3136, logbook.WARNING, "no target of the region is reached")
+    TARGETS_REACHED = (3137, logbook.NOTICE, "targets of the region are reached again")
     TARGET_COLD = (3115, logbook.NOTICE, "target reported how long it stays cold")
     VERSIONS_MIXED = (
         3127,
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -64,6 +64,12 @@
     TargetChoice,
     choose_destination,
 )
+from pimentospool.policy._target_contact import (
+    NeighbourContacts,
+    NeighbourUse,
+    TargetContact,
+    neighbour_use,
+)
 from pimentospool.policy._target_health import TargetHealth
 
 __all__ = [
@@ -88,6 +94,8 @@
     "MemberChange",
     "Membership",
     "NamedLimits",
+    "NeighbourContacts",
+    "NeighbourUse",
     "NoChoice",
     "Occupancy",
     "OccupancyBook",
@@ -124,6 +132,7 @@
     "StreamVersions",
     "SuspectKind",
     "TargetChoice",
+    "TargetContact",
     "TargetFlight",
     "TargetHealth",
     "TargetRoute",
@@ -131,6 +140,7 @@
     "choose_destination",
     "choose_relays",
     "is_newer",
+    "neighbour_use",
     "newer_member",
     "newer_report",
     "owner_gone",
--- a/pimentospool/policy/_target_choice.py
+++ b/pimentospool/policy/_target_choice.py
@@ -118,7 +118,7 @@
 
 
 class RemoteRegion(msgspec.Struct, kw_only=True, frozen=True):
-    """Another region that may serve the request."""
+    """Entry VMs of a region, mostly another one, that may serve the request."""
 
     region: RegionId
     wait_seconds: float
@@ -129,6 +129,7 @@
     """Tokens of the prompt that the region's target does not have cached."""
     service_pace: float = 1.0
     """Factor of the service's targets on the times of a reference target."""
+    round_trip_seconds: float = HOP_ROUND_TRIP_SECONDS
 
     @property
     def prefill_seconds(self) -> float:
@@ -138,7 +139,7 @@
     @property
     def first_byte_seconds(self) -> float:
         """Expected time to the first byte of the response, round trip included."""
-        return self.wait_seconds + self.prefill_seconds + HOP_ROUND_TRIP_SECONDS
+        return self.wait_seconds + self.prefill_seconds + self.round_trip_seconds
 
     @property
     def cost_seconds(self) -> float:
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -74,7 +74,8 @@
 class CannedPool:
     """Pool and connection that gives the same response to every request."""
 
-    closed_by_peer = False
+    closed_by_peer = closed = False
+    opened_at = 0.0
 
     def __init__(self, answer, sent):
         self._answer = answer
--- a/tests/gateway/test_heartbeats.py
+++ b/tests/gateway/test_heartbeats.py
@@ -16,6 +16,8 @@
     encode_vector,
 )
 from pimentospool.gateway._heartbeats import HeartbeatLoop
+from pimentospool.gateway._region_contact import RegionContact
+from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._stream_records import StreamRecordExchange
 from pimentospool.gateway._target_reports import ReportExchange
 from pimentospool.policy import (
@@ -71,6 +73,11 @@
         book=OccupancyBook(clock=clock),
         limits=NamedLimits(entry=fleet.local_id, clock=clock),
         brittle=BrittleTargets(entry=fleet.local_id, clock=clock),
+        contact=RegionContact(
+            fleet=fleet,
+            routing_state=RoutingState(clock=clock, zone_regions={}),
+            clock=clock,
+        ),
         cold_reports=dict,
         receive_cold_report=lambda target, seconds: None,
         position=lambda: None,
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -24,7 +24,8 @@
 from pimentospool.gateway._fleet_messages import ServiceLoad
 from pimentospool.gateway._placement import Placement
 from pimentospool.gateway._progress import RequestProgress
-from pimentospool.policy import OccupancyBook, preferred_target
+from pimentospool.policy import NoChoice, OccupancyBook, preferred_target
+from pimentospool.policy._target_contact import CONFIRMATION_SECONDS, service_key
 
 ZONES = {"gulf-a": "gulf", "delta-a": "delta"}
 BOUNDS = SharedBounds(
@@ -134,3 +135,98 @@
         placement.health(target).record_connect_failure()
     placement._clock.now += 2.0
     assert "llm" in placement.local_loads()
+
+
+# Hops to entry VMs of the same region, which reach targets that this one doesn't.
+
+HOME_ROUTE = make_route("/home/", services=("llm",), home_regions=frozenset({"gulf"}))
+
+
+def make_cut_off_placement(*, neighbour_reports=None):
+    """Return a placement that reaches no target, and the record of its neighbour."""
+    placement = make_placement()
+    record = make_record("near")
+    announce(placement._fleet, record)
+    for target in ("g-1", "g-2"):
+        placement.contact.own.record_failure(target, "llm")
+    placement._clock.now += CONFIRMATION_SECONDS
+    for target in ("g-1", "g-2"):
+        placement.health(target).record_connect_failure()
+    placement.contact.receive(record.key, neighbour_reports or {})
+    return placement, record
+
+
+def choose_for(placement, route, *, progress=None, **fields):
+    return placement.choose(
+        make_request(route.prefix, **fields),
+        route,
+        SERVICE,
+        progress or RequestProgress(route=route, max_targets=2),
+        first_byte_timeout_seconds=2.0,
+    )
+
+
+def test_request_bound_to_its_region_goes_by_a_neighbour_that_reaches_targets():
+    reached = {service_key("llm"): True}
+    placement, record = make_cut_off_placement(neighbour_reports=reached)
+    choice = choose_for(placement, HOME_ROUTE)
+    assert choice.region == "gulf"
+    assert placement.hop_receivers("gulf", "llm") == [record]
+    assert placement.local_loads() == {}
+
+
+def test_request_of_another_home_does_not_go_by_a_neighbour():
+    reached = {service_key("llm"): True}
+    placement, _ = make_cut_off_placement(neighbour_reports=reached)
+    elsewhere = make_route(
+        "/far/", services=("llm",), home_regions=frozenset({"delta"})
+    )
+    assert choose_for(placement, elsewhere).region == "delta"
+
+
+def test_hop_is_never_sent_on_to_a_neighbour():
+    reached = {service_key("llm"): True}
+    placement, _ = make_cut_off_placement(neighbour_reports=reached)
+    assert isinstance(choose_for(placement, HOME_ROUTE, is_hop=True), NoChoice)
+
+
+def test_request_goes_by_one_neighbour_at_most():
+    reached = {service_key("llm"): True}
+    placement, _ = make_cut_off_placement(neighbour_reports=reached)
+    progress = RequestProgress(route=HOME_ROUTE, max_targets=2)
+    progress.excluded_regions.add("gulf")
+    assert isinstance(choose_for(placement, HOME_ROUTE, progress=progress), NoChoice)
+
+
+def test_neighbour_that_reaches_no_target_either_gets_no_hops():
+    placement, _ = make_cut_off_placement(neighbour_reports={service_key("llm"): False})
+    assert isinstance(choose_for(placement, HOME_ROUTE), NoChoice)
+
+
+def test_neighbour_whose_contact_is_not_known_is_asked_only_if_no_region_serves():
+    placement, _ = make_cut_off_placement()
+    assert choose_for(placement, HOME_ROUTE).region == "gulf"
+    anywhere = make_route("/any/", services=("llm",))
+    assert choose_for(placement, anywhere).region == "delta"
+
+
+def test_one_unreachable_target_leads_to_no_hop():
+    placement = make_placement()
+    record = make_record("near")
+    announce(placement._fleet, record)
+    placement.contact.receive(record.key, {service_key("llm"): True})
+    placement.contact.own.record_failure("g-1", "llm")
+    placement._clock.now += CONFIRMATION_SECONDS
+    placement.health("g-1").record_connect_failure()
+    assert choose_for(placement, HOME_ROUTE).candidate.target == "g-2"
+
+
+def test_answers_on_old_connections_are_not_reported_while_new_ones_fail():
+    placement = make_placement()
+    own = placement.contact.own
+    own.record_answer("llm", opened_at=0.0)
+    assert placement.contact.report() == {service_key("llm"): True}
+    for target in ("g-1", "g-2"):
+        own.record_failure(target, "llm")
+    own.record_answer("llm", opened_at=0.0)
+    assert placement.contact.report() == {service_key("llm"): False}
--- a/tests/gateway/test_target_reports.py
+++ b/tests/gateway/test_target_reports.py
@@ -9,6 +9,8 @@
 
 from pimentospool.gateway import FactPosition
 from pimentospool.gateway._fleet import Fleet
+from pimentospool.gateway._region_contact import RegionContact
+from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._target_reports import (
     EMPTY_REPORTS,
     LINK_SHARE,
@@ -48,6 +50,11 @@
             book=self.book,
             limits=self.limits,
             brittle=self.brittle,
+            contact=RegionContact(
+                fleet=self.fleet,
+                routing_state=RoutingState(clock=clock, zone_regions={}),
+                clock=clock,
+            ),
             cold_reports=lambda: self.cold,
             receive_cold_report=self.cold_received.__setitem__,
             position=lambda: self.position,
