--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -79,6 +79,12 @@
     TargetChoice,
     choose_destination,
 )
+from pimentospool.policy._target_contact import (
+    NeighbourContacts,
+    NeighbourUse,
+    TargetContact,
+    neighbour_use,
+)
 from pimentospool.policy._target_health import TargetHealth
 
 __all__ = [
@@ -110,6 +116,8 @@
     "MemoryBudget",
     "MemoryHold",
     "NamedLimits",
+    "NeighbourContacts",
+    "NeighbourUse",
     "NoChoice",
     "Occupancy",
     "OccupancyBook",
@@ -149,6 +157,7 @@
     "StreamVersions",
     "SuspectKind",
     "TargetChoice",
+    "TargetContact",
     "TargetFlight",
     "TargetHealth",
     "TargetRoute",
@@ -157,6 +166,7 @@
     "choose_relays",
     "continuation_head_fault",
     "is_newer",
+    "neighbour_use",
     "newer_member",
     "newer_report",
     "owner_gone",
