End a process with its grace, whatever its callers do

Cause: HttpFrontend.close closed the transports, which waits for the caller to take what is buffered, and shut aiohttp's server down with a time-out of 0, which means none.

The front end now closes all connections, waits for callers to take the last bytes until the end of the grace (0.2 s at least), aborts those that are left, and shuts the server down with a time-out. Answers that have ended still reach callers that read, as before.

--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -218,6 +218,11 @@
         self.fleet.local_state = EntryState.CLOSED
         self.heartbeats.announce_state()
 
+    @property
+    def grace_seconds_left(self) -> float:
+        """Time until the remaining requests are aborted."""
+        return self._abort_requests_at - time.monotonic()
+
     async def finish_requests(self) -> None:
         """Wait until all requests have ended, at most until shortly before SIGKILL."""
         await asyncio.sleep(POLL_INTERVAL_SECONDS)
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -63,6 +63,12 @@
 """Unread bytes of a body above which a caller's connection stops reading."""
 MAX_HEADER_LINE_BYTES = 64 * 1024
 """Longest header line; the limit of the platform is lower."""
+MIN_FLUSH_SECONDS = 0.2
+"""Time that callers have to take the last bytes once the process closes."""
+FLUSH_POLL_SECONDS = 0.02
+"""Time between checks whether callers have taken them."""
+SHUTDOWN_SECONDS = 0.1
+"""Time for the handlers of aborted connections to end."""
 LEAVING_RETRY_AFTER_SECONDS = 0.02
 """Retry-After of a leaving entry VM; the retry goes to another entry VM."""
 NO_MEMORY_RETRY_AFTER_SECONDS = 0.2
@@ -116,13 +122,27 @@
         )
         self._closed = False
 
-    async def close(self) -> None:
-        """Close all connections; requests that arrive from now on are not handled."""
+    async def close(self, *, flush_seconds: float = MIN_FLUSH_SECONDS) -> None:
+        """Close all connections; requests that arrive from now on are not handled.
+
+        Parameters
+        ----------
+        flush_seconds : float
+            Time for which callers may take what has been sent to them.
+        """
         self._closed = True
-        for conn in self.server.connections:
-            if conn.transport is not None:
-                conn.transport.close()
-        await self.server.shutdown(timeout=0.0)
+        transports = [conn.transport for conn in self.server.connections]
+        for transport in transports:
+            if transport is not None:
+                transport.close()
+        flush_until = time.monotonic() + max(flush_seconds, MIN_FLUSH_SECONDS)
+        while self.server.connections and time.monotonic() < flush_until:
+            await asyncio.sleep(FLUSH_POLL_SECONDS)
+        for transport in transports:
+            if transport is not None:
+                transport.abort()
+        # A time-out of zero would be none.
+        await self.server.shutdown(timeout=SHUTDOWN_SECONDS)
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         gateway = self._gateway
--- a/pimentospool/platform/_node.py
+++ b/pimentospool/platform/_node.py
@@ -13,7 +13,7 @@
 from pimentospool.latencies import CONTENT_TYPE
 from pimentospool.log import Event, log_event
 from pimentospool.platform._exchange import PlatformDialect
-from pimentospool.platform._front import HttpFrontend, null_logger
+from pimentospool.platform._front import MIN_FLUSH_SECONDS, HttpFrontend, null_logger
 from pimentospool.platform._settings import NodeSettingsError, read_node_settings
 from pimentospool.platform._store import StoreClient
 from pimentospool.tasks import cancel_tasks
@@ -63,14 +63,24 @@
         for server in self._servers:
             server.close()
         await self._gateway.finish_requests()
-        await self.close()
+        await self.close(flush_seconds=self._gateway.grace_seconds_left)
 
-    async def close(self) -> None:
-        """Close all listeners and connections and cancel the background tasks."""
+    async def close(self, *, flush_seconds: float = MIN_FLUSH_SECONDS) -> None:
+        """Close all listeners and connections and cancel the background tasks.
+
+        Parameters
+        ----------
+        flush_seconds : float
+            Time for which callers may take what has been sent to them.
+        """
         for server in self._servers:
             server.close()
-        for frontend in self._frontends:
-            await frontend.close()
+        await asyncio.gather(
+            *(
+                frontend.close(flush_seconds=flush_seconds)
+                for frontend in self._frontends
+            )
+        )
         await cancel_tasks(self._tasks)
         await self._gateway.stop()
 
