Ignore SIGHUP while a node still loads its modules

Cause: the handler that reloads the settings is installed once the event loop runs, and until then the signal's default ends the process.

The entry point ignores the signal before it loads anything, for `node` only, which installs its handler later. The settings are read after that, so nothing is missed but a change between their reading and the first look at the file.

tests/platform/test_process.py sends SIGHUP as soon as the first library of the project's is mapped; it failed before (the process was never ready) and passes now. What remains are the milliseconds in which the interpreter itself starts.

--- a/pimentospool/__main__.py
+++ b/pimentospool/__main__.py
@@ -1,6 +1,16 @@
 """Entry point of ``python -m pimentospool``."""
 
-from pimentospool.cli import main
+import signal
+import sys
+
+RELOADING_COMMAND = "node"
+"""Command that reloads its settings on SIGHUP once it runs."""
 
 if __name__ == "__main__":
+    if sys.argv[1:2] == [RELOADING_COMMAND]:
+        # Until then it would end the process, and loading the modules takes a while.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+    from pimentospool.cli import main
+
     main()
--- a/tests/platform/node_process.py
+++ b/tests/platform/node_process.py
@@ -47,6 +47,13 @@
         host, _, port = self.front.rpartition(":")
         return await asyncio.open_connection(host, int(port))
 
+    async def wait_loading(self):
+        """Return while the process still loads its modules, before it runs."""
+        maps = Path(f"/proc/{self.proc.pid}/maps")
+        async with asyncio.timeout(START_SECONDS):
+            while "/msgspec/" not in maps.read_text():
+                await asyncio.sleep(0.002)
+
     async def wait_ready(self):
         async with asyncio.timeout(START_SECONDS):
             while not await self._is_ready():
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -9,6 +9,7 @@
 import urllib.request
 
 import tomli_w
+from node_process import running_node_process
 
 from pimentospool.standins import (
     ZONES,
@@ -98,3 +99,14 @@
         "ENTRY_STOPPED",
     ):
         assert name in log
+
+
+def test_reload_signal_during_the_start_does_not_end_the_process(runner, tmp_path):
+    async def run_process():
+        async with running_node_process(tmp_path, ready=False) as node:
+            await node.wait_loading()
+            node.proc.send_signal(signal.SIGHUP)
+            await node.wait_ready()
+            return node.proc.poll()
+
+    assert runner.run(run_process()) is None
