--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -32,6 +32,11 @@
     read_body,
     write_body,
 )
+from pimentospool.platform._caller_connections import (
+    MAX_HEADERS,
+    CallerServer,
+    header_bytes,
+)
 from pimentospool.platform._headers import (
     CALLER_HEADERS,
     CONNECTION_HEADERS,
@@ -56,13 +61,19 @@
 from pimentospool.verdicts import Verdict
 
 KEEP_ALIVE_TIMEOUT_SECONDS = 120.0
-"""Longest idle time of a caller's connection; callers close idle connections sooner."""
+"""Longest idle time of a connection of another entry VM, which closes it sooner."""
 BODY_TIMEOUT_SECONDS = 30.0
 """Longest wait for a request body whose caller states no shorter deadline."""
 READ_BUFFER_BYTES = 64 * 1024
 """Unread bytes of a body above which a caller's connection stops reading."""
 MAX_HEADER_LINE_BYTES = 64 * 1024
 """Longest header line; the limit of the platform is lower."""
+MIN_FLUSH_SECONDS = 0.2
+"""Time that callers have to take the last bytes once the process closes."""
+FLUSH_POLL_SECONDS = 0.02
+"""Time between checks whether callers have taken them."""
+SHUTDOWN_SECONDS = 0.1
+"""Time for the handlers of aborted connections to end."""
 LEAVING_RETRY_AFTER_SECONDS = 0.02
 """Retry-After of a leaving entry VM; the retry goes to another entry VM."""
 NO_MEMORY_RETRY_AFTER_SECONDS = 0.2
@@ -103,10 +114,12 @@
     def __init__(self, *, gateway: Gateway, is_hop: bool) -> None:
         self._gateway = gateway
         self._is_hop = is_hop
-        self.server = web.Server(
+        server_class = web.Server if is_hop else CallerServer
+        self.server = server_class(
             self._handle,
             handler_cancellation=True,
             keepalive_timeout=KEEP_ALIVE_TIMEOUT_SECONDS,
+            max_headers=MAX_HEADERS,
             read_bufsize=READ_BUFFER_BYTES,
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
@@ -114,15 +127,31 @@
             access_log=None,
             logger=null_logger,
         )
+        if isinstance(self.server, CallerServer):
+            self.server.limits = lambda: self._limits
         self._closed = False
 
-    async def close(self) -> None:
-        """Close all connections; requests that arrive from now on are not handled."""
+    async def close(self, *, flush_seconds: float = MIN_FLUSH_SECONDS) -> None:
+        """Close all connections; requests that arrive from now on are not handled.
+
+        Parameters
+        ----------
+        flush_seconds : float
+            Time for which callers may take what has been sent to them.
+        """
         self._closed = True
-        for conn in self.server.connections:
-            if conn.transport is not None:
-                conn.transport.close()
-        await self.server.shutdown(timeout=0.0)
+        transports = [conn.transport for conn in self.server.connections]
+        for transport in transports:
+            if transport is not None:
+                transport.close()
+        flush_until = time.monotonic() + max(flush_seconds, MIN_FLUSH_SECONDS)
+        while self.server.connections and time.monotonic() < flush_until:
+            await asyncio.sleep(FLUSH_POLL_SECONDS)
+        for transport in transports:
+            if transport is not None:
+                transport.abort()
+        # A time-out of zero would be none.
+        await self.server.shutdown(timeout=SHUTDOWN_SECONDS)
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         gateway = self._gateway
@@ -178,6 +207,9 @@
 
     def _begin(self, http: web.BaseRequest) -> MemoryHold:
         """Return the hold of a request whose body has not been read."""
+        limit_bytes = self._limits.max_header_bytes
+        if not self._is_hop and 0 < limit_bytes < header_bytes(http):
+            raise InvalidRequestError(status=431, detail="the headers are too large")
         length = body_length(http)
         if length is not None and length > self._limits.max_body_bytes:
             raise InvalidRequestError(status=413, detail="the body is too large")
