--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -104,7 +104,7 @@
         "version that began a stream sought beyond the records of this entry VM",
     )
     TARGET_START_CHECKED = (
-        3130,
+        3138,
         logbook.NOTICE,
         "start of a target checked whose connections were lost",
     )
