Let a longer idle limit hold for connections that are already open

Cause: the idle limit was that with which a connection was opened, so that callers who follow a longer one would have met a closed connection. Change: the limit in force counts when the time is over.

--- a/pimentospool/platform/_caller_connections.py
+++ b/pimentospool/platform/_caller_connections.py
@@ -72,6 +72,11 @@
         super().connection_lost(exc)
 
     def _process_keepalive(self) -> None:
+        # Callers may follow a longer limit than that with which they connected.
+        longer_seconds = self.limits().idle_timeout_seconds - self._keepalive_timeout
+        if longer_seconds > 0:
+            self._keepalive_timeout += longer_seconds
+            self._next_keepalive_close_time += longer_seconds
         if self._head_timer is None:
             super()._process_keepalive()
 
--- a/tests/platform/test_header_limits.py
+++ b/tests/platform/test_header_limits.py
@@ -66,18 +66,20 @@
 
 
 @pytest.mark.parametrize(
-    ("sent", "pause_seconds", "served"),
+    ("sent", "pause_seconds", "raised", "served"),
     [
         # Callers reuse connections that are idle for four fifths of the limit.
-        (b"", 0.8, True),
-        (b"", 1.6, False),
+        (b"", 0.8, False, True),
+        (b"", 1.6, False, False),
+        # A longer limit holds for connections that are already open.
+        (b"", 1.6, True, True),
         # The time of a head is another one than that of an idle connection.
-        (b"GET /look/1 HTTP/1.1\r\n", 1.4, True),
-        (b"GET /look/1 HTTP/1.1\r\n", 2.8, False),
+        (b"GET /look/1 HTTP/1.1\r\n", 1.4, False, True),
+        (b"GET /look/1 HTTP/1.1\r\n", 2.8, False, False),
     ],
 )
 def test_time_limits_close_no_connection_that_may_be_used(
-    runner, tmp_path, sent, pause_seconds, served
+    runner, tmp_path, sent, pause_seconds, raised, served
 ):
     limits = {"Limits": {"IdleTimeoutMs": 1000, "HeaderTimeoutMs": 1500}}
 
@@ -96,6 +98,11 @@
                 writer.write(line + head)
                 await reader.readuntil(b"GET /look/1 ")
                 writer.write(sent)
+                if raised:
+                    longer = {"Limits": {"IdleTimeoutMs": 2500}}
+                    await site.store.put(
+                        "op/config", platform_configuration(3) | longer
+                    )
                 await asyncio.sleep(pause_seconds)
                 writer.write((line + head).removeprefix(sent))
                 return b" 200 " in await reader.readline()
