--- a/tests/fuzz/test_continuations.py
+++ b/tests/fuzz/test_continuations.py
@@ -17,6 +17,7 @@
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._running_attempts import RunningAttempt
 from pimentospool.platform._exchange import PlatformDialect
+from pimentospool.policy import MemoryBudget
 from pimentospool.relaying import StreamRelay
 from pimentospool.targets import AttemptFailure, EventSplitter
 from pimentospool.verdicts import Verdict
@@ -192,8 +193,9 @@
         )
         attempt = RunningAttempt(choice=None, stall_seconds=math.inf)
         progress.running.claim_reply = reply.claims.append
+        hold = MemoryBudget(process_bytes=math.inf).begin_answer(is_stream=True)
         receive = asyncio.create_task(
-            receiver.receive(stream, attempt, from_target=True)
+            receiver.receive(stream, attempt, hold=hold, from_target=True)
         )
         for part in parts:
             if not transport.closed:
