--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from contextlib import asynccontextmanager
+from functools import cache
 from pathlib import Path
 
 import aiohttp
@@ -26,6 +27,12 @@
 WAIT_TIMEOUT_SECONDS = 5.0
 
 
+@cache
+def _node_ports():
+    """Return the ports of the nodes of all sites; each site has its own network."""
+    return free_node_ports()
+
+
 class Site:
     """A running store with its nodes and targets."""
 
@@ -35,7 +42,7 @@
         self.nodes = []
         self.targets = {}
         self._settings_dir = settings_dir
-        self._ports = free_node_ports()
+        self._ports = _node_ports()
         self._network = LoopbackNetwork()
 
     def close(self):
