Define the function that the installed command and the binary call

Cause: __main__ imported main only when run as a module, since SIGHUP is ignored while modules load, so that the installed command and the one-file binary could not start. Change: main is a function again; a search for free addresses returns fewer ones as before.

--- a/pimentospool/__main__.py
+++ b/pimentospool/__main__.py
@@ -1,4 +1,4 @@
-"""Entry point of ``python -m pimentospool``."""
+"""Entry point of ``python -m pimentospool`` and of the installed command."""
 
 import signal
 import sys
@@ -6,11 +6,16 @@
 RELOADING_COMMAND = "node"
 """Command that reloads its settings on SIGHUP once it runs."""
 
-if __name__ == "__main__":
+
+def main() -> None:
+    """Run the command line."""
     if sys.argv[1:2] == [RELOADING_COMMAND]:
         # Until then it would end the process, and loading the modules takes a while.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from pimentospool.cli import main as run_command
 
-    from pimentospool.cli import main
+    run_command()
 
+
+if __name__ == "__main__":
     main()
--- a/pimentospool/addresses.py
+++ b/pimentospool/addresses.py
@@ -60,11 +60,6 @@
     """Return `count` distinct loopback addresses (IP:port) that no socket is bound to.
 
     A process gets each address only once.
-
-    Raises
-    ------
-    OSError
-        If there are fewer.
     """
     ports = range(_FIRST_PORT, _LAST_PORT + 1)
     # Processes that search at the same time start at different ports.
@@ -79,8 +74,6 @@
         if port not in _returned_ports and _is_free(port):
             _returned_ports.add(port)
             found.append(f"{LOOPBACK}:{port}")
-    if len(found) < count:
-        raise OSError(f"only {len(found)} of {count} loopback addresses are free")
     return found
 
 
