--- a/pimentospool/gateway/_region_contact.py
+++ b/pimentospool/gateway/_region_contact.py
@@ -66,7 +66,7 @@
         }
 
     def report(self) -> dict[int, bool]:
-        """Return by the key of each service whether its targets were reached lately."""
+        """Return by the key of each service whether its targets were reached recently."""
         reached = self.own.report()
         # Answers may come on connections from before a cut, as long as they last.
         doubtful = self.own.suspected or self.lost
@@ -81,7 +81,7 @@
     ) -> list[EntryRecord]:
         """Return the entry VMs of the region that can be asked for `service`.
 
-        Only those that have reached a target of it lately if `proven`.
+        Only those that have reached a target of it recently if `proven`.
         """
         ready = {
             record.key: record
