--- a/pimentospool/gateway/_fleet_messages.py
+++ b/pimentospool/gateway/_fleet_messages.py
@@ -101,7 +101,7 @@
     brittle: dict[str, float] = {}
     """Seconds since targets told the entry VM that they are brittle."""
     reached: dict[int, bool] = {}
-    """Whether the entry VM has recently reached targets, by the key of their service."""
+    """Whether the entry VM has recently reached targets, by service key."""
 
 
 class ReportMessage(msgspec.Struct, array_like=True, tag=2):
--- a/pimentospool/gateway/_region_contact.py
+++ b/pimentospool/gateway/_region_contact.py
@@ -66,7 +66,7 @@
         }
 
     def report(self) -> dict[int, bool]:
-        """Return by the key of each service whether its targets were reached recently."""
+        """Return, by service key, whether its targets were reached recently."""
         reached = self.own.report()
         # Answers may come on connections from before a cut, as long as they last.
         doubtful = self.own.suspected or self.lost
--- a/pimentospool/policy/_target_contact.py
+++ b/pimentospool/policy/_target_contact.py
@@ -121,7 +121,7 @@
         return sorted(targets, key=lambda key: (self._failures.get(key, 0.0), key))
 
     def report(self) -> dict[int, bool]:
-        """Return by the key of each service whether its targets were reached recently."""
+        """Return, by service key, whether its targets were reached recently."""
         now = self._clock()
         reached = {}
         for service in self._answered_at.keys() | self._failed_at.keys():
