Read what has arrived before a timeout concludes silence

Cause: after a pause of the process (a frozen VM, a long collection of garbage) timers run before sockets are polled. A connection that the kernel had completed counted as failed to open, an answer that lay in the buffer as silence, and the request was refused or sent again. Change: tasks.timeout_after_read and read_arrived let the event loop read the sockets before a timeout ends a block or an attempt counts as stalled. Used for connections, heads and bodies of answers, start proofs, cold checks, and questions to the store and to peers. The own front's client takes its connect timeout from aiohttp and keeps it.

--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -14,6 +14,7 @@
 from pimentospool.gateway._running_attempts import RunningAttempt
 from pimentospool.policy import MemoryHold
 from pimentospool.targets import AttemptFailure, FailureCause
+from pimentospool.tasks import timeout_after_read
 from pimentospool.verdicts import Verdict
 
 DEADLINE_TOLERANCE_SECONDS = 0.01
@@ -110,7 +111,7 @@
             If the response is a refusal, is invalid, or does not arrive in full.
         """
         try:
-            async with asyncio.timeout(self._remaining_seconds()):
+            async with timeout_after_read(self._remaining_seconds()):
                 head = await stream.wait_head()
         except TimeoutError as exc:
             raise self._timeout_failure(exc) from exc
@@ -170,7 +171,7 @@
                 cause=FailureCause.TARGET_ERROR,
             )
         try:
-            async with asyncio.timeout(self._remaining_seconds()):
+            async with timeout_after_read(self._remaining_seconds()):
                 if (
                     self._route.kind is RequestKind.STREAM
                     and answer_class is AnswerClass.SUCCESS
--- a/pimentospool/gateway/_cold_checks.py
+++ b/pimentospool/gateway/_cold_checks.py
@@ -12,6 +12,7 @@
 from pimentospool.ids import EntryId, RegionId, TargetId, ZoneId
 from pimentospool.policy import NamedLimits, responsible_entry
 from pimentospool.targets import AttemptFailure
+from pimentospool.tasks import timeout_after_read
 
 CHECK_TIMEOUT_SECONDS = 1.0
 """Timeout of a health check. A target that doesn't answer stays assumed cold."""
@@ -129,7 +130,7 @@
         pool = self._pools.target_pool(state.registration, service)
         data = self._dialect.encode_health(state.registration, service.health_path)
         try:
-            async with asyncio.timeout(CHECK_TIMEOUT_SECONDS):
+            async with timeout_after_read(CHECK_TIMEOUT_SECONDS):
                 conn = await pool.acquire()
                 try:
                     sent_at = self._clock()
--- a/pimentospool/gateway/_connection_pool.py
+++ b/pimentospool/gateway/_connection_pool.py
@@ -9,6 +9,7 @@
 from pimentospool.policy import StartDoubt
 from pimentospool.sockets import SILENCE_SECONDS, open_socket
 from pimentospool.targets import AttemptFailure, FailureCause
+from pimentospool.tasks import timeout_after_read
 from pimentospool.verdicts import Verdict
 
 CONNECT_TIMEOUT_SECONDS = 0.35
@@ -131,7 +132,7 @@
         loop = asyncio.get_running_loop()
         sock = open_socket(self._silence_seconds)
         try:
-            async with asyncio.timeout(
+            async with timeout_after_read(
                 min(self._connect_timeout_seconds, within_seconds)
             ):
                 await loop.sock_connect(sock, (self.address.host, self.address.port))
--- a/pimentospool/gateway/_running_attempts.py
+++ b/pimentospool/gateway/_running_attempts.py
@@ -11,7 +11,7 @@
 from pimentospool.gateway._connections import BodyEnd
 from pimentospool.ids import RegionId, SoftwareVersion, TargetId
 from pimentospool.policy import Assignment, RegionChoice, TargetChoice
-from pimentospool.tasks import cancel_tasks
+from pimentospool.tasks import cancel_tasks, read_arrived
 
 OVERLAP_SECONDS = 0.25
 """Time for which a target may still work on a stream that another one has accepted. A
@@ -128,11 +128,13 @@
 
     async def wait_for_end(self, timeout_seconds: float) -> RunningAttempt | None:
         """Return an attempt that has ended, None if none does within the timeout."""
-        await asyncio.wait(
+        done, _ = await asyncio.wait(
             [item.task for item in self._attempts if item.task is not None],
             timeout=timeout_seconds if math.isfinite(timeout_seconds) else None,
             return_when=asyncio.FIRST_COMPLETED,
         )
+        if not done:
+            await read_arrived()
         for attempt in self._attempts:
             if attempt.task is not None and attempt.task.done():
                 self._attempts.remove(attempt)
--- a/pimentospool/gateway/_start_proofs.py
+++ b/pimentospool/gateway/_start_proofs.py
@@ -15,6 +15,7 @@
 from pimentospool.gateway._stream_origins import StreamOrigins
 from pimentospool.log import Event, log_event
 from pimentospool.targets import AttemptFailure
+from pimentospool.tasks import timeout_after_read
 
 REPORT_TIMEOUT_SECONDS = 0.2
 """Longest wait for a target's report on itself."""
@@ -75,7 +76,7 @@
     ) -> int | None:
         """Return the start that the target names, None if it names none."""
         try:
-            async with asyncio.timeout(REPORT_TIMEOUT_SECONDS):
+            async with timeout_after_read(REPORT_TIMEOUT_SECONDS):
                 conn = await pool.acquire()
                 try:
                     data = self._dialect.encode_report(registration)
--- a/pimentospool/gateway/_stream_origins.py
+++ b/pimentospool/gateway/_stream_origins.py
@@ -31,6 +31,7 @@
     StreamVersions,
     stream_key,
 )
+from pimentospool.tasks import timeout_after_read
 
 SOURCE_TIMEOUT_SECONDS = 0.5
 """Longest wait for the source; far above its usual response time."""
@@ -144,7 +145,7 @@
     ) -> None:
         """Follow the source up to `asked_at`; requests of one moment share a read."""
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(SOURCE_TIMEOUT_SECONDS):
+            async with timeout_after_read(SOURCE_TIMEOUT_SECONDS):
                 while not self._versions.follows(
                     asked_at, max_age_seconds=max_age_seconds
                 ):
@@ -195,7 +196,7 @@
     async def _ask_zone(self, records: list[EntryRecord], key: StreamKey) -> bool:
         async def ask(record: EntryRecord) -> bool:
             try:
-                async with asyncio.timeout(PEER_TIMEOUT_SECONDS):
+                async with timeout_after_read(PEER_TIMEOUT_SECONDS):
                     return await self._peers.learn_stream(record, key)
             except TimeoutError:
                 return False
--- a/tests/gateway/test_pools.py
+++ b/tests/gateway/test_pools.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import socket
+import time
 
 import pytest
 from gateway_factories import (
@@ -44,6 +45,22 @@
     assert shortest <= asyncio.run(run()) <= longest
 
 
+@pytest.mark.parametrize("pause_seconds", [0.5, 2.0])
+def test_pause_of_the_process_is_no_failure_to_connect(runner, pause_seconds):
+    async def run():
+        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        address = Address(*server.sockets[0].getsockname()[:2])
+        pool = ConnectionPool(address=address, limit=1)
+        acquired = asyncio.create_task(pool.acquire())
+        await asyncio.sleep(0)
+        time.sleep(pause_seconds)
+        conn = await acquired
+        conn.abort()
+        server.close()
+
+    runner.run(run())
+
+
 @pytest.mark.parametrize(
     ("answer", "in_doubt"),
     [
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -1,11 +1,15 @@
 """Cancellation of tasks, and restart of those that fail."""
 
 import asyncio
+import math
+import socket
+import time
 
 import pytest
+import uvloop
 
 from pimentospool import tasks
-from pimentospool.tasks import cancel_tasks, run_supervised
+from pimentospool.tasks import cancel_tasks, run_supervised, timeout_after_read
 
 
 async def swallow_first_cancellation():
@@ -73,3 +77,45 @@
         assert task.cancelled()
 
     runner.run(check())
+
+
+async def read_byte_late(*, pause_seconds):
+    """Read a byte that arrives before a pause of the process, and the timeout in it."""
+    near, far = socket.socketpair()
+    reader, writer = await asyncio.open_connection(sock=near)
+    loop = asyncio.get_running_loop()
+    loop.call_soon(far.send, b"a")
+    loop.call_soon(time.sleep, pause_seconds)
+    try:
+        async with timeout_after_read(0.05):
+            # Another task reads, as the tasks of requests do.
+            return await asyncio.create_task(reader.readexactly(1))
+    finally:
+        writer.close()
+        far.close()
+
+
+@pytest.mark.parametrize("loop_factory", [None, uvloop.new_event_loop])
+def test_timeout_in_a_pause_ends_after_arrived_bytes_are_read(loop_factory):
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
+        assert runner.run(read_byte_late(pause_seconds=0.2)) == b"a"
+
+
+@pytest.mark.parametrize("seconds", [-1.0, 0.0, 0.05])
+def test_timeout_after_read_ends_a_block_that_waits(runner, seconds):
+    async def check():
+        with pytest.raises(TimeoutError):
+            async with timeout_after_read(seconds):
+                await asyncio.sleep(60.0)
+
+    runner.run(check())
+
+
+@pytest.mark.parametrize("seconds", [0.0, 1.0, math.inf])
+def test_timeout_after_read_leaves_a_block_that_ends_alone(runner, seconds):
+    async def check():
+        async with timeout_after_read(seconds):
+            pass
+        await asyncio.sleep(0.01)
+
+    runner.run(check())
