Try an idle target again, however slow its service has been

Cause: the pace of a service changes only with answers. With a pace above the callers' time, or shortly after slow answers, a VM refused each request ("a first byte is expected in ...") though the targets were idle, so no answer could show that they were fast again. Change: known_seconds of a target or region tells the wait as far as the present load tells it; only that refuses. An idle target gets one request, and refuses further ones while that runs. Prompts that no target can read in time are refused as before. Evidence: tests/policy/test_target_choice.py, four cases failed before; the two cases of a busy target and of a long prompt passed before and after.

--- a/pimentospool/policy/_target_choice.py
+++ b/pimentospool/policy/_target_choice.py
@@ -105,6 +105,17 @@
         factor = self.service_pace * self.latency_ratio
         return self.reference_seconds * factor + self.queue_seconds
 
+    @property
+    def known_seconds(self) -> float:
+        """Time to the first byte as far as the target's present load tells it.
+
+        An idle target may have become faster since its last answers, which only
+        another request shows.
+        """
+        if self.occupancy.running or self.occupancy.waiting_tokens:
+            return self.first_byte_seconds
+        return min(self.first_byte_seconds, self.reference_seconds)
+
     @property
     def slot_utilisation(self) -> float:
         """Share of the slots in use, from 0 to 1."""
@@ -158,6 +169,14 @@
         """Expected time to the first byte of the response, round trip included."""
         return self.wait_seconds + self.prefill_seconds + self.round_trip_seconds
 
+    @property
+    def known_seconds(self) -> float:
+        """Time to the first byte as far as the region's present load tells it."""
+        if self.slot_utilisation:
+            return self.first_byte_seconds
+        prefill_seconds = self.prefill_tokens / PREFILL_TOKENS_PER_SECOND
+        return min(self.first_byte_seconds, prefill_seconds + self.round_trip_seconds)
+
     @property
     def cost_seconds(self) -> float:
         """Expected time to first byte, plus the weighted costs of this choice."""
@@ -233,7 +252,7 @@
         local = None
     destination = local or remote
     assert destination is not None
-    wait_seconds = destination.first_byte_seconds
+    wait_seconds = destination.known_seconds
     max_wait_seconds = min(
         first_byte_timeout_seconds * MAX_WAIT_SHARE,
         max(objective_seconds, destination.idle_seconds) * MAX_WAIT_OBJECTIVES,
--- a/tests/policy/test_target_choice.py
+++ b/tests/policy/test_target_choice.py
@@ -6,6 +6,7 @@
     Candidate,
     NoChoice,
     Occupancy,
+    RegionChoice,
     RemoteRegion,
     TargetChoice,
     choose_destination,
@@ -36,6 +37,27 @@
     )
 
 
+@pytest.mark.parametrize("pace", [5.0, 100.0])
+@pytest.mark.parametrize("latency_ratio", [1.0, 20.0])
+def test_idle_target_that_was_slow_is_tried_again(pace, latency_ratio):
+    fields = {"service_pace": pace, "latency_ratio": latency_ratio}
+    for target in (engine(**fields), promptless(**fields)):
+        assert isinstance(choose([target]), TargetChoice)
+    region = RemoteRegion(region="delta", wait_seconds=9.0, service_pace=pace)
+    assert isinstance(choose([], [region]), RegionChoice)
+
+
+def test_busy_target_that_is_too_slow_for_the_caller_refuses():
+    assert isinstance(choose([promptless(running=1, service_pace=100.0)]), NoChoice)
+    assert isinstance(choose([engine(waiting=9000, service_pace=9.0)]), NoChoice)
+    region = RemoteRegion(region="delta", wait_seconds=9.0, slot_utilisation=0.1)
+    assert isinstance(choose([], [region]), NoChoice)
+
+
+def test_prompt_that_no_target_can_read_in_time_is_refused_at_once():
+    assert isinstance(choose([engine(prefill=90_000)]), NoChoice)
+
+
 def test_cached_prompt_outweighs_a_short_queue_but_not_a_long_one():
     kept = engine("kept", prefill=500, waiting=2000)
     fresh = engine("fresh", prefill=6500)
