Keep collections of garbage short in the tests' process

Cause: one process runs all tests, and what they leave makes each full collection longer: 0.13 s at the first tests, 0.43 s in tests/platform/test_cut_answers.py, with 490,000 objects. Timeouts under test are as short as 0.35 s. Change: at the start of each module, what is left is taken out of later collections.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Shared fixtures, Hypothesis profiles and the handling of known failures."""
 
 import asyncio
+import gc
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -23,6 +24,17 @@
         yield asyncio_runner
 
 
+@pytest.fixture(autouse=True, scope="module")
+def unpaused_by_earlier_modules() -> None:
+    """Keep what earlier modules left out of the collections of garbage.
+
+    In a process that has run most of the tests, a collection takes longer than some
+    timeouts under test.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 def _read_known_failures() -> dict[str, str]:
     """Return the ids of the tests in KNOWN-RED.txt, with the rest of their entries."""
     if not KNOWN_RED.exists():
