--- a/pimentospool/gateway/__init__.py
+++ b/pimentospool/gateway/__init__.py
@@ -6,7 +6,7 @@
 the encoding of requests and responses (`TargetDialect`).
 """
 
-from pimentospool.gateway._connections import AnswerHead
+from pimentospool.gateway._answer_streams import AnswerHead
 from pimentospool.gateway._dialect import AnswerClass, HopRefusal, TargetDialect
 from pimentospool.gateway._directory import EntryDirectory
 from pimentospool.gateway._dispatch import Dispatcher
--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from pimentospool.byte_buffers import ByteBuffer
-from pimentospool.gateway._connections import AnswerHead, AnswerStream, stated_length
+from pimentospool.gateway._answer_streams import AnswerHead, AnswerStream, stated_length
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._dialect import AnswerClass, HopRefusal
 from pimentospool.gateway._model import HttpRoute, RequestKind
--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 
 from pimentospool.errors import PimentospoolError
+from pimentospool.gateway._answer_streams import AnswerHead, EncodedRequest
 from pimentospool.gateway._answers import AnswerReceiver, HopRefusedError
 from pimentospool.gateway._connection_pool import ConnectionPool
-from pimentospool.gateway._connections import AnswerHead, EncodedRequest
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._dialect import AnswerClass
 from pimentospool.gateway._model import (
--- a/pimentospool/gateway/_cold_checks.py
+++ b/pimentospool/gateway/_cold_checks.py
@@ -4,7 +4,7 @@
 import math
 from collections.abc import Callable, Iterable
 
-from pimentospool.gateway._connections import AnswerHead, EncodedRequest
+from pimentospool.gateway._answer_streams import AnswerHead, EncodedRequest
 from pimentospool.gateway._dialect import TargetDialect
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._pools import ConnectionPools
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -7,18 +7,21 @@
 
 import asyncio
 import time
-from collections import deque
 from collections.abc import Callable
-from enum import Enum
 from typing import cast
 
 import httptools
-import msgspec
 
+from pimentospool.gateway._answer_streams import (
+    AnswerHead,
+    AnswerStream,
+    BodyEnd,
+    EncodedRequest,
+    Headers,
+    find_body_end,
+)
 from pimentospool.policy import MemoryHold
 from pimentospool.sockets import set_reset_on_close
-from pimentospool.targets import AttemptFailure, FailureCause
-from pimentospool.verdicts import Verdict
 
 DEFAULT_IDLE_SECONDS = 4.0
 """Time after which an idle connection is closed if the server states no timeout."""
@@ -26,8 +29,6 @@
 """Limit on the idle timeout that a server states."""
 IDLE_MARGIN_SECONDS = 1.0
 """Subtracted from the idle timeout that a server states in whole seconds."""
-MAX_BUFFERED_BYTES = 256 * 1024
-"""Unread bytes of a response above which the connection stops reading."""
 MAX_FRAMING_BYTES = 64 * 1024
 """Limit on the bytes of a response that are not part of its body: its head, trailers,
 and responses before it that belong to no request. A faulty server sends them without
@@ -42,185 +43,6 @@
 """Time for which a server that has answered may take the rest of the request; it is
 held meanwhile."""
 
-Headers = list[tuple[bytes, bytes]]
-
-
-class AnswerHead(msgspec.Struct, frozen=True):
-    """Status and headers of a response; header names are in lower case."""
-
-    status: int
-    headers: Headers
-
-    def get(self, name: bytes) -> bytes | None:
-        """Return the value of the first header with the lower-case `name`."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-
-class BodyEnd(Enum):
-    """What tells the end of a response's body."""
-
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    CLOSE = "close of the connection"
-    NO_BODY = "no body"
-
-
-class EncodedRequest(msgspec.Struct, kw_only=True, frozen=True):
-    """An encoded request and a check of which response belongs to it."""
-
-    data: bytes
-    """Head of the request."""
-    accepts: Callable[[AnswerHead], bool]
-    """Returns whether a response with this head may belong to the request."""
-    body: bytes | memoryview = b""
-    """Body of the request; it is not copied."""
-    body_hold: MemoryHold | None = None
-    """Memory of the body, which is held until the body is sent."""
-    answer_hold: MemoryHold | None = None
-    """Memory of the response, which grows while the response waits to be read."""
-    without_body: bool = False
-    """Whether the response has no body, whatever its headers say (HEAD requests)."""
-
-
-class AnswerStream:
-    """One response, read while it arrives on its connection."""
-
-    def __init__(
-        self, *, conn: "Connection", req: EncodedRequest, conn_was_used: bool
-    ) -> None:
-        self.conn_was_used = conn_was_used
-        """Whether the connection carried another exchange before."""
-        self.head: AnswerHead | None = None
-        self.body_end: BodyEnd | None = None
-        self.complete = False
-        self._conn = conn
-        self._accepts = req.accepts
-        self.without_body = req.without_body
-        self._chunks: deque[bytes] = deque()
-        self._buffered_bytes = 0
-        self._hold = req.answer_hold
-        self._read_bytes = 0
-        """Size of the bytes that the last `read` returned."""
-        self._error: AttemptFailure | None = None
-        self._waiter: asyncio.Future[None] | None = None
-
-    async def wait_head(self) -> AnswerHead:
-        """Return the head once it has arrived.
-
-        Raises
-        ------
-        AttemptFailure
-            If the connection fails first.
-        """
-        while self.head is None:
-            if self._error is not None:
-                raise self._error
-            await self._wait()
-        return self.head
-
-    async def read(self) -> bytes:
-        """Return the next bytes of the body, or empty bytes at its end.
-
-        The bytes that the last call returned are no longer held.
-
-        Raises
-        ------
-        AttemptFailure
-            If the connection fails before the end of the body.
-        """
-        if self._hold is not None:
-            self._hold.shrink(self._read_bytes)
-        self._read_bytes = 0
-        while not self._chunks:
-            if self.complete:
-                return b""
-            if self._error is not None:
-                raise self._error
-            await self._wait()
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        self._buffered_bytes = 0
-        self._read_bytes = len(data)
-        self._conn.resume()
-        return data
-
-    def hold_whole(self, length: int | None) -> bool:
-        """Count all of a response that the reader holds until it is whole.
-
-        Answers that fit only in part would otherwise keep each other from being whole.
-
-        Parameters
-        ----------
-        length : int or None
-            Length of the body; if it isn't known, the reader counts what it holds.
-
-        Returns
-        -------
-        bool
-            Whether the response fits.
-        """
-        if self._hold is None or length is None:
-            return True
-        if not self._hold.grow(length + min(length, MAX_BUFFERED_BYTES)):
-            return False
-        self._hold = None
-        return True
-
-    def accepts(self, head: AnswerHead) -> bool:
-        """Whether a response with `head` may belong to the request."""
-        return self._accepts(head)
-
-    def feed_head(self, head: AnswerHead, body_end: BodyEnd) -> None:
-        """Store the head of the response and wake the reader."""
-        self.head = head
-        self.body_end = body_end
-        self._wake()
-
-    def feed_body(self, data: bytes) -> None:
-        """Append bytes of the body and wake the reader.
-
-        A response that doesn't fit in memory fails.
-        """
-        if self._error is not None:
-            return
-        if self._hold is not None and not self._hold.grow(len(data)):
-            self.fail("no memory for the answer", FailureCause.NO_MEMORY)
-            self._chunks.clear()
-            self._conn.abort()
-            return
-        self._chunks.append(data)
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES:
-            self._conn.pause()
-        self._wake()
-
-    def finish(self) -> None:
-        """Mark the response as complete, unless it has failed."""
-        self.complete = self._error is None
-        self._wake()
-
-    def fail(self, detail: str, cause: FailureCause = FailureCause.BROKEN) -> None:
-        """Mark the response as failed, unless it is complete."""
-        if not self.complete and self._error is None:
-            self._error = AttemptFailure(
-                detail=detail, verdict=Verdict.MAY_HAVE_RUN, cause=cause
-            )
-            self._wake()
-
-    async def _wait(self) -> None:
-        self._waiter = asyncio.get_running_loop().create_future()
-        try:
-            await self._waiter
-        finally:
-            self._waiter = None
-
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
 
 class Connection(asyncio.Protocol):
     """One connection; `send` may be called again once the response is complete."""
@@ -441,7 +263,7 @@
             self._must_close = True
             return
         self._read_idle_timeout(head)
-        stream.feed_head(head, _body_end(head))
+        stream.feed_head(head, find_body_end(head))
         if stream.without_body:
             self._must_close = True
             stream.finish()
@@ -471,17 +293,3 @@
                 self.idle_seconds = max(
                     stated_seconds - IDLE_MARGIN_SECONDS, stated_seconds / 2
                 )
-
-
-def stated_length(head: AnswerHead) -> int | None:
-    """Return the length of the body that a response states, None if it states none."""
-    value = head.get(b"content-length") or b""
-    return int(value) if value.isdigit() else None
-
-
-def _body_end(head: AnswerHead) -> BodyEnd:
-    if head.status in (204, 304):
-        return BodyEnd.NO_BODY
-    if head.get(b"transfer-encoding") is not None:
-        return BodyEnd.CHUNKS
-    return BodyEnd.CLOSE if head.get(b"content-length") is None else BodyEnd.LENGTH
--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from pimentospool.gateway._connections import AnswerHead
+from pimentospool.gateway._answer_streams import AnswerHead
 from pimentospool.gateway._model import HopOrigin, InboundRequest, Registration
 from pimentospool.ids import SoftwareVersion
 from pimentospool.verdicts import Verdict
--- a/pimentospool/gateway/_relay.py
+++ b/pimentospool/gateway/_relay.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Callable
 
-from pimentospool.gateway._connections import AnswerHead, AnswerStream, BodyEnd
+from pimentospool.gateway._answer_streams import AnswerHead, AnswerStream, BodyEnd
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._replies import Reply
 from pimentospool.gateway._running_attempts import RunningAttempt
--- a/pimentospool/gateway/_running_attempts.py
+++ b/pimentospool/gateway/_running_attempts.py
@@ -8,7 +8,7 @@
 import math
 from collections.abc import Coroutine
 
-from pimentospool.gateway._connections import BodyEnd
+from pimentospool.gateway._answer_streams import BodyEnd
 from pimentospool.ids import RegionId, SoftwareVersion, TargetId
 from pimentospool.policy import Assignment, RegionChoice, TargetChoice
 from pimentospool.tasks import cancel_tasks, read_arrived
--- a/pimentospool/gateway/_start_proofs.py
+++ b/pimentospool/gateway/_start_proofs.py
@@ -8,8 +8,8 @@
 
 import asyncio
 
+from pimentospool.gateway._answer_streams import AnswerHead, EncodedRequest
 from pimentospool.gateway._connection_pool import ConnectionPool
-from pimentospool.gateway._connections import AnswerHead, EncodedRequest
 from pimentospool.gateway._dialect import TargetDialect
 from pimentospool.gateway._model import Registration
 from pimentospool.gateway._stream_origins import StreamOrigins
--- a/tests/fuzz/test_continuations.py
+++ b/tests/fuzz/test_continuations.py
@@ -12,8 +12,9 @@
 from hypothesis import strategies as st
 
 from pimentospool.gateway import RequestKind
+from pimentospool.gateway._answer_streams import EncodedRequest
 from pimentospool.gateway._answers import AnswerReceiver
-from pimentospool.gateway._connections import Connection, EncodedRequest
+from pimentospool.gateway._connections import Connection
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._running_attempts import RunningAttempt
 from pimentospool.platform._exchange import PlatformDialect
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -26,9 +26,9 @@
     RoutingState,
     SharedBounds,
 )
+from pimentospool.gateway._answer_streams import BodyEnd
 from pimentospool.gateway._attempts import AttemptLoop
 from pimentospool.gateway._connection_pool import ConnectionPool
-from pimentospool.gateway._connections import BodyEnd
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._fleet_messages import ServiceLoad
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -9,8 +9,9 @@
 from raw_server import RawServer
 
 from pimentospool.gateway import Address
+from pimentospool.gateway._answer_streams import EncodedRequest
 from pimentospool.gateway._connection_pool import ConnectionPool
-from pimentospool.gateway._connections import MAX_FRAMING_BYTES, EncodedRequest
+from pimentospool.gateway._connections import MAX_FRAMING_BYTES
 from pimentospool.policy import MemoryBudget
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
--- a/tests/gateway/test_pools.py
+++ b/tests/gateway/test_pools.py
@@ -15,8 +15,8 @@
 )
 
 from pimentospool.gateway import Address
+from pimentospool.gateway._answer_streams import EncodedRequest
 from pimentospool.gateway._connection_pool import ConnectionPool
-from pimentospool.gateway._connections import EncodedRequest
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._pools import ConnectionPools
 from pimentospool.targets import AttemptFailure
