Run the tests of the platform beside the others

Change: make test runs tests/platform and the other tests in two processes at once, prints each output whole, and names the slowest tests. A failure in one does not end the other; make fails if one of them does.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 DEPLOYMENT ?= magnolia
 
-.PHONY: install test fuzz lint demo generate binary docs
+.PHONY: install test test-platform test-others fuzz lint demo generate binary docs
 
 install: $(STAMP)
 
@@ -17,8 +17,15 @@
 fuzz: install
 	$(BIN)/python -m pytest tests/fuzz --hypothesis-profile=long --timeout=0
 
+# Two processes at once: most tests wait for timeouts.
 test: install
-	$(BIN)/python -m pytest tests
+	$(MAKE) --jobs=2 --output-sync --keep-going test-platform test-others
+
+test-platform: install
+	$(BIN)/python -m pytest --durations=15 tests/platform
+
+test-others: install
+	$(BIN)/python -m pytest --durations=15 tests --ignore=tests/platform
 
 lint: install
 	$(BIN)/ruff format --check .
