--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -5,10 +5,8 @@
 Lost datagrams only delay updates, and there is no connection that could fail silently.
 """
 
-import math
 from collections.abc import Callable, Sequence
 from random import Random
-from statistics import median
 
 import msgspec
 
@@ -20,6 +18,7 @@
     encode_vector,
 )
 from pimentospool.gateway._model import Address
+from pimentospool.gateway._region_loads import RegionLoads, choose_load_receivers
 from pimentospool.ids import EntryId, MemberKey, RegionId, ServiceId
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
@@ -58,16 +57,6 @@
 about five messages a second or more to each other region."""
 LOAD_ROUNDS = 6
 """Interval, in rounds, of load reports to other regions."""
-LOAD_REPORTERS = 2
-"""Number of entry VMs of a region that report its load to each one of another region.
-Which ones do follows from their order, since with random receivers some would learn of
-no region for seconds."""
-LOAD_REPORT_TTL_SECONDS = 2.5
-"""Age up to which the loads reported by several entry VMs of a region are combined;
-each entry VM receives about three reports in this time."""
-MAX_LOAD_AGE_SECONDS = 10.0
-"""Age above which the last load of a region says nothing. A region whose reports got
-lost may still be the only one with targets."""
 MAX_RECORDS_PER_MESSAGE = 10
 """Limit on the records in one datagram, so that it fits into a packet."""
 MAX_RECORDS_PER_REQUEST = 60
@@ -117,9 +106,7 @@
         self._key_by_id: dict[str, MemberKey] = {}
         self._live: dict[MemberKey, EntryRecord] = {}
         self._requested_at: dict[MemberKey, float] = {}
-        self._region_loads: dict[
-            RegionId, dict[str, tuple[float, dict[str, ServiceLoad]]]
-        ] = {}
+        self._region_loads = RegionLoads(clock=clock)
         # Entry VMs that start together don't send to other regions at the same time.
         self._round = rng.randrange(REGION_ROUNDS * LOAD_ROUNDS)
         self._round_at = self._started_at = clock()
@@ -230,27 +217,10 @@
         return len(regions | {self.local_region}) >= count
 
     def loads(self, service: ServiceId) -> dict[RegionId, ServiceLoad]:
-        """Return the load of `service` in each other region.
-
-        It is the median of recent reports of the region's entry VMs. Each of them knows
-        only a part of the region's load, so the lowest of many reports is far below the
-        actual load.
-        """
-        oldest = self._clock() - LOAD_REPORT_TTL_SECONDS
-        result = {}
-        for region, reports in self._region_loads.items():
-            recent = [by_service for at, by_service in reports.values() if at >= oldest]
-            if not recent and reports and self.ready(region):
-                recent = [max(reports.values(), key=lambda report: report[0])[1]]
-            loads = [
-                by_service[service] for by_service in recent if service in by_service
-            ]
-            if loads:
-                result[region] = ServiceLoad(
-                    median(load.wait_seconds for load in loads),
-                    median(load.slot_utilisation for load in loads),
-                )
-        return result
+        """Return the load of `service` in each other region."""
+        return self._region_loads.of_service(
+            service, is_served=lambda region: bool(self.ready(region))
+        )
 
     def newest_configuration(self) -> EntryRecord | None:
         """Return an entry VM with a newer configuration than this one, if known."""
@@ -277,8 +247,7 @@
             self._newest_version = msg.version
             self._newest_version_from = msg.sender
         if msg.loads is not None and msg.sender.region != self.local_record.region:
-            reports = self._region_loads.setdefault(RegionId(msg.sender.region), {})
-            reports[msg.sender.id] = (self._clock(), msg.loads)
+            self._region_loads.record(msg.sender, msg.loads)
         replies = self._encode_records(msg.wanted)
         wanted = self._records_to_request(unknown)
         if wanted:
@@ -313,7 +282,10 @@
         ]
         if self._round % LOAD_ROUNDS == 0:
             report = GossipMessage(sender=local, loads=self.local_loads)
-            messages.append((report, self._load_receivers()))
+            load_receivers = choose_load_receivers(
+                local, reporters=self.ready(self.local_region), live=self._live
+            )
+            messages.append((report, load_receivers))
         return messages
 
     def beat(self) -> None:
@@ -409,10 +381,7 @@
             for key, at in self._requested_at.items()
             if now - at < RECORD_RETRY_SECONDS
         }
-        for reports in self._region_loads.values():
-            for entry, (received_at, _) in list(reports.items()):
-                if now - received_at > MAX_LOAD_AGE_SECONDS:
-                    del reports[entry]
+        self._region_loads.expire()
 
     def _is_heard(self, key: MemberKey) -> bool:
         return self._table.silence_seconds(key) < SUPERSEDED_SILENCE_SECONDS
@@ -467,27 +436,6 @@
             for record in self._sample(1, region=region)
         ]
 
-    def _load_receivers(self) -> list[EntryRecord]:
-        """Return the entry VMs of other regions to which this one reports its load."""
-        local = sorted(rec.key for rec in self.ready(self.local_region))
-        if self.local_record.key not in local:
-            return []
-        rank = local.index(self.local_record.key)
-        by_region: dict[str, list[EntryRecord]] = {}
-        for key in sorted(self._live):
-            record = self._live[key]
-            if record.region != self.local_region:
-                by_region.setdefault(record.region, []).append(record)
-        receivers = []
-        for records in by_region.values():
-            size = math.ceil(LOAD_REPORTERS * len(records) / len(local))
-            size = min(size, len(records))
-            first = rank * size
-            receivers += [
-                records[number % len(records)] for number in range(first, first + size)
-            ]
-        return receivers
-
     def _sample_gone(self) -> list[EntryRecord]:
         """Return one random member that is gone; it may only be unable to send."""
         gone = [
--- a/tests/bench/test_heartbeats.py
+++ b/tests/bench/test_heartbeats.py
@@ -4,13 +4,13 @@
 
 from pimentospool.bench._heartbeats import measure_heartbeats
 from pimentospool.gateway._fleet import (
-    LOAD_REPORTERS,
     LOAD_ROUNDS,
     MIN_REGION_ROUNDS,
     ZONE_FANOUT,
     ZONE_ROUNDS,
 )
 from pimentospool.gateway._heartbeats import INTERVAL_SECONDS
+from pimentospool.gateway._region_loads import LOAD_REPORTERS
 from pimentospool.policy._relays import RELAYS
 
 MAX_DATAGRAM_BYTES = 60_000
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -6,8 +6,9 @@
 from gateway_factories import Clock, announce, make_record
 
 from pimentospool.bench._fleet_simulation import FleetSimulation
-from pimentospool.gateway._fleet import LOAD_REPORT_TTL_SECONDS, Fleet
+from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._fleet_messages import ServiceLoad
+from pimentospool.gateway._region_loads import LOAD_REPORT_TTL_SECONDS
 from pimentospool.policy import EntryState
 
 LARGE, REGIONS, LOSS = 195, 3, 0.05
@@ -193,7 +194,7 @@
     def check():
         for entry in simulation.entries:
             assert len(entry.fleet.loads("llm")) == REGIONS - 1
-            for reports in entry.fleet._region_loads.values():
+            for reports in entry.fleet._region_loads._reports.values():
                 newest = max(received_at for received_at, _ in reports.values())
                 assert simulation.now - newest < LOAD_REPORT_TTL_SECONDS
 
