Read a caller's body that arrived while the process stood still

Cause: the same as with targets: the timeout of a body, of the store's answers and of other entry VMs' views ended what had arrived meanwhile. A caller whose body was there got 408. Change: these wait with timeout_after_read, also in the own front's body. Header and idle limits need none: their timers run after the sockets' callbacks, which two tests show that passed before. Evidence: tests/platform/test_header_limits.py, the case of a body, failed before with 408.

--- a/pimentospool/callers/_connections.py
+++ b/pimentospool/callers/_connections.py
@@ -12,6 +12,7 @@
 from sanic.server.async_server import AsyncioServer
 
 from pimentospool.log import Event, log_event
+from pimentospool.tasks import timeout_after_read
 
 _DRAIN_POLL_SECONDS = 0.02
 _LINGER_SECONDS = 1.0
@@ -71,7 +72,7 @@
             If the body does not arrive within the request timeout.
         """
         try:
-            async with asyncio.timeout(self.app.config.REQUEST_TIMEOUT):
+            async with timeout_after_read(self.app.config.REQUEST_TIMEOUT):
                 await super().receive_body()
         except TimeoutError as exc:
             raise RequestTimeout("the body did not arrive in time") from exc
--- a/pimentospool/gateway/_view_exchange.py
+++ b/pimentospool/gateway/_view_exchange.py
@@ -23,6 +23,7 @@
 from pimentospool.log import Event, log_event
 from pimentospool.policy import StreamKnowledge, StreamVersions
 from pimentospool.sending import TRANSPORT_ERRORS, open_session, read_body
+from pimentospool.tasks import timeout_after_read
 
 VIEW_PATH = "/view"
 CHANGES_PATH = "/changes"
@@ -229,7 +230,7 @@
         url = f"http://{view_address(record.peer)}{path}"
         try:
             async with (
-                asyncio.timeout(REQUEST_TIMEOUT_SECONDS),
+                timeout_after_read(REQUEST_TIMEOUT_SECONDS),
                 self._session.get(url) as resp,
             ):
                 if resp.status != 200:
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -58,6 +58,7 @@
 from pimentospool.platform._hops import decode_hop_origin, encode_hop_origin
 from pimentospool.platform._numbers import parse_count, parse_duration
 from pimentospool.sockets import set_reset_on_close
+from pimentospool.tasks import timeout_after_read
 from pimentospool.verdicts import Verdict
 
 KEEP_ALIVE_TIMEOUT_SECONDS = 120.0
@@ -252,7 +253,7 @@
         if http.can_read_body:
             timeout_seconds = min(client_timeout_seconds, BODY_TIMEOUT_SECONDS)
             try:
-                async with asyncio.timeout(timeout_seconds):
+                async with timeout_after_read(timeout_seconds):
                     body = await read_body(http, self._limits.max_body_bytes, hold)
             except TimeoutError as exc:
                 raise InvalidRequestError(
--- a/pimentospool/platform/_store.py
+++ b/pimentospool/platform/_store.py
@@ -1,6 +1,5 @@
 """Client that reads and watches the platform's store."""
 
-import asyncio
 import base64
 import binascii
 from typing import TypeVar
@@ -45,6 +44,7 @@
     read_body,
 )
 from pimentospool.sockets import open_socket
+from pimentospool.tasks import timeout_after_read
 
 RESPONSE_TIMEOUT_SECONDS = 1.0
 """Longest wait for a response, in addition to the time that a watch is held open."""
@@ -229,7 +229,7 @@
         self.request_count += 1
         try:
             async with (
-                asyncio.timeout(hold_seconds + RESPONSE_TIMEOUT_SECONDS),
+                timeout_after_read(hold_seconds + RESPONSE_TIMEOUT_SECONDS),
                 self._session.get(self._url + path, params=query) as resp,
             ):
                 response_era = parse_count(resp.headers.get(STORE_ERA_HEADER, "")) or 0
--- a/tests/platform/test_header_limits.py
+++ b/tests/platform/test_header_limits.py
@@ -1,10 +1,13 @@
 """Limits of the configuration on what callers send, on real sockets."""
 
 import asyncio
+import socket
+import time
 
 import pytest
 from platform_site import HOST, running_site
 
+from pimentospool.platform import _front
 from pimentospool.standins import platform_configuration
 
 MAX_HEADER_BYTES = 16384
@@ -112,3 +115,60 @@
                 writer.transport.abort()
 
     assert runner.run(run()) == served
+
+
+@pytest.mark.parametrize("sent", [b"", b"GET /look/1 HTTP/1.1\r\n"])
+def test_pause_of_the_process_closes_no_connection_with_a_request(
+    runner, tmp_path, sent
+):
+    limits = {"Limits": {"IdleTimeoutMs": 600, "HeaderTimeoutMs": 300}}
+    head = b"Host: " + HOST.encode() + b"\r\nX-Request-Id: r-1\r\n\r\n"
+    request = b"GET /look/1 HTTP/1.1\r\n" + head
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        async with running_site(tmp_path) as site:
+            await site.add_target("i-1")
+            state = site.nodes[0].gateway.routing_state
+            await site.wait_until(state.known_targets)
+            await site.store.put("op/config", platform_configuration(2) | limits)
+            await site.wait_until(lambda: state.configuration.version == 2)
+            address = site.nodes[0].cfg.front
+            with socket.create_connection((address.host, address.port)) as sock:
+                sock.setblocking(False)
+                sock.send(request)
+                assert b" 200 " in await loop.sock_recv(sock, 65536)
+                sock.send(sent)
+                await asyncio.sleep(0.4)
+                sock.send(request.removeprefix(sent))
+                time.sleep(1.0)
+                return await loop.sock_recv(sock, 65536)
+
+    assert b" 200 " in runner.run(run())
+
+
+def test_body_that_arrived_in_a_pause_of_the_process_is_read(
+    runner, tmp_path, monkeypatch
+):
+    monkeypatch.setattr(_front, "BODY_TIMEOUT_SECONDS", 0.3)
+    head = (
+        b"POST /book/1 HTTP/1.1\r\nHost: "
+        + HOST.encode()
+        + b"\r\nX-Request-Id: r-1\r\nContent-Length: 4\r\n\r\n"
+    )
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        async with running_site(tmp_path) as site:
+            await site.add_target("i-1")
+            await site.wait_until(site.nodes[0].gateway.routing_state.known_targets)
+            address = site.nodes[0].cfg.front
+            with socket.create_connection((address.host, address.port)) as sock:
+                sock.setblocking(False)
+                sock.send(head + b"bo")
+                await asyncio.sleep(0.1)
+                sock.send(b"dy")
+                time.sleep(0.5)
+                return await loop.sock_recv(sock, 65536)
+
+    assert b" 408 " not in runner.run(run())
