Go by a neighbour while all targets are ejected

Cause: an answer on a connection from before a cut counts as an answer of the target and clears its failed connections, but leaves it ejected. With all targets of a service ejected, the entry VM then had none to try and saw no reason to ask a neighbour, so it refused each request for 0.5 s. Change: targets that are ejected count as failed when neighbours are considered. Evidence: the new case of tests/gateway/test_placement.py failed before.

--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -440,7 +440,11 @@
         """
         states = self._routing_state.usable_targets(service.id, self._region)
         lost = self.contact.lost
-        all_failed = all(self.health(state.id).last_connect_failed for state in states)
+        # An answer on an old connection doesn't end an ejection.
+        all_failed = all(
+            health.last_connect_failed or health.ejected
+            for health in (self.health(state.id) for state in states)
+        )
         use = neighbour_use(
             contact_lost=lost,
             all_targets_failed=all_failed,
--- a/pimentospool/policy/_target_contact.py
+++ b/pimentospool/policy/_target_contact.py
@@ -51,7 +51,8 @@
     contact_lost : bool
         Whether this entry VM reaches no target of its region.
     all_targets_failed : bool
-        Whether the last connection to each target of the service failed.
+        Whether each target of the service is ejected, or the last connection to it
+        failed.
     unreachable_targets : int
         Targets that couldn't be reached for this request.
     """
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -221,6 +221,17 @@
     assert choose_for(placement, HOME_ROUTE).candidate.target == "g-2"
 
 
+def test_answers_on_old_connections_leave_no_request_without_a_way():
+    reached = {service_key("llm"): True}
+    placement, _ = make_cut_off_placement(neighbour_reports=reached)
+    for target in ("g-1", "g-2"):
+        placement.health(target).record_answer(1.0)
+        assert placement.health(target).ejected
+    placement.contact.own.record_opened(placement._clock.now)
+    assert not placement.contact.lost
+    assert choose_for(placement, HOME_ROUTE).region == "gulf"
+
+
 def test_answers_on_old_connections_are_not_reported_while_new_ones_fail():
     placement = make_placement()
     own = placement.contact.own
