Ask another entry VM if one refuses a hop as it reaches no target

Cause: an entry VM that is cut off from all targets refuses hops. Within the region, two that were cut off at once passed requests to one another until their reports said so; from another region, its entry VMs were chosen at random whether they reached targets or not. The sender then gave the region up. Change: the refusal says that the entry VM reaches no target. The sender asks one other entry VM of that region, and leaves the first one out for a second. A hop is still never passed on, so no request can loop. test_request_goes_by_one_neighbour_at_most keeps its check under a name that says what it checks.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -264,7 +264,8 @@
         peers = deps.placement.hop_receivers(choice.region, self._service.id)
         if not peers:
             raise _unsent_failure("no entry VM of the region is ready")
-        pool = deps.pools.peer_pool(deps.rng.choice(peers).peer)
+        record = deps.rng.choice(peers)
+        pool = deps.pools.peer_pool(record.peer)
 
         def record_head(head: AnswerHead) -> None:
             attempt.version = deps.dialect.hop_version(head)
@@ -307,6 +308,8 @@
                     on_head=record_head,
                 )
             except HopRefusedError as exc:
+                if not exc.refusal.in_contact:
+                    deps.placement.contact.record_refusal(record, self._service.id)
                 newer = exc.refusal.newer
                 if newer is not None and can_reroute:
                     raise ConfigurationOutdatedError(
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -6,6 +6,7 @@
 
 from pimentospool.gateway._answers import (
     DEADLINE_TOLERANCE_SECONDS,
+    HopRefusedError,
 )
 from pimentospool.gateway._attempt_sender import AttemptSender
 from pimentospool.gateway._crash_watch import request_traits
@@ -397,7 +398,19 @@
                 health.record_failure()
         if target is not None and attempt.stalled:
             self._deps.pools.close_idle(target)
-        progress.record_failure(exc, target=target, region=region)
+        progress.record_failure(
+            exc,
+            target=target,
+            region=region,
+            out_of_contact=(
+                region is not None
+                and isinstance(exc, HopRefusedError)
+                and not exc.refusal.in_contact
+                and bool(
+                    self._deps.placement.contact.receivers(region, self._service.id)
+                )
+            ),
+        )
         log_event(
             Event.ATTEMPT_FAILED,
             request=self._req.id,
@@ -470,7 +483,13 @@
         )
 
     async def _give_up(self, detail: str, retry_after_seconds: float | None) -> None:
-        refusal = self._progress.refusal(detail, retry_after_seconds)
+        refusal = self._progress.refusal(
+            detail,
+            retry_after_seconds,
+            in_contact=self._deps.placement.in_contact(
+                self._service.id, self._progress
+            ),
+        )
         if (
             self.remaining_seconds <= DEADLINE_TOLERANCE_SECONDS
             and refusal.verdict is not Verdict.NOT_RUN
--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -28,6 +28,8 @@
     verdict: Verdict
     reached_target: bool
     """Whether a target may have received the request, even if it rejected it."""
+    in_contact: bool = True
+    """Whether the entry VM reaches targets of the service, as far as it knows."""
     newer: HopOrigin | None = None
     """The entry VM, if it refused because it follows a later configuration."""
 
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -187,9 +187,19 @@
 
     def hop_receivers(self, region: RegionId, service: ServiceId) -> list[EntryRecord]:
         """Return the entry VMs that may serve a request in `region`."""
-        if region != self._region:
+        receivers = self.contact.receivers(region, service)
+        if not receivers and region != self._region:
             return self._fleet.ready(region)
-        return self.contact.neighbours(service)
+        return receivers
+
+    def in_contact(self, service: ServiceId, progress: RequestProgress) -> bool:
+        """Whether a request needs no neighbour to reach targets of `service`."""
+        states = self._routing_state.usable_targets(service, self._region)
+        return not states or NeighbourUse.NEVER is neighbour_use(
+            contact_lost=self.contact.lost,
+            all_targets_failed=self._all_failed(states),
+            unreachable_targets=len(progress.unreachable_targets),
+        )
 
     def begin_assignment(self, req: InboundRequest, candidate: Candidate) -> Assignment:
         """Count `req` as in progress at the target of `candidate`."""
@@ -440,11 +450,7 @@
         """
         states = self._routing_state.usable_targets(service.id, self._region)
         lost = self.contact.lost
-        # An answer on an old connection doesn't end an ejection.
-        all_failed = all(
-            health.last_connect_failed or health.ejected
-            for health in (self.health(state.id) for state in states)
-        )
+        all_failed = self._all_failed(states)
         use = neighbour_use(
             contact_lost=lost,
             all_targets_failed=all_failed,
@@ -484,6 +490,13 @@
             round_trip_seconds=0.0,
         )
 
+    def _all_failed(self, states: list[TargetState]) -> bool:
+        # An answer on an old connection doesn't end an ejection.
+        return all(
+            health.last_connect_failed or health.ejected
+            for health in (self.health(state.id) for state in states)
+        )
+
     def _has_version(
         self, service: ServiceId, region: RegionId, version: SoftwareVersion | None
     ) -> bool:
--- a/pimentospool/gateway/_progress.py
+++ b/pimentospool/gateway/_progress.py
@@ -51,6 +51,7 @@
         self.excluded_targets: set[TargetId] = set()
         self.excluded_regions: set[RegionId] = set()
         self.unreachable_targets: set[TargetId] = set()
+        self._regions_out_of_contact: set[RegionId] = set()
         self.retry_after_seconds: float | None = None
         self._route = route
         self._max_targets = max_targets
@@ -63,8 +64,13 @@
         *,
         target: TargetId | None = None,
         region: RegionId | None = None,
+        out_of_contact: bool = False,
     ) -> None:
-        """Record a failed attempt at a target or at another region."""
+        """Record a failed attempt at a target or at another region.
+
+        `out_of_contact` tells that the entry VM there reaches no target, but another
+        one of the region may, which is asked once.
+        """
         self.attempts += 1
         # The frames of its traceback hold bodies, and refer to it in turn.
         exc.__traceback__ = exc.__context__ = exc.__cause__ = None
@@ -77,7 +83,9 @@
             if exc.cause is FailureCause.UNREACHABLE:
                 self.unreachable_targets.add(target)
         if region is not None:
-            self.excluded_regions.add(region)
+            if not out_of_contact or region in self._regions_out_of_contact:
+                self.excluded_regions.add(region)
+            self._regions_out_of_contact.add(region)
             if exc.verdict is not Verdict.NOT_RUN:
                 # The entry VM there may have sent it to all remaining targets.
                 self._max_targets = len(self._may_have_run_targets)
@@ -110,7 +118,13 @@
         may_have_run = self.running or self.verdict is not Verdict.NOT_RUN
         return not may_have_run or self._route.retryable
 
-    def refusal(self, detail: str, retry_after_seconds: float | None) -> Refusal:
+    def refusal(
+        self,
+        detail: str,
+        retry_after_seconds: float | None,
+        *,
+        in_contact: bool = True,
+    ) -> Refusal:
         """Return the refusal to send if no further attempt is made."""
         cause = self._last_failure.cause if self._last_failure is not None else None
         if self._last_failure is not None:
@@ -136,4 +150,5 @@
             if self.verdict is Verdict.NOT_RUN
             else None,
             reached_target=self.reached_target,
+            in_contact=in_contact or self.reached_target,
         )
--- a/pimentospool/gateway/_region_contact.py
+++ b/pimentospool/gateway/_region_contact.py
@@ -8,7 +8,7 @@
 from pimentospool.gateway._model import ServiceSpec
 from pimentospool.gateway._pools import ConnectionPools
 from pimentospool.gateway._routing_state import RoutingState, TargetState
-from pimentospool.ids import MemberKey, ServiceId, TargetId
+from pimentospool.ids import MemberKey, RegionId, ServiceId, TargetId
 from pimentospool.log import Event, log_event
 from pimentospool.policy import NeighbourContacts, TargetContact
 from pimentospool.targets import AttemptFailure, FailureCause
@@ -76,6 +76,18 @@
         """Store the report of another entry VM."""
         self._neighbours.receive(member, reached)
 
+    def record_refusal(self, record: EntryRecord, service: ServiceId) -> None:
+        """Record that an entry VM refused a hop, as it reaches no target."""
+        self._neighbours.record_refusal(record.key, service)
+
+    def receivers(self, region: RegionId, service: ServiceId) -> list[EntryRecord]:
+        """Return the entry VMs of any region that may reach targets of `service`."""
+        if region == self._fleet.local_region:
+            return self.neighbours(service)
+        ready = {record.key: record for record in self._fleet.ready(region)}
+        chosen = self._neighbours.without_refusals(list(ready), service)
+        return [ready[key] for key in chosen]
+
     def neighbours(
         self, service: ServiceId, *, proven: bool = False
     ) -> list[EntryRecord]:
--- a/pimentospool/gateway/_replies.py
+++ b/pimentospool/gateway/_replies.py
@@ -36,6 +36,8 @@
     retry_after_seconds: float | None = None
     reached_target: bool = False
     """Whether a target may have received the request, even if it rejected it."""
+    in_contact: bool = True
+    """Whether this entry VM reaches targets of the service, as far as it knows."""
     newer: HopOrigin | None = None
     """This entry VM, if it refuses a hop because it follows a later configuration."""
 
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -19,6 +19,7 @@
     DEADLINE_HEADER,
     EXPECT_INSTANCE_HEADER,
     HOP_CONFIGURATION_HEADER,
+    HOP_CONTACT_HEADER,
     HOP_ENTRY_HEADER,
     HOP_REACHED_HEADER,
     HOP_TARGETS_HEADER,
@@ -48,6 +49,7 @@
 _LEAST_URGENT_PRIORITY = 9
 _MILLISECOND = 0.001
 _NO_TARGET_REACHED = b"0"
+_NO_CONTACT = b"0"
 
 
 class _Report(msgspec.Struct):
@@ -167,7 +169,12 @@
             _to_text(head.get(HOP_ENTRY_HEADER)),
             _to_text(head.get(HOP_CONFIGURATION_HEADER)),
         )
-        return HopRefusal(verdict=verdict, reached_target=reached, newer=newer)
+        return HopRefusal(
+            verdict=verdict,
+            reached_target=reached,
+            in_contact=head.get(HOP_CONTACT_HEADER) != _NO_CONTACT,
+            newer=newer,
+        )
 
     def retry_after_seconds(self, head: AnswerHead) -> float | None:
         """Return the time after which the request may be retried, None if not given."""
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -42,6 +42,7 @@
     CONNECTION_HEADERS,
     DEADLINE_HEADER,
     HOP_CONFIGURATION_HEADER,
+    HOP_CONTACT_HEADER,
     HOP_ENTRY_HEADER,
     HOP_REACHED_HEADER,
     HOP_REROUTE_HEADER,
@@ -369,6 +370,7 @@
             headers[HOP_REACHED_HEADER.decode()] = (
                 "1" if refusal.reached_target else "0"
             )
+            headers[HOP_CONTACT_HEADER.decode()] = "1" if refusal.in_contact else "0"
             if refusal.newer is not None:
                 for name, value in encode_hop_origin(refusal.newer):
                     headers[name.decode()] = value.decode()
--- a/pimentospool/platform/_headers.py
+++ b/pimentospool/platform/_headers.py
@@ -29,6 +29,8 @@
 """Header of the gateway: verdict of an entry VM that refused a hop."""
 HOP_REACHED_HEADER = b"pimentospool-reached"
 """Header of the gateway: 0 if the refused request reached no target."""
+HOP_CONTACT_HEADER = b"pimentospool-contact"
+"""Header of the gateway: 0 if an entry VM that refuses a hop reaches no target."""
 HOP_ENTRY_HEADER = b"pimentospool-entry"
 """Header of the gateway: id of the entry VM that passes a request on, or refuses it."""
 HOP_CONFIGURATION_HEADER = b"pimentospool-configuration"
@@ -65,6 +67,7 @@
         PRIORITY_HEADER,
         LAST_EVENT_HEADER,
         HOP_CONFIGURATION_HEADER,
+        HOP_CONTACT_HEADER,
         HOP_ENTRY_HEADER,
         HOP_REACHED_HEADER,
         HOP_REROUTE_HEADER,
--- a/pimentospool/policy/_target_contact.py
+++ b/pimentospool/policy/_target_contact.py
@@ -26,6 +26,9 @@
 """Age at which the report of another entry VM says nothing; it is repeated each second
 while there is anything to report."""
 
+REFUSAL_SECONDS = 1.0
+"""Time for which an entry VM that refused a hop, as it reaches no target, gets no other
+one. Its report comes within a second."""
 MAX_REPORTED_SERVICES = 16
 """Limit on the services in a report, of which a datagram holds several."""
 MIN_UNREACHABLE_TARGETS = 2
@@ -142,7 +145,7 @@
 
 
 class NeighbourContacts:
-    """What the other entry VMs of the region report of their contact.
+    """What other entry VMs report of their contact, or say as they refuse hops.
 
     Parameters
     ----------
@@ -153,6 +156,7 @@
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._reports: dict[MemberKey, tuple[float, Mapping[int, bool]]] = {}
+        self._refused_at: dict[tuple[MemberKey, ServiceId], float] = {}
 
     def receive(self, member: MemberKey, reached: Mapping[int, bool]) -> None:
         """Store a report, which replaces the earlier one of the same entry VM."""
@@ -161,6 +165,27 @@
         else:
             self._reports.pop(member, None)
 
+    def record_refusal(self, member: MemberKey, service: ServiceId) -> None:
+        """Record that an entry VM refused a hop, as it reaches no target."""
+        now = self._clock()
+        self._refused_at = {
+            key: at
+            for key, at in self._refused_at.items()
+            if now - at < REFUSAL_SECONDS
+        }
+        self._refused_at[member, service] = now
+
+    def without_refusals(
+        self, members: Sequence[MemberKey], service: ServiceId
+    ) -> list[MemberKey]:
+        """Return those of `members` that have refused no such hop just now."""
+        oldest = self._clock() - REFUSAL_SECONDS
+        return [
+            member
+            for member in members
+            if self._refused_at.get((member, service), -math.inf) <= oldest
+        ]
+
     def choose(
         self, members: Sequence[MemberKey], service: ServiceId, *, proven: bool
     ) -> list[MemberKey]:
@@ -171,7 +196,7 @@
         """
         oldest = self._clock() - REPORT_SECONDS
         reached, unknown = [], []
-        for member in members:
+        for member in self.without_refusals(members, service):
             at, report = self._reports.get(member, (-math.inf, {}))
             state = report.get(service_key(service)) if at > oldest else None
             if state:
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -25,7 +25,11 @@
 from pimentospool.gateway._placement import Placement
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.policy import NoChoice, OccupancyBook, preferred_target
-from pimentospool.policy._target_contact import CONFIRMATION_SECONDS, service_key
+from pimentospool.policy._target_contact import (
+    CONFIRMATION_SECONDS,
+    REFUSAL_SECONDS,
+    service_key,
+)
 
 ZONES = {"gulf-a": "gulf", "delta-a": "delta"}
 BOUNDS = SharedBounds(
@@ -190,7 +194,37 @@
     assert isinstance(choose_for(placement, HOME_ROUTE, is_hop=True), NoChoice)
 
 
-def test_request_goes_by_one_neighbour_at_most():
+def test_neighbour_that_refused_for_lack_of_contact_is_left_out_for_a_while():
+    reached = {service_key("llm"): True}
+    placement, record = make_cut_off_placement(neighbour_reports=reached)
+    placement.contact.record_refusal(record, "llm")
+    assert isinstance(choose_for(placement, HOME_ROUTE), NoChoice)
+    placement._clock.now += REFUSAL_SECONDS
+    assert choose_for(placement, HOME_ROUTE).region == "gulf"
+
+
+def test_hops_to_another_region_go_to_entry_vms_that_reach_targets():
+    placement = make_placement()
+    [cut_off] = placement.hop_receivers("delta", "llm")
+    placement.contact.record_refusal(cut_off, "llm")
+    assert placement.hop_receivers("delta", "llm") == [cut_off]
+    other = make_record("far-2", region="delta")
+    announce(placement._fleet, other)
+    assert placement.hop_receivers("delta", "llm") == [other]
+    assert len(placement.hop_receivers("delta", "desk")) == 2
+
+
+def test_entry_vm_without_contact_says_so_as_it_refuses():
+    placement, _ = make_cut_off_placement()
+    progress = RequestProgress(route=HOME_ROUTE, max_targets=2)
+    assert not placement.in_contact("llm", progress)
+    placement = make_placement()
+    assert placement.in_contact("llm", progress)
+    progress.unreachable_targets |= {"g-1", "g-2"}
+    assert not placement.in_contact("llm", progress)
+
+
+def test_request_goes_by_no_neighbour_once_its_region_is_excluded():
     reached = {service_key("llm"): True}
     placement, _ = make_cut_off_placement(neighbour_reports=reached)
     progress = RequestProgress(route=HOME_ROUTE, max_targets=2)
--- a/tests/gateway/test_progress.py
+++ b/tests/gateway/test_progress.py
@@ -31,6 +31,17 @@
     assert progress.excluded_regions == {"delta"}
 
 
+def test_two_entry_vms_of_a_region_that_reach_no_target_are_asked():
+    progress = RequestProgress(route=make_route(max_targets=1), max_targets=1)
+    for excluded in (set(), {"delta"}):
+        progress.record_failure(
+            failure(Verdict.NOT_RUN, FailureCause.REFUSED),
+            region="delta",
+            out_of_contact=True,
+        )
+        assert progress.excluded_regions == excluded
+
+
 def test_rejections_may_go_to_more_targets_than_may_run():
     progress = RequestProgress(route=make_route(max_targets=1), max_targets=1)
     progress.record_failure(
--- a/tests/platform/test_cut_off.py
+++ b/tests/platform/test_cut_off.py
@@ -64,7 +64,7 @@
         """Time, node and whether it was served, for each call."""
         self._calls = set()
 
-    async def start(self, view, view_address, *, nodes, cut):
+    async def start(self, view, view_address, *, nodes, cut, elsewhere=0):
         config = platform_configuration(1, ROUTES)
         for store in (self.site.store, view):
             await store.put("op/config", config)
@@ -78,11 +78,13 @@
         for number in range(nodes):
             self.site.store_address = view_address if number < cut else store_address
             await self.site.add_node("gulf-a")
+        for _ in range(elsewhere):
+            await self.site.add_node("delta-a")
         await self.site.wait_until(
             lambda: all(
                 len(node.gateway.routing_state.known_targets()) == TARGETS
                 and node.gateway.routing_state.configuration
-                and len(node.gateway.fleet.ready()) == nodes
+                and len(node.gateway.fleet.ready()) == nodes + elsewhere
                 for node in self.site.nodes
             )
         )
@@ -128,13 +130,13 @@
         ]
 
 
-async def with_cut_site(tmp_path, check, *, nodes, cut):
+async def with_cut_site(tmp_path, check, **options):
     view = StoreStandin()
     view_server = await serve_standin(view, "127.0.0.1:0")
     try:
         async with running_site(tmp_path, zones=(), with_config=False) as site:
             cut_site = CutSite(site)
-            await cut_site.start(view, view_server.address, nodes=nodes, cut=cut)
+            await cut_site.start(view, view_server.address, **options)
             try:
                 await check(cut_site)
             finally:
@@ -176,6 +178,22 @@
     runner.run(with_cut_site(tmp_path, check, nodes=3, cut=cut))
 
 
+def test_callers_of_another_region_are_served_by_the_nodes_that_reach_targets(
+    runner, tmp_path
+):
+    async def check(site):
+        await site.load(1.0)
+        for link in site.links:
+            await link.cut_off("reset")
+        await site.load(NOTICE_SECONDS)
+        since = time.monotonic()
+        await site.load(MEASURED_SECONDS)
+        await site.finish()
+        assert site.share(2, since=since) >= 0.98
+
+    runner.run(with_cut_site(tmp_path, check, nodes=2, cut=1, elsewhere=1))
+
+
 def test_all_nodes_of_the_region_refuse_at_once_if_all_are_cut_off(runner, tmp_path):
     async def check(site):
         await site.load(1.0)
