Let a stream go on only at a start that is proved

Cause: A target's start was in doubt only after this entry VM had lost its connections or was refused. One that had no connection open, as it had sent the target nothing for some seconds, notices no restart; its first connection then reached the newer start while the entry still named the earlier one, and a stream that was taken up went on there at another software version.

Change: A start counts as proved while a connection has been open since its proof. A stream that goes on asks for the proof, as one in doubt did before; streams that begin are served as before. The stand-in keeps reports apart from the requests that it received, and the targets of the tests' site and of the soak name their starts, as those of the platform always do.

Evidence: test_stream_is_not_continued_by_a_newer_start_on_a_first_connection failed before (200 instead of 503) and passes. test_start_doubt.py, test_pools.py, gateway/test_attempts.py, test_stream_origins.py, test_software_versions.py, test_continued_streams.py, test_cut_answers.py, test_exchanges.py, test_callers_that_leave.py, test_silent_targets.py and test_standby_attempts.py pass.

Result: A take-up at an entry VM without connections costs one report of the target. A stream that begins on a first connection, before the entry of a newer start arrives, is still recorded with the earlier version.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -240,11 +240,12 @@
         AttemptFailure
             If the stream has begun, and the target's start can't be proved.
         """
-        if not self._route.resumable or not pool.start_doubt.exists:
+        goes_on = self._progress.stream_version is not None
+        if not self._route.resumable or not (goes_on or pool.start_doubt.exists):
             return
         if await self._deps.start_proofs.prove(state.registration, pool):
             return
-        if self._progress.stream_version is not None:
+        if goes_on:
             raise _unsent_failure("the target may have started again")
         attempt.version = UNPROVED_VERSION
 
--- a/pimentospool/gateway/_connection_pool.py
+++ b/pimentospool/gateway/_connection_pool.py
@@ -122,8 +122,11 @@
 
     def _on_connection_closed(self, conn: Connection) -> None:
         self._open_count -= 1
-        if conn.lost and not self._open_count:
-            self.start_doubt.record_loss()
+        if not self._open_count:
+            if conn.lost:
+                self.start_doubt.record_loss()
+            else:
+                self.start_doubt.record_unconnected()
         if conn in self._idle:
             self._idle.remove(conn)
             self._idle_timers.pop(conn).cancel()
--- a/pimentospool/gateway/_start_proofs.py
+++ b/pimentospool/gateway/_start_proofs.py
@@ -1,9 +1,10 @@
-"""Proves that a target whose connections all broke is still in the same start.
+"""Proves that a target is still in the start that it registered.
 
 A target may start again under its id and address with another software version, and
 answer before its entry shows that. So a start is in doubt once all of its connections
 were lost, until the target itself names it or the source still lists it some time
-after the target was reached again.
+after the target was reached again. An entry VM that had no connection open learns of
+no loss, so a stream goes on at a target only over connections to a proved start.
 """
 
 import asyncio
@@ -24,7 +25,7 @@
 
 
 class StartProofs:
-    """Proofs of the starts of targets that are in doubt.
+    """Proofs of the starts of targets.
 
     Parameters
     ----------
@@ -41,7 +42,7 @@
 
     async def prove(self, registration: Registration, pool: ConnectionPool) -> bool:
         """Return whether the target is in the start that it registered."""
-        if not pool.start_doubt.exists:
+        if pool.start_doubt.proved:
             return True
         proof = self._proofs.get(pool)
         if proof is None:
@@ -51,7 +52,7 @@
             self._proofs[pool] = proof
             proof.add_done_callback(lambda _: self._proofs.pop(pool, None))
         await asyncio.shield(proof)
-        return not pool.start_doubt.exists
+        return pool.start_doubt.proved
 
     async def _prove(self, registration: Registration, pool: ConnectionPool) -> None:
         doubt = pool.start_doubt
--- a/pimentospool/policy/_start_doubt.py
+++ b/pimentospool/policy/_start_doubt.py
@@ -1,4 +1,8 @@
-"""Whether a target may have started again since it was last known to run."""
+"""Whether a target may have started again since it was last known to run.
+
+A connection stays with the start that accepted it, so a proof holds as long as one
+that was open then.
+"""
 
 import math
 from collections.abc import Callable
@@ -14,7 +18,8 @@
     """Doubt whether the target at an address is still in its known start.
 
     It begins when all connections were lost or one was refused, and ends with a proof
-    that began after that.
+    that began after that. Without any loss the start is not in doubt, but it is only
+    proved while a connection has been open since a proof.
 
     Parameters
     ----------
@@ -25,14 +30,21 @@
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
         self.exists = False
+        self.proved = False
+        """Whether the known start is that of the open connections."""
         self.losses = 0
-        """How often all connections were lost or one was refused."""
+        """How often all connections were lost or closed, or one was refused."""
         self._reached_at = math.inf
         self._tried_at = -math.inf
 
     def record_loss(self) -> None:
         """Record that all connections were lost, or that one was refused."""
         self.exists = True
+        self.record_unconnected()
+
+    def record_unconnected(self) -> None:
+        """Record that no connection is open any more."""
+        self.proved = False
         self.losses += 1
         self._reached_at = math.inf
 
@@ -61,5 +73,5 @@
         """
         proved = shown == known and losses == self.losses
         if proved:
-            self.exists = False
+            self.exists, self.proved = False, True
         return proved
--- a/pimentospool/soak/_deployment.py
+++ b/pimentospool/soak/_deployment.py
@@ -170,6 +170,7 @@
             instance=f"{self._name}-{len(self.standins)}",
             events=EVENTS_PER_STREAM if is_streaming else 0,
         )
+        standin.born = 1
         standin.gap_seconds = (
             _EVENT_GAP_SECONDS if is_streaming else _RESPONSE_DELAY_SECONDS
         )
--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -115,7 +115,10 @@
     connections : int
         Number of connections accepted so far.
     born : int or None
-        Unix millisecond of its start, which its report names.
+        Unix millisecond of its start, which its report names; with None it has no
+        report.
+    reports : list of ReceivedRequest
+        Requests for its report, which has no fault; they are not in `received`.
     answer_headers : dict of str to str
         Headers of all its answers, by which it says something of itself.
     room : int or None
@@ -145,6 +148,7 @@
         self.gap_seconds = 0.0
         self.faults: list[Fault | None] = []
         self.received: list[ReceivedRequest] = []
+        self.reports: list[ReceivedRequest] = []
         self.connections = 0
         self.cold_remaining_ms = 0
         self.born: int | None = None
@@ -207,7 +211,8 @@
     ) -> bool:
         """Serve one request; return whether the connection stays open."""
         head = (await reader.readuntil(_HEADER_END)).decode("latin-1").split("\r\n")
-        fault = self.faults.pop(0) if self.faults else None
+        is_report = self.born is not None and head[0].split(" ")[1] == REPORT_PATH
+        fault = self.faults.pop(0) if self.faults and not is_report else None
         if fault is Fault.RESET_UNREAD:
             _reset(writer)
             return False
@@ -266,7 +271,8 @@
         req = ReceivedRequest(method=method, path=path, headers=headers, body=b"")
         req.on_used_connection = writer in self._used_writers
         self._used_writers.add(writer)
-        self.received.append(req)
+        is_report = self.born is not None and path == REPORT_PATH
+        (self.reports if is_report else self.received).append(req)
         if fault is Fault.EARLY:
             req.expected_body = b"early"
             writer.write(self._response_head(req, 200, length=5) + req.expected_body)
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -67,6 +67,7 @@
     async def add_target(self, name, **options):
         events = options.pop("events", 0)
         target = SigningTarget(instance=name, events=events)
+        target.born = options.get("born", 1)
         await target.start()
         self.targets[name] = target
         await self.store.put(f"servers/{name}", target_entry(target.address, **options))
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -358,3 +358,19 @@
                 await asyncio.sleep(0.1)
 
     run_with_site(runner, tmp_path, check)
+
+
+def test_stream_is_not_continued_by_a_newer_start_on_a_first_connection(
+    runner, tmp_path
+):
+    async def check(site):
+        target = await add_engine(site, "m-1", "v1")
+        await wait_until_ready(site)
+        origin, _ = await begin(site)
+        again = await start_again(site, target, born=2)
+        for _ in range(3):
+            assert await take_up(site, origin, node=1) == (503, None)
+            await asyncio.sleep(0.2)
+        assert not streams_of(again)
+
+    run_with_site(runner, tmp_path, check)
--- a/tests/policy/test_start_doubt.py
+++ b/tests/policy/test_start_doubt.py
@@ -51,3 +51,16 @@
     assert not fixture.doubt.try_proof()
     fixture.now += PROOF_INTERVAL_SECONDS
     assert fixture.doubt.try_proof()
+
+
+@pytest.mark.parametrize("event", ["record_loss", "record_unconnected"])
+def test_start_is_proved_only_while_a_connection_has_been_open_since(event):
+    doubt = Fixture().doubt
+    assert not doubt.proved
+    doubt.record_reached()
+    assert doubt.end(known=1, shown=1, losses=doubt.losses)
+    assert doubt.proved
+    getattr(doubt, event)()
+    assert not doubt.proved
+    assert doubt.exists is (event == "record_loss")
+    assert not doubt.registered_since
