Book failures and slow answers to the start of the target that they were of

Cause: A failed connection, a failed or missing answer, the time to a first byte and a crash were recorded by the id of the target when they ended. If its entry had named a new start meanwhile, the new start was ejected, counted as failing or as slow for what its predecessor did. Quiet times, limits and brittleness were already kept apart.

Change: Attempts and the crash watch keep the registration that they began with, and Placement.start_health returns a health that counts only if that start is still the target's. The crash itself stays evidence against the requests in it.

Result: A new start gets requests at once, also at another address while attempts at the earlier one still end.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -13,6 +13,7 @@
     HopOrigin,
     HttpRoute,
     InboundRequest,
+    Registration,
     RequestKind,
     ServiceSpec,
 )
@@ -147,8 +148,8 @@
         started_at = deps.clock()
         contact = deps.placement.contact.own
 
-        attempt.version = state.registration.version
-        start = state.registration
+        start = attempt.registration = state.registration
+        attempt.version = start.version
 
         def record_event() -> None:
             assignment.first_event()
@@ -195,9 +196,7 @@
                 self._record_send()
                 sent_at = deps.clock()
                 assignment.on_first_event = lambda now: (
-                    deps.placement.record_first_byte(
-                        self._service.id, candidate, now - sent_at
-                    )
+                    deps.placement.record_first_byte(start, candidate, now - sent_at)
                 )
                 stream = conn.send(encoded)
                 if self._route.kind is RequestKind.IDEMPOTENT:
@@ -223,12 +222,11 @@
         finally:
             hold.release()
             self._record_missing_first_event(
-                assignment, deps.clock() - started_at, candidate
+                assignment, deps.clock() - started_at, candidate, start
             )
             assignment.end()
-            if deps.placement.counts(start):
-                health = deps.placement.health(state.id)
-                health.record_end(deps.clock() - started_at)
+            health = deps.placement.start_health(start)
+            health.record_end(deps.clock() - started_at)
 
     async def _prove_start(
         self, attempt: RunningAttempt, state: TargetState, pool: ConnectionPool
@@ -354,14 +352,18 @@
             self._deps.retry_budget(self._service.id).record_request()
 
     def _record_missing_first_event(
-        self, assignment: Assignment, seconds: float, candidate: Candidate
+        self,
+        assignment: Assignment,
+        seconds: float,
+        candidate: Candidate,
+        start: Registration,
     ) -> None:
         """Record a target that sent no first event as slow, not as having answered."""
         if assignment.on_first_event is None:
             return
         assignment.on_first_event = None
         if seconds > candidate.first_byte_seconds:
-            health = self._deps.placement.health(candidate.target)
+            health = self._deps.placement.start_health(start)
             health.record_answer(
                 seconds * candidate.latency_ratio / candidate.first_byte_seconds
             )
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -379,22 +379,7 @@
     def _record_failure(self, attempt: RunningAttempt, exc: AttemptFailure) -> None:
         progress = self._progress
         target, region = attempt.target, attempt.region
-        if target is not None:
-            health = self._deps.placement.health(target)
-            if exc.cause is FailureCause.UNREACHABLE:
-                health.record_connect_failure()
-                log_event(
-                    Event.TARGET_EJECTED,
-                    target=target,
-                    cause=exc.cause.value,
-                    detail=exc.detail,
-                )
-            elif (
-                exc.verdict is not Verdict.NOT_RUN
-                and exc.cause is not FailureCause.NO_MEMORY
-                and (attempt.stalled or not attempt.superseded)
-            ):
-                health.record_failure()
+        self._record_health(attempt, exc)
         if target is not None and attempt.stalled:
             self._deps.pools.close_idle(target)
         progress.record_failure(exc, target=target, region=region)
@@ -415,6 +400,26 @@
             attempt=progress.attempts,
         )
 
+    def _record_health(self, attempt: RunningAttempt, exc: AttemptFailure) -> None:
+        """Record a failure against the start of the target that it was of."""
+        placement, start = self._deps.placement, attempt.registration
+        if start is None or not placement.counts(start):
+            return
+        if exc.cause is FailureCause.UNREACHABLE:
+            placement.health(start.id).record_connect_failure()
+            log_event(
+                Event.TARGET_EJECTED,
+                target=start.id,
+                cause=exc.cause.value,
+                detail=exc.detail,
+            )
+        elif (
+            exc.verdict is not Verdict.NOT_RUN
+            and exc.cause is not FailureCause.NO_MEMORY
+            and (attempt.stalled or not attempt.superseded)
+        ):
+            placement.health(start.id).record_failure()
+
     def _retry_covered(self) -> bool:
         """Return whether the retry budget would cover the next send."""
         return self._progress.retry_granted or self._ask_budget(
--- a/pimentospool/gateway/_crash_watch.py
+++ b/pimentospool/gateway/_crash_watch.py
@@ -4,9 +4,8 @@
 from collections.abc import Callable
 
 from pimentospool.gateway._connection_pool import ConnectionPool
-from pimentospool.gateway._model import InboundRequest
+from pimentospool.gateway._model import InboundRequest, Registration
 from pimentospool.gateway._routing_state import TargetState
-from pimentospool.ids import TargetId
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
     SURVIVAL_SECONDS,
@@ -72,7 +71,7 @@
     suspects : CrashSuspects
         Told the requests under which a target crashed.
     health : callable
-        Returns the health of a target.
+        Returns the health of one start of a target.
     clock : callable
         Returns a monotonic time in seconds.
     """
@@ -81,7 +80,7 @@
         self,
         *,
         suspects: CrashSuspects,
-        health: Callable[[TargetId], TargetHealth],
+        health: Callable[[Registration], TargetHealth],
         clock: Callable[[], float],
     ) -> None:
         self._suspects = suspects
@@ -101,16 +100,19 @@
         """Check whether the target crashed that closed the connection of a request."""
         if exposure.survived:
             return
-        start = f"{state.id}/{state.registration.started_at}"
+        registration = state.registration
+        start = f"{registration.id}/{registration.started_at}"
         if start in self._lost:
             self._lost[start].append(exposure.traits)
             return
         self._lost[start] = [exposure.traits]
-        check = asyncio.create_task(self._check(start, state.id, pool))
+        check = asyncio.create_task(self._check(start, registration, pool))
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
 
-    async def _check(self, start: str, target: TargetId, pool: ConnectionPool) -> None:
+    async def _check(
+        self, start: str, registration: Registration, pool: ConnectionPool
+    ) -> None:
         try:
             await asyncio.sleep(CRASH_CHECK_DELAY_SECONDS)
             try:
@@ -121,10 +123,10 @@
             else:
                 return
             requests = self._lost[start]
-            self._health(target).record_connect_failure()
+            self._health(registration).record_connect_failure()
             log_event(
                 Event.TARGET_CRASHED,
-                target=target,
+                target=registration.id,
                 start=start,
                 unanswered_requests=len(requests),
             )
--- a/pimentospool/gateway/_dependencies.py
+++ b/pimentospool/gateway/_dependencies.py
@@ -91,7 +91,7 @@
             on_release=_log_release,
         )
         self.crash_watch = CrashWatch(
-            suspects=self.crash_suspects, health=placement.health, clock=clock
+            suspects=self.crash_suspects, health=placement.start_health, clock=clock
         )
         self._retry_budgets: dict[ServiceId, SharedRetryBudget] = {}
 
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -215,6 +215,15 @@
                 self._health[target] = health
         return health
 
+    def start_health(self, registration: Registration) -> TargetHealth:
+        """Return the health of one start of a target.
+
+        What is recorded there is lost if the target has started again.
+        """
+        if self.counts(registration):
+            return self.health(registration.id)
+        return TargetHealth(clock=self._clock)
+
     def counts(self, registration: Registration) -> bool:
         """Whether what this start of a target says still matters.
 
@@ -231,12 +240,12 @@
         return pace
 
     def record_first_byte(
-        self, service: ServiceId, candidate: Candidate, seconds: float
+        self, registration: Registration, candidate: Candidate, seconds: float
     ) -> None:
         """Record the time from a request to the first byte of its response."""
-        pace = self.pace(service)
+        pace = self.pace(registration.service)
         ratio = seconds / (candidate.reference_seconds + candidate.queue_seconds)
-        self.health(candidate.target).record_answer(ratio / pace.value)
+        self.start_health(registration).record_answer(ratio / pace.value)
         if not candidate.queue_seconds:
             pace.record(ratio)
 
--- a/pimentospool/gateway/_running_attempts.py
+++ b/pimentospool/gateway/_running_attempts.py
@@ -9,6 +9,7 @@
 from collections.abc import Coroutine
 
 from pimentospool.gateway._connections import BodyEnd
+from pimentospool.gateway._model import Registration
 from pimentospool.ids import RegionId, SoftwareVersion, TargetId
 from pimentospool.policy import Assignment, RegionChoice, TargetChoice
 from pimentospool.tasks import cancel_tasks, read_arrived
@@ -40,6 +41,8 @@
     ) -> None:
         self.choice = choice
         self.assignment = assignment
+        self.registration: Registration | None = None
+        """Start of the target to which the request is sent, None before that."""
         self.stall_seconds = stall_seconds
         self.stalls_at = math.inf
         """Time at which the attempt counts as stalled if nothing arrives before."""
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -29,6 +29,7 @@
 from pimentospool.gateway._attempts import AttemptLoop
 from pimentospool.gateway._connection_pool import ConnectionPool
 from pimentospool.gateway._connections import BodyEnd
+from pimentospool.gateway._crash_watch import CRASH_CHECK_DELAY_SECONDS, request_traits
 from pimentospool.gateway._dependencies import GatewayDependencies
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._fleet_messages import ServiceLoad
@@ -405,3 +406,97 @@
         return granted
 
     assert asyncio.run(check())
+
+
+class ReplacedPool(CannedPool):
+    """Pool of a target that starts again while a request is at its earlier start."""
+
+    def __init__(self, pools):
+        self._pools = pools
+
+    def _fail(self, verdict, cause):
+        self._pools.replace()
+        raise AttemptFailure(detail="replaced", verdict=verdict, cause=cause)
+
+    async def acquire(self, *, unused=False, within_seconds=0.0):
+        if self._pools.cause is FailureCause.UNREACHABLE:
+            self._fail(Verdict.NOT_RUN, FailureCause.UNREACHABLE)
+        return self
+
+    def send(self, wire):
+        return self
+
+    async def wait_head(self):
+        self._fail(Verdict.MAY_HAVE_RUN, self._pools.cause)
+
+    head = body_end = None
+
+
+class FullPool(CannedPool):
+    def __init__(self):
+        pass
+
+    async def acquire(self, *, unused=False, within_seconds=0.0):
+        raise AttemptFailure(
+            detail="full", verdict=Verdict.NOT_RUN, cause=FailureCause.REFUSED
+        )
+
+
+class ReplacedPools(CannedPools):
+    def __init__(self, cause, clock):
+        super().__init__()
+        self.cause = cause
+        self.deps = make_deps(self, clock)
+        self._clock = clock
+        self.deps.routing_state.register(make_registration(started_at=1))
+
+    def target_pool(self, registration, service):
+        return ReplacedPool(self) if registration.started_at == 1 else FullPool()
+
+    def replace(self):
+        self._clock.now += 9.0
+        self.deps.routing_state.register(make_registration(started_at=2, port=9001))
+
+    def close_idle(self, target):
+        pass
+
+
+def is_impaired(health):
+    return (
+        health.ejected
+        or health.last_connect_failed
+        or health.failure_rate > 0.0
+        or health.latency_ratio != 1.0
+    )
+
+
+@pytest.mark.parametrize(
+    "cause", [FailureCause.UNREACHABLE, FailureCause.BROKEN, FailureCause.SILENT]
+)
+def test_failure_of_an_earlier_start_does_not_count_for_the_new_one(cause):
+    pools = ReplacedPools(cause, Clock())
+    serve(pools.deps, client_timeout_seconds=60.0)
+    health = pools.deps.placement.health("i-1")
+    assert pools.deps.routing_state.target("i-1").registration.started_at == 2
+    assert not is_impaired(health)
+
+
+@pytest.mark.parametrize("replaced", [False, True])
+def test_crash_of_an_earlier_start_does_not_eject_the_new_one(replaced):
+    async def check():
+        deps = make_deps(CannedPools(), Clock())
+        deps.routing_state.register(make_registration(started_at=1))
+        state = deps.routing_state.target("i-1")
+        with unresponsive_address() as address:
+            pass
+        pool = ConnectionPool(address=address, limit=1)
+        exposure = deps.crash_watch.expose(request_traits(make_request()))
+        deps.crash_watch.connection_lost(state, pool, exposure)
+        if replaced:
+            deps.routing_state.register(make_registration(started_at=2, port=9001))
+        await asyncio.sleep(CRASH_CHECK_DELAY_SECONDS + 0.1)
+        return deps
+
+    deps = asyncio.run(check())
+    assert deps.crash_suspects._records.suspects()
+    assert deps.placement.health("i-1").ejected is not replaced
--- a/tests/gateway/test_placement_starts.py
+++ b/tests/gateway/test_placement_starts.py
@@ -147,6 +147,21 @@
     assert not placement.counts(START)
 
 
+@pytest.mark.parametrize("replaced", [False, True])
+def test_slow_answer_of_an_earlier_start_does_not_count_for_the_new_one(
+    region, replaced
+):
+    placement, routing_state = region.placement, region.routing_state
+    candidate = placement._make_candidate(
+        routing_state.target("i-1"), make_service(), prefill_tokens=0, tokens=0
+    )
+    if replaced:
+        routing_state.register(make_registration(started_at=2))
+    for _ in range(9):
+        placement.record_first_byte(START, candidate, 30.0)
+    assert (placement.health("i-1").latency_ratio == 1.0) is replaced
+
+
 def test_reports_of_others_on_an_earlier_start_do_not_count_for_the_new_one(region):
     placement, clock = region.placement, region.clock
     region.routing_state.register(make_registration(started_at=2))
