Measure refused first tries against the slots in use

For each phase (start, calm, step) it counts refused and failed calls, the mean share of the slots in use as calls and refused calls were sent, and the reasons in the nodes' logs. Node processes, not nodes in one process, as only the node command may import the platform's adapter.

--- a/pimentospool/commands/_bench.py
+++ b/pimentospool/commands/_bench.py
@@ -11,6 +11,7 @@
     "membership",
     "policy",
     "policy-cost",
+    "refusals",
     "relay",
 ]
 
--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -170,6 +170,11 @@
         """Requests that were executed."""
         return [req for req in self.received if req.executed]
 
+    @property
+    def busy(self) -> int:
+        """Requests in progress that it has let in."""
+        return self._busy
+
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Start listening; `address` then holds the actual port."""
         self._server = await asyncio.start_server(self._handle_connection, host, port)
