Take no target of a slow service for a slow target while the pace is learned

Cause: the latency ratio of a target is relative to the pace of its service, which starts at that of a reference target and takes some fifteen answers to reach a service of 1.0 s. Answers that came meanwhile counted against the targets that gave them, for seconds after the pace had followed: their expected first byte passed nine tenths of the callers' 2 s, which refused requests, and the cost of them crowded the other targets until these were full. Change: an answer counts against its target only once answers have lain on both sides of the pace, or the pace has reached a bound. Evidence: one case of tests/gateway/test_placement.py (8 requests at a target of 7 slots, 15 of 28 needed) and four of tests/policy/test_service_pace.py failed before.

--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -236,7 +236,7 @@
         """Record the time from a request to the first byte of its response."""
         pace = self.pace(service)
         ratio = seconds / (candidate.reference_seconds + candidate.queue_seconds)
-        self.health(candidate.target).record_answer(ratio / pace.value)
+        self.health(candidate.target).record_answer(pace.relative(ratio))
         if not candidate.queue_seconds:
             pace.record(ratio)
 
--- a/pimentospool/policy/_service_pace.py
+++ b/pimentospool/policy/_service_pace.py
@@ -26,12 +26,28 @@
         self.value = 1.0
         """Factor on the time that a reference target needs."""
         self._answers = 0
+        self._seen_slower = False
+        self._seen_faster = False
+
+    def relative(self, ratio: float) -> float:
+        """Return how much longer than the service's answers one of `ratio` took.
+
+        It is 1 as long as all answers lay on one side of the pace, which still moves
+        towards them: they tell of the service, not of the target that gave them.
+        """
+        is_learned = self._seen_slower and self._seen_faster
+        if not is_learned and MIN_PACE < self.value < MAX_PACE:
+            return 1.0
+        return ratio / self.value
 
     def record(self, ratio: float) -> None:
         """Record an answer that took `ratio` times the time of a reference target."""
         self._answers += 1
         step = max(MIN_STEP, 1.0 / self._answers)
         if ratio < self.value:
+            self._seen_faster = True
             step = -step
+        else:
+            self._seen_slower = True
         pace = self.value * math.exp(step)
         self.value = min(MAX_PACE, max(MIN_PACE, pace))
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -1,6 +1,7 @@
 """Placement of prompts with shared prefixes, and the load that a region reports."""
 
 import random
+from collections import deque
 
 from gateway_factories import (
     Clock,
@@ -24,7 +25,12 @@
 from pimentospool.gateway._fleet_messages import ServiceLoad
 from pimentospool.gateway._placement import Placement
 from pimentospool.gateway._progress import RequestProgress
-from pimentospool.policy import NoChoice, OccupancyBook, preferred_target
+from pimentospool.policy import (
+    NoChoice,
+    OccupancyBook,
+    TargetChoice,
+    preferred_target,
+)
 from pimentospool.policy._target_contact import CONFIRMATION_SECONDS, service_key
 
 ZONES = {"gulf-a": "gulf", "delta-a": "delta"}
@@ -230,3 +236,42 @@
         own.record_failure(target, "llm")
     own.record_answer("llm", opened_at=0.0)
     assert placement.contact.report() == {service_key("llm"): False}
+
+
+def test_slow_service_is_served_by_all_its_slots_from_the_first_requests_on():
+    """Requests take 1.0 s at each target, which only their answers tell."""
+    clock, route = Clock(), make_route(home_regions=frozenset({"gulf"}))
+    service = make_service()
+    routing_state = RoutingState(clock=clock, zone_regions=ZONES)
+    routing_state.adopt(make_configuration(route, services=[service]))
+    for number in range(4):
+        routing_state.register(
+            make_registration(f"g-{number}", slots=7, port=9000 + number)
+        )
+    placement = Placement(
+        region="gulf",
+        routing_state=routing_state,
+        fleet=Fleet(local_record=make_record("own"), clock=clock, rng=random.Random(1)),
+        book=OccupancyBook(clock=clock),
+        bounds=BOUNDS,
+        clock=clock,
+    )
+    running, most_used = deque(), 0
+    for _ in range(200):
+        clock.now += 1 / 15
+        while running and running[0][0] <= clock.now:
+            _, candidate, assignment = running.popleft()
+            assignment.end()
+            placement.record_first_byte(service.id, candidate, 1.0)
+        choice = placement.choose(
+            make_request(),
+            route,
+            service,
+            RequestProgress(route=route, max_targets=2),
+            first_byte_timeout_seconds=2.0,
+        )
+        assert isinstance(choice, TargetChoice), choice
+        most_used = max(most_used, choice.candidate.occupancy.running + 1)
+        assignment = placement.begin_assignment(make_request(), choice.candidate)
+        running.append((clock.now + 1.0, choice.candidate, assignment))
+    assert most_used <= 7
--- a/tests/policy/test_service_pace.py
+++ b/tests/policy/test_service_pace.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pimentospool.policy import ServicePace
+from pimentospool.policy._target_health import NORMAL_LATENCY_RATIO
 
 
 @pytest.mark.parametrize("true_pace", [0.3, 1.0, 2.5, 33.0])
@@ -31,3 +32,25 @@
     for _ in range(10_000):
         pace.record(0.0)
     assert pace.value == 0.1
+
+
+@pytest.mark.parametrize("ratio", [33.0, 0.4])
+def test_answers_that_teach_the_pace_say_nothing_of_single_targets(ratio):
+    pace = ServicePace()
+    for _ in range(40):
+        assert pace.relative(ratio) <= NORMAL_LATENCY_RATIO
+        pace.record(ratio)
+
+
+def test_slow_target_stands_out_once_answers_lie_on_both_sides_of_the_pace():
+    pace = ServicePace()
+    for ratio in (1.2, 0.9, 1.1):
+        pace.record(ratio)
+    assert pace.relative(8.0) == pytest.approx(8.0 / pace.value)
+
+
+def test_slow_target_stands_out_where_the_pace_has_reached_its_bound():
+    pace = ServicePace()
+    while pace.value < 100.0:
+        pace.record(1e3)
+    assert pace.relative(1e3) == pytest.approx(10.0)
