Reset connections in the fault proxy instead of closing them

Cause: the proxy aborted both sides of a connection, which closes it without a reset unless bytes are left unread. Change: reset_connections and cut set the linger time to 0 first. A regular end, and the reset after a number of bytes, stay as they were, since a reset discards bytes that are on their way. Evidence: two cases of tests/faults/test_proxy.py failed before.

--- a/pimentospool/faults/_proxy.py
+++ b/pimentospool/faults/_proxy.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pimentospool.sockets import set_reset_on_close
 from pimentospool.tasks import cancel_tasks
 
 _MAX_READ_BYTES = 64 * 1024
@@ -61,6 +62,13 @@
         self.writers = {Direction.TO_CLIENT: client, Direction.TO_SERVER: server}
 
     def reset(self) -> None:
+        for writer in self.writers.values():
+            if not writer.transport.is_closing():
+                set_reset_on_close(writer.transport, enabled=True)
+        self.abort()
+
+    def abort(self) -> None:
+        """Close both sides; without a reset, unless bytes are left unread."""
         for writer in self.writers.values():
             writer.transport.abort()
 
@@ -208,7 +216,7 @@
                 )
         finally:
             self._connections.discard(conn)
-            conn.reset()
+            conn.abort()
 
     async def _relay(
         self, conn: _Connection, reader: asyncio.StreamReader, direction: Direction
@@ -269,7 +277,7 @@
                 ):
                     writer.write(chunk.data[: max(0, limit_bytes - written_bytes)])
                     await writer.drain()
-                    conn.reset()
+                    conn.abort()
                     return
                 written_bytes += len(chunk.data)
                 writer.write(chunk.data)
--- a/tests/faults/test_proxy.py
+++ b/tests/faults/test_proxy.py
@@ -167,3 +167,19 @@
                     raise ConnectionResetError
 
     runner.run(check())
+
+
+@pytest.mark.parametrize("inject", [FaultProxy.reset_connections, FaultProxy.cut])
+def test_reset_connection_does_not_look_closed(runner, inject):
+    """A peer that closes may end a response without a length; a reset may not."""
+
+    async def check():
+        async with ProxiedEchoServer() as echo_server:
+            conn = await echo_server.connect("near")
+            assert await exchange(conn) == b"hello"
+            inject(echo_server.proxy)
+            async with asyncio.timeout(WAIT_SECONDS):
+                with pytest.raises(ConnectionResetError):
+                    await conn[0].read(1024)
+
+    runner.run(check())
