--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -255,7 +255,7 @@
         """Record the time from a request to the first byte of its response."""
         pace = self.pace(registration.service)
         ratio = seconds / (candidate.reference_seconds + candidate.queue_seconds)
-        self.start_health(registration).record_answer(ratio / pace.value)
+        self.start_health(registration).record_answer(pace.relative(ratio))
         if not candidate.queue_seconds:
             pace.record(ratio)
 
--- a/tests/gateway/test_placement_starts.py
+++ b/tests/gateway/test_placement_starts.py
@@ -157,6 +157,8 @@
     )
     if replaced:
         routing_state.register(make_registration(started_at=2))
+    for ratio in (1.2, 0.8):
+        placement.pace(make_service().id).record(ratio)
     for _ in range(9):
         placement.record_first_byte(START, candidate, 30.0)
     assert (placement.health("i-1").latency_ratio == 1.0) is replaced
