Hold the ports of targets that refuse connections in a test

Cause: tests/platform/test_cut_off.py closed the listeners for the time of a cut, and once the last old connection had ended the ports were free for any process that asks for one. Change: a bound socket keeps each port during the cut. The checks are the same.

--- a/tests/platform/test_cut_off.py
+++ b/tests/platform/test_cut_off.py
@@ -35,6 +35,11 @@
     async def cut_off(self, kind):
         host, _, port = self.address.rpartition(":")
         self._server.close()
+        if kind != "hang":
+            # Keeps the port from others that ask for a free one.
+            self.holder = socket.socket()
+            self.holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.holder.bind((host, int(port)))
         if kind == "reset":
             self.reset_connections()
         if kind == "hang":
@@ -52,6 +57,8 @@
                 sock.close()
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._accept, host, int(port))
+        if hasattr(self, "holder"):
+            self.holder.close()
 
 
 class CutSite:
