Use the same seeds in every run of four seeded tests

Cause: Hypothesis draws some numbers from the constants of the modules that are loaded, also if it is derandomized, so that the simulations of one test depended on what other tests had imported.

--- a/tests/policy/test_limits.py
+++ b/tests/policy/test_limits.py
@@ -3,15 +3,13 @@
 import random
 
 import pytest
-from hypothesis import given
-from hypothesis import strategies as st
 
 from pimentospool._generated.manifest import Customer, Quota
 from pimentospool.errors import Reason
 from pimentospool.ids import CustomerId, EntryId
 from pimentospool.policy import CustomerLimiter, QuotaShares, _limits
 from pimentospool.policy._limits import BURST_SECONDS
-from tests.policy._seeded import SEEDED
+from tests.policy._seeded import check_seeds
 
 STORE = CustomerId("store")
 
@@ -82,12 +80,10 @@
 
 
 def test_admissions_stay_within_the_quota(clock):
-    @SEEDED
-    @given(st.integers(0, 2**32))
     def check(seed):
         check_admissions_stay_within_quota(clock, seed)
 
-    check()
+    check_seeds(check)
 
 
 def test_quota_check_fails_when_buckets_are_never_debited(clock, monkeypatch):
--- a/tests/policy/test_queue.py
+++ b/tests/policy/test_queue.py
@@ -3,11 +3,9 @@
 import random
 
 import pytest
-from hypothesis import given
-from hypothesis import strategies as st
 
 from pimentospool.policy import QueueRefusal, WaitQueue, _queue
-from tests.policy._seeded import SEEDED
+from tests.policy._seeded import check_seeds
 
 
 def test_queue_is_bounded_and_ordered_by_deadline():
@@ -59,12 +57,7 @@
 
 
 def test_earliest_deadline_is_always_popped_first():
-    @SEEDED
-    @given(st.integers(0, 2**32))
-    def check(seed):
-        check_earliest_deadline_is_popped(seed)
-
-    check()
+    check_seeds(check_earliest_deadline_is_popped)
 
 
 def test_order_check_fails_for_a_queue_in_order_of_arrival(monkeypatch):
--- a/tests/policy/test_retries.py
+++ b/tests/policy/test_retries.py
@@ -3,14 +3,12 @@
 import random
 
 import pytest
-from hypothesis import given
-from hypothesis import strategies as st
 
 from pimentospool.ids import CustomerId
 from pimentospool.policy import RetryDecision, RetryPolicy, _retries
 from pimentospool.policy._retries import INITIAL_RETRIES
 from pimentospool.verdicts import Verdict
-from tests.policy._seeded import SEEDED
+from tests.policy._seeded import check_seeds
 
 STORE = CustomerId("store")
 
@@ -61,12 +59,7 @@
 
 
 def test_retries_stay_within_the_budget_and_respect_the_verdict():
-    @SEEDED
-    @given(st.integers(0, 2**32))
-    def check(seed):
-        check_retries_stay_in_budget(seed)
-
-    check()
+    check_seeds(check_retries_stay_in_budget)
 
 
 @pytest.mark.parametrize("mutation", ["budget", "verdict"])
--- a/tests/policy/test_shares.py
+++ b/tests/policy/test_shares.py
@@ -3,14 +3,12 @@
 import random
 
 import pytest
-from hypothesis import given
-from hypothesis import strategies as st
 
 from pimentospool._generated.loads import RegionSummary
 from pimentospool.ids import CustomerId, EntryId
 from pimentospool.policy import QuotaShares, _shares
 from pimentospool.policy._shares import CLAIM_INTERVAL_SECONDS, MAX_TOTAL_SHARE
-from tests.policy._seeded import SEEDED
+from tests.policy._seeded import check_seeds
 
 STORE = CustomerId("store")
 
@@ -59,12 +57,10 @@
 
 
 def test_total_share_never_exceeds_its_bound(clock):
-    @SEEDED
-    @given(st.integers(0, 2**32))
     def check(seed):
         assert SimulatedFleet(seed, clock).run() <= MAX_TOTAL_SHARE + 1e-6
 
-    check()
+    check_seeds(check)
 
 
 def test_bound_check_fails_when_isolated_entries_raise_claims(clock, monkeypatch):
