Listen before other entry VMs learn that a node is ready

Cause: a node began to read the store and to send heartbeats before it listened. On a busy machine it was ready, named in directories and sent hops while its own listeners were still being opened; the test's first question to its directory was refused (ConnectionRefusedError). Change: the listeners come first. A request in that moment is refused with 503, as before the first configuration. Evidence: test_node_is_ready_only_once_it_listens, with 0.3 s before each listener, failed before with the refusal that was seen.

--- a/pimentospool/platform/_node.py
+++ b/pimentospool/platform/_node.py
@@ -91,13 +91,14 @@
 
     async def _start(self) -> None:
         cfg = self._cfg
-        await self._gateway.start()
         caller_frontend, hop_frontend = self._frontends
         await self._listen(caller_frontend.server, cfg.front)
         await self._listen(hop_frontend.server, cfg.peer)
         await self._listen_with_handler(self._handle_ready, cfg.ready)
         await self._listen_with_handler(self._handle_resolve, cfg.directory)
         await self._listen_with_handler(self._handle_metrics, cfg.control)
+        # Others send requests here once it is ready, so that it has to listen first.
+        await self._gateway.start()
         self._gateway.metrics.add_gauge(
             "pimentospool_store_calls",
             "Reading calls to the platform's store.",
--- a/tests/platform/test_fleet_path.py
+++ b/tests/platform/test_fleet_path.py
@@ -10,6 +10,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from pimentospool.gateway import EntryState
+from pimentospool.platform._node import Node
 from pimentospool.standins import Fault
 
 ZONES = ("gulf-a", "delta-a")
@@ -158,6 +159,22 @@
     run_with_site(runner, tmp_path, check, zones=("gulf-a", "delta-a", "gulf-a"))
 
 
+def test_node_is_ready_only_once_it_listens(runner, tmp_path, monkeypatch):
+    listen = Node._listen
+
+    async def listen_late(self, *args):
+        await asyncio.sleep(0.3)
+        await listen(self, *args)
+
+    async def check(site):
+        for number, region in enumerate(("gulf", "delta")):
+            status, _ = await resolve(site, node=number, region=region)
+            assert status == 200
+
+    monkeypatch.setattr(Node, "_listen", listen_late)
+    run_with_site(runner, tmp_path, check)
+
+
 def test_metrics_count_requests_by_kind_and_result(runner, tmp_path):
     async def check(site):
         await site.add_target("d-1")
