Test take-ups over releases, restarts and three versions

They check the status and the version that goes on, also after the last target of a version has left.

--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -374,3 +374,148 @@
         assert not streams_of(again)
 
     run_with_site(runner, tmp_path, check)
+
+
+async def begin_at_each(site, versions, *, node=0):
+    """Begin streams until each version has one; return one of each."""
+    origins = {}
+    async with asyncio.timeout(20.0):
+        while origins.keys() != set(versions):
+            begun = await asyncio.gather(*(begin(site, node=node) for _ in range(6)))
+            for origin, holder in begun:
+                origins[version_of(holder)] = origin
+    return origins
+
+
+def version_of(target):
+    return target.instance.rpartition("-")[2]
+
+
+async def restart_node(site, number):
+    """End a node, and start another one; return the number of the new one."""
+    ended = site.nodes[number]
+    await ended.stop()
+    gateway = (await site.add_node(ended.cfg.zone, first_start=False)).gateway
+    await site.wait_until(
+        lambda: (
+            gateway.state is EntryState.READY
+            and len(gateway.routing_state.known_targets()) == len(site.targets)
+        )
+    )
+    await asyncio.sleep(0.7)
+    return len(site.nodes) - 1
+
+
+async def check_take_ups(site, origins, *, node):
+    """Take each stream up; it has to go on at its version."""
+    for version, origin in origins.items():
+        status, target = await take_up(site, origin, node=node)
+        assert (status, target and version_of(target)) == (200, version)
+
+
+@pytest.mark.parametrize("zones", [("gulf-a", "gulf-a"), REGIONS])
+def test_streams_of_three_versions_go_on_at_their_versions(runner, tmp_path, zones):
+    async def check(site):
+        versions = ("v1", "v2", "v3")
+        for zone in sorted(set(zones)):
+            for version in versions:
+                await add_engine(site, f"{zone}-{version}", version, zone)
+        await wait_until_ready(site)
+        by_node = [await begin_at_each(site, versions, node=node) for node in (0, 1)]
+        await asyncio.sleep(1.0)
+        for node in (0, 1):
+            for origins in by_node:
+                await check_take_ups(site, origins, node=node)
+        for zone in sorted(set(zones)):
+            await site.store.delete(f"servers/{zone}-v2")
+        await asyncio.sleep(1.5)
+        for node in (0, 1):
+            for origins in by_node:
+                assert await take_up(site, origins["v2"], node=node) == (503, None)
+                others = {key: origins[key] for key in ("v1", "v3")}
+                await check_take_ups(site, others, node=node)
+
+    run_with_site(runner, tmp_path, check, zones=zones)
+
+
+@pytest.mark.parametrize("count", [2, 3])
+def test_streams_go_on_after_one_entry_vm_restarts_while_several_versions_serve(
+    runner, tmp_path, count
+):
+    async def check(site):
+        versions = ("v1", "v2", "v3")[:count]
+        for version in versions:
+            await add_engine(site, f"m-{version}", version)
+        await wait_until_ready(site)
+        by_node = [await begin_at_each(site, versions, node=node) for node in (0, 1)]
+        await asyncio.sleep(1.0)
+        started = await restart_node(site, 0)
+        for node in (1, started):
+            for origins in by_node:
+                await check_take_ups(site, origins, node=node)
+
+    run_with_site(runner, tmp_path, check)
+
+
+def test_streams_of_a_version_with_two_targets_go_on_after_all_entry_vms_restart(
+    runner, tmp_path
+):
+    async def check(site):
+        for name, version in (("a", "v1"), ("b", "v1"), ("c", "v2")):
+            await add_engine(site, f"{name}-{version}", version)
+        await wait_until_ready(site)
+        origins = await begin_at_each(site, ("v1", "v2"))
+        await asyncio.sleep(1.0)
+        started = [await restart_node(site, number) for number in (0, 1)]
+        for node in started:
+            await check_take_ups(site, origins, node=node)
+        await site.store.delete("servers/a-v1")
+        await asyncio.sleep(1.5)
+        for node in started:
+            await check_take_ups(site, origins, node=node)
+        await site.store.delete("servers/b-v1")
+        await asyncio.sleep(1.5)
+        for node in started:
+            assert await take_up(site, origins["v1"], node=node) == (503, None)
+
+    run_with_site(runner, tmp_path, check)
+
+
+@pytest.mark.parametrize("zones", [("gulf-a", "gulf-a"), REGIONS])
+def test_release_in_the_middle_of_take_ups_joins_no_versions(runner, tmp_path, zones):
+    async def check(site):
+        for number in range(2):
+            await add_engine(site, f"a{number}-v1", "v1")
+        await wait_until_ready(site)
+        loads = site.nodes[1].gateway.fleet.loads
+        await site.wait_until(lambda: zones != REGIONS or loads("llm"))
+        origins = [(await begin(site, node=0))[0] for _ in range(2)]
+        outcomes, released = [], asyncio.Event()
+
+        async def keep_taking_up(node):
+            while not released.is_set():
+                for origin in origins:
+                    outcomes.append(await take_up(site, origin, node=node))
+
+        clients = [asyncio.create_task(keep_taking_up(node)) for node in (0, 1)]
+        for number in range(2):
+            await asyncio.sleep(1.0)
+            await add_engine(site, f"b{number}-v2", "v2")
+            await asyncio.sleep(1.0)
+            if not number:
+                await site.store.delete("servers/a0-v1")
+        await asyncio.sleep(1.0)
+        assert {status for status, _ in outcomes} == {200}
+        await site.store.delete("servers/a1-v1")
+        await asyncio.sleep(2.0)
+        released.set()
+        await asyncio.gather(*clients)
+        assert {version_of(target) for status, target in outcomes if target} == {"v1"}
+        assert {status for status, _ in outcomes} <= {200, 503}
+        assert outcomes[-1] == (503, None)
+        for node in (0, 1):
+            origin, holder = await begin(site, node=node)
+            assert version_of(holder) == "v2"
+            await check_take_ups(site, {"v2": origin}, node=1 - node)
+
+    run_with_site(runner, tmp_path, check, zones=zones)
