List a stream that begins at a newer start than its entry shows

Cause: The version of a stream is that of the target's entry when it begins. A target that has started again with another version, while this entry VM had no connection to it, answers before its entry arrives.

Result: Not mended. A proof before such a stream begins would cost a report of the target for each first connection, whose price has to be measured first.

--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -519,3 +519,25 @@
             await check_take_ups(site, {"v2": origin}, node=1 - node)
 
     run_with_site(runner, tmp_path, check, zones=zones)
+
+
+def test_stream_that_began_at_a_newer_start_is_not_continued_by_the_earlier_version(
+    runner, tmp_path
+):
+    async def check(site):
+        target = await add_engine(site, "m-1", "v1")
+        other = await add_engine(site, "m-2", "v1")
+        await wait_until_ready(site)
+        other.faults = [Fault.REJECT] * 9
+        again = await start_again(site, target, born=2)
+        origin, holder = await begin(site, node=1)
+        while holder is not again:
+            origin, holder = await begin(site, node=1)
+        other.faults = []
+        await site.register(again, service="llm", Version="v2", born=2)
+        await asyncio.sleep(1.0)
+        for node in (0, 1):
+            _, taker = await take_up(site, origin, node=node)
+            assert taker is not other
+
+    run_with_site(runner, tmp_path, check)
