Count a request as executed only once its body has arrived

Cause: the signing target took a request for executed before its body was read, and took that back only if the connection was closed, not if it was reset or fell silent. Change: a request counts as executed after its body was read whole.

--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -276,11 +276,10 @@
             req.expected_body = b"early"
             writer.write(self._response_head(req, 200, length=5) + req.expected_body)
         length = int(headers.get("content-length", "0"))
-        try:
-            req.body = await reader.readexactly(length)
-        except asyncio.IncompleteReadError:
-            req.executed = False
-            raise
+        # The connection may end, or fall silent, within the body.
+        req.executed = False
+        req.body = await reader.readexactly(length)
+        req.executed = True
         return req
 
     async def _respond(
