Let the soak send bursts of long bodies near the memory limit

Change: nodes of a soak have MemoryMb = 150. A burst sends 24 bodies of 2 MB to a node by callers that send and read slowly; sound targets send them back, and in half of the bursts all targets of the service are faulty. Bursts are drawn by themselves, so that the other faults of a seed stay the same. A node that has held more than its memory breaks a promise; the promises on answers, runs and bodies hold for the bursts as for other calls. Long bodies are compared by their digests.

--- a/pimentospool/soak/_checker.py
+++ b/pimentospool/soak/_checker.py
@@ -225,7 +225,7 @@
 
     def _late_calls(self) -> Iterable[str]:
         lateness_by_call = [
-            (call, call.ended_at - call.sent_at - self._route(call).timeout_seconds)
+            (call, _seconds(call) - self._route(call).timeout_seconds)
             for call in self._record.calls
             if not self._disturbed(call)
         ]
@@ -347,3 +347,8 @@
             and start <= item.ended_at + DISTURBED_AFTER_SECONDS
             for item in self._record.disturbances
         )
+
+
+def _seconds(call: PlatformCall) -> float:
+    """Return the time of a call, without that for which its caller did not read."""
+    return call.ended_at - call.sent_at - call.paused_seconds
--- a/pimentospool/soak/_deployment.py
+++ b/pimentospool/soak/_deployment.py
@@ -35,6 +35,9 @@
 _EVENT_GAP_SECONDS = 0.02
 _RESPONSE_DELAY_SECONDS = 0.01
 _TARGETS_PER_ZONE = {"desk": 2, "llm": 2}
+NODE_MEMORY_MB = 150
+"""Memory that a node may use. It leaves 60 MB for requests and answers, so that a burst
+reaches the limit."""
 
 ROUTES = (
     SoakRoute(prefix="/look/", method="GET", idempotent=True, timeout_seconds=2.0),
@@ -77,7 +80,8 @@
         self.zone = zone
         self.settings_path = folder / f"{ip}.toml"
         self.settings_path.write_text(tomli_w.dumps(settings))
-        self.callers_proxy = FaultProxy(upstream=f"{ip}:{ports.front}")
+        self.front = f"{ip}:{ports.front}"
+        self.callers_proxy = FaultProxy(upstream=self.front)
         self.store_proxy = store_proxy
         self._ready_url = f"http://{ip}:{ports.ready}/ready"
         super().__init__(
@@ -86,6 +90,15 @@
             log_path=folder / f"{ip}.log",
         )
 
+    def peak_megabytes(self) -> float:
+        """Return the most memory that the running process has held; 0 if none runs."""
+        try:
+            status = Path(f"/proc/{self.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        peaks = [line for line in status.splitlines() if line.startswith("VmHWM:")]
+        return int(peaks[0].split()[1]) * 1024 / 1e6 if peaks else 0.0
+
     async def is_ready(self, session: aiohttp.ClientSession) -> bool:
         """Return whether the node reports that it accepts requests."""
         try:
@@ -222,6 +235,7 @@
                 seeds=ips[:3],
                 ports=ports,
             )
+            settings["Limits"]["MemoryMb"] = NODE_MEMORY_MB
             node = SoakNode(
                 ip=ip,
                 settings=settings,
--- a/pimentospool/soak/_fault_plan.py
+++ b/pimentospool/soak/_fault_plan.py
@@ -23,6 +23,8 @@
 seconds."""
 MEAN_NOTICE_PAUSE_SECONDS = 8.0
 """Mean time between notices that targets give. They are drawn by themselves, too."""
+MEAN_BURST_PAUSE_SECONDS = 8.0
+"""Mean time between bursts of long bodies, which are drawn likewise."""
 
 
 class SoakFault(Enum):
@@ -50,6 +52,7 @@
     STORE_RESTORED = "store restored from a copy"
     TARGET_LIMITED = "target names a limit"
     TARGET_SAYING_LEAVING = "target says that it leaves, then is replaced"
+    LONG_BODIES = "burst of long bodies and answers at a node"
 
 
 NODE_FAULTS = frozenset(
@@ -68,6 +71,7 @@
     SoakFault.STORE_RESTORED,
     SoakFault.TARGET_LIMITED,
     SoakFault.TARGET_SAYING_LEAVING,
+    SoakFault.LONG_BODIES,
 )
 
 
@@ -102,6 +106,7 @@
     other_faults = [item for item in SoakFault if item not in _DRAWN_APART]
     planned = _plan_restores(seed, seconds=seconds)
     planned += _plan_notices(seed, seconds=seconds)
+    planned += _plan_bursts(seed, seconds=seconds)
     at_seconds = rng.expovariate(1 / MEAN_PAUSE_SECONDS)
     while at_seconds < seconds:
         fault = rng.choice(other_faults)
@@ -162,3 +167,21 @@
         )
         at_seconds += rng.expovariate(1 / MEAN_NOTICE_PAUSE_SECONDS)
     return planned
+
+
+def _plan_bursts(seed: int, *, seconds: float) -> list[PlannedFault]:
+    rng = random.Random(f"bursts of {seed}")
+    planned = []
+    at_seconds = rng.expovariate(1 / MEAN_BURST_PAUSE_SECONDS)
+    while at_seconds < seconds:
+        planned.append(
+            PlannedFault(
+                at_seconds=at_seconds,
+                duration_seconds=0.0,
+                fault=SoakFault.LONG_BODIES,
+                location=rng.randrange(1 << 16),
+                variant=rng.randrange(1 << 16),
+            )
+        )
+        at_seconds += rng.expovariate(1 / MEAN_BURST_PAUSE_SECONDS)
+    return planned
--- a/pimentospool/soak/_runner.py
+++ b/pimentospool/soak/_runner.py
@@ -1,6 +1,7 @@
 """Runs one soak: makes calls, injects faults, checks recovery and the promises."""
 
 import asyncio
+import hashlib
 import itertools
 import random
 import signal
@@ -20,6 +21,7 @@
     Violation,
 )
 from pimentospool.soak._deployment import (
+    NODE_MEMORY_MB,
     ROUTES,
     SoakDeployment,
     SoakNode,
@@ -27,7 +29,7 @@
     wait_for_exit,
 )
 from pimentospool.soak._fault_plan import PlannedFault, SoakFault, plan_faults
-from pimentospool.standins import Fault, PlatformCaller, SigningTarget
+from pimentospool.standins import Fault, PlatformCall, PlatformCaller, SigningTarget
 
 CALLERS_PER_NODE = 4
 """Number of callers of each node."""
@@ -47,6 +49,21 @@
 """Time from the first SIGTERM to the second one."""
 TARGET_LIMIT = 1.5
 """Requests per second that a limited target takes."""
+BURST_CALLS = 24
+LONG_BODY_BYTES = 2_000_000
+"""Size of a body of a burst; all of them are more than a node may hold."""
+BURST_PAUSE_SECONDS = 0.01
+"""Pause after each piece of such a body, so that the calls of a burst overlap."""
+BURST_SERVICE, BURST_PATH = "desk", "/book/"
+BURST_TARGET_FAULTS = (
+    Fault.ENDLESS_BODY,
+    Fault.ENDLESS_HEAD,
+    Fault.SILENT,
+    Fault.CUT_BODY,
+    Fault.ERROR,
+    Fault.UNPROVEN_BUSY,
+)
+"""Faults of which all targets have one in half of the bursts."""
 RECOVERY_TIMEOUT_SECONDS = 15.0
 """Time after the last fault by which every node must serve requests again.
 
@@ -132,6 +149,7 @@
             SoakFault.STORE_RESTORED: self._restore_store,
             SoakFault.TARGET_LIMITED: self._limit_target,
             SoakFault.TARGET_SAYING_LEAVING: self._announce_leaving,
+            SoakFault.LONG_BODIES: self._send_long_bodies,
         }
 
     async def run(self) -> SoakResult:
@@ -148,6 +166,8 @@
         for target in self._deployment.targets:
             self._record.arrivals += target.arrivals()
         calls = self._record.calls
+        # A target may have read a body only after its caller had left.
+        self._shorten_bodies(calls)
         return SoakResult(
             seed=self._seed,
             calls=len(calls),
@@ -390,6 +410,61 @@
             )
         )
 
+    async def _send_long_bodies(self, planned: PlannedFault) -> None:
+        """Send long bodies at once, which sound targets send back."""
+        standins = [
+            target.current_standin
+            for target in self._deployment.targets
+            if target.service == BURST_SERVICE and planned.variant % 2
+        ]
+        number = planned.variant // 2 % len(BURST_TARGET_FAULTS)
+        for standin in standins:
+            standin.faults += [BURST_TARGET_FAULTS[number]] * BURST_CALLS
+        node = self._node(planned)
+        caller = PlatformCaller(
+            address=node.front, node=planned.location % len(self._deployment.nodes)
+        )
+        numbers = [next(self._call_numbers) for _ in range(BURST_CALLS)]
+        try:
+            calls = await asyncio.gather(
+                *(self._send_long_body(caller, number) for number in numbers)
+            )
+        finally:
+            await caller.close()
+            for standin in standins:
+                standin.faults.clear()
+        self._record.calls += calls
+        self._shorten_bodies(calls)
+        peak_megabytes = node.peak_megabytes()
+        if peak_megabytes > NODE_MEMORY_MB:
+            self._record.process_errors.append(
+                f"{node.name} held {peak_megabytes:.0f} MB of {NODE_MEMORY_MB} MB"
+            )
+
+    async def _send_long_body(
+        self, caller: PlatformCaller, number: int
+    ) -> PlatformCall:
+        unit = b"%d " % number
+        return await caller.call(
+            f"{BURST_PATH}{number}",
+            request_id=f"soak-{self._seed}-{number}",
+            method="POST",
+            body=unit * (LONG_BODY_BYTES // len(unit)),
+            pause_seconds=BURST_PAUSE_SECONDS,
+        )
+
+    def _shorten_bodies(self, calls: list[PlatformCall]) -> None:
+        """Replace long bodies by digests, as many bursts would fill the memory."""
+        ids = {call.id for call in calls}
+        for call in calls:
+            call.body, call.answer = _shorten(call.body), _shorten(call.answer)
+        for target in self._deployment.targets:
+            for arrival in target.arrivals():
+                req = arrival.request
+                if req.id in ids:
+                    req.body = _shorten(req.body)
+                    req.expected_body = _shorten(req.expected_body)
+
     async def _make_store_refuse(self, planned: PlannedFault) -> None:
         self._deployment.store.refusal_status = 503 if planned.variant % 2 else 429
         await asyncio.sleep(planned.duration_seconds)
@@ -425,3 +500,10 @@
 
     async def _change_configuration(self, planned: PlannedFault) -> None:
         await self._deployment.change_configuration()
+
+
+def _shorten(body: bytes) -> bytes:
+    """Return a digest of a long body, and a short one as it is."""
+    if len(body) < LONG_BODY_BYTES // 2:
+        return body
+    return hashlib.sha256(body).hexdigest().encode()
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -166,6 +166,16 @@
     assert broken_promises(late_calls[:7]) == []
 
 
+@pytest.mark.parametrize(("paused_seconds", "broken"), [(0.05, 1), (0.2, 0)])
+def test_time_for_which_a_caller_does_not_read_is_not_late(paused_seconds, broken):
+    calls = [
+        call(request_id=f"c-{n}", seconds=2.6, paused_seconds=paused_seconds)
+        for n in range(8)
+    ]
+    found = broken_promises(calls, [arrival(item) for item in calls])
+    assert found == ["answers come by the route's limit"] * broken
+
+
 def test_retries_beyond_the_budget():
     calls = [call("/look/", request_id=f"c-{n}") for n in range(60)]
     twice = [arrival(item, received_at=at) for item in calls for at in (10.01, 10.5)]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -45,3 +45,13 @@
     for result in runner.run(run_all()):
         assert result.violations == [], result.seed
         assert result.succeeded > result.calls / 3
+
+
+def test_bursts_of_long_bodies_stay_within_the_memory_of_a_node(runner, tmp_path):
+    """One burst meets sound targets, the other one targets that are all faulty."""
+    folder = tmp_path / "24"
+    result = runner.run(run_soak(folder, seed=24, seconds=5.0, nodes=2))
+    assert result.violations == []
+    logs = "".join(path.read_text() for path in folder.glob("*.log"))
+    assert "no_memory" in logs
+    assert result.succeeded > result.calls / 3
