Share the bookkeeping of attempts in progress between both fronts

Cause: which of two attempts answers a request was decided by code that knew the platform's targets and regions, so the product's own front could not use it. No change of behaviour.

--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -29,6 +29,7 @@
     TargetChoice,
     rank_members,
 )
+from pimentospool.running_attempts import STANDBY_INTERVAL_SECONDS
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
@@ -41,8 +42,6 @@
 EXPECTED_TIMES = 2.0
 """Multiple of the expected time to the first byte before which an attempt isn't
 stalled: a second send to a service that is slow for all would only add to its load."""
-STANDBY_INTERVAL_SECONDS = 0.25
-"""Time between checks whether an attempt may begin beside a stalled one."""
 
 
 class AttemptLoop:
