Count the silence of a target while its request goes on

Cause: a flight of the router could only report that a request had failed, which also ended it. An attempt that goes on after a silence needs both: the target is avoided meanwhile, and its request stays counted. Change: TargetFlight.silent and RegionFlight.silent record one failure and leave the request in flight. The next part of the answer counts as success. failed() after it is no second failure. Evidence: three new tests in tests/policy/test_routing.py; they need the new method, so they failed before. Result: tests/policy/test_routing.py passed.

--- a/pimentospool/policy/_flights.py
+++ b/pimentospool/policy/_flights.py
@@ -44,6 +44,7 @@
         self._request_id = next(_request_ids)
         self._in_progress = True
         self._first_byte_received = False
+        self._silent = False
         self._request = LocalRequest(
             started_at=clock(),
             short=short,
@@ -54,14 +55,17 @@
         state.work.start(self._request_id, self._request)
 
     def first_token(self) -> None:
-        """Record that the first byte of the response has arrived."""
-        if self._first_byte_received or not self._in_progress:
+        """Record the first byte of the response, or the first one after silence."""
+        if not self._in_progress or (self._first_byte_received and not self._silent):
             return
-        self._first_byte_received = True
         now = self._clock()
         state = self._state
-        state.work.first_token(self._request_id, now)
+        self._silent = False
         state.health.record_success(now)
+        if self._first_byte_received:
+            return
+        self._first_byte_received = True
+        state.work.first_token(self._request_id, now)
         if self._request.prefill_tokens:
             rate = state.target.prefill_tokens_per_second
             state.limit.record_first_token(
@@ -70,17 +74,22 @@
                 in_flight=state.work.local_in_flight,
             )
 
-    def failed(self) -> None:
-        """Record that the attempt failed at the target."""
-        if self._in_progress:
+    def silent(self) -> None:
+        """Record that the target is silent; the request is still in progress there."""
+        if self._in_progress and not self._silent:
+            self._silent = True
             self._state.health.record_failure(self._clock())
             self._state.limit.record_failure()
-            self._end()
+
+    def failed(self) -> None:
+        """Record that the attempt failed at the target."""
+        self.silent()
+        self.finish()
 
     def finish(self) -> None:
         """Record that the request has ended; after a failure, this does nothing."""
         if self._in_progress:
-            if not self._first_byte_received:
+            if not (self._first_byte_received or self._silent):
                 self._state.health.record_inconclusive_end()
             self._end()
 
@@ -118,30 +127,39 @@
         self._prefixes = prefixes
         self._in_progress = True
         self._first_byte_received = False
+        self._silent = False
         now = clock()
         state.health.record_start(now)
         state.record_start(query.prompt_tokens, now)
 
     def first_token(self) -> None:
-        """Record that the first byte of the response has arrived."""
-        if self._first_byte_received or not self._in_progress:
+        """Record the first byte of the response, or the first one after silence."""
+        if not self._in_progress or (self._first_byte_received and not self._silent):
             return
-        self._first_byte_received = True
         now = self._clock()
+        self._silent = False
         self._state.health.record_success(now)
+        if self._first_byte_received:
+            return
+        self._first_byte_received = True
         holder_key = region_holder_key(self._state.region)
         self._prefixes.store(holder_key, self._query.blocks, now)
 
+    def silent(self) -> None:
+        """Record that the region is silent; the request is still in progress there."""
+        if self._in_progress and not self._silent:
+            self._silent = True
+            self._state.health.record_failure(self._clock())
+
     def failed(self) -> None:
         """Record that the attempt failed in the region."""
-        if self._in_progress:
-            self._state.health.record_failure(self._clock())
-            self._end()
+        self.silent()
+        self.finish()
 
     def finish(self) -> None:
         """Record that the request has ended; after a failure, this does nothing."""
         if self._in_progress:
-            if not self._first_byte_received:
+            if not (self._first_byte_received or self._silent):
                 self._state.health.record_inconclusive_end()
             self._end()
 
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -160,6 +160,47 @@
         router.start(router.choose(local), local)
 
 
+def test_silent_target_is_avoided_until_it_answers(router):
+    others = frozenset(TARGETS) - {"gulf-engine-2"}
+    local = query(excluded_targets=others, is_hop=True)
+    flights = [router.start(router.choose(local), local) for _ in range(3)]
+    for flight in flights:
+        flight.silent()
+    assert isinstance(router.choose(local), RouteRefusal)
+    assert router._state.targets["gulf-engine-2"].work.local_in_flight == 3
+    for flight in flights[1:]:
+        flight.finish()
+    assert isinstance(router.choose(local), RouteRefusal)
+    flights[0].first_token()
+    flights[0].finish()
+    assert router.choose(local).target.id == "gulf-engine-2"
+
+
+def test_silent_request_that_fails_is_one_failure(router):
+    others = frozenset(TARGETS) - {"gulf-engine-2"}
+    local = query(excluded_targets=others, is_hop=True)
+    for _ in range(2):
+        flight = router.start(router.choose(local), local)
+        flight.silent()
+        flight.silent()
+        flight.failed()
+        flight.finish()
+    assert router._state.targets["gulf-engine-2"].work.local_in_flight == 0
+    router.start(router.choose(local), local).silent()
+    assert isinstance(router.choose(local), RouteRefusal)
+
+
+def test_region_that_was_silent_within_an_answer_is_sound_once_it_goes_on(router):
+    route = router.choose(query(excluded_targets=frozenset(TARGETS)))
+    flight = router.start(route, query())
+    health = router._state.regions[route.region].health
+    flight.first_token()
+    flight.silent()
+    flight.first_token()
+    flight.finish()
+    assert health._consecutive_failures == 0
+
+
 def test_overloaded_region_sends_requests_away_unless_that_costs_too_much(
     clock, magnolia, router
 ):
