--- a/pimentospool/_generated/settings.py
+++ b/pimentospool/_generated/settings.py
@@ -122,12 +122,16 @@
     answer_timeout_seconds: Annotated[
         float,
         Meta(
-            description="Longest wait for the first byte of the response to an idempotent request before it is retried at another target.",
+            description="Silence before the first byte of the response to an idempotent request after which another target is tried as well.",
             gt=0.0,
         ),
     ] = 15.0
     progress_timeout_seconds: Annotated[
-        float, Meta(description="Longest time without data on a stream.", gt=0.0)
+        float,
+        Meta(
+            description="Silence within a response after which another target is tried as well; a response to a request that is not idempotent ends then.",
+            gt=0.0,
+        ),
     ] = 5.0
     report_interval_seconds: Annotated[float, Meta(gt=0.0)] = 0.5
     connections_per_target: Annotated[int, Meta(ge=1)] = 512
--- a/pimentospool/attempts.py
+++ b/pimentospool/attempts.py
@@ -1,10 +1,23 @@
-"""Failed attempts of one request, and the error that it ends with after them."""
+"""Attempts of one request, and the error that it ends with after failed ones."""
+
+import asyncio
+import math
 
 from pimentospool.errors import Reason, RequestFailure
 from pimentospool.ids import EntryId, RegionId, TargetId
-from pimentospool.policy import RegionRoute, RouteRefusal, TargetRoute
+from pimentospool.outcomes import OutcomeRecorder
+from pimentospool.policy import (
+    RegionFlight,
+    RegionRoute,
+    RouteRefusal,
+    TargetFlight,
+    TargetRoute,
+)
+from pimentospool.relaying import StreamRelay
 from pimentospool.requests import GatewayRequest
+from pimentospool.running_attempts import Attempt, ConcurrentAttempts
 from pimentospool.targets import AttemptFailure, FailureCause
+from pimentospool.traces import Span, SpanAttribute
 from pimentospool.verdicts import Verdict
 
 RETRY_AFTER_SECONDS = 1.0
@@ -17,6 +30,122 @@
 """Reasons that concern one entry VM; others of its region may serve the request."""
 
 
+class RoutedAttempt(Attempt):
+    """One attempt at a target or in another region; observes its silence.
+
+    Parameters
+    ----------
+    route : TargetRoute or RegionRoute
+        Where the request is sent.
+    flight : TargetFlight or RegionFlight
+        The router's record of the attempt.
+    span : Span
+        Span of the attempt.
+    """
+
+    def __init__(
+        self,
+        *,
+        route: TargetRoute | RegionRoute,
+        flight: TargetFlight | RegionFlight,
+        span: Span,
+    ) -> None:
+        super().__init__()
+        self.route = route
+        self.flight = flight
+        self.span = span
+        self.url = ""
+        """Address to which the request is sent."""
+
+    def begin_wait(self, timeout_seconds: float) -> None:
+        """Record that a part of the response is waited for."""
+        self.stall_seconds = timeout_seconds
+        self.expect_part(asyncio.get_running_loop().time())
+
+    def end_wait(self) -> None:
+        """Record that the part has arrived."""
+        self.stalls_at = math.inf
+
+    def release(self) -> None:
+        """End the attempt's span and its flight."""
+        self.span.end()
+        self.flight.finish()
+
+    def fail(self, exc: AttemptFailure) -> None:
+        """Record how the attempt failed in its span, and at the router."""
+        self.span.set(SpanAttribute.VERDICT, exc.verdict.value)
+        self.span.set(SpanAttribute.CAUSE, exc.cause.value)
+        if exc.problem is None and (self.stalled or not self.superseded):
+            self.flight.failed()
+
+
+class RequestProgress:
+    """One request on its way through its attempts.
+
+    Parameters
+    ----------
+    req : GatewayRequest
+        The request.
+    record : OutcomeRecorder
+        Passes the answer on to the caller.
+    """
+
+    def __init__(self, *, req: GatewayRequest, record: OutcomeRecorder) -> None:
+        self.req = req
+        self.record = record
+        self.relay = StreamRelay(resume_after=req.resume_after)
+        self.failed = FailedAttempts()
+        self.running: ConcurrentAttempts[RoutedAttempt] = ConcurrentAttempts()
+        self.standby_at = 0.0
+        """Earliest time of the next check whether a second attempt may begin."""
+        self.sent_again_beside = False
+        """Whether an attempt has begun beside one at the same destination."""
+
+    @property
+    def may_continue(self) -> bool:
+        """Whether another attempt can go on after what the caller already has."""
+        return not self.record.started or self.relay.resumable
+
+    def claim_reply(self, attempt: RoutedAttempt) -> None:
+        """Let `attempt` answer the request; cancel the other one.
+
+        Raises
+        ------
+        AttemptFailure
+            If the other one has answered.
+        """
+        if attempt.superseded:
+            raise superseded_failure()
+        self.running.claim_reply(attempt)
+        self.record_destination(attempt)
+
+    def record_destination(self, attempt: RoutedAttempt) -> None:
+        """Record where the request is served."""
+        route = attempt.route
+        if isinstance(route, TargetRoute):
+            self.record.served_by = route.target.id
+        else:
+            self.record.sent_to_region = route.region
+
+    def record_failure(self, attempt: RoutedAttempt, exc: AttemptFailure) -> None:
+        """Record that `attempt` failed or that another one answered before it."""
+        if attempt.superseded and not attempt.stalled:
+            self.failed.record_superseded(exc)
+        else:
+            self.failed.record_failure(attempt.route, exc)
+        if self.req.send_guard is not None:
+            self.req.send_guard.attempt_failed(exc.verdict)
+
+
+def superseded_failure() -> AttemptFailure:
+    """Return the failure of an attempt beside which another one answered."""
+    return AttemptFailure(
+        detail="another attempt answered first",
+        verdict=Verdict.MAY_HAVE_RUN,
+        cause=FailureCause.SILENT,
+    )
+
+
 class FailedAttempts:
     """Failed attempts of one request.
 
@@ -46,6 +175,11 @@
         if isinstance(route, TargetRoute) or not entry_only:
             self.exclude(route)
 
+    def record_superseded(self, exc: AttemptFailure) -> None:
+        """Record that an attempt was cancelled as another one answered before it."""
+        self.count += 1
+        self.verdict = self.verdict.merge(exc.verdict)
+
     def exclude(self, route: TargetRoute | RegionRoute) -> None:
         """Exclude the target or region of `route` from further attempts."""
         if isinstance(route, TargetRoute):
--- a/pimentospool/dispatch.py
+++ b/pimentospool/dispatch.py
@@ -1,12 +1,20 @@
 """Dispatch of verified requests: admission, routing, attempts and retries."""
 
 import asyncio
+import math
 import random
 
+import msgspec
+
 from pimentospool._generated.platform import VmRecord
 from pimentospool._generated.settings import Settings
 from pimentospool.admission import Admission
-from pimentospool.attempts import FailedAttempts
+from pimentospool.attempts import (
+    FailedAttempts,
+    RequestProgress,
+    RoutedAttempt,
+    superseded_failure,
+)
 from pimentospool.errors import Reason, RequestFailure
 from pimentospool.exchanges import ExchangeFactory, remaining_seconds
 from pimentospool.fleet import Fleet
@@ -22,16 +30,18 @@
     TargetRoute,
 )
 from pimentospool.relaying import (
-    FirstByteReportingSink,
+    AttemptSink,
     StreamRelay,
     hop_failure,
     relay_body,
 )
 from pimentospool.requests import AnswerSink, GatewayRequest
+from pimentospool.running_attempts import STANDBY_INTERVAL_SECONDS
 from pimentospool.signals import Signal
 from pimentospool.targets import (
     Answer,
     AttemptFailure,
+    Exchange,
     ExchangeClient,
     FailureCause,
 )
@@ -126,29 +136,44 @@
     async def _serve_admitted(
         self, req: GatewayRequest, record: OutcomeRecorder
     ) -> None:
-        relay = StreamRelay(resume_after=req.resume_after)
-        attempts = FailedAttempts()
+        progress = RequestProgress(req=req, record=record)
+        try:
+            await self._make_attempts(progress)
+        finally:
+            await progress.running.cancel()
+
+    async def _make_attempts(self, progress: RequestProgress) -> None:
+        """Make attempts until one answers.
+
+        An attempt whose target is silent goes on, beside another one where that is
+        allowed, until one of the two answers.
+
+        Raises
+        ------
+        RequestFailure
+            If the last attempt failed.
+        """
+        running, failed = progress.running, progress.failed
         while True:
-            route = await self._choose_route(req, attempts, relay)
-            record.attempts += 1
-            if record.attempts == 1:
-                self._retries.record_first_attempt(
-                    req.customer.id, _destination_id(route)
-                )
-            try:
-                await self._attempt(req, route, record, relay, attempts)
+            if not running:
+                self._start(progress, await self._choose_route(progress))
+            attempt = await running.wait_for_end(self._standby_wait_seconds(progress))
+            if attempt is None:
+                self._start_standby(progress)
+                continue
+            exc = _attempt_failure(attempt)
+            if exc is None:
                 return
-            except AttemptFailure as exc:
-                attempts.record_failure(route, exc)
-                if req.send_guard is not None:
-                    req.send_guard.attempt_failed(exc.verdict)
-                if record.started and not relay.resumable:
-                    raise attempts.failure_error(req) from exc
-                if not self._may_retry(req, route, attempts):
-                    raise attempts.failure_error(req) from exc
+            progress.record_failure(attempt, exc)
+            if running:
+                continue
+            if not progress.may_continue or not self._may_retry(
+                progress.req, attempt.route, failed, attempts=failed.count
+            ):
+                raise failed.failure_error(progress.req) from exc
 
     async def _choose_route(
-        self, req: GatewayRequest, attempts: FailedAttempts, relay: StreamRelay
+        self, progress: RequestProgress
     ) -> TargetRoute | RegionRoute:
         """Return the destination of the next attempt, after a wait where needed.
 
@@ -157,56 +182,154 @@
         RequestFailure
             If there is no destination for another attempt.
         """
+        req, failed = progress.req, progress.failed
         was_queued = False
         while True:
             if remaining_seconds(req) <= 0:
-                raise attempts.deadline_error()
-            route = self._router.choose(self._query(req, attempts))
-            if isinstance(route, RouteRefusal):
-                if attempts.reset_exclusions(req):
-                    continue
-                if not route.may_wait or attempts.count:
-                    raise attempts.refusal_error(route)
-                await self._admission.wait_in_queue(req, route)
-                was_queued = True
-            elif relay.can_continue_at(route):
+                raise failed.deadline_error()
+            route = self._choose_continuing(progress)
+            if not isinstance(route, RouteRefusal):
                 break
-            else:
-                attempts.exclude(route)
+            if failed.reset_exclusions(req):
+                continue
+            if not route.may_wait or failed.count:
+                raise failed.refusal_error(route)
+            await self._admission.wait_in_queue(req, route)
+            was_queued = True
         if was_queued:
             self._admission.record_placed_after_wait()
-        self._check_route(req, route, attempts.verdict)
+        self._check_route(req, route, failed.verdict)
         return route
 
-    async def _attempt(
+    def _choose_continuing(
+        self, progress: RequestProgress, beside: RoutedAttempt | None = None
+    ) -> TargetRoute | RegionRoute | RouteRefusal:
+        """Return a destination that can go on after what the caller has.
+
+        Parameters
+        ----------
+        progress : RequestProgress
+            The request.
+        beside : RoutedAttempt or None
+            Attempt in progress, whose destination is not returned.
+        """
+        while True:
+            query = self._query(progress.req, progress.failed)
+            if beside is not None:
+                query = self._query_beside(query, beside.route, progress.failed)
+            route = self._router.choose(query)
+            if isinstance(route, RouteRefusal) or progress.relay.can_continue_at(route):
+                return route
+            progress.failed.exclude(route)
+
+    def _query_beside(
         self,
-        req: GatewayRequest,
+        query: RouteQuery,
         route: TargetRoute | RegionRoute,
-        record: OutcomeRecorder,
-        relay: StreamRelay,
-        attempts: FailedAttempts,
+        failed: FailedAttempts,
+    ) -> RouteQuery:
+        """Return `query` without the destination of an attempt in progress.
+
+        Another entry VM of the same region may be sent the request, as after a failure.
+        """
+        if isinstance(route, TargetRoute):
+            excluded = query.excluded_targets | {route.target.id}
+            return msgspec.structs.replace(query, excluded_targets=excluded)
+        if self._untried_entries(route.region, failed):
+            return query
+        regions = query.excluded_regions | {route.region}
+        return msgspec.structs.replace(query, excluded_regions=regions)
+
+    def _standby_wait_seconds(self, progress: RequestProgress) -> float:
+        """Return the time until an attempt may have to begin beside the running one."""
+        attempt = progress.running.sole
+        if attempt is None or not progress.req.idempotent:
+            return math.inf
+        now = asyncio.get_running_loop().time()
+        # The wait for the first part may end, and one for a later part begin.
+        stalls_at = min(
+            attempt.stalls_at, now + self._cfg.targets.progress_timeout_seconds
+        )
+        return max(0.0, max(stalls_at, progress.standby_at) - now)
+
+    def _start_standby(self, progress: RequestProgress) -> None:
+        """Start an attempt beside a stalled one if another send is allowed."""
+        now = asyncio.get_running_loop().time()
+        stalled = progress.running.sole
+        if stalled is None or now < stalled.stalls_at or now < progress.standby_at:
+            return
+        stalled.flight.silent()
+        progress.standby_at = now + STANDBY_INTERVAL_SECONDS
+        if not progress.may_continue:
+            return
+        route = self._choose_standby(progress, stalled)
+        if route is None or not self._may_retry(
+            progress.req,
+            stalled.route,
+            progress.failed,
+            attempts=progress.failed.count + len(progress.running),
+        ):
+            return
+        stalled.stalled = True
+        self._client.renew_connections(stalled.url)
+        self._start(progress, route)
+
+    def _choose_standby(
+        self, progress: RequestProgress, stalled: RoutedAttempt
+    ) -> TargetRoute | RegionRoute | None:
+        """Return the destination of an attempt beside `stalled`, None without one.
+
+        Where there is no other one, it may be the same one once: the connection to it
+        may be lost.
+        """
+        route = self._choose_continuing(progress, beside=stalled)
+        if isinstance(route, RouteRefusal):
+            if progress.sent_again_beside:
+                return None
+            route = self._choose_continuing(progress)
+            if isinstance(route, RouteRefusal):
+                return None
+            progress.sent_again_beside = True
+            progress.failed.tried_entries.clear()
+        return route if self._is_permitted(progress.req, route) else None
+
+    def _start(
+        self, progress: RequestProgress, route: TargetRoute | RegionRoute
     ) -> None:
-        flight = self._router.start(route, self._query(req, attempts))
-        sink = FirstByteReportingSink(sink=record, flight=flight)
-        span = self._start_attempt_span(req, route)
+        req, record = progress.req, progress.record
+        record.attempts += 1
+        if record.attempts == 1:
+            self._retries.record_first_attempt(req.customer.id, _destination_id(route))
+        # Requests that are placed before the task starts have to be placed beside it.
+        attempt = RoutedAttempt(
+            route=route,
+            flight=self._router.start(route, self._query(req, progress.failed)),
+            span=self._start_attempt_span(req, route),
+        )
+        progress.record_destination(attempt)
+        progress.running.start(attempt, self._attempt(progress, attempt))
+        assert attempt.task is not None
+        attempt.task.add_done_callback(lambda _: self._admission.wake_next())
+
+    async def _attempt(self, progress: RequestProgress, attempt: RoutedAttempt) -> None:
+        sink = AttemptSink(
+            sink=progress.record,
+            flight=attempt.flight,
+            claim=lambda: progress.claim_reply(attempt),
+        )
         try:
-            if isinstance(route, TargetRoute):
-                record.served_by = route.target.id
-                await self._serve_at_target(req, route, sink, relay, span)
+            if isinstance(attempt.route, TargetRoute):
+                await self._serve_at_target(progress, attempt, attempt.route, sink)
             else:
-                record.sent_to_region = route.region
-                await self._serve_at_region(req, route, sink, relay, attempts, span)
-            span.set(SpanAttribute.VERDICT, Verdict.RAN.value)
+                await self._serve_at_region(progress, attempt, attempt.route, sink)
+            attempt.span.set(SpanAttribute.VERDICT, Verdict.RAN.value)
         except AttemptFailure as exc:
-            span.set(SpanAttribute.VERDICT, exc.verdict.value)
-            span.set(SpanAttribute.CAUSE, exc.cause.value)
-            if exc.problem is None:
-                flight.failed()
+            attempt.fail(exc)
+            raise
+        except asyncio.CancelledError:
+            if attempt.superseded:
+                attempt.fail(superseded_failure())
             raise
-        finally:
-            span.end()
-            flight.finish()
-            self._admission.wake_next()
 
     def _start_attempt_span(
         self, req: GatewayRequest, route: TargetRoute | RegionRoute
@@ -224,15 +347,17 @@
         self,
         req: GatewayRequest,
         route: TargetRoute | RegionRoute,
-        attempts: FailedAttempts,
+        failed: FailedAttempts,
+        *,
+        attempts: int,
     ) -> bool:
         self._retries.ratio = self._view.index.manifest.limits.retry_ratio
         decision = self._retries.decide(
             customer=req.customer.id,
             destination=_destination_id(route),
-            verdict=attempts.verdict,
+            verdict=failed.verdict,
             idempotent=req.idempotent,
-            attempts=attempts.count,
+            attempts=attempts,
             remaining_seconds=remaining_seconds(req),
         )
         return decision is RetryDecision.RETRY
@@ -271,23 +396,34 @@
         RequestFailure
             If the request may not be sent to the region of `route`.
         """
+        if not self._is_permitted(req, route):
+            region = self._region_of(route)
+            raise RequestFailure(
+                reason=Reason.REGION_NOT_ALLOWED,
+                detail=f"the request may not be sent to region {region} from here",
+                verdict=verdict,
+            )
+
+    def _is_permitted(
+        self, req: GatewayRequest, route: TargetRoute | RegionRoute
+    ) -> bool:
+        """Whether `route` is in the allowed regions and no second hop."""
         local_region = self._cfg.entry.region
+        region = self._region_of(route)
         if isinstance(route, TargetRoute):
-            region = self._view.index.region_of(route.target)
             permitted = region == local_region
         else:
-            region = route.region
             permitted = (
                 region != local_region and req.hop is None and not req.local_only
             )
-        if not permitted or region not in self._allowed_regions(req):
-            raise RequestFailure(
-                reason=Reason.REGION_NOT_ALLOWED,
-                detail=f"the request may not be sent to region {region} from here",
-                verdict=verdict,
-            )
+        return permitted and region in self._allowed_regions(req)
+
+    def _region_of(self, route: TargetRoute | RegionRoute) -> RegionId:
+        if isinstance(route, TargetRoute):
+            return self._view.index.region_of(route.target)
+        return route.region
 
-    def _query(self, req: GatewayRequest, attempts: FailedAttempts) -> RouteQuery:
+    def _query(self, req: GatewayRequest, failed: FailedAttempts) -> RouteQuery:
         return RouteQuery(
             allowed_regions=self._allowed_regions(req),
             model=req.model,
@@ -297,8 +433,8 @@
             max_tokens=req.max_tokens,
             blocks=req.blocks,
             is_hop=req.hop is not None or req.local_only,
-            excluded_targets=frozenset(attempts.excluded_targets),
-            excluded_regions=frozenset(attempts.excluded_regions)
+            excluded_targets=frozenset(failed.excluded_targets),
+            excluded_regions=frozenset(failed.excluded_regions)
             | self._unreachable_regions(),
             remaining_seconds=remaining_seconds(req),
         )
@@ -308,30 +444,27 @@
 
     async def _serve_at_target(
         self,
-        req: GatewayRequest,
+        progress: RequestProgress,
+        attempt: RoutedAttempt,
         route: TargetRoute,
         sink: AnswerSink,
-        relay: StreamRelay,
-        span: Span,
     ) -> None:
-        exchange = self._exchanges.to_target(req, route.target, relay, span.traceparent)
+        req, relay = progress.req, progress.relay
+        exchange = self._exchanges.to_target(
+            req, route.target, relay, attempt.span.traceparent
+        )
+        _observe_silence(req, exchange, attempt)
         async with self._client.open(exchange) as answer:
             await self._relay(req, answer, sink, relay)
 
     async def _serve_at_region(
         self,
-        req: GatewayRequest,
+        progress: RequestProgress,
+        attempt: RoutedAttempt,
         route: RegionRoute,
         sink: AnswerSink,
-        relay: StreamRelay,
-        attempts: FailedAttempts,
-        span: Span,
     ) -> None:
-        peers = [
-            peer
-            for peer in self._fleet.entries(route.region)
-            if peer.id not in attempts.tried_entries
-        ]
+        peers = self._untried_entries(route.region, progress.failed)
         if not peers:
             raise AttemptFailure(
                 detail=f"no entry VM of {route.region} is live",
@@ -339,8 +472,19 @@
                 cause=FailureCause.REFUSED,
             )
         peer = self._rng.choice(peers)
-        attempts.tried_entries.add(EntryId(peer.id))
-        await self.serve_at_entry(req, peer, sink, relay, span)
+        progress.failed.tried_entries.add(EntryId(peer.id))
+        await self.serve_at_entry(
+            progress.req, peer, sink, progress.relay, attempt=attempt
+        )
+
+    def _untried_entries(
+        self, region: RegionId, failed: FailedAttempts
+    ) -> list[VmRecord]:
+        return [
+            peer
+            for peer in self._fleet.entries(region)
+            if peer.id not in failed.tried_entries
+        ]
 
     async def serve_at_entry(
         self,
@@ -348,7 +492,8 @@
         peer: VmRecord,
         sink: AnswerSink,
         relay: StreamRelay | None = None,
-        span: Span | None = None,
+        *,
+        attempt: RoutedAttempt | None = None,
     ) -> None:
         """Send `req` one hop to the entry VM `peer` and relay its response.
 
@@ -359,8 +504,10 @@
         """
         if relay is None:
             relay = StreamRelay(resume_after=req.resume_after)
-        parent = req.traceparent if span is None else span.traceparent
+        parent = req.traceparent if attempt is None else attempt.span.traceparent
         exchange = self._exchanges.to_entry(req, peer, relay, parent)
+        if attempt is not None:
+            _observe_silence(req, exchange, attempt)
         async with self._client.open(exchange) as answer:
             if answer.is_refusal:
                 raise await hop_failure(answer)
@@ -375,6 +522,29 @@
             await relay_body(answer, sink)
 
 
+def _observe_silence(
+    req: GatewayRequest, exchange: Exchange, attempt: RoutedAttempt
+) -> None:
+    """Let another attempt begin beside a silent exchange instead of ending it."""
+    attempt.url = exchange.url
+    if req.idempotent:
+        exchange.silence_observer = attempt
+
+
+def _attempt_failure(attempt: RoutedAttempt) -> AttemptFailure | None:
+    """Return how an attempt that has ended failed, None if it answered the request."""
+    assert attempt.task is not None
+    try:
+        attempt.task.result()
+    except asyncio.CancelledError:
+        if not attempt.superseded:
+            raise
+        return superseded_failure()
+    except AttemptFailure as exc:
+        return exc
+    return None
+
+
 def _interrupted_verdict(record: OutcomeRecorder) -> Verdict:
     """Return the verdict of a request that was cancelled or met an internal error."""
     return Verdict.MAY_HAVE_RUN if record.attempts else Verdict.NOT_RUN
--- a/pimentospool/exchanges.py
+++ b/pimentospool/exchanges.py
@@ -118,10 +118,10 @@
     def _answer_timeout_seconds(
         self, req: GatewayRequest, *, timeout_factor: int = 1
     ) -> float:
-        """Return the timeout for the start of the response.
+        """Return the time after which the other side counts as silent.
 
         For an idempotent request it is at most half of the remaining time, so that
-        a retry elsewhere still has time.
+        another attempt still has time.
         """
         remaining = remaining_seconds(req)
         if not req.idempotent:
--- a/pimentospool/relaying.py
+++ b/pimentospool/relaying.py
@@ -1,5 +1,7 @@
 """Relay of responses from targets and other entry VMs to the caller."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from pimentospool.errors import Problem
@@ -70,15 +72,16 @@
             await self._send(answer, batch, sink)
             if batch.done:
                 await sink.finish()
-                await _drain_body(answer)
+                await answer.drain()
                 return
         raise _unknown_outcome_failure("the stream ended before its end event")
 
     async def _send(self, answer: Answer, batch: EventBatch, sink: AnswerSink) -> None:
         if not sink.started:
             await sink.start(status=answer.status, content_type=answer.content_type)
-        self._position.record(batch.without_end)
+        # The sink refuses what another attempt has answered; the position stays then.
         await sink.write(batch.data)
+        self._position.record(batch.without_end)
 
     def _check_events(self, batch: EventBatch) -> None:
         fault = self._position.events_fault(batch.without_end, at_start=False)
@@ -86,8 +89,8 @@
             raise _unknown_outcome_failure(fault)
 
 
-class FirstByteReportingSink:
-    """Sink that reports the first bytes of a response to the router.
+class AttemptSink:
+    """Sink of one attempt, whose first part answers the request.
 
     Parameters
     ----------
@@ -95,13 +98,21 @@
         Where the answer goes.
     flight : TargetFlight or RegionFlight
         The router's record of the attempt in progress.
+    claim : callable
+        Called before each part; ends the request's other attempt, or raises an
+        `AttemptFailure` if that one has answered.
     """
 
     def __init__(
-        self, *, sink: AnswerSink, flight: TargetFlight | RegionFlight
+        self,
+        *,
+        sink: AnswerSink,
+        flight: TargetFlight | RegionFlight,
+        claim: Callable[[], None],
     ) -> None:
         self._sink = sink
         self._flight = flight
+        self._claim = claim
 
     @property
     def started(self) -> bool:
@@ -110,15 +121,18 @@
 
     async def send_whole(self, *, status: int, content_type: str, body: bytes) -> None:
         """Send a complete response."""
+        self._claim()
         self._flight.first_token()
         await self._sink.send_whole(status=status, content_type=content_type, body=body)
 
     async def start(self, *, status: int, content_type: str) -> None:
         """Start a streamed response."""
+        self._claim()
         await self._sink.start(status=status, content_type=content_type)
 
     async def write(self, data: bytes) -> None:
         """Send a part of a streamed response."""
+        self._claim()
         self._flight.first_token()
         await self._sink.write(data)
 
@@ -183,16 +197,5 @@
     return rest
 
 
-async def _drain_body(answer: Answer) -> None:
-    """Read the end of the body, so that the connection can be reused.
-
-    A failure here is ignored, as the caller already has the end event.
-    """
-    try:
-        await answer.next_events()
-    except AttemptFailure:
-        return
-
-
 def _unknown_outcome_failure(detail: str) -> AttemptFailure:
     return AttemptFailure(detail=detail, verdict=Verdict.MAY_HAVE_RUN)
--- a/pimentospool/targets/__init__.py
+++ b/pimentospool/targets/__init__.py
@@ -11,6 +11,7 @@
     VERDICT_HEADER,
     Answer,
     Exchange,
+    SilenceObserver,
 )
 from pimentospool.targets._failures import AttemptFailure, FailureCause
 
@@ -30,4 +31,5 @@
     "Exchange",
     "ExchangeClient",
     "FailureCause",
+    "SilenceObserver",
 ]
--- a/pimentospool/targets/_client.py
+++ b/pimentospool/targets/_client.py
@@ -90,9 +90,10 @@
                 if (
                     not progress.connection_reused
                     or exc.cause not in _LOST_CONNECTION_CAUSES
+                    or deadline_after(0.0) >= deadline
                 ):
                     raise
-                await self._retire(pool)
+                self._retire(pool)
                 resp = None
             if resp is not None:
                 async with resp:
@@ -140,11 +141,14 @@
         progress: "_SendProgress",
         deadline: float,
     ) -> aiohttp.ClientResponse:
-        remaining = deadline - asyncio.get_running_loop().time()
+        timeout_seconds = deadline - asyncio.get_running_loop().time()
+        observer = exchange.silence_observer
+        if observer is None:
+            timeout_seconds = min(timeout_seconds, exchange.first_byte_timeout_seconds)
+        else:
+            observer.begin_wait(exchange.first_byte_timeout_seconds)
         try:
-            async with asyncio.timeout(
-                min(remaining, exchange.first_byte_timeout_seconds)
-            ):
+            async with asyncio.timeout(timeout_seconds):
                 return await session.request(
                     exchange.method,
                     exchange.url,
@@ -166,7 +170,16 @@
             self._pools[origin] = pool
         return pool
 
-    async def _retire(self, pool: "_Pool") -> None:
+    def renew_connections(self, url: str) -> None:
+        """Open new connections to the address of `url` for further exchanges.
+
+        After silence on one connection of a pool, its other ones may be lost too.
+        """
+        pool = self._pools.get(_origin(url))
+        if pool is not None and pool.user_count:
+            self._retire(pool)
+
+    def _retire(self, pool: "_Pool") -> None:
         if self._pools.get(pool.origin) is pool:
             del self._pools[pool.origin]
             self._retired_pools.add(pool)
--- a/pimentospool/targets/_exchange.py
+++ b/pimentospool/targets/_exchange.py
@@ -1,9 +1,11 @@
 """HTTP exchanges, and reading and validation of their responses."""
 
 import asyncio
+import math
 from collections.abc import Callable
+from contextlib import suppress
 from types import TracebackType
-from typing import Self
+from typing import Protocol, Self
 
 import aiohttp
 import msgspec
@@ -28,11 +30,30 @@
 _SERVER_ERROR = 500
 
 
+class SilenceObserver(Protocol):
+    """Decides what follows from the silence of the other side."""
+
+    def begin_wait(self, timeout_seconds: float) -> None:
+        """Record that a part of the response is waited for.
+
+        Parameters
+        ----------
+        timeout_seconds : float
+            Time after which the other side counts as silent.
+        """
+        ...
+
+    def end_wait(self) -> None:
+        """Record that the part has arrived."""
+        ...
+
+
 class Exchange(msgspec.Struct, kw_only=True):
     """A request as it is sent to a target or to another entry VM.
 
     `timeout_seconds` bounds the whole exchange, `first_byte_timeout_seconds` the wait
-    for the first byte of the response. An `idempotent` exchange may run twice. The
+    for the first byte of the response. With a `silence_observer`, only
+    `timeout_seconds` ends the exchange. An `idempotent` exchange may run twice. The
     response to a hop (`is_hop`) may be a problem document, which has a verdict of its
     own.
     `before_sending` is called without an await before the first byte is handed to a
@@ -49,6 +70,7 @@
     idempotent: bool
     is_hop: bool = False
     before_sending: Callable[[], None] | None = None
+    silence_observer: SilenceObserver | None = None
 
 
 class Answer:
@@ -78,10 +100,16 @@
         self.content_type = resp.headers.get("Content-Type", "application/json")
         self._resp = resp
         self._splitter = EventSplitter()
+        self._observer = exchange.silence_observer
+        self._wait_timeout_seconds = exchange.first_byte_timeout_seconds
+        self._progress_timeout_seconds = progress_timeout_seconds
+        observed = self._observer is not None
         self._watchdog = ReadWatchdog(
             on_timeout=resp.close,
-            first_timeout_seconds=exchange.first_byte_timeout_seconds,
-            later_timeout_seconds=progress_timeout_seconds,
+            first_timeout_seconds=math.inf
+            if observed
+            else exchange.first_byte_timeout_seconds,
+            later_timeout_seconds=math.inf if observed else progress_timeout_seconds,
             deadline=deadline,
         )
 
@@ -140,14 +168,30 @@
             raise _broken_exchange("the stream ended within an event")
         return None
 
+    async def drain(self) -> None:
+        """Read the end of the body, so that the connection can be reused.
+
+        A failure here is ignored, as the caller already has the end event. Silence
+        isn't observed any more, as no other attempt is needed.
+        """
+        self._observer = None
+        with suppress(AttemptFailure, TimeoutError):
+            async with asyncio.timeout(self._progress_timeout_seconds):
+                await self.next_events()
+
     async def _read(self) -> bytes:
         watchdog = self._watchdog
         watchdog.is_reading = True
+        if self._observer is not None:
+            self._observer.begin_wait(self._wait_timeout_seconds)
         try:
             chunk: bytes = await self._resp.content.readany()
         except TRANSPORT_ERRORS as exc:
             raise self._read_failure(exc) from exc
         watchdog.record_progress()
+        if self._observer is not None:
+            self._observer.end_wait()
+            self._wait_timeout_seconds = self._progress_timeout_seconds
         return chunk
 
     def _read_failure(self, exc: Exception) -> AttemptFailure:
--- a/tests/fuzz/test_continuations.py
+++ b/tests/fuzz/test_continuations.py
@@ -340,6 +340,9 @@
             raise AttemptFailure(detail="cut", verdict=Verdict.MAY_HAVE_RUN)
         return None
 
+    async def drain(self):
+        self._parts.clear()
+
 
 @given(body=bodies, done=st.booleans(), end=ends, bounds=cuts)
 def test_caller_of_the_own_front_gets_only_events_that_continue_its_stream(
--- a/tests/targets/test_exchange_client.py
+++ b/tests/targets/test_exchange_client.py
@@ -350,6 +350,74 @@
     assert runner.run(check()) == b"2"
 
 
+class RecordingObserver:
+    """Records the timeouts of the waits, and None at the end of each."""
+
+    def __init__(self):
+        self.waits = []
+
+    def begin_wait(self, timeout_seconds):
+        self.waits.append(timeout_seconds)
+
+    def end_wait(self):
+        self.waits.append(None)
+
+
+def test_observed_exchange_goes_on_after_silence_until_its_deadline(runner):
+    async def script(server, reader, writer):
+        await server.read_request(reader)
+        for part in (CHUNKED, b"5\r\nshort\r\n", b"0\r\n\r\n"):
+            await asyncio.sleep(0.3)
+            writer.write(part)
+        await server.read_request(reader)
+        await asyncio.sleep(30)
+
+    async def check():
+        observer = RecordingObserver()
+        options = {
+            "idempotent": True,
+            "first_byte_timeout_seconds": 0.1,
+            "silence_observer": observer,
+        }
+        async with (
+            RawServer(script) as server,
+            open_client(progress_timeout_seconds=0.2) as exchange_client,
+        ):
+            exchange = make_exchange(server.url, **options)
+            async with exchange_client.open(exchange) as answer:
+                body = await answer.body()
+            late = make_exchange(server.url, timeout_seconds=0.5, **options)
+            failure = await send_expecting_failure(exchange_client, late)
+            return body, observer.waits, failure, len(server.requests)
+
+    body, waits, failure, requests = runner.run(check())
+    assert body == b"short"
+    assert waits == [0.1, 0.1, None, 0.2, None, 0.1]
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+    assert requests == 2
+
+
+def test_renewed_connections_are_new_ones(runner):
+    async def script(server, reader, writer):
+        number = server.connections
+        while True:
+            await server.read_request(reader)
+            writer.write(http_response(b"%d" % number))
+
+    async def check():
+        async with RawServer(script) as server, open_client() as exchange_client:
+            exchange = make_exchange(server.url, idempotent=True)
+            bodies = []
+            for _ in range(3):
+                async with exchange_client.open(exchange) as answer:
+                    bodies.append(await answer.body())
+                    if len(bodies) == 2:
+                        exchange_client.renew_connections(server.url)
+            return bodies, len(exchange_client._retired_pools)
+
+    assert runner.run(check()) == ([b"1", b"1", b"2"], 0)
+
+
 async def respond_then_close_on_next_request(server, reader, writer):
     number = server.connections
     await server.read_request(reader)
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -159,3 +159,41 @@
         assert not relay.resumable
 
     runner.run(run())
+
+
+def test_target_that_keeps_its_connection_after_the_end_event_is_not_waited_for(runner):
+    class Observer:
+        waiting = False
+
+        def begin_wait(self, timeout_seconds):
+            self.waiting = True
+
+        def end_wait(self):
+            self.waiting = False
+
+    async def script(server, reader, writer):
+        await server.read_request(reader)
+        writer.write(CHUNKED + chunk(REST + DONE))
+        await asyncio.sleep(30)
+
+    async def run():
+        observer, sink = Observer(), RecordingSink()
+        client = ExchangeClient(cfg=TargetSettings(progress_timeout_seconds=0.2))
+        async with RawServer(script) as server:
+            exchange = Exchange(
+                method="POST",
+                url=server.url,
+                headers={},
+                body=b"{}",
+                request_id="mine",
+                timeout_seconds=30.0,
+                first_byte_timeout_seconds=2.0,
+                idempotent=True,
+                silence_observer=observer,
+            )
+            async with asyncio.timeout(5), client.open(exchange) as answer:
+                await StreamRelay(resume_after=LAST_SENT).run(answer, sink)
+            await client.close()
+        return sink.finished, observer.waiting
+
+    assert runner.run(run()) == (True, False)
