Keep the second send to an only target until the budget allows it

Cause: the send to the same destination beside a silent attempt, allowed once, counted as made when it was chosen, before the retry budget was asked. After a refusal of the budget it was never made. Change: it counts when it starts. Evidence: tests/test_silent_targets.py, test_request_over_a_lost_connection_ is_sent_again_to_the_only_target[1.0]: without the change it had not ended after 60 s, as the request waited for its deadline. Result: tests/test_silent_targets.py passed.

--- a/pimentospool/dispatch.py
+++ b/pimentospool/dispatch.py
@@ -270,6 +270,8 @@
             attempts=progress.failed.count + len(progress.running),
         ):
             return
+        if _destination_id(route) == _destination_id(stalled.route):
+            self._allow_same_destination(progress, route)
         stalled.stalled = True
         self._client.renew_connections(stalled.url)
         self._start(progress, route)
@@ -289,9 +291,17 @@
             route = self._choose_continuing(progress)
             if isinstance(route, RouteRefusal):
                 return None
+        return route if self._is_permitted(progress.req, route) else None
+
+    def _allow_same_destination(
+        self, progress: RequestProgress, route: TargetRoute | RegionRoute
+    ) -> None:
+        """Let an attempt use the destination of the one beside it, once."""
+        if isinstance(route, TargetRoute):
+            progress.sent_again_beside = True
+        elif not self._untried_entries(route.region, progress.failed):
             progress.sent_again_beside = True
             progress.failed.tried_entries.clear()
-        return route if self._is_permitted(progress.req, route) else None
 
     def _start(
         self, progress: RequestProgress, route: TargetRoute | RegionRoute
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -177,7 +177,17 @@
     assert runner.run(check()) == (200, 1, 1)
 
 
-def test_request_over_a_lost_connection_is_sent_again_to_the_only_target(runner):
+@pytest.mark.parametrize("wait_seconds", [0.0, 1.0])
+def test_request_over_a_lost_connection_is_sent_again_to_the_only_target(
+    runner, wait_seconds
+):
+    """The retry budget is empty for the first `wait_seconds`."""
+
+    def set_budgets(running, retries):
+        policy = running.entries[0].dispatcher._retries
+        for budget in [*policy._customers.values(), *policy._destinations.values()]:
+            budget._available = retries
+
     async def check():
         async with (
             gateway(change=with_one_engine, settings=use_short_timeouts) as running,
@@ -185,6 +195,11 @@
         ):
             texts = []
             for _ in range(2):
+                if texts and wait_seconds:
+                    set_budgets(running, 0.0)
+                    asyncio.get_running_loop().call_later(
+                        wait_seconds, set_budgets, running, 1.0
+                    )
                 body = chat(max_tokens=3)
                 async with session.post(CHAT, json=body) as resp:
                     texts.append(streamed_text(await resp.read())[0])
