Report a request as possibly run after a send on a closed connection

Cause: an idempotent exchange whose pooled connection turns out to be closed is sent again over a new one, and only the second send's verdict was reported. Where the new connection failed or the target refused the second send, the verdict was not-run, though the first send may have run. Change: the failure of the second send keeps the verdict of the first.

--- a/pimentospool/targets/_client.py
+++ b/pimentospool/targets/_client.py
@@ -100,8 +100,14 @@
                     with self._checked_answer(resp, exchange, deadline) as answer:
                         yield answer
                 return
-        async with self._open_on(self._unpooled_session, exchange, deadline) as answer:
-            yield answer
+        try:
+            async with self._open_on(
+                self._unpooled_session, exchange, deadline
+            ) as answer:
+                yield answer
+        except AttemptFailure as exc:
+            # What the second send proves says nothing of the first one.
+            raise exc.after(Verdict.MAY_HAVE_RUN) from exc
 
     @asynccontextmanager
     async def _open_on(
--- a/pimentospool/targets/_failures.py
+++ b/pimentospool/targets/_failures.py
@@ -56,6 +56,15 @@
         self.cause = cause
         self.problem = problem
 
+    def after(self, verdict: Verdict) -> "AttemptFailure":
+        """Return the failure of an exchange whose earlier send ended with `verdict`."""
+        return AttemptFailure(
+            detail=self.detail,
+            verdict=verdict.merge(self.verdict),
+            cause=self.cause,
+            problem=self.problem,
+        )
+
     def has_reason(self, *reasons: Reason) -> bool:
         """Whether the entry VM of a hop responded with one of `reasons`."""
         if self.problem is None:
--- a/tests/targets/test_exchange_client.py
+++ b/tests/targets/test_exchange_client.py
@@ -442,6 +442,36 @@
     assert runner.run(check()) == ([b"1", b"2"], 3)
 
 
+@pytest.mark.parametrize("refuses_connections", [False, True])
+def test_request_on_a_closed_pooled_connection_may_have_run_if_its_repeat_did_not(
+    runner, refuses_connections
+):
+    refusal = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+    async def script(server, reader, writer):
+        await server.read_request(reader)
+        if server.connections > 1:
+            writer.write(refusal)
+            await writer.drain()
+            return
+        writer.write(http_response(b"1"))
+        await server.read_request(reader)
+        if refuses_connections:
+            server._server.close()
+
+    async def check():
+        async with RawServer(script) as server, open_client() as exchange_client:
+            exchange = make_exchange(server.url, idempotent=True)
+            async with exchange_client.open(exchange) as answer:
+                await answer.body()
+            failure = await send_expecting_failure(exchange_client, exchange)
+            return failure, len(server.requests)
+
+    failure, requests = runner.run(check())
+    assert requests == (2 if refuses_connections else 3)
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+
+
 def test_dead_pooled_connection_is_replaced(runner):
     async def script(server, reader, writer):
         number = server.connections
