Test that a silent hop is waited for where the budget is used up

Change: the test of a silent target without a retry budget also runs with the targets in another region.

--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -4,7 +4,7 @@
 
 import msgspec
 import pytest
-from running_entry import chat, expected_text, gateway, streamed_text
+from running_entry import chat, expected_text, gateway, serving_in, streamed_text
 
 from pimentospool.faults import Direction, LinkState
 from pimentospool.policy import _retries
@@ -59,12 +59,18 @@
     return data
 
 
+@pytest.mark.parametrize("zones", [1, 2])
 def test_silent_target_answers_where_the_budget_allows_no_second_attempt(
-    runner, without_retry_budget
+    runner, without_retry_budget, zones
 ):
+    def serve_elsewhere(manifest):
+        return manifest if zones == 1 else serving_in(manifest, "piedmont")
+
     async def check():
         async with (
-            gateway(settings=use_short_timeouts) as running,
+            gateway(
+                zones=zones, change=serve_elsewhere, settings=use_short_timeouts
+            ) as running,
             running.session() as session,
         ):
             for proxy in running.engine_proxies():
@@ -76,7 +82,7 @@
 
     text, outcomes = runner.run(check())
     assert text == expected_text(3)
-    assert [outcome.attempts for outcome in outcomes] == [1]
+    assert [outcome.attempts for outcome in outcomes] == [1] * zones
 
 
 @pytest.mark.parametrize("budget", [0.0, 10.0])
