Count the streams that the earlier version got, not its health checks

Cause: test_entry_vm_out_of_step_does_not_join_versions compared all that the target had received, with its health checks. One of these came between the two counts in a run of all tests at a load of 18, and the test failed. Change: it counts streams, which is what must not reach that target.

--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -222,10 +222,10 @@
         await set_state(site, "v1", "draining")
         origin, holder = await begin(site)
         assert holder.instance == "gulf-a-v2"
-        before = len(old.received)
+        before = len(streams_of(old))
         status, target = await take_up(site, origin, node=1)
         assert (status, target) == (503, None)
-        assert len(old.received) == before
+        assert len(streams_of(old)) == before
         assert out_of_step.routing_state.versions("llm") == {"v1"}
         monkeypatch.undo()
         await site.wait_until(
