Read the own front's answers that arrived while the process stood still

Change: the wait for the head of an answer is a timeout_after_read. Result: 114 tests of tests/targets, tests/test_streams.py and tests/test_silent_targets.py passed, at a load of 16.

--- a/pimentospool/targets/_client.py
+++ b/pimentospool/targets/_client.py
@@ -24,6 +24,7 @@
     FailureCause,
     transport_failure,
 )
+from pimentospool.tasks import timeout_after_read
 from pimentospool.verdicts import Verdict
 
 HOP_TIMEOUT_FACTOR = 2
@@ -154,7 +155,7 @@
         else:
             observer.begin_wait(exchange.first_byte_timeout_seconds)
         try:
-            async with asyncio.timeout(timeout_seconds):
+            async with timeout_after_read(timeout_seconds):
                 return await session.request(
                     exchange.method,
                     exchange.url,
