Give a hop the time that is left without its round trip

Cause: a hop stated all of the time that was left as it was sent. The other region counted it from the hop's arrival, and none of the two saw that the answer has to come back: targets there worked, and were chosen, for answers that came after the deadline. Change: a hop states the time left without the round trip that the choice of the region was made with. A hop to a neighbour of the same region has none.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -275,7 +275,9 @@
         hold = self._begin_answer()
         try:
             self._check_caller()
-            remaining_seconds = self._remaining_seconds()
+            # A response that leaves there later comes after the deadline.
+            round_trip_seconds = choice.remote.round_trip_seconds
+            remaining_seconds = self._remaining_seconds() - round_trip_seconds
             if remaining_seconds <= 0:
                 raise _unsent_failure("the request's time is over", FailureCause.LATE)
             can_reroute = self._can_reroute()
