Refuse a request that has waited when its target is known to be too slow

Cause: an idle target is tried however slow its service has been, as only an answer shows that it has become faster. That held for any request, so one that had spent most of its time on connections that were not answered was run for an answer that could not arrive in time, though requests with their whole time left were served by that target. Change: a request with less than half of its time left is no such trial; for it the pace of the target, and the wait that another region reports, decide against the time left. Requests with more time left try idle targets as before. Evidence: the test plays callers with 1.3 s at a target that takes 0.8 s, beside two addresses that do not answer connections. Before, of the first four callers three got 504 after a run in vain; now a caller gets 200 or, before the run, 503. The same test lets the target become fast while its known pace is too slow for any caller: the next caller is served.

--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -41,6 +41,9 @@
 EXPECTED_TIMES = 2.0
 """Multiple of the expected time to the first byte before which an attempt isn't
 stalled: a second send to a service that is slow for all would only add to its load."""
+TRIAL_TIME_SHARE = 0.5
+"""Share of its time that a request must have left to try an idle target whose service
+has been too slow for it; with less, it would rather be cut off than show the speed."""
 STANDBY_INTERVAL_SECONDS = 0.25
 """Time between checks whether an attempt may begin beside a stalled one."""
 
@@ -91,8 +94,8 @@
         self._progress = RequestProgress(
             route=route, max_targets=max_targets, resume_after=req.resume_after
         )
-        timeout_seconds = min(req.client_timeout_seconds, route.timeout_seconds)
-        self._deadline = req.received_at + timeout_seconds
+        self._timeout_seconds = min(req.client_timeout_seconds, route.timeout_seconds)
+        self._deadline = req.received_at + self._timeout_seconds
         self._progress.last_progress_at = req.received_at
         self._standby_at = 0.0
         self._destination = ""
@@ -217,8 +220,14 @@
             self._service,
             self._progress,
             first_byte_timeout_seconds=self._first_byte_timeout_seconds(),
+            may_try_idle=self._may_try_idle,
         )
 
+    @property
+    def _may_try_idle(self) -> bool:
+        """Whether the request has the time to show that an idle target is faster."""
+        return self.remaining_seconds >= self._timeout_seconds * TRIAL_TIME_SHARE
+
     def _start(self, choice: TargetChoice | RegionChoice) -> None:
         self._log_choice(choice)
         progress = self._progress
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -123,11 +123,12 @@
         progress: RequestProgress,
         *,
         first_byte_timeout_seconds: float,
+        may_try_idle: bool = True,
     ) -> TargetChoice | RegionChoice | NoChoice:
         """Return the target or region for the next attempt of `req`.
 
         `first_byte_timeout_seconds` is the time for which the caller still waits for a
-        first byte.
+        first byte, `may_try_idle` is that of `choose_destination`.
         """
         preferred_region = self._preferred_region(req, route, service)
         remotes = []
@@ -173,6 +174,7 @@
             first_byte_timeout_seconds=first_byte_timeout_seconds,
             objective_seconds=route.target_latency_seconds or math.inf,
             min_wait_seconds=min_wait_seconds,
+            may_try_idle=may_try_idle,
         )
         choice = choose(candidates)
         if (
--- a/pimentospool/policy/_target_choice.py
+++ b/pimentospool/policy/_target_choice.py
@@ -217,6 +217,7 @@
     first_byte_timeout_seconds: float,
     objective_seconds: float = math.inf,
     min_wait_seconds: float = math.inf,
+    may_try_idle: bool = True,
 ) -> TargetChoice | RegionChoice | NoChoice:
     """Return the destination of a request, the one with the lowest cost.
 
@@ -232,6 +233,9 @@
         Latency objective for the first byte.
     min_wait_seconds : float
         Time until one of the targets that are left out may be sent a request.
+    may_try_idle : bool
+        Whether the request may show that an idle target has become faster. One that
+        has waited leaves that to others, which have the time for the answer.
     """
     local = min(candidates, key=lambda item: item.cost_seconds, default=None)
     remote = min(remotes, key=lambda item: item.cost_seconds, default=None)
@@ -253,8 +257,11 @@
     destination = local or remote
     assert destination is not None
     wait_seconds = destination.known_seconds
+    timely_seconds = first_byte_timeout_seconds * MAX_WAIT_SHARE
+    if not (may_try_idle or answers_within(destination, timely_seconds)):
+        wait_seconds = destination.first_byte_seconds
     max_wait_seconds = min(
-        first_byte_timeout_seconds * MAX_WAIT_SHARE,
+        timely_seconds,
         max(objective_seconds, destination.idle_seconds) * MAX_WAIT_OBJECTIVES,
     )
     if wait_seconds > max_wait_seconds:
@@ -267,6 +274,25 @@
     return RegionChoice(remote=destination)
 
 
+def answers_within(
+    destination: Candidate | RemoteRegion, seconds: float, *, may_try_idle: bool = False
+) -> bool:
+    """Whether the first byte of `destination` is expected within `seconds`.
+
+    Parameters
+    ----------
+    destination : Candidate or RemoteRegion
+        Where the request is to be sent.
+    seconds : float
+        Time for which the caller still waits.
+    may_try_idle : bool
+        As in `choose_destination`.
+    """
+    if may_try_idle:
+        return destination.known_seconds <= seconds
+    return destination.first_byte_seconds <= seconds
+
+
 def _prefill_cost_seconds(
     tokens: int, service_pace: float, slot_utilisation: float
 ) -> float:
--- a/tests/platform/test_time_left.py
+++ b/tests/platform/test_time_left.py
@@ -1,13 +1,44 @@
 """Requests that have too little time left for an answer are not run."""
 
+import socket
 import time
+from contextlib import contextmanager
 
 from platform_site import running_site
 
 from pimentospool.policy._target_choice import HOP_ROUND_TRIP_SECONDS
+from pimentospool.standins import target_entry
 
-DEADLINE_SECONDS = 1.5
+DEADLINE_SECONDS = 1.3
 MILLISECOND = 0.001
+SLOW_SECONDS = 0.8
+SLOW_PACE = 27.0
+"""Pace of targets that take `SLOW_SECONDS`."""
+
+
+@contextmanager
+def unanswering_addresses(count):
+    """Yield addresses at which connections are neither accepted nor refused."""
+    listeners, callers = [], []
+    try:
+        for _ in range(count):
+            listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+            listeners.append(listener)
+            callers.append(socket.create_connection(listener.getsockname()))
+        yield ["{}:{}".format(*item.getsockname()) for item in listeners]
+    finally:
+        for sock in listeners + callers:
+            sock.close()
+
+
+async def call_with_deadline(site, number):
+    """Send a request; return its status and the time until its answer."""
+    sent_at = time.monotonic()
+    headers = {"X-Request-Deadline": str(int(DEADLINE_SECONDS / MILLISECOND))}
+    status, _, _ = await site.call(
+        f"/look/{number}", request_id=f"r-{number}", headers=headers
+    )
+    return status, time.monotonic() - sent_at
 
 
 async def start_two_regions(site):
@@ -35,3 +66,43 @@
     given_seconds, sent_seconds = runner.run(check())
     left_seconds = DEADLINE_SECONDS - HOP_ROUND_TRIP_SECONDS
     assert left_seconds - sent_seconds - 0.05 < given_seconds <= left_seconds
+
+
+def test_request_that_waited_too_long_for_a_slow_target_is_refused_before_it_runs(
+    runner, tmp_path
+):
+    async def check():
+        async with running_site(tmp_path) as site:
+            gateway = site.nodes[0].gateway
+            with unanswering_addresses(2) as addresses:
+                for number, address in enumerate(addresses):
+                    record = target_entry(address)
+                    await site.store.put(f"servers/lost-{number}", record)
+                known_targets = gateway.routing_state.known_targets
+                await site.wait_until(lambda: len(known_targets()) == len(addresses))
+                target = await site.add_target("i-1")
+                await site.wait_until(lambda: "i-1" in known_targets())
+                pace = gateway.deps.placement.pace("desk")
+                for _ in range(100):
+                    pace.record(SLOW_PACE)
+                target.gap_seconds = SLOW_SECONDS
+                # The first caller and some later ones wait for connections in vain.
+                answers = [await call_with_deadline(site, n) for n in range(6)]
+                slow_runs = list(target.executed_requests)
+                for _ in range(100):
+                    pace.record(2 * SLOW_PACE)
+                target.gap_seconds = 0.0
+                for number in range(len(addresses)):
+                    await site.store.delete(f"servers/lost-{number}")
+                await site.wait_until(lambda: len(known_targets()) == 1)
+                later_answer = await call_with_deadline(site, 6)
+                return answers, slow_runs, later_answer
+
+    answers, slow_runs, later_answer = runner.run(check())
+    statuses = [status for status, _ in answers]
+    assert statuses[0] == 503
+    assert set(statuses) == {200, 503}
+    assert statuses.count(200) == len(slow_runs) >= 3
+    assert all(seconds < DEADLINE_SECONDS - 0.1 for _, seconds in answers)
+    # The speed is known as too slow for any caller, but the target is idle.
+    assert later_answer[0] == 200
--- a/tests/policy/test_target_choice.py
+++ b/tests/policy/test_target_choice.py
@@ -47,6 +47,23 @@
     assert isinstance(choose([], [region]), RegionChoice)
 
 
+@pytest.mark.parametrize("may_try_idle", [True, False])
+def test_request_that_has_waited_is_no_trial_of_an_idle_target(may_try_idle):
+    slow = promptless(service_pace=27.0)
+    region = RemoteRegion(region="delta", wait_seconds=0.8)
+    for destinations in ([slow], []), ([], [region]):
+        choice, timely_choice = (
+            choose_destination(
+                *destinations,
+                first_byte_timeout_seconds=seconds,
+                may_try_idle=may_try_idle,
+            )
+            for seconds in (0.45, 1.2)
+        )
+        assert isinstance(choice, NoChoice) is not may_try_idle
+        assert not isinstance(timely_choice, NoChoice)
+
+
 def test_busy_target_that_is_too_slow_for_the_caller_refuses():
     assert isinstance(choose([promptless(running=1, service_pace=100.0)]), NoChoice)
     assert isinstance(choose([engine(waiting=9000, service_pace=9.0)]), NoChoice)
