Ask for the time left again once an attempt has its connection

Cause: a destination is chosen by the time that is left before a connection is opened and a target's start is proved. Both may take long; after them, a request was sent unless no time at all was left. Change: before each send to a target or to another region, the expected time to the first byte is compared with the time that is left now. If it is longer, nothing is sent, and the request is placed again or refused as not run. Evidence: the test delays the connection by half of the caller's time, to a target and to another region whose targets take longer than the rest.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -28,6 +28,7 @@
     Candidate,
     MemoryHold,
     RegionChoice,
+    RemoteRegion,
     RequestTraits,
     TargetChoice,
 )
@@ -73,6 +74,9 @@
         State of the attempts made so far.
     remaining_seconds : callable
         Returns the seconds to the request's deadline.
+    answers_in_time : callable
+        Returns whether a destination may still answer in time, were it sent the
+        request now.
     traits : RequestTraits
         What of the request may make targets crash.
     reroutes : bool
@@ -90,6 +94,7 @@
         stamp: ConfigurationStamp,
         progress: RequestProgress,
         remaining_seconds: Callable[[], float],
+        answers_in_time: Callable[[Candidate | RemoteRegion], bool],
         traits: RequestTraits,
         reroutes: bool,
     ) -> None:
@@ -102,6 +107,7 @@
         self._service = service
         self._progress = progress
         self._remaining_seconds = remaining_seconds
+        self._answers_in_time = answers_in_time
         self._traits = traits
         self._receiver = AnswerReceiver(
             deps=deps,
@@ -192,6 +198,7 @@
                 if not conn.reusable:
                     raise _unsent_failure("the connection was closed before the send")
                 self._check_caller()
+                self._check_time(candidate)
                 encoded = self._encode_for_target(state, hold)
                 self._record_send()
                 sent_at = deps.clock()
@@ -275,6 +282,7 @@
         hold = self._begin_answer()
         try:
             self._check_caller()
+            self._check_time(choice.remote)
             # A response that leaves there later comes after the deadline.
             round_trip_seconds = choice.remote.round_trip_seconds
             remaining_seconds = self._remaining_seconds() - round_trip_seconds
@@ -342,6 +350,17 @@
         if self._reply.caller_left:
             raise ConnectionResetError("the caller has left")
 
+    def _check_time(self, destination: Candidate | RemoteRegion) -> None:
+        """Make sure that the wait for the connection left time for the response.
+
+        Raises
+        ------
+        AttemptFailure
+            If the response can't arrive in time.
+        """
+        if not self._answers_in_time(destination):
+            raise _unsent_failure("too little time is left", FailureCause.LATE)
+
     def _begin_answer(self) -> MemoryHold:
         is_stream = self._route.kind is RequestKind.STREAM
         return self._deps.memory.begin_answer(is_stream=is_stream)
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -24,9 +24,12 @@
 from pimentospool.ids import EntryId, SoftwareVersion
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
+    Candidate,
     NoChoice,
     RegionChoice,
+    RemoteRegion,
     TargetChoice,
+    answers_within,
     rank_members,
 )
 from pimentospool.targets import AttemptFailure, FailureCause
@@ -111,6 +114,7 @@
             stamp=stamp,
             progress=self._progress,
             remaining_seconds=lambda: self.remaining_seconds,
+            answers_in_time=self._answers_in_time,
             traits=self._traits,
             reroutes=reroutes,
         )
@@ -223,6 +227,13 @@
             may_try_idle=self._may_try_idle,
         )
 
+    def _answers_in_time(self, destination: Candidate | RemoteRegion) -> bool:
+        return answers_within(
+            destination,
+            self._first_byte_timeout_seconds(),
+            may_try_idle=self._may_try_idle,
+        )
+
     @property
     def _may_try_idle(self) -> bool:
         """Whether the request has the time to show that an idle target is faster."""
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -77,6 +77,7 @@
     RegionChoice,
     RemoteRegion,
     TargetChoice,
+    answers_within,
     choose_destination,
 )
 from pimentospool.policy._target_contact import (
@@ -162,6 +163,7 @@
     "TargetHealth",
     "TargetRoute",
     "WaitQueue",
+    "answers_within",
     "choose_destination",
     "choose_relays",
     "continuation_head_fault",
--- a/tests/platform/test_time_left.py
+++ b/tests/platform/test_time_left.py
@@ -1,9 +1,11 @@
 """Requests that have too little time left for an answer are not run."""
 
+import asyncio
 import socket
 import time
 from contextlib import contextmanager
 
+import pytest
 from platform_site import running_site
 
 from pimentospool.policy._target_choice import HOP_ROUND_TRIP_SECONDS
@@ -106,3 +108,51 @@
     assert all(seconds < DEADLINE_SECONDS - 0.1 for _, seconds in answers)
     # The speed is known as too slow for any caller, but the target is idle.
     assert later_answer[0] == 200
+
+
+def delay_connections(pool, seconds):
+    """Let a pool hand out its connections with a delay."""
+    acquire = pool.acquire
+
+    async def acquire_later(**options):
+        conn = await acquire(**options)
+        await asyncio.sleep(seconds)
+        return conn
+
+    pool.acquire = acquire_later
+
+
+@pytest.mark.parametrize("zone", ["gulf-a", "delta-a"])
+def test_request_whose_connection_came_too_late_for_a_slow_target_is_not_sent(
+    runner, tmp_path, zone
+):
+    async def check():
+        async with running_site(tmp_path, zones=("gulf-a", "delta-a")) as site:
+            target = await site.add_target("i-1", zone=zone)
+            near, far = (node.gateway for node in site.nodes)
+            await site.wait_until(
+                lambda: (
+                    near.routing_state.known_targets()
+                    and (zone == "gulf-a" or near.fleet.loads("desk"))
+                )
+            )
+            await site.wait_until_received(target)
+            sent_before = len(target.received)
+            for gateway in (near, far):
+                for _ in range(200):
+                    gateway.deps.placement.pace("desk").record(SLOW_PACE)
+            if zone == "gulf-a":
+                pool = near.deps.pools._target_pools["i-1"]
+            else:
+                await site.wait_until(
+                    lambda: near.fleet.loads("desk")["delta"].wait_seconds > 0.7
+                )
+                pool = near.deps.pools.peer_pool(far.cfg.peer)
+            delay_connections(pool, DEADLINE_SECONDS / 2)
+            answer = await call_with_deadline(site, 1)
+            return answer, target.received[sent_before:]
+
+    (status, seconds), received = runner.run(check())
+    assert status == 503
+    assert seconds < DEADLINE_SECONDS - 0.2
+    assert not any(req.path == "/look/1" for req in received)
