--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -20,7 +20,7 @@
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._replies import Reply
 from pimentospool.gateway._routing_state import TargetState
-from pimentospool.gateway._running_attempts import RunningAttempt
+from pimentospool.gateway._running_attempts import AttemptStage, RunningAttempt
 from pimentospool.ids import SoftwareVersion
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
@@ -29,6 +29,7 @@
     Candidate,
     MemoryHold,
     RegionChoice,
+    RemoteRegion,
     RequestTraits,
     TargetChoice,
 )
@@ -74,6 +75,9 @@
         State of the attempts made so far.
     remaining_seconds : callable
         Returns the seconds to the request's deadline.
+    answers_in_time : callable
+        Returns whether a destination may still answer in time, were it sent the
+        request now.
     traits : RequestTraits
         What of the request may make targets crash.
     reroutes : bool
@@ -91,6 +95,7 @@
         stamp: ConfigurationStamp,
         progress: RequestProgress,
         remaining_seconds: Callable[[], float],
+        answers_in_time: Callable[[Candidate | RemoteRegion], bool],
         traits: RequestTraits,
         reroutes: bool,
     ) -> None:
@@ -103,6 +108,7 @@
         self._service = service
         self._progress = progress
         self._remaining_seconds = remaining_seconds
+        self._answers_in_time = answers_in_time
         self._traits = traits
         self._receiver = AnswerReceiver(
             deps=deps,
@@ -193,6 +199,7 @@
                 if not conn.reusable:
                     raise _unsent_failure("the connection was closed before the send")
                 self._check_caller()
+                self._check_time(candidate)
                 encoded = self._encode_for_target(state, hold)
                 self._record_send()
                 sent_at = deps.clock()
@@ -200,6 +207,7 @@
                     deps.placement.record_first_byte(start, candidate, now - sent_at)
                 )
                 stream = conn.send(encoded)
+                attempt.stage = AttemptStage.SENT
                 if self._route.kind is RequestKind.IDEMPOTENT:
                     attempt.expect_part(sent_at)
                 await self._receiver.receive(
@@ -274,7 +282,10 @@
         hold = self._begin_answer()
         try:
             self._check_caller()
-            remaining_seconds = self._remaining_seconds()
+            self._check_time(choice.remote)
+            # A response that leaves there later comes after the deadline.
+            round_trip_seconds = choice.remote.round_trip_seconds
+            remaining_seconds = self._remaining_seconds() - round_trip_seconds
             if remaining_seconds <= 0:
                 raise _unsent_failure("the request's time is over", FailureCause.LATE)
             can_reroute = self._can_reroute()
@@ -299,6 +310,7 @@
             )
             progress.reached_target, progress.retry_granted = True, False
             stream = conn.send(self._make_encoded_request(data, hold))
+            attempt.stage = AttemptStage.SENT
             try:
                 await self._receiver.receive(
                     stream,
@@ -340,6 +352,17 @@
         if self._reply.caller_left:
             raise ConnectionResetError("the caller has left")
 
+    def _check_time(self, destination: Candidate | RemoteRegion) -> None:
+        """Make sure that the wait for the connection left time for the response.
+
+        Raises
+        ------
+        AttemptFailure
+            If the response can't arrive in time.
+        """
+        if not self._answers_in_time(destination):
+            raise _unsent_failure("too little time is left", FailureCause.LATE)
+
     def _begin_answer(self) -> MemoryHold:
         is_stream = self._route.kind is RequestKind.STREAM
         return self._deps.memory.begin_answer(is_stream=is_stream)
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -25,9 +25,12 @@
 from pimentospool.ids import EntryId, SoftwareVersion
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
+    Candidate,
     NoChoice,
     RegionChoice,
+    RemoteRegion,
     TargetChoice,
+    answers_within,
     rank_members,
 )
 from pimentospool.running_attempts import STANDBY_INTERVAL_SECONDS
@@ -43,6 +46,9 @@
 EXPECTED_TIMES = 2.0
 """Multiple of the expected time to the first byte before which an attempt isn't
 stalled: a second send to a service that is slow for all would only add to its load."""
+TRIAL_TIME_SHARE = 0.5
+"""Share of its time that a request must have left to try an idle target whose service
+has been too slow for it; with less, it would rather be cut off than show the speed."""
 
 
 class AttemptLoop:
@@ -91,11 +97,13 @@
         self._progress = RequestProgress(
             route=route, max_targets=max_targets, resume_after=req.resume_after
         )
-        timeout_seconds = min(req.client_timeout_seconds, route.timeout_seconds)
-        self._deadline = req.received_at + timeout_seconds
+        self._timeout_seconds = min(req.client_timeout_seconds, route.timeout_seconds)
+        self._deadline = req.received_at + self._timeout_seconds
         self._progress.last_progress_at = req.received_at
         self._standby_at = 0.0
         self._destination = ""
+        self._cancelled: list[RunningAttempt] = []
+        """Attempts that were in progress when the request ended."""
         self._traits = request_traits(req)
         self._sender = AttemptSender(
             deps=deps,
@@ -106,6 +114,7 @@
             stamp=stamp,
             progress=self._progress,
             remaining_seconds=lambda: self.remaining_seconds,
+            answers_in_time=self._answers_in_time,
             traits=self._traits,
             reroutes=reroutes,
         )
@@ -138,7 +147,7 @@
         try:
             await self._make_attempts()
         finally:
-            await progress.running.cancel()
+            self._cancelled = await progress.running.cancel()
 
     async def _make_attempts(self) -> None:
         progress = self._progress
@@ -215,8 +224,21 @@
             self._service,
             self._progress,
             first_byte_timeout_seconds=self._first_byte_timeout_seconds(),
+            may_try_idle=self._may_try_idle,
         )
 
+    def _answers_in_time(self, destination: Candidate | RemoteRegion) -> bool:
+        return answers_within(
+            destination,
+            self._first_byte_timeout_seconds(),
+            may_try_idle=self._may_try_idle,
+        )
+
+    @property
+    def _may_try_idle(self) -> bool:
+        """Whether the request has the time to show that an idle target is faster."""
+        return self.remaining_seconds >= self._timeout_seconds * TRIAL_TIME_SHARE
+
     def _start(self, choice: TargetChoice | RegionChoice) -> None:
         self._log_choice(choice)
         progress = self._progress
@@ -279,6 +301,10 @@
             route=self._route.name,
             place=self._destination,
             attempt=progress.attempts + 1,
+            closed=[
+                f"{item.target or item.region} {item.stage.value}"
+                for item in self._cancelled
+            ],
             events=progress.chunks_sent,
             silent_seconds=round(self._deps.clock() - progress.last_progress_at, 3),
             seconds=self._elapsed_seconds(),
@@ -403,6 +429,7 @@
             verdict=exc.verdict.value,
             cause=exc.cause.value,
             detail=exc.detail,
+            stage=attempt.stage.value,
             body_end=_body_end_name(attempt),
             within_event=attempt.within_event,
             events=progress.chunks_sent,
--- a/pimentospool/gateway/_running_attempts.py
+++ b/pimentospool/gateway/_running_attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from enum import Enum
 
 from pimentospool.gateway._answer_streams import BodyEnd
 from pimentospool.gateway._model import Registration
@@ -14,6 +15,14 @@
 target must not be at work 0.4 s after the stream goes on elsewhere."""
 
 
+class AttemptStage(Enum):
+    """How far an attempt has come."""
+
+    CONNECTING = "connecting"
+    SENT = "sent"
+    ANSWERING = "answering"
+
+
 class RunningAttempt(Attempt):
     """One attempt, from its start to its end.
 
@@ -41,6 +50,7 @@
         """Start of the target to which the request is sent, None before that."""
         self.sent_before = False
         """Whether the target has been sent the request before."""
+        self.stage = AttemptStage.CONNECTING
         self.version = SoftwareVersion("")
         """Software version of the target that answers."""
         self.body_end: BodyEnd | None = None
--- a/pimentospool/running_attempts.py
+++ b/pimentospool/running_attempts.py
@@ -95,8 +95,9 @@
                 return attempt
         return None
 
-    async def cancel(self) -> None:
-        """Cancel all attempts and return when they have ended."""
+    async def cancel(self) -> list[A]:
+        """Cancel all attempts, and return those that had not ended."""
+        cancelled = [item for item in self._attempts if not item.ended]
         await cancel_tasks(
             item.task for item in self._attempts if item.task is not None
         )
@@ -104,3 +105,4 @@
             # A cancelled task refers to the frames that hold bodies and the attempt.
             item.task = None
         self._attempts.clear()
+        return cancelled
