--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -1,8 +1,9 @@
 """A small platform on loopback addresses: a store, nodes and targets."""
 
 import asyncio
+import socket
 import time
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from functools import cache
 from pathlib import Path
 
@@ -146,5 +147,15 @@
         site.close()
 
 
+@contextmanager
+def unanswering_address():
+    """Yield an address at which connections are neither accepted nor refused."""
+    with (
+        socket.create_server(("127.0.0.1", 0), backlog=0) as server,
+        socket.create_connection(server.getsockname()),
+    ):
+        yield "{}:{}".format(*server.getsockname())
+
+
 def decode(body):
     return msgspec.json.decode(body)
--- a/tests/platform/test_callers_that_leave.py
+++ b/tests/platform/test_callers_that_leave.py
@@ -5,12 +5,12 @@
 import struct
 import threading
 import time
-from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import aiohttp
 import logbook
 import pytest
-from platform_site import running_site
+from platform_site import running_site, unanswering_address
 from raw_server import RawServer
 
 from pimentospool.faults import FaultProxy
@@ -97,23 +97,6 @@
         await proxy.close()
 
 
-@contextmanager
-def unanswering_address():
-    """Yield an address at which connections are neither accepted nor refused."""
-    sockets = [socket.socket() for _ in range(4)]
-    listener, *callers = sockets
-    try:
-        listener.bind(("127.0.0.1", 0))
-        listener.listen(0)
-        for sock in callers:
-            sock.setblocking(False)
-            sock.connect_ex(listener.getsockname())
-        yield "{}:{}".format(*listener.getsockname())
-    finally:
-        for sock in sockets:
-            sock.close()
-
-
 async def send_and_leave(site, target, *, leaves_by):
     """Send a request and leave once it runs; return when the caller left."""
     headers = {"Host": HOST, "X-Request-Id": "r-1", "X-Token-Count": "10,10"}
--- a/tests/platform/test_time_left.py
+++ b/tests/platform/test_time_left.py
@@ -1,12 +1,10 @@
 """Requests that have too little time left for an answer are not run."""
 
 import asyncio
-import socket
 import time
-from contextlib import contextmanager
 
 import pytest
-from platform_site import running_site
+from platform_site import running_site, unanswering_address
 
 from pimentospool.policy._target_choice import HOP_ROUND_TRIP_SECONDS
 from pimentospool.standins import target_entry
@@ -18,21 +16,6 @@
 """Pace of targets that take `SLOW_SECONDS`."""
 
 
-@contextmanager
-def unanswering_addresses(count):
-    """Yield addresses at which connections are neither accepted nor refused."""
-    listeners, callers = [], []
-    try:
-        for _ in range(count):
-            listener = socket.create_server(("127.0.0.1", 0), backlog=0)
-            listeners.append(listener)
-            callers.append(socket.create_connection(listener.getsockname()))
-        yield ["{}:{}".format(*item.getsockname()) for item in listeners]
-    finally:
-        for sock in listeners + callers:
-            sock.close()
-
-
 async def call_with_deadline(site, number):
     """Send a request; return its status and the time until its answer."""
     sent_at = time.monotonic()
@@ -76,7 +59,8 @@
     async def check():
         async with running_site(tmp_path) as site:
             gateway = site.nodes[0].gateway
-            with unanswering_addresses(2) as addresses:
+            with unanswering_address() as first, unanswering_address() as second:
+                addresses = (first, second)
                 for number, address in enumerate(addresses):
                     record = target_entry(address)
                     await site.store.put(f"servers/lost-{number}", record)
