Judge slowly read answers of the soak by the arrival of their head

Cause: the lateness of a call left out only the pauses of a caller that reads slowly. Change: for such a call, and no other, the time to the head of the response counts. The node holds these answers until they are whole.

--- a/pimentospool/soak/_checker.py
+++ b/pimentospool/soak/_checker.py
@@ -350,5 +350,8 @@
 
 
 def _seconds(call: PlatformCall) -> float:
-    """Return the time of a call, without that for which its caller did not read."""
-    return call.ended_at - call.sent_at - call.paused_seconds
+    """Return the time until the node had answered a call.
+
+    A node holds the answers that a soak reads slowly until they are whole.
+    """
+    return (call.slowly_read_from or call.ended_at) - call.sent_at
