Check the version of a target again as a stream is sent to it

Cause: The target of an attempt is chosen before the attempt's task begins. A start of another version that registered in between was read from the routing state, proved as the current one, and got the stream.

Change: A stream that goes on isn't sent to a target whose version is no longer that of the stream; the attempt fails as not run and another target is chosen.

Evidence: test_stream_is_not_sent_to_a_version_that_joined_after_the_choice[v2] failed before and passes; [v1] passed before and after. gateway/test_attempts.py, test_continued_streams.py and test_software_versions.py pass, the last with its one known failure.

Result: The choice and the send agree on the version.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -143,13 +143,16 @@
         state = deps.routing_state.target(candidate.target)
         if state is None:
             raise _unsent_failure("the target was removed")
+        version = state.registration.version
+        if self._progress.stream_version not in (None, version):
+            raise _unsent_failure("the target has started with another version")
         pool = deps.pools.target_pool(state.registration, self._service)
         exposure = deps.crash_watch.expose(self._traits)
         started_at = deps.clock()
         contact = deps.placement.contact.own
 
         start = attempt.registration = state.registration
-        attempt.version = start.version
+        attempt.version = version
 
         def record_event() -> None:
             assignment.first_event()
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -23,6 +23,7 @@
     Address,
     AnswerHead,
     ConfigurationStamp,
+    RequestKind,
     RoutingState,
     SharedBounds,
 )
@@ -176,14 +177,14 @@
     )
 
 
-def serve(deps, **options):
+def serve(deps, *, route=None, **options):
     reply = RecordingReply()
     req = make_request(received_at=deps.clock(), **options)
     attempt_loop = AttemptLoop(
         deps=deps,
         req=req,
         reply=reply,
-        route=make_route(),
+        route=route or make_route(),
         service=make_service(),
         stamp=ConfigurationStamp(1, 0),
     )
@@ -500,3 +501,38 @@
     deps = asyncio.run(check())
     assert deps.crash_suspects._records.suspects()
     assert deps.placement.health("i-1").ejected is not replaced
+
+
+class ProvedStarts:
+    async def prove(self, registration, pool):
+        return True
+
+
+class KnownOrigins:
+    async def version_of(self, service, request_id):
+        return "v1"
+
+
+@pytest.mark.parametrize("version", ["v1", "v2"])
+def test_stream_is_not_sent_to_a_version_that_joined_after_the_choice(version):
+    pools, clock = CannedPools(), Clock()
+    deps = make_deps(pools, clock)
+    deps.stream_origins = KnownOrigins()
+    deps.start_proofs = ProvedStarts()
+    deps.routing_state.register(make_registration(started_at=1, version="v1"))
+    choose = deps.placement.choose
+
+    def choose_before_a_restart(*args, **options):
+        registration = make_registration(started_at=2, version=version)
+        loop = asyncio.get_running_loop()
+        loop.call_soon(deps.routing_state.register, registration)
+        return choose(*args, **options)
+
+    deps.placement.choose = choose_before_a_restart
+    serve(
+        deps,
+        route=make_route(kind=RequestKind.STREAM, resumable=True),
+        resumes="s-1",
+        resume_after=2,
+    )
+    assert len(pools.sent_to_targets) == (version == "v1")
