Wait for the other region's load before a stream is taken up there

Cause: after the cut had healed, the test took the stream up as soon as the node knew both targets and the other entry VM, which it had never lost. The targets are in the other region, and no hop goes to a region whose load isn't known; none had been reported before the cut. Change: with targets in the other region, the test waits for their load, too. What it checks is the same.

--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -232,6 +232,7 @@
             lambda: (
                 len(out_of_step.routing_state.known_targets()) == 2
                 and len(out_of_step.fleet.ready()) == 2
+                and (zones != REGIONS or out_of_step.fleet.loads("llm"))
             )
         )
         status, target = await take_up(site, origin, node=1)
