--- a/tests/platform/test_silent_targets.py
+++ b/tests/platform/test_silent_targets.py
@@ -87,6 +87,7 @@
         answers = await asyncio.gather(*calls, return_exceptions=True)
         cut = [answer for answer in answers if isinstance(answer, Exception)]
         assert not cut
+        assert [status for status, _, _ in answers] == [200] * STREAMS
         whole = list(range(1, EVENTS + 1))
         assert [event_ids(body) for _, _, body in answers] == [whole] * STREAMS
 
