Answer reports of the stand-in also while it has no place

Cause: The stand-in rejected a request for its report while its room was used up, and since reports are kept apart from other requests, test_stalled_stream_goes_on_if_the_other_target_rejects_it saw it: the start could not be proved, so the rejection that it is about did not happen. Servers of the platform give a report without a slot.

Change: The report comes before the check for room.

Result: Its check is as it was.

--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -227,6 +227,12 @@
             req.executed = False
             writer.write(self._response_head(req, 421, length=0))
             return True
+        if is_report:
+            # A report needs no place.
+            req.executed = False
+            body = b'{"born":%d}' % (self.born or 0)
+            writer.write(self._response_head(req, 200, length=len(body)) + body)
+            return True
         is_full = self.room is not None and self._busy >= self.room
         if fault is Fault.REJECT or is_full:
             req.executed = False
@@ -247,11 +253,6 @@
                 )
             )
             return True
-        if req.path == REPORT_PATH and self.born is not None:
-            req.executed = False
-            body = b'{"born":%d}' % self.born
-            writer.write(self._response_head(req, 200, length=len(body)) + body)
-            return True
         if fault is Fault.EARLY:
             return True
         disconnected = asyncio.ensure_future(_wait_for_disconnect(reader))
