--- a/pimentospool/bench/_refusals.py
+++ b/pimentospool/bench/_refusals.py
@@ -19,6 +19,7 @@
 
 from pimentospool.addresses import LoopbackNetwork
 from pimentospool.programs import Program
+from pimentospool.sending import open_session
 from pimentospool.standins import (
     CONFIGURATION_KEY,
     GRACE_SECONDS,
@@ -255,7 +256,7 @@
             )
             self._nodes.append(node)
             await node.start()
-        async with aiohttp.ClientSession() as session, asyncio.timeout(READY_SECONDS):
+        async with open_session() as session, asyncio.timeout(READY_SECONDS):
             for ip in ips:
                 while not await _is_ready(session, f"http://{ip}:{ports.ready}/ready"):
                     await asyncio.sleep(READY_POLL_SECONDS)
