Let a connection of a test take clearly more than half of the time

Cause: test_request_whose_connection_came_too_late_for_a_slow_target_is_not_sent delayed the connection by half of the caller's time, which is the share that a request must have left for a trial of an idle target. Change: the connection takes 0.6 of the time. The checks are the same.

--- a/tests/platform/test_time_left.py
+++ b/tests/platform/test_time_left.py
@@ -10,6 +10,8 @@
 from pimentospool.standins import target_entry
 
 DEADLINE_SECONDS = 1.3
+CONNECTION_SECONDS = 0.6 * DEADLINE_SECONDS
+"""Time that a connection takes; a request with half of its time left may be a trial."""
 MILLISECOND = 0.001
 SLOW_SECONDS = 0.8
 SLOW_PACE = 27.0
@@ -132,7 +134,7 @@
                     lambda: near.fleet.loads("desk")["delta"].wait_seconds > 0.7
                 )
                 pool = near.deps.pools.peer_pool(far.cfg.peer)
-            delay_connections(pool, DEADLINE_SECONDS / 2)
+            delay_connections(pool, CONNECTION_SECONDS)
             answer = await call_with_deadline(site, 1)
             return answer, target.received[sent_before:]
 
