--- a/pimentospool/standins/_signing_target.py
+++ b/pimentospool/standins/_signing_target.py
@@ -197,6 +197,13 @@
         if self._server is not None:
             self._server.close()
 
+    def reset_all(self) -> None:
+        """Stop listening and reset every connection, like a crashed process."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            _reset(writer)
+
     def _crash(self) -> None:
         """Stop listening and cut every connection."""
         self.crashed_at = time.monotonic()
