Log whether a target counts as cold where a request is placed

The hypotheses on the flood of a restarted target differ in whether the requests were placed under the cold limit; REQUEST_PLACED did not say.

--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -499,6 +499,7 @@
                 "unread_tokens": candidate.prefill_tokens,
                 "pace": round(candidate.latency_ratio, 2),
                 "failing": round(candidate.failure_rate, 2),
+                "cold": candidate.cold,
             }
         else:
             remote = choice.remote
