Test targets that start again in more of the ways in which they can

Until its new entry shows that it is cold, a target that has started again counts as warm (docs/incidents/restarted-target-taken-for-warm.md). The new cases vary what the first test leaves out: what the entry says and whether it comes at all, nodes that saw nothing of the crash or have just started, a region with relays, a crash without a reset or after a silence, requests that waited when the target crashed, and four of six targets at once.

--- a/tests/platform/restarting_site.py
+++ b/tests/platform/restarting_site.py
@@ -23,10 +23,25 @@
 ROUTES = [
     platform_route("/ask/", "streaming", "llm", Resumable=True, TimeoutMs=5000),
     platform_route("/plan/", "streaming", "llm", MaxAttempts=1, TimeoutMs=5000),
+    platform_route("/sum/", "idempotent", "llm"),
 ]
 PATHS = ("/ask/", "/plan/")
 
 
+class IdleClosingTarget(SigningTarget):
+    """A target that closes idle connections without notice."""
+
+    idle_seconds = 0.05
+
+    async def _serve_request(self, reader, writer):
+        ends_at = time.monotonic() + self.idle_seconds
+        while not (reader._buffer or reader.at_eof() or reader.exception()):
+            if time.monotonic() > ends_at:
+                return False
+            await asyncio.sleep(0.01)
+        return await super()._serve_request(reader, writer)
+
+
 class RestartingSite:
     """Nodes of one region under load, and streaming targets that start again.
 
@@ -42,6 +57,8 @@
         """Targets that have ended, in the start in which they ended."""
         self.results = []
         """Time and status of each call."""
+        self.called_nodes = None
+        """Numbers of the nodes that are called; all of them with None."""
         self._sequences = itertools.count(2)
         self._request_ids = itertools.count()
         self._calls = set()
@@ -82,8 +99,9 @@
         started_at = time.monotonic()
         for number in itertools.count():
             await asyncio.sleep(started_at + number / rate - time.monotonic())
-            node = number % len(self.site.nodes)
-            path = paths[number // len(self.site.nodes) % len(paths)]
+            nodes = self.called_nodes or range(len(self.site.nodes))
+            node = nodes[number % len(nodes)]
+            path = paths[number // len(nodes) % len(paths)]
             call = asyncio.create_task(self._call(path, node))
             self._calls.add(call)
             call.add_done_callback(self._calls.discard)
@@ -101,16 +119,28 @@
             )
         self.results.append((called_at, status))
 
-    async def restart(self, name, *, down_seconds, start_again=SigningTarget):
-        """End a target, and start it under its id and address; return the new start."""
+    async def restart(
+        self, name, *, down_seconds, end=SigningTarget.reset_all, silent_seconds=0.0
+    ):
+        """End a target, and start it under its id and address; return the new start.
+
+        Parameters
+        ----------
+        end : callable
+            Ends the target.
+        silent_seconds : float
+            Time before its end in which it sends nothing.
+        """
         target = self.site.targets[name]
         host, _, port = target.address.rpartition(":")
-        target.reset_all()
+        target.silent_until = time.monotonic() + silent_seconds
+        await asyncio.sleep(silent_seconds)
+        end(target)
         self.ended.append(target)
         await asyncio.sleep(down_seconds)
-        again = start_again(instance=name, events=EVENTS)
+        again = SigningTarget(instance=name, events=EVENTS)
         again.born = (target.born or 1) + 1
-        again.gap_seconds = EVENT_GAP_SECONDS
+        again.gap_seconds = target.gap_seconds
         again.cold_remaining_ms = int(COLD_SECONDS * 1000)
         await again.start(host, int(port))
         again.started_at = time.monotonic()
@@ -128,7 +158,9 @@
         }
         await self.site.register(target, **(entry | options))
 
-    async def restart_and_register(self, name, *, down_seconds, late_seconds, **options):
+    async def restart_and_register(
+        self, name, *, down_seconds, late_seconds, **options
+    ):
         again = await self.restart(name, down_seconds=down_seconds)
         await asyncio.sleep(late_seconds)
         await self.register(again, **options)
