Tell by their ages whether the connections to a start were lost

Callers who took a stream up could get a rest from a newer start (ORDER). The pool took a start for lost when no connection was left. One that was being opened, or had been opened to a newer start, hid the loss, and the proof of the old start then held for the new one. A connection that is lost now begins a doubt unless another one was open before it last brought anything, since such a one shows itself whether the start ended. A connection attempt that isn't answered begins a doubt as one that is refused does, and a close of a connection that was idle for a second or more doesn't.

Evidence: three of the new cases in tests/gateway/test_pools.py failed before (loss beside a later connection, an idle close, an attempt that isn't answered).

--- a/pimentospool/gateway/_connection_pool.py
+++ b/pimentospool/gateway/_connection_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import time
+from collections.abc import Callable
 
 from pimentospool.gateway._connections import Connection
 from pimentospool.gateway._model import Address
@@ -31,6 +32,10 @@
     silence_seconds : float
         Time for which the other side may acknowledge nothing before a connection is
         closed.
+    on_loss : callable
+        Called when the other side may have started again.
+    on_reached : callable
+        Called when a connection was opened.
     """
 
     def __init__(
@@ -40,6 +45,8 @@
         limit: int,
         connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
         silence_seconds: float = SILENCE_SECONDS,
+        on_loss: Callable[[], None] = lambda: None,
+        on_reached: Callable[[], None] = lambda: None,
     ) -> None:
         self.address = address
         self.limit = limit
@@ -48,8 +55,12 @@
         self._idle: list[Connection] = []
         self._idle_timers: dict[Connection, asyncio.TimerHandle] = {}
         self._open_count = 0
+        """Connections, those in opening included."""
+        self._connections: set[Connection] = set()
         self._draining = False
-        self.start_doubt = StartDoubt(clock=time.monotonic)
+        self.start_doubt = StartDoubt(
+            clock=time.monotonic, on_loss=on_loss, on_reached=on_reached
+        )
         """Whether the other side may have started again."""
 
     async def acquire(
@@ -122,14 +133,16 @@
 
     def _on_connection_closed(self, conn: Connection) -> None:
         self._open_count -= 1
-        if not self._open_count:
-            if conn.lost:
-                self.start_doubt.record_loss()
-            else:
-                self.start_doubt.record_unconnected()
+        self._connections.discard(conn)
         if conn in self._idle:
             self._idle.remove(conn)
             self._idle_timers.pop(conn).cancel()
+        # One that was opened later may be to a newer start.
+        outlived = any(other.opened_at <= conn.heard_at for other in self._connections)
+        if conn.lost and not outlived:
+            self.start_doubt.record_loss()
+        elif not self._connections:
+            self.start_doubt.record_unconnected()
 
     async def _open(self, within_seconds: float) -> Connection:
         loop = asyncio.get_running_loop()
@@ -142,20 +155,18 @@
                 _, conn = await loop.create_connection(Connection, sock=sock)
         except (OSError, TimeoutError) as exc:
             sock.close()
-            # This attempt is still counted.
-            if isinstance(exc, ConnectionRefusedError) and self._open_count <= 1:
-                self.start_doubt.record_loss()
             ended_early = within_seconds < self._connect_timeout_seconds
-            raise _connect_failure(
-                f"no connection: {exc!r}",
-                FailureCause.LATE
-                if ended_early and isinstance(exc, TimeoutError)
-                else FailureCause.UNREACHABLE,
-            ) from exc
+            cause = FailureCause.UNREACHABLE
+            if ended_early and isinstance(exc, TimeoutError):
+                cause = FailureCause.LATE
+            elif not self._connections:
+                self.start_doubt.record_loss()
+            raise _connect_failure(f"no connection: {exc!r}", cause) from exc
         except BaseException:
             sock.close()
             raise
         conn.on_closed = self._on_connection_closed
+        self._connections.add(conn)
         self.start_doubt.record_reached()
         return conn
 
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -48,6 +48,9 @@
 WRITE_BYTES = 64 * 1024
 """Bytes of a request's body that are handed to the transport at once; it copies what
 the socket doesn't take."""
+MIN_IDLE_CLOSE_SECONDS = 1.0
+"""Time without a request after which a peer may close a connection as idle; timeouts
+are stated in whole seconds. One that closes it sooner may have ended."""
 FLUSH_TIMEOUT_SECONDS = 5.0
 """Time for which a server that has answered may take the rest of the request; it is
 held meanwhile."""
@@ -63,9 +66,9 @@
     def __init__(self) -> None:
         self.closed = False
         self.lost = False
-        """Whether it ended though neither side had announced that."""
+        """Whether it ended unexpectedly: neither announced nor closed as idle."""
         self.idle_seconds = DEFAULT_IDLE_SECONDS
-        self.opened_at = time.monotonic()
+        self.opened_at = self.heard_at = time.monotonic()
         self.on_closed: Callable[[Connection], None] | None = None
         self._transport: asyncio.Transport | None = None
         self._stream: AnswerStream | None = None
@@ -199,10 +202,11 @@
             self.abort()
             return
         stream = self._stream
+        self.heard_at = time.monotonic()
         self._received_bytes += len(data)
         self._max_chunks = (
             MAX_CHUNKS
-            + CHUNKS_PER_SECOND * (time.monotonic() - self._sent_at)
+            + CHUNKS_PER_SECOND * (self.heard_at - self._sent_at)
             + self._received_bytes // BYTES_PER_CHUNK
         )
         try:
@@ -233,7 +237,16 @@
         self._drop_unsent()
         self._peer_closed |= isinstance(exc, ConnectionError)
         stream, self._stream = self._stream, None
-        self.lost = (self._peer_closed or exc is not None) and not self._must_close
+        unfinished = stream is not None and not stream.complete
+        announced = self._closing or (self._must_close and not unfinished)
+        closed_idle = (
+            exc is None
+            and not unfinished
+            and time.monotonic() - self.heard_at >= MIN_IDLE_CLOSE_SECONDS
+        )
+        self.lost = (self._peer_closed or exc is not None) and not (
+            announced or closed_idle
+        )
         if stream is not None and not stream.complete:
             ends_by_close = stream.body_end is BodyEnd.CLOSE
             if exc is None and self._peer_closed and ends_by_close:
--- a/pimentospool/policy/_start_doubt.py
+++ b/pimentospool/policy/_start_doubt.py
@@ -18,18 +18,30 @@
 class StartDoubt:
     """Doubt whether the target at an address is still in its known start.
 
-    It begins when all connections were lost or one was refused, and ends with a proof
-    that began after that. Without any loss the start is not in doubt, but it is only
-    proved while a connection has been open since a proof.
+    It begins when all connections of a start were lost or none could be opened, and
+    ends with a proof that began after that. Without any loss the start is not in doubt,
+    but it is only proved while a connection has been open since a proof.
 
     Parameters
     ----------
     clock : callable
         Returns a monotonic time in seconds.
+    on_loss : callable
+        Called when a doubt begins.
+    on_reached : callable
+        Called when a connection was opened.
     """
 
-    def __init__(self, *, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float],
+        on_loss: Callable[[], None] = lambda: None,
+        on_reached: Callable[[], None] = lambda: None,
+    ) -> None:
         self._clock = clock
+        self._on_loss = on_loss
+        self._on_reached = on_reached
         self.exists = False
         self.proved = False
         """Whether the known start is that of the open connections."""
@@ -39,9 +51,10 @@
         self._tried_at = -math.inf
 
     def record_loss(self) -> None:
-        """Record that all connections were lost, or that one was refused."""
+        """Record that all connections were lost, or that none could be opened."""
         self.exists = True
         self.record_unconnected()
+        self._on_loss()
 
     def record_unconnected(self) -> None:
         """Record that no connection is open any more."""
@@ -52,6 +65,7 @@
     def record_reached(self) -> None:
         """Record that a connection was opened."""
         self._reached_at = min(self._reached_at, self._clock())
+        self._on_reached()
 
     def try_proof(self) -> bool:
         """Return whether a proof may be tried now; if so, it counts as failed.
--- a/tests/gateway/test_pools.py
+++ b/tests/gateway/test_pools.py
@@ -13,12 +13,14 @@
     make_registration,
     make_service,
 )
+from platform_site import unanswering_address
 
 from pimentospool.gateway import Address
 from pimentospool.gateway._answer_streams import EncodedRequest
 from pimentospool.gateway._connection_pool import ConnectionPool
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._pools import ConnectionPools
+from pimentospool.sockets import set_reset_on_close
 from pimentospool.targets import AttemptFailure
 
 SILENCE_SECONDS = (2.0, 5.0)
@@ -98,3 +100,80 @@
         return [*doubts, pool.start_doubt.exists]
 
     assert asyncio.run(run()) == [in_doubt, True]
+
+
+async def ask(conn):
+    stream = conn.send(
+        EncodedRequest(data=b"GET / HTTP/1.1\r\n\r\n", accepts=lambda head: True)
+    )
+    while await stream.read():
+        pass
+
+
+# A connection to a newer start hid that all those of the known one were lost.
+@pytest.mark.parametrize("heard_later", [False, True])
+def test_loss_of_the_connections_of_a_start_is_noticed_beside_later_ones(heard_later):
+    writers = []
+
+    async def respond(reader, writer):
+        writers.append(writer)
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    async def run():
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        address = Address(*server.sockets[0].getsockname()[:2])
+        pool = ConnectionPool(address=address, limit=2)
+        first = await pool.acquire()
+        await ask(first)
+        second = await pool.acquire()
+        if heard_later:
+            await ask(first)
+        set_reset_on_close(writers[0].transport, enabled=True)
+        writers[0].transport.abort()
+        await asyncio.sleep(0.05)
+        in_doubt = pool.start_doubt.exists
+        second.abort()
+        server.close()
+        return in_doubt
+
+    assert asyncio.run(run()) is not heard_later
+
+
+@pytest.mark.parametrize(("idle_seconds", "in_doubt"), [(0.1, True), (1.1, False)])
+def test_close_of_an_idle_connection_is_no_loss(idle_seconds, in_doubt):
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        await asyncio.sleep(idle_seconds)
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        address = Address(*server.sockets[0].getsockname()[:2])
+        pool = ConnectionPool(address=address, limit=1)
+        conn = await pool.acquire()
+        await ask(conn)
+        pool.release(conn)
+        await asyncio.sleep(idle_seconds + 0.1)
+        server.close()
+        return pool.start_doubt.exists
+
+    assert asyncio.run(run()) is in_doubt
+
+
+def test_connection_that_is_not_answered_puts_the_start_in_doubt():
+    async def run(address):
+        host, _, port = address.rpartition(":")
+        pool = ConnectionPool(
+            address=Address(host, int(port)), limit=1, connect_timeout_seconds=0.05
+        )
+        with pytest.raises(AttemptFailure):
+            await pool.acquire(within_seconds=0.01)
+        assert not pool.start_doubt.exists
+        with pytest.raises(AttemptFailure):
+            await pool.acquire()
+        return pool.start_doubt.exists
+
+    with unanswering_address() as address:
+        assert asyncio.run(run(address))
