Treat a target that may have started again as cold

Its entry comes some time after it listens, and until then the earlier one, by which it is warm, was believed by all entry VMs of the region, though each of them had lost its connections or was refused one.

An entry VM that loses all connections of a start, or can open none, now tells its region of the doubt at once, and a target in doubt gets no more than a cold one, from all of them together. One of them asks it for its start, and tells the result. The doubt ends with that proof, with the new entry, or when a new start would be warm. Requests for which only such targets are left wait up to 0.2 s for the check.

One assertion's preparation changes: a take-up test starts its load after the time in which a new process sends nothing to cold targets.

--- a/pimentospool/bench/_heartbeats.py
+++ b/pimentospool/bench/_heartbeats.py
@@ -23,6 +23,7 @@
 from pimentospool.policy import (
     BrittleTargets,
     CrashSuspects,
+    DoubtedStarts,
     EntryState,
     NamedLimits,
     OccupancyBook,
@@ -130,6 +131,7 @@
             routing_state=RoutingState(clock=clock, zone_regions={}),
             clock=clock,
         ),
+        doubted=DoubtedStarts(own=records[0].key, clock=clock),
         cold_reports=dict,
         receive_cold_report=lambda target, seconds: None,
         position=lambda: None,
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -60,6 +60,9 @@
 start; after it, a target has the rest to go on."""
 SHARED_PROOF_TIME_SHARE = 0.5
 """The same if the stream may go on in another region, which needs a proof, too."""
+DOUBT_WAIT_SECONDS = 0.2
+"""Longest wait for the check of a target that may have started again, if there is no
+other one. Sound targets are checked within milliseconds."""
 UNPROVED_POLL_SECONDS = 0.02
 """Time between checks whether the start at which a stream began is proved."""
 TRIAL_TIME_SHARE = 0.5
@@ -203,6 +206,10 @@
             [item for item in subjects if not item.proved]
         ):
             choice = self._choose()
+        if isinstance(choice, NoChoice) and await self._deps.start_checker.wait(
+            self._service.id, within_seconds=DOUBT_WAIT_SECONDS
+        ):
+            choice = self._choose()
         if isinstance(choice, NoChoice):
             detail, retry_after_seconds = choice.detail, choice.retry_after_seconds
             if subjects and not any(item.proved for item in subjects):
--- a/pimentospool/gateway/_cold_checks.py
+++ b/pimentospool/gateway/_cold_checks.py
@@ -4,11 +4,11 @@
 import math
 from collections.abc import Callable, Iterable
 
-from pimentospool.gateway._answer_streams import AnswerHead, EncodedRequest
 from pimentospool.gateway._dialect import TargetDialect
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._pools import ConnectionPools
 from pimentospool.gateway._routing_state import RoutingState, TargetState
+from pimentospool.gateway._target_probes import read_health
 from pimentospool.ids import EntryId, RegionId, TargetId, ZoneId
 from pimentospool.policy import NamedLimits, responsible_entry
 from pimentospool.targets import AttemptFailure
@@ -128,18 +128,14 @@
             self._targets_in_check.discard(state.id)
             return
         pool = self._pools.target_pool(state.registration, service)
-        data = self._dialect.encode_health(state.registration, service.health_path)
         try:
             async with timeout_after_read(CHECK_TIMEOUT_SECONDS):
                 conn = await pool.acquire()
                 try:
                     sent_at = self._clock()
-                    stream = conn.send(
-                        EncodedRequest(data=data, accepts=_accept_any_answer)
+                    head = await read_health(
+                        self._dialect, state.registration, service, conn
                     )
-                    head = await stream.wait_head()
-                    while await stream.read():
-                        pass
                 finally:
                     pool.release(conn)
         except (AttemptFailure, TimeoutError):
@@ -157,7 +153,3 @@
             now = self._clock()
             self._reports[state.id] = (now, now + seconds)
             self._routing_state.receive_cold_report(state.id, seconds)
-
-
-def _accept_any_answer(head: AnswerHead) -> bool:
-    return True
--- a/pimentospool/gateway/_dependencies.py
+++ b/pimentospool/gateway/_dependencies.py
@@ -11,6 +11,7 @@
 from pimentospool.gateway._placement import Placement, SharedBounds
 from pimentospool.gateway._pools import ConnectionPools
 from pimentospool.gateway._routing_state import RoutingState
+from pimentospool.gateway._start_checks import StartChecker
 from pimentospool.gateway._start_proofs import StartProofs
 from pimentospool.gateway._stream_origins import StreamOrigins
 from pimentospool.ids import ServiceId, SuspectKey
@@ -87,7 +88,18 @@
         self.clock = clock
         self.rng = rng
         self.seconds_left = seconds_left
-        self.start_proofs = StartProofs(dialect=dialect, origins=stream_origins)
+        self.start_proofs = StartProofs(
+            dialect=dialect,
+            origins=stream_origins,
+            doubted=placement.doubted_starts,
+        )
+        self.start_checker = StartChecker(
+            routing_state=routing_state,
+            fleet=fleet,
+            placement=placement,
+            pools=pools,
+            dialect=dialect,
+        )
         self.request_ended: Signal[RoutedOutcome] = Signal(name="request_ended")
         self._bounds = bounds
         self.regions = regions
--- a/pimentospool/gateway/_fleet_messages.py
+++ b/pimentospool/gateway/_fleet_messages.py
@@ -12,7 +12,13 @@
 from pimentospool.gateway._facts import FactPosition
 from pimentospool.gateway._model import Address
 from pimentospool.ids import MemberKey, TargetId
-from pimentospool.policy import CrashEvidence, LimitNotice, Occupancy
+from pimentospool.policy import (
+    CrashEvidence,
+    DoubtNotice,
+    LimitNotice,
+    Occupancy,
+    ProofNotice,
+)
 
 _KEY_BYTES = 4
 _VALUE_BYTES = 2
@@ -102,6 +108,10 @@
     """Seconds since targets told the entry VM that they are brittle."""
     reached: dict[int, bool] = {}
     """Whether the entry VM has recently reached targets, by service key."""
+    doubts: dict[str, DoubtNotice] = {}
+    """Targets that may have started again, as far as the entry VM has seen."""
+    proofs: dict[str, ProofNotice] = {}
+    """Targets that have not, as the entry VM has checked."""
 
 
 class ReportMessage(msgspec.Struct, array_like=True, tag=2):
--- a/pimentospool/gateway/_heartbeats.py
+++ b/pimentospool/gateway/_heartbeats.py
@@ -8,6 +8,7 @@
 from pimentospool.gateway._fleet import LOAD_ROUNDS, Fleet
 from pimentospool.gateway._fleet_messages import (
     CrashMessage,
+    EntryRecord,
     GossipMessage,
     ReportMessage,
     StreamMessage,
@@ -23,6 +24,9 @@
 SEED_ROUNDS = 10
 """Interval, in rounds, of messages to the seeds, by which groups of entry VMs that lost
 contact find each other again."""
+URGENT_REPORT_SECONDS = 0.005
+"""Time for which urgent reports are collected; all connections to targets that end
+together are lost within milliseconds."""
 ANNOUNCEMENT_FANOUT = 12
 """Number of entry VMs of the region that a change of state is announced to at once; the
 others receive it within a second."""
@@ -69,6 +73,7 @@
             GossipMessage | ReportMessage | CrashMessage | StreamMessage
         )
         self._round = 0
+        self._urgent_reports: asyncio.TimerHandle | None = None
 
     async def start(self, address: Address) -> None:
         """Receive messages at `address`."""
@@ -89,7 +94,8 @@
             log_event(Event.PEER_MESSAGE_REFUSED, reason=str(exc), sender=str(addr))
             return
         if isinstance(msg, ReportMessage):
-            self._reports.receive(msg)
+            if self._reports.receive(msg):
+                self.send_reports_soon()
             return
         if isinstance(msg, CrashMessage):
             self._suspects.merge(msg.evidence)
@@ -120,9 +126,7 @@
             self._send(gossip, addresses)
             if evidence is not None:
                 self._send(CrashMessage(evidence), addresses)
-        for report, receivers in self._reports.next_round():
-            size_bytes = self._send(report, [record.peer for record in receivers])
-            self._reports.record_sent(size_bytes)
+        self._send_reports(self._reports.next_round())
         for records, receivers in self._streams.next_round():
             self._send(records, [record.peer for record in receivers])
         if self._round % SEED_ROUNDS == 0 or not fleet.live():
@@ -133,6 +137,25 @@
             )
         self._round += 1
 
+    def send_reports_soon(self) -> None:
+        """Send what is new in the reports before the next round."""
+        if self._urgent_reports is None:
+            loop = asyncio.get_running_loop()
+            self._urgent_reports = loop.call_later(
+                URGENT_REPORT_SECONDS, self._send_urgent_reports
+            )
+
+    def _send_urgent_reports(self) -> None:
+        self._urgent_reports = None
+        self._send_reports(self._reports.messages())
+
+    def _send_reports(
+        self, messages: Sequence[tuple[ReportMessage, Sequence[EntryRecord]]]
+    ) -> None:
+        for report, receivers in messages:
+            size_bytes = self._send(report, [record.peer for record in receivers])
+            self._reports.record_sent(size_bytes)
+
     def announce_state(self) -> None:
         """Tell some entry VMs at once that this one's state has changed."""
         self._fleet.beat()
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -25,6 +25,7 @@
     CachedParts,
     Candidate,
     ColdStartLimiter,
+    DoubtedStarts,
     KnownStarts,
     NamedLimits,
     NeighbourUse,
@@ -39,6 +40,7 @@
     neighbour_use,
     preferred_target,
 )
+from pimentospool.signals import Signal
 
 
 class SharedBounds(msgspec.Struct, kw_only=True, frozen=True):
@@ -105,6 +107,16 @@
         self.contact = RegionContact(
             fleet=fleet, routing_state=routing_state, clock=clock
         )
+        self.doubts_changed: Signal[[]] = Signal(name="doubts_changed")
+        """Sent when the other entry VMs are to be told of a doubt or a proof."""
+        self.start_doubted: Signal[[TargetId, bool]] = Signal(name="start_doubted")
+        """Sent when it changes whether the start of a target is in doubt."""
+        self.doubted_starts = DoubtedStarts(
+            own=fleet.local_record.key,
+            clock=clock,
+            on_change=self._report_doubt,
+            on_news=self.doubts_changed.send,
+        )
         self._health: dict[TargetId, TargetHealth] = {}
         self._paces: dict[ServiceId, ServicePace] = {}
         self._starts = KnownStarts(clock=clock, forget=self._forget_target)
@@ -190,6 +202,26 @@
             self.named_limits.record_send(choice.candidate.target)
         return choice
 
+    def is_cold(self, state: TargetState) -> bool:
+        """Whether a target is cold, or may be as it may have started again."""
+        return state.is_cold(self._clock()) or (
+            self.doubted_starts.is_doubted(state.id)
+            and self._cold_seconds(state.registration.service) > 0
+        )
+
+    def record_loss(self, target: TargetId) -> None:
+        """Record that all connections to a target were lost, or none can be opened."""
+        state = self._routing_state.target(target)
+        if state is not None and self._cold_seconds(state.registration.service) > 0:
+            self.doubted_starts.record_doubt(target)
+
+    def record_reached(self, target: TargetId) -> None:
+        """Record that a connection to a target was opened."""
+        state = self._routing_state.target(target)
+        if state is not None:
+            cold_seconds = self._cold_seconds(state.registration.service)
+            self.doubted_starts.record_reached(target, cold_seconds=cold_seconds)
+
     def continuations(
         self, route: HttpRoute, service: ServiceId, progress: RequestProgress
     ) -> list[TargetState]:
@@ -300,13 +332,14 @@
         loads = {}
         for service in configuration.services.values():
             states = self._unrestricted(self._usable_targets(service.id))
-            now = self._clock()
             # A cold target gets few requests and an unreachable one none, so their
             # low occupancy says nothing about the region's load.
             representative = [
                 state
                 for state in states
-                if not (state.is_cold(now) or self.health(state.id).last_connect_failed)
+                if not (
+                    self.is_cold(state) or self.health(state.id).last_connect_failed
+                )
             ]
             candidates = [
                 self._make_candidate(state, service, prefill_tokens=0, tokens=0)
@@ -423,7 +456,7 @@
             latency_ratio=health.latency_ratio,
             failure_rate=health.failure_rate,
             slot_hold_seconds=health.slot_hold_seconds,
-            cold=state.is_cold(self._clock()),
+            cold=self.is_cold(state),
         )
 
     def _prefill_tokens(
@@ -583,9 +616,25 @@
             members=self._fleet.known_ids(self._region),
         )
 
+    def _cold_seconds(self, service: ServiceId) -> float:
+        """Return how long a new start of a target of `service` is cold."""
+        configuration = self._routing_state.configuration
+        spec = None if configuration is None else configuration.services.get(service)
+        return 0.0 if spec is None else spec.cold_seconds
+
     def _register_start(self, registration: Registration) -> None:
+        self.doubted_starts.register(
+            registration.id,
+            registration.started_at,
+            tells_cold=registration.cold_seconds > 0,
+            cold_seconds=self._cold_seconds(registration.service),
+        )
         self._starts.register(registration.id, _start(registration))
 
+    def _report_doubt(self, target: TargetId, doubted: bool) -> None:
+        log_event(Event.TARGET_START_DOUBTED, target=target, doubted=doubted)
+        self.start_doubted.send(target, doubted)
+
     def _lapse(self, target: TargetId) -> None:
         self._cached_parts.forget(target)
         self._starts.lapse(target)
--- a/pimentospool/gateway/_pools.py
+++ b/pimentospool/gateway/_pools.py
@@ -1,6 +1,8 @@
 """Connection pools, one for each target instance and each peer address."""
 
 import math
+from collections.abc import Callable
+from functools import partial
 
 from pimentospool.gateway._connection_pool import ConnectionPool
 from pimentospool.gateway._fleet import Fleet
@@ -28,11 +30,24 @@
         Region whose entry VMs share the targets' connections.
     fleet : Fleet
         Membership of the entry VMs.
+    on_loss : callable
+        Called with a target that may have started again.
+    on_reached : callable
+        Called with a target to which a connection was opened.
     """
 
-    def __init__(self, *, region: RegionId, fleet: Fleet) -> None:
+    def __init__(
+        self,
+        *,
+        region: RegionId,
+        fleet: Fleet,
+        on_loss: Callable[[TargetId], None] = lambda target: None,
+        on_reached: Callable[[TargetId], None] = lambda target: None,
+    ) -> None:
         self._region = region
         self._fleet = fleet
+        self._on_loss = on_loss
+        self._on_reached = on_reached
         self._target_pools: dict[TargetId, ConnectionPool] = {}
         self._peer_pools: dict[Address, ConnectionPool] = {}
 
@@ -51,6 +66,8 @@
                 address=registration.address,
                 limit=limit,
                 silence_seconds=TARGET_SILENCE_SECONDS,
+                on_loss=partial(self._on_loss, registration.id),
+                on_reached=partial(self._on_reached, registration.id),
             )
             self._target_pools[registration.id] = pool
         pool.limit = limit
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -102,7 +102,12 @@
             bounds=cfg.bounds,
             clock=clock,
         )
-        pools = ConnectionPools(region=cfg.region, fleet=self.fleet)
+        pools = ConnectionPools(
+            region=cfg.region,
+            fleet=self.fleet,
+            on_loss=self._placement.record_loss,
+            on_reached=self._placement.record_reached,
+        )
         self._cold_checker = ColdTargetChecker(
             region=cfg.region,
             routing_state=self.routing_state,
@@ -185,6 +190,7 @@
             limits=self._placement.named_limits,
             brittle=self._placement.brittle_targets,
             contact=self._placement.contact,
+            doubted=self._placement.doubted_starts,
             cold_reports=self._cold_checker.recent_reports,
             receive_cold_report=self.routing_state.receive_cold_report,
             position=self.feed.announced_position,
@@ -199,6 +205,7 @@
             suspects=self.deps.crash_suspects,
             streams=StreamRecordExchange(fleet=self.fleet, versions=stream_versions),
         )
+        self._placement.doubts_changed.connect(self.heartbeats.send_reports_soon)
         self._view_server: asyncio.Server | None = None
         self.routing_state.configuration_adopted.connect(self._follow_configuration)
         self._tasks: list[asyncio.Task[None]] = []
@@ -262,6 +269,7 @@
         if self._view_server is not None:
             self._view_server.close()
         await cancel_tasks(self._tasks)
+        await self.deps.start_checker.close()
         await self.deps.start_proofs.close()
         await self._view_exchange.close()
         await self._stream_origins.close()
@@ -293,6 +301,11 @@
             "Targets that are registered.",
             lambda: len(self.routing_state.known_targets()),
         )
+        metrics.add_gauge(
+            "pimentospool_doubted_targets",
+            "Targets that may have started again, and get no more than cold ones.",
+            lambda: len(self._placement.doubted_starts.doubted_targets()),
+        )
         metrics.add_gauge(
             "pimentospool_live_entries",
             "Other entry VMs that are alive.",
--- a/pimentospool/gateway/_start_proofs.py
+++ b/pimentospool/gateway/_start_proofs.py
@@ -20,26 +20,28 @@
 
 import msgspec
 
-from pimentospool.gateway._answer_streams import AnswerHead, EncodedRequest
 from pimentospool.gateway._connection_pool import ConnectionPool
 from pimentospool.gateway._connections import Connection
 from pimentospool.gateway._dialect import TargetDialect
 from pimentospool.gateway._model import Registration
 from pimentospool.gateway._stream_origins import StreamOrigins
+from pimentospool.gateway._target_probes import (
+    REPORT_TIMEOUT_SECONDS,
+    read_reported_start,
+)
 from pimentospool.log import Event, log_event
-from pimentospool.policy import MAX_STREAM_SECONDS, REGISTRATION_SECONDS
+from pimentospool.policy import (
+    MAX_STREAM_SECONDS,
+    REGISTRATION_SECONDS,
+    DoubtedStarts,
+)
 from pimentospool.targets import AttemptFailure
 from pimentospool.tasks import cancel_tasks, timeout_after_read
 
-REPORT_TIMEOUT_SECONDS = 10.0
-"""Longest wait for a report. It holds a connection, and the source proves the start
-sooner as a rule."""
 SETTLE_INTERVAL_SECONDS = 0.5
 """Time between reads of the source that prove where streams began."""
 MAX_BEGINNINGS = 10_000
 """Limit on the streams whose beginnings are to be proved, the newest ones."""
-MAX_REPORT_BYTES = 64 * 1024
-"""Size above which a report is not read."""
 NEXT_PROOF_SECONDS = 0.2
 """Wait for the proof of one target before that of a further one begins, as reports are
 priced. Most targets report within milliseconds."""
@@ -75,11 +77,20 @@
         Encoding and reading of a target's report on itself.
     origins : StreamOrigins
         Reads the registrations.
+    doubted : DoubtedStarts
+        Told the starts that are proved.
     """
 
-    def __init__(self, *, dialect: TargetDialect, origins: StreamOrigins) -> None:
+    def __init__(
+        self,
+        *,
+        dialect: TargetDialect,
+        origins: StreamOrigins,
+        doubted: DoubtedStarts,
+    ) -> None:
         self._dialect = dialect
         self._origins = origins
+        self._doubted = doubted
         self._proofs: dict[ConnectionPool, asyncio.Task[None]] = {}
         self._reports: set[asyncio.Task[tuple[str, int | None]]] = set()
         self._beginnings: list[_Beginning] = []
@@ -218,6 +229,7 @@
     async def _prove(self, registration: Registration, pool: ConnectionPool) -> None:
         doubt = pool.start_doubt
         losses = doubt.losses
+        doubts = self._doubted.open_doubts(registration.id)
         report, said = "unreachable", None
         source, listed = "not asked", None
         try:
@@ -241,6 +253,8 @@
         if said not in (None, known):
             self._drop([item for item in self._beginnings if item.subject.pool is pool])
         proved = doubt.end(known=known, shown=said or listed, losses=losses)
+        if proved:
+            self._doubted.settle(registration.id, known, doubts)
         log_event(
             Event.TARGET_START_CHECKED,
             target=registration.id,
@@ -265,25 +279,10 @@
     async def _read_report(
         self, registration: Registration, pool: ConnectionPool, conn: Connection
     ) -> tuple[str, int | None]:
-        """Return what came of a report, and the start that the target names in it."""
         try:
-            async with timeout_after_read(REPORT_TIMEOUT_SECONDS):
-                data = self._dialect.encode_report(registration)
-                stream = conn.send(EncodedRequest(data=data, accepts=_accept_any))
-                head = await stream.wait_head()
-                body = b""
-                while chunk := await stream.read():
-                    body += chunk
-                    if len(body) > MAX_REPORT_BYTES:
-                        return "too long", None
-        except TimeoutError:
-            return "slow", None
-        except AttemptFailure as exc:
-            return exc.cause.value, None
+            return await read_reported_start(self._dialect, registration, conn)
         finally:
             pool.release(conn)
-        started_at = self._dialect.reported_start(head, body)
-        return "without start" if started_at is None else "start", started_at
 
 
 async def _wait_for_one(
@@ -299,7 +298,3 @@
                 if not pending:
                     return
                 await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-
-
-def _accept_any(head: AnswerHead) -> bool:
-    return True
--- a/pimentospool/gateway/_target_reports.py
+++ b/pimentospool/gateway/_target_reports.py
@@ -22,6 +22,8 @@
 from pimentospool.ids import EntryId, MemberKey, TargetId
 from pimentospool.policy import (
     BrittleTargets,
+    DoubtedStarts,
+    DoubtNotice,
     LimitNotice,
     NamedLimits,
     OccupancyBook,
@@ -66,6 +68,8 @@
         Brittle targets, shared likewise.
     contact : RegionContact
         Which targets this entry VM and the others reach, shared likewise.
+    doubted : DoubtedStarts
+        Targets that may have started again, shared likewise.
     cold_reports : callable
         Returns the seconds for which recently checked targets stay cold.
     receive_cold_report : callable
@@ -87,6 +91,7 @@
         limits: NamedLimits,
         brittle: BrittleTargets,
         contact: RegionContact,
+        doubted: DoubtedStarts,
         cold_reports: Callable[[], dict[TargetId, float]],
         receive_cold_report: Callable[[TargetId, float], None],
         position: Callable[[], tuple[FactPosition, float] | None],
@@ -102,6 +107,7 @@
         self._limits = limits
         self._brittle = brittle
         self._contact = contact
+        self._doubted = doubted
         self._cold_reports = cold_reports
         self._receive_cold_report = receive_cold_report
         self._position = position
@@ -113,8 +119,12 @@
         self._numbers: dict[int, int] = {}
         self._announced: FactPosition | None = None
 
-    def receive(self, msg: ReportMessage) -> None:
-        """Store the reports of a message, and keep them if they are to be relayed."""
+    def receive(self, msg: ReportMessage) -> bool:
+        """Store the reports of a message, and keep them if they are to be relayed.
+
+        Return whether they are to be relayed at once.
+        """
+        is_urgent = False
         if msg.position is not None:
             record = self._fleet.record(MemberKey(msg.sender))
             if record is not None:
@@ -139,8 +149,15 @@
             for target, age_seconds in report.brittle.items():
                 self._brittle.receive(TargetId(target), age_seconds)
             self._contact.receive(MemberKey(report.sender), report.reached)
+            is_news = self._doubted.receive(
+                MemberKey(report.sender),
+                {TargetId(target): item for target, item in report.doubts.items()},
+                {TargetId(target): item for target, item in report.proofs.items()},
+            )
             if msg.to_relay:
                 self._to_relay[report.sender] = report
+                is_urgent |= is_news
+        return is_urgent
 
     def record_sent(self, size_bytes: int) -> None:
         """Count bytes that were sent, all receivers together, against the link."""
@@ -150,6 +167,13 @@
         """Return the messages of the next round, each with its receivers."""
         self._round += 1
         self._unpaid_bytes = max(0.0, self._unpaid_bytes - self._bytes_per_round)
+        messages = self.messages()
+        if self._round % REFRESH_ROUNDS == 0:
+            self._forget_gone_senders()
+        return messages
+
+    def messages(self) -> list[tuple[ReportMessage, list[EntryRecord]]]:
+        """Return the messages that are due, each with its receivers."""
         own = self._next_own_report()
         local = self._fleet.local_record
         others = self._fleet.live(region=self._fleet.local_region)
@@ -172,8 +196,6 @@
             messages += [
                 (msg, others) for msg in self._relay_messages(relayed, position)
             ]
-        if self._round % REFRESH_ROUNDS == 0:
-            self._forget_gone_senders()
         return messages
 
     def _next_own_report(self) -> TargetReport | None:
@@ -183,18 +205,25 @@
         limits = {str(key): value for key, value in self._limits.notices().items()}
         brittle = {str(key): value for key, value in self._brittle.notices().items()}
         reached = self._contact.report()
+        notices = self._doubted.notices(in_contact=not self._contact.lost)
+        doubts = {str(key): value for key, value in notices.items()}
+        proofs = {str(key): value for key, value in self._doubted.proofs().items()}
         changed = (
             occupancy != self._own.occupancy
             or cold.keys() != self._own.cold_seconds.keys()
             or _rates(limits) != _rates(self._own.limits)
             or brittle.keys() != self._own.brittle.keys()
             or reached != self._own.reached
+            or _numbers(doubts) != _numbers(self._own.doubts)
+            or proofs != self._own.proofs
         )
         if changed:
             self._empty_reports_left = EMPTY_REPORTS
         elif self._round % REFRESH_ROUNDS:
             return None
-        elif not (occupancy or cold or limits or brittle or reached):
+        elif not (
+            occupancy or cold or limits or brittle or reached or doubts or proofs
+        ):
             if not self._empty_reports_left:
                 return None
             self._empty_reports_left -= 1
@@ -206,6 +235,8 @@
             limits,
             brittle,
             reached,
+            doubts,
+            proofs,
         )
         return self._own
 
@@ -245,3 +276,11 @@
 
 def _rates(limits: dict[str, LimitNotice]) -> dict[str, float | None]:
     return {target: notice.rate for target, notice in limits.items()}
+
+
+def _numbers(doubts: dict[str, DoubtNotice]) -> dict[str, tuple[int, bool]]:
+    """Return what of the doubts the other entry VMs are to be told at once."""
+    return {
+        target: (notice.number, notice.cold_seconds is None)
+        for target, notice in doubts.items()
+    }
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -108,6 +108,16 @@
         logbook.NOTICE,
         "start of a target checked whose connections were lost",
     )
+    TARGET_START_DOUBTED = (
+        3139,
+        logbook.NOTICE,
+        "target may have started again, or no longer",
+    )
+    TARGET_START_ASKED = (
+        3140,
+        logbook.NOTICE,
+        "target asked whether it has started again",
+    )
     ZONE_EVACUATED = (3121, logbook.NOTICE, "zone evacuated")
     ZONE_RESTORED = (3122, logbook.NOTICE, "zone restored; its targets count as cold")
     SETTINGS_RELOADED = (1009, logbook.NOTICE, "settings file reloaded")
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -10,6 +10,11 @@
     part_key,
 )
 from pimentospool.policy._crash_suspects import SURVIVAL_SECONDS, CrashSuspects
+from pimentospool.policy._doubted_starts import (
+    DoubtedStarts,
+    DoubtNotice,
+    ProofNotice,
+)
 from pimentospool.policy._drills import DrillSchedule
 from pimentospool.policy._entries import rank_entries
 from pimentospool.policy._flights import RegionFlight, TargetFlight
@@ -107,6 +112,8 @@
     "CrashEvidence",
     "CrashSuspects",
     "CustomerLimiter",
+    "DoubtNotice",
+    "DoubtedStarts",
     "DrillSchedule",
     "EntryState",
     "HeartbeatTable",
@@ -131,6 +138,7 @@
     "OperationRef",
     "OperationState",
     "OriginEvidence",
+    "ProofNotice",
     "QueueRefusal",
     "QueueTicket",
     "QuotaShares",
--- a/tests/gateway/test_target_reports.py
+++ b/tests/gateway/test_target_reports.py
@@ -19,6 +19,7 @@
 )
 from pimentospool.policy import (
     BrittleTargets,
+    DoubtedStarts,
     EntryState,
     NamedLimits,
     Occupancy,
@@ -45,6 +46,7 @@
         self.received = 0
         self.limits = NamedLimits(entry=self.fleet.local_id, clock=clock)
         self.brittle = BrittleTargets(entry=self.fleet.local_id, clock=clock)
+        self.doubted = DoubtedStarts(own=record.key, clock=clock)
         self.exchange = ReportExchange(
             fleet=self.fleet,
             book=self.book,
@@ -55,6 +57,7 @@
                 routing_state=RoutingState(clock=clock, zone_regions={}),
                 clock=clock,
             ),
+            doubted=self.doubted,
             cold_reports=lambda: self.cold,
             receive_cold_report=self.cold_received.__setitem__,
             position=lambda: self.position,
--- a/tests/platform/restarting_site.py
+++ b/tests/platform/restarting_site.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import socket
 import time
 from contextlib import asynccontextmanager
 
@@ -107,7 +108,11 @@
         host, _, port = target.address.rpartition(":")
         target.reset_all()
         self.ended.append(target)
-        await asyncio.sleep(down_seconds)
+        with socket.socket() as holder:
+            # Keeps the port from connections that ask for a free one.
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            holder.bind((host, int(port)))
+            await asyncio.sleep(down_seconds)
         again = start_again(instance=name, events=EVENTS)
         again.born = (target.born or 1) + 1
         again.gap_seconds = EVENT_GAP_SECONDS
@@ -128,7 +133,9 @@
         }
         await self.site.register(target, **(entry | options))
 
-    async def restart_and_register(self, name, *, down_seconds, late_seconds, **options):
+    async def restart_and_register(
+        self, name, *, down_seconds, late_seconds, **options
+    ):
         again = await self.restart(name, down_seconds=down_seconds)
         await asyncio.sleep(late_seconds)
         await self.register(again, **options)
--- a/tests/platform/test_software_versions.py
+++ b/tests/platform/test_software_versions.py
@@ -9,6 +9,7 @@
 
 from pimentospool.gateway import SourceError
 from pimentospool.policy import EntryState
+from pimentospool.policy._shared_limits import STARTUP_DELAY_SECONDS
 from pimentospool.standins import Fault, SigningTarget
 
 EVENTS = 6
@@ -321,6 +322,8 @@
         target = await add_engine(site, "m-1", "v1")
         target.gap_seconds = 0.3
         await wait_until_ready(site)
+        # New processes send nothing to targets that may be cold.
+        await asyncio.sleep(STARTUP_DELAY_SECONDS)
         running = asyncio.create_task(
             site.call("/ask/", request_id="b-1", method="POST", data=b"p")
         )
