--- a/tests/platform/restarting_site.py
+++ b/tests/platform/restarting_site.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import socket
 import time
 from contextlib import asynccontextmanager
 
@@ -137,7 +138,11 @@
         await asyncio.sleep(silent_seconds)
         end(target)
         self.ended.append(target)
-        await asyncio.sleep(down_seconds)
+        with socket.socket() as holder:
+            # Keeps the port from connections that ask for a free one.
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            holder.bind((host, int(port)))
+            await asyncio.sleep(down_seconds)
         again = SigningTarget(instance=name, events=EVENTS)
         again.born = (target.born or 1) + 1
         again.gap_seconds = target.gap_seconds
@@ -158,14 +163,6 @@
         }
         await self.site.register(target, **(entry | options))
 
-    async def restart_and_register(
-        self, name, *, down_seconds, late_seconds, **options
-    ):
-        again = await self.restart(name, down_seconds=down_seconds)
-        await asyncio.sleep(late_seconds)
-        await self.register(again, **options)
-        return again
-
     def served_share(self, *, since, until=float("inf")):
         """Return the share of the calls of a time that were served in full."""
         statuses = [status for at, status in self.results if since <= at < until]
