Check doubted targets soon after contact with them returns

An entry VM that was cut off doubts all targets, and its checks waited up to eleven seconds for its turn. The turn is looked up before each wait now, five intervals (2.5 s) at most, and half a second while contact is lost. A check ends once a target has named a newer start.

--- a/pimentospool/gateway/_start_checks.py
+++ b/pimentospool/gateway/_start_checks.py
@@ -24,6 +24,8 @@
 CHECK_INTERVAL_SECONDS = 0.5
 """Time between two checks of a target by the first entry VM, as reports are priced; the
 second one waits twice as long, and so on."""
+MAX_CHECK_INTERVALS = 5
+"""Longest time between two checks, as a multiple of that."""
 CHECK_TIMEOUT_SECONDS = 4.0
 """Timeout of each question; a new start isn't cold for much longer."""
 NEXT_CHECKER_SECONDS = 0.1
@@ -124,15 +126,16 @@
 
     async def _check(self, target: TargetId) -> None:
         """Check `target` until it is no longer in doubt."""
-        rank = self._rank(target)
-        await asyncio.sleep(rank * NEXT_CHECKER_SECONDS)
+        await asyncio.sleep(self._rank(target) * NEXT_CHECKER_SECONDS)
         while self._doubted.is_doubted(target) and self._is_local(target):
+            intervals = 1
             if not self._placement.contact.lost:
                 restarted = await self._ask(target)
                 self._end_wait(target)
                 if restarted:
                     return
-            await asyncio.sleep((1 + rank) * CHECK_INTERVAL_SECONDS)
+                intervals = min(1 + self._rank(target), MAX_CHECK_INTERVALS)
+            await asyncio.sleep(intervals * CHECK_INTERVAL_SECONDS)
 
     def _rank(self, target: TargetId) -> int:
         """Return the place of this entry VM among those that check `target`."""
