Keep a doubt that has ended elsewhere by an entry not known here

Callers saw a cold target flooded by entry VMs that had seen nothing of its crash: the first one to read the new entry ended its doubt and no longer reported it, and the others took that for its end although they still had the earlier, warm entry. Entry VMs that follow a relay read an entry some tenths of a second later.

A report that no longer names a doubt doesn't end it any more.

--- a/pimentospool/policy/_doubted_starts.py
+++ b/pimentospool/policy/_doubted_starts.py
@@ -251,15 +251,12 @@
     ) -> bool:
         """Take over the report of another entry VM; return whether it is news.
 
-        Its doubts that the report doesn't name have ended.
+        A doubt that the report no longer names may have ended there by a registration
+        that is not known here yet, so it lasts until its time is over.
         """
         is_news = False
         for target, proof in proofs.items():
             is_news |= self._apply(target, proof)
-        for target in list(self._doubts):
-            if target not in doubts and member in self._doubts[target]:
-                del self._doubts[target][member]
-                self._drop_empty(target)
         for target, notice in doubts.items():
             is_news |= self._receive_doubt(member, target, notice)
         return is_news
