Let a proof of a newer start settle nothing where its entry is not known

An entry VM that knew the new start of a target and proved it settled doubts, by their numbers, of entry VMs that still had the earlier, warm entry; these then took the cold target for warm.

A proof settles only doubts in the start that it shows. Without the fix "python -m pytest tests/policy/test_doubted_starts.py" fails in test_member_without_the_new_entry_keeps_a_doubt_that_ended_with_it_elsewhere[True].

--- a/pimentospool/policy/_doubted_starts.py
+++ b/pimentospool/policy/_doubted_starts.py
@@ -289,7 +289,8 @@
 
     def _apply(self, target: TargetId, proof: ProofNotice) -> bool:
         """Settle doubts by a proof; return whether one was not settled before."""
-        if proof.start < self._known_starts.get(target, 0):
+        # A newer start than the known one may be cold, which its entry will tell.
+        if proof.start != self._known_starts.get(target, proof.start):
             return False
         settled = self._settled.setdefault(target, {})
         doubts = self._doubts.get(target, {})
--- a/tests/policy/test_doubted_starts.py
+++ b/tests/policy/test_doubted_starts.py
@@ -155,14 +155,18 @@
 
 
 # FAILBACK: the entry that ended a doubt at one member freed the target at all others.
+@pytest.mark.parametrize("proves_new_start", [False, True])
 def test_member_without_the_new_entry_keeps_a_doubt_that_ended_with_it_elsewhere(
-    clock,
+    clock, proves_new_start
 ):
     region = Region(clock)
     first, second, _ = region.members
     region.crash(first, 0)
     region.tell(first, 1)
     region.register(first, 0)
+    if proves_new_start:
+        for step in (region.doubt, region.ask, region.answer, region.end_proof):
+            step(first, 0)
     region.tell(first, 1)
     assert not first.doubted.is_doubted(TARGET)
     assert second.doubted.is_doubted(TARGET)
