Show that a target which crashed while idle is flooded if it closed quietly

Connections that were idle for a second and are closed without a reset count as timed out (MIN_IDLE_CLOSE_SECONDS), also if all of them end in one moment. The kernel ends idle connections of a killed process in this way, so that no entry VM doubts the start.

--- a/tests/platform/test_restarted_targets.py
+++ b/tests/platform/test_restarted_targets.py
@@ -23,6 +23,9 @@
 RATE = 80
 LATE_SECONDS = 1.2
 """Time after its start at which a target is registered."""
+IDLE_SECONDS = 1.5
+"""Time after which a target might close connections as idle; shorter than the time
+after which entry VMs do."""
 CLOSING_SECONDS = 4.0
 """Time in which targets end connections and are observed."""
 
@@ -198,6 +201,23 @@
     run_restart(runner, tmp_path, after=register_late, **options)
 
 
+# FAILBACK: a crash that only closed idle connections looked like idle timeouts.
+@pytest.mark.parametrize("end", [SigningTarget._crash, SigningTarget.reset_all])
+def test_cold_target_is_not_flooded_if_it_crashed_while_idle(runner, tmp_path, end):
+    async def run():
+        async with restarting_site(tmp_path) as restarting:
+            async with restarting.load(RATE):
+                await asyncio.sleep(1.0)
+            await asyncio.sleep(IDLE_SECONDS)
+            targets = await restart_all(restarting, end=end, down_seconds=0.02)
+            async with restarting.load(RATE):
+                await register_late(restarting, targets)
+                await sleep_while_cold(targets)
+            check_cold(targets)
+
+    runner.run(run())
+
+
 @pytest.mark.parametrize(
     ("down_seconds", "late_seconds"), [(0.02, LATE_SECONDS), (0.3, 0.0)]
 )
