--- a/tests/gateway/test_target_reports.py
+++ b/tests/gateway/test_target_reports.py
@@ -14,6 +14,7 @@
 from pimentospool.gateway._target_reports import (
     EMPTY_REPORTS,
     LINK_SHARE,
+    REFRESH_ROUNDS,
     ReportExchange,
     relay_bytes,
 )
@@ -108,6 +109,26 @@
                             self.nodes[record.key].exchange.receive(msg)
         return datagrams
 
+    def send_urgent(self, node):
+        """Send what is new before the next round, and what receivers are to relay."""
+        urgent = [node]
+        while urgent:
+            for msg, receivers in urgent.pop(0).exchange.messages():
+                for record in receivers:
+                    receiver = self.nodes[record.key]
+                    if record.key not in self.stopped and receiver.exchange.receive(
+                        msg
+                    ):
+                        urgent.append(receiver)
+
+    def in_doubt(self):
+        """Return whether the start of the target is in doubt, by running entry VM."""
+        return {
+            node.doubted.is_doubted("i-1")
+            for key, node in self.nodes.items()
+            if key not in self.stopped
+        }
+
 
 @pytest.mark.parametrize("size", [3, 12, LARGE])
 def test_work_is_known_everywhere_within_two_rounds(size):
@@ -255,5 +276,61 @@
         assert all(position == FactPosition(1, 42) for _, position, _ in node.positions)
 
 
+def make_doubting_region(size, *, stopped_relays=0):
+    """Return a region, and one of its entry VMs that is no relay."""
+    region = Region(size)
+    for node in region.list:
+        node.doubted.register("i-1", 1, tells_cold=False, cold_seconds=3.0)
+    relays = _relay_keys(region)
+    region.stopped.update(sorted(relays)[:stopped_relays])
+    return region, next(node for key, node in region.nodes.items() if key not in relays)
+
+
+@pytest.mark.parametrize(
+    ("size", "stopped_relays"), [(4, 0), (12, 0), (LARGE, 0), (LARGE, 1)]
+)
+def test_doubt_in_a_start_and_its_proof_are_known_in_the_region_at_once(
+    size, stopped_relays
+):
+    region, first = make_doubting_region(size, stopped_relays=stopped_relays)
+    region.run_rounds(2)
+    first.doubted.record_doubt("i-1")
+    region.send_urgent(first)
+    assert region.in_doubt() == {True}
+    prover = next(
+        node for node in reversed(region.list) if node.record.key not in region.stopped
+    )
+    prover.doubted.settle("i-1", 1, prover.doubted.open_doubts("i-1"))
+    region.send_urgent(prover)
+    assert region.in_doubt() == {False}
+
+
+@pytest.mark.parametrize("size", [4, LARGE])
+@pytest.mark.parametrize("lost", [1, 2])
+def test_doubt_is_known_in_the_region_though_reports_of_it_were_lost(size, lost):
+    region, first = make_doubting_region(size)
+    first.doubted.record_doubt("i-1")
+    for _ in range(lost):
+        first.exchange.messages()
+        first.exchange.next_round()
+    region.run_rounds(REFRESH_ROUNDS + 1)
+    assert region.in_doubt() == {True}
+
+
+@pytest.mark.parametrize("size", [4, LARGE])
+def test_doubt_stays_known_for_as_long_as_it_lasts(size):
+    region, first = make_doubting_region(size)
+    first.doubted.record_doubt("i-1")
+    for _ in range(int(20.0 / ROUND_SECONDS)):
+        region.run_rounds()
+        assert region.in_doubt() == {True}
+    # A new start was reached and has had its cold time.
+    first.doubted.record_reached("i-1", cold_seconds=3.0)
+    region.run_rounds(int(2.0 / ROUND_SECONDS))
+    assert region.in_doubt() == {True}
+    region.run_rounds(int(4.0 / ROUND_SECONDS))
+    assert region.in_doubt() == {False}
+
+
 def _relay_keys(region):
     return set(region.list[0].fleet.relays("gulf"))
