Ask a target that calls its new start warm how long it stays cold

A target restarts, and its new entry says that it isn't cold. Callers saw one of two things. If an entry VM still checked the target then, its report proved the new start, which ended the doubt: a target that was cold in spite of its entry got 16 to 24 requests in one second where 6 are allowed. If all had already learned that it had started again, nobody asked any more, and a warm target got the rate of a cold one for 3.5 s.

The doubt that remains belongs to the earlier start, so that a proof of the new one doesn't settle it, and it begins a check, in which the target is asked for its remaining cold time too. None ends it; a longer one bounds it and ends the checks. A repeated entry doesn't prolong it.

--- a/pimentospool/gateway/_start_checks.py
+++ b/pimentospool/gateway/_start_checks.py
@@ -130,9 +130,9 @@
         while self._doubted.is_doubted(target) and self._is_local(target):
             intervals = 1
             if not self._placement.contact.lost:
-                restarted = await self._ask(target)
+                is_answered = await self._ask(target)
                 self._end_wait(target)
-                if restarted:
+                if is_answered:
                     return
                 intervals = min(1 + self._rank(target), MAX_CHECK_INTERVALS)
             await asyncio.sleep(intervals * CHECK_INTERVAL_SECONDS)
@@ -146,7 +146,10 @@
         return rank_members(ready | {local_id}, purpose=target).index(local_id)
 
     async def _ask(self, target: TargetId) -> bool:
-        """Ask a target for its start; return whether it has started again."""
+        """Ask a target for its start; return whether it needs no further check.
+
+        It needs none if it has started again, or says how long it stays cold.
+        """
         state = self._routing_state.target(target)
         configuration = self._routing_state.configuration
         if state is None or configuration is None:
@@ -156,6 +159,7 @@
         if service is None:
             return False
         doubts = self._doubted.open_doubts(target)
+        all_doubts = self._doubted.open_doubts(target, with_earlier=True)
         pool = self._pools.target_pool(registration, service)
         report, started_at, cold_seconds = "unreachable", None, None
         try:
@@ -170,7 +174,10 @@
                     conn,
                     timeout_seconds=CHECK_TIMEOUT_SECONDS,
                 )
-                if started_at is None and conn.reusable:
+                unproved = started_at is None or (
+                    started_at == registration.started_at and doubts != all_doubts
+                )
+                if unproved and conn.reusable:
                     cold_seconds = await self._read_cold_seconds(
                         registration, service, conn
                     )
@@ -180,9 +187,11 @@
                 pool.release(conn)
         if cold_seconds:
             self._doubted.record_reached(target, cold_seconds=cold_seconds)
-        proved = started_at == registration.started_at or cold_seconds == 0
+        restarted = started_at not in (None, registration.started_at)
+        proved = not restarted and (started_at is not None or cold_seconds == 0)
         if proved:
-            self._doubted.settle(target, registration.started_at, doubts)
+            settled = all_doubts if cold_seconds == 0 else doubts
+            self._doubted.settle(target, registration.started_at, settled)
         log_event(
             Event.TARGET_START_ASKED,
             target=target,
@@ -191,7 +200,7 @@
             started_at=started_at,
             cold_seconds=cold_seconds,
         )
-        return started_at is not None and not proved
+        return restarted or bool(cold_seconds)
 
     async def _read_cold_seconds(
         self, registration: Registration, service: ServiceSpec, conn: Connection
--- a/pimentospool/policy/_doubted_starts.py
+++ b/pimentospool/policy/_doubted_starts.py
@@ -115,7 +115,8 @@
         """Record that `target` has registered `start`.
 
         It ends the doubts in earlier starts if the entry tells for how long the new one
-        stays cold, and bounds them otherwise.
+        stays cold. Otherwise a bounded one remains, which a proof of the new start
+        doesn't settle.
 
         Parameters
         ----------
@@ -131,19 +132,21 @@
         earlier = [
             doubt for doubt in self._current(target).values() if doubt.start < start
         ]
+        is_known = self._known_starts.get(target) == start
         self._known_starts[target] = start
-        if not earlier:
+        if not earlier or (is_known and not tells_cold):
             return
         doubts = self._doubts[target]
         for member, doubt in list(doubts.items()):
             if doubt.start < start:
                 del doubts[member]
+        self._drop_empty(target)
         if not tells_cold:
             self._number += 1
             now = self._clock()
             ends_at = now + cold_seconds + COLD_MARGIN_SECONDS
-            doubts[self._own] = _Doubt(start, self._number, now, ends_at)
-        self._drop_empty(target)
+            latest = max(doubt.start for doubt in earlier)
+            self._add(target, self._own, _Doubt(latest, self._number, now, ends_at))
 
     def forget(self, target: TargetId) -> None:
         """Drop what is known of the start of `target`."""
@@ -186,9 +189,20 @@
         current = self._current(target)
         return current.keys() == {self._own} and not current[self._own].shared
 
-    def open_doubts(self, target: TargetId) -> dict[MemberKey, int]:
-        """Return the doubts that a proof which begins now can settle."""
-        return {member: doubt.number for member, doubt in self._current(target).items()}
+    def open_doubts(
+        self, target: TargetId, *, with_earlier: bool = False
+    ) -> dict[MemberKey, int]:
+        """Return the doubts that a proof which begins now can settle.
+
+        A proof of the known start settles those in it, and one that the target is warm
+        those in earlier starts as well.
+        """
+        known = 0 if with_earlier else self._known_starts.get(target, 0)
+        return {
+            member: doubt.number
+            for member, doubt in self._current(target).items()
+            if doubt.start >= known
+        }
 
     def settle(
         self, target: TargetId, start: int, doubts: Mapping[MemberKey, int]
--- a/tests/gateway/test_start_checks.py
+++ b/tests/gateway/test_start_checks.py
@@ -5,6 +5,7 @@
 import time
 from functools import partial
 
+import msgspec
 import pytest
 from gateway_factories import (
     announce,
@@ -208,3 +209,23 @@
         assert region.doubting == set()
 
     run_with_region(runner, check, born=None)
+
+
+@pytest.mark.parametrize(("cold_ms", "doubting"), [(0, set()), (1500, set(ENTRIES))])
+def test_target_whose_new_entry_calls_it_warm_is_asked_how_long_it_stays_cold(
+    runner, cold_ms, doubting
+):
+    async def check(region, target):
+        target.cold_remaining_ms = cold_ms
+        region.lose_connections()
+        await asyncio.sleep(CHECK_SECONDS)
+        for node in region.nodes.values():
+            old = node.routing_state.target(TARGET).registration
+            node.routing_state.register(msgspec.structs.replace(old, started_at=2))
+        await asyncio.sleep(CHECK_SECONDS)
+        assert region.doubting == doubting
+        assert len(target.reports) <= 2 * len(ENTRIES)
+        await asyncio.sleep(2.0)
+        assert region.doubting == set()
+
+    run_with_region(runner, check, born=2)
--- a/tests/policy/test_doubted_starts.py
+++ b/tests/policy/test_doubted_starts.py
@@ -242,3 +242,20 @@
     assert observed.doubted.is_doubted(TARGET)
     clock.now += 2 * COLD_MARGIN_SECONDS
     assert not observed.doubted.is_doubted(TARGET)
+
+
+# FAILBACK: a new entry that called a cold target warm freed it by its report.
+@pytest.mark.parametrize("proves_warm", [False, True])
+def test_new_entry_without_a_cold_time_leaves_a_doubt_that_no_start_settles(
+    clock, proves_warm
+):
+    member = Region(clock).members[0]
+    member.doubted.record_doubt(TARGET)
+    for _ in range(2):
+        member.doubted.register(TARGET, 2, tells_cold=False, cold_seconds=COLD_SECONDS)
+        clock.now += COLD_SECONDS / 2
+    doubts = member.doubted.open_doubts(TARGET, with_earlier=proves_warm)
+    member.doubted.settle(TARGET, 2, doubts)
+    assert member.doubted.is_doubted(TARGET) is not proves_warm
+    clock.now += COLD_MARGIN_SECONDS
+    assert not member.doubted.is_doubted(TARGET)
