Count a newer start as cold if its entry doesn't say so

Callers lost answers of a cold target whose new entry said that it was warm (FAILBACK; 16 requests in one second, 6 allowed): the doubt in the earlier start ended with the entry, or a report proved the new start and settled it. A target of which the earlier start was in doubt has begun its new one just now, so it counts as cold for the time that its service states, until its health check says otherwise.

--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -623,12 +623,11 @@
         return 0.0 if spec is None else spec.cold_seconds
 
     def _register_start(self, registration: Registration) -> None:
-        self.doubted_starts.register(
-            registration.id,
-            registration.started_at,
-            tells_cold=registration.cold_seconds > 0,
-            cold_seconds=self._cold_seconds(registration.service),
+        was_doubted = self.doubted_starts.register(
+            registration.id, registration.started_at
         )
+        if was_doubted and not registration.cold_seconds:
+            self._routing_state.assume_cold(registration.id)
         self._starts.register(registration.id, _start(registration))
 
     def _report_doubt(self, target: TargetId, doubted: bool) -> None:
--- a/pimentospool/gateway/_routing_state.py
+++ b/pimentospool/gateway/_routing_state.py
@@ -41,7 +41,8 @@
         self.registration = registration
         self.cold_until = 0.0
         self.assumed_cold = False
-        """Whether it counts as cold only because its zone's evacuation has ended."""
+        """Whether it counts as cold though it has not said so, as its zone's evacuation
+        has ended or it has started again."""
         self.unreadable = False
         """Whether its entry has become unreadable, so that it gets no new requests."""
         self.expires_at: float | None = None
@@ -270,6 +271,12 @@
             state.cold_until = now
         state.assumed_cold = False
 
+    def assume_cold(self, target: TargetId) -> None:
+        """Let a target count as cold for as long as a new start is."""
+        state = self._targets.get(target)
+        if state is not None:
+            self._assume_cold(state)
+
     def known_targets(self) -> list[TargetId]:
         """Return the ids of all registered targets."""
         return list(self._targets)
@@ -323,7 +330,7 @@
             log_event(Event.ZONE_EVACUATED, zone=zone)
         for zone in self._evacuated - zones:
             log_event(Event.ZONE_RESTORED, zone=zone)
-            self._assume_cold(zone)
+            self._assume_zone_cold(zone)
         restored = self._evacuated - zones
         self._evacuated = set(zones)
         for zone in restored:
@@ -430,15 +437,19 @@
         }
         self._departed[_instance(state.registration)] = now, state
 
-    def _assume_cold(self, zone: ZoneId) -> None:
-        services = self.configuration.services if self.configuration else {}
+    def _assume_zone_cold(self, zone: ZoneId) -> None:
         departed = (state for _, state in self._departed.values())
         for state in (*self._targets.values(), *departed):
-            spec = services.get(state.registration.service)
-            if state.registration.zone == zone and spec is not None:
-                cold_until = self._clock() + spec.cold_seconds + COLD_MARGIN_SECONDS
-                state.assumed_cold = state.cold_until < cold_until
-                state.cold_until = max(state.cold_until, cold_until)
+            if state.registration.zone == zone:
+                self._assume_cold(state)
+
+    def _assume_cold(self, state: TargetState) -> None:
+        services = self.configuration.services if self.configuration else {}
+        spec = services.get(state.registration.service)
+        if spec is not None:
+            cold_until = self._clock() + spec.cold_seconds + COLD_MARGIN_SECONDS
+            state.assumed_cold = state.cold_until < cold_until
+            state.cold_until = max(state.cold_until, cold_until)
 
 
 def _is_new_instance(known: Registration, published: Registration) -> bool:
--- a/pimentospool/policy/_doubted_starts.py
+++ b/pimentospool/policy/_doubted_starts.py
@@ -109,41 +109,21 @@
         self.expire()
         return list(self._doubts)
 
-    def register(
-        self, target: TargetId, start: int, *, tells_cold: bool, cold_seconds: float
-    ) -> None:
-        """Record that `target` has registered `start`.
-
-        It ends the doubts in earlier starts if the entry tells for how long the new one
-        stays cold, and bounds them otherwise.
+    def register(self, target: TargetId, start: int) -> bool:
+        """Record that `target` has registered `start`; it ends doubts in earlier ones.
 
-        Parameters
-        ----------
-        target : TargetId
-            The target.
-        start : int
-            Its start, which rises with each.
-        tells_cold : bool
-            Whether the entry tells that the target is cold.
-        cold_seconds : float
-            Time for which a new start is cold.
+        Return whether there were any, so that the new start has begun just now.
         """
         earlier = [
-            doubt for doubt in self._current(target).values() if doubt.start < start
+            member
+            for member, doubt in self._current(target).items()
+            if doubt.start < start
         ]
         self._known_starts[target] = start
-        if not earlier:
-            return
-        doubts = self._doubts[target]
-        for member, doubt in list(doubts.items()):
-            if doubt.start < start:
-                del doubts[member]
-        if not tells_cold:
-            self._number += 1
-            now = self._clock()
-            ends_at = now + cold_seconds + COLD_MARGIN_SECONDS
-            doubts[self._own] = _Doubt(start, self._number, now, ends_at)
+        for member in earlier:
+            del self._doubts[target][member]
         self._drop_empty(target)
+        return bool(earlier)
 
     def forget(self, target: TargetId) -> None:
         """Drop what is known of the start of `target`."""
--- a/tests/gateway/test_target_reports.py
+++ b/tests/gateway/test_target_reports.py
@@ -280,7 +280,7 @@
     """Return a region, and one of its entry VMs that is no relay."""
     region = Region(size)
     for node in region.list:
-        node.doubted.register("i-1", 1, tells_cold=False, cold_seconds=3.0)
+        node.doubted.register("i-1", 1)
     relays = _relay_keys(region)
     region.stopped.update(sorted(relays)[:stopped_relays])
     return region, next(node for key, node in region.nodes.items() if key not in relays)
--- a/tests/platform/test_cut_answers.py
+++ b/tests/platform/test_cut_answers.py
@@ -261,7 +261,9 @@
             target.faults = [Fault.RESET_STREAM] * 10 * answer.size
         for node in site.nodes:
             node.gateway.deps._retry_budgets["llm"] = UnlimitedBudget()
-            node.gateway.deps.start_proofs = CertainStarts()
+            deps = node.gateway.deps
+            deps.start_proofs = CertainStarts()
+            deps.placement.doubted_starts.record_doubt = lambda target: None
 
         async def make_call(session, size):
             return await call(site, session, f"/ask/{size}", request_id_of(size))
--- a/tests/policy/test_doubted_starts.py
+++ b/tests/policy/test_doubted_starts.py
@@ -29,7 +29,7 @@
     def __init__(self, key, clock):
         self.key = key
         self.doubted = DoubtedStarts(own=key, clock=clock)
-        self.doubted.register(TARGET, 1, tells_cold=False, cold_seconds=COLD_SECONDS)
+        self.doubted.register(TARGET, 1)
         self.known_start = 1
         self.connected = False
         self.seen, self.heard_of = set(), set()
@@ -89,9 +89,7 @@
         cold_seconds = self.cold_until - self.clock.now
         if self.start != member.known_start and cold_seconds > 0:
             member.known_start = self.start
-            member.doubted.register(
-                TARGET, self.start, tells_cold=True, cold_seconds=COLD_SECONDS
-            )
+            member.doubted.register(TARGET, self.start)
 
     def send(self, member, _):
         number, doubts = next(member.reports), member.doubted.notices()
