--- a/pimentospool/gateway/_connection_pool.py
+++ b/pimentospool/gateway/_connection_pool.py
@@ -14,8 +14,8 @@
 from pimentospool.verdicts import Verdict
 
 CLOSED_TOGETHER_SECONDS = 0.05
-"""Time in which all idle connections are closed if their target ends. They were idle for
-different times, while an idle timeout closes those that were idle for the same time."""
+"""Time in which all idle connections are closed if their target ends. They were idle
+for different times; an idle timeout closes those that were idle for the same time."""
 CONNECT_TIMEOUT_SECONDS = 0.35
 """Connect timeout within a region, where a round trip takes less than ten milliseconds.
 A target without power doesn't answer at all."""
@@ -66,7 +66,7 @@
         )
         """Whether the other side may have started again."""
         self._idle_close = (-math.inf, 0.0)
-        """When the other side last closed an idle connection, which was idle so long."""
+        """When the other side last closed an idle connection, and its idle time."""
 
     async def acquire(
         self, *, unused: bool = False, within_seconds: float = math.inf
