Pass requests on where all targets here are in doubt

A target in doubt gets the few requests of a cold one, so that hardly a connection was tried: the targets didn't count as failed, and the cold ones as a way to go. Targets that this entry VM itself doubts count as failed now, and cold ones don't keep a request from a neighbour then. Doubts of others change nothing.

Evidence: the new case with own doubts failed before (NoChoice).

--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -176,7 +176,7 @@
                     req,
                     service,
                     progress,
-                    has_candidates=bool(candidates),
+                    has_candidates=any(not item.cold for item in candidates),
                     has_remotes=bool(remotes),
                     is_preferred=preferred_region == self._region,
                 )
@@ -568,8 +568,10 @@
     def _all_failed(self, states: list[TargetState]) -> bool:
         # An answer on an old connection doesn't end an ejection.
         return all(
-            health.last_connect_failed or health.ejected
-            for health in (self.health(state.id) for state in states)
+            self.doubted_starts.is_own(state.id)
+            or self.health(state.id).last_connect_failed
+            or self.health(state.id).ejected
+            for state in states
         )
 
     def _has_version(
--- a/pimentospool/policy/_doubted_starts.py
+++ b/pimentospool/policy/_doubted_starts.py
@@ -104,6 +104,10 @@
         """Whether `target` may have started again."""
         return target in self._doubts and bool(self._current(target))
 
+    def is_own(self, target: TargetId) -> bool:
+        """Whether this entry VM itself doubts the start of `target`."""
+        return self._own in self._current(target)
+
     def doubted_targets(self) -> list[TargetId]:
         """Return the targets that may have started again."""
         self.expire()
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -3,6 +3,7 @@
 import random
 from collections import deque
 
+import pytest
 from gateway_factories import (
     Clock,
     announce,
@@ -26,8 +27,10 @@
 from pimentospool.gateway._placement import Placement
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.policy import (
+    DoubtNotice,
     NoChoice,
     OccupancyBook,
+    RegionChoice,
     TargetChoice,
     preferred_target,
 )
@@ -261,6 +264,26 @@
     assert choose_for(placement, HOME_ROUTE).candidate.target == "g-2"
 
 
+# An entry VM whose connections a cut had reset refused what a neighbour could serve.
+@pytest.mark.parametrize("own", [True, False])
+def test_request_goes_by_a_neighbour_if_this_entry_vm_doubts_all_targets(own):
+    placement = make_placement()
+    service = make_service("llm", engine=True, cold_seconds=3.0)
+    config = make_configuration(ROUTE, version=2, services=[service])
+    placement._routing_state.adopt(config)
+    record = make_record("near")
+    announce(placement._fleet, record)
+    placement.contact.receive(record.key, {service_key("llm"): True})
+    if own:
+        for target in ("g-1", "g-2"):
+            placement.record_loss(target)
+    else:
+        doubts = dict.fromkeys(("g-1", "g-2"), DoubtNotice(0, 1))
+        placement.doubted_starts.receive(record.key, doubts, {})
+    choice = choose_for(placement, HOME_ROUTE)
+    assert isinstance(choice, RegionChoice if own else NoChoice)
+
+
 def test_answers_on_old_connections_leave_no_request_without_a_way():
     reached = {service_key("llm"): True}
     placement, _ = make_cut_off_placement(neighbour_reports=reached)
