Don't tell of connections that were reset without an answer

Callers of a busy service lost the targets that were at their connection limit: such a target resets further connections, and an entry VM without an older one took that for a new start and told the region, so that the sound target got no more than a cold one. A connection that was lost before anything came on it isn't told any more; after a crash the others are, and the next attempt to connect is refused. Streams that go on still need a proof, as before.

--- a/pimentospool/gateway/_connection_pool.py
+++ b/pimentospool/gateway/_connection_pool.py
@@ -140,7 +140,7 @@
         # One that was opened later may be to a newer start.
         outlived = any(other.opened_at <= conn.heard_at for other in self._connections)
         if conn.lost and not outlived:
-            self.start_doubt.record_loss()
+            self.start_doubt.record_loss(heard=conn.heard_at > conn.opened_at)
         elif not self._connections:
             self.start_doubt.record_unconnected()
 
--- a/pimentospool/policy/_start_doubt.py
+++ b/pimentospool/policy/_start_doubt.py
@@ -50,11 +50,16 @@
         self._reached_at = math.inf
         self._tried_at = -math.inf
 
-    def record_loss(self) -> None:
-        """Record that all connections were lost, or that none could be opened."""
+    def record_loss(self, *, heard: bool = True) -> None:
+        """Record that all connections were lost, or that none could be opened.
+
+        With `heard` false, the last one was lost before anything came on it: a target
+        also resets connections beyond its limit. That isn't told.
+        """
         self.exists = True
         self.record_unconnected()
-        self._on_loss()
+        if heard:
+            self._on_loss()
 
     def record_unconnected(self) -> None:
         """Record that no connection is open any more."""
--- a/tests/gateway/test_pools.py
+++ b/tests/gateway/test_pools.py
@@ -162,6 +162,36 @@
     assert asyncio.run(run()) is in_doubt
 
 
+# A busy target, which resets connections beyond its limit, counted as cold.
+@pytest.mark.parametrize("answered", [False, True])
+def test_reset_of_a_connection_without_an_answer_is_not_told_as_a_loss(answered):
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        if answered:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            await reader.readuntil(b"\r\n\r\n")
+        set_reset_on_close(writer.transport, enabled=True)
+        writer.transport.abort()
+
+    async def run():
+        losses = []
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        address = Address(*server.sockets[0].getsockname()[:2])
+        pool = ConnectionPool(
+            address=address, limit=1, on_loss=lambda: losses.append(1)
+        )
+        conn = await pool.acquire()
+        with pytest.raises(AttemptFailure):
+            for _ in range(2):
+                await ask(conn)
+        await asyncio.sleep(0.05)
+        server.close()
+        assert pool.start_doubt.exists
+        return bool(losses)
+
+    assert asyncio.run(run()) is answered
+
+
 def test_connection_that_is_not_answered_puts_the_start_in_doubt():
     async def run(address):
         host, _, port = address.rpartition(":")
