--- a/pimentospool/policy/_doubted_starts.py
+++ b/pimentospool/policy/_doubted_starts.py
@@ -162,8 +162,7 @@
         start = self._known_starts.get(target)
         if start is None:
             return
-        doubted = self._current(target)
-        is_news = all(math.isfinite(doubt.ends_at) for doubt in doubted.values())
+        is_news = self._is_news(target)
         self._number += 1
         self._add(target, self._own, _Doubt(start, self._number, self._clock()))
         if is_news:
@@ -291,8 +290,17 @@
             known.heard_at = now
             known.ends_at = min(known.ends_at, ends_at)
             return False
+        is_news = self._is_news(target)
         self._add(target, member, _Doubt(notice.start, notice.number, now, ends_at))
-        return True
+        return is_news
+
+    def _is_news(self, target: TargetId) -> bool:
+        """Whether a doubt that begins now tells the others anything.
+
+        It doesn't while they have one that lasts until the target is reached.
+        """
+        doubts = self._current(target).values()
+        return all(math.isfinite(doubt.ends_at) for doubt in doubts)
 
     def _apply(self, target: TargetId, proof: ProofNotice) -> bool:
         """Settle doubts by a proof; return whether one was not settled before."""
--- /dev/null
+++ b/tests/policy/test_doubted_starts.py
@@ -0,0 +1,38 @@
+"""Doubts of the entry VMs of a region whether targets are in their known starts."""
+
+import pytest
+
+from pimentospool.policy import DoubtedStarts
+
+
+class Member:
+    """One entry VM that knows the target ``t`` in its start 1."""
+
+    def __init__(self, key):
+        self.now = 100.0
+        self.news = 0
+        self.doubted = DoubtedStarts(
+            own=key, clock=lambda: self.now, on_news=self.count_news
+        )
+        self.doubted.register("t", 1, tells_cold=False, cold_seconds=3.0)
+
+    def count_news(self):
+        self.news += 1
+
+    def receive(self, member, key):
+        return self.doubted.receive(
+            key, member.doubted.notices(), member.doubted.proofs()
+        )
+
+
+# Each renewal was relayed at once, to a whole region, while a target was down.
+@pytest.mark.parametrize("reached", [False, True])
+def test_renewed_doubt_is_news_only_once_the_target_was_reached(reached):
+    sender, receiver = Member(1), Member(2)
+    sender.doubted.record_doubt("t")
+    assert receiver.receive(sender, 1)
+    if reached:
+        receiver.doubted.record_reached("t", cold_seconds=3.0)
+    sender.doubted.record_doubt("t")
+    assert sender.news == 1
+    assert receiver.receive(sender, 1) is reached
