Relay a doubt at once beside other reports

Entry VMs of a region of more than twelve learned up to 0.2 s late that a target may have started again, and sent to it meanwhile (FAILBACK). A relay holds reports back while it has sent more bytes than its link is to carry. The bytes of the current round counted as such until the next one, without any limit too, so that a doubt was only relayed at once if the relay had sent nothing in the round. The bytes of a round count against what the link is to carry in it now, and only what is beyond that waits.

Evidence: the new test failed before. The test of a relay with a slow link passes.

--- a/pimentospool/gateway/_target_reports.py
+++ b/pimentospool/gateway/_target_reports.py
@@ -102,6 +102,8 @@
         self._unpaid_bytes = 0.0
         """Bytes sent beyond what the link is to carry; while there are any, reports of
         others wait, and newer ones of the same sender take their place."""
+        self._sent_bytes = 0
+        """Bytes sent in this round."""
         self._fleet = fleet
         self._book = book
         self._limits = limits
@@ -161,12 +163,13 @@
 
     def record_sent(self, size_bytes: int) -> None:
         """Count bytes that were sent, all receivers together, against the link."""
-        self._unpaid_bytes += size_bytes
+        self._sent_bytes += size_bytes
 
     def next_round(self) -> list[tuple[ReportMessage, list[EntryRecord]]]:
         """Return the messages of the next round, each with its receivers."""
         self._round += 1
-        self._unpaid_bytes = max(0.0, self._unpaid_bytes - self._bytes_per_round)
+        unpaid_bytes = self._unpaid_bytes + self._sent_bytes - self._bytes_per_round
+        self._unpaid_bytes, self._sent_bytes = max(0.0, unpaid_bytes), 0
         messages = self.messages()
         if self._round % REFRESH_ROUNDS == 0:
             self._forget_gone_senders()
@@ -189,7 +192,7 @@
         if local.key in relays and own is not None:
             self._to_relay[own.sender] = own
         relayed: list[TargetReport] = []
-        if not self._unpaid_bytes:
+        if not self._unpaid_bytes and self._sent_bytes < self._bytes_per_round:
             relayed, self._to_relay = list(self._to_relay.values()), {}
         position = self._position() if local.key in relays else None
         if relayed or self._announces(position):
--- a/tests/gateway/test_target_reports.py
+++ b/tests/gateway/test_target_reports.py
@@ -180,6 +180,22 @@
     assert len(relayed) >= 9 * 25
 
 
+# A doubt waited for the next round once its relay had sent anything in this one.
+def test_doubt_is_relayed_at_once_beside_other_reports():
+    region = Region(LARGE)
+    run_busy_rounds(region, 3)
+    relays = _relay_keys(region)
+    sender = next(node for key, node in region.nodes.items() if key not in relays)
+    sender.doubted.register("i-1", 1, tells_cold=False, cold_seconds=3.0)
+    sender.doubted.record_doubt("i-1")
+    ((msg, receivers),) = sender.exchange.messages()
+    for record in receivers:
+        relay = region.nodes[record.key].exchange
+        assert relay.receive(msg)
+        relayed = [report for item, _ in relay.messages() for report in item.reports]
+        assert any("i-1" in report.doubts for report in relayed)
+
+
 def test_relay_with_a_slow_link_keeps_to_its_share_and_reports_stay_recent():
     region = Region(26, link_mbps=5.0)
     receiver = next(
