--- a/tests/policy/test_doubted_starts.py
+++ b/tests/policy/test_doubted_starts.py
@@ -240,3 +240,26 @@
     assert observed.doubted.is_doubted(TARGET)
     clock.now += 2 * COLD_MARGIN_SECONDS
     assert not observed.doubted.is_doubted(TARGET)
+
+
+# Each renewal was relayed at once, to a whole region, while a target was down.
+@pytest.mark.parametrize("reached", [False, True])
+def test_renewed_doubt_is_news_only_once_the_target_was_reached(reached):
+    clock, sent_at_once = ManualClock(), []
+    sender = DoubtedStarts(
+        own=11, clock=clock, on_news=lambda: sent_at_once.append(clock.now)
+    )
+    receiver = DoubtedStarts(own=12, clock=clock)
+    for doubted in (sender, receiver):
+        doubted.register(TARGET, 1)
+
+    def receive():
+        return receiver.receive(11, sender.notices(), sender.proofs())
+
+    sender.record_doubt(TARGET)
+    assert receive()
+    if reached:
+        receiver.record_reached(TARGET, cold_seconds=COLD_SECONDS)
+    sender.record_doubt(TARGET)
+    assert len(sent_at_once) == 1
+    assert receive() is reached
