Send a request again to its silent target only after a second

Callers whose look-up got a 500 were given up with "the budget of repeated sends is used up".

TCP itself repeats lost bytes within a second, so a second send beside the first helps only where a connection is silent for good; it is made after 1 s of silence now. Sends to other targets and streams, whose silence is 1 s at least, are as before.

Evidence: the test failed before in both cases of 0.4 s (2 sends, 1 wanted).

--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -53,6 +53,10 @@
 IDEMPOTENT_STALL_SHARE = 0.4
 """Share of the remaining time after which an unanswered idempotent request counts as
 stalled, so that another target has time to answer."""
+SAME_TARGET_SILENCE_SECONDS = 1.0
+"""Silence of a target after which it may be sent the request a second time beside the
+first. TCP itself sends lost bytes again within this time, and a target that is at work
+on the first has no more to say of the second."""
 EXPECTED_TIMES = 2.0
 """Multiple of the expected time to the first byte before which an attempt isn't
 stalled: a second send to a service that is slow for all would only add to its load."""
@@ -266,6 +270,13 @@
         choice = self._choose(needs_proof=False)
         if isinstance(choice, NoChoice) or self._quarantine_seconds() is not None:
             return
+        silent_seconds = now - (stalled.stalls_at - stalled.stall_seconds)
+        if (
+            isinstance(choice, TargetChoice)
+            and choice.candidate.target == stalled.target
+            and silent_seconds < SAME_TARGET_SILENCE_SECONDS
+        ):
+            return
         self._acquire_retry()
         stalled.stalled = True
         self._start(choice)
--- a/pimentospool/policy/_leaving.py
+++ b/pimentospool/policy/_leaving.py
@@ -16,9 +16,9 @@
 """Assumed time of a stream before one of its service has ended. Three of four streams
 of the platform's days took less."""
 INITIAL_WHOLE_SECONDS = 2.5
-"""The same for requests that are answered as a whole, of which nine of ten took less."""
+"""The same for a request that is answered as a whole; nine of ten took less."""
 LENGTH_QUANTILE = 0.75
-"""Share of a route's latest requests that took no longer than the next is expected to.
+"""Share of the latest requests that took no longer than is expected of the next.
 A refused request is begun elsewhere at once, one that is cut was in vain."""
 MARGIN_FACTOR = 1.1
 """Multiple of the expected time that must be left, as loads rise in a planned stop."""
--- a/tests/platform/test_standby_attempts.py
+++ b/tests/platform/test_standby_attempts.py
@@ -121,6 +121,34 @@
     runner.run(run())
 
 
+# A target that works on a request for longer than its route allows got it twice: the
+# budget then lacked what others needed after an error.
+@pytest.mark.parametrize(
+    ("timeout_ms", "targets", "sends"), [(400, 1, 1), (400, 2, 1), (4000, 1, 2)]
+)
+def test_short_silence_of_the_only_target_left_causes_no_second_send(
+    runner, tmp_path, timeout_ms, targets, sends
+):
+    options = {"TimeoutMs": timeout_ms, "MaxAttempts": 2 if targets == 1 else 1}
+
+    async def run():
+        async with running_site(tmp_path) as site:
+            await site.store.put(
+                "op/config",
+                platform_configuration(
+                    2, [platform_route("/look/", "idempotent", **options)]
+                ),
+            )
+            await add_desks(site, targets)
+            for target in site.targets.values():
+                target.gap_seconds = 6.0
+            status, _, _ = await site.call("/look/")
+            assert status == 504
+            return sum(len(target.received) for target in site.targets.values())
+
+    assert runner.run(run()) == sends
+
+
 def test_target_before_ends_its_work_soon_after_a_stream_goes_on_elsewhere(
     runner, tmp_path
 ):
