Keep connections whose target loses two keepalive probes

Callers lost answers of sound targets: a target that fell silent for 1.2 s and went on found its connection closed a second later. TCP_USER_TIMEOUT also decides when keepalive probes give up, whatever their count. With 3 s and probes a second apart, two lost probes ended an idle connection at its third second, although the target acknowledged again by then; the two fit into a silence of just over a second.

Evidence: real sockets with a packet filter that drops what arrives. With 3 s, 3 of 6 cases of the new test failed (silences of 1.3 and 1.8 s that began 0.5 or 0.9 s after the last segment). Bytes in flight survive 2 s either way. With 4 s three probes have to be lost, which takes 2 s.

--- a/pimentospool/gateway/_pools.py
+++ b/pimentospool/gateway/_pools.py
@@ -9,9 +9,10 @@
 
 MAX_PEER_CONNECTIONS = 128
 """Limit on the connections to one entry VM of another region."""
-TARGET_SILENCE_SECONDS = 3.0
+TARGET_SILENCE_SECONDS = 4.0
 """Time for which a target may acknowledge nothing. A sound one may fall silent for a
-second or so, and its answers go on after that."""
+second or so, and its answers go on after that. Three keepalive probes fit in: they are
+only lost together in a silence of two seconds."""
 PEER_CONNECT_TIMEOUT_SECONDS = 0.6
 """Connect timeout to another region; several round trips."""
 USABLE_CONNECTIONS_SHARE = 0.8
--- a/tests/gateway/test_pools.py
+++ b/tests/gateway/test_pools.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import ctypes
 import random
 import socket
+import struct
 import time
 
 import pytest
@@ -23,6 +25,12 @@
 
 SILENCE_SECONDS = (2.0, 5.0)
 """Longer than a sound target is silent; shorter than it may take to notice a cut."""
+ATTACH_FILTER, DETACH_FILTER = 26, 27
+"""Options of a socket in Linux, which Python doesn't name."""
+LATER_SECONDS = 1.5
+"""Time after a silence at which the answer comes; the kernel gives up within it."""
+DROP_ALL = ctypes.create_string_buffer(struct.pack("HBBI", 0x06, 0, 0, 0))
+"""Program of a packet filter that drops what arrives, before it is acknowledged."""
 
 
 def test_kernel_keeps_a_connection_to_a_target_that_is_silent_for_a_second():
@@ -45,6 +53,44 @@
     assert shortest <= asyncio.run(run()) <= longest
 
 
+@pytest.mark.parametrize("idle_seconds", [0.2, 0.5, 0.9])
+@pytest.mark.parametrize("silent_seconds", [1.3, 1.8])
+def test_answer_arrives_after_a_silence_in_which_keepalive_probes_are_lost(
+    idle_seconds, silent_seconds
+):
+    async def run():
+        accepted = asyncio.Queue()
+        server = await asyncio.start_server(
+            lambda reader, writer: accepted.put_nowait(writer), "127.0.0.1", 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        fleet = Fleet(
+            local_record=make_record("own"), clock=Clock(), rng=random.Random(1)
+        )
+        pools = ConnectionPools(region="gulf", fleet=fleet)
+        pool = pools.target_pool(make_registration(port=port), make_service())
+        conn = await pool.acquire()
+        stream = conn.send(
+            EncodedRequest(data=b"GET / HTTP/1.1\r\n\r\n", accepts=lambda head: True)
+        )
+        writer = await accepted.get()
+        await asyncio.sleep(idle_seconds)
+        with socket.socket(fileno=writer.get_extra_info("socket").fileno()) as sock:
+            program = struct.pack("HL", 1, ctypes.addressof(DROP_ALL))
+            sock.setsockopt(socket.SOL_SOCKET, ATTACH_FILTER, program)
+            await asyncio.sleep(silent_seconds)
+            sock.setsockopt(socket.SOL_SOCKET, DETACH_FILTER, 0)
+            sock.detach()
+        await asyncio.sleep(LATER_SECONDS)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        assert await stream.read()
+        writer.close()
+        conn.abort()
+        server.close()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("pause_seconds", [0.5, 2.0])
 def test_pause_of_the_process_is_no_failure_to_connect(runner, pause_seconds):
     async def run():
