--- a/pimentospool/gateway/_dependencies.py
+++ b/pimentospool/gateway/_dependencies.py
@@ -19,6 +19,7 @@
 from pimentospool.policy import (
     CrashSuspects,
     MemoryBudget,
+    RouteTimes,
     SharedRetryBudget,
     StreamVersions,
     SuspectKind,
@@ -88,6 +89,7 @@
         self.clock = clock
         self.rng = rng
         self.seconds_left = seconds_left
+        self.route_times = RouteTimes(clock=clock)
         self.start_proofs = StartProofs(
             dialect=dialect,
             origins=stream_origins,
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -176,7 +176,7 @@
                     req,
                     service,
                     progress,
-                    has_candidates=bool(candidates),
+                    has_candidates=any(not item.cold for item in candidates),
                     has_remotes=bool(remotes),
                     is_preferred=preferred_region == self._region,
                 )
@@ -568,8 +568,10 @@
     def _all_failed(self, states: list[TargetState]) -> bool:
         # An answer on an old connection doesn't end an ejection.
         return all(
-            health.last_connect_failed or health.ejected
-            for health in (self.health(state.id) for state in states)
+            self.doubted_starts.is_own(state.id)
+            or self.health(state.id).last_connect_failed
+            or self.health(state.id).ejected
+            for state in states
         )
 
     def _has_version(
@@ -623,12 +625,11 @@
         return 0.0 if spec is None else spec.cold_seconds
 
     def _register_start(self, registration: Registration) -> None:
-        self.doubted_starts.register(
-            registration.id,
-            registration.started_at,
-            tells_cold=registration.cold_seconds > 0,
-            cold_seconds=self._cold_seconds(registration.service),
+        was_doubted = self.doubted_starts.register(
+            registration.id, registration.started_at
         )
+        if was_doubted and not registration.cold_seconds:
+            self._routing_state.assume_cold(registration.id)
         self._starts.register(registration.id, _start(registration))
 
     def _report_doubt(self, target: TargetId, doubted: bool) -> None:
--- a/pimentospool/gateway/_start_checks.py
+++ b/pimentospool/gateway/_start_checks.py
@@ -163,21 +163,23 @@
         if service is None:
             return False
         doubts = self._doubted.open_doubts(target)
-        all_doubts = self._doubted.open_doubts(target, with_earlier=True)
         pool = self._pools.target_pool(registration, service)
-        cold_seconds = None
-        report, started_at = await self._read_start(registration, pool)
-        if started_at is None or (
-            started_at == registration.started_at and doubts != all_doubts
-        ):
-            cold_seconds = await self._read_cold_seconds(registration, service, pool)
+        started_at, cold_seconds = None, None
+        try:
+            report, started_at = await self._read_start(registration, pool)
+            if started_at is None:
+                cold_seconds = await self._read_cold_seconds(
+                    registration, service, pool
+                )
+        except AttemptFailure as exc:
+            # No connection could be opened.
+            report = exc.cause.value
         if cold_seconds:
             self._doubted.record_reached(target, cold_seconds=cold_seconds)
         restarted = started_at not in (None, registration.started_at)
         proved = not restarted and (started_at is not None or cold_seconds == 0)
         if proved:
-            settled = all_doubts if cold_seconds == 0 else doubts
-            self._doubted.settle(target, registration.started_at, settled)
+            self._doubted.settle(target, registration.started_at, doubts)
         log_event(
             Event.TARGET_START_ASKED,
             target=target,
@@ -192,10 +194,7 @@
         self, registration: Registration, pool: ConnectionPool
     ) -> tuple[str, int | None]:
         """Return what came of a target's report, and the start that it names."""
-        try:
-            conn = await pool.acquire()
-        except AttemptFailure as exc:
-            return exc.cause.value, None
+        conn = await pool.acquire()
         try:
             return await read_reported_start(
                 self._dialect, registration, conn, timeout_seconds=REPORT_WAIT_SECONDS
@@ -209,10 +208,7 @@
         """Return how long a target says that it stays cold, None if it doesn't say."""
         if not service.health_path:
             return None
-        try:
-            conn = await pool.acquire()
-        except AttemptFailure:
-            return None
+        conn = await pool.acquire()
         try:
             async with timeout_after_read(CHECK_TIMEOUT_SECONDS):
                 head = await read_health(self._dialect, registration, service, conn)
--- a/pimentospool/policy/_doubted_starts.py
+++ b/pimentospool/policy/_doubted_starts.py
@@ -104,49 +104,30 @@
         """Whether `target` may have started again."""
         return target in self._doubts and bool(self._current(target))
 
+    def is_own(self, target: TargetId) -> bool:
+        """Whether this entry VM itself doubts the start of `target`."""
+        return self._own in self._current(target)
+
     def doubted_targets(self) -> list[TargetId]:
         """Return the targets that may have started again."""
         self.expire()
         return list(self._doubts)
 
-    def register(
-        self, target: TargetId, start: int, *, tells_cold: bool, cold_seconds: float
-    ) -> None:
-        """Record that `target` has registered `start`.
-
-        It ends the doubts in earlier starts if the entry tells for how long the new one
-        stays cold. Otherwise a bounded one remains, which a proof of the new start
-        doesn't settle.
+    def register(self, target: TargetId, start: int) -> bool:
+        """Record that `target` has registered `start`; it ends doubts in earlier ones.
 
-        Parameters
-        ----------
-        target : TargetId
-            The target.
-        start : int
-            Its start, which rises with each.
-        tells_cold : bool
-            Whether the entry tells that the target is cold.
-        cold_seconds : float
-            Time for which a new start is cold.
+        Return whether there were any, so that the new start has begun just now.
         """
         earlier = [
-            doubt for doubt in self._current(target).values() if doubt.start < start
+            member
+            for member, doubt in self._current(target).items()
+            if doubt.start < start
         ]
-        is_known = self._known_starts.get(target) == start
         self._known_starts[target] = start
-        if not earlier or (is_known and not tells_cold):
-            return
-        doubts = self._doubts[target]
-        for member, doubt in list(doubts.items()):
-            if doubt.start < start:
-                del doubts[member]
+        for member in earlier:
+            del self._doubts[target][member]
         self._drop_empty(target)
-        if not tells_cold:
-            self._number += 1
-            now = self._clock()
-            ends_at = now + cold_seconds + COLD_MARGIN_SECONDS
-            latest = max(doubt.start for doubt in earlier)
-            self._add(target, self._own, _Doubt(latest, self._number, now, ends_at))
+        return bool(earlier)
 
     def forget(self, target: TargetId) -> None:
         """Drop what is known of the start of `target`."""
@@ -161,8 +142,7 @@
         start = self._known_starts.get(target)
         if start is None:
             return
-        doubted = self._current(target)
-        is_news = all(math.isfinite(doubt.ends_at) for doubt in doubted.values())
+        is_news = self._is_news(target)
         self._number += 1
         self._add(target, self._own, _Doubt(start, self._number, self._clock()))
         if is_news:
@@ -189,20 +169,9 @@
         current = self._current(target)
         return current.keys() == {self._own} and not current[self._own].shared
 
-    def open_doubts(
-        self, target: TargetId, *, with_earlier: bool = False
-    ) -> dict[MemberKey, int]:
-        """Return the doubts that a proof which begins now can settle.
-
-        A proof of the known start settles those in it, and one that the target is warm
-        those in earlier starts as well.
-        """
-        known = 0 if with_earlier else self._known_starts.get(target, 0)
-        return {
-            member: doubt.number
-            for member, doubt in self._current(target).items()
-            if doubt.start >= known
-        }
+    def open_doubts(self, target: TargetId) -> dict[MemberKey, int]:
+        """Return the doubts that a proof which begins now can settle."""
+        return {member: doubt.number for member, doubt in self._current(target).items()}
 
     def settle(
         self, target: TargetId, start: int, doubts: Mapping[MemberKey, int]
@@ -298,8 +267,17 @@
             known.heard_at = now
             known.ends_at = min(known.ends_at, ends_at)
             return False
+        is_news = self._is_news(target)
         self._add(target, member, _Doubt(notice.start, notice.number, now, ends_at))
-        return True
+        return is_news
+
+    def _is_news(self, target: TargetId) -> bool:
+        """Whether a doubt that begins now tells the others anything.
+
+        It doesn't while they have one that lasts until the target is reached.
+        """
+        doubts = self._current(target).values()
+        return all(math.isfinite(doubt.ends_at) for doubt in doubts)
 
     def _apply(self, target: TargetId, proof: ProofNotice) -> bool:
         """Settle doubts by a proof; return whether one was not settled before."""
