Ask a target whose new entry calls it warm how long it stays cold

A target that has started again and whose entry says nothing of a cold time got the rate of a cold one for the time that its service states, also if it was warm, as nobody asked it. It is asked by one entry VM of the region now, like the targets of a restored zone, and the others are told.

Evidence: the new case of test_placement_starts.py failed before, as nothing announced the assumption.

--- a/pimentospool/gateway/_cold_checks.py
+++ b/pimentospool/gateway/_cold_checks.py
@@ -27,7 +27,8 @@
 class ColdTargetChecker:
     """Checks whether targets are cold where the registrations can't tell.
 
-    A target in a zone whose evacuation has ended may or may not be cold, and any target
+    A target in a zone whose evacuation has ended may or may not be cold, as may one
+    that has just started again and doesn't say so in its registration, and any target
     may become cold while registrations can't be updated; only the target itself knows.
     One entry VM of the region checks each target and reports the result to the others.
 
@@ -71,6 +72,7 @@
         self._targets_in_check: set[TargetId] = set()
         self._reports: dict[TargetId, tuple[float, float]] = {}
         routing_state.zone_restored.connect(self._check_restored_zone)
+        routing_state.cold_assumed.connect(self._check_target)
 
     def recent_reports(self) -> dict[TargetId, float]:
         """Return how long recently checked targets stay cold, in seconds."""
@@ -89,6 +91,13 @@
         if self._routing_state.region_of(zone) == self._region:
             self._check_all(self._routing_state.assumed_cold(zone))
 
+    def _check_target(self, target: TargetId) -> None:
+        state = self._routing_state.target(target)
+        if state is not None and (
+            self._routing_state.region_of(state.registration.zone) == self._region
+        ):
+            self._check_all([state])
+
     async def run(self) -> None:
         """Check all targets periodically while registrations can't be updated."""
         while True:
--- a/pimentospool/gateway/_routing_state.py
+++ b/pimentospool/gateway/_routing_state.py
@@ -105,6 +105,8 @@
             name="configuration_adopted"
         )
         self.zone_restored: Signal[ZoneId] = Signal(name="zone_restored")
+        self.cold_assumed: Signal[TargetId] = Signal(name="cold_assumed")
+        """Sent when a target begins to count as cold though it has not said so."""
         self.target_started: Signal[Registration] = Signal(name="target_started")
         """Sent when a target registers that had no entry, or starts again."""
         self.target_removed: Signal[TargetId] = Signal(name="target_removed")
@@ -276,6 +278,7 @@
         state = self._targets.get(target)
         if state is not None:
             self._assume_cold(state)
+            self.cold_assumed.send(target)
 
     def known_targets(self) -> list[TargetId]:
         """Return the ids of all registered targets."""
--- a/tests/gateway/test_placement_starts.py
+++ b/tests/gateway/test_placement_starts.py
@@ -30,12 +30,12 @@
 class Region:
     """Placement and routing state of one entry VM."""
 
-    def __init__(self):
+    def __init__(self, **service):
         self.clock = Clock()
         self.routing_state = RoutingState(
             clock=self.clock, zone_regions={"gulf-a": "gulf"}
         )
-        self.routing_state.adopt(make_configuration(services=[make_service()]))
+        self.routing_state.adopt(make_configuration(services=[make_service(**service)]))
         fleet = Fleet(
             local_record=make_record("own"), clock=self.clock, rng=random.Random(1)
         )
@@ -204,3 +204,18 @@
     for number in range(2 * MAX_LAPSED_STARTS):
         placement.health(f"x-{number}").record_quiet(5.0)
     assert len(placement._health) <= 1
+
+
+@pytest.mark.parametrize("doubted", [False, True])
+def test_new_start_after_a_doubt_counts_as_cold_though_its_entry_says_nothing(doubted):
+    region = Region(cold_seconds=3.0)
+    checked = []
+    region.routing_state.cold_assumed.connect(checked.append)
+    if doubted:
+        region.placement.record_loss("i-1")
+    region.routing_state.register(make_registration(started_at=2))
+    state = region.routing_state.target("i-1")
+    assert region.placement.is_cold(state) is doubted
+    assert checked == ["i-1"] * doubted
+    region.routing_state.receive_cold_report("i-1", 0.0)
+    assert not region.placement.is_cold(state)
--- a/tests/gateway/test_target_reports.py
+++ b/tests/gateway/test_target_reports.py
@@ -207,7 +207,7 @@
     run_busy_rounds(region, 3)
     relays = _relay_keys(region)
     sender = next(node for key, node in region.nodes.items() if key not in relays)
-    sender.doubted.register("i-1", 1, tells_cold=False, cold_seconds=3.0)
+    sender.doubted.register("i-1", 1)
     sender.doubted.record_doubt("i-1")
     ((msg, receivers),) = sender.exchange.messages()
     for record in receivers:
