Forget the starts of targets that never return

Nothing of this was seen by callers. Each target that ever registered, and each one that a proof of another entry VM named, kept an entry in the doubts of its start: DoubtedStarts.forget had no caller, and proofs of unknown targets were stored. A target is forgotten with what else is known of its starts now, and a proof of an unknown one is dropped.

--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -643,6 +643,8 @@
 
     def _forget_target(self, target: TargetId) -> None:
         self._health.pop(target, None)
+        if not self._starts.is_known(target):
+            self.doubted_starts.forget(target)
         self.named_limits.forget(target)
         self.brittle_targets.forget(target)
 
--- a/pimentospool/policy/_doubted_starts.py
+++ b/pimentospool/policy/_doubted_starts.py
@@ -304,7 +304,8 @@
 
     def _apply(self, target: TargetId, proof: ProofNotice) -> bool:
         """Settle doubts by a proof; return whether one was not settled before."""
-        if proof.start < self._known_starts.get(target, 0):
+        known = self._known_starts.get(target)
+        if known is None or proof.start < known:
             return False
         settled = self._settled.setdefault(target, {})
         doubts = self._doubts.get(target, {})
--- a/tests/gateway/test_placement_starts.py
+++ b/tests/gateway/test_placement_starts.py
@@ -15,7 +15,13 @@
 from pimentospool.gateway import RoutingState, SharedBounds
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._placement import Placement
-from pimentospool.policy import MAX_LAPSED_STARTS, LimitNotice, OccupancyBook
+from pimentospool.policy import (
+    MAX_LAPSED_STARTS,
+    DoubtNotice,
+    LimitNotice,
+    OccupancyBook,
+    ProofNotice,
+)
 
 BOUNDS = SharedBounds(
     retry_ratio=0.2,
@@ -196,7 +202,13 @@
         routing_state.register(make_registration(target, started_at=1))
         placement.health(target).record_quiet(5.0)
         placement.named_limits.record_answer(target, 1.0, sent_at=region.clock())
+        doubted = {target: DoubtNotice(1, 1)}, {target: ProofNotice(1, {2: 1})}
+        placement.doubted_starts.receive(2, *doubted)
         routing_state.deregister(target)
+        placement.doubted_starts.receive(2, {}, {f"y-{number}": ProofNotice(1, {2: 1})})
+    doubted_starts = placement.doubted_starts
+    assert len(doubted_starts._known_starts) <= MAX_LAPSED_STARTS + 1
+    assert len(doubted_starts._settled) <= MAX_LAPSED_STARTS + 1
     assert len(placement._health) <= MAX_LAPSED_STARTS + 1
     assert len(placement.named_limits._notices) <= MAX_LAPSED_STARTS + 1
     region.clock.now += 1e4
