Check the newest start of a target before a request is sent

A target that had started again got requests beyond its cold limit (FAILBACK): one that was placed at the earlier start, and still waited for a connection or a proof, asked that start's state whether it is cold. The entry of the new start ends the doubt, so that nothing held it back. The state that is registered at the time of the send decides now.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -207,7 +207,8 @@
                 await self._prove_start(attempt, state, pool)
                 if not conn.reusable:
                     raise _unsent_failure("the connection was closed before the send")
-                if deps.placement.is_cold(state) and not candidate.cold:
+                newest = deps.routing_state.target(state.id) or state
+                if deps.placement.is_cold(newest) and not candidate.cold:
                     raise _unsent_failure("the target may have started again")
                 self._check_caller()
                 self._check_time(candidate)
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from contextlib import contextmanager
+from functools import partial
 from types import SimpleNamespace
 
 import pytest
@@ -506,6 +507,31 @@
     assert deps.placement.health("i-1").ejected is not replaced
 
 
+class RestartingPools(CannedPools):
+    """Pools of a target that starts again, cold, as a connection to it is opened."""
+
+    def target_pool(self, registration, service):
+        pool = super().target_pool(registration, service)
+        pool.acquire = partial(self._acquire, pool)
+        return pool
+
+    async def _acquire(self, pool, **options):
+        self.deps.routing_state.register(
+            make_registration(started_at=2, cold_seconds=3.0)
+        )
+        return pool
+
+
+# A request that was placed at a warm target reached its new start beyond its limit.
+def test_request_that_waits_for_a_connection_is_not_sent_to_a_cold_new_start():
+    pools = RestartingPools()
+    pools.deps = make_deps(pools, Clock())
+    pools.deps.routing_state.register(make_registration(started_at=1))
+    reply = serve(pools.deps)
+    assert pools.sent_to_targets == []
+    assert reply.refusal.verdict is Verdict.NOT_RUN
+
+
 class ProvedStarts:
     async def wait(self, subjects, *, within_seconds):
         return False
