Keep a relay's reports within the size of a datagram

In a region of some hundred targets the entry VMs would know nothing of each other's work, limits and doubts: a relay puts sixteen reports into a datagram, and since doubts are reported one of 100 targets in doubt took 80 kB. A datagram of more than 65,507 bytes isn't sent, and the error isn't logged. What the reports of one datagram say of targets is bounded by number now, besides the reports.

--- a/pimentospool/gateway/_target_reports.py
+++ b/pimentospool/gateway/_target_reports.py
@@ -38,6 +38,9 @@
 """Interval, in rounds, at which a relay sends its position even without reports."""
 MAX_REPORTS_PER_MESSAGE = 16
 """Limit on the reports in one datagram, so that it fits into a packet."""
+MAX_ITEMS_PER_MESSAGE = 1024
+"""Limit on what the reports in one datagram say of targets, unless it is one report's;
+each item takes up to 50 bytes, and a larger datagram than 65,507 can't be sent."""
 LINK_SHARE = 0.25
 """Share of a relay's link for reports; the link also carries requests and responses."""
 _BYTES_PER_MEGABIT = 125_000.0
@@ -259,10 +262,15 @@
         reports: list[TargetReport],
         position: tuple[FactPosition, float] | None,
     ) -> list[ReportMessage]:
-        chunks = [
-            reports[start : start + MAX_REPORTS_PER_MESSAGE]
-            for start in range(0, len(reports), MAX_REPORTS_PER_MESSAGE)
-        ]
+        chunks: list[list[TargetReport]] = []
+        items = 0
+        for report in reports:
+            items += _item_count(report)
+            full = chunks and len(chunks[-1]) >= MAX_REPORTS_PER_MESSAGE
+            if not chunks or full or items > MAX_ITEMS_PER_MESSAGE:
+                chunks.append([])
+                items = _item_count(report)
+            chunks[-1].append(report)
         messages = [ReportMessage(chunk) for chunk in chunks or [[]]]
         if position is not None:
             first = messages[0]
@@ -277,6 +285,17 @@
                 del self._numbers[sender]
 
 
+def _item_count(report: TargetReport) -> int:
+    return (
+        len(report.occupancy)
+        + len(report.cold_seconds)
+        + len(report.limits)
+        + len(report.brittle)
+        + len(report.doubts)
+        + sum(1 + len(proof.settled) for proof in report.proofs.values())
+    )
+
+
 def _rates(limits: dict[str, LimitNotice]) -> dict[str, float | None]:
     return {target: notice.rate for target, notice in limits.items()}
 
--- a/tests/gateway/test_target_reports.py
+++ b/tests/gateway/test_target_reports.py
@@ -29,6 +29,9 @@
 
 LARGE = 65
 ROUND_SECONDS = 0.2
+COLD = {"tells_cold": False, "cold_seconds": 3.0}
+MAX_DATAGRAM_BYTES = 65_507
+"""Longest payload of a UDP datagram."""
 
 
 class Node:
@@ -82,6 +85,7 @@
             for record in records:
                 announce(node.fleet, record)
         self.stopped = set()
+        self.largest_bytes = 0
 
     @property
     def list(self):
@@ -97,7 +101,9 @@
                     continue
                 node.relayed_bytes.append(0)
                 for msg, receivers in node.exchange.next_round():
-                    size_bytes = len(msgspec.msgpack.encode(msg)) * len(receivers)
+                    size_bytes = len(msgspec.msgpack.encode(msg))
+                    self.largest_bytes = max(self.largest_bytes, size_bytes)
+                    size_bytes *= len(receivers)
                     node.exchange.record_sent(size_bytes)
                     if not msg.to_relay:
                         node.relayed_bytes[-1] += size_bytes
@@ -186,7 +192,7 @@
     run_busy_rounds(region, 3)
     relays = _relay_keys(region)
     sender = next(node for key, node in region.nodes.items() if key not in relays)
-    sender.doubted.register("i-1", 1, tells_cold=False, cold_seconds=3.0)
+    sender.doubted.register("i-1", 1, **COLD)
     sender.doubted.record_doubt("i-1")
     ((msg, receivers),) = sender.exchange.messages()
     for record in receivers:
@@ -196,6 +202,21 @@
         assert any("i-1" in report.doubts for report in relayed)
 
 
+# Above that size, a relay's reports were dropped as they were sent.
+def test_reports_on_all_targets_of_a_large_region_fit_into_datagrams():
+    region = Region(LARGE)
+    for node in region.list:
+        for number in range(100):
+            target = f"i-{number:010x}"
+            node.book.begin(target, waiting_tokens=90_000, held_tokens=90_000)
+            node.doubted.register(target, 1_774_000_000_000, **COLD)
+            node.doubted.record_doubt(target)
+    region.run_rounds()
+    assert region.largest_bytes <= MAX_DATAGRAM_BYTES
+    region.run_rounds()
+    assert all(len(node.doubted.doubted_targets()) == 100 for node in region.list)
+
+
 def test_relay_with_a_slow_link_keeps_to_its_share_and_reports_stay_recent():
     region = Region(26, link_mbps=5.0)
     receiver = next(
