--- a/tests/gateway/test_placement_starts.py
+++ b/tests/gateway/test_placement_starts.py
@@ -170,6 +170,17 @@
     assert (placement.health("i-1").latency_ratio == 1.0) is replaced
 
 
+# What a new start said before its entry arrived was dropped with that.
+def test_quiet_time_that_a_doubted_target_names_holds_when_it_registers(region):
+    service = make_service(cold_seconds=3.0)
+    region.routing_state.adopt(make_configuration(version=2, services=[service]))
+    region.placement.record_loss("i-1")
+    region.placement.record_reached("i-1")
+    region.placement.start_health(START).record_quiet(30.0)
+    region.routing_state.register(make_registration(started_at=2, cold_seconds=3.0))
+    assert region.restrictions() == {"quiet"}
+
+
 def test_reports_of_others_on_an_earlier_start_do_not_count_for_the_new_one(region):
     placement, clock = region.placement, region.clock
     region.routing_state.register(make_registration(started_at=2))
--- a/tests/policy/test_doubted_starts.py
+++ b/tests/policy/test_doubted_starts.py
@@ -36,3 +36,12 @@
     sender.doubted.record_doubt("t")
     assert sender.news == 1
     assert receiver.receive(sender, 1) is reached
+
+
+# All entry VMs lose contact if all targets of a region start again at once.
+def test_doubt_that_was_told_lasts_if_its_entry_vm_then_loses_contact():
+    sender, receiver = Member(1), Member(2)
+    sender.doubted.record_doubt("t")
+    receiver.receive(sender, 1)
+    receiver.doubted.receive(1, sender.doubted.notices(in_contact=False), {})
+    assert receiver.doubted.is_doubted("t")
