--- a/pimentospool/policy/_doubted_starts.py
+++ b/pimentospool/policy/_doubted_starts.py
@@ -282,7 +282,7 @@
     def _apply(self, target: TargetId, proof: ProofNotice) -> bool:
         """Settle doubts by a proof; return whether one was not settled before."""
         # A newer start than the known one may be cold, which its entry will tell.
-        if proof.start != self._known_starts.get(target, proof.start):
+        if proof.start != self._known_starts.get(target):
             return False
         settled = self._settled.setdefault(target, {})
         doubts = self._doubts.get(target, {})
--- a/tests/policy/test_doubted_starts.py
+++ b/tests/policy/test_doubted_starts.py
@@ -263,3 +263,15 @@
     sender.record_doubt(TARGET)
     assert len(sent_at_once) == 1
     assert receive() is reached
+
+
+# All entry VMs lose contact if all targets of a region start again at once.
+def test_doubt_that_was_told_lasts_if_its_entry_vm_then_loses_contact():
+    clock = ManualClock()
+    sender, receiver = (DoubtedStarts(own=key, clock=clock) for key in (11, 12))
+    for doubted in (sender, receiver):
+        doubted.register(TARGET, 1)
+    sender.record_doubt(TARGET)
+    receiver.receive(11, sender.notices(), {})
+    receiver.receive(11, sender.notices(in_contact=False), {})
+    assert receiver.is_doubted(TARGET)
