Log streams that the end of the grace cuts as ended by it

Operators read CALLER_LEFT, also in the metrics, for streams that the process itself cut at the end of its grace; docs/OPERATIONS.md promises REQUEST_ENDED_BY_SHUTDOWN. Cause: a caller counts as having left once its connection is closed, and the process closes the connections of begun answers before it cancels their requests. No caller is said to have left now once the time until the requests are aborted is over.

Evidence: the test failed before, its log has CALLER_LEFT alone.

--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -451,7 +451,8 @@
     def interrupted(self) -> None:
         """Log that the caller left or the process ends, and where its request was."""
         progress = self._progress
-        left = self._reply.caller_left
+        # At the end of its grace the process closes the connections itself.
+        left = self._reply.caller_left and self._deps.seconds_left() > 0.0
         log_event(
             Event.CALLER_LEFT if left else Event.REQUEST_ENDED_BY_SHUTDOWN,
             request=self._req.id,
--- a/tests/platform/test_grace.py
+++ b/tests/platform/test_grace.py
@@ -242,3 +242,28 @@
     statuses, passed_on = runner.run(run())
     assert set(statuses) == {wanted}
     assert passed_on == (12 if wanted == 200 else 0)
+
+
+# The log and the metrics called streams that the process cut callers that had left.
+def test_streams_cut_at_the_end_of_the_grace_are_logged_as_ended_by_it(
+    runner, tmp_path
+):
+    target = SigningTarget(instance="i-1", events=2 * STREAM_EVENTS)
+    target.gap_seconds = 0.5
+
+    async def run():
+        async with running_node_process(
+            tmp_path, targets=[(target, {})], routes=ROUTES
+        ) as node:
+            call = asyncio.create_task(call_stream(node, await node.connect(), "s-1"))
+            await asyncio.sleep(1.0)
+            node.proc.send_signal(signal.SIGTERM)
+            assert await call is None
+            async with asyncio.timeout(END_MARGIN_SECONDS):
+                while node.proc.poll() is None:
+                    await asyncio.sleep(0.05)
+            return node.log
+
+    log = runner.run(run())
+    assert "REQUEST_ENDED_BY_SHUTDOWN" in log
+    assert "CALLER_LEFT" not in log
