Bound what answers of one target and one service hold in arrival

Cause: answers that are held until they are whole grew up to nine tenths of the limit, whoever sent them.

They now count in a share of their target (0.15) and their service (0.3) until they are whole. Beyond it they are not read; the oldest one goes on, so they can't keep each other from being whole, and a server without end is still found by the length of its answers. Waiting rather than failing, as sound answers are long, too. An answer that waited for others until its time was over doesn't count against its target.

Fakes of streams in tests/gateway/test_attempts.py got the new attribute; tests of the budget name the sender of an answer.

--- a/pimentospool/gateway/_answer_streams.py
+++ b/pimentospool/gateway/_answer_streams.py
@@ -1,6 +1,7 @@
 """Responses of targets and peers, read while they arrive."""
 
 import asyncio
+import time
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -8,7 +9,7 @@
 
 import msgspec
 
-from pimentospool.policy import MemoryHold
+from pimentospool.policy import AnswerHold, MemoryHold
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
@@ -52,7 +53,7 @@
     """Body of the request; it is not copied."""
     body_hold: MemoryHold | None = None
     """Memory of the body, which is held until the body is sent."""
-    answer_hold: MemoryHold | None = None
+    answer_hold: AnswerHold | None = None
     """Memory of the response, which grows while the response waits to be read."""
     without_body: bool = False
     """Whether the response has no body, whatever its headers say (HEAD requests)."""
@@ -82,11 +83,15 @@
         self.head: AnswerHead | None = None
         self.body_end: BodyEnd | None = None
         self.complete = False
+        self.held_back_at: float | None = None
+        """Monotonic time in seconds at which it first waited for room."""
         self._conn = conn
         self._accepts = req.accepts
         self.without_body = req.without_body
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
+        self._uncounted_bytes = 0
+        """Bytes of the body that the current read has brought."""
         self._hold = req.answer_hold
         self._read_bytes = 0
         """Size of the bytes that the last `read` returned."""
@@ -130,13 +135,14 @@
         self._chunks.clear()
         self._buffered_bytes = 0
         self._read_bytes = len(data)
-        self._conn.resume()
+        self._read_on()
         return data
 
-    def hold_whole(self, length: int | None) -> bool:
+    async def hold_whole(self, length: int | None) -> bool:
         """Count all of a response that the reader holds until it is whole.
 
         Answers that fit only in part would otherwise keep each other from being whole.
+        It waits, unread, until there is room in the shares of its target and service.
 
         Parameters
         ----------
@@ -148,9 +154,18 @@
         bool
             Whether the response fits.
         """
+        if self._hold is not None:
+            self._hold.hold_whole()
         if self._hold is None or length is None:
             return True
-        if not self._hold.grow(length + min(length, MAX_BUFFERED_BYTES)):
+        size_bytes = length + min(length, MAX_BUFFERED_BYTES)
+        while not (self.complete or self._hold.may_read(self._wake, size_bytes)):
+            self._hold_back()
+            await self._wait()
+            if self._error is not None:
+                raise self._error
+        self._conn.resume()
+        if not self._hold.grow(size_bytes):
             return False
         self._hold = None
         return True
@@ -166,26 +181,54 @@
         self._wake()
 
     def feed_body(self, data: bytes) -> None:
-        """Append bytes of the body and wake the reader.
-
-        A response that doesn't fit in memory fails.
-        """
+        """Append bytes of the body and wake the reader; `end_read` counts them."""
         if self._error is not None:
             return
-        if self._hold is not None and not self._hold.grow(len(data)):
-            self.fail("no memory for the answer", FailureCause.NO_MEMORY)
-            self._chunks.clear()
-            self._conn.abort()
-            return
         self._chunks.append(data)
         self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES:
-            self._conn.pause()
+        self._uncounted_bytes += len(data)
         self._wake()
 
+    def end_read(self) -> None:
+        """Count what a read of the connection has brought, however many chunks.
+
+        A response that doesn't fit in memory fails.
+        """
+        if self._count_body():
+            self._read_on()
+
+    def _count_body(self) -> bool:
+        size_bytes, self._uncounted_bytes = self._uncounted_bytes, 0
+        return size_bytes > 0 and self._count(size_bytes)
+
+    def _count(self, size_bytes: int) -> bool:
+        """Count bytes that have arrived; if they don't fit, fail and return False."""
+        if self._hold is None or self._hold.grow(size_bytes):
+            return True
+        self.fail("no memory for the answer", FailureCause.NO_MEMORY)
+        self._chunks.clear()
+        self._conn.abort()
+        return False
+
+    def _read_on(self) -> None:
+        """Read from the connection only while the response has room for more."""
+        if self._buffered_bytes > MAX_BUFFERED_BYTES and not self.complete:
+            self._conn.pause()
+        elif self.complete or self._hold is None or self._hold.may_read(self._read_on):
+            self._conn.resume()
+        else:
+            self._hold_back()
+
+    def _hold_back(self) -> None:
+        self._conn.pause()
+        if self.held_back_at is None:
+            self.held_back_at = time.monotonic()
+
     def finish(self) -> None:
         """Mark the response as complete, unless it has failed."""
+        self._count_body()
         self.complete = self._error is None
+        self._conn.resume()
         self._wake()
 
     def fail(self, detail: str, cause: FailureCause = FailureCause.BROKEN) -> None:
--- a/pimentospool/gateway/_answers.py
+++ b/pimentospool/gateway/_answers.py
@@ -12,7 +12,7 @@
 from pimentospool.gateway._relay import relay_stream
 from pimentospool.gateway._replies import Reply
 from pimentospool.gateway._running_attempts import AttemptStage, RunningAttempt
-from pimentospool.policy import MemoryHold
+from pimentospool.policy import AnswerHold
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.tasks import timeout_after_read
 from pimentospool.verdicts import Verdict
@@ -83,7 +83,7 @@
         stream: AnswerStream,
         attempt: RunningAttempt,
         *,
-        hold: MemoryHold,
+        hold: AnswerHold,
         from_target: bool,
         on_event: Callable[[], None] = lambda: None,
         on_head: Callable[[AnswerHead], None] = lambda head: None,
@@ -96,7 +96,7 @@
             The response.
         attempt : RunningAttempt
             The attempt to which it is the response.
-        hold : MemoryHold
+        hold : AnswerHold
             Memory of the response.
         from_target : bool
             Whether a target responds, not an entry VM.
@@ -114,7 +114,7 @@
             async with timeout_after_read(self._remaining_seconds()):
                 head = await stream.wait_head()
         except TimeoutError as exc:
-            raise self._timeout_failure(exc) from exc
+            raise self._timeout_failure() from exc
         attempt.body_end = stream.body_end
         attempt.stage = AttemptStage.ANSWERING
         dialect = self._deps.dialect
@@ -191,15 +191,17 @@
                 else:
                     await self._relay_whole_body(stream, attempt, hold)
         except TimeoutError as exc:
-            raise self._timeout_failure(exc) from exc
+            if hold.waits_for_others:
+                raise _no_memory() from exc
+            raise self._timeout_failure() from exc
 
     async def _relay_whole_body(
-        self, stream: AnswerStream, attempt: RunningAttempt, hold: MemoryHold
+        self, stream: AnswerStream, attempt: RunningAttempt, hold: AnswerHold
     ) -> None:
         assert stream.head is not None
         length = 0 if stream.without_body else stated_length(stream.head)
         _check_answer_size(length or 0)
-        if not stream.hold_whole(length):
+        if not await stream.hold_whole(length):
             raise _no_memory()
         body = ByteBuffer(length or 0)
         while chunk := await stream.read():
@@ -208,6 +210,7 @@
                 raise _no_memory()
             body.append(chunk)
             chunk = b""
+        hold.become_whole()
         if self._reply.started:
             raise AttemptFailure(
                 detail=f"status {stream.head.status} for the rest of a stream",
@@ -240,7 +243,7 @@
         except (TimeoutError, AttemptFailure):
             return
 
-    def _timeout_failure(self, exc: Exception) -> AttemptFailure:
+    def _timeout_failure(self) -> AttemptFailure:
         deadline_passed = self._remaining_seconds() <= DEADLINE_TOLERANCE_SECONDS
         return AttemptFailure(
             detail="no whole answer arrived in time",
--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -1,5 +1,6 @@
 """Sends one attempt to a target or to an entry VM of another region."""
 
+import time
 from collections.abc import Callable
 
 from pimentospool.errors import PimentospoolError
@@ -22,13 +23,13 @@
 from pimentospool.gateway._routing_state import TargetState
 from pimentospool.gateway._running_attempts import AttemptStage, RunningAttempt
 from pimentospool.gateway._start_proofs import ProofSubject
-from pimentospool.ids import SoftwareVersion
+from pimentospool.ids import EntryId, SoftwareVersion, TargetId
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
     UNPROVED_VERSION,
+    AnswerHold,
     Assignment,
     Candidate,
-    MemoryHold,
     RegionChoice,
     RemoteRegion,
     RequestTraits,
@@ -191,7 +192,7 @@
                 deps.placement.health(state.id).record_quiet(quiet_seconds)
                 log_event(Event.TARGET_QUIET, target=state.id, seconds=quiet_seconds)
 
-        hold = self._begin_answer()
+        hold = self._begin_answer(candidate.target)
         try:
             # An earlier rejection of the same request may come again on a kept one.
             try:
@@ -236,6 +237,8 @@
                     contact.record_failure(state.id, self._service.id)
                 raise
             finally:
+                if stream is not None and stream.held_back_at is not None:
+                    self._log_held_back(stream.held_back_at, candidate.target)
                 pool.release(conn)
         finally:
             hold.release()
@@ -246,6 +249,18 @@
             health = deps.placement.start_health(start)
             health.record_end(deps.clock() - started_at)
 
+    def _log_held_back(self, held_back_at: float, target: TargetId) -> None:
+        memory = self._deps.memory
+        log_event(
+            Event.ANSWER_HELD_BACK,
+            request=self._req.id,
+            target=target,
+            service=self._service.id,
+            seconds=round(time.monotonic() - held_back_at, 3),
+            held_bytes=memory.used_bytes,
+            waiting=len(memory.answer_shares.waiting),
+        )
+
     async def _prove_start(
         self, attempt: RunningAttempt, state: TargetState, pool: ConnectionPool
     ) -> None:
@@ -309,7 +324,7 @@
             attempt.version = deps.dialect.hop_version(head)
 
         conn = await pool.acquire(within_seconds=self._remaining_seconds())
-        hold = self._begin_answer()
+        hold = self._begin_answer(EntryId(record.id))
         try:
             self._check_caller()
             self._check_time(choice.remote)
@@ -393,9 +408,12 @@
         if not self._answers_in_time(destination):
             raise _unsent_failure("too little time is left", FailureCause.LATE)
 
-    def _begin_answer(self) -> MemoryHold:
-        is_stream = self._route.kind is RequestKind.STREAM
-        return self._deps.memory.begin_answer(is_stream=is_stream)
+    def _begin_answer(self, source: TargetId | EntryId) -> AnswerHold:
+        return self._deps.memory.begin_answer(
+            is_stream=self._route.kind is RequestKind.STREAM,
+            service=self._service.id,
+            source=source,
+        )
 
     def _can_reroute(self) -> bool:
         """Whether the request may still be routed by a later configuration."""
@@ -444,7 +462,7 @@
             )
 
     def _encode_for_target(
-        self, state: TargetState, hold: MemoryHold
+        self, state: TargetState, hold: AnswerHold
     ) -> EncodedRequest:
         deps, req = self._deps, self._req
         remaining_seconds = self._remaining_seconds()
@@ -459,7 +477,7 @@
         )
         return self._make_encoded_request(data, hold)
 
-    def _make_encoded_request(self, data: bytes, hold: MemoryHold) -> EncodedRequest:
+    def _make_encoded_request(self, data: bytes, hold: AnswerHold) -> EncodedRequest:
         dialect, req = self._deps.dialect, self._req
         return EncodedRequest(
             data=data,
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -211,6 +211,7 @@
             stream.fail(f"the answer is not HTTP: {exc}")
             self.abort()
             return
+        stream.end_read()
         if stream.complete:
             self._end_exchange()
         elif self._has_excess_framing:
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -283,6 +283,11 @@
             "Bytes that requests and answers in progress hold.",
             lambda: self.deps.memory.used_bytes,
         )
+        metrics.add_gauge(
+            "pimentospool_answers_held_back",
+            "Answers that wait for room in the share of their target or service.",
+            lambda: len(self.deps.memory.answer_shares.waiting),
+        )
         metrics.add_gauge(
             "pimentospool_configuration_version",
             "Version of the configuration in force; 0 before the first.",
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -83,6 +83,7 @@
     TARGET_LIMITED = (3119, logbook.WARNING, "target named the rate that it takes")
     TARGET_UNREADABLE = (3130, logbook.WARNING, "entry of a target became unreadable")
     TARGET_QUIET = (3125, logbook.NOTICE, "target wants no requests for a time")
+    ANSWER_HELD_BACK = (3139, logbook.WARNING, "an answer waited for room in memory")
     TARGET_BRITTLE = (3126, logbook.NOTICE, "target says whether it is brittle")
     TARGET_UNLIMITED = (3120, logbook.NOTICE, "target names no limit any more")
     TARGETS_OUT_OF_REACH = (3136, logbook.WARNING, "no target of the region is reached")
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -27,7 +27,7 @@
     Membership,
     newer_member,
 )
-from pimentospool.policy._memory_budget import MemoryBudget, MemoryHold
+from pimentospool.policy._memory_budget import AnswerHold, MemoryBudget, MemoryHold
 from pimentospool.policy._named_limits import LimitNotice, NamedLimits
 from pimentospool.policy._occupancy import Assignment, Occupancy, OccupancyBook
 from pimentospool.policy._operations import (
@@ -98,6 +98,7 @@
     "REGISTRATION_SECONDS",
     "SURVIVAL_SECONDS",
     "UNPROVED_VERSION",
+    "AnswerHold",
     "Assignment",
     "BrittleTargets",
     "CachedParts",
--- a/tests/fuzz/test_continuations.py
+++ b/tests/fuzz/test_continuations.py
@@ -194,7 +194,9 @@
         )
         attempt = RunningAttempt(choice=None, stall_seconds=math.inf)
         progress.running.claim_reply = reply.claims.append
-        hold = MemoryBudget(process_bytes=math.inf).begin_answer(is_stream=True)
+        hold = MemoryBudget(process_bytes=math.inf).begin_answer(
+            is_stream=True, service="s", source="t"
+        )
         receive = asyncio.create_task(
             receiver.receive(stream, attempt, hold=hold, from_target=True)
         )
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -65,6 +65,7 @@
 
 class CannedStream:
     conn_was_used = False
+    held_back_at = None
 
     def __init__(self, head):
         self.head = AnswerHead(*head)
@@ -356,6 +357,7 @@
 
 class SilentStream:
     conn_was_used = False
+    held_back_at = None
     body_end = None
 
     async def wait_head(self):
@@ -415,6 +417,8 @@
 class ReplacedPool(CannedPool):
     """Pool of a target that starts again while a request is at its earlier start."""
 
+    held_back_at = None
+
     def __init__(self, pools):
         self._pools = pools
 
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -213,7 +213,7 @@
     async def run():
         async with RawServer(endless_script(b"", b"", pause=1.0)) as server:
             conn = await make_pool(server).acquire()
-            hold = budget.begin_answer(is_stream=True)
+            hold = budget.begin_answer(is_stream=True, service="s", source="t")
             stream = conn.send(
                 EncodedRequest(
                     data=REQUEST, accepts=lambda head: True, answer_hold=hold
--- a/tests/policy/test_memory_budget.py
+++ b/tests/policy/test_memory_budget.py
@@ -8,6 +8,7 @@
 from pimentospool.policy import MemoryBudget
 
 PROCESS_BYTES = 300_000_000
+SENDER = {"service": "s", "source": "t"}
 sizes = st.integers(0, 8_000_000)
 steps = st.lists(
     st.tuples(
@@ -27,7 +28,7 @@
     holds = []  # Each with its number of users.
     for step, size, index in steps:
         if step == "answer":
-            holds.append([budget.begin_answer(is_stream=index % 2 == 0), 1])
+            holds.append([budget.begin_answer(is_stream=index % 2 == 0, **SENDER), 1])
         elif step in ("request", "chunked"):
             hold = budget.begin_request(None if step == "chunked" else size)
             if hold is not None:
@@ -61,11 +62,11 @@
         pass
     while budget.begin_request(0):
         pass
-    answers = [budget.begin_answer(is_stream=False) for _ in range(4)]
+    answers = [budget.begin_answer(is_stream=False, **SENDER) for _ in range(4)]
     assert all(answer.grow(4_000_000) for answer in answers)
     while answers[0].grow(100_000):
         pass
-    assert budget.begin_answer(is_stream=True).grow(16_000_000)
+    assert budget.begin_answer(is_stream=True, **SENDER).grow(16_000_000)
 
 
 def test_body_of_unknown_length_is_bounded_as_it_arrives():
