Bound and count the headers of answers

60 answers of 8,000 short headers took a process of MemoryMb 200 to 232 MB, as headers were bounded by their bytes only (64 KB) and counted nowhere; 60 heads of as many without an end took it to 124 MB.

An answer has 1,000 headers at most, trailers included, else it has failed, and each counts 400 bytes, which 60 answers of 900 took until they were passed on.

--- a/pimentospool/gateway/_answer_streams.py
+++ b/pimentospool/gateway/_answer_streams.py
@@ -15,6 +15,9 @@
 
 MAX_BUFFERED_BYTES = 256 * 1024
 """Unread bytes of a response above which the connection stops reading."""
+HEADER_BYTES = 400
+"""Memory of a short header until its response is passed on: 22 MB for 60 responses of
+900 headers."""
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -176,6 +179,8 @@
 
     def feed_head(self, head: AnswerHead, body_end: BodyEnd) -> None:
         """Store the head of the response and wake the reader."""
+        if not self._count(HEADER_BYTES * len(head.headers)):
+            return
         self.head = head
         self.body_end = body_end
         self._wake()
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -45,6 +45,8 @@
 request was sent, and one more for each so many bytes, framing included, so that events
 of a stream are not limited. The time to parse a body grows with its chunks, and a
 faulty server sends the smallest ones without end."""
+MAX_HEADERS = 1000
+"""Limit on the headers of a response, trailers included, and of each one before it."""
 WRITE_BYTES = 64 * 1024
 """Bytes of a request's body that are handed to the transport at once; it copies what
 the socket doesn't take."""
@@ -53,8 +55,8 @@
 held meanwhile."""
 
 
-class ExcessiveChunksError(PimentospoolError):
-    """A body comes in too many chunks for its size and time; ends its parsing."""
+class ExcessivePartsError(PimentospoolError):
+    """A response has too many headers, or chunks; ends its parsing."""
 
 
 class Connection(asyncio.Protocol):
@@ -268,6 +270,11 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
+        if len(self._headers) >= MAX_HEADERS:
+            detail = f"over {MAX_HEADERS} headers"
+            if self._stream is not None:
+                self._stream.fail(detail)
+            raise ExcessivePartsError(detail)
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -299,7 +306,7 @@
             if self._chunks > self._max_chunks:
                 detail = f"{self._chunks} chunks for {self._body_bytes} bytes"
                 self._stream.fail(detail)
-                raise ExcessiveChunksError(detail)
+                raise ExcessivePartsError(detail)
             self._stream.feed_body(data)
 
     def on_message_complete(self) -> None:
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -9,9 +9,9 @@
 from raw_server import RawServer
 
 from pimentospool.gateway import Address
-from pimentospool.gateway._answer_streams import EncodedRequest
+from pimentospool.gateway._answer_streams import HEADER_BYTES, EncodedRequest
 from pimentospool.gateway._connection_pool import ConnectionPool
-from pimentospool.gateway._connections import MAX_FRAMING_BYTES
+from pimentospool.gateway._connections import MAX_FRAMING_BYTES, MAX_HEADERS
 from pimentospool.policy import MemoryBudget
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
@@ -163,6 +163,30 @@
     assert runner.run(run()) is None
 
 
+@pytest.mark.parametrize("count", [MAX_HEADERS, MAX_HEADERS + 1])
+def test_headers_of_an_answer_are_counted_and_bounded(runner, count):
+    budget = MemoryBudget(process_bytes=math.inf)
+
+    async def run():
+        async with RawServer(endless_script(b"", b"", pause=1.0)) as server:
+            conn = await make_pool(server).acquire()
+            hold = budget.begin_answer(is_stream=False, service="s", source="t")
+            stream = conn.send(
+                EncodedRequest(
+                    data=REQUEST, accepts=lambda head: True, answer_hold=hold
+                )
+            )
+            conn.data_received(OK + b"a: 1\r\n" * count + b"\r\n")
+            await stream.wait_head()
+
+    if count > MAX_HEADERS:
+        with pytest.raises(AttemptFailure, match=f"over {MAX_HEADERS} headers"):
+            runner.run(run())
+    else:
+        runner.run(run())
+        assert budget.used_bytes >= MAX_HEADERS * HEADER_BYTES
+
+
 @pytest.mark.parametrize("seconds", [10**400, 10**7])
 def test_absurd_idle_timeout_is_limited(runner, seconds):
     async def script(server, reader, writer):
--- a/tests/platform/test_answer_shares.py
+++ b/tests/platform/test_answer_shares.py
@@ -13,6 +13,7 @@
 CALLS = 60
 CALLS_PER_SECOND = 20
 LONG_CALLS = 40
+HEADERS = 8000
 WRITE_SECONDS = 0.02
 WRITE_BYTES = 60_000
 """What a target writes on each connection in that time, so 3 MB/s."""
@@ -78,6 +79,15 @@
     return items
 
 
+class ManyHeadersTarget(SigningTarget):
+    """A target whose answers have as many headers as fit in the limit on framing."""
+
+    async def _respond(self, req, writer, fault, disconnected):
+        head = self._response_head(req, 200, length=0)
+        writer.write(head[:-2] + b"a: 1\r\n" * HEADERS + b"\r\n")
+        return True
+
+
 async def call(node, path, request_id, *, timeout_seconds=8.0):
     """Send a request; return its status, or None if it gets no whole answer."""
     reader, writer = await node.connect()
@@ -148,3 +158,18 @@
     assert statuses == [200] * LONG_CALLS
     assert peak_bytes < MEMORY_MB * 1_000_000
     assert "ANSWER_HELD_BACK" in log
+
+
+def test_many_short_headers_stay_within_the_memory(runner, tmp_path):
+    items = [(ManyHeadersTarget(instance="i-0"), {"Slots": 64})]
+
+    async def run():
+        async with running_node_process(
+            tmp_path, targets=items, routes=ROUTES, limits={"MemoryMb": MEMORY_MB}
+        ) as node:
+            calls = (call(node, "/look/", f"look-{number}") for number in range(CALLS))
+            return await asyncio.gather(*calls), node.peak_bytes
+
+    statuses, peak_bytes = runner.run(run())
+    assert statuses == [502] * CALLS
+    assert peak_bytes < MEMORY_MB * 1_000_000
