Bound whole answers on the own front

A whole answer of a target was read without a bound until the request's deadline (5 s in the test, any number of bytes), so one faulty target could take the memory of an entry process. It is read up to 4 MiB, as on a node, and then the attempt fails as broken. test_body_without_end_is_bounded failed before, with a length and in chunks (cause late, after the whole time). Streams had a bound on events; the HTTP library allows 128 headers.

--- a/pimentospool/targets/_exchange.py
+++ b/pimentospool/targets/_exchange.py
@@ -26,6 +26,9 @@
 LAST_EVENT_HEADER = "Last-Event-ID"
 EVENT_STREAM = "text/event-stream"
 PROBLEM_TYPE = "application/problem+json"
+MAX_BODY_BYTES = 4 * 1024 * 1024
+"""Limit on a response that is held until it is whole; a faulty target sends one without
+end."""
 _TOO_MANY_REQUESTS = 429
 _SERVER_ERROR = 500
 
@@ -141,13 +144,16 @@
         Raises
         ------
         AttemptFailure
-            If the body ends early, stalls, or has no framing that shows its end.
+            If the body ends early, stalls, is too long, or has no framing that shows
+            its end.
         """
         self._require_framing()
-        chunks = []
+        _check_size(self._resp.content_length or 0)
+        body = bytearray()
         while chunk := await self._read():
-            chunks.append(chunk)
-        return b"".join(chunks)
+            _check_size(len(body) + len(chunk))
+            body += chunk
+        return bytes(body)
 
     async def next_events(self) -> EventBatch | None:
         """Return the events that arrive next, None at the end of the body.
@@ -251,6 +257,11 @@
         )
 
 
+def _check_size(size_bytes: int) -> None:
+    if size_bytes > MAX_BODY_BYTES:
+        raise _broken_exchange(f"the answer is longer than {MAX_BODY_BYTES} bytes")
+
+
 def _broken_exchange(detail: str) -> AttemptFailure:
     return AttemptFailure(detail=detail, verdict=Verdict.MAY_HAVE_RUN)
 
--- a/tests/targets/test_exchange_client.py
+++ b/tests/targets/test_exchange_client.py
@@ -17,8 +17,10 @@
     ExchangeClient,
     FailureCause,
 )
+from pimentospool.targets._exchange import MAX_BODY_BYTES
 from pimentospool.verdicts import Verdict
 
+ENDLESS = b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 INVALID_RESPONSES = [
     b"not http at all\r\n\r\n",
@@ -220,6 +222,28 @@
     assert failure.cause is cause
 
 
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_body_without_end_is_bounded(runner, framing):
+    data = b"a" * 65536
+    sent = []
+
+    async def script(server, reader, writer):
+        await server.read_request(reader)
+        is_chunked = framing == "chunks"
+        writer.write(CHUNKED if is_chunked else ENDLESS)
+        while True:
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data) if is_chunked else data)
+            await writer.drain()
+            sent.append(len(data))
+
+    failure, _ = failure_of(runner, script)
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+    assert failure.cause is FailureCause.BROKEN
+    assert "longer than" in failure.detail
+    # What the sockets hold is not read.
+    assert sum(sent) < 8 * MAX_BODY_BYTES
+
+
 def test_late_response_is_not_read_by_the_next_request(runner):
     async def script(server, reader, writer):
         number = server.connections
