Test three more ways in which a new start could be missed

The last connection is lost while another is being opened; the only entry VM that saw the crash leaves; a target crashes again while it is in doubt.

--- a/tests/gateway/test_pools.py
+++ b/tests/gateway/test_pools.py
@@ -261,3 +261,28 @@
 
     with unanswering_address() as address:
         assert asyncio.run(run(address))
+
+
+def test_loss_of_the_last_connection_is_noticed_while_another_is_being_opened():
+    async def run():
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as server:
+            address = Address(*server.getsockname())
+            pool = ConnectionPool(address=address, limit=2)
+            await pool.acquire()
+            accepted, _ = server.accept()
+            with socket.create_connection(server.getsockname()):
+                # The backlog is full, so that this one waits.
+                opening = asyncio.create_task(pool.acquire())
+                await asyncio.sleep(0.02)
+                assert not pool.start_doubt.exists
+                accepted.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
+                accepted.close()
+                await asyncio.sleep(0.02)
+                assert not opening.done()
+                assert pool.start_doubt.exists
+                with pytest.raises(AttemptFailure):
+                    await opening
+
+    asyncio.run(run())
--- a/tests/platform/test_restarted_targets.py
+++ b/tests/platform/test_restarted_targets.py
@@ -178,6 +178,34 @@
     )
 
 
+def test_cold_target_is_not_flooded_after_the_only_node_that_saw_its_crash_left(
+    runner, tmp_path
+):
+    def call_observer(restarting):
+        restarting.called_nodes = range(1)
+
+    async def after(restarting, targets):
+        await asyncio.sleep(0.03)
+        await restarting.site.nodes[0].stop()
+        restarting.called_nodes = range(1, NODES)
+        await register_late(restarting, targets)
+
+    run_restart(runner, tmp_path, site=call_observer, after=after, down_seconds=0.02)
+
+
+def test_target_that_crashes_again_while_it_is_in_doubt_is_not_flooded(
+    runner, tmp_path
+):
+    async def after(restarting, targets):
+        await asyncio.sleep(0.6)
+        again = await restart_all(restarting, down_seconds=0.02)
+        await register_late(restarting, again)
+        await sleep_while_cold(again)
+        check_cold(again)
+
+    run_restart(runner, tmp_path, after=after, down_seconds=0.02)
+
+
 def test_cold_target_is_not_flooded_by_a_node_that_starts_before_its_new_entry(
     runner, tmp_path
 ):
