Time sound requests beside answers without end

pimentospool bench endless-answers runs one node process, a sound service and three targets of another that send 3 MB/s a connection without end: unframed, chunked, and in chunks of one byte. Starting and ending nodes moved out of the bench of refusals, which uses them too.

--- a/pimentospool/bench/_processes.py
+++ b/pimentospool/bench/_processes.py
@@ -56,7 +56,16 @@
 
 def resident_megabytes(pid: int) -> float:
     """Return the resident memory of a process, from ``/proc/PID/status``."""
+    return _status_megabytes(pid, "VmRSS:")
+
+
+def peak_megabytes(pid: int) -> float:
+    """Return the most memory that was resident, from ``/proc/PID/status``."""
+    return _status_megabytes(pid, "VmHWM:")
+
+
+def _status_megabytes(pid: int, name: str) -> float:
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
+        if line.startswith(name):
             return int(line.split()[1]) / 1024
     return 0.0
--- a/pimentospool/bench/_refusals.py
+++ b/pimentospool/bench/_refusals.py
@@ -13,16 +13,14 @@
 from enum import Enum
 from pathlib import Path
 
-import aiohttp
 import msgspec
 import tomli_w
 
 from pimentospool.addresses import LoopbackNetwork
+from pimentospool.bench._nodes import stop_node, wait_ready
 from pimentospool.programs import Program
-from pimentospool.sending import open_session
 from pimentospool.standins import (
     CONFIGURATION_KEY,
-    GRACE_SECONDS,
     PlatformCall,
     PlatformCaller,
     SigningTarget,
@@ -39,13 +37,6 @@
 
 ZONE = "gulf-a"
 PATH_PREFIX = "/look/"
-READY_SECONDS = 20.0
-"""Timeout for the nodes to become ready; they start at once."""
-READY_POLL_SECONDS = 0.05
-STOP_SECONDS = GRACE_SECONDS + 1.0
-"""Timeout for a node to end; its settings give it the grace."""
-SETTLE_SECONDS = 1.5
-"""Time in which ready nodes learn of the targets and of each other."""
 NO_REASON = "no reason logged"
 
 
@@ -210,7 +201,7 @@
                 fronts = await self._start_nodes(network, server, Path(folder))
                 await self._make_calls(fronts)
             finally:
-                await asyncio.gather(*map(_stop, self._nodes))
+                await asyncio.gather(*map(stop_node, self._nodes))
                 for target in self._targets:
                     await target.close()
                 await server.close()
@@ -256,11 +247,7 @@
             )
             self._nodes.append(node)
             await node.start()
-        async with open_session() as session, asyncio.timeout(READY_SECONDS):
-            for ip in ips:
-                while not await _is_ready(session, f"http://{ip}:{ports.ready}/ready"):
-                    await asyncio.sleep(READY_POLL_SECONDS)
-        await asyncio.sleep(SETTLE_SECONDS)
+        await wait_ready([f"{ip}:{ports.ready}" for ip in ips])
         return [f"{ip}:{ports.front}" for ip in ips]
 
     async def _make_calls(self, fronts: list[str]) -> None:
@@ -296,26 +283,6 @@
         )
 
 
-async def _stop(node: Program) -> None:
-    """End a node gracefully, so that its whole log is written."""
-    if node.pid is None:
-        return
-    try:
-        async with asyncio.timeout(STOP_SECONDS):
-            node.terminate()
-            await node.wait()
-    except TimeoutError:
-        await node.close()
-
-
-async def _is_ready(session: aiohttp.ClientSession, url: str) -> bool:
-    try:
-        async with session.get(url) as resp:
-            return resp.status == 200
-    except (aiohttp.ClientError, OSError):
-        return False
-
-
 def _mean_slot_share(items: Sequence[ObservedCall]) -> float | None:
     if not items:
         return None
--- a/pimentospool/commands/_bench.py
+++ b/pimentospool/commands/_bench.py
@@ -7,6 +7,7 @@
 BENCHES = [
     "operations",
     "control",
+    "endless-answers",
     "heartbeats",
     "membership",
     "policy",
--- a/pimentospool/standins/__init__.py
+++ b/pimentospool/standins/__init__.py
@@ -3,6 +3,7 @@
 from pimentospool.standins._configuration import ConfigurationService
 from pimentospool.standins._deployment import StandinDeployment
 from pimentospool.standins._directory import Directory, VmListService
+from pimentospool.standins._endless_answer_target import EndlessAnswerTarget
 from pimentospool.standins._engine import EngineProfile, ModelEngine, token_text
 from pimentospool.standins._executions import Execution
 from pimentospool.standins._platform_caller import (
@@ -46,6 +47,7 @@
     "CallEnd",
     "ConfigurationService",
     "Directory",
+    "EndlessAnswerTarget",
     "EngineProfile",
     "Execution",
     "Fault",
