Keep a doubt to oneself that another entry VM has just contradicted

A failure to connect isn't told for 2 s after another entry VM has settled the own doubt; a connection that is lost still is, so that a crash is known at once.

Evidence: the new test failed before for the renewed failure to connect, by the absence of the rule; test_pools.py passes the new argument on.

--- a/pimentospool/gateway/_connection_pool.py
+++ b/pimentospool/gateway/_connection_pool.py
@@ -36,7 +36,8 @@
         Time for which the other side may acknowledge nothing before a connection is
         closed.
     on_loss : callable
-        Called when the other side may have started again.
+        Called when the other side may have started again, with whether there was a
+        connection before.
     on_reached : callable
         Called when a connection was opened.
     """
@@ -48,7 +49,7 @@
         limit: int,
         connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
         silence_seconds: float = SILENCE_SECONDS,
-        on_loss: Callable[[], None] = lambda: None,
+        on_loss: Callable[[bool], None] = lambda was_connected: None,
         on_reached: Callable[[], None] = lambda: None,
     ) -> None:
         self.address = address
@@ -177,7 +178,7 @@
             if ended_early and isinstance(exc, TimeoutError):
                 cause = FailureCause.LATE
             elif not self._connections:
-                self.start_doubt.record_loss()
+                self.start_doubt.record_loss(was_connected=False)
             raise _connect_failure(f"no connection: {exc!r}", cause) from exc
         except BaseException:
             sock.close()
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -209,11 +209,11 @@
             and self._cold_seconds(state.registration.service) > 0
         )
 
-    def record_loss(self, target: TargetId) -> None:
+    def record_loss(self, target: TargetId, was_connected: bool = True) -> None:
         """Record that all connections to a target were lost, or none can be opened."""
         state = self._routing_state.target(target)
         if state is not None and self._cold_seconds(state.registration.service) > 0:
-            self.doubted_starts.record_doubt(target)
+            self.doubted_starts.record_doubt(target, was_connected=was_connected)
 
     def record_reached(self, target: TargetId) -> None:
         """Record that a connection to a target was opened."""
--- a/pimentospool/gateway/_pools.py
+++ b/pimentospool/gateway/_pools.py
@@ -32,7 +32,8 @@
     fleet : Fleet
         Membership of the entry VMs.
     on_loss : callable
-        Called with a target that may have started again.
+        Called with a target that may have started again, and with whether there was a
+        connection to it before.
     on_reached : callable
         Called with a target to which a connection was opened.
     """
@@ -42,7 +43,7 @@
         *,
         region: RegionId,
         fleet: Fleet,
-        on_loss: Callable[[TargetId], None] = lambda target: None,
+        on_loss: Callable[[TargetId, bool], None] = lambda target, was_connected: None,
         on_reached: Callable[[TargetId], None] = lambda target: None,
     ) -> None:
         self._region = region
--- a/pimentospool/policy/_doubted_starts.py
+++ b/pimentospool/policy/_doubted_starts.py
@@ -24,6 +24,9 @@
 each second."""
 PROOF_NOTICE_SECONDS = 2.0
 """Time for which a proof is reported to the other entry VMs."""
+CONTRADICTED_SECONDS = 2.0
+"""Time after a proof in which a failure to connect to its target isn't told. An entry
+VM that is cut off knows by then that it reaches no target."""
 MAX_TARGETS = 4096
 """Targets of which the doubts of others are taken over; a faulty one reports any
 number."""
@@ -98,6 +101,8 @@
         self._doubts: dict[TargetId, dict[MemberKey, _Doubt]] = {}
         self._settled: dict[TargetId, dict[MemberKey, int]] = {}
         """Newest doubt of each entry VM that is settled."""
+        self._contradicted_at: dict[TargetId, float] = {}
+        """When the last doubt of this entry VM was settled."""
         self._proofs: dict[TargetId, tuple[float, ProofNotice]] = {}
 
     def is_doubted(self, target: TargetId) -> bool:
@@ -134,17 +139,38 @@
         self._known_starts.pop(target, None)
         self._settled.pop(target, None)
         self._proofs.pop(target, None)
+        self._contradicted_at.pop(target, None)
         if self._doubts.pop(target, None) is not None:
             self._on_change(target, False)
 
-    def record_doubt(self, target: TargetId) -> None:
-        """Record that this entry VM has seen that `target` may have started again."""
+    def record_doubt(self, target: TargetId, *, was_connected: bool = True) -> None:
+        """Record that this entry VM has seen that `target` may have started again.
+
+        If no connection to it can be opened, but another entry VM has just shown that
+        it runs on, the own link is the likely cause, and the others aren't told.
+
+        Parameters
+        ----------
+        target : TargetId
+            The target.
+        was_connected : bool
+            Whether there was a connection, which was lost.
+        """
         start = self._known_starts.get(target)
         if start is None:
             return
-        is_news = self._is_news(target)
+        now = self._clock()
+        known = self._current(target).get(self._own)
+        contradicted_at = self._contradicted_at.get(target, -math.inf)
+        shared = (
+            was_connected
+            or (known is not None and known.shared)
+            or now - contradicted_at >= CONTRADICTED_SECONDS
+        )
+        is_news = shared and self._is_news(target)
         self._number += 1
-        self._add(target, self._own, _Doubt(start, self._number, self._clock()))
+        doubt = _Doubt(start, self._number, now, shared=shared)
+        self._add(target, self._own, doubt)
         if is_news:
             self._on_news()
 
@@ -294,6 +320,8 @@
                 is_news = True
             if member in doubts and doubts[member].number <= number:
                 del doubts[member]
+                if member == self._own:
+                    self._contradicted_at[target] = self._clock()
         self._drop_empty(target)
         return is_news
 
--- a/pimentospool/policy/_start_doubt.py
+++ b/pimentospool/policy/_start_doubt.py
@@ -27,7 +27,7 @@
     clock : callable
         Returns a monotonic time in seconds.
     on_loss : callable
-        Called when a doubt begins.
+        Called when a doubt begins, with whether there was a connection before.
     on_reached : callable
         Called when a connection was opened.
     """
@@ -36,7 +36,7 @@
         self,
         *,
         clock: Callable[[], float],
-        on_loss: Callable[[], None] = lambda: None,
+        on_loss: Callable[[bool], None] = lambda was_connected: None,
         on_reached: Callable[[], None] = lambda: None,
     ) -> None:
         self._clock = clock
@@ -50,7 +50,7 @@
         self._reached_at = math.inf
         self._tried_at = -math.inf
 
-    def record_loss(self, *, heard: bool = True) -> None:
+    def record_loss(self, *, heard: bool = True, was_connected: bool = True) -> None:
         """Record that all connections were lost, or that none could be opened.
 
         With `heard` false, the last one was lost before anything came on it: a target
@@ -59,7 +59,7 @@
         self.exists = True
         self.record_unconnected()
         if heard:
-            self._on_loss()
+            self._on_loss(was_connected)
 
     def record_unconnected(self) -> None:
         """Record that no connection is open any more."""
--- a/tests/gateway/test_pools.py
+++ b/tests/gateway/test_pools.py
@@ -231,9 +231,7 @@
         losses = []
         server = await asyncio.start_server(respond, "127.0.0.1", 0)
         address = Address(*server.sockets[0].getsockname()[:2])
-        pool = ConnectionPool(
-            address=address, limit=1, on_loss=lambda: losses.append(1)
-        )
+        pool = ConnectionPool(address=address, limit=1, on_loss=losses.append)
         conn = await pool.acquire()
         with pytest.raises(AttemptFailure):
             for _ in range(2):
--- a/tests/policy/test_doubted_starts.py
+++ b/tests/policy/test_doubted_starts.py
@@ -275,3 +275,26 @@
     receiver.receive(11, sender.notices(), {})
     receiver.receive(11, sender.notices(in_contact=False), {})
     assert receiver.is_doubted(TARGET)
+
+
+# Entry VMs that were cut off kept sound targets in doubt at all others.
+@pytest.mark.parametrize(
+    ("was_connected", "seconds", "is_told"),
+    [(False, 0.1, False), (True, 0.1, True), (False, 2.1, True)],
+)
+def test_failure_to_connect_after_a_proof_by_another_is_not_told(
+    was_connected, seconds, is_told
+):
+    clock = ManualClock()
+    cut_off, prover = (DoubtedStarts(own=key, clock=clock) for key in (11, 12))
+    for doubted in (cut_off, prover):
+        doubted.register(TARGET, 1)
+    cut_off.record_doubt(TARGET)
+    prover.receive(11, cut_off.notices(), {})
+    prover.settle(TARGET, 1, prover.open_doubts(TARGET))
+    cut_off.receive(12, {}, prover.proofs())
+    clock.now += seconds
+    cut_off.record_doubt(TARGET, was_connected=was_connected)
+    assert cut_off.is_doubted(TARGET)
+    prover.receive(11, cut_off.notices(), {})
+    assert prover.is_doubted(TARGET) is is_told
