Take a connection that timed out under a request for no end of its target

A target closes a connection as idle in the moment in which a request is sent on it: the request is reset, or the connection closed, before any byte of its answer. This counted as a loss, so that a sound target was in doubt, got the rate of a cold one until it was asked, and was asked for a report.

An end before any byte of an answer counts as an idle timeout if the connection had been silent for as long as the last one that the target closed while idle.

--- a/pimentospool/gateway/_connection_pool.py
+++ b/pimentospool/gateway/_connection_pool.py
@@ -142,7 +142,7 @@
         if conn in self._idle:
             self._idle.remove(conn)
             self._idle_timers.pop(conn).cancel()
-        was_lost = conn.lost and not (conn.closed_idle and self._is_timeout(conn))
+        was_lost = conn.lost and not self._is_timeout(conn)
         # One that was opened later may be to a newer start.
         outlived = any(other.opened_at <= conn.heard_at for other in self._connections)
         if was_lost and not outlived:
@@ -151,15 +151,20 @@
             self.start_doubt.record_unconnected()
 
     def _is_timeout(self, conn: Connection) -> bool:
-        """Whether a close of an idle connection may come from an idle timeout."""
+        """Whether the end of a connection may come from an idle timeout.
+
+        A request may have been sent in the moment in which the other side closed it.
+        """
         now = time.monotonic()
         idle_seconds = now - conn.heard_at
         last_at, last_idle_seconds = self._idle_close
+        is_alike = abs(idle_seconds - last_idle_seconds) <= CLOSED_TOGETHER_SECONDS
+        if conn.closed_unheard:
+            return is_alike and last_at > -math.inf
+        if not conn.closed_idle:
+            return False
         self._idle_close = now, idle_seconds
-        return (
-            now - last_at > CLOSED_TOGETHER_SECONDS
-            or abs(idle_seconds - last_idle_seconds) <= CLOSED_TOGETHER_SECONDS
-        )
+        return is_alike or now - last_at > CLOSED_TOGETHER_SECONDS
 
     async def _open(self, within_seconds: float) -> Connection:
         loop = asyncio.get_running_loop()
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -68,6 +68,9 @@
         """Whether it ended though neither side had announced that."""
         self.closed_idle = False
         """Whether the peer has closed it while no response was outstanding."""
+        self.closed_unheard = False
+        """Whether it has ended unexpectedly, after an earlier response, before any byte
+        of the outstanding one."""
         self.idle_seconds = DEFAULT_IDLE_SECONDS
         self.opened_at = self.heard_at = time.monotonic()
         self.on_closed: Callable[[Connection], None] | None = None
@@ -243,6 +246,9 @@
         announced = self._closing or (self._must_close and not unfinished)
         self.lost = (self._peer_closed or exc is not None) and not announced
         self.closed_idle = self.lost and exc is None and not unfinished
+        self.closed_unheard = (
+            self.lost and unfinished and self.opened_at < self.heard_at <= self._sent_at
+        )
         if stream is not None and not stream.complete:
             ends_by_close = stream.body_end is BodyEnd.CLOSE
             if exc is None and self._peer_closed and ends_by_close:
