Let requests wait for a check only where there is one

Callers of an entry VM that reaches no target were refused 0.2 s late: their requests waited for the check of a target in doubt, which isn't made without contact. They are refused at once. And a doubt that began in the moment in which an earlier check ended was never checked, so that the target got the rate of a cold one until the time of a cold start was over; the end of a check looks for such a doubt. Both were found by reading, by two reviewers.

Evidence: both new cases failed before (the second one calls the end of a check by hand, as the moment can't be met from outside).

--- a/pimentospool/gateway/_start_checks.py
+++ b/pimentospool/gateway/_start_checks.py
@@ -89,7 +89,7 @@
             for target, answer in self._answers.items()
             if not answer.done() and self._is_local(target, service)
         ]
-        if not answers:
+        if not answers or self._placement.contact.lost:
             return False
         done, _ = await asyncio.wait(
             answers, timeout=within_seconds, return_when=asyncio.FIRST_COMPLETED
@@ -111,7 +111,14 @@
         if target not in self._checks:
             check = asyncio.create_task(self._check(target))
             self._checks[target] = check
-            check.add_done_callback(lambda _: self._checks.pop(target))
+            check.add_done_callback(lambda check: self._end_check(target, check))
+
+    def _end_check(self, target: TargetId, check: asyncio.Task[None]) -> None:
+        del self._checks[target]
+        # A doubt that began as the check was ending found it still there.
+        ended = not check.cancelled() and check.exception() is None
+        if ended and target in self._answers and self._doubted.is_doubted(target):
+            self._follow(target, True)
 
     def _end_wait(self, target: TargetId) -> None:
         answer = self._answers.pop(target, None)
--- a/tests/gateway/test_start_checks.py
+++ b/tests/gateway/test_start_checks.py
@@ -4,6 +4,7 @@
 import random
 import time
 from functools import partial
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -243,3 +244,37 @@
         assert list(doubt.values()) == [2]
 
     run_with_region(runner, check)
+
+
+# Requests at an entry VM without contact were held up before they were refused.
+@pytest.mark.parametrize("contact_lost", [False, True])
+def test_requests_wait_for_a_check_only_with_contact(runner, contact_lost):
+    async def check(region, target):
+        node = region.nodes[RANKED[1]]
+        if contact_lost:
+            node.placement.contact = SimpleNamespace(lost=True)
+        node.placement.record_loss(TARGET)
+        began_at = time.monotonic()
+        checked = await node.checker.wait("llm", within_seconds=CHECK_SECONDS)
+        assert checked is not contact_lost
+        assert (time.monotonic() - began_at < 0.01) is contact_lost
+
+    run_with_region(runner, check)
+
+
+def test_doubt_that_begins_as_a_check_ends_is_checked(runner):
+    async def check(region, target):
+        node = region.nodes[RANKED[0]]
+        node.placement.record_loss(TARGET)
+        ended = node.checker._checks[TARGET]
+        await asyncio.sleep(CHECK_SECONDS)
+        while not ended.done():
+            await asyncio.sleep(0)
+        node.checker._checks[TARGET] = ended
+        node.placement.record_loss(TARGET)
+        assert node.checker._checks[TARGET] is ended
+        node.checker._end_check(TARGET, ended)
+        await asyncio.sleep(CHECK_SECONDS)
+        assert region.doubting == set()
+
+    run_with_region(runner, check)
