Keep the quiet time that a restarted target has named

A target that had started again and wanted no requests for a time got them once its new entry came (BUDGET): what it had said before was taken for its earlier start's, and dropped with that. While the start was in doubt, the quiet time may be the new one's, so it is kept.

A named limit is still dropped; the next answer names it again.

--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -630,7 +630,13 @@
         )
         if was_doubted and not registration.cold_seconds:
             self._routing_state.assume_cold(registration.id)
+        # The new start may have said it before its entry came.
+        quiet_seconds = (
+            self.health(registration.id).quiet_seconds if was_doubted else 0.0
+        )
         self._starts.register(registration.id, _start(registration))
+        if quiet_seconds:
+            self.health(registration.id).record_quiet(quiet_seconds)
 
     def _report_doubt(self, target: TargetId, doubted: bool) -> None:
         log_event(Event.TARGET_START_DOUBTED, target=target, doubted=doubted)
