Let the own front read whole answers of 32 MiB

Callers of the own front got 502 for sound answers of 16 MB, from the bound of 4 MiB on whole answers that came in before. Cause: the bound was taken over from the nodes, whose answers are shorter; the own front has served such answers, and its test shows one.

--- a/pimentospool/targets/_exchange.py
+++ b/pimentospool/targets/_exchange.py
@@ -26,9 +26,9 @@
 LAST_EVENT_HEADER = "Last-Event-ID"
 EVENT_STREAM = "text/event-stream"
 PROBLEM_TYPE = "application/problem+json"
-MAX_BODY_BYTES = 4 * 1024 * 1024
-"""Limit on a response that is held until it is whole; a faulty target sends one without
-end."""
+MAX_BODY_BYTES = 32 * 1024 * 1024
+"""Limit on a response that is held until it is whole, twice as long as sound ones; a
+faulty target sends one without end."""
 _TOO_MANY_REQUESTS = 429
 _SERVER_ERROR = 500
 
