Let a leaving process begin a first stream of a service again

Callers of a process that was leaving got 503 for short streams in the first moments of a grace of 4 s: while no request of a service had ended, 4 s were assumed of its streams, so that none fitted. 3 s are assumed now.

--- a/pimentospool/policy/_leaving.py
+++ b/pimentospool/policy/_leaving.py
@@ -12,9 +12,9 @@
 
 from pimentospool.ids import ServiceId
 
-INITIAL_STREAM_SECONDS = 4.0
-"""Assumed time of a stream before one of its service has ended. Three of four streams
-of the platform's days took less."""
+INITIAL_STREAM_SECONDS = 3.0
+"""Assumed time of a stream before one of its service has ended. A longer one would have
+all of them refused from the start of a grace of 4 s, short ones too."""
 INITIAL_WHOLE_SECONDS = 2.5
 """The same for a request that is answered as a whole; nine of ten took less."""
 LENGTH_QUANTILE = 0.75
