Read tenants and the bounds on their keys and quotas

Cause: two deployments configure tenants with API keys, homes and quotas, and bound the time for which a withdrawn key may be accepted; none of it was decoded.

Result: nothing uses them yet; a configuration without tenants is decoded as before.

--- a/pimentospool/gateway/__init__.py
+++ b/pimentospool/gateway/__init__.py
@@ -37,9 +37,11 @@
     InboundRequest,
     Prompt,
     PromptPart,
+    QuotaUnit,
     Registration,
     RequestKind,
     ServiceSpec,
+    Tenant,
     WeightedService,
 )
 from pimentospool.gateway._placement import SharedBounds
@@ -51,7 +53,7 @@
     Reply,
 )
 from pimentospool.gateway._routing_state import RoutingState
-from pimentospool.gateway._settings import GatewaySettings
+from pimentospool.gateway._settings import GatewaySettings, QuotaBounds
 from pimentospool.policy import EntryState, MemoryHold
 
 __all__ = [
@@ -84,6 +86,8 @@
     "MemoryHold",
     "Prompt",
     "PromptPart",
+    "QuotaBounds",
+    "QuotaUnit",
     "Refusal",
     "RefusalReason",
     "Registration",
@@ -98,5 +102,6 @@
     "TargetDialect",
     "TargetRegistered",
     "TargetUnreadable",
+    "Tenant",
     "WeightedService",
 ]
--- a/pimentospool/gateway/_fleet_messages.py
+++ b/pimentospool/gateway/_fleet_messages.py
@@ -23,6 +23,9 @@
 _KEY_BYTES = 4
 _VALUE_BYTES = 2
 MAX_PORT = 65535
+PROTOCOL_VERSION = 1
+"""Version of the messages of this build. Types of datagrams that an older build doesn't
+know are sent only to records that name at least the version which introduced them."""
 MAX_LOAD_SECONDS = 3600.0
 """Waits above this come from a faulty sender."""
 
@@ -57,6 +60,8 @@
     """Address for requests and heartbeats of other entry VMs."""
     link_mbps: float = 0.0
     """Bandwidth of its link in Mbit/s, 0 if it isn't known."""
+    protocol: int = 0
+    """Version of the messages that it understands; 0 before tenants were known."""
 
     def __post_init__(self) -> None:
         """Reject addresses to which nothing can be sent, and a bandwidth of no link."""
--- a/pimentospool/gateway/_model.py
+++ b/pimentospool/gateway/_model.py
@@ -6,10 +6,12 @@
 
 from pimentospool.ids import (
     EntryId,
+    KeyDigest,
     RegionId,
     ServiceId,
     SoftwareVersion,
     TargetId,
+    TenantId,
     ZoneId,
 )
 from pimentospool.policy import MemoryHold
@@ -67,6 +69,8 @@
     """Longest pause between events of a stream that is on time."""
     home_regions: frozenset[RegionId] = frozenset()
     """Regions that may serve the requests; empty if all may."""
+    public: bool = False
+    """Whether callers need no API key."""
 
     @property
     def retryable(self) -> bool:
@@ -115,13 +119,40 @@
     idle_timeout_seconds: float = 15.0
 
 
+class QuotaUnit(Enum):
+    """What a tenant's quota counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
+class Tenant(msgspec.Struct, kw_only=True, frozen=True):
+    """Customer whose callers identify themselves by API keys."""
+
+    id: TenantId
+    key_digests: frozenset[KeyDigest] = frozenset()
+    """Digests of the API keys; the keys themselves are not kept."""
+    priority: int | None = None
+    """Priority of the tenant's requests, instead of that of their route."""
+    home_regions: frozenset[RegionId] = frozenset()
+    """Regions that may serve the requests; empty if all may."""
+    quota_unit: QuotaUnit = QuotaUnit.REQUESTS
+    rate_per_second: float = 0.0
+    """Quota of all entry VMs together; 0 without a limit."""
+    burst: float = 0.0
+    default_tokens: float = 0.0
+    """Cost of a request that doesn't state its tokens."""
+
+
 class Configuration(msgspec.Struct, kw_only=True, frozen=True):
-    """One version of the routes and services."""
+    """One version of the routes, services and tenants."""
 
     version: int
     routes: tuple[HttpRoute, ...]
     services: dict[ServiceId, ServiceSpec]
     limits: CallerLimits = CallerLimits()
+    tenants: tuple[Tenant, ...] | None = None
+    """None if the entry VM that sent the configuration doesn't know tenants."""
 
 
 class ConfigurationStamp(msgspec.Struct, frozen=True, order=True):
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -19,7 +19,7 @@
 from pimentospool.gateway._fact_feed import FactFeed
 from pimentospool.gateway._facts import FactSource
 from pimentospool.gateway._fleet import Fleet
-from pimentospool.gateway._fleet_messages import EntryRecord
+from pimentospool.gateway._fleet_messages import PROTOCOL_VERSION, EntryRecord
 from pimentospool.gateway._heartbeats import INTERVAL_SECONDS, HeartbeatLoop
 from pimentospool.gateway._metrics import GatewayMetrics
 from pimentospool.gateway._model import Configuration
@@ -91,6 +91,7 @@
             front=cfg.front,
             peer=cfg.peer,
             link_mbps=cfg.link_mbps,
+            protocol=PROTOCOL_VERSION,
         )
         self.fleet = Fleet(local_record=local_record, clock=clock, rng=random.Random())
         self.book = OccupancyBook(clock=clock)
--- a/pimentospool/gateway/_settings.py
+++ b/pimentospool/gateway/_settings.py
@@ -1,5 +1,7 @@
 """Settings of one gateway process."""
 
+import math
+
 import msgspec
 
 from pimentospool.gateway._model import Address
@@ -7,6 +9,20 @@
 from pimentospool.ids import EntryId, RegionId, ZoneId
 
 
+class QuotaBounds(msgspec.Struct, kw_only=True, frozen=True):
+    """Tolerance of the quotas of tenants, over all entry VMs together.
+
+    In any window, a tenant's requests cost at most its nominal quota, and this more.
+    """
+
+    window_seconds: float = 0.0
+    """Length of a window; 0 if the deployment has no quotas."""
+    overage: float = 0.0
+    """Share of the nominal quota of a window."""
+    slack: float = 0.0
+    """Cost, in the unit of the tenant's quota."""
+
+
 class GatewaySettings(msgspec.Struct, kw_only=True, frozen=True):
     """Validated settings of one gateway process."""
 
@@ -41,3 +57,7 @@
     memory_bytes: float
     """Memory that the process may use; it is ended if it uses more."""
     bounds: SharedBounds
+    revocation_seconds: float = math.inf
+    """Time after which a withdrawn API key must not be accepted by any entry VM, in
+    contact with the store or not; infinite without such a bound."""
+    quota_bounds: QuotaBounds = QuotaBounds()
--- a/pimentospool/ids.py
+++ b/pimentospool/ids.py
@@ -11,6 +11,9 @@
 SoftwareVersion = NewType("SoftwareVersion", str)
 """Version of the software of a target, not of the model that it serves."""
 CustomerId = NewType("CustomerId", str)
+TenantId = NewType("TenantId", str)
+KeyDigest = NewType("KeyDigest", bytes)
+"""Digest of an API key; the key can't be derived from it."""
 RequestId = NewType("RequestId", str)
 OperationId = NewType("OperationId", str)
 Incarnation = NewType("Incarnation", str)
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -92,6 +92,10 @@
     RefusalReason.SENDER_OUTDATED: 503,
     RefusalReason.VERSION_UNKNOWN: 503,
     RefusalReason.NO_ROUTE: 404,
+    RefusalReason.UNAUTHORIZED: 401,
+    RefusalReason.UNCONFIRMED: 503,
+    RefusalReason.OVER_QUOTA: 429,
+    RefusalReason.QUOTA_UNKNOWN: 503,
     RefusalReason.SHUT_DOWN: 504,
     RefusalReason.TIMED_OUT: 504,
     RefusalReason.FAILED: 502,
@@ -422,7 +426,7 @@
         request_id = self._http.headers.get(REQUEST_ID_HEADER.decode())
         if request_id is not None and request_id.isascii():
             headers[REQUEST_ID_HEADER.decode()] = request_id
-        if refusal.retry_after_seconds is not None and status == 503:
+        if refusal.retry_after_seconds is not None and status in (429, 503):
             headers["Retry-After"] = f"{refusal.retry_after_seconds:.3f}"
         if self._is_hop:
             headers[HOP_VERDICT_HEADER.decode()] = refusal.verdict.value
--- a/pimentospool/platform/_records.py
+++ b/pimentospool/platform/_records.py
@@ -8,13 +8,23 @@
     Configuration,
     EngineSpec,
     HttpRoute,
+    QuotaUnit,
     Registration,
     RequestKind,
     ServiceSpec,
+    Tenant,
     WeightedService,
 )
-from pimentospool.ids import RegionId, ServiceId, SoftwareVersion, TargetId, ZoneId
+from pimentospool.ids import (
+    RegionId,
+    ServiceId,
+    SoftwareVersion,
+    TargetId,
+    TenantId,
+    ZoneId,
+)
 from pimentospool.platform._settings import parse_address
+from pimentospool.policy import key_digest
 
 CONFIG_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
@@ -26,6 +36,7 @@
     "non_idempotent": RequestKind.NON_IDEMPOTENT,
     "streaming": RequestKind.STREAM,
 }
+_TOKEN_UNIT = "tokens"
 _MILLISECONDS_PER_SECOND = 1000.0
 _MAX_COLD_MILLISECONDS = 3_600_000.0
 """Cold times above an hour come from a faulty writer."""
@@ -63,6 +74,7 @@
     resumable: bool = False
     target_gap_ms: float = 0.0
     home_regions: list[str] = msgspec.field(default_factory=list)
+    public: bool = False
 
 
 class _Engine(msgspec.Struct, rename="pascal"):
@@ -86,11 +98,24 @@
     idle_timeout_ms: float = 15000.0
 
 
+class _Tenant(msgspec.Struct, rename="pascal"):
+    name: str
+    api_keys: list[str] = msgspec.field(default_factory=list)
+    priority: int | None = None
+    unit: str = ""
+    uncached_tokens: float = 0.0
+    """Cost of a request that doesn't state its tokens; no cache is involved."""
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    home_regions: list[str] = msgspec.field(default_factory=list)
+
+
 class _Config(msgspec.Struct, rename="pascal"):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = msgspec.field(default_factory=list)
 
 
 class _Server(msgspec.Struct, rename="pascal"):
@@ -128,6 +153,7 @@
                 idle_timeout_seconds=raw.limits.idle_timeout_ms
                 / _MILLISECONDS_PER_SECOND,
             ),
+            tenants=tuple(_to_tenant(item) for item in raw.tenants),
         )
     except (*_DECODE_ERRORS, KeyError) as exc:
         raise RecordError(f"invalid configuration: {exc!r}") from exc
@@ -199,6 +225,22 @@
         resumable=raw.resumable,
         event_gap_seconds=raw.target_gap_ms / _MILLISECONDS_PER_SECOND,
         home_regions=frozenset(RegionId(region) for region in raw.home_regions),
+        public=raw.public,
+    )
+
+
+def _to_tenant(raw: _Tenant) -> Tenant:
+    return Tenant(
+        id=TenantId(raw.name),
+        key_digests=frozenset(key_digest(key.encode()) for key in raw.api_keys),
+        priority=raw.priority,
+        home_regions=frozenset(RegionId(region) for region in raw.home_regions),
+        quota_unit=(
+            QuotaUnit.TOKENS if raw.unit == _TOKEN_UNIT else QuotaUnit.REQUESTS
+        ),
+        rate_per_second=raw.rate_per_s,
+        burst=raw.burst,
+        default_tokens=raw.uncached_tokens,
     )
 
 
--- a/pimentospool/platform/_settings.py
+++ b/pimentospool/platform/_settings.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from pimentospool.errors import PimentospoolError
-from pimentospool.gateway import Address, GatewaySettings, SharedBounds
+from pimentospool.gateway import Address, GatewaySettings, QuotaBounds, SharedBounds
 from pimentospool.ids import EntryId, RegionId, ZoneId
 from pimentospool.platform._numbers import parse_count
 
@@ -44,6 +44,11 @@
     budget_window_s: float = 10.0
     cold_overage: float = 1.0
     cold_slack: float = 0.0
+    strict_revoke: bool = False
+    revoke_ms: float = 0.0
+    quota_window_s: float = 0.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
     ttl_max_s: float = msgspec.field(name="ttl_max_s", default=5.0)
 
 
@@ -150,6 +155,16 @@
         / _MILLISECONDS_PER_SECOND,
         link_mbps=_bandwidth(node.limits.link_mbps),
         memory_bytes=_memory_bytes(node.limits.memory_mb),
+        revocation_seconds=(
+            bounds.revoke_ms / _MILLISECONDS_PER_SECOND
+            if bounds.strict_revoke and bounds.revoke_ms > 0
+            else math.inf
+        ),
+        quota_bounds=QuotaBounds(
+            window_seconds=bounds.quota_window_s,
+            overage=bounds.quota_overage,
+            slack=bounds.quota_slack,
+        ),
         bounds=SharedBounds(
             retry_ratio=bounds.retry_budget_ratio,
             retry_reserve=bounds.retry_budget_extra,
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -1,5 +1,6 @@
 """Decisions of the gateway: no input or output, no clock and no global random."""
 
+from pimentospool.policy._api_keys import key_digest
 from pimentospool.policy._brittle_targets import BrittleTargets
 from pimentospool.policy._cached_parts import CachedParts, preferred_target
 from pimentospool.policy._continuations import StreamPosition, continuation_head_fault
@@ -184,6 +185,7 @@
     "continuation_head_fault",
     "ends_in_time",
     "is_newer",
+    "key_digest",
     "neighbour_use",
     "newer_member",
     "newer_report",
--- a/pimentospool/standins/__init__.py
+++ b/pimentospool/standins/__init__.py
@@ -24,6 +24,7 @@
     platform_configuration,
     platform_route,
     platform_settings,
+    platform_tenant,
     target_entry,
     target_key,
 )
@@ -67,6 +68,7 @@
     "platform_configuration",
     "platform_route",
     "platform_settings",
+    "platform_tenant",
     "serve_standin",
     "target_entry",
     "target_key",
--- a/pimentospool/standins/_platform_documents.py
+++ b/pimentospool/standins/_platform_documents.py
@@ -53,6 +53,7 @@
     seeds: Sequence[str],
     ports: NodePorts,
     first_start: bool = False,
+    bounds: Mapping[str, Any] | None = None,
 ) -> dict[str, Any]:
     """Return the content of a node's settings file, as the platform writes it.
 
@@ -70,6 +71,8 @@
         Ports of all nodes.
     first_start : bool
         Whether all nodes start for the first time.
+    bounds : mapping, optional
+        Fields of `Bounds` that override or follow the usual ones.
     """
     return {
         "Node": f"edge-{ip}",
@@ -97,7 +100,8 @@
             "ColdOverage": 1.5,
             "ColdSlack": 3,
             "ttl_max_s": 5,
-        },
+        }
+        | dict(bounds or {}),
         "Platform": {"Address": store},
     }
 
@@ -120,10 +124,32 @@
     } | options
 
 
+def platform_tenant(name: str, *keys: str, **options: object) -> dict[str, Any]:
+    """Return one tenant of the configuration; `options` override its fields."""
+    return {
+        "Name": name,
+        "ApiKeys": list(keys),
+        "Unit": "tokens",
+        "UncachedTokens": 200,
+        "RatePerS": 0,
+        "Burst": 0,
+        "HomeRegions": [],
+    } | options
+
+
 def platform_configuration(
-    version: int = 1, routes: Sequence[Mapping[str, Any]] | None = None
+    version: int = 1,
+    routes: Sequence[Mapping[str, Any]] | None = None,
+    tenants: Sequence[Mapping[str, Any]] = (),
+) -> dict[str, Any]:
+    """Return a configuration, by default with a route of each kind and no tenants."""
+    configuration = _configuration(version, routes)
+    return configuration | ({"Tenants": list(tenants)} if tenants else {})
+
+
+def _configuration(
+    version: int, routes: Sequence[Mapping[str, Any]] | None
 ) -> dict[str, Any]:
-    """Return a configuration, by default with a route of each kind."""
     return {
         "Version": version,
         "Routes": routes
--- a/tests/platform/platform_site.py
+++ b/tests/platform/platform_site.py
@@ -38,6 +38,8 @@
     """A running store with its nodes and targets."""
 
     def __init__(self, store, store_address, settings_dir):
+        self.bounds = {}
+        """Fields of `Bounds` in the settings of nodes that are added later."""
         self.store = store
         self.store_address = store_address
         self.nodes = []
@@ -59,6 +61,7 @@
             seeds=[self._network.ip(number) for number in range(3)],
             ports=self._ports,
             first_start=first_start,
+            bounds=self.bounds,
         )
         path.write_text(tomli_w.dumps(raw))
         node = RunningNode(read_node_settings(path), path)
