Check the API keys of tenants

Cause: a configuration may name tenants, whose requests carry a key; no entry VM checked one, and X-Credential was passed on to targets and other entry VMs.

Change: a request is admitted by the digest of its key before it is placed, by the tenant's priority and homes; the interfaces to the confirmation of keys and to quotas are called there. Targets get X-Tenant; a hop carries the digest to entry VMs that know tenants. A configuration that an older build passes on without tenants is not adopted where there may be tenants. Refusals are counted by reason.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from pimentospool.errors import PimentospoolError
+from pimentospool.gateway._access import knows_tenants
 from pimentospool.gateway._answer_streams import AnswerHead, EncodedRequest
 from pimentospool.gateway._answers import AnswerReceiver, HopRefusedError
 from pimentospool.gateway._connection_pool import ConnectionPool
@@ -320,6 +321,8 @@
         peers = deps.placement.hop_receivers(choice.region, self._service.id)
         if not peers:
             raise _unsent_failure("no entry VM of the region is ready")
+        if req.tenant is not None:
+            peers = [item for item in peers if knows_tenants(item)] or peers
         record = deps.rng.choice(peers)
         pool = deps.pools.peer_pool(record.peer)
 
@@ -348,6 +351,7 @@
                     can_reroute=can_reroute,
                 ),
                 version=self._progress.stream_version,
+                knows_tenants=knows_tenants(record),
             )
             # A target there may receive the request, which the other entry VM then
             # counts in its own retry budget.
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -27,7 +27,7 @@
     Reply,
 )
 from pimentospool.gateway._routing_state import TargetState
-from pimentospool.gateway._running_attempts import RunningAttempt
+from pimentospool.gateway._running_attempts import AttemptStage, RunningAttempt
 from pimentospool.gateway._start_proofs import NEXT_PROOF_SECONDS, ProofSubject
 from pimentospool.ids import EntryId, SoftwareVersion
 from pimentospool.log import Event, log_event
@@ -148,6 +148,13 @@
             reroutes=reroutes,
         )
 
+    @property
+    def has_not_run(self) -> bool:
+        """Whether no target has run the request, nor may an attempt that was ended."""
+        return self._progress.verdict is Verdict.NOT_RUN and all(
+            item.stage is AttemptStage.CONNECTING for item in self._cancelled
+        )
+
     @property
     def remaining_seconds(self) -> float:
         """Time left until the deadline of the caller or the route."""
@@ -559,6 +566,7 @@
             Event.REQUEST_PLACED,
             request=req.id,
             route=self._route.name,
+            tenant=req.tenant,
             key=req.prompt.shared_key if req.prompt else None,
             attempt=self._progress.attempts + 1,
             resumes=req.resumes,
--- a/pimentospool/gateway/_dependencies.py
+++ b/pimentospool/gateway/_dependencies.py
@@ -10,6 +10,7 @@
 from pimentospool.gateway._outcomes import RoutedOutcome
 from pimentospool.gateway._placement import Placement, SharedBounds
 from pimentospool.gateway._pools import ConnectionPools
+from pimentospool.gateway._replies import RefusalReason
 from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._start_checks import StartChecker
 from pimentospool.gateway._start_proofs import StartProofs
@@ -103,6 +104,8 @@
             dialect=dialect,
         )
         self.request_ended: Signal[RoutedOutcome] = Signal(name="request_ended")
+        self.request_refused: Signal[RefusalReason] = Signal(name="request_refused")
+        """Sent for a request that is refused before a destination is chosen."""
         self._bounds = bounds
         self.regions = regions
         self.crash_suspects = CrashSuspects(
--- a/pimentospool/gateway/_dialect.py
+++ b/pimentospool/gateway/_dialect.py
@@ -61,11 +61,13 @@
         max_targets: int,
         origin: HopOrigin,
         version: SoftwareVersion | None,
+        knows_tenants: bool,
     ) -> bytes:
         """Return the head of `req` for another entry VM.
 
         `max_targets` limits the targets that may still run the request; `origin` tells
         who passes it on. Only targets of `version` may run it, if that is set.
+        `knows_tenants` tells whether the receiver looks up the digest of the key.
         """
 
     def encode_health(self, registration: Registration, path: str) -> bytes:
--- a/pimentospool/gateway/_dispatch.py
+++ b/pimentospool/gateway/_dispatch.py
@@ -3,6 +3,13 @@
 import asyncio
 import contextlib
 
+from pimentospool.gateway._access import AccessControl, RequestAccess
+from pimentospool.gateway._admission import (
+    AlwaysConfirmed,
+    KeyConfirmation,
+    QuotaGate,
+    UnlimitedQuotas,
+)
 from pimentospool.gateway._attempt_sender import ConfigurationOutdatedError
 from pimentospool.gateway._attempts import AttemptLoop
 from pimentospool.gateway._configuration_catch_up import ConfigurationCatchUp
@@ -26,13 +33,28 @@
         Components that all requests share.
     catch_up : ConfigurationCatchUp
         Follows the configurations that hops come with.
+    confirmation : KeyConfirmation
+        Tells whether the known API keys are recent enough to accept one.
+    quotas : QuotaGate
+        Charges requests to the quotas of their tenants.
     """
 
     def __init__(
-        self, *, deps: GatewayDependencies, catch_up: ConfigurationCatchUp
+        self,
+        *,
+        deps: GatewayDependencies,
+        catch_up: ConfigurationCatchUp,
+        confirmation: KeyConfirmation | None = None,
+        quotas: QuotaGate | None = None,
     ) -> None:
         self._deps = deps
         self._catch_up = catch_up
+        self._access = AccessControl(
+            routing_state=deps.routing_state,
+            confirmation=confirmation or AlwaysConfirmed(),
+            quotas=quotas or UnlimitedQuotas(),
+            clock=deps.clock,
+        )
         deps.routing_state.target_removed.connect(deps.pools.drain_target)
 
     async def serve(self, req: InboundRequest, reply: Reply) -> None:
@@ -42,16 +64,24 @@
             if refusal is not None:
                 await self._refuse(req, reply, refusal)
                 return
+        access = self._access.begin(req)
         try:
-            await self._route(req, reply, reroutes=not req.is_hop)
+            await self._route(req, reply, access, reroutes=not req.is_hop)
         except ConfigurationOutdatedError as exc:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(exc.remaining_seconds):
                     await self._catch_up.reach(exc.newer)
-            await self._route(req, reply, reroutes=False)
+            await self._route(req, reply, access, reroutes=False)
+        finally:
+            access.end()
 
     async def _route(
-        self, req: InboundRequest, reply: Reply, *, reroutes: bool
+        self,
+        req: InboundRequest,
+        reply: Reply,
+        access: RequestAccess,
+        *,
+        reroutes: bool,
     ) -> None:
         routing_state = self._deps.routing_state
         configuration, routes = routing_state.configuration, routing_state.routes
@@ -73,11 +103,15 @@
             refusal = Refusal(reason=RefusalReason.NO_ROUTE, verdict=Verdict.NOT_RUN)
             await self._refuse(req, reply, refusal)
             return
+        admitted = await access.admit(route)
+        if isinstance(admitted, Refusal):
+            await self._refuse(req, reply, admitted)
+            return
         attempt_loop = AttemptLoop(
             deps=self._deps,
             req=req,
             reply=reply,
-            route=route,
+            route=admitted,
             service=service,
             stamp=stamp,
             reroutes=reroutes,
@@ -87,6 +121,9 @@
         except (asyncio.CancelledError, ConnectionError):
             attempt_loop.interrupted()
             raise
+        finally:
+            if not attempt_loop.has_not_run:
+                access.record_run()
 
     async def _refusal_of_hop(self, origin: HopOrigin) -> Refusal | None:
         """Return the refusal of a hop whose sender follows another configuration.
@@ -118,7 +155,10 @@
             request=req.id,
             host=req.host,
             path=req.path,
+            tenant=req.tenant,
             reason=refusal.reason.name.lower(),
             verdict=refusal.verdict.value,
+            retry_after_seconds=refusal.retry_after_seconds,
         )
+        self._deps.request_refused.send(refusal.reason)
         await reply.refuse(refusal)
--- a/pimentospool/gateway/_fact_feed.py
+++ b/pimentospool/gateway/_fact_feed.py
@@ -276,16 +276,25 @@
         return MAX_RETRY_DELAY_SECONDS
 
     async def _complete(self, batch: FactBatch) -> bool:
-        """Read a configuration that the batch names without its value."""
+        """Read a configuration that the batch names without its value or tenants."""
         for number, dated in enumerate(batch.facts):
             fact = dated.fact
-            if isinstance(fact, ConfigurationPublished) and fact.configuration is None:
+            if not isinstance(fact, ConfigurationPublished):
+                continue
+            known = fact.configuration
+            if known is not None and known.tenants is not None:
+                continue
+            try:
                 configuration = await self._source.read_configuration()
-                if configuration is None:
-                    return False
-                batch.facts[number] = DatedFact(
-                    dated.revision, ConfigurationPublished(configuration)
-                )
+            except SourceError:
+                if known is None or not self._routing_state.accepts(known):
+                    raise
+                configuration = known
+            if configuration is None:
+                return False
+            batch.facts[number] = DatedFact(
+                dated.revision, ConfigurationPublished(configuration)
+            )
         return True
 
     def _apply(self, batch: FactBatch) -> None:
--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -243,7 +243,12 @@
         unknown, changed = self._table.merge(keys, values)
         for key in changed:
             self._update_state(key)
-        if msg.version > max(self.local_version, self._newest_version):
+        # One of a build that knows tenants is complete.
+        newest_from = self._newest_version_from
+        newest = (self._newest_version, newest_from.protocol if newest_from else 0)
+        if msg.version > self.local_version and (
+            (msg.version, msg.sender.protocol) > newest
+        ):
             self._newest_version = msg.version
             self._newest_version_from = msg.sender
         if msg.loads is not None and msg.sender.region != self.local_record.region:
--- a/pimentospool/gateway/_metrics.py
+++ b/pimentospool/gateway/_metrics.py
@@ -6,6 +6,7 @@
 from prometheus_client import CollectorRegistry, Counter, generate_latest
 
 from pimentospool.gateway._outcomes import RoutedOutcome
+from pimentospool.gateway._replies import RefusalReason
 from pimentospool.latencies import GaugeCollector, LatencyCollector
 
 
@@ -37,6 +38,12 @@
             "Requests that entry VMs of other regions passed on.",
             registry=self.registry,
         )
+        self._refusals = Counter(
+            "pimentospool_unplaced_requests",
+            "Requests refused before a destination was chosen, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self._request_seconds = LatencyCollector(
             name="pimentospool_routed_request_seconds",
             documentation="Time from a request's arrival to its end.",
@@ -65,6 +72,10 @@
                 (outcome.kind,), outcome.first_byte_seconds
             )
 
+    def record_refusal(self, reason: RefusalReason) -> None:
+        """Count a request that was refused before a destination was chosen."""
+        self._refusals.labels(reason.name.lower()).inc()
+
     def add_gauge(
         self, name: str, documentation: str, read: Callable[[], float]
     ) -> None:
--- a/pimentospool/gateway/_model.py
+++ b/pimentospool/gateway/_model.py
@@ -237,7 +237,17 @@
     client_timeout_seconds: float
     """Time from the arrival for which the caller waits; infinite if it states none."""
     caller: bytes = b""
-    """Credentials by which the caller identifies itself, if it does."""
+    """What tells the caller from others, if it identifies itself; no API key."""
+    credential: KeyDigest | None = None
+    """Digest of the API key; None without one, and for more than one."""
+    is_vouched: bool = False
+    """Whether the entry VM that passed the request on has checked its key and charged
+    the tenant's quota."""
+    tenant: TenantId | None = None
+    """Tenant whose key the request came with, as the dispatcher has found."""
+    hides_credentials: bool = False
+    """Whether the caller's key, and the tenant that it names, are for the gateway
+    alone, as the configuration has tenants."""
     prompt: Prompt | None = None
     resume_after: int | None = None
     """Id of the last event of the stream that the caller received."""
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from pimentospool.clocks import boot_time
+from pimentospool.gateway._admission import AlwaysConfirmed, UnlimitedQuotas
 from pimentospool.gateway._change_log import ChangeLog
 from pimentospool.gateway._cold_checks import ColdTargetChecker
 from pimentospool.gateway._configuration_catch_up import ConfigurationCatchUp
@@ -82,7 +83,11 @@
         self.cfg = cfg
         self.in_progress = 0
         """Number of requests in progress, counted by the listeners."""
-        self.routing_state = RoutingState(clock=clock, zone_regions=cfg.zone_regions)
+        self.routing_state = RoutingState(
+            clock=clock,
+            zone_regions=cfg.zone_regions,
+            expects_tenants=cfg.expects_tenants,
+        )
         local_record = EntryRecord(
             id=cfg.entry,
             generation=time.time_ns(),
@@ -171,6 +176,8 @@
                 fleet=self.fleet,
                 fetch=self._view_exchange.take_configuration,
             ),
+            confirmation=AlwaysConfirmed(),
+            quotas=UnlimitedQuotas(),
         )
         self.metrics = self._create_metrics()
         self.directory = EntryDirectory(
@@ -282,6 +289,7 @@
     def _create_metrics(self) -> GatewayMetrics:
         metrics = GatewayMetrics()
         self.deps.request_ended.connect(metrics.record)
+        self.deps.request_refused.connect(metrics.record_refusal)
         metrics.add_gauge(
             "pimentospool_requests_in_progress",
             "Requests that have not ended.",
--- a/pimentospool/gateway/_replies.py
+++ b/pimentospool/gateway/_replies.py
@@ -24,6 +24,7 @@
     NO_ROUTE = "no route matches"
     UNAUTHORIZED = "the API key is missing or unknown"
     UNCONFIRMED = "the known API keys may be out of date"
+    NO_REGION = "no region may serve the tenant's requests of this route"
     OVER_QUOTA = "the tenant's quota is used up"
     QUOTA_UNKNOWN = "no entry VM that counts the tenant's quota answers"
     OVERLOADED = "no target can take the request now"
--- a/pimentospool/gateway/_routing_state.py
+++ b/pimentospool/gateway/_routing_state.py
@@ -9,10 +9,12 @@
     Configuration,
     ConfigurationStamp,
     Registration,
+    Tenant,
 )
 from pimentospool.gateway._routes import RouteTable
 from pimentospool.ids import RegionId, ServiceId, SoftwareVersion, TargetId, ZoneId
 from pimentospool.log import Event, log_event
+from pimentospool.policy import KeyTable
 from pimentospool.signals import Signal
 
 EXPIRY_GRACE_SECONDS = 2.2
@@ -81,7 +83,9 @@
     """Current configuration, targets and evacuated zones.
 
     A configuration is only replaced by one of a newer version, or, after the source was
-    restored from a copy, by other content of the same version.
+    restored from a copy, by other content of the same version. One that an entry VM of
+    an older build passes on, without its tenants, is not adopted where there may be
+    tenants, and is otherwise replaced by the complete one of the same version.
 
     Parameters
     ----------
@@ -89,15 +93,25 @@
         Returns a monotonic time in seconds.
     zone_regions : mapping of ZoneId to RegionId
         Region of each availability zone.
+    expects_tenants : bool
+        Whether configurations of the deployment have tenants, as far as its settings
+        say.
     """
 
     def __init__(
-        self, *, clock: Callable[[], float], zone_regions: Mapping[ZoneId, RegionId]
+        self,
+        *,
+        clock: Callable[[], float],
+        zone_regions: Mapping[ZoneId, RegionId],
+        expects_tenants: bool = False,
     ) -> None:
+        self._expects_tenants = expects_tenants
         self.configuration: Configuration | None = None
         self.configuration_era = 0
         """Era of the source in which the configuration was published."""
         self.routes: RouteTable | None = None
+        self.keys: KeyTable[Tenant] = KeyTable()
+        """Tenants of the configuration by the digests of their API keys."""
         self.outdated = False
         """Whether registrations can't be updated, as the store is unreachable."""
         self.zone_regions = dict(zone_regions)
@@ -129,17 +143,26 @@
         content, replaces the earlier one.
         """
         known = self.configuration
+        if not self.accepts(configuration):
+            log_event(Event.CONFIGURATION_INCOMPLETE, version=configuration.version)
+            return False
         if known is not None:
+            known_era = self.configuration_era
+            is_same = _with_tenants(configuration, known) == known
+            completes = known.tenants is None and configuration.tenants is not None
             again = configuration.version == known.version and (
-                era > self.configuration_era and configuration != known
+                (completes and era >= known_era) or (era > known_era and not is_same)
             )
             if configuration.version <= known.version and not again:
-                if configuration == known:
+                if is_same:
                     self.configuration_era = max(self.configuration_era, era)
                 return False
         self.configuration = configuration
         self.configuration_era = era
         self.routes = RouteTable(configuration=configuration)
+        self.keys = KeyTable(
+            (tenant, tenant.key_digests) for tenant in configuration.tenants or ()
+        )
         log_event(
             Event.CONFIGURATION_ADOPTED,
             version=configuration.version,
@@ -149,6 +172,17 @@
         self.configuration_adopted.send(configuration)
         return True
 
+    def accepts(self, configuration: Configuration) -> bool:
+        """Whether a configuration has tenants, or none are expected.
+
+        Without the tenants, requests would be served whatever their keys.
+        """
+        known = self.configuration
+        expects_tenants = self._expects_tenants or (
+            known is not None and bool(known.tenants)
+        )
+        return configuration.tenants is not None or not expects_tenants
+
     @property
     def stamp(self) -> ConfigurationStamp | None:
         """Stamp of the active configuration, None before the first one."""
@@ -364,7 +398,7 @@
 
         Returns whether it was applied.
         """
-        if self.configuration is not None:
+        if self.configuration is not None or not self.accepts(view.configuration):
             return False
         for item in view.targets:
             self.register(
@@ -464,5 +498,12 @@
     )
 
 
+def _with_tenants(configuration: Configuration, known: Configuration) -> Configuration:
+    """Return a configuration with the known tenants if it comes without any."""
+    if configuration.tenants is not None:
+        return configuration
+    return msgspec.structs.replace(configuration, tenants=known.tenants)
+
+
 def _instance(registration: Registration) -> tuple[TargetId, int]:
     return registration.id, registration.started_at
--- a/pimentospool/gateway/_settings.py
+++ b/pimentospool/gateway/_settings.py
@@ -61,3 +61,11 @@
     """Time after which a withdrawn API key must not be accepted by any entry VM, in
     contact with the store or not; infinite without such a bound."""
     quota_bounds: QuotaBounds = QuotaBounds()
+
+    @property
+    def expects_tenants(self) -> bool:
+        """Whether only a deployment whose configurations have tenants has these."""
+        return (
+            math.isfinite(self.revocation_seconds)
+            or self.quota_bounds.window_seconds > 0.0
+        )
--- a/pimentospool/gateway/_view_exchange.py
+++ b/pimentospool/gateway/_view_exchange.py
@@ -9,6 +9,7 @@
 import msgspec
 from aiohttp import web
 
+from pimentospool.gateway._access import knows_tenants
 from pimentospool.gateway._change_log import ChangeLog
 from pimentospool.gateway._facts import (
     ConfigurationPublished,
@@ -221,13 +222,18 @@
         records = self._fleet.started()
         self._rng.shuffle(records)
         local_region = self._fleet.local_region
-        return sorted(records, key=lambda rec: rec.region != local_region)[:2]
+        return sorted(
+            records,
+            key=lambda rec: (not knows_tenants(rec), rec.region != local_region),
+        )[:2]
 
     async def _take_view(self, record: EntryRecord) -> bool:
         view = await self._fetch(record, VIEW_PATH, self._view_decoder)
         if view is None or not self._routing_state.apply_view(view):
             return False
-        if view.position is not None and self._changes.position is None:
+        # Without the tenants, the configuration has to be read from the source.
+        is_complete = view.configuration.tenants is not None
+        if is_complete and view.position is not None and self._changes.position is None:
             self._changes.restart(view.position)
         log_event(
             Event.VIEW_TAKEN,
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -62,6 +62,11 @@
         logbook.NOTICE,
         "request came with a configuration that is not known here",
     )
+    CONFIGURATION_INCOMPLETE = (
+        3142,
+        logbook.NOTICE,
+        "configuration of an older build not adopted, as it lacks the tenants",
+    )
     STORE_BACK = (3103, logbook.NOTICE, "platform store reachable again")
     STORE_ENTRY_SKIPPED = (3104, logbook.WARNING, "store entry could not be read")
     STORE_HISTORY_LOST = (
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -13,6 +13,11 @@
     Registration,
 )
 from pimentospool.ids import SoftwareVersion
+from pimentospool.platform._credentials import (
+    hop_digest_headers,
+    tenant_headers,
+    without_credentials,
+)
 from pimentospool.platform._headers import (
     BRITTLE_HEADER,
     COLD_REMAINING_HEADER,
@@ -85,14 +90,20 @@
         max_targets: int,
         origin: HopOrigin,
         version: SoftwareVersion | None,
+        knows_tenants: bool,
     ) -> bytes:
-        """Return the head of `req` for another entry VM."""
+        """Return the head of `req` for another entry VM.
+
+        One that doesn't know tenants would pass the digest of the key on to a server.
+        """
         extra_headers = [
             (HOP_TARGETS_HEADER, b"%d" % max_targets),
             *encode_hop_origin(origin),
         ]
         if version is not None:
             extra_headers.append((HOP_VERSION_HEADER, version.encode()))
+        if knows_tenants:
+            extra_headers += hop_digest_headers(req)
         return _encode_head(req, extra_headers, remaining_seconds, resume_after)
 
     def encode_health(self, registration: Registration, path: str) -> bytes:
@@ -221,7 +232,10 @@
     resume_after: int | None,
 ) -> bytes:
     lines = [_to_bytes(f"{req.method} {req.path} HTTP/1.1")]
-    lines += [name + b": " + value for name, value in req.headers]
+    # The request may have been read before the configuration had tenants.
+    headers = without_credentials(req.headers) if req.hides_credentials else req.headers
+    lines += [name + b": " + value for name, value in headers]
+    lines += [name + b": " + value for name, value in tenant_headers(req)]
     lines += [name + b": " + value for name, value in extra_headers]
     remaining_ms = max(1, int(remaining_seconds / _MILLISECOND))
     lines.append(DEADLINE_HEADER + b": %d" % remaining_ms)
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -23,7 +23,7 @@
     Refusal,
     RefusalReason,
 )
-from pimentospool.ids import SoftwareVersion
+from pimentospool.ids import KeyDigest, SoftwareVersion
 from pimentospool.log import Event, log_event
 from pimentospool.platform._bodies import (
     WRITE_BYTES,
@@ -38,12 +38,18 @@
     CallerServer,
     header_bytes,
 )
+from pimentospool.platform._credentials import (
+    caller_identity,
+    decode_hop_digest,
+    read_key_digest,
+    without_credentials,
+)
 from pimentospool.platform._headers import (
-    CALLER_HEADERS,
     CONNECTION_HEADERS,
     DEADLINE_HEADER,
     HOP_CONFIGURATION_HEADER,
     HOP_CONTACT_HEADER,
+    HOP_CREDENTIAL_HEADER,
     HOP_ENTRY_HEADER,
     HOP_REACHED_HEADER,
     HOP_REROUTE_HEADER,
@@ -94,6 +100,7 @@
     RefusalReason.NO_ROUTE: 404,
     RefusalReason.UNAUTHORIZED: 401,
     RefusalReason.UNCONFIRMED: 503,
+    RefusalReason.NO_REGION: 503,
     RefusalReason.OVER_QUOTA: 429,
     RefusalReason.QUOTA_UNKNOWN: 503,
     RefusalReason.SHUT_DOWN: 504,
@@ -316,20 +323,28 @@
                 raise InvalidRequestError(
                     status=408, detail="the body did not arrive in time"
                 ) from exc
+        digest = self._hop_digest(http)
+        is_vouched = digest is not None
+        if digest is None:
+            digest = read_key_digest(http.raw_headers)
+        # Those of a process without a configuration may be keys, too.
+        configuration = self._gateway.routing_state.configuration
+        hides_credentials = configuration is None or bool(configuration.tenants)
+        forwarded = _forwarded_headers(http.raw_headers)
         return InboundRequest(
             id=headers.get(REQUEST_ID_HEADER.decode(), ""),
             method=http.method,
             path=http.raw_path,
             host=headers.get("host", "").rsplit(":", 1)[0].lower(),
-            headers=_forwarded_headers(http.raw_headers),
+            headers=without_credentials(forwarded) if hides_credentials else forwarded,
             body=body,
             received_at=received_at,
             client_timeout_seconds=client_timeout_seconds,
-            caller=b"\n".join(
-                value
-                for name, value in http.raw_headers
-                if name.lower() in CALLER_HEADERS
+            caller=caller_identity(
+                http.raw_headers, digest, hides_credentials=hides_credentials
             ),
+            credential=digest,
+            is_vouched=is_vouched,
             prompt=decode_prompt(
                 headers.get(TOKEN_COUNT_HEADER.decode()),
                 headers.get(PROMPT_PREFIX_HEADER.decode()),
@@ -347,6 +362,11 @@
         value = http.headers.get(HOP_VERSION_HEADER.decode())
         return SoftwareVersion(value) if self._is_hop and value is not None else None
 
+    def _hop_digest(self, http: web.BaseRequest) -> KeyDigest | None:
+        if not self._is_hop:
+            return None
+        return decode_hop_digest(http.headers.get(HOP_CREDENTIAL_HEADER.decode()))
+
     def _hop_targets(self, http: web.BaseRequest) -> int | None:
         if not self._is_hop:
             return None
--- a/pimentospool/platform/_headers.py
+++ b/pimentospool/platform/_headers.py
@@ -22,9 +22,18 @@
 LEAVING_HEADER = b"server-leaving"
 REQUEST_LIMIT_HEADER = b"server-limit"
 """Requests per second that the server takes from all entry VMs together."""
-CALLER_HEADERS = (b"authorization", b"cookie", b"x-credential")
+CREDENTIAL_HEADER = b"x-credential"
+"""API key of the caller's tenant, if the configuration has tenants."""
+TENANT_HEADER = b"x-tenant"
+"""Name of the tenant, for servers."""
+KEY_HEADERS = frozenset([CREDENTIAL_HEADER, TENANT_HEADER])
+"""Headers of the caller that are removed if the configuration has tenants."""
+CALLER_HEADERS = (b"authorization", b"cookie", CREDENTIAL_HEADER)
 """Headers by which callers identify themselves."""
 
+HOP_CREDENTIAL_HEADER = b"pimentospool-credential"
+"""Header of the gateway: digest of the API key that the sender of a hop has checked, in
+hexadecimal digits."""
 HOP_VERDICT_HEADER = b"pimentospool-verdict"
 """Header of the gateway: verdict of an entry VM that refused a hop."""
 HOP_REACHED_HEADER = b"pimentospool-reached"
@@ -68,6 +77,7 @@
         LAST_EVENT_HEADER,
         HOP_CONFIGURATION_HEADER,
         HOP_CONTACT_HEADER,
+        HOP_CREDENTIAL_HEADER,
         HOP_ENTRY_HEADER,
         HOP_REACHED_HEADER,
         HOP_REROUTE_HEADER,
--- a/tests/gateway/gateway_factories.py
+++ b/tests/gateway/gateway_factories.py
@@ -51,12 +51,13 @@
     return ServiceSpec(id=name, engine=spec, **fields)
 
 
-def make_configuration(*routes, version=1, services=None):
+def make_configuration(*routes, version=1, services=None, tenants=()):
     specs = services or [make_service()]
     return Configuration(
         version=version,
         routes=routes or (make_route(),),
         services={item.id: item for item in specs},
+        tenants=tenants,
     )
 
 
