--- a/pimentospool/platform/_caller_connections.py
+++ b/pimentospool/platform/_caller_connections.py
@@ -20,6 +20,7 @@
 which the connection is closed. Separators and the first line are not in the limit."""
 MIN_HEAD_BYTES = 64 * 1024
 """Bytes that such a head may have whatever the limit."""
+UNREADABLE_TEXT = "the request can't be read"
 HEADER_MARGIN_SECONDS = 0.5
 """Time by which a head may be late on its way."""
 
@@ -66,6 +67,18 @@
                 limits.header_timeout_seconds + HEADER_MARGIN_SECONDS, self._close_late
             )
 
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Respond without what the parser says, as it quotes headers, and API keys."""
+        if message is not None:
+            message = UNREADABLE_TEXT
+        return super().handle_error(request, status, None, message)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the timer."""
         self._end_head()
