Prefer entry VMs that know tenants in a test, and refuse odd names of tenants

Cause: a tenant's name is sent in a header, where a line end would begin another one.

Change: a configuration with such a name is refused.

--- a/pimentospool/platform/_records.py
+++ b/pimentospool/platform/_records.py
@@ -230,6 +230,9 @@
 
 
 def _to_tenant(raw: _Tenant) -> Tenant:
+    # The name is sent in a header of each request.
+    if not raw.name.isprintable():
+        raise RecordError("the name of a tenant is not printable")
     return Tenant(
         id=TenantId(raw.name),
         key_digests=frozenset(key_digest(key.encode()) for key in raw.api_keys),
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -39,7 +39,13 @@
 from pimentospool.gateway._placement import Placement
 from pimentospool.gateway._replies import RefusalReason
 from pimentospool.platform._exchange import PlatformDialect
-from pimentospool.policy import MemoryBudget, OccupancyBook, RouteKey, StreamVersions
+from pimentospool.policy import (
+    MemoryBudget,
+    OccupancyBook,
+    RouteKey,
+    StreamVersions,
+    key_digest,
+)
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
@@ -216,6 +222,21 @@
     assert reply.refusal.reached_target is (hops == 1)
 
 
+# LOST: an entry VM of an older build serves the request without a look at its key.
+@pytest.mark.parametrize("protocols", [(0, 0, 0, 1), (0, 0, 0, 0)])
+def test_hop_of_a_tenant_prefers_entry_vms_that_know_tenants(protocols):
+    pools = CannedPools(HOP_REFUSED)
+    deps = make_deps(pools, Clock())
+    for number, protocol in enumerate(protocols):
+        record = make_record(f"e-{number}", region="delta", protocol=protocol)
+        announce(deps.fleet, record, loads={"desk": ServiceLoad(0.0, 0.0)})
+    digest = key_digest(b"k-1")
+    serve(deps, tenant="acme", credential=digest, hides_credentials=True)
+    (sent,) = pools.sent_to_peers
+    assert b"x-tenant: acme\r\n" in sent
+    assert (digest.hex().encode() in sent) is (1 in protocols)
+
+
 # LOST: what another region answers was begun, however long it takes to relay.
 @pytest.mark.parametrize(("timeout_seconds", "hops"), [(60.0, 0), (2.0, 1)])
 def test_leaving_process_hops_only_with_what_ends_in_time(timeout_seconds, hops):
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -13,7 +13,12 @@
     decode_configuration,
     decode_registration,
 )
-from pimentospool.standins import platform_configuration, platform_route, target_entry
+from pimentospool.standins import (
+    platform_configuration,
+    platform_route,
+    platform_tenant,
+    target_entry,
+)
 
 
 def encode(value):
@@ -61,6 +66,14 @@
         decode_configuration(value)
 
 
+# LOST: the line end of a name would begin a header of its own at targets.
+@pytest.mark.parametrize("name", ["a\r\nX-Other: b", "a\x00"])
+def test_tenant_whose_name_is_no_header_value_is_refused(name):
+    raw = platform_configuration(tenants=[platform_tenant(name, "k-1")])
+    with pytest.raises(RecordError):
+        decode_configuration(encode(raw))
+
+
 def test_registration_is_decoded():
     raw = target_entry("10.0.0.1:80", State="draining", ColdLeftMs=1500, Extra={})
     registration = decode_registration("i-1", encode(raw))
