Read digests of keys by the gateway's interface in the adapter

Cause: tests/platform/test_import_rule.py fails since, as the adapter imported key_digest from the policy.

Change: the gateway passes it on, as it does other names of the policy.

--- a/pimentospool/gateway/__init__.py
+++ b/pimentospool/gateway/__init__.py
@@ -54,9 +54,15 @@
 )
 from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._settings import GatewaySettings, QuotaBounds
-from pimentospool.policy import EntryState, MemoryHold
+from pimentospool.policy import (
+    KEY_DIGEST_BYTES,
+    EntryState,
+    MemoryHold,
+    key_digest,
+)
 
 __all__ = [
+    "KEY_DIGEST_BYTES",
     "LEAVING_RETRY_AFTER_SECONDS",
     "Address",
     "AnswerClass",
@@ -104,4 +110,5 @@
     "TargetUnreadable",
     "Tenant",
     "WeightedService",
+    "key_digest",
 ]
--- a/pimentospool/platform/_credentials.py
+++ b/pimentospool/platform/_credentials.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from pimentospool.gateway import InboundRequest
+from pimentospool.gateway import KEY_DIGEST_BYTES, InboundRequest, key_digest
 from pimentospool.ids import KeyDigest
 from pimentospool.platform._headers import (
     CALLER_HEADERS,
@@ -11,7 +11,6 @@
     KEY_HEADERS,
     TENANT_HEADER,
 )
-from pimentospool.policy import DIGEST_BYTES, key_digest
 
 Headers = Iterable[tuple[bytes, bytes]]
 
@@ -32,7 +31,7 @@
         digest = bytes.fromhex(value or "")
     except ValueError:
         return None
-    return KeyDigest(digest) if len(digest) == DIGEST_BYTES else None
+    return KeyDigest(digest) if len(digest) == KEY_DIGEST_BYTES else None
 
 
 def caller_identity(
--- a/pimentospool/platform/_records.py
+++ b/pimentospool/platform/_records.py
@@ -14,6 +14,7 @@
     ServiceSpec,
     Tenant,
     WeightedService,
+    key_digest,
 )
 from pimentospool.ids import (
     RegionId,
@@ -24,7 +25,6 @@
     ZoneId,
 )
 from pimentospool.platform._settings import parse_address
-from pimentospool.policy import key_digest
 
 CONFIG_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -1,6 +1,6 @@
 """Decisions of the gateway: no input or output, no clock and no global random."""
 
-from pimentospool.policy._api_keys import DIGEST_BYTES, KeyTable, key_digest
+from pimentospool.policy._api_keys import KEY_DIGEST_BYTES, KeyTable, key_digest
 from pimentospool.policy._brittle_targets import BrittleTargets
 from pimentospool.policy._cached_parts import CachedParts, preferred_target
 from pimentospool.policy._continuations import StreamPosition, continuation_head_fault
@@ -97,8 +97,8 @@
 from pimentospool.policy._target_health import TargetHealth
 
 __all__ = [
-    "DIGEST_BYTES",
     "FOLLOWED_SECONDS",
+    "KEY_DIGEST_BYTES",
     "LAPSED_SECONDS",
     "MAX_LAPSED_STARTS",
     "MAX_STREAM_SECONDS",
--- a/pimentospool/policy/_api_keys.py
+++ b/pimentospool/policy/_api_keys.py
@@ -8,7 +8,7 @@
 
 T = TypeVar("T")
 
-DIGEST_BYTES = 16
+KEY_DIGEST_BYTES = 16
 """Length of a digest; two keys of a deployment have the same one by no real chance."""
 
 
@@ -18,7 +18,7 @@
     Keys are compared by their digests, so the time of a comparison doesn't tell how
     much of a key is right.
     """
-    return KeyDigest(hashlib.blake2b(key, digest_size=DIGEST_BYTES).digest())
+    return KeyDigest(hashlib.blake2b(key, digest_size=KEY_DIGEST_BYTES).digest())
 
 
 class KeyTable(Generic[T]):
