Confirm the configuration in force by calls to the store and to other VMs

Cause: with StrictRevoke, an API key must not be accepted later than RevokeMs after a configuration without it, also by a VM that has lost the store, was frozen or suspended.

VMs that don't read the store ask others (tags 5 and 6). Events, gauges for the age and the queries.

--- a/pimentospool/gateway/_fact_feed.py
+++ b/pimentospool/gateway/_fact_feed.py
@@ -31,6 +31,7 @@
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._fleet_messages import EntryRecord
 from pimentospool.gateway._routing_state import RoutingState
+from pimentospool.gateway._store_confirmation import StoreConfirmation
 from pimentospool.ids import MemberKey
 from pimentospool.log import Event, log_event
 
@@ -88,6 +89,8 @@
         Receives the changes for entry VMs that follow this one.
     reader : ChangeReader
         Fetches changes from a relay.
+    confirmation : StoreConfirmation
+        Confirms the configuration by the responses.
     bound_seconds : float
         Time within which a change has to be followed.
     clock : callable
@@ -102,6 +105,7 @@
         fleet: Fleet,
         changes: ChangeLog,
         reader: ChangeReader,
+        confirmation: StoreConfirmation,
         bound_seconds: float,
         clock: Callable[[], float],
     ) -> None:
@@ -110,6 +114,7 @@
         self._fleet = fleet
         self._changes = changes
         self._reader = reader
+        self._confirmation = confirmation
         self._relays_allowed = bound_seconds >= MIN_BOUND_SECONDS
         self._clock = clock
         self._last_response_at = clock()
@@ -120,6 +125,11 @@
         self._relay_contact_at = float("-inf")
         self._follows = False
 
+    @property
+    def reads_source(self) -> bool:
+        """Whether this entry VM reads the source by itself, and gets responses."""
+        return not (self._follows or self.failing)
+
     # Called by the exchange of reports.
 
     def announced_position(self) -> tuple[FactPosition, float] | None:
@@ -189,6 +199,7 @@
         """Whether this entry VM has to read the source instead of following a relay."""
         relays = self._relays()
         fresh = self._clock() - self._relay_contact_at < FRESH_SECONDS
+        fresh = fresh and not self._confirmation.is_due
         follows = bool(relays) and self._fleet.local_record.key not in relays and fresh
         if self._follows and not follows:
             log_event(
@@ -204,6 +215,7 @@
 
     async def _read_all(self) -> None:
         known = self._changes.position
+        sent_at = self._confirmation.now()
         snapshot = await self._source.read_all(era=known.era if known else 0)
         self._record_response()
         restored = known is not None and snapshot.position.era > known.era
@@ -217,16 +229,21 @@
             snapshot, restored=restored, may_have_expired=self._in_expiry_window()
         )
         self._changes.restart(snapshot.position)
+        self._confirmation.record_snapshot(
+            snapshot, sent_at=sent_at, restored=restored, first=known is None
+        )
 
     async def _watch(self) -> None:
         position = self._changes.position
         assert position is not None
         is_relay = self._fleet.local_record.key in self._relays()
-        batch = await self._source.watch(
-            position, hold_seconds=RELAY_HOLD_SECONDS if is_relay else HOLD_SECONDS
+        hold_seconds = self._confirmation.limit_hold(
+            RELAY_HOLD_SECONDS if is_relay else HOLD_SECONDS, failing=self.failing
         )
+        sent_at = self._confirmation.now()
+        batch = await self._source.watch(position, hold_seconds=hold_seconds)
         self._record_response()
-        self._apply(batch)
+        self._apply(batch, sent_at=sent_at)
         if batch.facts:
             await asyncio.sleep(
                 RELAY_BATCHING_DELAY_SECONDS if is_relay else BATCHING_DELAY_SECONDS
@@ -248,9 +265,11 @@
             return
         record = random.choice(ahead)
         batch = await self._reader.fetch_changes(record, position)
+        sent_at: float | None = None
         if batch is None or not await self._complete(batch):
             # The relay is gone, or has other changes: the source has them all.
             del self._announcements[record.id]
+            sent_at = self._confirmation.now()
             batch = await self._source.watch(position, hold_seconds=0.0)
             self._record_response()
         else:
@@ -260,7 +279,7 @@
                 revision=batch.position.revision,
                 facts=len(batch.facts),
             )
-        self._apply(batch)
+        self._apply(batch, sent_at=sent_at)
 
     async def _wait_for_news(self, seconds: float) -> None:
         """Wait until a relay has news for this entry VM, at most for `seconds`."""
@@ -272,28 +291,36 @@
     def _max_retry_delay_seconds(self) -> float:
         relays = self._relays()
         if relays and self._fleet.local_record.key not in relays:
-            return MAX_FOLLOWER_RETRY_DELAY_SECONDS
-        return MAX_RETRY_DELAY_SECONDS
+            return self._confirmation.limit_retry_delay(
+                MAX_FOLLOWER_RETRY_DELAY_SECONDS, has_relays=True
+            )
+        return self._confirmation.limit_retry_delay(
+            MAX_RETRY_DELAY_SECONDS, has_relays=False
+        )
 
     async def _complete(self, batch: FactBatch) -> bool:
         """Read a configuration that the batch names without its value."""
         for number, dated in enumerate(batch.facts):
             fact = dated.fact
             if isinstance(fact, ConfigurationPublished) and fact.configuration is None:
+                sent_at = self._confirmation.now()
                 configuration = await self._source.read_configuration()
                 if configuration is None:
                     return False
+                self._confirmation.record_configuration(configuration, sent_at)
                 batch.facts[number] = DatedFact(
                     dated.revision, ConfigurationPublished(configuration)
                 )
         return True
 
-    def _apply(self, batch: FactBatch) -> None:
+    def _apply(self, batch: FactBatch, *, sent_at: float | None) -> None:
+        """Apply a batch; `sent_at` is when its call was sent if the source answered."""
         if self._in_expiry_window():
             batch = FactBatch(batch.position, [_expiring(item) for item in batch.facts])
         for dated in batch.facts:
             self._apply_fact(dated.fact, era=batch.position.era)
         self._changes.append(batch)
+        self._confirmation.record_batch(batch, sent_at=sent_at)
 
     def _apply_fact(self, fact: Fact, *, era: int) -> None:
         state = self._routing_state
--- a/pimentospool/gateway/_fleet_messages.py
+++ b/pimentospool/gateway/_fleet_messages.py
@@ -147,6 +147,42 @@
     """Whether the receiver sends the records to all entry VMs of its region."""
 
 
+class FreshnessQuery(msgspec.Struct, array_like=True, tag=5):
+    """Asks how old the confirmation of the receiver's configuration is."""
+
+    sender: int
+    """Key of the entry VM that asks."""
+    number: int
+    """Names the query in its reply."""
+
+
+class FreshnessReply(msgspec.Struct, array_like=True, tag=6):
+    """Tells how old the confirmation of the sender's configuration is."""
+
+    number: int
+    """Number of the query."""
+    version: int
+    era: int
+    """Era of the store in which the configuration was published."""
+    age_seconds: float
+    """Time since the sender's configuration was known to be the newest."""
+
+    def __post_init__(self) -> None:
+        """Reject ages of no confirmation; NaN fails the comparison too."""
+        if not (0.0 <= self.age_seconds < math.inf):
+            raise ValueError("the age is out of range")
+
+
+FleetMessage = (
+    GossipMessage
+    | ReportMessage
+    | CrashMessage
+    | StreamMessage
+    | FreshnessQuery
+    | FreshnessReply
+)
+
+
 def encode_vector(keys: Sequence[int], values: Sequence[int]) -> bytes:
     """Return all keys (32 bits each), followed by all values (16 bits each)."""
     return struct.pack(f"<{len(keys)}I{len(values)}H", *keys, *values)
--- a/pimentospool/gateway/_heartbeats.py
+++ b/pimentospool/gateway/_heartbeats.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from typing import Any
 
 import msgspec
 
@@ -9,6 +10,7 @@
 from pimentospool.gateway._fleet_messages import (
     CrashMessage,
     EntryRecord,
+    FleetMessage,
     GossipMessage,
     ReportMessage,
     StreamMessage,
@@ -49,6 +51,11 @@
         Parts of prompts under which targets crash, shared by all entry VMs.
     streams : StreamRecordExchange
         Software versions at which streams began, shared likewise.
+
+    Attributes
+    ----------
+    handlers : dict
+        What processes the types of messages that are not handled here.
     """
 
     def __init__(
@@ -61,6 +68,7 @@
         suspects: CrashSuspects,
         streams: StreamRecordExchange,
     ) -> None:
+        self.handlers: dict[type[Any], Callable[[Any], None]] = {}
         self._suspects = suspects
         self._streams = streams
         self.seeds = list(seeds)
@@ -69,9 +77,7 @@
         self._refresh_loads = refresh_loads
         self._transport: asyncio.DatagramTransport | None = None
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(
-            GossipMessage | ReportMessage | CrashMessage | StreamMessage
-        )
+        self._decoder = msgspec.msgpack.Decoder(FleetMessage)
         self._round = 0
         self._urgent_reports: asyncio.TimerHandle | None = None
 
@@ -103,6 +109,11 @@
         if isinstance(msg, StreamMessage):
             self._streams.receive(msg)
             return
+        if not isinstance(msg, GossipMessage):
+            handle = self.handlers.get(type(msg))
+            if handle is not None:
+                handle(msg)
+            return
         for reply in self._fleet.receive(msg):
             self._send(reply, [msg.sender.peer])
 
@@ -162,11 +173,11 @@
         receivers = self._fleet.sample_region(ANNOUNCEMENT_FANOUT)
         self._send(self._fleet.announcement(), [rec.peer for rec in receivers])
 
-    def _send(
-        self,
-        msg: GossipMessage | ReportMessage | CrashMessage | StreamMessage,
-        addresses: Sequence[Address],
-    ) -> int:
+    def send(self, msg: FleetMessage, addresses: Sequence[Address]) -> None:
+        """Send a message of a type that `handlers` process."""
+        self._send(msg, addresses)
+
+    def _send(self, msg: FleetMessage, addresses: Sequence[Address]) -> int:
         """Send a message; return the bytes of all its datagrams."""
         if self._transport is None or self._transport.is_closing() or not addresses:
             return 0
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -20,6 +20,7 @@
 from pimentospool.gateway._facts import FactSource
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._fleet_messages import PROTOCOL_VERSION, EntryRecord
+from pimentospool.gateway._freshness import FreshnessExchange
 from pimentospool.gateway._heartbeats import INTERVAL_SECONDS, HeartbeatLoop
 from pimentospool.gateway._metrics import GatewayMetrics
 from pimentospool.gateway._model import Configuration
@@ -28,6 +29,10 @@
 from pimentospool.gateway._region_contact import ContactProber
 from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._settings import GatewaySettings
+from pimentospool.gateway._store_confirmation import (
+    StoreConfirmation,
+    configuration_age,
+)
 from pimentospool.gateway._stream_origins import StreamOrigins
 from pimentospool.gateway._stream_records import StreamRecordExchange
 from pimentospool.gateway._target_reports import ReportExchange, relay_bytes
@@ -164,6 +169,9 @@
             rng=random.Random(),
             seconds_left=lambda: self.grace_seconds_left,
         )
+        self.configuration_age = configuration_age(
+            self.routing_state, bound_seconds=cfg.revocation_seconds, clock=boot_time
+        )
         self.dispatcher = Dispatcher(
             deps=self.deps,
             catch_up=ConfigurationCatchUp(
@@ -182,6 +190,9 @@
             fleet=self.fleet,
             changes=changes,
             reader=self._view_exchange,
+            confirmation=StoreConfirmation(
+                age=self.configuration_age, routing_state=self.routing_state
+            ),
             bound_seconds=cfg.follow_seconds,
             clock=clock,
         )
@@ -206,6 +217,17 @@
             suspects=self.deps.crash_suspects,
             streams=StreamRecordExchange(fleet=self.fleet, versions=stream_versions),
         )
+        self.freshness = FreshnessExchange(
+            age=self.configuration_age,
+            fleet=self.fleet,
+            reads_source=lambda: self.feed.reads_source,
+            fetch=self._view_exchange.take_configuration,
+            send=self.heartbeats.send,
+            rng=random.Random(),
+        )
+        if self.configuration_age.is_bounded:
+            self.heartbeats.handlers |= self.freshness.handlers
+            self.freshness.add_gauges(self.metrics)
         self._placement.doubts_changed.connect(self.heartbeats.send_reports_soon)
         self._view_server: asyncio.Server | None = None
         self.routing_state.configuration_adopted.connect(self._follow_configuration)
@@ -232,6 +254,8 @@
         self._start_task("streams", self._view_exchange.learn_streams)
         self._start_task("cold checks", self._cold_checker.run)
         self._start_task("contact probes", self._contact_prober.run)
+        if self.configuration_age.is_bounded:
+            self._start_task("freshness", self.freshness.run)
 
     @property
     def serving(self) -> bool:
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -62,6 +62,12 @@
         logbook.NOTICE,
         "request came with a configuration that is not known here",
     )
+    KEYS_UNCONFIRMED = (
+        3151,
+        logbook.WARNING,
+        "API keys are refused, as they may have been withdrawn",
+    )
+    KEYS_CONFIRMED = (3152, logbook.NOTICE, "API keys are accepted again")
     STORE_BACK = (3103, logbook.NOTICE, "platform store reachable again")
     STORE_ENTRY_SKIPPED = (3104, logbook.WARNING, "store entry could not be read")
     STORE_HISTORY_LOST = (
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -3,6 +3,10 @@
 from pimentospool.policy._api_keys import key_digest
 from pimentospool.policy._brittle_targets import BrittleTargets
 from pimentospool.policy._cached_parts import CachedParts, preferred_target
+from pimentospool.policy._configuration_age import (
+    ConfigurationAge,
+    choose_query_receivers,
+)
 from pimentospool.policy._continuations import StreamPosition, continuation_head_fault
 from pimentospool.policy._crash_evidence import (
     CrashEvidence,
@@ -111,6 +115,7 @@
     "Candidate",
     "ChangeKind",
     "ColdStartLimiter",
+    "ConfigurationAge",
     "CrashEvidence",
     "CrashSuspects",
     "CustomerLimiter",
@@ -181,6 +186,7 @@
     "WaitQueue",
     "answers_within",
     "choose_destination",
+    "choose_query_receivers",
     "choose_relays",
     "continuation_head_fault",
     "ends_in_time",
--- a/tests/gateway/test_fact_feed.py
+++ b/tests/gateway/test_fact_feed.py
@@ -1,6 +1,7 @@
 """Following the published facts by the source, or by the relays of a region."""
 
 import asyncio
+import math
 import random
 
 import msgspec
@@ -29,6 +30,10 @@
 from pimentospool.gateway._change_log import ChangeLog
 from pimentospool.gateway._fact_feed import FRESH_SECONDS, FactFeed
 from pimentospool.gateway._fleet import Fleet
+from pimentospool.gateway._store_confirmation import (
+    StoreConfirmation,
+    configuration_age,
+)
 from pimentospool.gateway._view_exchange import REQUEST_TIMEOUT_SECONDS
 from pimentospool.policy import EntryState, RelayCandidate, choose_relays
 
@@ -85,7 +90,9 @@
 class Site:
     """A feed of one of the entry VMs of a region."""
 
-    def __init__(self, *, members=MEMBERS, as_relay=False, bound_seconds=5.0):
+    def __init__(
+        self, *, members=MEMBERS, as_relay=False, bound_seconds=5.0, revocation=math.inf
+    ):
         loop = asyncio.get_running_loop()
         records = [
             make_record(f"e-{number}", zone=f"gulf-{'ab'[number % 2]}")
@@ -104,12 +111,18 @@
         )
         self.source, self.reader = ScriptedSource(), ScriptedReader()
         self.changes = ChangeLog()
+        self.age = configuration_age(
+            self.routing_state, bound_seconds=revocation, clock=loop.time
+        )
         self.feed = FactFeed(
             source=self.source,
             routing_state=self.routing_state,
             fleet=self.fleet,
             changes=self.changes,
             reader=self.reader,
+            confirmation=StoreConfirmation(
+                age=self.age, routing_state=self.routing_state
+            ),
             bound_seconds=bound_seconds,
             clock=loop.time,
         )
