--- a/pimentospool/gateway/_store_confirmation.py
+++ b/pimentospool/gateway/_store_confirmation.py
@@ -69,8 +69,11 @@
 
     @property
     def is_due(self) -> bool:
-        """Whether a VM that follows relays has to read the store by itself."""
-        return self._age.is_old
+        """Whether a VM that follows relays has to read the store by itself.
+
+        That is of no use while the store's configuration can't become active.
+        """
+        return self._age.is_old and self._in_force
 
     def now(self) -> float:
         """Return the moment at which a call is sent."""
--- a/tests/gateway/test_fact_feed.py
+++ b/tests/gateway/test_fact_feed.py
@@ -11,6 +11,7 @@
     make_configuration,
     make_record,
     make_registration,
+    make_route,
 )
 
 from pimentospool.gateway import (
@@ -54,7 +55,7 @@
             registrations=[make_registration("i-1")],
             evacuated=frozenset(),
         )
-        self.watched = []
+        self.watched, self.holds = [], []
         self.reads = 0
 
     async def read_all(self, *, era):
@@ -63,6 +64,7 @@
 
     async def watch(self, after, *, hold_seconds):
         self.watched.append(after)
+        self.holds.append(hold_seconds)
         result = await self.results.get()
         if isinstance(result, Exception):
             raise result
@@ -353,3 +355,123 @@
         assert not site.feed.failing
 
     run_feed(runner, check)
+
+
+def published(version, revision):
+    """Return a batch with a configuration, the content of which is the version's."""
+    fact = ConfigurationPublished(make_configuration(version=version))
+    return FactBatch(FactPosition(1, revision), [DatedFact(revision, fact)])
+
+
+EMPTY = FactBatch(START, [])
+
+
+def test_response_confirms_the_moment_at_which_its_call_was_sent(runner):
+    """Guards against keys accepted for the time of a watch after their removal."""
+
+    async def check(site):
+        loop = asyncio.get_running_loop()
+        await wait_until(lambda: site.source.watched)
+        sent_at = site.age.latest.at
+        await asyncio.sleep(0.3)
+        watched_at = loop.time()
+        site.source.results.put_nowait(EMPTY)
+        await wait_until(lambda: len(site.source.watched) == 2)
+        assert sent_at <= site.age.latest.at < watched_at - 0.2
+        assert site.source.holds == [1.0, 1.0]
+        site.source.results.put_nowait(SourceError("down"))
+        await wait_until(lambda: len(site.source.watched) == 3)
+        assert site.source.holds[-1] == 0.0
+        assert site.age.latest.at < watched_at
+
+    run_feed(runner, check, as_relay=True, revocation=5.0)
+
+
+def test_configuration_that_does_not_become_active_confirms_nothing(runner):
+    """Guards against keys that a version published twice has withdrawn."""
+
+    async def check(site):
+        await wait_until(lambda: site.source.watched)
+        confirmed_at = site.age.latest.at
+        again = ConfigurationPublished(make_configuration(make_route("/x"), version=1))
+        batch = FactBatch(FactPosition(1, 11), [DatedFact(11, again)])
+        for result in (batch, EMPTY):
+            site.source.results.put_nowait(result)
+        await wait_until(lambda: len(site.source.watched) == 3)
+        assert site.age.latest.at == confirmed_at
+        site.source.results.put_nowait(published(2, 12))
+        await wait_until(lambda: len(site.source.watched) == 4)
+        assert site.age.latest.at > confirmed_at
+
+    run_feed(runner, check, as_relay=True, revocation=5.0)
+
+
+def test_restored_store_confirms_only_after_lost_configurations_had_time(runner):
+    """Guards against a key whose removal the copy lacks and other VMs know."""
+
+    async def check(site):
+        loop = asyncio.get_running_loop()
+        await wait_until(lambda: site.source.watched)
+        confirmed_at, restored_at = site.age.latest.at, loop.time()
+        site.source.snapshot = msgspec.structs.replace(
+            site.source.snapshot, position=FactPosition(2, 5)
+        )
+        site.source.results.put_nowait(SourceRestoredError("era 2"))
+        while site.age.latest.at == confirmed_at:
+            site.source.results.put_nowait(FactBatch(FactPosition(2, 5), []))
+            await asyncio.sleep(0.02)
+        assert site.age.latest.at - restored_at >= 0.3 * 5.0
+
+    run_feed(runner, check, as_relay=True, revocation=5.0)
+
+
+def test_follower_is_confirmed_by_a_read_configuration_and_not_by_a_relay(runner):
+    async def check(site):
+        site.announce_position()
+        await wait_until(lambda: site.age.latest)
+        confirmed_at = site.age.latest.at
+        site.reader.batch = published(2, 11)
+        site.announce_position(FactPosition(1, 11))
+        await wait_until(lambda: site.routing_state.configuration.version == 2)
+        assert site.age.latest.at == confirmed_at
+        large = DatedFact(12, ConfigurationPublished(None))
+        site.reader.batch = FactBatch(FactPosition(1, 12), [large])
+        site.announce_position(FactPosition(1, 12))
+        await wait_until(lambda: site.age.latest.at > confirmed_at)
+        assert site.routing_state.configuration.version == 9
+        # The store, restored from a copy, answers with what was known before.
+        confirmed_at = site.age.latest.at
+        site.reader.batch = FactBatch(FactPosition(1, 13), [large])
+        site.announce_position(FactPosition(1, 13))
+        await wait_until(lambda: site.changes.position == FactPosition(1, 13))
+        assert site.age.latest.at == confirmed_at
+
+    run_feed(runner, check, revocation=5.0)
+
+
+def test_follower_reads_the_source_once_its_confirmation_is_old(runner):
+    """Guards against a follower whose queries are lost though it has a store."""
+
+    async def check(site):
+        await wait_until(lambda: site.source.reads or site.announce_position())
+        while not site.source.watched:
+            site.announce_position()
+            await asyncio.sleep(0.05)
+        assert 0.8 < site.age.seconds < 1.7
+
+    run_feed(runner, check, revocation=1.6)
+
+
+def test_failing_source_is_called_in_time_for_the_bound(runner):
+    """Guards against delays that outlast the bound after the return of the store."""
+
+    async def check(site):
+        await wait_until(lambda: site.source.watched)
+        for _ in range(60):
+            site.source.results.put_nowait(SourceError("down"))
+        await asyncio.sleep(1.5)
+        before = len(site.source.watched)
+        await asyncio.sleep(1.0)
+        assert 3 <= len(site.source.watched) - before <= 8
+
+    run_feed(runner, check, as_relay=True, revocation=5.0)
