Publish the gauges of the confirmation with and without a bound

Cause: the page of a node's metrics has to list exactly what a node publishes (test_metrics_count_requests_by_kind_and_result failed).

--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -227,7 +227,7 @@
         )
         if self.configuration_age.is_bounded:
             self.heartbeats.handlers |= self.freshness.handlers
-            self.freshness.add_gauges(self.metrics)
+        self.freshness.add_gauges(self.metrics)
         self._placement.doubts_changed.connect(self.heartbeats.send_reports_soon)
         self._view_server: asyncio.Server | None = None
         self.routing_state.configuration_adopted.connect(self._follow_configuration)
