Ask other VMs less often while the store or a relay responds

Cause: in a trial of 18 nodes, each of them sent 5 queries a second though it read the store: a watch that is held for 1 s leaves a confirmation of 1 to 2 s, and further VMs were asked from 1.5 s (0.3 of the bound) on.

Change: VMs that read the store ask others only beyond half of the bound; others ask more than one relay beyond 0.4 of it, and read the store by themselves beyond 0.6.

--- a/pimentospool/policy/_configuration_age.py
+++ b/pimentospool/policy/_configuration_age.py
@@ -17,12 +17,16 @@
 """Part of the bound that is not used; covers the differing rates of clocks."""
 QUERY_AGE_SECONDS = 0.6
 """Age from which a VM that does not read the store asks another one."""
-REGION_SHARE = 0.3
-"""Share of the bound from which more VMs of the region than a relay are asked, also by
-a VM that reads the store: one whose store responds has a younger confirmation."""
+REGION_SHARE = 0.4
+"""Share of the bound from which more VMs of the region than a relay are asked. A relay
+that holds its watches for 1 s has a confirmation of 1 to 2 s."""
 REMOTE_SHARE = 0.5
 """Share of the bound from which a VM of another region is asked, too. Traffic between
-regions is priced."""
+regions is priced. A VM that reads the store asks nobody before that: its own responses
+are as recent as those of others."""
+READ_SHARE = 0.6
+"""Share of the bound from which a VM reads the store by itself, even if it has relays.
+Some lost queries don't lead to it."""
 REGION_RECEIVERS = 2
 """Number of VMs of the region that one round of queries goes to besides its relays."""
 MAX_PENDING = 4
@@ -152,16 +156,16 @@
         age = self.seconds
         if age > self.bound_seconds * REMOTE_SHARE:
             return QueryReach.REMOTE
+        if reads_source or age <= QUERY_AGE_SECONDS:
+            return QueryReach.NONE
         if age > self.bound_seconds * REGION_SHARE:
             return QueryReach.REGION
-        if age > QUERY_AGE_SECONDS and not reads_source:
-            return QueryReach.RELAY
-        return QueryReach.NONE
+        return QueryReach.RELAY
 
     @property
     def is_old(self) -> bool:
         """Whether this VM should read the store by itself, even if it has relays."""
-        return self.is_bounded and self.seconds > self.bound_seconds * REMOTE_SHARE
+        return self.is_bounded and self.seconds > self.bound_seconds * READ_SHARE
 
     def _take_pending(self) -> None:
         """Count the confirmations whose configurations have become active."""
