Count tenants' quotas by owners of each region

Cause: a tenant's rate and burst hold for all entry VMs together, and none of it was enforced.

Change: token buckets, weights of regions and ranks of owners in policy/; an owner and an asking side in gateway/, with four datagrams that only entry VMs of protocol 1 get.

The dispatcher doesn't ask yet; tests of the quotas follow.

--- a/pimentospool/gateway/_fleet_messages.py
+++ b/pimentospool/gateway/_fleet_messages.py
@@ -29,6 +29,9 @@
 MAX_LOAD_SECONDS = 3600.0
 """Waits above this come from a faulty sender."""
 
+MAX_QUANTITY = 1e15
+"""Costs and rates above this come from a faulty sender."""
+
 
 class ServiceLoad(msgspec.Struct, array_like=True, frozen=True):
     """Load of a service in one region, at its target with the least cost."""
@@ -147,6 +150,97 @@
     """Whether the receiver sends the records to all entry VMs of its region."""
 
 
+class QuotaQuery(msgspec.Struct, array_like=True, tag=7):
+    """Asks an owner of a tenant's quota to charge a request."""
+
+    sender: int
+    """Key of the entry VM that asks."""
+    number: int
+    """Number of the request at the sender; the same if the query is repeated."""
+    tenant: int
+    """Hash of the tenant's name."""
+    cost: float
+
+    def __post_init__(self) -> None:
+        """Reject costs of no request; NaN fails the comparison too."""
+        _check_quantity(self.cost)
+
+
+class QuotaReply(msgspec.Struct, array_like=True, tag=8):
+    """Decision of an owner on one request."""
+
+    sender: int
+    number: int
+    admitted: bool
+    wait_seconds: float = 0.0
+    """Time after which a refused request should come back."""
+    level: float = 0.0
+    """Level of the owner's bucket after the decision, for the log."""
+
+    def __post_init__(self) -> None:
+        """Reject waits that no owner names."""
+        _check_quantity(self.wait_seconds)
+
+
+class QuotaRefund(msgspec.Struct, array_like=True, tag=9):
+    """Gives back the cost of a request that no target has run."""
+
+    sender: int
+    number: int
+    tenant: int
+    cost: float
+
+    def __post_init__(self) -> None:
+        """Reject costs of no request."""
+        _check_quantity(self.cost)
+
+
+class TenantDemand(msgspec.Struct, array_like=True, frozen=True):
+    """Demand of one tenant in the region of the sender."""
+
+    tenant: int
+    number: int
+    """Number at the sender, by which older demands are dropped."""
+    demand: float
+    """Cost per second of the requests, with those that were refused."""
+    heard_sender: int = 0
+    """Key of the entry VM of the receiver's region that the sender has last heard, and
+    the number of its demand; 0 if there was none."""
+    heard_number: int = 0
+
+    def __post_init__(self) -> None:
+        """Reject demands that no owner names."""
+        _check_quantity(self.demand)
+
+
+class QuotaCopy(msgspec.Struct, array_like=True, frozen=True):
+    """State of one tenant's quota, for an owner that may have to go on with it."""
+
+    tenant: int
+    level: float
+    weight: float
+    demand: float
+
+    def __post_init__(self) -> None:
+        """Reject states that no owner has."""
+        _check_quantity(abs(self.level))
+        _check_quantity(self.weight)
+        _check_quantity(self.demand)
+
+
+class QuotaDemand(msgspec.Struct, array_like=True, tag=10):
+    """What owners of quotas tell those of other regions, and their deputies."""
+
+    sender: int
+    demands: list[TenantDemand] = []
+    copies: list[QuotaCopy] = []
+
+
+def _check_quantity(value: float) -> None:
+    if not 0.0 <= value <= MAX_QUANTITY:
+        raise ValueError("the quantity is out of range")
+
+
 def encode_vector(keys: Sequence[int], values: Sequence[int]) -> bytes:
     """Return all keys (32 bits each), followed by all values (16 bits each)."""
     return struct.pack(f"<{len(keys)}I{len(values)}H", *keys, *values)
--- a/pimentospool/gateway/_heartbeats.py
+++ b/pimentospool/gateway/_heartbeats.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from typing import Any
 
 import msgspec
 
@@ -10,6 +11,10 @@
     CrashMessage,
     EntryRecord,
     GossipMessage,
+    QuotaDemand,
+    QuotaQuery,
+    QuotaRefund,
+    QuotaReply,
     ReportMessage,
     StreamMessage,
 )
@@ -31,6 +36,11 @@
 """Number of entry VMs of the region that a change of state is announced to at once; the
 others receive it within a second."""
 
+HandledMessage = QuotaQuery | QuotaReply | QuotaRefund | QuotaDemand
+"""Messages for which a handler is registered; others of this kind are skipped."""
+MessageHandler = Callable[[Any, Address], None]
+"""Receives a message and the address that it came from."""
+
 
 class HeartbeatLoop(asyncio.DatagramProtocol):
     """Exchanges membership and load with the other entry VMs.
@@ -70,8 +80,13 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(
-            GossipMessage | ReportMessage | CrashMessage | StreamMessage
+            GossipMessage
+            | ReportMessage
+            | CrashMessage
+            | StreamMessage
+            | HandledMessage
         )
+        self._handlers: dict[type, MessageHandler] = {}
         self._round = 0
         self._urgent_reports: asyncio.TimerHandle | None = None
 
@@ -82,6 +97,14 @@
             lambda: self, local_addr=(address.host, address.port)
         )
 
+    def add_handler(self, message_type: type, handler: MessageHandler) -> None:
+        """Pass messages of `message_type` to `handler`."""
+        self._handlers[message_type] = handler
+
+    def send(self, msg: HandledMessage, addresses: Sequence[Address]) -> None:
+        """Send a message for which the receivers have a handler."""
+        self._send(msg, addresses)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self._transport = transport  # type: ignore[assignment]
@@ -103,6 +126,11 @@
         if isinstance(msg, StreamMessage):
             self._streams.receive(msg)
             return
+        if isinstance(msg, HandledMessage):
+            handler = self._handlers.get(type(msg))
+            if handler is not None and isinstance(addr, tuple):
+                handler(msg, Address(host=addr[0], port=addr[1]))
+            return
         for reply in self._fleet.receive(msg):
             self._send(reply, [msg.sender.peer])
 
@@ -164,7 +192,11 @@
 
     def _send(
         self,
-        msg: GossipMessage | ReportMessage | CrashMessage | StreamMessage,
+        msg: GossipMessage
+        | ReportMessage
+        | CrashMessage
+        | StreamMessage
+        | HandledMessage,
         addresses: Sequence[Address],
     ) -> int:
         """Send a message; return the bytes of all its datagrams."""
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -25,6 +25,7 @@
 from pimentospool.gateway._model import Configuration
 from pimentospool.gateway._placement import Placement
 from pimentospool.gateway._pools import ConnectionPools
+from pimentospool.gateway._quotas import FleetQuotas
 from pimentospool.gateway._region_contact import ContactProber
 from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._settings import GatewaySettings
@@ -206,6 +207,16 @@
             suspects=self.deps.crash_suspects,
             streams=StreamRecordExchange(fleet=self.fleet, versions=stream_versions),
         )
+        self.quotas = FleetQuotas(
+            fleet=self.fleet,
+            regions=set(cfg.zone_regions.values()),
+            bounds=cfg.quota_bounds,
+            configuration=lambda: self.routing_state.configuration,
+            clock=clock,
+            rng=random.Random(),
+            registry=self.metrics.registry,
+        )
+        self.quotas.connect(self.heartbeats)
         self._placement.doubts_changed.connect(self.heartbeats.send_reports_soon)
         self._view_server: asyncio.Server | None = None
         self.routing_state.configuration_adopted.connect(self._follow_configuration)
@@ -228,6 +239,8 @@
             server, address.host, address.port
         )
         self._start_task("heartbeats", self.heartbeats.run)
+        if self.cfg.quota_bounds.window_seconds > 0.0:
+            self._start_task("quotas", self.quotas.run)
         self._start_task("views", self._view_exchange.run)
         self._start_task("streams", self._view_exchange.learn_streams)
         self._start_task("cold checks", self._cold_checker.run)
--- /dev/null
+++ b/pimentospool/gateway/_quota_members.py
@@ -0,0 +1,152 @@
+"""Which entry VMs own the quotas of tenants, as this one knows the membership."""
+
+import hashlib
+from collections.abc import Callable, Collection
+
+from pimentospool.gateway._fleet import Fleet
+from pimentospool.gateway._fleet_messages import EntryRecord
+from pimentospool.ids import EntryId, MemberKey, RegionId, TenantId
+from pimentospool.policy import OwnerRanks, region_share
+
+QUOTA_PROTOCOL = 1
+"""Version of messages since which entry VMs know those of quotas."""
+SETTLED_SECONDS = 3.0
+"""Time after which an entry VM that has joined may own quotas. The others know it by
+then, and it has had copies of their state."""
+CACHE_SECONDS = 0.05
+"""Time for which a view of the membership is reused; heartbeats come every 0.2 s."""
+_HASH_BYTES = 8
+
+
+def tenant_hash(tenant: TenantId) -> int:
+    """Return the number that stands for a tenant in datagrams."""
+    digest = hashlib.blake2b(tenant.encode(), digest_size=_HASH_BYTES).digest()
+    return int.from_bytes(digest, "little")
+
+
+class QuotaMembers:
+    """Owners of quotas in each region, and the part of the region that is heard.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Membership of the entry VMs.
+    regions : collection of RegionId
+        All regions of the deployment.
+    forget_seconds : float
+        Time after the start from which a region does not count of which no entry VM
+        has become known.
+    clock : callable
+        Returns a monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        regions: Collection[RegionId],
+        forget_seconds: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self.fleet = fleet
+        self.started_at = clock()
+        self.region_count = len(set(regions) | {fleet.local_region})
+        self._other_regions = sorted(set(regions) - {fleet.local_region})
+        self._forget_seconds = forget_seconds
+        self._clock = clock
+        self._first_seen = {fleet.local_record.key: self.started_at}
+        self._ranks: dict[tuple[RegionId, bool], OwnerRanks] = {}
+        self._read_at = -1e9
+        self._ready: dict[RegionId, list[EntryRecord]] = {}
+        self._counted: list[RegionId] = []
+        self._share = 1.0
+        self._known = 1
+
+    def owners(
+        self,
+        tenant: int,
+        region: RegionId | None = None,
+        *,
+        settled: bool = True,
+    ) -> list[EntryRecord]:
+        """Return the entry VMs of a region in the order in which they own a quota.
+
+        Parameters
+        ----------
+        tenant : int
+            Hash of the tenant's name.
+        region : RegionId or None
+            The region; None for the own one, in which there is at least this entry VM.
+        settled : bool
+            Whether those are left out that have joined a moment ago, unless all have.
+        """
+        self._refresh()
+        region = region or self.fleet.local_region
+        records = self._ready.get(region, [])
+        if settled:
+            latest = self._clock() - SETTLED_SECONDS
+            old = [rec for rec in records if self._first_seen[rec.key] <= latest]
+            records = old or records
+        if not records:
+            is_local = region == self.fleet.local_region
+            return [self.fleet.local_record] if is_local else []
+        by_id = {EntryId(record.id): record for record in records}
+        ranks = self._ranks.setdefault((region, settled), OwnerRanks())
+        return [by_id[entry] for entry in ranks.order(tenant, by_id.keys())]
+
+    def rank(self, tenant: int) -> int:
+        """Return the place of this entry VM among the owners, 0 for the first."""
+        owners = self.owners(tenant)
+        local = self.fleet.local_record
+        return owners.index(local) if local in owners else len(owners)
+
+    @property
+    def counted_regions(self) -> list[RegionId]:
+        """Other regions that have a part in quotas.
+
+        One whose entry VMs are all silent counts as long as the fleet remembers them:
+        it can't be told from one behind a partition, which goes on admitting requests.
+        """
+        self._refresh()
+        return self._counted
+
+    @property
+    def region_share(self) -> float:
+        """Share of the region's rate that this entry VM may use as first owner."""
+        self._refresh()
+        return self._share
+
+    @property
+    def known_count(self) -> int:
+        """Known entry VMs of the region, gone ones and this one included."""
+        self._refresh()
+        return self._known
+
+    def _refresh(self) -> None:
+        now = self._clock()
+        if now - self._read_at < CACHE_SECONDS:
+            return
+        self._read_at = now
+        fleet, local = self.fleet, self.fleet.local_region
+        self._ready = {}
+        first_seen: dict[MemberKey, float] = {}
+        for record in fleet.ready():
+            if record.protocol >= QUOTA_PROTOCOL:
+                self._ready.setdefault(RegionId(record.region), []).append(record)
+                first_seen[record.key] = self._first_seen.get(record.key, now)
+        first_seen[fleet.local_record.key] = self.started_at
+        self._first_seen = first_seen
+        complete = now - self.started_at >= self._forget_seconds
+        self._counted = [
+            region
+            for region in self._other_regions
+            if not complete or fleet.known_ids(region)
+        ]
+        live = fleet.live()
+        heard = {rec.id for rec in live if rec.region == local} | {fleet.local_id}
+        self._known = len(fleet.known_ids(local))
+        self._share = region_share(
+            heard=len(heard),
+            known=self._known,
+            hears_others=any(rec.region != local for rec in live),
+        )
--- /dev/null
+++ b/pimentospool/gateway/_quota_owner.py
@@ -0,0 +1,388 @@
+"""Counts the quotas of tenants for the region of this entry VM."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+
+import msgspec
+
+from pimentospool.gateway._fleet_messages import (
+    EntryRecord,
+    QuotaCopy,
+    QuotaDemand,
+    TenantDemand,
+)
+from pimentospool.gateway._model import Tenant
+from pimentospool.gateway._quota_members import QuotaMembers
+from pimentospool.gateway._settings import QuotaBounds
+from pimentospool.ids import MemberKey, RegionId, TenantId
+from pimentospool.log import Event, log_event
+from pimentospool.policy import (
+    START_SHARE,
+    BucketDecision,
+    BucketLimits,
+    DemandMeter,
+    QuotaBucket,
+    RecentDecisions,
+    RegionWeights,
+    standin_share,
+    startup_share,
+)
+from pimentospool.policy._quota_weights import IDLE_DEMAND_SHARE
+
+STARTUP_SECONDS = 2.0
+"""Time in which a process may not know the other entry VMs yet."""
+ACTIVE_SECONDS = 2.0
+"""Time after the last query for which an owner tells the others what it counts, and
+keeps its own state against the copy of another one."""
+COPY_SECONDS = 10.0
+"""Age up to which a copy of another owner's state is used."""
+SILENT_COPY_SECONDS = 0.75
+"""Time without a copy after which the first owner may have failed; three rounds."""
+UNANSWERED_SECONDS = 0.6
+"""Time without an acknowledgement after which a second entry VM of a region is told."""
+DEBT_FACTOR = 1.1
+"""Debts of all regions together, as a multiple of the quota's slack; requests of 25,000
+tokens are served with three regions and a slack of 72,000."""
+MIN_CAPACITY_SECONDS = 0.1
+"""Capacity of a bucket without a burst, in seconds of its rate."""
+MAX_TENANTS_PER_MESSAGE = 30
+"""Limit on the tenants in one datagram, so that it fits into a packet."""
+QuotaMessages = list[tuple[QuotaDemand, Sequence[EntryRecord]]]
+
+
+class _Copy(msgspec.Struct, frozen=True):
+    state: QuotaCopy
+    at: float
+
+
+class _Account:
+    """One tenant's quota as this entry VM counts it."""
+
+    __slots__ = (
+        "bucket",
+        "created_at",
+        "inherited",
+        "last_query_at",
+        "meter",
+        "rank",
+        "standin_since",
+        "to_answer",
+        "weights",
+    )
+
+    def __init__(
+        self, *, tenant: Tenant, copy: _Copy | None, rank: int, now: float
+    ) -> None:
+        self.rank = rank
+        self.created_at = self.standin_since = now
+        self.last_query_at = -1e9
+        self.inherited = copy is not None
+        self.meter = DemandMeter(now=now, rate=copy.state.demand if copy else 0.0)
+        self.weights = RegionWeights(
+            idle_demand=tenant.rate_per_second * IDLE_DEMAND_SHARE,
+            inherited=copy.state.weight if copy else None,
+        )
+        self.bucket: QuotaBucket | None = None
+        self.to_answer: set[RegionId] = set()
+
+
+class QuotaOwner:
+    """Decides on requests of the region whose tenants this entry VM counts.
+
+    Parameters
+    ----------
+    members : QuotaMembers
+        Owners of quotas.
+    bounds : QuotaBounds
+        Tolerance of the quotas.
+    clock : callable
+        Returns a monotonic time in seconds.
+    uniform : callable
+        Returns a random number from 0 to 1.
+    """
+
+    def __init__(
+        self,
+        *,
+        members: QuotaMembers,
+        bounds: QuotaBounds,
+        clock: Callable[[], float],
+        uniform: Callable[[], float],
+    ) -> None:
+        self._members = members
+        self._bounds = bounds
+        self._clock = clock
+        self._uniform = uniform
+        self._max_debt = max(1.0, DEBT_FACTOR * bounds.slack / members.region_count)
+        self._accounts: dict[int, _Account] = {}
+        self._copies: dict[int, _Copy] = {}
+        self._decisions: RecentDecisions[tuple[int, int], BucketDecision] = (
+            RecentDecisions()
+        )
+        self._refunds: RecentDecisions[tuple[int, int], bool] = RecentDecisions()
+        self._number = 0
+        self.admitted_cost: Counter[TenantId] = Counter()
+        self.refused_cost: Counter[TenantId] = Counter()
+
+    # Requests.
+
+    def decide(
+        self, tenant: Tenant, key: int, *, cost: float, asker: int, number: int
+    ) -> BucketDecision:
+        """Charge a request, or repeat the decision on it.
+
+        Parameters
+        ----------
+        tenant : Tenant
+            The tenant, which has a limit.
+        key : int
+            Hash of its name.
+        cost : float
+            Cost of the request.
+        asker : int
+            Key of the entry VM that asks.
+        number : int
+            Number of the request there.
+        """
+        decision = self._decisions.get((asker, number))
+        if decision is not None:
+            return decision
+        now = self._clock()
+        account = self._account(tenant, key, now)
+        if now - account.last_query_at > ACTIVE_SECONDS and account.rank:
+            account.standin_since = now
+        account.last_query_at = now
+        account.meter.record(cost, now)
+        bucket = self._bucket(tenant, account, key, now)
+        decision = bucket.charge(cost, now, uniform=self._uniform)
+        self._decisions.add((asker, number), decision, now)
+        counts = self.admitted_cost if decision.admitted else self.refused_cost
+        counts[tenant.id] += int(cost)
+        return decision
+
+    def refund(self, key: int, *, cost: float, asker: int, number: int) -> None:
+        """Give back the cost of a request that was admitted here; once only."""
+        account = self._accounts.get(key)
+        if account is None or account.bucket is None:
+            return
+        if self._refunds.get((asker, number)):
+            return
+        now = self._clock()
+        self._refunds.add((asker, number), True, now)
+        account.bucket.refund(cost, now)
+
+    # Exchange with other owners.
+
+    def receive(
+        self, msg: QuotaDemand, tenants: dict[int, Tenant], sender: EntryRecord
+    ) -> None:
+        """Process what another owner tells."""
+        now = self._clock()
+        if RegionId(sender.region) == self._members.fleet.local_region:
+            for copy in msg.copies:
+                self._receive_copy(copy, tenants, now)
+            return
+        for item in msg.demands:
+            tenant = tenants.get(item.tenant)
+            if tenant is not None and self._members.rank(item.tenant) == 0:
+                account = self._account(tenant, item.tenant, now)
+                self._receive_demand(account, item, sender, now)
+
+    def next_round(self, tenants: dict[int, Tenant]) -> QuotaMessages:
+        """Return the messages to the owners of other regions and to deputies."""
+        now = self._clock()
+        for key in self._accounts.keys() - tenants.keys():
+            del self._accounts[key]
+        for key in self._copies.keys() - tenants.keys():
+            del self._copies[key]
+        demands: dict[MemberKey, list[TenantDemand]] = {}
+        copies: dict[MemberKey, list[QuotaCopy]] = {}
+        records: dict[MemberKey, EntryRecord] = {}
+        for key, tenant in tenants.items():
+            if self._members.rank(key):
+                account = self._accounts.get(key)
+                if account is not None:
+                    self._set_rank(tenant, account, key, now)
+                continue
+            account = self._account(tenant, key, now)
+            bucket = self._bucket(tenant, account, key, now)
+            for region in self._members.counted_regions:
+                item = self._next_demand(account, key, region, now)
+                if item is None:
+                    continue
+                for record in self._receivers(account, key, region, now):
+                    records[record.key] = record
+                    demands.setdefault(record.key, []).append(item)
+            if now - account.last_query_at <= ACTIVE_SECONDS:
+                copy = QuotaCopy(
+                    key,
+                    bucket.level(now),
+                    self._weight(account, now),
+                    account.meter.rate(now),
+                )
+                for record in self._deputies(key):
+                    records[record.key] = record
+                    copies.setdefault(record.key, []).append(copy)
+        return self._messages(demands, copies, records)
+
+    def _receive_copy(
+        self, copy: QuotaCopy, tenants: dict[int, Tenant], now: float
+    ) -> None:
+        if copy.tenant not in tenants:
+            return
+        account = self._accounts.get(copy.tenant)
+        if account is not None and now - account.last_query_at > ACTIVE_SECONDS:
+            del self._accounts[copy.tenant]
+        self._copies[copy.tenant] = _Copy(copy, now)
+
+    def _receive_demand(
+        self, account: _Account, item: TenantDemand, sender: EntryRecord, now: float
+    ) -> None:
+        region = RegionId(sender.region)
+        is_new = account.weights.learn(
+            region, sender.key, number=item.number, demand=item.demand, now=now
+        )
+        if is_new:
+            account.to_answer.add(region)
+        if item.heard_sender == self._members.fleet.local_record.key:
+            account.weights.acknowledge(region, item.heard_number)
+
+    def _next_demand(
+        self, account: _Account, key: int, region: RegionId, now: float
+    ) -> TenantDemand | None:
+        """Return what `region` is told now, None if it has nothing to learn."""
+        weights = account.weights
+        demand = account.meter.rate(now)
+        known = weights.repeated(region)
+        if known is None or not weights.is_settled([region], demand):
+            self._number += 1
+            number = self._number
+            demand = weights.outgoing(region, demand, number=number, now=now)
+        elif region in account.to_answer:
+            number, demand = known
+        else:
+            return None
+        account.to_answer.discard(region)
+        heard_sender, heard_number = weights.last_heard(region)
+        return TenantDemand(key, number, demand, heard_sender, heard_number)
+
+    def _receivers(
+        self, account: _Account, key: int, region: RegionId, now: float
+    ) -> list[EntryRecord]:
+        owners = self._members.owners(key, region)
+        unanswered = account.weights.is_unanswered(region, now, UNANSWERED_SECONDS)
+        return owners[: 2 if unanswered else 1]
+
+    def _deputies(self, key: int) -> Iterable[EntryRecord]:
+        """Return the owners that would go on, also one that has just joined."""
+        local = self._members.fleet.local_record
+        settled = self._members.owners(key)
+        joined = self._members.owners(key, settled=False)
+        deputies = {rec.key: rec for rec in (*settled[:2], *joined[:2]) if rec != local}
+        return deputies.values()
+
+    def _messages(
+        self,
+        demands: dict[MemberKey, list[TenantDemand]],
+        copies: dict[MemberKey, list[QuotaCopy]],
+        records: dict[MemberKey, EntryRecord],
+    ) -> QuotaMessages:
+        sender, size = self._members.fleet.local_record.key, MAX_TENANTS_PER_MESSAGE
+        messages: QuotaMessages = []
+        for key, items in demands.items():
+            for start in range(0, len(items), size):
+                msg = QuotaDemand(sender, items[start : start + size])
+                messages.append((msg, [records[key]]))
+        for key, states in copies.items():
+            for start in range(0, len(states), size):
+                msg = QuotaDemand(sender, [], states[start : start + size])
+                messages.append((msg, [records[key]]))
+        return messages
+
+    # Accounts and their limits.
+
+    def _account(self, tenant: Tenant, key: int, now: float) -> _Account:
+        account = self._accounts.get(key)
+        if account is None:
+            copy = self._copies.get(key)
+            if copy is not None and now - copy.at > COPY_SECONDS:
+                copy = None
+            rank = self._members.rank(key)
+            account = _Account(tenant=tenant, copy=copy, rank=rank, now=now)
+            self._accounts[key] = account
+            self._log_rank(tenant, account)
+        else:
+            self._set_rank(tenant, account, key, now)
+        return account
+
+    def _set_rank(
+        self, tenant: Tenant, account: _Account, key: int, now: float
+    ) -> None:
+        rank = self._members.rank(key)
+        if rank == account.rank:
+            return
+        if account.rank == 0:
+            account.standin_since = now
+        account.rank = rank
+        self._log_rank(tenant, account)
+
+    def _log_rank(self, tenant: Tenant, account: _Account) -> None:
+        log_event(
+            Event.QUOTA_OWNED,
+            tenant=tenant.id,
+            rank=account.rank,
+            copied=account.inherited,
+        )
+
+    def _bucket(
+        self, tenant: Tenant, account: _Account, key: int, now: float
+    ) -> QuotaBucket:
+        """Return the bucket of an account with its present limits."""
+        limits = self._limits(tenant, account, key, now)
+        if account.bucket is None:
+            level = limits.capacity * START_SHARE
+            copy = self._copies.get(key) if account.inherited else None
+            if account.rank:
+                level = 0.0
+            if copy is not None:
+                level = min(level, copy.state.level)
+                if not account.rank and now - copy.at <= SILENT_COPY_SECONDS:
+                    # The predecessor goes on until now, with a level that is known.
+                    level = copy.state.level
+            account.bucket = QuotaBucket(level=level, now=now)
+        account.bucket.set_limits(limits, now)
+        return account.bucket
+
+    def _limits(
+        self, tenant: Tenant, account: _Account, key: int, now: float
+    ) -> BucketLimits:
+        members, bounds = self._members, self._bounds
+        rate = tenant.rate_per_second
+        share = members.region_share
+        if account.rank:
+            copy = self._copies.get(key)
+            silent = copy is None or now - copy.at > SILENT_COPY_SECONDS
+            seconds = now - account.standin_since
+            share = min(share, standin_share(seconds, first_is_silent=silent))
+        share *= startup_share(now - members.started_at, STARTUP_SECONDS)
+        weight = self._weight(account, now) * share
+        expected = share * account.weights.expected_weight(
+            account.meter.rate(now),
+            members.counted_regions,
+            overage=bounds.overage,
+            now=now,
+        )
+        is_known = account.inherited or now - account.created_at > bounds.window_seconds
+        burst = max(tenant.burst, rate * MIN_CAPACITY_SECONDS)
+        return BucketLimits(
+            rate=weight * rate,
+            capacity=weight * burst,
+            max_debt=self._max_debt,
+            allows_debt=share == 1.0 and is_known,
+            expected_rate=expected * rate,
+        )
+
+    def _weight(self, account: _Account, now: float) -> float:
+        return account.weights.weight(
+            self._members.counted_regions, overage=self._bounds.overage, now=now
+        )
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -38,6 +38,17 @@
     REQUEST_REFUSED = (2001, logbook.INFO, "request refused")
     REQUEST_INVALID = (2010, logbook.INFO, "request that can't be read rejected")
     REQUEST_ERROR = (2003, logbook.ERROR, "unexpected error in a request")
+    QUOTA_REFUSED = (2013, logbook.INFO, "request refused by its tenant's quota")
+    QUOTA_FALLBACK = (
+        2014,
+        logbook.WARNING,
+        "no owner of a tenant's quota answers; few requests are admitted",
+    )
+    QUOTA_OWNED = (
+        2015,
+        logbook.NOTICE,
+        "this entry VM counts a tenant's quota for its region, or no longer",
+    )
     TARGET_SILENT = (2101, logbook.WARNING, "target does not answer load queries")
     TARGET_REPORTS = (2102, logbook.NOTICE, "target answers load queries again")
     REVISION_ADOPTED = (3001, logbook.NOTICE, "configuration revision is active")
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -48,6 +48,26 @@
     Start,
 )
 from pimentospool.policy._queue import QueueRefusal, QueueTicket, WaitQueue
+from pimentospool.policy._quota_buckets import (
+    START_SHARE,
+    BucketDecision,
+    BucketLimits,
+    QuotaBucket,
+    RecentDecisions,
+)
+from pimentospool.policy._quota_owners import (
+    OwnerRanks,
+    fallback_share,
+    region_share,
+    standin_share,
+    startup_share,
+)
+from pimentospool.policy._quota_weights import (
+    OVERCOMMIT_SHARE,
+    DemandMeter,
+    RegionWeights,
+    region_weight,
+)
 from pimentospool.policy._refusals import Refusal, owner_gone
 from pimentospool.policy._relays import RelayCandidate, choose_relays
 from pimentospool.policy._rendezvous import rank_members
@@ -101,12 +121,16 @@
     "LAPSED_SECONDS",
     "MAX_LAPSED_STARTS",
     "MAX_STREAM_SECONDS",
+    "OVERCOMMIT_SHARE",
     "REGISTRATION_SECONDS",
+    "START_SHARE",
     "SURVIVAL_SECONDS",
     "UNPROVED_VERSION",
     "AnswerHold",
     "Assignment",
     "BrittleTargets",
+    "BucketDecision",
+    "BucketLimits",
     "CachedParts",
     "Candidate",
     "ChangeKind",
@@ -114,6 +138,7 @@
     "CrashEvidence",
     "CrashSuspects",
     "CustomerLimiter",
+    "DemandMeter",
     "DoubtNotice",
     "DoubtedStarts",
     "DrillSchedule",
@@ -140,15 +165,19 @@
     "OperationRef",
     "OperationState",
     "OriginEvidence",
+    "OwnerRanks",
     "ProofNotice",
     "QueueRefusal",
     "QueueTicket",
+    "QuotaBucket",
     "QuotaShares",
+    "RecentDecisions",
     "Refusal",
     "RefusedRevision",
     "RegionChoice",
     "RegionFlight",
     "RegionRoute",
+    "RegionWeights",
     "RelayCandidate",
     "RemoteRegion",
     "Replay",
@@ -184,6 +213,7 @@
     "choose_relays",
     "continuation_head_fault",
     "ends_in_time",
+    "fallback_share",
     "is_newer",
     "key_digest",
     "neighbour_use",
@@ -194,6 +224,10 @@
     "preferred_target",
     "rank_entries",
     "rank_members",
+    "region_share",
+    "region_weight",
     "responsible_entry",
+    "standin_share",
+    "startup_share",
     "stream_key",
 ]
