Admit from one level for all costs, and bound owners of parts of a region

Cause: a tenant of 18,000 tokens a second with requests of 9,200 was refused a fifth of what it sent within its limit; halves of a fleet both counted the whole rate.

Change: the level from which requests are admitted lies below zero by what the largest request leaves of the allowed debt; demand is averaged over more requests; the larger part of the fleet decides between halves of a region.

--- a/pimentospool/gateway/_quota_members.py
+++ b/pimentospool/gateway/_quota_members.py
@@ -3,10 +3,10 @@
 import hashlib
 from collections.abc import Callable, Collection
 
-from pimentospool.gateway._fleet import Fleet
+from pimentospool.gateway._fleet import TOMBSTONE_SECONDS, Fleet
 from pimentospool.gateway._fleet_messages import EntryRecord
 from pimentospool.ids import EntryId, MemberKey, RegionId, TenantId
-from pimentospool.policy import OwnerRanks, region_share
+from pimentospool.policy import HeardMembers, OwnerRanks, region_share
 
 QUOTA_PROTOCOL = 1
 """Version of messages since which entry VMs know those of quotas."""
@@ -33,9 +33,9 @@
         Membership of the entry VMs.
     regions : collection of RegionId
         All regions of the deployment.
-    forget_seconds : float
-        Time after the start from which a region does not count of which no entry VM
-        has become known.
+    unknown_seconds : float
+        Time after the start from which a region of which no entry VM has become known
+        counts with an even part, instead of all that isn't a floor.
     clock : callable
         Returns a monotonic time in seconds.
     """
@@ -45,20 +45,22 @@
         *,
         fleet: Fleet,
         regions: Collection[RegionId],
-        forget_seconds: float,
+        unknown_seconds: float,
         clock: Callable[[], float],
     ) -> None:
         self.fleet = fleet
         self.started_at = clock()
         self.region_count = len(set(regions) | {fleet.local_region})
         self._other_regions = sorted(set(regions) - {fleet.local_region})
-        self._forget_seconds = forget_seconds
+        self._unknown_seconds = unknown_seconds
         self._clock = clock
         self._first_seen = {fleet.local_record.key: self.started_at}
         self._ranks: dict[tuple[RegionId, bool], OwnerRanks] = {}
         self._read_at = -1e9
         self._ready: dict[RegionId, list[EntryRecord]] = {}
         self._counted: list[RegionId] = []
+        self._unknown = 0
+        self._alone = False
         self._share = 1.0
         self._known = 1
 
@@ -110,12 +112,29 @@
         self._refresh()
         return self._counted
 
+    @property
+    def known_part(self) -> float:
+        """Part of quotas that is divided between the regions that are known.
+
+        A region of which no entry VM has been known since the start of this process
+        may have been behind a partition all the time; it is assumed to use an even
+        part, until one that was known would be forgotten too.
+        """
+        self._refresh()
+        return 1.0 - self._unknown / self.region_count
+
     @property
     def region_share(self) -> float:
         """Share of the region's rate that this entry VM may use as first owner."""
         self._refresh()
         return self._share
 
+    @property
+    def is_alone(self) -> bool:
+        """Whether no other entry VM is known though there are other regions."""
+        self._refresh()
+        return self._alone
+
     @property
     def known_count(self) -> int:
         """Known entry VMs of the region, gone ones and this one included."""
@@ -136,17 +155,23 @@
                 first_seen[record.key] = self._first_seen.get(record.key, now)
         first_seen[fleet.local_record.key] = self.started_at
         self._first_seen = first_seen
-        complete = now - self.started_at >= self._forget_seconds
+        age = now - self.started_at
+        unknown = [reg for reg in self._other_regions if not fleet.known_ids(reg)]
         self._counted = [
             region
             for region in self._other_regions
-            if not complete or fleet.known_ids(region)
+            if age < self._unknown_seconds or region not in unknown
         ]
+        is_assumed = self._unknown_seconds <= age < TOMBSTONE_SECONDS
+        self._unknown = len(unknown) if is_assumed else 0
         live = fleet.live()
         heard = {rec.id for rec in live if rec.region == local} | {fleet.local_id}
-        self._known = len(fleet.known_ids(local))
+        known = fleet.known_ids(local)
+        self._known = len(known)
+        all_known = fleet.known_ids()
+        self._alone = self.region_count > 1 and len(all_known) == 1
         self._share = region_share(
-            heard=len(heard),
-            known=self._known,
-            hears_others=any(rec.region != local for rec in live),
+            HeardMembers(len(heard), len(known)),
+            fleet=HeardMembers(len({rec.id for rec in live}) + 1, len(all_known)),
+            holds_first=min(known) in heard,
         )
--- a/pimentospool/gateway/_quota_owner.py
+++ b/pimentospool/gateway/_quota_owner.py
@@ -29,8 +29,6 @@
 )
 from pimentospool.policy._quota_weights import IDLE_DEMAND_SHARE
 
-STARTUP_SECONDS = 2.0
-"""Time in which a process may not know the other entry VMs yet."""
 ACTIVE_SECONDS = 2.0
 """Time after the last query for which an owner tells the others what it counts, and
 keeps its own state against the copy of another one."""
@@ -77,7 +75,11 @@
         self.created_at = self.standin_since = now
         self.last_query_at = -1e9
         self.inherited = copy is not None
-        self.meter = DemandMeter(now=now, rate=copy.state.demand if copy else 0.0)
+        self.meter = DemandMeter(
+            now=now,
+            limit=tenant.rate_per_second,
+            rate=copy.state.demand if copy else 0.0,
+        )
         self.weights = RegionWeights(
             idle_demand=tenant.rate_per_second * IDLE_DEMAND_SHARE,
             inherited=copy.state.weight if copy else None,
@@ -364,7 +366,9 @@
             silent = copy is None or now - copy.at > SILENT_COPY_SECONDS
             seconds = now - account.standin_since
             share = min(share, standin_share(seconds, first_is_silent=silent))
-        share *= startup_share(now - members.started_at, STARTUP_SECONDS)
+        share *= startup_share(
+            is_alone=members.is_alone, seconds=now - members.started_at
+        )
         weight = self._weight(account, now) * share
         expected = share * account.weights.expected_weight(
             account.meter.rate(now),
@@ -383,6 +387,7 @@
         )
 
     def _weight(self, account: _Account, now: float) -> float:
-        return account.weights.weight(
+        weight = account.weights.weight(
             self._members.counted_regions, overage=self._bounds.overage, now=now
         )
+        return weight * self._members.known_part
--- a/pimentospool/gateway/_quotas.py
+++ b/pimentospool/gateway/_quotas.py
@@ -125,7 +125,7 @@
         self._members = QuotaMembers(
             fleet=fleet,
             regions=regions,
-            forget_seconds=2 * bounds.window_seconds,
+            unknown_seconds=2 * bounds.window_seconds,
             clock=clock,
         )
         self.owner = QuotaOwner(
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -56,6 +56,7 @@
     RecentDecisions,
 )
 from pimentospool.policy._quota_owners import (
+    HeardMembers,
     OwnerRanks,
     fallback_share,
     region_share,
@@ -143,6 +144,7 @@
     "DoubtedStarts",
     "DrillSchedule",
     "EntryState",
+    "HeardMembers",
     "HeartbeatTable",
     "HeldAnswer",
     "Join",
--- a/pimentospool/policy/_quota_buckets.py
+++ b/pimentospool/policy/_quota_buckets.py
@@ -18,6 +18,8 @@
 depends more on new requests than on those that were refused."""
 MIN_WAIT_SECONDS = 0.01
 """Shortest wait that is named; an earlier retry would only repeat the query."""
+LARGEST_SECONDS = 10.0
+"""Span for which the largest request is remembered."""
 DECISION_SECONDS = 1.0
 """Time for which decisions are kept for repeated queries, which end after 160 ms."""
 REFUND_SECONDS = 30.0
@@ -39,6 +41,29 @@
     """Level of the bucket after the decision."""
 
 
+class RecentMaximum:
+    """Largest cost of the requests of the last one to two spans of time.
+
+    Parameters
+    ----------
+    now : float
+        Monotonic time in seconds.
+    """
+
+    def __init__(self, *, now: float) -> None:
+        self._current = self._previous = 0.0
+        self._began_at = now
+
+    def record(self, cost: float, now: float) -> float:
+        """Count a request; return the largest cost."""
+        if now - self._began_at > LARGEST_SECONDS:
+            is_recent = now - self._began_at <= 2 * LARGEST_SECONDS
+            self._previous = self._current if is_recent else 0.0
+            self._current, self._began_at = 0.0, now
+        self._current = max(self._current, cost)
+        return max(self._current, self._previous)
+
+
 class BucketLimits(msgspec.Struct, frozen=True, kw_only=True):
     """What a bucket may admit for now."""
 
@@ -47,7 +72,9 @@
     capacity: float
     """Highest level."""
     max_debt: float
-    """Depth to which one request may take the level below zero."""
+    """Depth to which requests may take the level below zero. Since requests of all
+    costs are admitted from the same level on, which leaves room for the largest one,
+    small requests don't keep out large ones."""
     allows_debt: bool = True
     """Whether a request may cost more than the level. Where a predecessor or another
     owner may have left a debt in the same window, a second one is not allowed."""
@@ -70,6 +97,7 @@
         self._level = level
         self._limits: BucketLimits | None = None
         self._saved_for = 0.0
+        self._largest = RecentMaximum(now=now)
         self._at = now
         self._free_at = now
 
@@ -101,8 +129,12 @@
         limits = self._limits
         assert limits is not None
         self._refill(now)
-        needed = max(0.0, cost - limits.max_debt) if limits.allows_debt else cost
-        if self._level > 0 and self._level >= needed:
+        needed = cost
+        if limits.allows_debt:
+            # A request that costs more than may ever be owed has to find the rest.
+            largest = self._largest.record(min(cost, limits.max_debt), now)
+            needed = max(largest, cost) - limits.max_debt
+        if self._level >= needed:
             self._level -= cost
             if cost >= self._saved_for:
                 self._saved_for = 0.0
@@ -111,7 +143,7 @@
             # Without debt, a level above the capacity is the only way to admit a
             # request that costs more than the capacity.
             self._saved_for = max(self._saved_for, min(cost, limits.max_debt))
-        wait = self._wait(cost, max(needed, 0.0) - self._level, now, uniform)
+        wait = self._wait(cost, needed - self._level, now, uniform)
         return BucketDecision(admitted=False, wait_seconds=wait, level=self._level)
 
     def refund(self, cost: float, now: float) -> None:
--- a/pimentospool/policy/_quota_owners.py
+++ b/pimentospool/policy/_quota_owners.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Collection
 
+import msgspec
+
 from pimentospool.ids import EntryId
 from pimentospool.policy._rendezvous import rank_members
 from pimentospool.policy._shared_limits import MIN_MEMBER_COUNT
@@ -23,9 +25,20 @@
 reach it, so that both admit."""
 FALLBACK_SHARE = 0.1
 """Share of the region's rate that entry VMs without an owner admit together."""
+STARTUP_SECONDS = 2.0
+"""Time in which a process may not know the other entry VMs yet."""
 MAX_REMEMBERED_ORDERS = 1_000
 
 
+class HeardMembers(msgspec.Struct, frozen=True):
+    """Numbers of entry VMs."""
+
+    heard: int
+    """Those that this one hears from, itself included."""
+    known: int
+    """Those that it has recently known, with those that are gone."""
+
+
 class OwnerRanks:
     """Orders of entry VMs by tenant, remembered while the members stay the same."""
 
@@ -46,22 +59,30 @@
         return order
 
 
-def region_share(*, heard: int, known: int, hears_others: bool) -> float:
+def region_share(
+    region: HeardMembers, *, fleet: HeardMembers, holds_first: bool
+) -> float:
     """Return the share of its region's rate that the first owner may use.
 
     Parameters
     ----------
-    heard : int
-        Entry VMs of the region that the owner hears from, itself included.
-    known : int
-        Entry VMs of the region, with those that are gone.
-    hears_others : bool
-        Whether it hears from other regions too. The other half of a region whose halves
-        both do is heard of through them, so that it is gone if it is not.
+    region : HeardMembers
+        Entry VMs of the region.
+    fleet : HeardMembers
+        Entry VMs of all regions, of which the larger part decides between two halves
+        of the region: a region that has lost one of two zones is in it.
+    holds_first : bool
+        Whether the owner hears from the first of the region's known entry VMs, which
+        decides between two halves of all.
     """
-    if 2 * heard > known or (2 * heard == known and hears_others):
+    if 2 * region.heard > region.known:
         return 1.0
-    return MINORITY_FACTOR * heard / known
+    if 2 * region.heard == region.known:
+        if 2 * fleet.heard > fleet.known:
+            return 1.0
+        if 2 * fleet.heard == fleet.known and holds_first:
+            return 1.0
+    return MINORITY_FACTOR * region.heard / region.known
 
 
 def standin_share(seconds: float, *, first_is_silent: bool) -> float:
@@ -79,12 +100,20 @@
     return LONG_STANDIN_SHARE
 
 
-def startup_share(seconds: float, startup_seconds: float) -> float:
-    """Return the factor on all shares of a process that runs for `seconds`.
+def startup_share(*, is_alone: bool, seconds: float) -> float:
+    """Return the factor on all shares of a process.
 
     It may not know the other entry VMs yet, which then believe to be owners too.
+
+    Parameters
+    ----------
+    is_alone : bool
+        Whether it has known no other entry VM in a deployment of several regions.
+    seconds : float
+        Time since its start.
     """
-    return 1.0 if seconds >= startup_seconds else 1.0 / MIN_MEMBER_COUNT
+    is_complete = seconds >= STARTUP_SECONDS and not is_alone
+    return 1.0 if is_complete else 1.0 / MIN_MEMBER_COUNT
 
 
 def fallback_share(*, regions: int, known: int) -> float:
--- a/pimentospool/policy/_quota_weights.py
+++ b/pimentospool/policy/_quota_weights.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from pimentospool.ids import MemberKey, RegionId
+from pimentospool.policy._quota_buckets import RecentMaximum
 
 WEIGHT_FLOOR = 0.1
 """Share of the quota that is divided evenly, so that new demand is admitted at once. A
@@ -23,6 +24,10 @@
 """Part of the allowed overage that the weights may use; see docs/design/quotas.md."""
 DEMAND_SECONDS = 1.0
 """Time constant of the demand, so that weights follow within about a second."""
+MAX_DEMAND_SECONDS = 4.0
+DEMAND_REQUESTS = 8
+"""Large requests at the whole rate that the time constant spans, up to
+`MAX_DEMAND_SECONDS`. Over fewer ones, weights would follow chance."""
 MIN_DEMAND_AGE_SECONDS = 0.1
 """Time before which a new counter would name far too high a demand."""
 IDLE_DEMAND_SHARE = 0.001
@@ -45,12 +50,17 @@
     ----------
     now : float
         Monotonic time in seconds.
+    limit : float
+        Rate of the quota in cost per second.
     rate : float
         Demand that is known from a predecessor.
     """
 
-    def __init__(self, *, now: float, rate: float = 0.0) -> None:
-        self._sum = rate * DEMAND_SECONDS
+    def __init__(self, *, now: float, limit: float, rate: float = 0.0) -> None:
+        self._limit = limit
+        self._largest = RecentMaximum(now=now)
+        self._seconds = DEMAND_SECONDS
+        self._rate = rate
         self._at = now
         # With the demand of a predecessor, the average is complete from the start.
         self._started_at = -math.inf if rate > 0.0 else now
@@ -58,17 +68,20 @@
     def record(self, cost: float, now: float) -> None:
         """Count a request."""
         self._decay(now)
-        self._sum += cost
+        largest = self._largest.record(cost, now)
+        seconds = DEMAND_REQUESTS * largest / self._limit
+        self._seconds = min(MAX_DEMAND_SECONDS, max(DEMAND_SECONDS, seconds))
+        self._rate += cost / self._seconds
 
     def rate(self, now: float) -> float:
         """Return the demand in cost per second."""
         self._decay(now)
         age = max(MIN_DEMAND_AGE_SECONDS, now - self._started_at)
-        return self._sum / (DEMAND_SECONDS * -math.expm1(-age / DEMAND_SECONDS))
+        return self._rate / -math.expm1(-age / self._seconds)
 
     def _decay(self, now: float) -> None:
         if now > self._at:
-            self._sum *= math.exp((self._at - now) / DEMAND_SECONDS)
+            self._rate *= math.exp((self._at - now) / self._seconds)
             self._at = now
 
 
--- a/tests/gateway/quota_fleet.py
+++ b/tests/gateway/quota_fleet.py
@@ -115,7 +115,7 @@
         self.admitted, self.sent = [], []
         self.groups = {}
         """Group of each VM; VMs of different groups don't reach each other."""
-        self.group_changed_at = {}
+        self.reach_changed_at = {}
         self.generation = 0
         self.set_limit(rate, burst)
         for region in REGIONS:
@@ -166,10 +166,15 @@
         self.stop(name)
         self.start(name, self.region_of[name])
 
-    def set_group(self, name, group):
-        if self.groups[name] != group:
-            self.groups[name] = group
-            self.group_changed_at[name] = self.now()
+    def set_groups(self, groups):
+        """Divide the VMs; those of one group reach each other."""
+        before = dict(self.groups)
+        self.groups |= groups
+        for one in self.groups:
+            for other in self.groups:
+                was_reached = before[one] == before[other]
+                if was_reached != self.reaches(one, other):
+                    self.reach_changed_at[one, other] = self.now()
 
     def reaches(self, one, other):
         return self.groups[one] == self.groups[other]
@@ -178,10 +183,7 @@
         """Whether the process of `own` counts `vm` as alive."""
         now, name = self.now(), vm.record.id
         own_vm = self.vms[own.id]
-        changed_at = max(
-            self.group_changed_at.get(own.id, -100.0),
-            self.group_changed_at.get(name, -100.0),
-        )
+        changed_at = self.reach_changed_at.get((own.id, name), -100.0)
         joined_at = max(vm.started_at, own_vm.started_at)
         if joined_at and now - joined_at < 1.0:
             return False
--- a/tests/gateway/test_heartbeats.py
+++ b/tests/gateway/test_heartbeats.py
@@ -119,7 +119,7 @@
     receive_and_go_on(b"\x92\x04" + b"\x91" * 60_000)
 
 
-@given(fields=st.lists(values, max_size=8), tag=st.integers(0, 4))
+@given(fields=st.lists(values, max_size=8), tag=st.integers(0, 10))
 def test_arbitrary_fields_are_skipped(fields, tag):
     receive_and_go_on(msgspec.msgpack.encode([tag, *fields]))
 
