--- a/pimentospool/gateway/_quota_members.py
+++ b/pimentospool/gateway/_quota_members.py
@@ -16,6 +16,7 @@
 CACHE_SECONDS = 0.05
 """Time for which a view of the membership is reused; heartbeats come every 0.2 s."""
 _HASH_BYTES = 8
+_NANOSECONDS_PER_SECOND = 1e9
 
 
 def tenant_hash(tenant: TenantId) -> int:
@@ -86,9 +87,7 @@
         region = region or self.fleet.local_region
         records = self._ready.get(region, [])
         if settled:
-            latest = self._clock() - SETTLED_SECONDS
-            old = [rec for rec in records if self._first_seen[rec.key] <= latest]
-            records = old or records
+            records = self._settled(records)
         if not records:
             is_local = region == self.fleet.local_region
             return [self.fleet.local_record] if is_local else []
@@ -96,6 +95,21 @@
         ranks = self._ranks.setdefault((region, settled), OwnerRanks())
         return [by_id[entry] for entry in ranks.order(tenant, by_id.keys())]
 
+    def _settled(self, records: list[EntryRecord]) -> list[EntryRecord]:
+        """Return the entry VMs that have not joined others a moment ago.
+
+        Those that start together are settled from the start, since all of them are
+        equally new. Their times of start are compared, which are the same in all views.
+        """
+        latest = self._clock() - SETTLED_SECONDS
+        oldest = min((record.generation for record in records), default=0)
+        return [
+            record
+            for record in records
+            if record.generation - oldest < SETTLED_SECONDS * _NANOSECONDS_PER_SECOND
+            or self._first_seen[record.key] <= latest
+        ]
+
     def rank(self, tenant: int) -> int:
         """Return the place of this entry VM among the owners, 0 for the first."""
         owners = self.owners(tenant)
--- a/pimentospool/gateway/_quota_owner.py
+++ b/pimentospool/gateway/_quota_owner.py
@@ -3,8 +3,6 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 
-import msgspec
-
 from pimentospool.gateway._fleet_messages import (
     EntryRecord,
     QuotaCopy,
@@ -12,6 +10,7 @@
     TenantDemand,
 )
 from pimentospool.gateway._model import Tenant
+from pimentospool.gateway._quota_accounts import Account, AccountCopy
 from pimentospool.gateway._quota_members import QuotaMembers
 from pimentospool.gateway._settings import QuotaBounds
 from pimentospool.ids import MemberKey, RegionId, TenantId
@@ -20,14 +19,11 @@
     START_SHARE,
     BucketDecision,
     BucketLimits,
-    DemandMeter,
     QuotaBucket,
     RecentDecisions,
-    RegionWeights,
     standin_share,
     startup_share,
 )
-from pimentospool.policy._quota_weights import IDLE_DEMAND_SHARE
 
 ACTIVE_SECONDS = 2.0
 """Time after the last query for which an owner tells the others what it counts, and
@@ -50,54 +46,6 @@
 QuotaMessages = list[tuple[QuotaDemand, Sequence[EntryRecord]]]
 
 
-class _Copy(msgspec.Struct, frozen=True):
-    state: QuotaCopy
-    at: float
-
-
-class _Account:
-    """One tenant's quota as this entry VM counts it."""
-
-    __slots__ = (
-        "bucket",
-        "debt_from",
-        "inherited",
-        "last_query_at",
-        "meter",
-        "rank",
-        "standin_since",
-        "to_answer",
-        "weights",
-    )
-
-    def __init__(
-        self,
-        *,
-        tenant: Tenant,
-        copy: _Copy | None,
-        rank: int,
-        window_seconds: float,
-        now: float,
-    ) -> None:
-        self.rank = rank
-        self.standin_since = now
-        self.debt_from = now if copy is not None else now + window_seconds
-        """Time from which no other owner can have left a debt in the same window."""
-        self.last_query_at = -1e9
-        self.inherited = copy is not None
-        self.meter = DemandMeter(
-            now=now,
-            limit=tenant.rate_per_second,
-            rate=copy.state.demand if copy else 0.0,
-        )
-        self.weights = RegionWeights(
-            idle_demand=tenant.rate_per_second * IDLE_DEMAND_SHARE,
-            inherited=copy.state.weight if copy else None,
-        )
-        self.bucket: QuotaBucket | None = None
-        self.to_answer: set[RegionId] = set()
-
-
 class QuotaOwner:
     """Decides on requests of the region whose tenants this entry VM counts.
 
@@ -126,8 +74,8 @@
         self._clock = clock
         self._uniform = uniform
         self._max_debt = max(1.0, DEBT_FACTOR * bounds.slack / members.region_count)
-        self._accounts: dict[int, _Account] = {}
-        self._copies: dict[int, _Copy] = {}
+        self._accounts: dict[int, Account] = {}
+        self._copies: dict[int, AccountCopy] = {}
         self._decisions: RecentDecisions[tuple[int, int], BucketDecision] = (
             RecentDecisions()
         )
@@ -248,10 +196,10 @@
         account = self._accounts.get(copy.tenant)
         if account is not None and now - account.last_query_at > ACTIVE_SECONDS:
             del self._accounts[copy.tenant]
-        self._copies[copy.tenant] = _Copy(copy, now)
+        self._copies[copy.tenant] = AccountCopy(copy, now)
 
     def _receive_demand(
-        self, account: _Account, item: TenantDemand, sender: EntryRecord, now: float
+        self, account: Account, item: TenantDemand, sender: EntryRecord, now: float
     ) -> None:
         region = RegionId(sender.region)
         is_new = account.weights.learn(
@@ -263,7 +211,7 @@
             account.weights.acknowledge(region, item.heard_number)
 
     def _next_demand(
-        self, account: _Account, key: int, region: RegionId, now: float
+        self, account: Account, key: int, region: RegionId, now: float
     ) -> TenantDemand | None:
         """Return what `region` is told now, None if it has nothing to learn."""
         weights = account.weights
@@ -282,7 +230,7 @@
         return TenantDemand(key, number, demand, heard_sender, heard_number)
 
     def _receivers(
-        self, account: _Account, key: int, region: RegionId, now: float
+        self, account: Account, key: int, region: RegionId, now: float
     ) -> list[EntryRecord]:
         owners = self._members.owners(key, region)
         unanswered = account.weights.is_unanswered(region, now, UNANSWERED_SECONDS)
@@ -316,14 +264,14 @@
 
     # Accounts and their limits.
 
-    def _account(self, tenant: Tenant, key: int, now: float) -> _Account:
+    def _account(self, tenant: Tenant, key: int, now: float) -> Account:
         account = self._accounts.get(key)
         if account is None:
             copy = self._copies.get(key)
             if copy is not None and now - copy.at > COPY_SECONDS:
                 copy = None
             rank = self._members.rank(key)
-            account = _Account(
+            account = Account(
                 tenant=tenant,
                 copy=copy,
                 rank=rank,
@@ -336,9 +284,7 @@
             self._set_rank(tenant, account, key, now)
         return account
 
-    def _set_rank(
-        self, tenant: Tenant, account: _Account, key: int, now: float
-    ) -> None:
+    def _set_rank(self, tenant: Tenant, account: Account, key: int, now: float) -> None:
         rank = self._members.rank(key)
         if rank == account.rank:
             return
@@ -347,7 +293,7 @@
         account.rank = rank
         self._log_rank(tenant, account)
 
-    def _log_rank(self, tenant: Tenant, account: _Account) -> None:
+    def _log_rank(self, tenant: Tenant, account: Account) -> None:
         log_event(
             Event.QUOTA_OWNED,
             tenant=tenant.id,
@@ -356,7 +302,7 @@
         )
 
     def _bucket(
-        self, tenant: Tenant, account: _Account, key: int, now: float
+        self, tenant: Tenant, account: Account, key: int, now: float
     ) -> QuotaBucket:
         """Return the bucket of an account with its present limits."""
         limits = self._limits(tenant, account, key, now)
@@ -375,7 +321,7 @@
         return account.bucket
 
     def _limits(
-        self, tenant: Tenant, account: _Account, key: int, now: float
+        self, tenant: Tenant, account: Account, key: int, now: float
     ) -> BucketLimits:
         members, bounds = self._members, self._bounds
         rate = tenant.rate_per_second
@@ -406,7 +352,7 @@
             expected_rate=expected * rate,
         )
 
-    def _weight(self, account: _Account, now: float) -> float:
+    def _weight(self, account: Account, now: float) -> float:
         weight = account.weights.weight(
             self._members.counted_regions, overage=self._bounds.overage, now=now
         )
--- a/pimentospool/gateway/_quotas.py
+++ b/pimentospool/gateway/_quotas.py
@@ -4,7 +4,6 @@
 import random
 from collections.abc import Callable, Collection, Sequence
 
-import msgspec
 from prometheus_client import CollectorRegistry
 
 from pimentospool.gateway._admission import FreeCharge, QuotaCharge
@@ -21,9 +20,9 @@
     Address,
     Configuration,
     InboundRequest,
-    QuotaUnit,
     Tenant,
 )
+from pimentospool.gateway._quota_charges import ChargeQuery, OwnedCharge, request_cost
 from pimentospool.gateway._quota_members import QuotaMembers, tenant_hash
 from pimentospool.gateway._quota_metrics import QuotaMetrics
 from pimentospool.gateway._quota_owner import QuotaOwner
@@ -59,33 +58,6 @@
 """Shortest time between two log lines on requests of a tenant without an owner."""
 
 
-def request_cost(tenant: Tenant, req: InboundRequest) -> float:
-    """Return what a request takes from its tenant's quota."""
-    if tenant.quota_unit is not QuotaUnit.TOKENS:
-        return 1.0
-    if req.prompt is None:
-        return tenant.default_tokens
-    return float(req.prompt.tokens + req.prompt.max_output_tokens)
-
-
-class _Query(msgspec.Struct, frozen=True):
-    key: int
-    cost: float
-
-
-class _Charge:
-    """Cost of an admitted request."""
-
-    def __init__(self, give_back: Callable[[], None]) -> None:
-        self._give_back: Callable[[], None] | None = give_back
-
-    def refund(self) -> None:
-        """Give the cost back; later calls do nothing."""
-        give_back, self._give_back = self._give_back, None
-        if give_back is not None:
-            give_back()
-
-
 class FleetQuotas:
     """Quotas of tenants over all entry VMs; implements `QuotaGate`.
 
@@ -143,8 +115,8 @@
         self._tenants_of: Configuration | None = None
         self._number = 0
         self._waiting: dict[int, asyncio.Future[QuotaReply]] = {}
-        self._unanswered: RecentDecisions[tuple[int, int], _Query] = RecentDecisions(
-            seconds=LATE_REPLY_SECONDS
+        self._unanswered: RecentDecisions[tuple[int, int], ChargeQuery] = (
+            RecentDecisions(seconds=LATE_REPLY_SECONDS)
         )
         self._skipped_until: dict[int, float] = {}
         self._fallbacks: dict[int, QuotaBucket] = {}
@@ -184,7 +156,7 @@
         if cost <= 0.0:
             return FreeCharge()
         self._number += 1
-        query = _Query(tenant_hash(tenant.id), cost)
+        query = ChargeQuery(tenant_hash(tenant.id), cost)
         charge = await self._ask(tenant, req, query, self._number, within_seconds)
         if charge is None:
             return self._fall_back(tenant, req, query)
@@ -194,7 +166,7 @@
         self,
         tenant: Tenant,
         req: InboundRequest,
-        query: _Query,
+        query: ChargeQuery,
         number: int,
         within_seconds: float,
     ) -> QuotaCharge | Refusal | None:
@@ -260,7 +232,7 @@
         return reply.done()
 
     def _decide_here(
-        self, tenant: Tenant, req: InboundRequest, query: _Query, number: int
+        self, tenant: Tenant, req: InboundRequest, query: ChargeQuery, number: int
     ) -> QuotaCharge | Refusal:
         key = self._fleet.local_record.key
         decision = self.owner.decide(
@@ -275,13 +247,13 @@
         self,
         tenant: Tenant,
         req: InboundRequest,
-        query: _Query,
+        query: ChargeQuery,
         number: int,
         reply: QuotaReply,
     ) -> QuotaCharge | Refusal:
         sender = MemberKey(reply.sender)
         if reply.admitted:
-            return _Charge(lambda: self._refund(sender, number, query))
+            return OwnedCharge(lambda: self._refund(sender, number, query))
         owner = self._fleet.record(sender) or self._fleet.local_record
         log_event(
             Event.QUOTA_REFUSED,
@@ -299,7 +271,7 @@
         )
 
     def _fall_back(
-        self, tenant: Tenant, req: InboundRequest, query: _Query
+        self, tenant: Tenant, req: InboundRequest, query: ChargeQuery
     ) -> QuotaCharge | Refusal:
         """Admit a request from the small part that needs no owner, or refuse it."""
         now = self._clock()
@@ -321,7 +293,7 @@
         self._metrics.fallbacks.inc()
         self._log_fallback(tenant, query, decision, now)
         if decision.admitted:
-            return _Charge(lambda: bucket.refund(query.cost, self._clock()))
+            return OwnedCharge(lambda: bucket.refund(query.cost, self._clock()))
         return Refusal(
             reason=RefusalReason.QUOTA_UNKNOWN,
             verdict=Verdict.NOT_RUN,
@@ -329,7 +301,7 @@
         )
 
     def _log_fallback(
-        self, tenant: Tenant, query: _Query, decision: BucketDecision, now: float
+        self, tenant: Tenant, query: ChargeQuery, decision: BucketDecision, now: float
     ) -> None:
         if now - self._fallback_logged_at.get(query.key, -1e9) < FALLBACK_LOG_SECONDS:
             return
@@ -342,7 +314,7 @@
             owner=self._members.owners(query.key)[0].id,
         )
 
-    def _refund(self, owner: MemberKey, number: int, query: _Query) -> None:
+    def _refund(self, owner: MemberKey, number: int, query: ChargeQuery) -> None:
         local = self._fleet.local_record.key
         if owner == local:
             self.owner.refund(query.key, cost=query.cost, asker=local, number=number)
--- a/tests/gateway/quota_fleet.py
+++ b/tests/gateway/quota_fleet.py
@@ -145,7 +145,10 @@
     def start(self, name, region):
         self.generation += 1
         record = make_record(
-            name, region=region, generation=self.generation, protocol=1
+            name,
+            region=region,
+            generation=int(self.now() * 1e9) + self.generation,
+            protocol=1,
         )
         peer = Address("127.0.0.1", 1_000 + self.generation)
         record = msgspec.structs.replace(record, peer=peer)
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -23,7 +23,8 @@
 from pimentospool.gateway import Prompt, _quota_members, _quota_owner
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._model import Address, QuotaUnit, Tenant
-from pimentospool.gateway._quotas import FleetQuotas, request_cost
+from pimentospool.gateway._quota_charges import request_cost
+from pimentospool.gateway._quotas import FleetQuotas
 from pimentospool.gateway._replies import RefusalReason
 from pimentospool.policy import EntryState, _quota_weights
 
