Let a lone entry VM use its whole quota

Cause: one that had met no other entry VM admitted almost nothing for ten minutes where the settings name several regions.

The simulated fleet refuses requests at a start that has met no other VM, as it would have no configuration; the scenario of restarts restarts more often, so that full bursts still exceed the bound.

--- a/pimentospool/gateway/_quota_members.py
+++ b/pimentospool/gateway/_quota_members.py
@@ -3,7 +3,11 @@
 import hashlib
 from collections.abc import Callable, Collection
 
-from pimentospool.gateway._fleet import TOMBSTONE_SECONDS, Fleet
+from pimentospool.gateway._fleet import (
+    COMPLETE_VIEW_SECONDS,
+    TOMBSTONE_SECONDS,
+    Fleet,
+)
 from pimentospool.gateway._fleet_messages import EntryRecord
 from pimentospool.ids import EntryId, MemberKey, RegionId, TenantId
 from pimentospool.policy import HeardMembers, OwnerRanks, region_share
@@ -13,6 +17,10 @@
 SETTLED_SECONDS = 3.0
 """Time after which an entry VM that has joined may own quotas. The others know it by
 then, and it has had copies of their state."""
+ALONE_SECONDS = 2.0
+"""Time after which a process that has met no other entry VM takes itself for the only
+one. It sends to all seeds every 0.2 s until then; cut off from all of them, it would
+most likely not have got a configuration either."""
 CACHE_SECONDS = 0.05
 """Time for which a view of the membership is reused; heartbeats come every 0.2 s."""
 _HASH_BYTES = 8
@@ -34,9 +42,6 @@
         Membership of the entry VMs.
     regions : collection of RegionId
         All regions of the deployment.
-    unknown_seconds : float
-        Time after the start from which a region of which no entry VM has become known
-        counts with an even part, instead of all that isn't a floor.
     clock : callable
         Returns a monotonic time in seconds.
     """
@@ -46,14 +51,12 @@
         *,
         fleet: Fleet,
         regions: Collection[RegionId],
-        unknown_seconds: float,
         clock: Callable[[], float],
     ) -> None:
         self.fleet = fleet
         self.started_at = clock()
         self.region_count = len(set(regions) | {fleet.local_region})
         self._other_regions = sorted(set(regions) - {fleet.local_region})
-        self._unknown_seconds = unknown_seconds
         self._clock = clock
         self._first_seen = {fleet.local_record.key: self.started_at}
         self._ranks: dict[tuple[RegionId, bool], OwnerRanks] = {}
@@ -61,7 +64,6 @@
         self._ready: dict[RegionId, list[EntryRecord]] = {}
         self._counted: list[RegionId] = []
         self._unknown = 0
-        self._alone = False
         self._share = 1.0
         self._known = 1
 
@@ -143,12 +145,6 @@
         self._refresh()
         return self._share
 
-    @property
-    def is_alone(self) -> bool:
-        """Whether no other entry VM is known though there are other regions."""
-        self._refresh()
-        return self._alone
-
     @property
     def known_count(self) -> int:
         """Known entry VMs of the region, gone ones and this one included."""
@@ -170,20 +166,21 @@
         first_seen[fleet.local_record.key] = self.started_at
         self._first_seen = first_seen
         age = now - self.started_at
+        all_known = fleet.known_ids()
         unknown = [reg for reg in self._other_regions if not fleet.known_ids(reg)]
         self._counted = [
             region
             for region in self._other_regions
-            if age < self._unknown_seconds or region not in unknown
+            if age < COMPLETE_VIEW_SECONDS or region not in unknown
         ]
-        is_assumed = self._unknown_seconds <= age < TOMBSTONE_SECONDS
+        if age >= ALONE_SECONDS and len(all_known) == 1:
+            self._counted, unknown = [], []
+        is_assumed = COMPLETE_VIEW_SECONDS <= age < TOMBSTONE_SECONDS
         self._unknown = len(unknown) if is_assumed else 0
         live = fleet.live()
         heard = {rec.id for rec in live if rec.region == local} | {fleet.local_id}
         known = fleet.known_ids(local)
         self._known = len(known)
-        all_known = fleet.known_ids()
-        self._alone = self.region_count > 1 and len(all_known) == 1
         self._share = region_share(
             HeardMembers(len(heard), len(known)),
             fleet=HeardMembers(len({rec.id for rec in live}) + 1, len(all_known)),
--- a/pimentospool/gateway/_quota_owner.py
+++ b/pimentospool/gateway/_quota_owner.py
@@ -331,9 +331,7 @@
             silent = copy is None or now - copy.at > SILENT_COPY_SECONDS
             seconds = now - account.standin_since
             share = min(share, standin_share(seconds, first_is_silent=silent))
-        share *= startup_share(
-            is_alone=members.is_alone, seconds=now - members.started_at
-        )
+        share *= startup_share(now - members.started_at)
         weight = self._weight(account, now) * share
         expected = share * account.weights.expected_weight(
             account.meter.rate(now),
--- a/pimentospool/gateway/_quotas.py
+++ b/pimentospool/gateway/_quotas.py
@@ -97,7 +97,6 @@
         self._members = QuotaMembers(
             fleet=fleet,
             regions=regions,
-            unknown_seconds=2 * bounds.window_seconds,
             clock=clock,
         )
         self.owner = QuotaOwner(
--- a/pimentospool/policy/_quota_owners.py
+++ b/pimentospool/policy/_quota_owners.py
@@ -100,20 +100,12 @@
     return LONG_STANDIN_SHARE
 
 
-def startup_share(*, is_alone: bool, seconds: float) -> float:
-    """Return the factor on all shares of a process.
+def startup_share(seconds: float) -> float:
+    """Return the factor on all shares of a process that runs for `seconds`.
 
     It may not know the other entry VMs yet, which then believe to be owners too.
-
-    Parameters
-    ----------
-    is_alone : bool
-        Whether it has known no other entry VM in a deployment of several regions.
-    seconds : float
-        Time since its start.
     """
-    is_complete = seconds >= STARTUP_SECONDS and not is_alone
-    return 1.0 if is_complete else 1.0 / MIN_MEMBER_COUNT
+    return 1.0 if seconds >= STARTUP_SECONDS else 1.0 / MIN_MEMBER_COUNT
 
 
 def fallback_share(*, regions: int, known: int) -> float:
--- a/tests/gateway/quota_fleet.py
+++ b/tests/gateway/quota_fleet.py
@@ -10,8 +10,9 @@
 from pimentospool.gateway import Configuration, Prompt
 from pimentospool.gateway._model import Address, QuotaUnit, Tenant
 from pimentospool.gateway._quotas import FleetQuotas
-from pimentospool.gateway._replies import Refusal
+from pimentospool.gateway._replies import Refusal, RefusalReason
 from pimentospool.gateway._settings import QuotaBounds
+from pimentospool.verdicts import Verdict
 
 REGIONS = ("delta", "gulf", "piedmont")
 REGION_DELAY, ZONE_DELAY = 0.055, 0.0007
@@ -94,8 +95,19 @@
         for address in addresses:
             self.site.deliver(self, msg, address)
 
+    def _has_configuration(self):
+        """Whether this start has met another VM; the store is with the others."""
+        self.quotas._fleet.ready()
+        return len(self.site.known_by[self.record.key]) > 1
+
     async def request(self, cost, within=1.0):
         """Return None if a request is admitted, or its refusal."""
+        if self.site.now() > 1.0 and not self._has_configuration():
+            return Refusal(
+                reason=RefusalReason.NOT_CONFIGURED,
+                verdict=Verdict.NOT_RUN,
+                retry_after_seconds=1.0,
+            )
         prompt = Prompt(tokens=int(cost), max_output_tokens=0)
         charge = await self.quotas.charge(
             self.site.tenant, make_request(prompt=prompt), within_seconds=within
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -156,10 +156,10 @@
 
 
 async def restart_all_again_and_again(site):
-    """Restart all VMs twice within a window, at a high load."""
+    """Restart all VMs three times within a window, at a high load."""
     task = asyncio.ensure_future(demand_everywhere(site, 16, cost=9_200.0))
-    for _ in range(4):
-        await asyncio.sleep(3.5)
+    for _ in range(5):
+        await asyncio.sleep(2.5)
         for name in site.vms:
             site.restart(name)
     await task
@@ -199,7 +199,7 @@
 
 def full_bursts_after_restarts(patch):
     patch.setattr(_quota_owner, "START_SHARE", 1.0)
-    patch.setattr(_quota_owner, "startup_share", lambda **options: 1.0)
+    patch.setattr(_quota_owner, "startup_share", lambda seconds: 1.0)
     limits = _quota_owner.BucketLimits
 
     def indulgent(**options):
@@ -390,7 +390,7 @@
 
 def test_entry_vms_ask_each_other_over_loopback(runner, monkeypatch):
     """Guards against messages that the loops of heartbeats don't carry."""
-    monkeypatch.setattr(_quota_owner, "startup_share", lambda **options: 1.0)
+    monkeypatch.setattr(_quota_owner, "startup_share", lambda seconds: 1.0)
 
     async def main():
         tenant = Tenant(
