Merge the quotas of tenants

Cause: the quotas and the confirmation of keys were built side by side, each with a way of its own to receive datagrams.

Change: one table of handlers, which get the sender's address; the dispatcher charges requests to the quotas.

Result: the tests of both parts pass, with the one that reached into the removed table asking the remaining one the same.

--- a/pimentospool/gateway/_freshness.py
+++ b/pimentospool/gateway/_freshness.py
@@ -19,6 +19,7 @@
     FreshnessQuery,
     FreshnessReply,
 )
+from pimentospool.gateway._heartbeats import HeartbeatLoop
 from pimentospool.gateway._metrics import GatewayMetrics
 from pimentospool.gateway._model import Address
 from pimentospool.ids import MemberKey
@@ -91,6 +92,11 @@
         """Return what processes each type of datagram."""
         return {FreshnessQuery: self.receive_query, FreshnessReply: self.receive_reply}
 
+    def connect(self, heartbeats: HeartbeatLoop) -> None:
+        """Receive the datagrams of other entry VMs."""
+        heartbeats.add_handler(FreshnessQuery, lambda msg, _: self.receive_query(msg))
+        heartbeats.add_handler(FreshnessReply, lambda msg, _: self.receive_reply(msg))
+
     async def run(self) -> None:
         """Ask others while the confirmation is old, until cancelled."""
         try:
--- a/pimentospool/gateway/_heartbeats.py
+++ b/pimentospool/gateway/_heartbeats.py
@@ -33,6 +33,9 @@
 """Number of entry VMs of the region that a change of state is announced to at once; the
 others receive it within a second."""
 
+MessageHandler = Callable[[Any, Address], None]
+"""Receives a message and the address that it came from."""
+
 
 class HeartbeatLoop(asyncio.DatagramProtocol):
     """Exchanges membership and load with the other entry VMs.
@@ -51,11 +54,6 @@
         Parts of prompts under which targets crash, shared by all entry VMs.
     streams : StreamRecordExchange
         Software versions at which streams began, shared likewise.
-
-    Attributes
-    ----------
-    handlers : dict
-        What processes the types of messages that are not handled here.
     """
 
     def __init__(
@@ -68,7 +66,7 @@
         suspects: CrashSuspects,
         streams: StreamRecordExchange,
     ) -> None:
-        self.handlers: dict[type[Any], Callable[[Any], None]] = {}
+        self._handlers: dict[type, MessageHandler] = {}
         self._suspects = suspects
         self._streams = streams
         self.seeds = list(seeds)
@@ -88,6 +86,10 @@
             lambda: self, local_addr=(address.host, address.port)
         )
 
+    def add_handler(self, message_type: type, handler: MessageHandler) -> None:
+        """Pass messages of `message_type` to `handler`."""
+        self._handlers[message_type] = handler
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self._transport = transport  # type: ignore[assignment]
@@ -110,9 +112,9 @@
             self._streams.receive(msg)
             return
         if not isinstance(msg, GossipMessage):
-            handle = self.handlers.get(type(msg))
-            if handle is not None:
-                handle(msg)
+            handle = self._handlers.get(type(msg))
+            if handle is not None and isinstance(addr, tuple):
+                handle(msg, Address(host=addr[0], port=addr[1]))
             return
         for reply in self._fleet.receive(msg):
             self._send(reply, [msg.sender.peer])
@@ -174,7 +176,7 @@
         self._send(self._fleet.announcement(), [rec.peer for rec in receivers])
 
     def send(self, msg: FleetMessage, addresses: Sequence[Address]) -> None:
-        """Send a message of a type that `handlers` process."""
+        """Send a message for which the receivers have a handler."""
         self._send(msg, addresses)
 
     def _send(self, msg: FleetMessage, addresses: Sequence[Address]) -> int:
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -9,7 +9,6 @@
 from aiohttp import web
 
 from pimentospool.clocks import boot_time
-from pimentospool.gateway._admission import UnlimitedQuotas
 from pimentospool.gateway._change_log import ChangeLog
 from pimentospool.gateway._cold_checks import ColdTargetChecker
 from pimentospool.gateway._configuration_catch_up import ConfigurationCatchUp
@@ -27,6 +26,7 @@
 from pimentospool.gateway._model import Configuration
 from pimentospool.gateway._placement import Placement
 from pimentospool.gateway._pools import ConnectionPools
+from pimentospool.gateway._quotas import FleetQuotas
 from pimentospool.gateway._region_contact import ContactProber
 from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._settings import GatewaySettings
@@ -177,6 +177,16 @@
         self.configuration_age = configuration_age(
             self.routing_state, bound_seconds=cfg.revocation_seconds, clock=boot_time
         )
+        self.metrics = self._create_metrics()
+        self.quotas = FleetQuotas(
+            fleet=self.fleet,
+            regions=set(cfg.zone_regions.values()),
+            bounds=cfg.quota_bounds,
+            configuration=lambda: self.routing_state.configuration,
+            clock=clock,
+            rng=random.Random(),
+            registry=self.metrics.registry,
+        )
         self.dispatcher = Dispatcher(
             deps=self.deps,
             catch_up=ConfigurationCatchUp(
@@ -185,9 +195,8 @@
                 fetch=self._view_exchange.take_configuration,
             ),
             confirmation=self.configuration_age,
-            quotas=UnlimitedQuotas(),
+            quotas=self.quotas,
         )
-        self.metrics = self._create_metrics()
         self.directory = EntryDirectory(
             fleet=self.fleet, routing_state=self.routing_state
         )
@@ -233,8 +242,9 @@
             rng=random.Random(),
         )
         if self.configuration_age.is_bounded:
-            self.heartbeats.handlers |= self.freshness.handlers
+            self.freshness.connect(self.heartbeats)
         self.freshness.add_gauges(self.metrics)
+        self.quotas.connect(self.heartbeats)
         self._placement.doubts_changed.connect(self.heartbeats.send_reports_soon)
         self._view_server: asyncio.Server | None = None
         self.routing_state.configuration_adopted.connect(self._follow_configuration)
@@ -257,6 +267,8 @@
             server, address.host, address.port
         )
         self._start_task("heartbeats", self.heartbeats.run)
+        if self.cfg.quota_bounds.window_seconds > 0.0:
+            self._start_task("quotas", self.quotas.run)
         self._start_task("views", self._view_exchange.run)
         self._start_task("streams", self._view_exchange.learn_streams)
         self._start_task("cold checks", self._cold_checker.run)
