Keep trailers of a request out of the next one's headers

Cause: the parser reads the last trailer of a request as a header of the next request of the connection. A trailer `X-Credential` let a request without a key run for the tenant of the previous one, which is another caller's where a proxy shares a connection. A trailer `X-Tenant` reached the targets of a deployment without tenants in this way.

Change: the connection is closed after a request whose chunked body doesn't end with an empty trailer section, or that more data follows.

--- a/pimentospool/platform/_caller_connections.py
+++ b/pimentospool/platform/_caller_connections.py
@@ -21,6 +21,8 @@
 MIN_HEAD_BYTES = 64 * 1024
 """Bytes that such a head may have whatever the limit."""
 UNREADABLE_TEXT = "the request can't be read"
+CHUNKED_END = b"\r\n0\r\n\r\n"
+"""Last bytes of a head or chunk, and the last chunk without trailers."""
 HEADER_MARGIN_SECONDS = 0.5
 """Time by which a head may be late on its way."""
 
@@ -28,19 +30,22 @@
 class CallerConnection(RequestHandler):
     """One connection of a caller."""
 
-    __slots__ = ("_body", "_head_bytes", "_head_timer", "limits")
+    __slots__ = ("_body", "_head_bytes", "_head_timer", "_last_bytes", "limits")
 
     limits: Callable[[], CallerLimits]
     _body: StreamReader
     """Body of the last request."""
     _head_bytes: int
     _head_timer: asyncio.TimerHandle | None
+    _last_bytes: bytes
+    """The latest bytes that have arrived, as many as `CHUNKED_END` has."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the limits that are in force now."""
         self._head_bytes = 0
         self._head_timer = None
         self._body = EMPTY_PAYLOAD
+        self._last_bytes = b""
         # A limit of zero states none.
         idle_seconds = self.limits().idle_timeout_seconds
         if idle_seconds > 0:
@@ -50,6 +55,8 @@
     def data_received(self, data: bytes) -> None:
         """Bound the head of a request until it has ended."""
         before, in_body = self._request_count, not self._body.is_eof()
+        count = len(CHUNKED_END)
+        self._last_bytes = (self._last_bytes + data[-count:])[-count:]
         super().data_received(data)
         if self._request_count != before and self._messages:
             self._body = self._messages[-1][1]
@@ -67,6 +74,19 @@
                 limits.header_timeout_seconds + HEADER_MARGIN_SECONDS, self._close_late
             )
 
+    @property
+    def ended_without_trailers(self) -> bool:
+        """Whether the last body, of chunks, has ended without trailers, nor more data.
+
+        The parser reads the last trailer of a request as a header of the next one,
+        which may be of another caller if a proxy shares the connection.
+        """
+        return (
+            not self._messages
+            and self._body.is_eof()
+            and self._last_bytes == CHUNKED_END
+        )
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -35,6 +35,7 @@
 )
 from pimentospool.platform._caller_connections import (
     MAX_HEADERS,
+    CallerConnection,
     CallerServer,
     header_bytes,
 )
@@ -410,7 +411,7 @@
             return
         self.resp = web.StreamResponse(status=head.status, headers=headers)
         self.resp.content_length = len(body)
-        self._close_if_leaving(self.resp)
+        self._close_if_last(self.resp)
         self.started = True
         await self.resp.prepare(self._http)
         await write_body(self.resp, body)
@@ -421,7 +422,7 @@
         if self._is_hop:
             headers[HOP_VERSION_HEADER.decode()] = version
         self.resp = web.StreamResponse(status=head.status, headers=headers)
-        self._close_if_leaving(self.resp)
+        self._close_if_last(self.resp)
         self.started = True
         await self.resp.prepare(self._http)
         self._set_reset_on_close(enabled=True)
@@ -475,7 +476,7 @@
 
     async def _finish(self, resp: web.Response) -> None:
         self.resp = resp
-        self._close_if_leaving(resp)
+        self._close_if_last(resp)
         self.started = True
         await resp.prepare(self._http)
         await resp.write_eof()
@@ -486,11 +487,21 @@
         if self._http.version < HttpVersion11 and transport is not None:
             set_reset_on_close(transport, enabled=enabled)
 
-    def _close_if_leaving(self, resp: web.StreamResponse) -> None:
-        if self._gateway.state in (EntryState.LEAVING, EntryState.CLOSED):
+    def _close_if_last(self, resp: web.StreamResponse) -> None:
+        """Close the connection after `resp` if it must serve no further request."""
+        leaving = self._gateway.state in (EntryState.LEAVING, EntryState.CLOSED)
+        if leaving or _may_have_trailers(self._http):
             resp.force_close()
 
 
+def _may_have_trailers(http: web.BaseRequest) -> bool:
+    """Whether trailers of a request may be read as headers of the next one."""
+    if "transfer-encoding" not in http.headers:
+        return False
+    conn = http.protocol
+    return not (isinstance(conn, CallerConnection) and conn.ended_without_trailers)
+
+
 def decode_prompt(token_count: str | None, parts: str | None) -> Prompt | None:
     """Return the prompt that the two headers describe, None if no size can be read."""
     if not token_count:
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -252,6 +252,49 @@
     run_with_site(runner, tmp_path, check, zones=ZONES)
 
 
+async def send_two(address, body):
+    """Send a POST with this body, then a GET without a key; return what comes back."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    try:
+        head = f"HTTP/1.1\r\nHost: {HOST}\r\n"
+        key = f"X-Credential: {KEY}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(f"POST /look/1 {head}{key}{body}".encode())
+        async with asyncio.timeout(5.0):
+            answer = await reader.readuntil(b"\r\n\r\n")
+            writer.write(f"GET /look/2 {head}Connection: close\r\n\r\n".encode())
+            return answer + await reader.read()
+    finally:
+        writer.close()
+
+
+# LOST: the parser keeps the last trailer for the next request of the connection.
+@pytest.mark.parametrize(
+    ("body", "statuses"),
+    [
+        ("3\r\nabc\r\n0\r\n\r\n", [200, 401]),
+        ("0\r\n\r\n", [200, 401]),
+        (f"3\r\nabc\r\n0\r\nX-Credential: {KEY}\r\n\r\n", [200]),
+        ("3\r\nabc\r\n0\r\nX-Tenant: other\r\n\r\n", [200]),
+        (
+            f"0\r\nX-Credential: {KEY}\r\n\r\n"
+            f"GET /look/3 HTTP/1.1\r\nHost: {HOST}\r\n\r\n",
+            [200],
+        ),
+    ],
+)
+def test_trailer_of_a_request_is_no_header_of_the_next(
+    runner, tmp_path, body, statuses
+):
+    async def check(site):
+        target = await add_target(site)
+        answers = await send_two(site.nodes[0].cfg.front, body)
+        found = [int(part[:3]) for part in answers.split(b"HTTP/1.1 ")[1:]]
+        assert found == statuses
+        assert [received.path for received in target.received] == ["/look/1"]
+
+    run_with_site(runner, tmp_path, check)
+
+
 class CountingQuotas:
     def __init__(self, refusal=None):
         self.charges = self.refunds = 0
