Require a key for paths that lead out of public routes

Cause: the route of a request is that of its path as sent. `/open/../look/1` belongs to the public route `/open/`, but a target that resolves dot segments or escapes serves it as `/look/1`, whose route needs a key.

Change: with tenants, a request of a public route needs a key if its resolved path belongs to a route that isn't public. Routing and the path that targets get are as before.

Result: the test on real sockets fails before the change (the target was reached) and passes after it. tests/platform/test_tenants.py, and test_routes.py, test_access.py, test_routing_state.py of tests/gateway passed.

--- a/pimentospool/gateway/_access.py
+++ b/pimentospool/gateway/_access.py
@@ -82,7 +82,10 @@
         has_tenants = configuration is not None and bool(configuration.tenants)
         req.hides_credentials = has_tenants
         req.tenant = None
-        if not has_tenants or route.public:
+        routes = control.routing_state.routes
+        if not has_tenants or not (
+            routes is None or routes.needs_key(req.host, req.path, route)
+        ):
             return route
         is_confirmed = control.confirmation.is_confirmed
         tenant = control.routing_state.keys.owner(req.credential)
--- a/pimentospool/gateway/_routes.py
+++ b/pimentospool/gateway/_routes.py
@@ -1,6 +1,7 @@
 """Lookup of routes by host and longest path prefix."""
 
 import hashlib
+from urllib.parse import unquote
 
 from pimentospool.gateway._model import Configuration, HttpRoute
 from pimentospool.ids import ServiceId
@@ -34,6 +35,21 @@
             end = path_only.rfind("/", 0, end)
         return None
 
+    def needs_key(self, host: str, path: str, route: HttpRoute) -> bool:
+        """Whether a request that `route` matches has to come with an API key.
+
+        It has to, too, if a target that resolves dot segments and escapes of the path
+        serves it as one of a route that isn't public.
+        """
+        if not route.public:
+            return True
+        path_only = path.split("?", 1)[0]
+        resolved_path = _resolved_path(path_only)
+        if resolved_path == path_only:
+            return False
+        resolved = self.match(host, resolved_path)
+        return resolved is not None and not resolved.public
+
     def routes_for_host(self, host: str) -> list[HttpRoute]:
         """Return all routes of `host`."""
         return [
@@ -43,6 +59,21 @@
         ]
 
 
+def _resolved_path(path: str) -> str:
+    """Return a path without escapes, parameters, and dot or empty segments."""
+    decoded = unquote(path, errors="surrogateescape")
+    names: list[str] = []
+    name = ""
+    for segment in decoded.replace("\\", "/").split("/"):
+        name = segment.partition(";")[0]
+        if name == "..":
+            names = names[:-1]
+        elif name not in ("", "."):
+            names.append(name)
+    end = "/" if names and name in ("", ".", "..") else ""
+    return "/" + "/".join(names) + end
+
+
 def choose_service(route: HttpRoute, request_id: str) -> ServiceId:
     """Return the service of `route` for a request, in proportion to the weights.
 
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -267,6 +267,19 @@
         writer.close()
 
 
+# LOST: a target that resolves paths would serve it as a request of a keyed route.
+def test_path_that_leads_out_of_a_public_route_needs_a_key(runner, tmp_path):
+    async def check(site):
+        target = await add_target(site)
+        path = "/open/../look/1"
+        assert (await site.send(path))[0] == 401
+        assert not target.received
+        assert (await site.send(path, ("X-Credential", KEY)))[0] == 200
+        assert target.received[-1].headers["x-tenant"] == "acme"
+
+    run_with_site(runner, tmp_path, check)
+
+
 # LOST: the parser keeps the last trailer for the next request of the connection.
 @pytest.mark.parametrize(
     ("body", "statuses"),
