Read the tenants of a configuration again after a failed read

Cause: an entry VM that follows a relay of an older build reads the configuration from the store, as the relay's has no tenants. If that read failed once, and no tenants were expected, the incomplete configuration stayed active until the next one was published: requests were served whatever their keys, and the keys reached targets.

Change: the store is read again, at the longest retry delay, until the active configuration is complete.

Result: the new test times out before the change and passes after it. tests/gateway/test_fact_feed.py and test_older_builds.py passed.

--- a/pimentospool/gateway/_fact_feed.py
+++ b/pimentospool/gateway/_fact_feed.py
@@ -119,6 +119,7 @@
         self._announcements: dict[str, tuple[EntryRecord, FactPosition]] = {}
         self._relay_contact_at = float("-inf")
         self._follows = False
+        self._next_completion_at = float("-inf")
 
     # Called by the exchange of reports.
 
@@ -157,10 +158,12 @@
                     if must_read_all or self._changes.position is None:
                         await self._read_all()
                         must_read_all = False
-                    elif self._reads_source():
-                        await self._watch()
                     else:
-                        await self._follow()
+                        await self._complete_active()
+                        if self._reads_source():
+                            await self._watch()
+                        else:
+                            await self._follow()
                     delay = MIN_RETRY_DELAY_SECONDS
                 except HistoryLostError:
                     log_event(Event.STORE_HISTORY_LOST, revision=self._revision)
@@ -297,6 +300,23 @@
             )
         return True
 
+    async def _complete_active(self) -> None:
+        """Read the active configuration again if it came without its tenants.
+
+        Requests are served whatever their keys until it is complete.
+        """
+        active, position = self._routing_state.configuration, self._changes.position
+        now = self._clock()
+        if active is None or active.tenants is not None or position is None:
+            return
+        if now < self._next_completion_at:
+            return
+        self._next_completion_at = now + self._max_retry_delay_seconds()
+        with contextlib.suppress(SourceError):
+            configuration = await self._source.read_configuration()
+            if configuration is not None:
+                self._routing_state.adopt(configuration, era=position.era)
+
     def _apply(self, batch: FactBatch) -> None:
         if self._in_expiry_window():
             batch = FactBatch(batch.position, [_expiring(item) for item in batch.facts])
--- a/tests/gateway/test_fact_feed.py
+++ b/tests/gateway/test_fact_feed.py
@@ -10,6 +10,7 @@
     make_configuration,
     make_record,
     make_registration,
+    make_tenant,
 )
 
 from pimentospool.gateway import (
@@ -30,7 +31,12 @@
 from pimentospool.gateway._fact_feed import FRESH_SECONDS, FactFeed
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._view_exchange import REQUEST_TIMEOUT_SECONDS
-from pimentospool.policy import EntryState, RelayCandidate, choose_relays
+from pimentospool.policy import (
+    EntryState,
+    RelayCandidate,
+    choose_relays,
+    key_digest,
+)
 
 MEMBERS = 20
 START = FactPosition(1, 10)
@@ -289,6 +295,39 @@
     run_feed(runner, check)
 
 
+# LOST: after one failed read, keys were not checked until the next configuration.
+def test_configuration_without_its_tenants_is_completed_once_the_source_is_back(
+    runner, monkeypatch
+):
+    async def check(site):
+        site.announce_position()
+        await wait_until(lambda: site.source.reads)
+        tenants = (make_tenant(key_digests={key_digest(b"k-1")}),)
+        complete = make_configuration(version=9, tenants=tenants)
+        reads = []
+
+        async def fail_twice():
+            reads.append(site.routing_state.configuration.version)
+            if len(reads) <= 2:
+                raise SourceError("unreachable")
+            return complete
+
+        monkeypatch.setattr(site.source, "read_configuration", fail_twice)
+        fact = ConfigurationPublished(make_configuration(version=9, tenants=None))
+        position = FactPosition(1, 11)
+        site.reader.batch = FactBatch(position, [DatedFact(11, fact)])
+        site.announce_position(position)
+        await wait_until(lambda: site.routing_state.configuration.tenants == tenants)
+        assert site.routing_state.keys.owner(key_digest(b"k-1")) == tenants[0]
+        assert reads == [1, 9, 9]
+
+    monkeypatch.setattr(
+        "pimentospool.gateway._fact_feed.MAX_FOLLOWER_RETRY_DELAY_SECONDS", 0.1
+    )
+    monkeypatch.setattr("pimentospool.gateway._fact_feed.FOLLOW_POLL_SECONDS", 0.05)
+    run_feed(runner, check)
+
+
 def test_large_configuration_is_read_from_the_source(runner):
     async def check(site):
         site.announce_position()
