Accept null for the lists of tenants in a configuration

Cause: builds before tenants ignored the field `Tenants`. With `"Tenants": null`, as some writers encode an empty list, this build refused the whole configuration and kept the previous one, or had none.

Change: null counts as an empty list for `Tenants`, and for `ApiKeys` and `HomeRegions` of a tenant.

Result: the new test fails before the change and passes after it. test_records.py and test_odd_records.py of tests/platform passed.

--- a/pimentospool/platform/_records.py
+++ b/pimentospool/platform/_records.py
@@ -100,14 +100,14 @@
 
 class _Tenant(msgspec.Struct, rename="pascal"):
     name: str
-    api_keys: list[str] = msgspec.field(default_factory=list)
+    api_keys: list[str] | None = None
     priority: int | None = None
     unit: str = ""
     uncached_tokens: float = 0.0
     """Cost of a request that doesn't state its tokens; no cache is involved."""
     rate_per_s: float = 0.0
     burst: float = 0.0
-    home_regions: list[str] = msgspec.field(default_factory=list)
+    home_regions: list[str] | None = None
 
 
 class _Config(msgspec.Struct, rename="pascal"):
@@ -115,7 +115,8 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] = msgspec.field(default_factory=list)
+    tenants: list[_Tenant] | None = None
+    """Null is how some writers encode an empty list; earlier builds ignored it."""
 
 
 class _Server(msgspec.Struct, rename="pascal"):
@@ -153,7 +154,7 @@
                 idle_timeout_seconds=raw.limits.idle_timeout_ms
                 / _MILLISECONDS_PER_SECOND,
             ),
-            tenants=tuple(_to_tenant(item) for item in raw.tenants),
+            tenants=tuple(_to_tenant(item) for item in raw.tenants or ()),
         )
     except (*_DECODE_ERRORS, KeyError) as exc:
         raise RecordError(f"invalid configuration: {exc!r}") from exc
@@ -235,9 +236,9 @@
         raise RecordError("the name of a tenant is not printable")
     return Tenant(
         id=TenantId(raw.name),
-        key_digests=frozenset(key_digest(key.encode()) for key in raw.api_keys),
+        key_digests=frozenset(key_digest(key.encode()) for key in raw.api_keys or ()),
         priority=raw.priority,
-        home_regions=frozenset(RegionId(region) for region in raw.home_regions),
+        home_regions=frozenset(RegionId(region) for region in raw.home_regions or ()),
         quota_unit=(
             QuotaUnit.TOKENS if raw.unit == _TOKEN_UNIT else QuotaUnit.REQUESTS
         ),
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -66,6 +66,17 @@
         decode_configuration(value)
 
 
+# LOST: a deployment without tenants would keep its configuration from before.
+def test_lists_of_tenants_may_be_null():
+    raw = platform_configuration() | {"Tenants": None}
+    assert decode_configuration(encode(raw)).tenants == ()
+    tenant = platform_tenant("acme", ApiKeys=None, HomeRegions=None)
+    (decoded,) = decode_configuration(
+        encode(platform_configuration(tenants=[tenant]))
+    ).tenants
+    assert (decoded.key_digests, decoded.home_regions) == (frozenset(), frozenset())
+
+
 # LOST: the line end of a name would begin a header of its own at targets.
 @pytest.mark.parametrize("name", ["a\r\nX-Other: b", "a\x00"])
 def test_tenant_whose_name_is_no_header_value_is_refused(name):
