Take missing tenants from another entry VM of this build

Cause: an entry VM that had taken a configuration without its tenants from an older build completed it only from the store. While the store was out of reach it served requests whatever their keys, though an entry VM of this build was there to ask.

Change: as long as the active configuration lacks its tenants, an entry VM of this build is asked for its view.

Result: the new test times out before the change and passes after it. test_older_builds.py, test_view_exchange.py and test_fact_feed.py of tests/gateway passed.

--- a/pimentospool/gateway/_view_exchange.py
+++ b/pimentospool/gateway/_view_exchange.py
@@ -149,7 +149,7 @@
                         break
                 await asyncio.sleep(RETRY_INTERVAL_SECONDS)
             else:
-                newer = self._fleet.newest_configuration()
+                newer = self._fleet.newest_configuration() or self._complete_peer()
                 if newer is not None:
                     await self.take_configuration(newer)
                 await asyncio.sleep(AGREEMENT_INTERVAL_SECONDS)
@@ -227,6 +227,16 @@
             key=lambda rec: (not knows_tenants(rec), rec.region != local_region),
         )[:2]
 
+    def _complete_peer(self) -> EntryRecord | None:
+        """Return an entry VM to ask for the tenants that the configuration lacks.
+
+        An older build may have passed it on while the store can't be read.
+        """
+        configuration = self._routing_state.configuration
+        if configuration is None or configuration.tenants is not None:
+            return None
+        return next((rec for rec in self._peers_to_ask() if knows_tenants(rec)), None)
+
     async def _take_view(self, record: EntryRecord) -> bool:
         view = await self._fetch(record, VIEW_PATH, self._view_decoder)
         if view is None or not self._routing_state.apply_view(view):
--- a/tests/gateway/test_older_builds.py
+++ b/tests/gateway/test_older_builds.py
@@ -1,5 +1,6 @@
 """Configurations that entry VMs of an older build pass on, without the tenants."""
 
+import asyncio
 import random
 
 import msgspec
@@ -108,6 +109,46 @@
     runner.run(check())
 
 
+# LOST: without the store, requests were served whatever their keys, though another
+# entry VM of this build knew the tenants.
+def test_tenants_that_an_older_build_left_out_are_taken_from_another_entry_vm(
+    runner, monkeypatch
+):
+    async def check():
+        state, clock = make_state(), Clock()
+        fleet = Fleet(local_record=make_record(), clock=clock, rng=random.Random(1))
+        exchange = ViewExchange(
+            routing_state=state,
+            changes=ChangeLog(),
+            fleet=fleet,
+            stream_versions=None,
+            rng=random.Random(1),
+        )
+        view = make_view(tenants=(TENANT,))
+
+        async def fetch(record, path, decoder):
+            return view if record.protocol else decode_of_older_build(view)
+
+        monkeypatch.setattr(exchange, "_fetch", fetch)
+        announce(fleet, make_record("old"))
+        task = asyncio.create_task(exchange.run())
+        async with asyncio.timeout(2.0):
+            while state.configuration is None:
+                await asyncio.sleep(0.01)
+            assert state.configuration.tenants is None
+            announce(fleet, make_record("new", protocol=1))
+            while state.keys.owner(key_digest(b"k-1")) is None:
+                await asyncio.sleep(0.01)
+        assert state.configuration.tenants == (TENANT,)
+        task.cancel()
+
+    name = "pimentospool.gateway._view_exchange.{}"
+    monkeypatch.setattr(name.format("STORE_WAIT_SECONDS"), 0.0)
+    monkeypatch.setattr(name.format("RETRY_INTERVAL_SECONDS"), 0.02)
+    monkeypatch.setattr(name.format("AGREEMENT_INTERVAL_SECONDS"), 0.02)
+    runner.run(check())
+
+
 def test_entry_vms_of_this_build_are_asked_first():
     clock = Clock()
     fleet = Fleet(local_record=make_record(), clock=clock, rng=random.Random(1))
