Keep keys out of the parser's errors on the listener of hops

Cause: the listener of hops answered an unreadable request with the parser's message, which quotes the line in question. A hop of an older build carries the key itself, and its sender relays the error to the caller; a caller that connects there sees it, too.

Change: connections of the listener of hops answer like those of callers.

Result: the test fails for the listener of hops before the change and passes after it. test_tenants.py, test_front.py and test_header_limits.py of tests/platform passed.

--- a/pimentospool/platform/_caller_connections.py
+++ b/pimentospool/platform/_caller_connections.py
@@ -27,7 +27,25 @@
 """Time by which a head may be late on its way."""
 
 
-class CallerConnection(RequestHandler):
+class InboundConnection(RequestHandler):
+    """One connection of a caller or another entry VM."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Respond without what the parser says, as it quotes headers, and API keys."""
+        if message is not None:
+            message = UNREADABLE_TEXT
+        return super().handle_error(request, status, None, message)
+
+
+class CallerConnection(InboundConnection):
     """One connection of a caller."""
 
     __slots__ = ("_body", "_head_bytes", "_head_timer", "_last_bytes", "limits")
@@ -87,18 +105,6 @@
             and self._last_bytes == CHUNKED_END
         )
 
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Respond without what the parser says, as it quotes headers, and API keys."""
-        if message is not None:
-            message = UNREADABLE_TEXT
-        return super().handle_error(request, status, None, message)
-
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the timer."""
         self._end_head()
@@ -125,6 +131,14 @@
             self.force_close()
 
 
+class HopServer(web.Server):
+    """Serves other entry VMs."""
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        return InboundConnection(self, loop=self._loop, **self._kwargs)
+
+
 class CallerServer(web.Server):
     """Serves callers within the limits of the configuration."""
 
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -38,6 +38,7 @@
     MAX_HEADERS,
     CallerConnection,
     CallerServer,
+    HopServer,
     header_bytes,
 )
 from pimentospool.platform._credentials import (
@@ -131,7 +132,7 @@
     def __init__(self, *, gateway: Gateway, is_hop: bool) -> None:
         self._gateway = gateway
         self._is_hop = is_hop
-        server_class = web.Server if is_hop else CallerServer
+        server_class = HopServer if is_hop else CallerServer
         self.server = server_class(
             self._handle,
             handler_cancellation=True,
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -167,9 +167,14 @@
     run_with_site(runner, tmp_path, check)
 
 
-def test_odd_bytes_in_a_key_do_not_come_back_in_an_error(runner, tmp_path):
+# LOST: a hop of an older build carries the key, and its sender relays the error.
+@pytest.mark.parametrize("listener", ["front", "peer"])
+def test_odd_bytes_in_a_key_do_not_come_back_in_an_error(runner, tmp_path, listener):
     async def check(site):
-        status, answer = await site.send("/look/1", ("X-Credential", KEY + "\x01"))
+        address = getattr(site.nodes[0].cfg, listener)
+        status, answer = await site.send(
+            "/look/1", ("X-Credential", KEY + "\x01"), address=address
+        )
         assert status in (400, 401)
         assert KEY.encode() not in answer
         assert KEY not in site.logged()
