--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -22,6 +22,7 @@
     PromptPart,
     Refusal,
     RefusalReason,
+    knows_tenants,
 )
 from pimentospool.ids import KeyDigest, SoftwareVersion
 from pimentospool.log import Event, log_event
@@ -35,7 +36,9 @@
 )
 from pimentospool.platform._caller_connections import (
     MAX_HEADERS,
+    CallerConnection,
     CallerServer,
+    HopServer,
     header_bytes,
 )
 from pimentospool.platform._credentials import (
@@ -129,7 +132,7 @@
     def __init__(self, *, gateway: Gateway, is_hop: bool) -> None:
         self._gateway = gateway
         self._is_hop = is_hop
-        server_class = web.Server if is_hop else CallerServer
+        server_class = HopServer if is_hop else CallerServer
         self.server = server_class(
             self._handle,
             handler_cancellation=True,
@@ -323,8 +326,9 @@
                 raise InvalidRequestError(
                     status=408, detail="the body did not arrive in time"
                 ) from exc
+        origin = _hop_origin(http) if self._is_hop else None
         digest = self._hop_digest(http)
-        is_vouched = digest is not None
+        is_vouched = digest is not None and not self._is_of_older_build(origin)
         if digest is None:
             digest = read_key_digest(http.raw_headers)
         # Those of a process without a configuration may be keys, too.
@@ -353,7 +357,7 @@
             resumes=headers.get(RESUMES_HEADER.decode()),
             stream_version=self._hop_version(http),
             is_hop=self._is_hop,
-            origin=_hop_origin(http) if self._is_hop else None,
+            origin=origin,
             memory=hold,
             max_targets=self._hop_targets(http),
         )
@@ -367,6 +371,15 @@
             return None
         return decode_hop_digest(http.headers.get(HOP_CREDENTIAL_HEADER.decode()))
 
+    def _is_of_older_build(self, origin: HopOrigin | None) -> bool:
+        """Whether a hop's sender knows no tenants, so that it has not checked a key.
+
+        It passes on what a caller writes in the header of the digest.
+        """
+        fleet = self._gateway.fleet
+        sender = None if origin is None else fleet.live_record(origin.entry)
+        return sender is not None and not knows_tenants(sender)
+
     def _hop_targets(self, http: web.BaseRequest) -> int | None:
         if not self._is_hop:
             return None
@@ -410,7 +423,7 @@
             return
         self.resp = web.StreamResponse(status=head.status, headers=headers)
         self.resp.content_length = len(body)
-        self._close_if_leaving(self.resp)
+        self._close_if_last(self.resp)
         self.started = True
         await self.resp.prepare(self._http)
         await write_body(self.resp, body)
@@ -421,7 +434,7 @@
         if self._is_hop:
             headers[HOP_VERSION_HEADER.decode()] = version
         self.resp = web.StreamResponse(status=head.status, headers=headers)
-        self._close_if_leaving(self.resp)
+        self._close_if_last(self.resp)
         self.started = True
         await self.resp.prepare(self._http)
         self._set_reset_on_close(enabled=True)
@@ -475,7 +488,7 @@
 
     async def _finish(self, resp: web.Response) -> None:
         self.resp = resp
-        self._close_if_leaving(resp)
+        self._close_if_last(resp)
         self.started = True
         await resp.prepare(self._http)
         await resp.write_eof()
@@ -486,11 +499,21 @@
         if self._http.version < HttpVersion11 and transport is not None:
             set_reset_on_close(transport, enabled=enabled)
 
-    def _close_if_leaving(self, resp: web.StreamResponse) -> None:
-        if self._gateway.state in (EntryState.LEAVING, EntryState.CLOSED):
+    def _close_if_last(self, resp: web.StreamResponse) -> None:
+        """Close the connection after `resp` if it must serve no further request."""
+        leaving = self._gateway.state in (EntryState.LEAVING, EntryState.CLOSED)
+        if leaving or _may_have_trailers(self._http):
             resp.force_close()
 
 
+def _may_have_trailers(http: web.BaseRequest) -> bool:
+    """Whether trailers of a request may be read as headers of the next one."""
+    if "transfer-encoding" not in http.headers:
+        return False
+    conn = http.protocol
+    return not (isinstance(conn, CallerConnection) and conn.ended_without_trailers)
+
+
 def decode_prompt(token_count: str | None, parts: str | None) -> Prompt | None:
     """Return the prompt that the two headers describe, None if no size can be read."""
     if not token_count:
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -167,9 +167,14 @@
     run_with_site(runner, tmp_path, check)
 
 
-def test_odd_bytes_in_a_key_do_not_come_back_in_an_error(runner, tmp_path):
+# LOST: a hop of an older build carries the key, and its sender relays the error.
+@pytest.mark.parametrize("listener", ["front", "peer"])
+def test_odd_bytes_in_a_key_do_not_come_back_in_an_error(runner, tmp_path, listener):
     async def check(site):
-        status, answer = await site.send("/look/1", ("X-Credential", KEY + "\x01"))
+        address = getattr(site.nodes[0].cfg, listener)
+        status, answer = await site.send(
+            "/look/1", ("X-Credential", KEY + "\x01"), address=address
+        )
         assert status in (400, 401)
         assert KEY.encode() not in answer
         assert KEY not in site.logged()
@@ -252,6 +257,62 @@
     run_with_site(runner, tmp_path, check, zones=ZONES)
 
 
+async def send_two(address, body):
+    """Send a POST with this body, then a GET without a key; return what comes back."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    try:
+        head = f"HTTP/1.1\r\nHost: {HOST}\r\n"
+        key = f"X-Credential: {KEY}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(f"POST /look/1 {head}{key}{body}".encode())
+        async with asyncio.timeout(5.0):
+            answer = await reader.readuntil(b"\r\n\r\n")
+            writer.write(f"GET /look/2 {head}Connection: close\r\n\r\n".encode())
+            return answer + await reader.read()
+    finally:
+        writer.close()
+
+
+# LOST: a target that resolves paths would serve it as a request of a keyed route.
+def test_path_that_leads_out_of_a_public_route_needs_a_key(runner, tmp_path):
+    async def check(site):
+        target = await add_target(site)
+        path = "/open/../look/1"
+        assert (await site.send(path))[0] == 401
+        assert not target.received
+        assert (await site.send(path, ("X-Credential", KEY)))[0] == 200
+        assert target.received[-1].headers["x-tenant"] == "acme"
+
+    run_with_site(runner, tmp_path, check)
+
+
+# LOST: the parser keeps the last trailer for the next request of the connection.
+@pytest.mark.parametrize(
+    ("body", "statuses"),
+    [
+        ("3\r\nabc\r\n0\r\n\r\n", [200, 401]),
+        ("0\r\n\r\n", [200, 401]),
+        (f"3\r\nabc\r\n0\r\nX-Credential: {KEY}\r\n\r\n", [200]),
+        ("3\r\nabc\r\n0\r\nX-Tenant: other\r\n\r\n", [200]),
+        (
+            f"0\r\nX-Credential: {KEY}\r\n\r\n"
+            f"GET /look/3 HTTP/1.1\r\nHost: {HOST}\r\n\r\n",
+            [200],
+        ),
+    ],
+)
+def test_trailer_of_a_request_is_no_header_of_the_next(
+    runner, tmp_path, body, statuses
+):
+    async def check(site):
+        target = await add_target(site)
+        answers = await send_two(site.nodes[0].cfg.front, body)
+        found = [int(part[:3]) for part in answers.split(b"HTTP/1.1 ")[1:]]
+        assert found == statuses
+        assert [received.path for received in target.received] == ["/look/1"]
+
+    run_with_site(runner, tmp_path, check)
+
+
 class CountingQuotas:
     def __init__(self, refusal=None):
         self.charges = self.refunds = 0
@@ -305,6 +366,32 @@
     run_with_site(runner, tmp_path, check)
 
 
+# LOST: an older build passes on the digest that a caller states, and charges nothing.
+@pytest.mark.parametrize(("protocol", "charges"), [(0, 1), (1, 0)])
+def test_hop_of_an_older_build_is_charged_here_whatever_digest_it_names(
+    runner, tmp_path, protocol, charges
+):
+    async def check(site):
+        await add_target(site)
+        node = site.nodes[0]
+        quotas = count_charges(node)
+        fleet = node.gateway.fleet
+        sender = msgspec.structs.replace(
+            fleet.local_record, id="e-sender", protocol=protocol
+        )
+        fleet.live_record = {sender.id: sender}.get
+        status, _ = await site.send(
+            "/look/1",
+            ("pimentospool-entry", sender.id),
+            ("pimentospool-configuration", "1.0"),
+            ("pimentospool-credential", DIGEST),
+            address=node.cfg.peer,
+        )
+        assert (status, quotas.charges) == (200, charges)
+
+    run_with_site(runner, tmp_path, check)
+
+
 @pytest.mark.parametrize(
     ("fault", "path", "status", "refunds"),
     [
