Count the heads of requests against the memory

Parsed lines take up to 510 bytes each, and nothing counted them, on any listener.

Change: policy/_head_budget.py bounds what heads hold beyond the cost of an ordinary one, over all connections. platform/_counted_connections.py counts complete heads, heads that have not ended, trailers and pipelined bytes, and refuses what doesn't fit with 503 not run, or ends the connection. Hops and the other listeners use the same connections. A connection parses two requests ahead (32 before) and ends after a request with a large head, as the parser keeps it.

--- a/pimentospool/gateway/__init__.py
+++ b/pimentospool/gateway/__init__.py
@@ -54,10 +54,17 @@
 )
 from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._settings import GatewaySettings, QuotaBounds
-from pimentospool.policy import EntryState, MemoryHold
+from pimentospool.policy import (
+    ORDINARY_HEAD_BYTES,
+    EntryState,
+    HeadBudget,
+    MemoryHold,
+    head_cost,
+)
 
 __all__ = [
     "LEAVING_RETRY_AFTER_SECONDS",
+    "ORDINARY_HEAD_BYTES",
     "Address",
     "AnswerClass",
     "AnswerHead",
@@ -78,6 +85,7 @@
     "FactSource",
     "Gateway",
     "GatewaySettings",
+    "HeadBudget",
     "HistoryLostError",
     "HopOrigin",
     "HopRefusal",
@@ -104,4 +112,5 @@
     "TargetUnreadable",
     "Tenant",
     "WeightedService",
+    "head_cost",
 ]
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -37,6 +37,7 @@
     TRACES_LOST = (1008, logbook.WARNING, "trace spans could not be exported")
     REQUEST_REFUSED = (2001, logbook.INFO, "request refused")
     REQUEST_INVALID = (2010, logbook.INFO, "request that can't be read rejected")
+    HEADS_REFUSED = (2013, logbook.WARNING, "heads of a connection found no memory")
     REQUEST_ERROR = (2003, logbook.ERROR, "unexpected error in a request")
     TARGET_SILENT = (2101, logbook.WARNING, "target does not answer load queries")
     TARGET_REPORTS = (2102, logbook.NOTICE, "target answers load queries again")
--- a/pimentospool/platform/_caller_connections.py
+++ b/pimentospool/platform/_caller_connections.py
@@ -8,10 +8,12 @@
 from collections.abc import Callable
 
 from aiohttp import web
-from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
-from aiohttp.web_protocol import RequestHandler
 
 from pimentospool.gateway import CallerLimits
+from pimentospool.platform._counted_connections import (
+    CountedConnection,
+    CountedServer,
+)
 
 MAX_HEADERS = 4096
 """Most headers of a request; as many as fit in some 16 KB if all are short."""
@@ -24,14 +26,12 @@
 """Time by which a head may be late on its way."""
 
 
-class CallerConnection(RequestHandler):
+class CallerConnection(CountedConnection):
     """One connection of a caller."""
 
-    __slots__ = ("_body", "_head_bytes", "_head_timer", "limits")
+    __slots__ = ("_head_bytes", "_head_timer", "limits")
 
     limits: Callable[[], CallerLimits]
-    _body: StreamReader
-    """Body of the last request."""
     _head_bytes: int
     _head_timer: asyncio.TimerHandle | None
 
@@ -39,7 +39,6 @@
         """Take the limits that are in force now."""
         self._head_bytes = 0
         self._head_timer = None
-        self._body = EMPTY_PAYLOAD
         # A limit of zero states none.
         idle_seconds = self.limits().idle_timeout_seconds
         if idle_seconds > 0:
@@ -48,10 +47,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Bound the head of a request until it has ended."""
+        if self._close or self._force_close:
+            return
         before, in_body = self._request_count, not self._body.is_eof()
         super().data_received(data)
-        if self._request_count != before and self._messages:
-            self._body = self._messages[-1][1]
         if self._request_count != before or in_body:
             self._end_head()
             return
@@ -92,14 +91,16 @@
             self.force_close()
 
 
-class CallerServer(web.Server):
+class CallerServer(CountedServer):
     """Serves callers within the limits of the configuration."""
 
+    connection_class = CallerConnection
     limits: Callable[[], CallerLimits] = CallerLimits
 
-    def __call__(self) -> RequestHandler:
+    def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
-        conn = CallerConnection(self, loop=self._loop, **self._kwargs)
+        conn = super().__call__()
+        assert isinstance(conn, CallerConnection)
         conn.limits = self.limits
         return conn
 
--- /dev/null
+++ b/pimentospool/platform/_counted_connections.py
@@ -0,0 +1,267 @@
+"""Connections whose heads are counted against a share of the process's memory.
+
+The parser keeps the lines of a head that has not ended, and of the last head until the
+next one begins. All that a connection has received and not passed on as a body is
+counted by the bytes and lines of it; what exceeds the share is refused as not run, or
+ends its connection if the head has not ended.
+"""
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+from aiohttp.http import HttpRequestParser
+from aiohttp.http_parser import RawRequestMessage
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+from aiohttp.web_protocol import RequestHandler, RequestPayloadError
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from pimentospool.gateway import ORDINARY_HEAD_BYTES, HeadBudget, head_cost
+from pimentospool.log import Event, log_event
+from pimentospool.platform._bodies import NoMemoryError
+from pimentospool.platform._headers import (
+    HOP_CONFIGURATION_HEADER,
+    HOP_ENTRY_HEADER,
+    PROMPT_PREFIX_HEADER,
+    REQUEST_ID_HEADER,
+)
+
+MAX_QUEUED_REQUESTS = 2
+"""Requests of one connection that are parsed before those ahead of them have ended."""
+MIN_LINE_BYTES = 4
+"""Size of the shortest header line."""
+LINGER_SECONDS = 1.0
+"""Time for which bytes of a refused request are discarded, so that their sender reads
+the refusal before its connection is reset; a few round trips between regions."""
+KEPT_HEADERS = tuple(
+    name.decode()
+    for name in (REQUEST_ID_HEADER, HOP_ENTRY_HEADER, HOP_CONFIGURATION_HEADER)
+)
+"""Headers of a refused request that its refusal and the log line need."""
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class CountedConnection(RequestHandler):
+    """One connection, whose heads are counted.
+
+    Parameters
+    ----------
+    manager : CountedServer
+        Server of the connection.
+    **options
+        Options of `RequestHandler`.
+
+    Attributes
+    ----------
+    is_refused : bool
+        Whether the heads didn't fit; requests that have not begun are refused.
+    """
+
+    __slots__ = (
+        "_body",
+        "_budget",
+        "_costs",
+        "_ends",
+        "_heads",
+        "_loose_bytes",
+        "_loose_lines",
+        "is_refused",
+    )
+
+    def __init__(self, manager: "CountedServer", **options: Any) -> None:
+        super().__init__(manager, **options)
+        self._max_msg_queue_size = MAX_QUEUED_REQUESTS
+        self._msg_queue_resume_size = MAX_QUEUED_REQUESTS // 2
+        self._parser = HttpRequestParser(
+            self,
+            self._loop,
+            self._read_bufsize,
+            max_line_size=self.max_line_size,
+            max_field_size=self.max_field_size,
+            max_headers=self.max_headers,
+            payload_exception=RequestPayloadError,
+            auto_decompress=options.get("auto_decompress", True),
+            max_msg_queue_size=MAX_QUEUED_REQUESTS,
+        )
+        self._budget = manager.heads
+        self._heads = self._budget.begin()
+        self._costs: deque[int] = deque()
+        """Costs of the heads of the requests that have not ended."""
+        self._body: StreamReader = EMPTY_PAYLOAD
+        """Body of the last request."""
+        self._loose_bytes = 0
+        """Bytes received since the last head or bytes of a body."""
+        self._loose_lines = 0
+        self._ends = False
+        self.is_refused = False
+
+    @property
+    def must_close(self) -> bool:
+        """Whether the connection ends after the response to the current request.
+
+        The parser would keep a large head, and a caller may have asked for another
+        protocol.
+        """
+        is_large = bool(self._costs) and self._costs[0] > ORDINARY_HEAD_BYTES
+        return self._ends or is_large
+
+    def data_received(self, data: bytes) -> None:
+        """Count what arrives, and refuse it if it doesn't fit."""
+        if self._force_close or self._close:
+            return
+        body, count_before = self._body, self._request_count
+        in_body, body_before = not body.is_eof(), body.total_bytes
+        super().data_received(data)
+        body_bytes = body.total_bytes - body_before
+        if body_bytes:
+            # Trailers come after all of a body; what came before it was its framing.
+            self._loose_bytes = self._loose_lines = 0
+        self._loose_bytes += len(data) - body_bytes
+        self._loose_lines += data.count(b"\n")
+        if in_body and body.is_eof():
+            self._end_body()
+        new_requests = self._request_count - count_before
+        if new_requests:
+            self._count_heads(new_requests, data)
+        if self._upgraded:
+            # Requests after one that asks for another protocol would not be counted.
+            self._message_tail = b""
+            self._ends = self._close = True
+        if not self._heads.resize(self._cost()):
+            self._refuse()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Free the heads."""
+        super().connection_lost(exc)
+        self._costs.clear()
+        self._heads.resize(0)
+
+    def end_request(self) -> None:
+        """Count the head of the request that has ended no more, unless it is kept."""
+        if self._costs and not self.must_close:
+            self._costs.popleft()
+            self._heads.resize(self._cost())
+
+    def _end_body(self) -> None:
+        """Close the connection later if the parser has kept long trailers."""
+        if self._loose_cost() > ORDINARY_HEAD_BYTES:
+            self._ends = True
+        else:
+            self._loose_bytes = self._loose_lines = 0
+
+    def _count_heads(self, new_requests: int, data: bytes) -> None:
+        """Count the heads that have ended, and no longer as loose bytes."""
+        counted_bytes = 0
+        queued = len(self._messages)
+        for index in range(queued - new_requests, queued):
+            message, self._body = self._messages[index]
+            cost_bytes, size_bytes = _measure_head(message)
+            self._costs.append(cost_bytes)
+            counted_bytes += size_bytes + self._body.total_bytes
+        self._loose_bytes = max(0, self._loose_bytes - counted_bytes)
+        if data:
+            # Separators are estimated; the error must not grow with each request.
+            self._loose_bytes = min(self._loose_bytes, len(data))
+            self._loose_lines = data.count(b"\n")
+
+    def _loose_cost(self) -> int:
+        lines = min(self._loose_lines, self._loose_bytes // MIN_LINE_BYTES)
+        return head_cost(
+            lines=min(lines, self.max_headers), size_bytes=self._loose_bytes
+        )
+
+    def _cost(self) -> int:
+        queued_bytes = sum(payload.total_bytes for _, payload in self._messages)
+        return sum(self._costs) + self._loose_cost() + queued_bytes
+
+    def _refuse(self) -> None:
+        """Refuse what has not begun; nothing more of the connection is read."""
+        self.is_refused = self._ends = self._close = True
+        log_event(
+            Event.HEADS_REFUSED,
+            requests=len(self._messages),
+            cost_bytes=self._cost(),
+            held_bytes=self._budget.used_bytes,
+        )
+        # It keeps the lines of the last head, and of one that has not ended.
+        self._parser = None
+        self._loose_bytes = self._loose_lines = 0
+        self._lingering_time = LINGER_SECONDS
+        if not self._costs:
+            self.force_close()
+        in_progress = len(self._costs) - len(self._messages)
+        for index, (message, payload) in enumerate(self._messages):
+            self._costs[in_progress + index] = 0
+            if isinstance(message, RawRequestMessage):
+                self._messages[index] = (_without_headers(message), payload)
+        if not self._messages and not self._body.is_eof():
+            self._body.set_exception(NoMemoryError())
+        self._heads.resize(self._cost())
+
+
+class CountedServer(web.Server):
+    """Serves connections whose heads are counted.
+
+    Parameters
+    ----------
+    handler : callable
+        Serves one request.
+    heads : HeadBudget
+        Counts the heads of all connections.
+    **options
+        Options of `web.Server`.
+    """
+
+    connection_class: type[CountedConnection] = CountedConnection
+
+    def __init__(self, handler: Handler, *, heads: HeadBudget, **options: Any) -> None:
+        super().__init__(self._serve, **options)
+        self.heads = heads
+        self._handler = handler
+
+    def __call__(self) -> CountedConnection:
+        """Return the protocol of a new connection."""
+        return self.connection_class(self, loop=self._loop, **self._kwargs)
+
+    async def _serve(self, http: web.BaseRequest) -> web.StreamResponse:
+        conn = http.protocol
+        assert isinstance(conn, CountedConnection)
+        try:
+            return await self._handler(http)
+        finally:
+            conn.end_request()
+
+
+def must_close(http: web.BaseRequest) -> bool:
+    """Return whether the connection ends after the response to a request."""
+    return isinstance(http.protocol, CountedConnection) and http.protocol.must_close
+
+
+def is_refused(http: web.BaseRequest) -> bool:
+    """Return whether the heads of the connection of a request didn't fit in memory."""
+    return isinstance(http.protocol, CountedConnection) and http.protocol.is_refused
+
+
+def _measure_head(message: object) -> tuple[int, int]:
+    """Return the memory that a head takes, and its size, in bytes."""
+    if not isinstance(message, RawRequestMessage):
+        return 0, 0
+    lines = len(message.raw_headers)
+    size_bytes = len(message.path)
+    size_bytes += sum(len(name) + len(value) for name, value in message.raw_headers)
+    parts = message.headers.get(PROMPT_PREFIX_HEADER.decode(), "").count(",")
+    cost_bytes = head_cost(lines=lines, size_bytes=size_bytes, parts=parts)
+    return cost_bytes, size_bytes + (MIN_LINE_BYTES - 1) * (lines + 1)
+
+
+def _without_headers(message: RawRequestMessage) -> RawRequestMessage:
+    kept: CIMultiDict[str] = CIMultiDict()
+    for name in KEPT_HEADERS:
+        if name in message.headers:
+            kept[name] = message.headers[name]
+    replaced: RawRequestMessage = message._replace(
+        headers=CIMultiDictProxy(kept), raw_headers=()
+    )
+    return replaced
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -38,6 +38,7 @@
     CallerServer,
     header_bytes,
 )
+from pimentospool.platform._counted_connections import is_refused, must_close
 from pimentospool.platform._headers import (
     CALLER_HEADERS,
     CONNECTION_HEADERS,
@@ -67,6 +68,11 @@
 """Longest idle time of a connection of another entry VM, which closes it sooner."""
 BODY_TIMEOUT_SECONDS = 30.0
 """Longest wait for a request body whose caller states no shorter deadline."""
+HOP_LIMITS = CallerLimits(
+    header_timeout_seconds=BODY_TIMEOUT_SECONDS,
+    idle_timeout_seconds=KEEP_ALIVE_TIMEOUT_SECONDS,
+)
+"""Limits on the connections of other entry VMs; their senders may stand still."""
 READ_BUFFER_BYTES = 64 * 1024
 """Unread bytes of a body above which a caller's connection stops reading."""
 MAX_HEADER_LINE_BYTES = 64 * 1024
@@ -122,9 +128,9 @@
     def __init__(self, *, gateway: Gateway, is_hop: bool) -> None:
         self._gateway = gateway
         self._is_hop = is_hop
-        server_class = web.Server if is_hop else CallerServer
-        self.server = server_class(
+        self.server = CallerServer(
             self._handle,
+            heads=gateway.deps.memory.heads,
             handler_cancellation=True,
             keepalive_timeout=KEEP_ALIVE_TIMEOUT_SECONDS,
             max_headers=MAX_HEADERS,
@@ -135,8 +141,7 @@
             access_log=None,
             logger=null_logger,
         )
-        if isinstance(self.server, CallerServer):
-            self.server.limits = lambda: self._limits
+        self.server.limits = lambda: HOP_LIMITS if is_hop else self._limits
         self._closed = False
         self._unanswered: dict[HttpReply, asyncio.Timeout] = {}
         """Requests that are being served, and what ends them."""
@@ -265,6 +270,8 @@
 
     def _begin(self, http: web.BaseRequest) -> MemoryHold:
         """Return the hold of a request whose body has not been read."""
+        if is_refused(http):
+            raise NoMemoryError
         limit_bytes = self._limits.max_header_bytes
         if not self._is_hop and 0 < limit_bytes < header_bytes(http):
             raise InvalidRequestError(status=431, detail="the headers are too large")
@@ -467,7 +474,8 @@
             set_reset_on_close(transport, enabled=enabled)
 
     def _close_if_leaving(self, resp: web.StreamResponse) -> None:
-        if self._gateway.state in (EntryState.LEAVING, EntryState.CLOSED):
+        is_leaving = self._gateway.state in (EntryState.LEAVING, EntryState.CLOSED)
+        if is_leaving or must_close(self._http):
             resp.force_close()
 
 
@@ -528,10 +536,11 @@
     for name, value in raw:
         if name.lower() == b"connection":
             connection_options |= {item.strip().lower() for item in value.split(b",")}
+    # The pairs are those of the parser, as copies would take more memory.
     return [
-        (name, value)
-        for name, value in raw
-        if (lower_name := name.lower()) not in CONNECTION_HEADERS
+        pair
+        for pair in raw
+        if (lower_name := pair[0].lower()) not in CONNECTION_HEADERS
         and lower_name not in STRIPPED_REQUEST_HEADERS
         and lower_name not in connection_options
     ]
--- a/pimentospool/platform/_node.py
+++ b/pimentospool/platform/_node.py
@@ -8,10 +8,17 @@
 import msgspec
 from aiohttp import web
 
-from pimentospool.gateway import Address, EntryState, Gateway, GatewaySettings
+from pimentospool.gateway import (
+    Address,
+    CallerLimits,
+    EntryState,
+    Gateway,
+    GatewaySettings,
+)
 from pimentospool.ids import RegionId
 from pimentospool.latencies import CONTENT_TYPE
 from pimentospool.log import Event, log_event
+from pimentospool.platform._caller_connections import CallerServer
 from pimentospool.platform._exchange import PlatformDialect
 from pimentospool.platform._front import MIN_FLUSH_SECONDS, HttpFrontend, null_logger
 from pimentospool.platform._settings import NodeSettingsError, read_node_settings
@@ -23,6 +30,8 @@
 METRICS_PATH = "/metrics"
 LISTEN_BACKLOG_CONNECTIONS = 512
 """Connections that may wait to be accepted; a full queue delays callers by seconds."""
+LOCAL_LIMITS = CallerLimits(idle_timeout_seconds=0.0)
+"""Limits on connections that aren't for requests; idle ones stay open."""
 SETTINGS_POLL_SECONDS = 1.0
 """Interval at which the settings file is checked; it may change without a signal."""
 
@@ -123,7 +132,13 @@
     async def _listen_with_handler(
         self, handler: HttpHandler, address: Address
     ) -> None:
-        server = web.Server(handler, access_log=None, logger=null_logger)
+        server = CallerServer(
+            handler,
+            heads=self._gateway.deps.memory.heads,
+            access_log=None,
+            logger=null_logger,
+        )
+        server.limits = lambda: LOCAL_LIMITS
         await self._listen(server, address)
 
     async def _listen(self, server: web.Server, address: Address) -> None:
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -19,6 +19,12 @@
 from pimentospool.policy._drills import DrillSchedule
 from pimentospool.policy._entries import rank_entries
 from pimentospool.policy._flights import RegionFlight, TargetFlight
+from pimentospool.policy._head_budget import (
+    ORDINARY_HEAD_BYTES,
+    HeadBudget,
+    HeadHold,
+    head_cost,
+)
 from pimentospool.policy._heartbeat_table import EntryState, HeartbeatTable
 from pimentospool.policy._known_starts import (
     LAPSED_SECONDS,
@@ -101,6 +107,7 @@
     "LAPSED_SECONDS",
     "MAX_LAPSED_STARTS",
     "MAX_STREAM_SECONDS",
+    "ORDINARY_HEAD_BYTES",
     "REGISTRATION_SECONDS",
     "SURVIVAL_SECONDS",
     "UNPROVED_VERSION",
@@ -118,6 +125,8 @@
     "DoubtedStarts",
     "DrillSchedule",
     "EntryState",
+    "HeadBudget",
+    "HeadHold",
     "HeartbeatTable",
     "HeldAnswer",
     "Join",
@@ -184,6 +193,7 @@
     "choose_relays",
     "continuation_head_fault",
     "ends_in_time",
+    "head_cost",
     "is_newer",
     "key_digest",
     "neighbour_use",
--- a/pimentospool/policy/_memory_budget.py
+++ b/pimentospool/policy/_memory_budget.py
@@ -11,6 +11,7 @@
 
 from pimentospool.ids import EntryId, ServiceId, TargetId
 from pimentospool.policy._answer_shares import READ_BYTES, AnswerShares, ShareClaim
+from pimentospool.policy._head_budget import HEAD_SHARE, HeadBudget
 
 MEGABYTE = 1_000_000
 PROCESS_BYTES = 120 * MEGABYTE
@@ -171,12 +172,18 @@
         Bytes that they hold now.
     answer_shares : AnswerShares
         What answers of single targets and services hold of it.
+    heads : HeadBudget
+        What the heads of requests hold of it, beyond `REQUEST_BYTES`.
     """
 
     def __init__(self, *, process_bytes: float) -> None:
         self.limit_bytes = max(process_bytes - PROCESS_BYTES, process_bytes * MIN_SHARE)
         self.used_bytes = 0
         self.answer_shares = AnswerShares(limit_bytes=self.limit_bytes)
+        self.heads = HeadBudget(
+            limit_bytes=self.limit_bytes * HEAD_SHARE,
+            hold=MemoryHold(budget=self, limit_bytes=self.limit_bytes * BODILESS_SHARE),
+        )
 
     def begin_request(self, body_bytes: int | None) -> MemoryHold | None:
         """Return the hold of a request that arrives; None if it doesn't fit.
