--- a/pimentospool/callers/_app.py
+++ b/pimentospool/callers/_app.py
@@ -15,6 +15,7 @@
 )
 from pimentospool._generated.settings import Settings
 from pimentospool.callers._connections import (
+    HEADS_BYTES,
     CallerApp,
     CallerProtocol,
     CallerRequest,
@@ -36,6 +37,7 @@
 from pimentospool.hops import HOP_HEADER, HOP_PREFIX, HopSigner
 from pimentospool.ids import RegionId, RequestId, ZoneId
 from pimentospool.log import Event, log_event
+from pimentospool.policy import HeadBudget
 from pimentospool.requests import GatewayRequest, RequestServer
 from pimentospool.tls import TlsContexts
 from pimentospool.verdicts import Verdict
@@ -124,6 +126,7 @@
     def _build_app(self) -> Sanic:
         name = f"callers-{self._cfg.entry.id}-{id(self):x}".replace(".", "-")
         app = CallerApp(name, configure_logging=False, request_class=CallerRequest)
+        app.ctx.heads = HeadBudget(limit_bytes=HEADS_BYTES)
         app.config.REQUEST_MAX_SIZE = self._cfg.callers.max_body_bytes
         app.config.REQUEST_TIMEOUT = self._cfg.callers.request_timeout_seconds
         app.config.RESPONSE_TIMEOUT = self._cfg.callers.default_deadline_seconds * 2
--- a/pimentospool/callers/_connections.py
+++ b/pimentospool/callers/_connections.py
@@ -6,18 +6,26 @@
 
 from sanic import Request as HttpRequest
 from sanic import Sanic
-from sanic.exceptions import RequestTimeout
+from sanic.exceptions import RequestTimeout, ServiceUnavailable
 from sanic.http import Http, Stage
 from sanic.server import HttpProtocol
 from sanic.server.async_server import AsyncioServer
 
 from pimentospool.log import Event, log_event
+from pimentospool.policy import ORDINARY_HEAD_BYTES, head_cost
 from pimentospool.tasks import timeout_after_read
 
 _DRAIN_POLL_SECONDS = 0.02
 _LINGER_SECONDS = 1.0
 """Time in which bytes that were under way when a connection ended are discarded; a few
 round trips between regions."""
+HEADS_BYTES = 16_000_000
+"""Memory that the heads of all requests may hold beyond that of ordinary ones. One of
+8,192 bytes, the largest that sanic reads, costs 1.4 MB at most."""
+
+
+class HeadsRefusedError(ServiceUnavailable):
+    """There is no memory for the header lines of a request; it has not run."""
 
 
 class CallerProtocol(HttpProtocol):
@@ -29,11 +37,32 @@
     can discard the response before the caller has read it.
     """
 
-    __slots__ = ("_lingering",)
+    __slots__ = ("_heads", "_lingering")
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
         self._lingering = False
+        self._heads = self.app.ctx.heads.begin()
+
+    def count_head(self, http: HttpRequest) -> None:
+        """Count the head of the connection's current request, until the next one.
+
+        Raises
+        ------
+        HeadsRefusedError
+            If there is no memory for it.
+        """
+        cost_bytes = head_cost(lines=len(http.headers), size_bytes=len(http.head))
+        if not self._heads.resize(cost_bytes):
+            raise HeadsRefusedError("too many header lines of all requests")
+        if cost_bytes > ORDINARY_HEAD_BYTES and self.http is not None:
+            # An idle connection would keep its last request.
+            self.http.keep_alive = False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Free the head of the last request."""
+        super().connection_lost(exc)
+        self._heads.resize(0)
 
     def close(self, timeout: float | None = None) -> None:
         """Stop sending and discard what arrives for a while; a second call closes."""
@@ -61,7 +90,13 @@
 
 
 class CallerRequest(HttpRequest):
-    """Request with a fixed timeout for the whole body."""
+    """Request with a fixed timeout for the whole body, whose head is counted."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        protocol = self.transport.get_protocol() if self.transport else None
+        if isinstance(protocol, CallerProtocol):
+            protocol.count_head(self)
 
     async def receive_body(self) -> None:
         """Read the whole body.
--- a/pimentospool/callers/_problems.py
+++ b/pimentospool/callers/_problems.py
@@ -5,6 +5,7 @@
 from sanic import Request as HttpRequest
 from sanic.exceptions import SanicException
 
+from pimentospool.callers._connections import HeadsRefusedError
 from pimentospool.callers._parsing import OPERATION_HEADER
 from pimentospool.callers._sinks import HttpSink
 from pimentospool.errors import Reason, RequestFailure
@@ -16,6 +17,8 @@
 
 _UNPARSED_METHOD = "NONE"
 """Method that sanic gives to a request whose header it could not parse."""
+HEADS_RETRY_AFTER_SECONDS = 1.0
+"""Retry-After of requests whose heads find no memory; it is stated in whole seconds."""
 _REASONS_BY_STATUS = {
     404: Reason.UNKNOWN_PATH,
     405: Reason.METHOD_NOT_ALLOWED,
@@ -62,6 +65,14 @@
 
 
 def _failure_of_exception(http: HttpRequest, exc: Exception) -> RequestFailure:
+    if isinstance(exc, HeadsRefusedError):
+        log_event(Event.HEADS_REFUSED)
+        return RequestFailure(
+            reason=Reason.OVERLOADED,
+            detail=str(exc),
+            verdict=Verdict.NOT_RUN,
+            retry_after_seconds=HEADS_RETRY_AFTER_SECONDS,
+        )
     if not isinstance(exc, SanicException) or exc.status_code >= 500:
         log_event(Event.REQUEST_ERROR, error=repr(exc))
         return RequestFailure(
--- a/pimentospool/gateway/_answer_streams.py
+++ b/pimentospool/gateway/_answer_streams.py
@@ -18,6 +18,8 @@
 HEADER_BYTES = 400
 """Memory of a short header until its response is passed on: 22 MB for 60 responses of
 900 headers."""
+HEADER_BYTE_FACTOR = 3
+"""Memory per byte of a header: as bytes, as text and in what is sent."""
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -96,6 +98,8 @@
         self._uncounted_bytes = 0
         """Bytes of the body that the current read has brought."""
         self._hold = req.answer_hold
+        self._header_bytes = 0
+        """Memory that is counted for headers."""
         self._read_bytes = 0
         """Size of the bytes that the last `read` returned."""
         self._error: AttemptFailure | None = None
@@ -179,12 +183,26 @@
 
     def feed_head(self, head: AnswerHead, body_end: BodyEnd) -> None:
         """Store the head of the response and wake the reader."""
-        if not self._count(HEADER_BYTES * len(head.headers)):
+        if self._error is not None:
             return
         self.head = head
         self.body_end = body_end
         self._wake()
 
+    def count_header(self, name: bytes, value: bytes) -> bool:
+        """Count a header, or trailer, as it arrives; return whether it fits."""
+        size_bytes = HEADER_BYTES + HEADER_BYTE_FACTOR * (len(name) + len(value))
+        if not self._count(size_bytes):
+            return False
+        self._header_bytes += size_bytes
+        return True
+
+    def drop_headers(self) -> None:
+        """Count the headers no more of a response that belongs to no request."""
+        if self._hold is not None:
+            self._hold.shrink(self._header_bytes)
+        self._header_bytes = 0
+
     def feed_body(self, data: bytes) -> None:
         """Append bytes of the body and wake the reader; `end_read` counts them."""
         if self._error is not None:
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -78,6 +78,7 @@
         self._stream: AnswerStream | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: Headers = []
+        self._header_count = 0
         self._ignoring_message = False
         self._must_close = False
         self._was_used = False
@@ -277,17 +278,24 @@
         """Reset the parser state; a second message belongs to no request."""
         if self._stream is not None and self._stream.complete:
             self._must_close = True
+        elif self._stream is not None:
+            self._stream.drop_headers()
+        self._header_count = 0
         self._headers = []
         self._ignoring_message = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        if len(self._headers) >= MAX_HEADERS:
+        """Store a header, or count a trailer, which is not passed on."""
+        self._header_count += 1
+        if self._header_count > MAX_HEADERS:
             detail = f"over {MAX_HEADERS} headers"
             if self._stream is not None:
                 self._stream.fail(detail)
             raise ExcessivePartsError(detail)
-        self._headers.append((name.lower(), value))
+        if self._stream is not None and not self._stream.count_header(name, value):
+            raise ExcessivePartsError("no memory for the headers")
+        if self._stream is None or self._stream.head is None:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Decide whether the message is the response to the request."""
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -292,6 +292,11 @@
             "Bytes that requests and answers in progress hold.",
             lambda: self.deps.memory.used_bytes,
         )
+        metrics.add_gauge(
+            "pimentospool_head_bytes",
+            "Bytes that heads hold of those, beyond ordinary ones.",
+            lambda: self.deps.memory.heads.used_bytes,
+        )
         metrics.add_gauge(
             "pimentospool_answers_held_back",
             "Answers that wait for room in the share of their target or service.",
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -1,6 +1,7 @@
 """HTTP server for callers and for hops from other entry VMs."""
 
 import asyncio
+import hashlib
 import logging
 import math
 import time
@@ -87,6 +88,10 @@
 """Time for the handlers of aborted connections to end."""
 NO_MEMORY_RETRY_AFTER_SECONDS = 0.2
 """Retry-After of an entry VM without memory; the retry may go to another one."""
+MAX_PART_ID_LENGTH = 128
+"""Characters of the id of a part of a prompt above which its digest is kept; thousands
+of ids are kept for each target."""
+PART_DIGEST_BYTES = 16
 _MILLISECOND = 0.001
 _STATUS_BY_REASON = {
     RefusalReason.NOT_CONFIGURED: 503,
@@ -495,12 +500,20 @@
         size = parse_count(size_text)
         if size is None:
             return None
-        prompt_parts.append(PromptPart(part, size))
+        prompt_parts.append(PromptPart(_part_id(part), size))
     return Prompt(
         tokens=tokens, max_output_tokens=output_tokens, parts=tuple(prompt_parts)
     )
 
 
+def _part_id(text: str) -> str:
+    """Return the id of a part of a prompt, as a digest if it is long."""
+    if len(text) <= MAX_PART_ID_LENGTH:
+        return text
+    data = text.encode("utf-8", "surrogateescape")
+    return hashlib.blake2b(data, digest_size=PART_DIGEST_BYTES).hexdigest()
+
+
 def _hop_origin(http: web.BaseRequest) -> HopOrigin | None:
     """Return who passed a hop on, None if its headers don't say."""
     return decode_hop_origin(
--- a/pimentospool/policy/_head_budget.py
+++ b/pimentospool/policy/_head_budget.py
@@ -58,7 +58,7 @@
     ----------
     limit_bytes : float
         Memory that heads may hold together, beyond that of ordinary ones.
-    hold : Growing
+    hold : Growing, optional
         Counts the same bytes with those of requests and answers.
 
     Attributes
@@ -67,7 +67,7 @@
         Bytes that they hold now.
     """
 
-    def __init__(self, *, limit_bytes: float, hold: Growing) -> None:
+    def __init__(self, *, limit_bytes: float, hold: Growing | None = None) -> None:
         self.limit_bytes = limit_bytes
         self.used_bytes = 0
         self._hold = hold
@@ -76,7 +76,7 @@
         """Count more bytes; return False, and count nothing, if they don't fit."""
         if self.used_bytes + size_bytes > self.limit_bytes:
             return False
-        if not self._hold.grow(size_bytes):
+        if self._hold is not None and not self._hold.grow(size_bytes):
             return False
         self.used_bytes += size_bytes
         return True
@@ -84,7 +84,8 @@
     def shrink(self, size_bytes: int) -> None:
         """Free bytes."""
         self.used_bytes -= size_bytes
-        self._hold.shrink(size_bytes)
+        if self._hold is not None:
+            self._hold.shrink(size_bytes)
 
     def begin(self) -> "HeadHold":
         """Return the hold of the heads of a connection."""
--- a/tests/callers/test_callers_app.py
+++ b/tests/callers/test_callers_app.py
@@ -372,3 +372,37 @@
     monkeypatch.setattr(ConnectionDrain, "run", abort_connections)
     with pytest.raises((ConnectionError, AssertionError)):
         assert runner.run(read_slowly_while_leaving()) == LARGE_BYTES
+
+
+def test_crowd_with_many_header_lines_holds_a_bounded_share_of_memory(runner):
+    """Guards against heads of the own front that no limit on the memory counts."""
+    head = CHAT + b"a:\r\n" * 1900 + b"Content-Length: 10\r\n\r\n"
+
+    async def check():
+        async with gateway() as running:
+            heads = running.entries[0].callers._app.ctx.heads
+            crowd = [
+                asyncio.create_task(send_raw(running, head, answers=1))
+                for _ in range(40)
+            ]
+            await asyncio.sleep(1.0)
+            used_bytes = heads.used_bytes
+            refused = [task.result() for task in crowd if task.done()]
+            async with running.session() as session, session.get(LOOKUP) as resp:
+                assert resp.status == 200
+            for task in crowd:
+                task.cancel()
+            await asyncio.gather(*crowd, return_exceptions=True)
+            async with asyncio.timeout(5.0):
+                while heads.used_bytes:
+                    await asyncio.sleep(0.02)
+            return used_bytes, heads.limit_bytes, refused
+
+    used_bytes, limit_bytes, refused = runner.run(check())
+    assert 0 < used_bytes <= limit_bytes
+    assert 0 < len(refused) < 40
+    for data in refused:
+        assert b" 503 " in data and b"Retry-After: 1" in data
+        problem = decode_problem(data)
+        assert problem.error.type == Reason.OVERLOADED.slug
+        assert problem.verdict is Verdict.NOT_RUN
--- a/tests/platform/test_header_limits.py
+++ b/tests/platform/test_header_limits.py
@@ -172,3 +172,46 @@
                 return await loop.sock_recv(sock, 65536)
 
     assert b" 408 " not in runner.run(run())
+
+
+def test_long_ids_of_prompt_parts_are_kept_as_digests():
+    """Guards against tables of parts that hold ids of 16 KB."""
+    prompt = _front.decode_prompt("10,1", f"{'a' * 8000}:4,{'b' * 8000}:5,c:1")
+    ids = [part.id for part in prompt.parts]
+    assert len(set(ids)) == 3
+    assert max(map(len, ids)) <= _front.MAX_PART_ID_LENGTH
+    assert ids[2] == "c"
+
+
+def test_pipelined_requests_and_large_heads_leave_nothing_counted(runner, tmp_path):
+    """Guards against heads that are not freed, and against lost pipelined requests."""
+    count = 40
+    head = f"GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r-1\r\n".encode()
+
+    async def run():
+        async with running_site(tmp_path) as site:
+            await site.add_target("i-1")
+            node = site.nodes[0]
+            await site.wait_until(node.gateway.routing_state.known_targets)
+            front = node.cfg.front
+            reader, writer = await asyncio.open_connection(front.host, front.port)
+            writer.write((head + b"\r\n") * count)
+            statuses = []
+            async with asyncio.timeout(10.0):
+                while len(statuses) < count:
+                    answer = await reader.readuntil(b"\r\n\r\n")
+                    length = answer.lower().split(b"content-length: ")[1].split()[0]
+                    await reader.readexactly(int(length))
+                    statuses.append(int(answer.split()[1]))
+                # A large head is served, and ends its connection.
+                writer.write(head + b"a:\r\n" * 3800 + b"\r\n")
+                rest = await reader.read()
+            writer.close()
+            heads = node.gateway.deps.memory.heads
+            await site.wait_until(lambda: heads.used_bytes == 0)
+            return statuses, rest
+
+    statuses, rest = runner.run(run())
+    assert statuses == [200] * count
+    assert b" 200 " in rest.split(b"\r\n")[0]
+    assert b"connection: close" in rest.lower()
