Do not count body bytes that the parser keeps as a head

Cause: while the body of a request waits to be read, the parser keeps the last read of its connection, and the bytes counted as a head that has not ended. Requests with bodies in chunks were refused, and reset, by the bound on heads (test_memory_limit.py, test_burst_of_long_bodies[True]).

Change: what a paused parser keeps is not counted beside the body's buffer, and is counted as trailers only once it is parsed.

--- a/pimentospool/platform/_counted_connections.py
+++ b/pimentospool/platform/_counted_connections.py
@@ -6,6 +6,7 @@
 ends its connection if the head has not ended.
 """
 
+import itertools
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -31,9 +32,6 @@
 """Requests of one connection that are parsed before those ahead of them have ended."""
 MIN_LINE_BYTES = 4
 """Size of the shortest header line."""
-LINGER_SECONDS = 1.0
-"""Time for which bytes of a refused request are discarded, so that their sender reads
-the refusal before its connection is reset; a few round trips between regions."""
 KEPT_HEADERS = tuple(
     name.decode()
     for name in (REQUEST_ID_HEADER, HOP_ENTRY_HEADER, HOP_CONFIGURATION_HEADER)
@@ -65,6 +63,7 @@
         "_costs",
         "_ends",
         "_heads",
+        "_keeps_read",
         "_loose_bytes",
         "_loose_lines",
         "is_refused",
@@ -94,6 +93,9 @@
         self._loose_bytes = 0
         """Bytes received since the last head or bytes of a body."""
         self._loose_lines = 0
+        self._keeps_read = False
+        """Whether the parser keeps the last read until the body, whose buffer is
+        counted with its request, has been taken."""
         self._ends = False
         self.is_refused = False
 
@@ -115,10 +117,10 @@
         in_body, body_before = not body.is_eof(), body.total_bytes
         super().data_received(data)
         body_bytes = body.total_bytes - body_before
-        if body_bytes:
+        if body_bytes and not self._keeps_read:
             # Trailers come after all of a body; what came before it was its framing.
             self._loose_bytes = self._loose_lines = 0
-        self._loose_bytes += len(data) - body_bytes
+        self._loose_bytes = max(0, self._loose_bytes + len(data) - body_bytes)
         self._loose_lines += data.count(b"\n")
         if in_body and body.is_eof():
             self._end_body()
@@ -129,6 +131,7 @@
             # Requests after one that asks for another protocol would not be counted.
             self._message_tail = b""
             self._ends = self._close = True
+        self._keeps_read = self._reading_paused
         if not self._heads.resize(self._cost()):
             self._refuse()
 
@@ -167,13 +170,18 @@
             self._loose_lines = data.count(b"\n")
 
     def _loose_cost(self) -> int:
+        if self._keeps_read:
+            return 0
         lines = min(self._loose_lines, self._loose_bytes // MIN_LINE_BYTES)
         return head_cost(
             lines=min(lines, self.max_headers), size_bytes=self._loose_bytes
         )
 
     def _cost(self) -> int:
-        queued_bytes = sum(payload.total_bytes for _, payload in self._messages)
+        # A request without others ahead of it begins at once, and counts its body.
+        first = 0 if len(self._costs) > len(self._messages) else 1
+        queued = itertools.islice(self._messages, first, None)
+        queued_bytes = sum(payload.total_bytes for _, payload in queued)
         return sum(self._costs) + self._loose_cost() + queued_bytes
 
     def _refuse(self) -> None:
@@ -188,7 +196,8 @@
         # It keeps the lines of the last head, and of one that has not ended.
         self._parser = None
         self._loose_bytes = self._loose_lines = 0
-        self._lingering_time = LINGER_SECONDS
+        # What follows is discarded, so that the sender can read the refusal.
+        self._resume_reading_for_buffer()
         if not self._costs:
             self.force_close()
         in_progress = len(self._costs) - len(self._messages)
