Take statuses outside 100 to 599 for no answer

Cause: a faulty target's status 600, 700 or 999 was passed on as an answer, directly, over a hop and on routes of streams. 000 and 099 were taken for interim responses, so that a request waited until its target closed. The own front treated 000 and 099 like a success.

Change: PlatformDialect.classify calls them invalid (may have run); gateway/_connections.py takes only 1xx for interim; check_answer of the own front fails the attempt.

--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -305,7 +305,7 @@
             self._ignoring_message = True
             return
         head = AnswerHead(self._parser.get_status_code(), self._headers)
-        if head.status < 200:
+        if 100 <= head.status < 200:
             self._ignoring_message = True
             return
         if not stream.accepts(head):
--- a/pimentospool/platform/_exchange.py
+++ b/pimentospool/platform/_exchange.py
@@ -45,6 +45,8 @@
 _NOT_RUN_STATUSES = (408, 429, 503)
 """Statuses that promise a caller that its request did not run."""
 _SERVER_ERROR = 500
+_MIN_STATUS, _MAX_STATUS = 100, 599
+"""Range of statuses (RFC 9110, section 15); a faulty server sends others."""
 _BODY_METHODS = ("POST", "PUT", "PATCH")
 _LEAST_URGENT_PRIORITY = 9
 _MILLISECOND = 0.001
@@ -138,6 +140,8 @@
     def classify(self, head: AnswerHead) -> AnswerClass:
         """Return the class of the response that begins with `head`."""
         status = head.status
+        if not _MIN_STATUS <= status <= _MAX_STATUS:
+            return AnswerClass.INVALID
         if status == _MISDIRECTED:
             return AnswerClass.MISDIRECTED
         if head.get(NOT_EXECUTED_HEADER) is not None:
--- a/pimentospool/targets/_exchange.py
+++ b/pimentospool/targets/_exchange.py
@@ -30,6 +30,8 @@
 """Limit on a response that is held until it is whole, twice as long as sound ones; a
 faulty target sends one without end."""
 _TOO_MANY_REQUESTS = 429
+_MIN_STATUS, _MAX_STATUS = 100, 599
+"""Range of statuses (RFC 9110, section 15); a faulty target sends others."""
 _SERVER_ERROR = 500
 
 
@@ -237,6 +239,8 @@
             verdict=Verdict.MAY_HAVE_RUN,
             cause=FailureCause.FOREIGN_ANSWER,
         )
+    if not _MIN_STATUS <= resp.status <= _MAX_STATUS:
+        raise _broken_exchange(f"the answer has the status {resp.status}")
     if exchange.is_hop and VERDICT_HEADER in resp.headers:
         return
     if resp.status >= 400 and NOT_EXECUTED_HEADER in resp.headers:
