--- a/pimentospool/gateway/__init__.py
+++ b/pimentospool/gateway/__init__.py
@@ -57,14 +57,18 @@
 from pimentospool.gateway._settings import GatewaySettings, QuotaBounds
 from pimentospool.policy import (
     KEY_DIGEST_BYTES,
+    ORDINARY_HEAD_BYTES,
     EntryState,
+    HeadBudget,
     MemoryHold,
+    head_cost,
     key_digest,
 )
 
 __all__ = [
     "KEY_DIGEST_BYTES",
     "LEAVING_RETRY_AFTER_SECONDS",
+    "ORDINARY_HEAD_BYTES",
     "Address",
     "AnswerClass",
     "AnswerHead",
@@ -85,6 +89,7 @@
     "FactSource",
     "Gateway",
     "GatewaySettings",
+    "HeadBudget",
     "HistoryLostError",
     "HopOrigin",
     "HopRefusal",
@@ -111,6 +116,7 @@
     "TargetUnreadable",
     "Tenant",
     "WeightedService",
+    "head_cost",
     "key_digest",
     "knows_tenants",
 ]
--- a/pimentospool/platform/_caller_connections.py
+++ b/pimentospool/platform/_caller_connections.py
@@ -8,10 +8,12 @@
 from collections.abc import Callable
 
 from aiohttp import web
-from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
-from aiohttp.web_protocol import RequestHandler
 
 from pimentospool.gateway import CallerLimits
+from pimentospool.platform._counted_connections import (
+    CountedConnection,
+    CountedServer,
+)
 
 MAX_HEADERS = 4096
 """Most headers of a request; as many as fit in some 16 KB if all are short."""
@@ -20,39 +22,18 @@
 which the connection is closed. Separators and the first line are not in the limit."""
 MIN_HEAD_BYTES = 64 * 1024
 """Bytes that such a head may have whatever the limit."""
-UNREADABLE_TEXT = "the request can't be read"
 CHUNKED_END = b"\r\n0\r\n\r\n"
 """Last bytes of a head or chunk, and the last chunk without trailers."""
 HEADER_MARGIN_SECONDS = 0.5
 """Time by which a head may be late on its way."""
 
 
-class InboundConnection(RequestHandler):
-    """One connection of a caller or another entry VM."""
-
-    __slots__ = ()
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Respond without what the parser says, as it quotes headers, and API keys."""
-        if message is not None:
-            message = UNREADABLE_TEXT
-        return super().handle_error(request, status, None, message)
-
-
-class CallerConnection(InboundConnection):
+class CallerConnection(CountedConnection):
     """One connection of a caller."""
 
-    __slots__ = ("_body", "_head_bytes", "_head_timer", "_last_bytes", "limits")
+    __slots__ = ("_head_bytes", "_head_timer", "_last_bytes", "limits")
 
     limits: Callable[[], CallerLimits]
-    _body: StreamReader
-    """Body of the last request."""
     _head_bytes: int
     _head_timer: asyncio.TimerHandle | None
     _last_bytes: bytes
@@ -62,7 +43,6 @@
         """Take the limits that are in force now."""
         self._head_bytes = 0
         self._head_timer = None
-        self._body = EMPTY_PAYLOAD
         self._last_bytes = b""
         # A limit of zero states none.
         idle_seconds = self.limits().idle_timeout_seconds
@@ -72,12 +52,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Bound the head of a request until it has ended."""
+        if self._close or self._force_close:
+            return
         before, in_body = self._request_count, not self._body.is_eof()
         count = len(CHUNKED_END)
         self._last_bytes = (self._last_bytes + data[-count:])[-count:]
         super().data_received(data)
-        if self._request_count != before and self._messages:
-            self._body = self._messages[-1][1]
         if self._request_count != before or in_body:
             self._end_head()
             return
@@ -131,22 +111,16 @@
             self.force_close()
 
 
-class HopServer(web.Server):
-    """Serves other entry VMs."""
-
-    def __call__(self) -> RequestHandler:
-        """Return the protocol of a new connection."""
-        return InboundConnection(self, loop=self._loop, **self._kwargs)
-
-
-class CallerServer(web.Server):
+class CallerServer(CountedServer):
     """Serves callers within the limits of the configuration."""
 
+    connection_class = CallerConnection
     limits: Callable[[], CallerLimits] = CallerLimits
 
-    def __call__(self) -> RequestHandler:
+    def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
-        conn = CallerConnection(self, loop=self._loop, **self._kwargs)
+        conn = super().__call__()
+        assert isinstance(conn, CallerConnection)
         conn.limits = self.limits
         return conn
 
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -1,6 +1,7 @@
 """HTTP server for callers and for hops from other entry VMs."""
 
 import asyncio
+import hashlib
 import logging
 import math
 import time
@@ -38,9 +39,9 @@
     MAX_HEADERS,
     CallerConnection,
     CallerServer,
-    HopServer,
     header_bytes,
 )
+from pimentospool.platform._counted_connections import is_refused, must_close
 from pimentospool.platform._credentials import (
     caller_identity,
     decode_hop_digest,
@@ -76,6 +77,11 @@
 """Longest idle time of a connection of another entry VM, which closes it sooner."""
 BODY_TIMEOUT_SECONDS = 30.0
 """Longest wait for a request body whose caller states no shorter deadline."""
+HOP_LIMITS = CallerLimits(
+    header_timeout_seconds=BODY_TIMEOUT_SECONDS,
+    idle_timeout_seconds=KEEP_ALIVE_TIMEOUT_SECONDS,
+)
+"""Limits on the connections of other entry VMs; their senders may stand still."""
 READ_BUFFER_BYTES = 64 * 1024
 """Unread bytes of a body above which a caller's connection stops reading."""
 MAX_HEADER_LINE_BYTES = 64 * 1024
@@ -90,6 +96,10 @@
 """Time for the handlers of aborted connections to end."""
 NO_MEMORY_RETRY_AFTER_SECONDS = 0.2
 """Retry-After of an entry VM without memory; the retry may go to another one."""
+MAX_PART_ID_LENGTH = 128
+"""Characters of the id of a part of a prompt above which its digest is kept; thousands
+of ids are kept for each target."""
+PART_DIGEST_BYTES = 16
 _MILLISECOND = 0.001
 _STATUS_BY_REASON = {
     RefusalReason.NOT_CONFIGURED: 503,
@@ -132,9 +142,9 @@
     def __init__(self, *, gateway: Gateway, is_hop: bool) -> None:
         self._gateway = gateway
         self._is_hop = is_hop
-        server_class = HopServer if is_hop else CallerServer
-        self.server = server_class(
+        self.server = CallerServer(
             self._handle,
+            heads=gateway.deps.memory.heads,
             handler_cancellation=True,
             keepalive_timeout=KEEP_ALIVE_TIMEOUT_SECONDS,
             max_headers=MAX_HEADERS,
@@ -145,8 +155,7 @@
             access_log=None,
             logger=null_logger,
         )
-        if isinstance(self.server, CallerServer):
-            self.server.limits = lambda: self._limits
+        self.server.limits = lambda: HOP_LIMITS if is_hop else self._limits
         self._closed = False
         self._unanswered: dict[HttpReply, asyncio.Timeout] = {}
         """Requests that are being served, and what ends them."""
@@ -275,6 +284,8 @@
 
     def _begin(self, http: web.BaseRequest) -> MemoryHold:
         """Return the hold of a request whose body has not been read."""
+        if is_refused(http):
+            raise NoMemoryError
         limit_bytes = self._limits.max_header_bytes
         if not self._is_hop and 0 < limit_bytes < header_bytes(http):
             raise InvalidRequestError(status=431, detail="the headers are too large")
@@ -502,7 +513,7 @@
     def _close_if_last(self, resp: web.StreamResponse) -> None:
         """Close the connection after `resp` if it must serve no further request."""
         leaving = self._gateway.state in (EntryState.LEAVING, EntryState.CLOSED)
-        if leaving or _may_have_trailers(self._http):
+        if leaving or must_close(self._http) or _may_have_trailers(self._http):
             resp.force_close()
 
 
@@ -530,12 +541,20 @@
         size = parse_count(size_text)
         if size is None:
             return None
-        prompt_parts.append(PromptPart(part, size))
+        prompt_parts.append(PromptPart(_part_id(part), size))
     return Prompt(
         tokens=tokens, max_output_tokens=output_tokens, parts=tuple(prompt_parts)
     )
 
 
+def _part_id(text: str) -> str:
+    """Return the id of a part of a prompt, as a digest if it is long."""
+    if len(text) <= MAX_PART_ID_LENGTH:
+        return text
+    data = text.encode("utf-8", "surrogateescape")
+    return hashlib.blake2b(data, digest_size=PART_DIGEST_BYTES).hexdigest()
+
+
 def _hop_origin(http: web.BaseRequest) -> HopOrigin | None:
     """Return who passed a hop on, None if its headers don't say."""
     return decode_hop_origin(
@@ -571,10 +590,11 @@
     for name, value in raw:
         if name.lower() == b"connection":
             connection_options |= {item.strip().lower() for item in value.split(b",")}
+    # The pairs are those of the parser, as copies would take more memory.
     return [
-        (name, value)
-        for name, value in raw
-        if (lower_name := name.lower()) not in CONNECTION_HEADERS
+        pair
+        for pair in raw
+        if (lower_name := pair[0].lower()) not in CONNECTION_HEADERS
         and lower_name not in STRIPPED_REQUEST_HEADERS
         and lower_name not in connection_options
     ]
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -23,6 +23,12 @@
 from pimentospool.policy._drills import DrillSchedule
 from pimentospool.policy._entries import rank_entries
 from pimentospool.policy._flights import RegionFlight, TargetFlight
+from pimentospool.policy._head_budget import (
+    ORDINARY_HEAD_BYTES,
+    HeadBudget,
+    HeadHold,
+    head_cost,
+)
 from pimentospool.policy._heartbeat_table import EntryState, HeartbeatTable
 from pimentospool.policy._known_starts import (
     LAPSED_SECONDS,
@@ -127,6 +133,7 @@
     "LAPSED_SECONDS",
     "MAX_LAPSED_STARTS",
     "MAX_STREAM_SECONDS",
+    "ORDINARY_HEAD_BYTES",
     "OVERCOMMIT_SHARE",
     "REGISTRATION_SECONDS",
     "START_SHARE",
@@ -150,6 +157,8 @@
     "DoubtedStarts",
     "DrillSchedule",
     "EntryState",
+    "HeadBudget",
+    "HeadHold",
     "HeardMembers",
     "HeartbeatTable",
     "HeldAnswer",
@@ -224,6 +233,7 @@
     "continuation_head_fault",
     "ends_in_time",
     "fallback_share",
+    "head_cost",
     "is_newer",
     "key_digest",
     "neighbour_use",
