--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -189,6 +189,7 @@
                 [state for state in states if not waits.get(state.id)],
                 progress,
                 has_preferred_target=not preferred_elsewhere,
+                plan=plan,
             )
             if not req.is_hop and progress.targets_left:
                 neighbours = self._neighbours(
@@ -203,15 +204,6 @@
                     candidates = []
                     remotes.append(neighbours)
         if plan is not None:
-            candidates = [
-                msgspec.structs.replace(
-                    item,
-                    rest_seconds=self.streams.rest_seconds(
-                        plan, running=_batch_size(item), target=item.target
-                    ),
-                )
-                for item in candidates
-            ]
             remotes = [
                 msgspec.structs.replace(
                     item,
@@ -545,6 +537,7 @@
         progress: RequestProgress,
         *,
         has_preferred_target: bool,
+        plan: StreamPlan | None = None,
     ) -> list[Candidate]:
         """Return those of `states` that the request may be sent to.
 
@@ -560,7 +553,9 @@
         prompt = req.prompt
         if prompt is None or service.engine is None:
             return [
-                self._make_candidate(state, service, prefill_tokens=0, tokens=0)
+                self._make_candidate(
+                    state, service, prefill_tokens=0, tokens=0, plan=plan
+                )
                 for state in states
             ]
         preferred = None
@@ -575,6 +570,7 @@
                 service,
                 prefill_tokens=self._prefill_tokens(req, state.id, preferred=preferred),
                 tokens=tokens,
+                plan=plan,
             )
             for state in states
         ]
@@ -586,13 +582,22 @@
         *,
         prefill_tokens: int,
         tokens: int,
+        plan: StreamPlan | None = None,
     ) -> Candidate:
         health = self.health(state.id)
+        occupancy, slots = self._book.total(state.id), state.registration.slots
+        rest_seconds = 0.0
+        if plan is not None:
+            # Requests beyond the slots wait instead of joining the batch.
+            batch_size = min(occupancy.running + 1, max(slots, 1))
+            rest_seconds = self.streams.rest_seconds(
+                plan, running=batch_size, target=state.id
+            )
         return Candidate(
             target=state.id,
             version=state.registration.version,
-            occupancy=self._book.total(state.id),
-            slots=state.registration.slots,
+            occupancy=occupancy,
+            slots=slots,
             cache_tokens=service.engine.cache_tokens if service.engine else 0,
             prefill_tokens=prefill_tokens,
             required_cache_tokens=tokens,
@@ -601,6 +606,7 @@
             failure_rate=health.failure_rate,
             slot_hold_seconds=health.slot_hold_seconds,
             cold=self.is_cold(state),
+            rest_seconds=rest_seconds,
         )
 
     def _prefill_tokens(
@@ -819,11 +825,6 @@
     return service.engine.slots if service.engine is not None else 0
 
 
-def _batch_size(candidate: Candidate) -> int:
-    """Return the requests that a target would run; further ones wait for a slot."""
-    return min(candidate.occupancy.running + 1, max(candidate.slots, 1))
-
-
 def _log_limit(target: TargetId, rate: float) -> None:
     if math.isinf(rate):
         log_event(Event.TARGET_UNLIMITED, target=target)
--- a/pimentospool/policy/_completion.py
+++ b/pimentospool/policy/_completion.py
@@ -11,7 +11,7 @@
     StatedLength,
     StreamLengths,
 )
-from pimentospool.policy._stream_pace import StreamObserver, StreamPaces
+from pimentospool.policy._stream_pace import PaceLine, StreamObserver, StreamPaces
 
 RESERVED_FROM_SHARE = 0.6
 """Share of a target's slots above which work that may run in other regions pays for
@@ -24,7 +24,7 @@
 class StreamPlan(msgspec.Struct, kw_only=True, frozen=True):
     """What is expected of one stream, wherever it goes."""
 
-    key: RouteKey
+    pace: PaceLine
     length: LengthEstimate
     """Events that it still has to send."""
 
@@ -57,27 +57,28 @@
         sent : int
             Events that the caller has already.
         """
+        pace = self.paces.line(key)
         length = self.lengths.estimate(key, stated, sent=sent)
-        return None if length is None else StreamPlan(key=key, length=length)
+        if pace is None or length is None:
+            return None
+        return StreamPlan(pace=pace, length=length)
 
     def rest_seconds(
-        self, plan: StreamPlan | None, *, running: float, target: TargetId | None = None
+        self, plan: StreamPlan, *, running: float, target: TargetId | None = None
     ) -> float:
-        """Return the time from the first event to the end, 0 if it isn't known.
+        """Return the expected time from the first event to the end.
 
         Parameters
         ----------
-        plan : StreamPlan or None
+        plan : StreamPlan
             The stream.
         running : float
             Requests that run at the target, this one included.
         target : TargetId, optional
             The target; without it, one like most targets.
         """
-        if plan is None:
-            return 0.0
-        gap = self.paces.event_seconds(plan.key, running, target)
-        return 0.0 if gap is None else plan.length.median * gap
+        factor = 1.0 if target is None else self.paces.factor(target)
+        return plan.length.median * plan.pace.seconds(running) * factor
 
     def observe(
         self, key: RouteKey, target: TargetId, *, running: Callable[[], int]
--- a/pimentospool/policy/_stream_pace.py
+++ b/pimentospool/policy/_stream_pace.py
@@ -10,6 +10,8 @@
 import math
 from collections.abc import Callable
 
+import msgspec
+
 from pimentospool.ids import TargetId
 from pimentospool.policy._leaving import RouteKey
 
@@ -27,6 +29,8 @@
 SLOPE_PRIOR = 16.0
 """Variance of the number of running requests at which the slope counts by half; without
 it, events at nearly the same load would give any slope."""
+MIN_MEAN_SHARE = 0.1
+"""Share of the mean time below which no load is expected to bring it."""
 MAX_RATIO = 8.0
 """Limit on how far one sample may lie from the expected time. A target that hangs for
 seconds tells of itself; its answers end by other rules."""
@@ -42,18 +46,31 @@
     def __init__(self, *, half_life_seconds: float, size: int) -> None:
         self._half_life_seconds = half_life_seconds
         self.values = [0.0] * size
-        self._at = -math.inf
+        self._at = 0.0
 
-    def decay(self, now: float) -> None:
-        factor = 0.5 ** (max(0.0, now - self._at) / self._half_life_seconds)
-        self.values = [value * factor for value in self.values]
-        self._at = now
+    def share(self, now: float) -> float:
+        """Return the weight that the values have kept."""
+        return 0.5 ** ((now - self._at) / self._half_life_seconds)
 
     def add(self, now: float, *terms: float) -> None:
-        self.decay(now)
+        share = self.share(now)
         self.values = [
-            value + term for value, term in zip(self.values, terms, strict=True)
+            value * share + term for value, term in zip(self.values, terms, strict=True)
         ]
+        self._at = now
+
+
+class PaceLine(msgspec.Struct, frozen=True):
+    """Seconds between events as a line over the running requests."""
+
+    mean_running: float
+    mean_seconds: float
+    slope: float
+
+    def seconds(self, running: float) -> float:
+        """Return the expected time between two events of a target like most."""
+        seconds = self.mean_seconds + self.slope * (running - self.mean_running)
+        return max(seconds, self.mean_seconds * MIN_MEAN_SHARE)
 
 
 class StreamPaces:
@@ -95,7 +112,8 @@
             Mean number of requests that ran at the target.
         """
         now, gap = self._clock(), max(seconds / events, 1e-6)
-        expected = self._route_seconds(key, running)
+        line = self.line(key)
+        expected = None if line is None else line.seconds(running)
         factor = self.factor(target)
         if expected is not None:
             ratio = min(MAX_RATIO, max(1 / MAX_RATIO, gap / expected))
@@ -135,31 +153,31 @@
         target : TargetId, optional
             The target; without it, one like most targets.
         """
-        seconds = self._route_seconds(key, running)
-        if seconds is None or target is None:
-            return seconds
-        return seconds * self.factor(target)
+        line = self.line(key)
+        if line is None:
+            return None
+        return line.seconds(running) * (1.0 if target is None else self.factor(target))
 
     def factor(self, target: TargetId) -> float:
         """Return how much more time `target` takes than others at the same load."""
         sums = self._factors.get(target)
         if sums is None:
             return 1.0
-        sums.decay(self._clock())
+        share = sums.share(self._clock())
         weight, total = sums.values
-        return math.exp(total / (weight + PRIOR_EVENTS))
+        return math.exp(share * total / (share * weight + PRIOR_EVENTS))
 
     def forget(self, target: TargetId) -> None:
         """Drop what is known of a target that was removed or has started again."""
         self._factors.pop(target, None)
 
-    def _route_seconds(self, key: RouteKey, running: float) -> float | None:
+    def line(self, key: RouteKey) -> PaceLine | None:
+        """Return the pace of a route by load, None if too little is known."""
         sums = self._routes.get(key)
         if sums is None:
             return None
-        sums.decay(self._clock())
         weight, loads, gaps, squares, products = sums.values
-        if weight < MIN_EVENTS:
+        if weight * sums.share(self._clock()) < MIN_EVENTS:
             return None
         mean_load, mean_gap = loads / weight, gaps / weight
         variance = max(0.0, squares / weight - mean_load**2)
@@ -167,7 +185,7 @@
         # The time doesn't fall with the load, and rises at most in proportion to it.
         steepest = mean_gap / max(mean_load, 1.0)
         slope = min(steepest, max(0.0, covariance / (variance + SLOPE_PRIOR)))
-        return max(mean_gap + slope * (running - mean_load), mean_gap * 0.1)
+        return PaceLine(mean_load, mean_gap, slope)
 
 
 class StreamObserver:
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -344,3 +344,35 @@
         assignment = placement.begin_assignment(make_request(), choice.candidate)
         running.append((clock.now + 1.0, choice.candidate, assignment))
     assert most_used <= 7
+
+
+@pytest.mark.parametrize("bound_route", [False, True])
+@pytest.mark.parametrize("running", [2, 5])
+def test_requests_that_may_travel_leave_room_for_those_that_may_not(
+    running, bound_route
+):
+    """Against engines full of work that another region could have done."""
+    placement = make_placement()
+    bound = make_route(
+        "/bound/",
+        services=("llm",),
+        kind=RequestKind.STREAM,
+        home_regions=frozenset({"gulf"}),
+    )
+    routes = (ROUTE, bound) if bound_route else (ROUTE,)
+    placement._routing_state.adopt(
+        make_configuration(*routes, version=2, services=[SERVICE])
+    )
+    for target in ("g-1", "g-2"):
+        for _ in range(running):
+            placement._book.begin(target)
+    for route in routes:
+        choice = placement.choose(
+            make_request(route.prefix, prompt=Prompt(tokens=10, max_output_tokens=9)),
+            route,
+            SERVICE,
+            RequestProgress(route=route, max_targets=1),
+            first_byte_timeout_seconds=3.0,
+        )
+        leaves = running == 5 and bound_route and route is ROUTE
+        assert isinstance(choice, RegionChoice) is leaves
