Find the load that started and recovered targets can bear

Cause: after its cold time a target counted as warm and idle, and got at once what the others could not take; one that came back after lost connections did so, too. In the cold time at most 3 entry VMs of a region sent to a target, or none if these were lost, and health checks and reports were not counted.

Change: a limit on the requests in progress for each start of a target, raised by timely answers and lowered by slow ones, errors and rejections; a target at its limit is left out while there is another destination, and the cost of a cold one falls as it rises. While all entry VMs of the region are heard, 5 of them send to a cold target, and those that are gone leave their places, within the limit in any view. Checks take the place of a request.

--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -27,7 +27,7 @@
     Reply,
 )
 from pimentospool.gateway._routing_state import TargetState
-from pimentospool.gateway._running_attempts import RunningAttempt
+from pimentospool.gateway._running_attempts import AttemptStage, RunningAttempt
 from pimentospool.gateway._start_proofs import NEXT_PROOF_SECONDS, ProofSubject
 from pimentospool.ids import EntryId, SoftwareVersion
 from pimentospool.log import Event, log_event
@@ -558,6 +558,7 @@
                 "pace": round(candidate.latency_ratio, 2),
                 "failing": round(candidate.failure_rate, 2),
                 "cold": candidate.cold,
+                "warmed": round(candidate.warmed_share, 2),
                 "expected_seconds": _rounded(candidate.completion_seconds),
             }
         else:
@@ -623,6 +624,8 @@
         placement, start = self._deps.placement, attempt.registration
         if start is None or not placement.counts(start):
             return
+        if attempt.stage is not AttemptStage.CONNECTING and not attempt.superseded:
+            placement.record_failure(start)
         if exc.cause is FailureCause.UNREACHABLE:
             placement.health(start.id).record_connect_failure()
             log_event(
--- a/pimentospool/gateway/_cold_checks.py
+++ b/pimentospool/gateway/_cold_checks.py
@@ -48,6 +48,8 @@
         Limits that targets name; limited ones are not checked periodically.
     clock : callable
         Returns a monotonic time in seconds.
+    record_check : callable
+        Called with each target that is sent a health check.
     """
 
     def __init__(
@@ -60,7 +62,9 @@
         dialect: TargetDialect,
         limits: NamedLimits,
         clock: Callable[[], float],
+        record_check: Callable[[TargetId], None] = lambda target: None,
     ) -> None:
+        self._record_check = record_check
         self._region = region
         self._routing_state = routing_state
         self._fleet = fleet
@@ -142,6 +146,7 @@
                 conn = await pool.acquire()
                 try:
                     sent_at = self._clock()
+                    self._record_check(state.id)
                     head = await read_health(
                         self._dialect, state.registration, service, conn
                     )
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -22,6 +22,7 @@
 from pimentospool.ids import EntryId, RegionId, ServiceId, SoftwareVersion, TargetId
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
+    COMPLETE_VIEW_SILENCE_SECONDS,
     Assignment,
     BrittleTargets,
     CachedParts,
@@ -43,6 +44,7 @@
     StreamPlan,
     TargetChoice,
     TargetHealth,
+    WarmUp,
     choose_destination,
     is_narrower,
     neighbour_use,
@@ -128,6 +130,7 @@
         )
         self._health: dict[TargetId, TargetHealth] = {}
         self._paces: dict[ServiceId, ServicePace] = {}
+        self._warm_ups: dict[TargetId, WarmUp] = {}
         self.streams = StreamExpectations(clock=clock)
         self._reserves: tuple[Configuration | None, dict[RouteKey, set[RegionId]]] = (
             None,
@@ -213,6 +216,10 @@
                 )
                 for item in remotes
             ]
+        # A target whose limit is reached is used only if there is no other way.
+        within_limits = [item for item in candidates if not item.over_limit]
+        if within_limits or remotes:
+            candidates = within_limits
         candidates, remotes = self._reserve(route, service, candidates, remotes)
         choose = partial(
             choose_destination,
@@ -457,9 +464,33 @@
         pace = self.pace(registration.service)
         ratio = seconds / (candidate.reference_seconds + candidate.queue_seconds)
         self.start_health(registration).record_answer(pace.relative(ratio))
+        warm_up = self._warm_ups.get(registration.id)
+        if warm_up is not None and self.counts(registration):
+            warm_up.record_answer(
+                pace.relative(ratio), running=candidate.occupancy.running + 1
+            )
         if not candidate.queue_seconds:
             pace.record(ratio)
 
+    def record_failure(self, registration: Registration) -> None:
+        """Record that a target failed, rejected or did not answer a request."""
+        warm_up = self._warm_ups.get(registration.id)
+        if warm_up is not None and self.counts(registration):
+            warm_up.record_failure()
+
+    def _warm_up(self, state: TargetState, *, cold: bool) -> WarmUp | None:
+        """Return the limit of a target that has started or recovered, if it has one."""
+        warm_up = self._warm_ups.get(state.id)
+        recovers = self.health(state.id).last_connect_failed
+        if (cold or recovers) and (
+            warm_up is None or (warm_up.over and not warm_up.active)
+        ):
+            warm_up = WarmUp(slots=state.registration.slots, clock=self._clock)
+            self._warm_ups[state.id] = warm_up
+        if warm_up is not None:
+            warm_up.active = cold or recovers
+        return warm_up
+
     def local_loads(self) -> dict[str, ServiceLoad]:
         """Return the load of this region's targets by service."""
         configuration = self._routing_state.configuration
@@ -586,6 +617,8 @@
     ) -> Candidate:
         health = self.health(state.id)
         occupancy, slots = self._book.total(state.id), state.registration.slots
+        cold = self.is_cold(state)
+        warm_up = self._warm_up(state, cold=cold)
         rest_seconds = 0.0
         if plan is not None:
             # Requests beyond the slots wait instead of joining the batch.
@@ -605,7 +638,9 @@
             latency_ratio=health.latency_ratio,
             failure_rate=health.failure_rate,
             slot_hold_seconds=health.slot_hold_seconds,
-            cold=self.is_cold(state),
+            cold=cold,
+            warmed_share=1.0 if warm_up is None else warm_up.share,
+            over_limit=warm_up is not None and not warm_up.allows(occupancy.running),
             rest_seconds=rest_seconds,
         )
 
@@ -762,12 +797,27 @@
     def _acquire_cold_start(self, candidate: Candidate, service: ServiceSpec) -> bool:
         bounds = self._bounds
         rate = service.cold_requests_per_second * bounds.cold_overage
+        zones = [
+            zone
+            for zone, region in self._routing_state.zone_regions.items()
+            if region == self._region
+        ]
         return self._cold_start_limiter.acquire(
             candidate.target,
             limit_per_second=rate + bounds.cold_slack,
             members=self._fleet.known_ids(self._region),
+            live=self._region_members(),
+            complete=self._fleet.hears_all(
+                self._region,
+                zones=zones,
+                within_seconds=COMPLETE_VIEW_SILENCE_SECONDS,
+            ),
         )
 
+    def record_check(self, target: TargetId) -> None:
+        """Count a health check or a report against the limit of a cold target."""
+        self._cold_start_limiter.record(target)
+
     def _cold_seconds(self, service: ServiceId) -> float:
         """Return how long a new start of a target of `service` is cold."""
         configuration = self._routing_state.configuration
@@ -799,6 +849,7 @@
     def _forget_target(self, target: TargetId) -> None:
         self._health.pop(target, None)
         self.streams.paces.forget(target)
+        self._warm_ups.pop(target, None)
         if not self._starts.is_known(target):
             self.doubted_starts.forget(target)
         self.named_limits.forget(target)
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -117,6 +117,7 @@
             dialect=dialect,
             limits=self._placement.named_limits,
             clock=clock,
+            record_check=self._placement.record_check,
         )
         self._contact_prober = ContactProber(
             contact=self._placement.contact, pools=pools, clock=clock
--- a/pimentospool/gateway/_start_checks.py
+++ b/pimentospool/gateway/_start_checks.py
@@ -202,6 +202,7 @@
     ) -> tuple[str, int | None]:
         """Return what came of a target's report, and the start that it names."""
         conn = await pool.acquire()
+        self._placement.record_check(registration.id)
         try:
             return await read_reported_start(
                 self._dialect, registration, conn, timeout_seconds=REPORT_WAIT_SECONDS
@@ -216,6 +217,7 @@
         if not service.health_path:
             return None
         conn = await pool.acquire()
+        self._placement.record_check(registration.id)
         try:
             async with timeout_after_read(CHECK_TIMEOUT_SECONDS):
                 head = await read_health(self._dialect, registration, service, conn)
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -70,6 +70,7 @@
 from pimentospool.policy._scores import RouteReason, Score
 from pimentospool.policy._service_pace import ServicePace
 from pimentospool.policy._shared_limits import (
+    COMPLETE_VIEW_SILENCE_SECONDS,
     ColdStartLimiter,
     SharedRetryBudget,
     responsible_entry,
@@ -103,8 +104,10 @@
     neighbour_use,
 )
 from pimentospool.policy._target_health import TargetHealth
+from pimentospool.policy._warm_up import WarmUp
 
 __all__ = [
+    "COMPLETE_VIEW_SILENCE_SECONDS",
     "FOLLOWED_SECONDS",
     "LAPSED_SECONDS",
     "MAX_LAPSED_STARTS",
@@ -191,6 +194,7 @@
     "TargetHealth",
     "TargetRoute",
     "WaitQueue",
+    "WarmUp",
     "answers_within",
     "choose_destination",
     "choose_relays",
--- a/pimentospool/policy/_shared_limits.py
+++ b/pimentospool/policy/_shared_limits.py
@@ -9,7 +9,7 @@
 
 import hashlib
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from pimentospool.ids import EntryId, TargetId
 
@@ -24,6 +24,13 @@
 COLD_RATE_SAFETY_FACTOR = 0.5
 """Part of a cold target's allowed rate that is used, as a process that has just started
 may not know the other entry VMs yet."""
+COMPLETE_COLD_RATE_FACTOR = 0.8
+"""The same while all known entry VMs of all zones are heard. The rest is for health
+checks and reports, of which an entry VM that sends no requests may make some."""
+COMPLETE_VIEW_SILENCE_SECONDS = 0.9
+"""Silence of an entry VM after which the view isn't complete. Entry VMs that start on
+the other side of a partition send after `STARTUP_DELAY_SECONDS`, more than a second
+after the last request that is sent by the higher rate."""
 STARTUP_DELAY_SECONDS = 2.0
 """Time after its start in which a process sends no requests to cold targets, as it may
 not know the other entry VMs yet; it spans several rounds of heartbeats."""
@@ -109,7 +116,10 @@
     """Limits the requests that this entry VM sends to targets in their cold start.
 
     Only as many of a region's entry VMs send to one cold target as its rate allows.
-    They are chosen by rendezvous hashing, so all entry VMs agree on them.
+    They are chosen by rendezvous hashing, so all entry VMs agree on them. Those that
+    are gone leave their places to the next ones, as far as the whole rate allows it.
+    So each side of a partition has as many senders as half of the rate allows, and
+    views that differ for other reasons have no more than the whole rate does.
 
     Parameters
     ----------
@@ -126,20 +136,55 @@
         self._last_sent_at: dict[TargetId, float] = {}
 
     def acquire(
-        self, target: TargetId, *, limit_per_second: float, members: Iterable[EntryId]
+        self,
+        target: TargetId,
+        *,
+        limit_per_second: float,
+        members: Iterable[EntryId],
+        live: Collection[EntryId] | None = None,
+        complete: bool = False,
     ) -> bool:
-        """Return whether the cold `target` may get a request, and record it if so."""
+        """Return whether the cold `target` may get a request, and record it if so.
+
+        Parameters
+        ----------
+        target : TargetId
+            The target.
+        limit_per_second : float
+            Requests in a second that it may get from all entry VMs.
+        members : iterable of EntryId
+            Entry VMs of the region that this one has known, itself included.
+        live : collection of EntryId, optional
+            Those of them that are alive; all without it.
+        complete : bool
+            Whether all `members` have been heard within
+            `COMPLETE_VIEW_SILENCE_SECONDS`, some of each zone of the region among them.
+        """
         now = self._clock()
         self._drop_old(now)
         if now < self._ready_at or target in self._last_sent_at:
             return False
-        sender_count = int(limit_per_second * COLD_RATE_SAFETY_FACTOR)
+        factor = COMPLETE_COLD_RATE_FACTOR if complete else COLD_RATE_SAFETY_FACTOR
         ranked = sorted(members, key=lambda entry: _rendezvous_weight(target, entry))
-        if self._entry not in ranked[:sender_count]:
+        senders = [
+            entry
+            for entry in ranked[: int(limit_per_second)]
+            if live is None or entry in live or entry == self._entry
+        ]
+        if self._entry not in senders[: int(limit_per_second * factor)]:
             return False
         self._last_sent_at[target] = now
         return True
 
+    def record(self, target: TargetId) -> None:
+        """Record a health check or another question to `target`.
+
+        The target may be cold, and counts it as a request.
+        """
+        now = self._clock()
+        self._drop_old(now)
+        self._last_sent_at[target] = now
+
     def _drop_old(self, now: float) -> None:
         for target, sent_at in list(self._last_sent_at.items()):
             if now - sent_at >= MIN_COLD_INTERVAL_SECONDS:
--- a/pimentospool/policy/_target_choice.py
+++ b/pimentospool/policy/_target_choice.py
@@ -77,6 +77,10 @@
     slot_hold_seconds: float = 0.0
     """Mean time for which a request holds a slot."""
     cold: bool = False
+    warmed_share: float = 0.0
+    """Share of its load that a cold target has shown to bear."""
+    over_limit: bool = False
+    """Whether the target has as many requests as it has shown to bear."""
     rest_seconds: float = 0.0
     """Expected time from a stream's first event to its end; 0 if it isn't known."""
     reserve_seconds: float = 0.0
@@ -151,7 +155,7 @@
         ):
             cost += CACHE_OVERFLOW_COST_SECONDS
         if self.cold:
-            cost += COLD_START_COST_SECONDS
+            cost += COLD_START_COST_SECONDS * (1.0 - self.warmed_share)
         return cost + self.reserve_seconds
 
 
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -376,3 +376,45 @@
         )
         leaves = running == 5 and bound_route and route is ROUTE
         assert isinstance(choice, RegionChoice) is leaves
+
+
+def choose_small(placement):
+    req = make_request(ROUTE.prefix, prompt=Prompt(tokens=10, max_output_tokens=9))
+    progress = RequestProgress(route=ROUTE, max_targets=1)
+    return placement.choose(
+        req, ROUTE, SERVICE, progress, first_byte_timeout_seconds=3.0
+    )
+
+
+def recover(placement, *targets):
+    for target in targets:
+        placement.health(target).record_connect_failure()
+    placement._clock.now += 1.0
+
+
+def test_recovered_target_gets_few_requests_until_it_answers_in_time():
+    """Against a target that is flooded as it returns idle."""
+    placement = make_placement()
+    recover(placement, "g-1")
+    targets = []
+    for _ in range(8):
+        choice = choose_small(placement)
+        targets.append(choice.candidate.target)
+        placement.begin_assignment(make_request(), choice.candidate)
+    assert targets.count("g-1") == 4
+    registration = placement._routing_state.target("g-1").registration
+    candidate = choice.candidate
+    for _ in range(4):
+        placement.record_first_byte(registration, candidate, 0.01)
+    assert choose_small(placement).candidate.target == "g-1"
+
+
+def test_recovered_targets_are_used_if_there_is_no_other():
+    """Against refusals as all targets of a service have recovered."""
+    placement = make_placement()
+    placement._fleet._region_loads._reports.clear()
+    recover(placement, "g-1", "g-2")
+    for _ in range(5):
+        for target in ("g-1", "g-2"):
+            placement._book.begin(target)
+    assert isinstance(choose_small(placement), TargetChoice)
--- a/tests/gateway/test_stream_load.py
+++ b/tests/gateway/test_stream_load.py
@@ -11,6 +11,7 @@
 import pytest
 from gateway_factories import (
     Clock,
+    announce,
     make_configuration,
     make_record,
     make_registration,
@@ -40,7 +41,9 @@
     target_latency_seconds=0.5,
     max_targets=1,
 )
-SERVICE = make_service("llm", engine=True)
+SERVICE = make_service(
+    "llm", engine=True, cold_seconds=3.0, cold_requests_per_second=2.3
+)
 BOUNDS = SharedBounds(
     retry_ratio=0.2,
     retry_reserve=56,
@@ -50,6 +53,9 @@
 )
 ENTRIES = 6
 SPEEDS = (1.0, 0.5)
+START_SECONDS, COLD_SECONDS, RISE_SECONDS = 15.0, 3.0, 20.0
+"""When a third engine starts, for how long it says that it is cold, and how long it
+takes to become as fast as the first one."""
 WARM_UP_SECONDS, SECONDS = 10.0, 45.0
 
 
@@ -64,7 +70,7 @@
         self.began_at, self.deadline = at, at + DEADLINE_SECONDS
         self.sent = 0
         self.tries = 0
-        self.result = "none"
+        self.result, self.target = "none", ""
 
     def request(self, now):
         prompt = Prompt(
@@ -82,14 +88,25 @@
         self.name, self.speed = name, speed
         self.waiting, self.running = [], []
 
-    def work(self):
-        """Return the seconds to the next event, and the streams that get one."""
+    def work(self, now):
+        """Return the seconds to the next event of the running streams."""
         room = SLOTS - len(self.running)
         begun, self.waiting = self.waiting[:room], self.waiting[room:]
         self.running += begun
         seconds = len(begun) * PROMPT_TOKENS / PREFILL_TOKENS_PER_SECOND
         step = STEP_SECONDS + STEP_SECONDS_PER_REQUEST * len(self.running)
-        return (seconds + TOKENS_PER_EVENT * step) / self.speed
+        return (seconds + TOKENS_PER_EVENT * step) / self.speed_at(now)
+
+    def speed_at(self, now):
+        return self.speed
+
+
+class StartingEngine(Engine):
+    """An engine that has just started, and is slow for longer than it is cold."""
+
+    def speed_at(self, now):
+        age = (now - START_SECONDS) / RISE_SECONDS
+        return self.speed * min(1.0, max(0.05, age))
 
 
 def capacity(speed):
@@ -103,7 +120,7 @@
 class Site:
     """Entry VMs, each of which learns by itself, and the engines of their region."""
 
-    def __init__(self, *, decides, load, seed=1):
+    def __init__(self, *, decides, load, seed=1, finds_limit=True):
         self.clock = Clock(0.0)
         self.rng = random.Random(seed)
         self.engines = {
@@ -112,6 +129,10 @@
         }
         book = OccupancyBook(clock=self.clock)
         self.entries = [self._make_entry(name, book) for name in range(ENTRIES)]
+        self.heartbeat = 0
+        if not finds_limit:
+            for entry in self.entries:
+                entry._warm_up = lambda *args, **options: None
         if not decides:
             for entry in self.entries:
                 entry._stream_plan = lambda *args: None
@@ -154,6 +175,7 @@
             self.at(at, self.submit, stream)
         for engine in self.engines.values():
             self.at(0.0, self.step, engine)
+        self.at(0.0, self.beat)
         while self.events:
             at, _, call, args = heapq.heappop(self.events)
             if at > SECONDS + DEADLINE_SECONDS + 1:
@@ -162,6 +184,34 @@
             call(*args)
         return [item for item in self.streams if item.began_at >= WARM_UP_SECONDS]
 
+    def start_engine(self):
+        """Let a third engine start."""
+        engine = self.engines["g-9"] = StartingEngine("g-9", 1.0)
+        for entry in self.entries:
+            registration = make_registration(
+                "g-9",
+                service="llm",
+                port=9009,
+                slots=SLOTS,
+                cold_seconds=COLD_SECONDS,
+                started_at=2,
+            )
+            entry._routing_state.register(registration)
+        self.step(engine)
+
+    def beat(self):
+        """Let the entry VMs hear each other."""
+        self.heartbeat += 1
+        for entry in self.entries:
+            for other in self.entries:
+                if other is not entry:
+                    announce(
+                        entry._fleet,
+                        other._fleet.local_record,
+                        heartbeat=self.heartbeat,
+                    )
+        self.at(self.clock.now + 0.5, self.beat)
+
     def submit(self, stream):
         now, left = self.clock.now, stream.deadline - self.clock.now
         entry = self.rng.choice(self.entries)
@@ -193,6 +243,7 @@
         stream.entry, stream.req, stream.assignment = entry, req, assignment
         stream.observer = entry.observe_stream(ROUTE, registration)
         stream.sent_at, stream.result = now, "running"
+        stream.target, stream.registration = candidate.target, registration
         self.engines[candidate.target].waiting.append(stream)
 
     def step(self, engine):
@@ -208,7 +259,7 @@
                 silent = self.clock.now - stream.sent_at > EVENT_TIMEOUT_SECONDS
                 if self.clock.now > stream.deadline or (not stream.sent and silent):
                     self.end(place, stream, "cut")
-        self.at(self.clock.now + engine.work(), self.step, engine)
+        self.at(self.clock.now + engine.work(self.clock.now), self.step, engine)
 
     def end(self, place, stream, result):
         place.remove(stream)
@@ -217,6 +268,8 @@
         entry = stream.entry
         health = entry.health(stream.assignment._target)
         health.record_end(self.clock.now - stream.sent_at)
+        if result == "cut":
+            entry.record_failure(stream.registration)
         entry.record_stream_length(
             stream.req, ROUTE, SERVICE, stream.sent, whole=result == "complete"
         )
@@ -248,3 +301,27 @@
     streams = Site(decides=True, load=0.7).play()
     assert share(streams, "refused") == 0.0
     assert share(streams, "complete") > 0.995
+
+
+def play_start(*, seed, finds_limit):
+    """Return all streams and those of an engine that starts as the others are full."""
+    site = Site(decides=True, load=1.3, seed=seed, finds_limit=finds_limit)
+    site.at(START_SECONDS, site.start_engine)
+    streams = site.play()
+    started = [
+        item
+        for item in streams
+        if item.target == "g-9" and item.sent_at > START_SECONDS
+    ]
+    return streams, started
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_started_engine_gets_the_load_that_it_can_bear(seed):
+    """Against one that is flooded after its cold time, or idle beside full ones."""
+    flooded_all, flooded = play_start(seed=seed, finds_limit=False)
+    streams, started = play_start(seed=seed, finds_limit=True)
+    assert share(flooded, "cut") > 0.03
+    assert share(started, "cut") < share(flooded, "cut") / 2
+    assert len(started) > 0.75 * len(flooded)
+    assert share(streams, "complete") > share(flooded_all, "complete") - 0.01
--- a/tests/policy/test_shared_limits.py
+++ b/tests/policy/test_shared_limits.py
@@ -163,6 +163,81 @@
     assert all(later - earlier > 1.0 for earlier, later in itertools.pairwise(sent))
 
 
+def cold_senders(names, views, *, complete=()):
+    """Return the entry VMs that may send, each with the ones it knows and hears."""
+    clock = Clock()
+    limiters = {name: ColdStartLimiter(entry=name, clock=clock) for name in names}
+    clock.now += 2.0
+    senders = set()
+    for name in names:
+        known, live = views[name]
+        if limiters[name].acquire(
+            "i-1",
+            limit_per_second=COLD_LIMIT_PER_SECOND,
+            members=known,
+            live=live,
+            complete=name in complete,
+        ):
+            senders.add(name)
+    return senders
+
+
+def test_most_of_the_cold_rate_is_used_while_all_are_heard():
+    """Against a started target that idles, as few of many entry VMs may send to it."""
+    names = [f"edge-{number}" for number in range(30)]
+    views = dict.fromkeys(names, (names, names))
+    assert len(cold_senders(names, views)) == 3
+    assert len(cold_senders(names, views, complete=names)) == 5
+
+
+def test_entries_that_are_gone_leave_their_places():
+    """Against a target without senders, as those chosen for it were lost."""
+    names = [f"edge-{number}" for number in range(30)]
+    gone = cold_senders(names, dict.fromkeys(names, (names, names)))
+    left = [name for name in names if name not in gone]
+    assert len(cold_senders(left, dict.fromkeys(left, (names, left)))) == 3
+
+
+@given(st.data())
+def test_cold_rate_holds_in_every_view_of_which_entries_are_alive(data):
+    names = [f"edge-{number}" for number in range(data.draw(st.integers(1, 12)))]
+    views = {
+        name: (names, data.draw(st.sets(st.sampled_from(names)))) for name in names
+    }
+    complete = data.draw(st.sets(st.sampled_from(names)))
+    senders = cold_senders(names, views, complete=complete)
+    assert len(senders) <= COLD_LIMIT_PER_SECOND
+
+
+@given(st.data())
+def test_cold_rate_holds_while_the_sides_of_a_partition_are_noticed(data):
+    """Each entry VM hears its side, and perhaps some that it no longer reaches.
+
+    Those that have started in the partition know only their side.
+    """
+    names = [f"edge-{number}" for number in range(data.draw(st.integers(2, 12)))]
+    side = data.draw(st.sets(st.sampled_from(names)))
+    restarted = data.draw(st.sets(st.sampled_from(names)))
+    views = {}
+    for name in names:
+        own_side = [other for other in names if (other in side) == (name in side)]
+        heard = {*own_side, *data.draw(st.sets(st.sampled_from(names)))}
+        views[name] = (own_side, own_side) if name in restarted else (names, heard)
+    assert len(cold_senders(names, views)) <= COLD_LIMIT_PER_SECOND
+
+
+def test_health_check_takes_the_place_of_a_request():
+    """Against a target that gets its whole rate, and checks beside it."""
+    clock = Clock()
+    limiter = ColdStartLimiter(entry="edge-1", clock=clock)
+    options = {"limit_per_second": COLD_LIMIT_PER_SECOND, "members": ["edge-1"]}
+    clock.now += 2.0
+    limiter.record("i-1")
+    assert not limiter.acquire("i-1", **options)
+    clock.now += 1.2
+    assert limiter.acquire("i-1", **options)
+
+
 @given(
     st.lists(
         st.tuples(
