Keep the number of senders to a cold target, and confirm each send

Cause: 5 senders while all entry VMs are heard exceed the limit of a cold target if a link to it stalls for half a second, as the requests of 1.2 s then arrive together. Two requests of one entry VM that waited for a connection could be sent at the same moment.

Change: half of the limit are senders in any view again; those that are gone still leave their places. A request to a cold target is sent only if this entry VM has sent none to it for 1.2 s.

Result: at most 3 senders on each side of a partition and 6 in any view of which entry VMs are alive (tests/policy/test_shared_limits.py draws the views).

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -219,6 +219,8 @@
                     raise _unsent_failure("the target may have started again")
                 self._check_caller()
                 self._check_time(candidate)
+                if not deps.placement.confirm_cold_start(candidate):
+                    raise _unsent_failure("the cold target was just sent another one")
                 encoded = self._encode_for_target(state, hold)
                 self._record_send()
                 sent_at = deps.clock()
--- a/pimentospool/gateway/_fleet.py
+++ b/pimentospool/gateway/_fleet.py
@@ -5,7 +5,7 @@
 Lost datagrams only delay updates, and there is no connection that could fail silently.
 """
 
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 
 import msgspec
@@ -206,21 +206,6 @@
             ids.add(self.local_id)
         return list(ids)
 
-    def hears_all(
-        self, region: RegionId, *, zones: Collection[str], within_seconds: float
-    ) -> bool:
-        """Whether all known entry VMs of a region were heard lately, of all `zones`."""
-        records = [
-            member.record
-            for key, member in self._members.items()
-            if member.record.region == region
-            and self._table.silence_seconds(key) <= within_seconds
-            and key in self._live
-        ]
-        heard = {EntryId(record.id) for record in records} | {self.local_id}
-        known_zones = {record.zone for record in records} | {self.local_record.zone}
-        return heard == set(self.known_ids(region)) and known_zones >= set(zones)
-
     def has_known_regions(self, count: int) -> bool:
         """Whether entry VMs of at least `count` regions were known for some time.
 
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -22,7 +22,6 @@
 from pimentospool.ids import EntryId, RegionId, ServiceId, SoftwareVersion, TargetId
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
-    COMPLETE_VIEW_SILENCE_SECONDS,
     Assignment,
     BrittleTargets,
     CachedParts,
@@ -797,23 +796,20 @@
     def _acquire_cold_start(self, candidate: Candidate, service: ServiceSpec) -> bool:
         bounds = self._bounds
         rate = service.cold_requests_per_second * bounds.cold_overage
-        zones = [
-            zone
-            for zone, region in self._routing_state.zone_regions.items()
-            if region == self._region
-        ]
         return self._cold_start_limiter.acquire(
             candidate.target,
             limit_per_second=rate + bounds.cold_slack,
             members=self._fleet.known_ids(self._region),
             live=self._region_members(),
-            complete=self._fleet.hears_all(
-                self._region,
-                zones=zones,
-                within_seconds=COMPLETE_VIEW_SILENCE_SECONDS,
-            ),
         )
 
+    def confirm_cold_start(self, candidate: Candidate) -> bool:
+        """Whether a request to a target may be sent now, as it isn't cold or allowed.
+
+        The choice has allowed it, but another one may have been sent since.
+        """
+        return not candidate.cold or self._cold_start_limiter.confirm(candidate.target)
+
     def record_check(self, target: TargetId) -> None:
         """Count a health check or a report against the limit of a cold target."""
         self._cold_start_limiter.record(target)
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -70,7 +70,6 @@
 from pimentospool.policy._scores import RouteReason, Score
 from pimentospool.policy._service_pace import ServicePace
 from pimentospool.policy._shared_limits import (
-    COMPLETE_VIEW_SILENCE_SECONDS,
     ColdStartLimiter,
     SharedRetryBudget,
     responsible_entry,
@@ -107,7 +106,6 @@
 from pimentospool.policy._warm_up import WarmUp
 
 __all__ = [
-    "COMPLETE_VIEW_SILENCE_SECONDS",
     "FOLLOWED_SECONDS",
     "LAPSED_SECONDS",
     "MAX_LAPSED_STARTS",
--- a/pimentospool/policy/_shared_limits.py
+++ b/pimentospool/policy/_shared_limits.py
@@ -24,13 +24,6 @@
 COLD_RATE_SAFETY_FACTOR = 0.5
 """Part of a cold target's allowed rate that is used, as a process that has just started
 may not know the other entry VMs yet."""
-COMPLETE_COLD_RATE_FACTOR = 0.8
-"""The same while all known entry VMs of all zones are heard. The rest is for health
-checks and reports, of which an entry VM that sends no requests may make some."""
-COMPLETE_VIEW_SILENCE_SECONDS = 0.9
-"""Silence of an entry VM after which the view isn't complete. Entry VMs that start on
-the other side of a partition send after `STARTUP_DELAY_SECONDS`, more than a second
-after the last request that is sent by the higher rate."""
 STARTUP_DELAY_SECONDS = 2.0
 """Time after its start in which a process sends no requests to cold targets, as it may
 not know the other entry VMs yet; it spans several rounds of heartbeats."""
@@ -134,6 +127,9 @@
         self._clock = clock
         self._ready_at = clock() + STARTUP_DELAY_SECONDS
         self._last_sent_at: dict[TargetId, float] = {}
+        """When requests were last allowed or sent."""
+        self._confirmed_at: dict[TargetId, float] = {}
+        """When requests and checks were last sent."""
 
     def acquire(
         self,
@@ -142,7 +138,6 @@
         limit_per_second: float,
         members: Iterable[EntryId],
         live: Collection[EntryId] | None = None,
-        complete: bool = False,
     ) -> bool:
         """Return whether the cold `target` may get a request, and record it if so.
 
@@ -156,39 +151,48 @@
             Entry VMs of the region that this one has known, itself included.
         live : collection of EntryId, optional
             Those of them that are alive; all without it.
-        complete : bool
-            Whether all `members` have been heard within
-            `COMPLETE_VIEW_SILENCE_SECONDS`, some of each zone of the region among them.
         """
         now = self._clock()
         self._drop_old(now)
         if now < self._ready_at or target in self._last_sent_at:
             return False
-        factor = COMPLETE_COLD_RATE_FACTOR if complete else COLD_RATE_SAFETY_FACTOR
+        sender_count = int(limit_per_second * COLD_RATE_SAFETY_FACTOR)
         ranked = sorted(members, key=lambda entry: _rendezvous_weight(target, entry))
         senders = [
             entry
             for entry in ranked[: int(limit_per_second)]
             if live is None or entry in live or entry == self._entry
         ]
-        if self._entry not in senders[: int(limit_per_second * factor)]:
+        if self._entry not in senders[:sender_count]:
             return False
         self._last_sent_at[target] = now
         return True
 
+    def confirm(self, target: TargetId) -> bool:
+        """Return whether an allowed request may be sent now, and record it if so.
+
+        It may have waited for a connection, and another one for the same.
+        """
+        now = self._clock()
+        self._drop_old(now)
+        if target in self._confirmed_at:
+            return False
+        self._last_sent_at[target] = self._confirmed_at[target] = now
+        return True
+
     def record(self, target: TargetId) -> None:
         """Record a health check or another question to `target`.
 
         The target may be cold, and counts it as a request.
         """
         now = self._clock()
-        self._drop_old(now)
-        self._last_sent_at[target] = now
+        self._last_sent_at[target] = self._confirmed_at[target] = now
 
     def _drop_old(self, now: float) -> None:
-        for target, sent_at in list(self._last_sent_at.items()):
-            if now - sent_at >= MIN_COLD_INTERVAL_SECONDS:
-                del self._last_sent_at[target]
+        for times in (self._last_sent_at, self._confirmed_at):
+            for target, sent_at in list(times.items()):
+                if now - sent_at >= MIN_COLD_INTERVAL_SECONDS:
+                    del times[target]
 
 
 def responsible_entry(target: TargetId, members: Iterable[EntryId]) -> EntryId | None:
--- a/tests/policy/test_shared_limits.py
+++ b/tests/policy/test_shared_limits.py
@@ -163,7 +163,7 @@
     assert all(later - earlier > 1.0 for earlier, later in itertools.pairwise(sent))
 
 
-def cold_senders(names, views, *, complete=()):
+def cold_senders(names, views):
     """Return the entry VMs that may send, each with the ones it knows and hears."""
     clock = Clock()
     limiters = {name: ColdStartLimiter(entry=name, clock=clock) for name in names}
@@ -176,20 +176,11 @@
             limit_per_second=COLD_LIMIT_PER_SECOND,
             members=known,
             live=live,
-            complete=name in complete,
         ):
             senders.add(name)
     return senders
 
 
-def test_most_of_the_cold_rate_is_used_while_all_are_heard():
-    """Against a started target that idles, as few of many entry VMs may send to it."""
-    names = [f"edge-{number}" for number in range(30)]
-    views = dict.fromkeys(names, (names, names))
-    assert len(cold_senders(names, views)) == 3
-    assert len(cold_senders(names, views, complete=names)) == 5
-
-
 def test_entries_that_are_gone_leave_their_places():
     """Against a target without senders, as those chosen for it were lost."""
     names = [f"edge-{number}" for number in range(30)]
@@ -204,9 +195,7 @@
     views = {
         name: (names, data.draw(st.sets(st.sampled_from(names)))) for name in names
     }
-    complete = data.draw(st.sets(st.sampled_from(names)))
-    senders = cold_senders(names, views, complete=complete)
-    assert len(senders) <= COLD_LIMIT_PER_SECOND
+    assert len(cold_senders(names, views)) <= COLD_LIMIT_PER_SECOND
 
 
 @given(st.data())
@@ -226,6 +215,22 @@
     assert len(cold_senders(names, views)) <= COLD_LIMIT_PER_SECOND
 
 
+def test_requests_that_waited_for_a_connection_are_not_sent_together():
+    """Against two of one entry VM that are allowed one after the other."""
+    clock = Clock()
+    limiter = ColdStartLimiter(entry="edge-1", clock=clock)
+    options = {"limit_per_second": COLD_LIMIT_PER_SECOND, "members": ["edge-1"]}
+    clock.now += 2.0
+    assert limiter.acquire("i-1", **options)
+    clock.now += 1.3
+    assert limiter.acquire("i-1", **options)
+    assert limiter.confirm("i-1")
+    clock.now += 0.1
+    assert not limiter.confirm("i-1")
+    clock.now += 1.0
+    assert not limiter.acquire("i-1", **options)
+
+
 def test_health_check_takes_the_place_of_a_request():
     """Against a target that gets its whole rate, and checks beside it."""
     clock = Clock()
