Move the placement of streams to a module of its own

Cause: the placement had grown by what it learns of streams.

Change: gateway/_stream_placement.py. A target at its limit is also used if all others are cold and get no request now.

Result: no other change of behaviour.

--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -167,7 +167,7 @@
         start = attempt.registration = state.registration
         attempt.version = version
 
-        observer = deps.placement.observe_stream(self._route, start)
+        observer = deps.placement.streams.observe(self._route, start)
 
         def record_event() -> None:
             assignment.first_event()
--- a/pimentospool/gateway/_attempts.py
+++ b/pimentospool/gateway/_attempts.py
@@ -167,7 +167,7 @@
         finally:
             self._deps.route_times.end(running, whole=self._has_whole_time)
             if not self._req.takes_up_stream:
-                self._deps.placement.record_stream_length(
+                self._deps.placement.streams.record_length(
                     self._req,
                     self._route,
                     self._service,
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -9,16 +9,15 @@
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._fleet_messages import EntryRecord, ServiceLoad
 from pimentospool.gateway._model import (
-    Configuration,
     HttpRoute,
     InboundRequest,
     Registration,
-    RequestKind,
     ServiceSpec,
 )
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._region_contact import RegionContact
 from pimentospool.gateway._routing_state import RoutingState, TargetState
+from pimentospool.gateway._stream_placement import StreamPlacement
 from pimentospool.ids import EntryId, RegionId, ServiceId, SoftwareVersion, TargetId
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
@@ -35,20 +34,14 @@
     OccupancyBook,
     RegionChoice,
     RemoteRegion,
-    RouteKey,
     ServicePace,
-    StatedLength,
-    StreamExpectations,
-    StreamObserver,
     StreamPlan,
     TargetChoice,
     TargetHealth,
     WarmUp,
     choose_destination,
-    is_narrower,
     neighbour_use,
     preferred_target,
-    reserve_seconds,
 )
 from pimentospool.signals import Signal
 
@@ -130,10 +123,8 @@
         self._health: dict[TargetId, TargetHealth] = {}
         self._paces: dict[ServiceId, ServicePace] = {}
         self._warm_ups: dict[TargetId, WarmUp] = {}
-        self.streams = StreamExpectations(clock=clock)
-        self._reserves: tuple[Configuration | None, dict[RouteKey, set[RegionId]]] = (
-            None,
-            {},
+        self.streams = StreamPlacement(
+            region=region, routing_state=routing_state, book=book, clock=clock
         )
         self._starts = KnownStarts(clock=clock, forget=self._forget_target)
         for target in routing_state.known_targets():
@@ -165,7 +156,7 @@
         whether a stream is refused that would not end by then.
         """
         preferred_region = self._preferred_region(req, route, service)
-        plan = self._stream_plan(req, route, service, progress)
+        plan = self.streams.plan(req, route, service, progress)
         remotes = []
         if not req.is_hop and progress.targets_left:
             remotes = self._remote_regions(
@@ -206,20 +197,12 @@
                     candidates = []
                     remotes.append(neighbours)
         if plan is not None:
-            remotes = [
-                msgspec.structs.replace(
-                    item,
-                    rest_seconds=self.streams.rest_seconds(
-                        plan, running=item.slot_utilisation * _slots(service) + 1
-                    ),
-                )
-                for item in remotes
-            ]
+            remotes = self.streams.expect(plan, service, remotes)
         # A target whose limit is reached is used only if there is no other way.
-        within_limits = [item for item in candidates if not item.over_limit]
-        if within_limits or remotes:
-            candidates = within_limits
-        candidates, remotes = self._reserve(route, service, candidates, remotes)
+        over_limit = [item for item in candidates if item.over_limit]
+        if remotes or len(over_limit) < len(candidates):
+            candidates = [item for item in candidates if not item.over_limit]
+        candidates, remotes = self.streams.reserve(route, service, candidates, remotes)
         choose = partial(
             choose_destination,
             remotes=remotes,
@@ -236,114 +219,14 @@
             and choice.candidate.cold
             and not self._acquire_cold_start(choice.candidate, service)
         ):
-            choice = choose([item for item in candidates if not item.cold])
+            others = [item for item in candidates if not item.cold]
+            if not (others or remotes):
+                others = [item for item in over_limit if not item.cold]
+            choice = choose(others)
         if isinstance(choice, TargetChoice):
             self.named_limits.record_send(choice.candidate.target)
         return choice
 
-    def observe_stream(
-        self, route: HttpRoute, registration: Registration
-    ) -> StreamObserver | None:
-        """Return what learns the pace of a target from a stream that it sends.
-
-        None for a target that is no engine.
-        """
-        configuration = self._routing_state.configuration
-        service = registration.service
-        spec = None if configuration is None else configuration.services.get(service)
-        if spec is None or spec.engine is None:
-            return None
-        target = registration.id
-        return self.streams.observe(
-            _stream_key(route, service),
-            target,
-            running=lambda: self._book.total(target).running,
-        )
-
-    def record_stream_length(
-        self,
-        req: InboundRequest,
-        route: HttpRoute,
-        service: ServiceSpec,
-        events: int,
-        *,
-        whole: bool,
-    ) -> None:
-        """Record the events of a stream that has ended, from its beginning on."""
-        if route.kind is RequestKind.STREAM and service.engine is not None:
-            self.streams.lengths.record(
-                _stream_key(route, service.id), events, _stated(req), whole=whole
-            )
-
-    def _stream_plan(
-        self,
-        req: InboundRequest,
-        route: HttpRoute,
-        service: ServiceSpec,
-        progress: RequestProgress,
-    ) -> StreamPlan | None:
-        """Return what is expected of a stream, None if nothing is."""
-        if route.kind is not RequestKind.STREAM or service.engine is None:
-            return None
-        # The ids of a stream that is taken up count its events as far as is known.
-        sent = progress.position.last_id or 0
-        if req.resume_after is None:
-            sent = progress.events_sent
-        return self.streams.plan(
-            _stream_key(route, service.id), _stated(req), sent=sent
-        )
-
-    def _reserve(
-        self,
-        route: HttpRoute,
-        service: ServiceSpec,
-        candidates: list[Candidate],
-        remotes: list[RemoteRegion],
-    ) -> tuple[list[Candidate], list[RemoteRegion]]:
-        """Add the cost of the slots that requests of fewer regions may need."""
-        reserved = self._reserved_regions(route, service)
-        if not reserved or not remotes:
-            return candidates, remotes
-        if self._region in reserved:
-            candidates = [
-                msgspec.structs.replace(
-                    item, reserve_seconds=reserve_seconds(item.slot_utilisation)
-                )
-                for item in candidates
-            ]
-        remotes = [
-            msgspec.structs.replace(
-                item, reserve_seconds=reserve_seconds(item.slot_utilisation)
-            )
-            if item.region in reserved
-            else item
-            for item in remotes
-        ]
-        return candidates, remotes
-
-    def _reserved_regions(
-        self, route: HttpRoute, service: ServiceSpec
-    ) -> set[RegionId]:
-        """Return the regions that routes with fewer regions than `route` use."""
-        if route.kind is not RequestKind.STREAM or service.engine is None:
-            return set()
-        configuration = self._routing_state.configuration
-        if configuration is None:
-            return set()
-        if self._reserves[0] is not configuration:
-            self._reserves = (configuration, {})
-        reserves, key = self._reserves[1], _stream_key(route, service.id)
-        if key not in reserves:
-            regions = set(self._routing_state.zone_regions.values())
-            reserves[key] = {
-                region
-                for other in configuration.routes
-                if any(item.service == service.id for item in other.services)
-                and is_narrower(other.home_regions, route.home_regions, regions=regions)
-                for region in other.home_regions
-            }
-        return reserves[key]
-
     def is_cold(self, state: TargetState) -> bool:
         """Whether a target is cold, or may be as it may have started again."""
         return state.is_cold(self._clock()) or (
@@ -844,7 +727,7 @@
 
     def _forget_target(self, target: TargetId) -> None:
         self._health.pop(target, None)
-        self.streams.paces.forget(target)
+        self.streams.forget(target)
         self._warm_ups.pop(target, None)
         if not self._starts.is_known(target):
             self.doubted_starts.forget(target)
@@ -857,21 +740,6 @@
     return registration.started_at or registration.address
 
 
-def _stream_key(route: HttpRoute, service: ServiceId) -> RouteKey:
-    return RouteKey(service, route.name, True)
-
-
-def _stated(req: InboundRequest) -> StatedLength:
-    prompt = req.prompt
-    if prompt is None:
-        return StatedLength()
-    return StatedLength(hint=prompt.length_hint, max_output=prompt.max_output_tokens)
-
-
-def _slots(service: ServiceSpec) -> int:
-    return service.engine.slots if service.engine is not None else 0
-
-
 def _log_limit(target: TargetId, rate: float) -> None:
     if math.isinf(rate):
         log_event(Event.TARGET_UNLIMITED, target=target)
--- a/tests/gateway/test_stream_attempts.py
+++ b/tests/gateway/test_stream_attempts.py
@@ -119,7 +119,7 @@
     deps.routing_state.register(make_registration(service="llm", slots=64))
     replies = [serve(deps) for _ in range(20)]
     assert all(reply.started and reply.refusal is None for reply in replies)
-    streams = deps.placement.streams
+    streams = deps.placement.streams.expectations
     length = streams.lengths.estimate(KEY, StatedLength(240, 952))
     assert round(length.median) == EVENTS
     assert abs(streams.paces.event_seconds(KEY, 1, "i-1") - GAP_SECONDS) < 0.01
--- a/tests/gateway/test_stream_load.py
+++ b/tests/gateway/test_stream_load.py
@@ -135,7 +135,7 @@
                 entry._warm_up = lambda *args, **options: None
         if not decides:
             for entry in self.entries:
-                entry._stream_plan = lambda *args: None
+                entry.streams.plan = lambda *args: None
         self.rate = load * sum(capacity(speed) for speed in SPEEDS)
         self.events = []
         self.numbers = itertools.count()
@@ -241,7 +241,7 @@
             registration, candidate, at - now
         )
         stream.entry, stream.req, stream.assignment = entry, req, assignment
-        stream.observer = entry.observe_stream(ROUTE, registration)
+        stream.observer = entry.streams.observe(ROUTE, registration)
         stream.sent_at, stream.result = now, "running"
         stream.target, stream.registration = candidate.target, registration
         self.engines[candidate.target].waiting.append(stream)
@@ -270,7 +270,7 @@
         health.record_end(self.clock.now - stream.sent_at)
         if result == "cut":
             entry.record_failure(stream.registration)
-        entry.record_stream_length(
+        entry.streams.record_length(
             stream.req, ROUTE, SERVICE, stream.sent, whole=result == "complete"
         )
 
