Forget the pace of engines that send nothing

Cause: the weight of past events decays by halves, so after a busy time the pace of a route outlasted its end by minutes, and the factor of a target that gets no streams by one. Engines that recover while all their streams are refused would not be noticed.

Change: the pace of a route is unknown after 5 s without an event and begins anew; the factor of a target weighs 64 events at most. A gauge counts the choices for streams that would end too late everywhere.

--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -225,6 +225,8 @@
             choice = choose(others)
         if isinstance(choice, TargetChoice):
             self.named_limits.record_send(choice.candidate.target)
+        elif isinstance(choice, NoChoice) and choice.completion_seconds:
+            self.streams.late_choices += 1
         return choice
 
     def is_cold(self, state: TargetState) -> bool:
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -308,6 +308,11 @@
             "Targets that are registered.",
             lambda: len(self.routing_state.known_targets()),
         )
+        metrics.add_gauge(
+            "pimentospool_late_stream_choices",
+            "Choices for streams that would end after their deadline everywhere.",
+            lambda: self._placement.streams.late_choices,
+        )
         metrics.add_gauge(
             "pimentospool_doubted_targets",
             "Targets that may have started again, and get no more than cold ones.",
--- a/pimentospool/gateway/_stream_placement.py
+++ b/pimentospool/gateway/_stream_placement.py
@@ -56,6 +56,8 @@
         self._routing_state = routing_state
         self._book = book
         self.expectations = StreamExpectations(clock=clock)
+        self.late_choices = 0
+        """Choices for streams that would end after their deadline everywhere."""
         self._reserves: tuple[Configuration | None, dict[RouteKey, set[RegionId]]] = (
             None,
             {},
--- a/pimentospool/policy/_stream_pace.py
+++ b/pimentospool/policy/_stream_pace.py
@@ -15,12 +15,18 @@
 from pimentospool.ids import TargetId
 from pimentospool.policy._leaving import RouteKey
 
-MODEL_HALF_LIFE_SECONDS = 20.0
+MODEL_HALF_LIFE_SECONDS = 10.0
 """Age at which events have half their weight for a route. Loads change within some
 ten seconds, and the model has to hold at the present one."""
+STALE_SECONDS = 5.0
+"""Time without an event after which nothing is known of a route. If all its streams
+were refused, only new ones can show that the engines have recovered."""
 FACTOR_HALF_LIFE_SECONDS = 8.0
 """The same for the factor of a target, which becomes slow and recovers by itself. One
 that gets no streams as it was slow is tried again after a few half-lives."""
+MAX_FACTOR_EVENTS = 64.0
+"""Limit on the weight of the events of a target. With more, the factor of one that gets
+no streams would outlast its slowness by a minute."""
 MIN_EVENTS = 64.0
 """Events, by their weight, below which nothing is known of a route; some two answers
 have as many."""
@@ -43,8 +49,11 @@
 class _DecayingSums:
     """Weighted sums that lose half of their weight in each half-life."""
 
-    def __init__(self, *, half_life_seconds: float, size: int) -> None:
+    def __init__(
+        self, *, half_life_seconds: float, size: int, max_weight: float = math.inf
+    ) -> None:
         self._half_life_seconds = half_life_seconds
+        self._max_weight = max_weight
         self.values = [0.0] * size
         self._at = 0.0
 
@@ -52,8 +61,14 @@
         """Return the weight that the values have kept."""
         return 0.5 ** ((now - self._at) / self._half_life_seconds)
 
+    def age_seconds(self, now: float) -> float:
+        """Return the time since the last addition."""
+        return now - self._at
+
     def add(self, now: float, *terms: float) -> None:
-        share = self.share(now)
+        """Add to the values, of which the first is the weight."""
+        weight = self.share(now) * self.values[0] + terms[0]
+        share = self.share(now) * min(1.0, self._max_weight / weight)
         self.values = [
             value * share + term for value, term in zip(self.values, terms, strict=True)
         ]
@@ -121,11 +136,13 @@
             sums = self._factors.get(target)
             if sums is None:
                 sums = self._factors[target] = _DecayingSums(
-                    half_life_seconds=FACTOR_HALF_LIFE_SECONDS, size=2
+                    half_life_seconds=FACTOR_HALF_LIFE_SECONDS,
+                    size=2,
+                    max_weight=MAX_FACTOR_EVENTS,
                 )
             sums.add(now, events, events * math.log(ratio))
         route = self._routes.get(key)
-        if route is None:
+        if route is None or route.age_seconds(now) > STALE_SECONDS:
             route = self._routes[key] = _DecayingSums(
                 half_life_seconds=MODEL_HALF_LIFE_SECONDS, size=5
             )
@@ -177,7 +194,11 @@
         if sums is None:
             return None
         weight, loads, gaps, squares, products = sums.values
-        if weight * sums.share(self._clock()) < MIN_EVENTS:
+        now = self._clock()
+        if (
+            sums.age_seconds(now) > STALE_SECONDS
+            or weight * sums.share(now) < MIN_EVENTS
+        ):
             return None
         mean_load, mean_gap = loads / weight, gaps / weight
         variance = max(0.0, squares / weight - mean_load**2)
--- a/tests/gateway/test_stream_attempts.py
+++ b/tests/gateway/test_stream_attempts.py
@@ -129,5 +129,6 @@
     assert late.refusal.verdict is Verdict.NOT_RUN
     assert late.refusal.retry_after_seconds >= 0.2
     assert "expected to end" in late.refusal.detail
+    assert deps.placement.streams.late_choices == 1
     assert len(pools.sent_to_targets) == sent
     assert serve(deps, timeout_seconds=4.0).started
--- a/tests/policy/test_completion.py
+++ b/tests/policy/test_completion.py
@@ -21,7 +21,7 @@
     reserve_seconds,
 )
 from pimentospool.policy._stream_lengths import MIN_SAMPLES, StreamLengths
-from pimentospool.policy._stream_pace import StreamPaces
+from pimentospool.policy._stream_pace import STALE_SECONDS, StreamPaces
 
 KEY = RouteKey("llm", "ask", True)
 
@@ -56,11 +56,23 @@
     paces = StreamPaces(clock=clock)
     learn(paces, {"fast": 1.0, "other": 1.0, "slow": 0.5}, rounds=60)
     assert paces.factor("slow") / paces.factor("fast") == pytest.approx(2.0, rel=0.25)
-    clock.now += 60.0
+    clock.now += 24.0
+    assert paces.factor("slow") < 1.25
+    clock.now += 36.0
     assert paces.factor("slow") == pytest.approx(1.0, rel=0.1)
-    assert paces.event_seconds(KEY, 30) is not None
-    clock.now += 240.0
+
+
+def test_pace_without_events_is_forgotten():
+    """Against engines that recover while all their streams are refused."""
+    clock = Clock()
+    paces = StreamPaces(clock=clock)
+    learn(paces, {"a": 0.1, "b": 0.1}, rounds=2000)
+    clock.now += STALE_SECONDS
+    assert paces.event_seconds(KEY, 30) > 8 * gap_seconds(30)
+    clock.now += 0.1
     assert paces.event_seconds(KEY, 30) is None
+    learn(paces, {"a": 1.0, "b": 1.0}, rounds=20)
+    assert paces.event_seconds(KEY, 30) == pytest.approx(gap_seconds(30), rel=0.2)
 
 
 def test_slow_caller_does_not_make_a_target_slow():
