--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -362,9 +362,14 @@
         if warm_up is not None and self.counts(registration):
             warm_up.record_failure()
 
-    def _warm_up(self, state: TargetState, *, cold: bool) -> WarmUp | None:
-        """Return the limit of a target that has started or recovered, if it has one."""
+    def _warm_up(self, state: TargetState) -> WarmUp | None:
+        """Return the limit of a target that has started or recovered, if it has one.
+
+        A doubt begins none: sound targets that end connections are in doubt for
+        moments, and one that has started again is cold by its new registration.
+        """
         warm_up = self._warm_ups.get(state.id)
+        cold = state.is_cold(self._clock())
         recovers = self.health(state.id).last_connect_failed
         if (cold or recovers) and (
             warm_up is None or (warm_up.over and not warm_up.active)
@@ -501,8 +506,7 @@
     ) -> Candidate:
         health = self.health(state.id)
         occupancy, slots = self._book.total(state.id), state.registration.slots
-        cold = self.is_cold(state)
-        warm_up = self._warm_up(state, cold=cold)
+        warm_up = self._warm_up(state)
         rest_seconds = 0.0
         if plan is not None:
             # Requests beyond the slots wait instead of joining the batch.
@@ -522,7 +526,7 @@
             latency_ratio=health.latency_ratio,
             failure_rate=health.failure_rate,
             slot_hold_seconds=health.slot_hold_seconds,
-            cold=cold,
+            cold=self.is_cold(state),
             warmed_share=1.0 if warm_up is None else warm_up.share,
             over_limit=warm_up is not None and not warm_up.allows(occupancy.running),
             rest_seconds=rest_seconds,
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -418,3 +418,15 @@
         for target in ("g-1", "g-2"):
             placement._book.begin(target)
     assert isinstance(choose_small(placement), TargetChoice)
+
+
+def test_doubt_that_is_settled_leaves_no_limit():
+    """Against sound targets that end connections and lose their share."""
+    placement = make_placement()
+    spec = make_service("llm", engine=True, cold_seconds=3.0)
+    placement._routing_state.adopt(
+        make_configuration(ROUTE, version=2, services=[spec])
+    )
+    placement.record_loss("g-1")
+    choose_small(placement)
+    assert not placement._warm_ups
