Begin no warm-up by a failed connection alone

A target to which one connection could not be opened got a limit of 4 requests in progress, also while other entry VMs had many in progress there. An entry VM with a short fault of its own path so left out all targets of its region for a second or more, and sent its requests to another region.

A failed connection begins a warm-up only if no requests are in progress at the target. One that has crashed has none, and a new start is cold by its registration as before.

The new test failed before, with a limit for g-1.

--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -366,11 +366,16 @@
         """Return the limit of a target that has started or recovered, if it has one.
 
         A doubt begins none: sound targets that end connections are in doubt for
-        moments, and one that has started again is cold by its new registration.
+        moments, and one that has started again is cold by its new registration. Nor
+        does a failed connection to a target at which requests are in progress, as the
+        path to it may have failed alone.
         """
         warm_up = self._warm_ups.get(state.id)
         cold = state.is_cold(self._clock())
-        recovers = self.health(state.id).last_connect_failed
+        recovers = (
+            self.health(state.id).last_connect_failed
+            and not self._book.total(state.id).running
+        )
         if (cold or recovers) and (
             warm_up is None or (warm_up.over and not warm_up.active)
         ):
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -30,6 +30,7 @@
     DoubtNotice,
     EntryState,
     NoChoice,
+    Occupancy,
     OccupancyBook,
     RegionChoice,
     TargetChoice,
@@ -469,3 +470,13 @@
     in_contact = cold_senders(names, silent=())
     assert in_contact
     assert cold_senders(names, silent=in_contact) <= in_contact
+
+
+def test_connection_error_at_a_target_that_others_use_begins_no_warm_up():
+    """Against sound targets that lose their share by one connection that failed."""
+    placement = make_placement()
+    recover(placement, "g-1")
+    load = {target: Occupancy(20) for target in ("g-1", "g-2")}
+    placement._book.receive_report("e-2", load)
+    choose_small(placement)
+    assert not placement._warm_ups
