Use targets at their limit before refusing requests

If all targets of a region were at the limit of their warm-up and another region was known, only the other region was considered. A request was refused if that was full, though one of the targets could have served it.

The targets at their limit are considered if nothing else is, and now also if the other regions can't take the request and the remaining targets are cold. Beside warm targets within their limit they stay left out, as refused requests would flood them otherwise.

The new test failed before: the request was not sent to a target of the region.

--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -198,10 +198,6 @@
                     remotes.append(neighbours)
         if plan is not None:
             remotes = self.streams.expect(plan, service, remotes)
-        # A target whose limit is reached is used only if there is no other way.
-        over_limit = [item for item in candidates if item.over_limit]
-        if remotes or len(over_limit) < len(candidates):
-            candidates = [item for item in candidates if not item.over_limit]
         candidates, remotes = self.streams.reserve(route, service, candidates, remotes)
         choose = partial(
             choose_destination,
@@ -213,22 +209,38 @@
             min_wait_seconds=min_wait_seconds,
             may_try_idle=may_try_idle,
         )
-        choice = choose(candidates)
+        # Targets whose limit is reached are used only if there is no other way.
+        within_limit = [item for item in candidates if not item.over_limit]
+        over_limit = [item for item in candidates if item.over_limit]
+        choice = self._choose_allowed(choose, within_limit, service)
         if (
-            isinstance(choice, TargetChoice)
-            and choice.candidate.cold
-            and not self._acquire_cold_start(choice.candidate, service)
+            isinstance(choice, NoChoice)
+            and over_limit
+            and all(item.cold for item in within_limit)
         ):
-            others = [item for item in candidates if not item.cold]
-            if not (others or remotes):
-                others = [item for item in over_limit if not item.cold]
-            choice = choose(others)
+            choice = self._choose_allowed(choose, over_limit, service)
         if isinstance(choice, TargetChoice):
             self.named_limits.record_send(choice.candidate.target)
         elif isinstance(choice, NoChoice) and choice.completion_seconds:
             self.streams.late_choices += 1
         return choice
 
+    def _choose_allowed(
+        self,
+        choose: Callable[[list[Candidate]], TargetChoice | RegionChoice | NoChoice],
+        candidates: list[Candidate],
+        service: ServiceSpec,
+    ) -> TargetChoice | RegionChoice | NoChoice:
+        """Return the choice among `candidates`, a cold one only if it is allowed."""
+        choice = choose(candidates)
+        if (
+            isinstance(choice, TargetChoice)
+            and choice.candidate.cold
+            and not self._acquire_cold_start(choice.candidate, service)
+        ):
+            choice = choose([item for item in candidates if not item.cold])
+        return choice
+
     def is_cold(self, state: TargetState) -> bool:
         """Whether a target is cold, or may be as it may have started again."""
         return state.is_cold(self._clock()) or (
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -55,7 +55,7 @@
 TARGETS = {"g-1": "gulf-a", "g-2": "gulf-a", "d-1": "delta-a", "d-2": "delta-a"}
 
 
-def make_placement(*, wait=0.0, own="own"):
+def make_placement(*, wait=0.0, utilisation=0.0, own="own"):
     clock = Clock()
     routing_state = RoutingState(clock=clock, zone_regions=ZONES)
     routing_state.adopt(make_configuration(ROUTE, services=[SERVICE]))
@@ -65,7 +65,7 @@
         )
     fleet = Fleet(local_record=make_record(own), clock=clock, rng=random.Random(1))
     record = make_record("far", region="delta")
-    announce(fleet, record, loads={"llm": ServiceLoad(wait, 0.0)})
+    announce(fleet, record, loads={"llm": ServiceLoad(wait, utilisation)})
     return Placement(
         region="gulf",
         routing_state=routing_state,
@@ -480,3 +480,13 @@
     placement._book.receive_report("e-2", load)
     choose_small(placement)
     assert not placement._warm_ups
+
+
+def test_target_at_its_limit_is_used_if_the_other_region_is_too_slow():
+    """Against refusals while a recovered target could serve the request."""
+    placement = make_placement(wait=30.0, utilisation=1.0)
+    recover(placement, "g-1", "g-2")
+    for _ in range(5):
+        for target in ("g-1", "g-2"):
+            placement._book.begin(target)
+    assert isinstance(choose_small(placement), TargetChoice)
