Place streams with spare time as before

The time to a stream's end counted in its cost also if it was a tenth of the time left: 0.6 x 0.1 of it. Differences between learned factors of targets, and between this region and others, which have none, so changed the placement in deployments in which no stream is near its deadline.

The weight is 0 up to a quarter of the time left and rises to 0.6 at all of it. A test with 1.5 s of 9 s left failed before.

--- a/pimentospool/policy/_target_choice.py
+++ b/pimentospool/policy/_target_choice.py
@@ -45,6 +45,9 @@
 the latency objective, or of the time at an idle target where that is longer. A request
 that is refused early can be retried with time left, and doesn't delay the requests
 queued behind it; it would gain nothing if idle targets take as long."""
+SPARE_TIME_SHARE = 0.25
+"""Share of the time left up to which the end of a stream does not count. A stream that
+may take four times as long as expected is placed by its first byte alone."""
 STREAM_TIME_WEIGHT = 0.6
 """Weight of the time from a stream's first event to its end, for one that takes all the
 time until its deadline; less in proportion for others. Streams with little time to
@@ -375,7 +378,9 @@
 def _stream_cost_seconds(rest_seconds: float, seconds_left: float) -> float:
     if not rest_seconds or math.isinf(seconds_left):
         return 0.0
-    return STREAM_TIME_WEIGHT * rest_seconds * min(1.0, rest_seconds / seconds_left)
+    time_share = rest_seconds / max(seconds_left, rest_seconds)
+    excess = max(0.0, time_share - SPARE_TIME_SHARE) / (1.0 - SPARE_TIME_SHARE)
+    return STREAM_TIME_WEIGHT * rest_seconds * excess
 
 
 def _prefill_cost_seconds(
--- a/tests/policy/test_completion.py
+++ b/tests/policy/test_completion.py
@@ -179,6 +179,17 @@
     assert isinstance(choose([engine("a", 0.0)]), TargetChoice)
 
 
+def test_stream_far_from_its_deadline_is_placed_as_if_its_end_were_unknown():
+    """Against deployments without late streams whose placement changes."""
+    for rest_seconds, near in ((1.5, False), (7.0, True)):
+        targets = [
+            engine("idler", rest_seconds * 1.2, running=20),
+            engine("faster", rest_seconds, running=30),
+        ]
+        choice = choose(targets, seconds_left=9.0)
+        assert choice.candidate.target == ("faster" if near else "idler")
+
+
 def test_work_that_may_travel_leaves_room_for_work_that_may_not():
     """Against a full region beside an idle one."""
     idle = RemoteRegion(region="delta", wait_seconds=0.02)
