Expect no longer streams than the stated numbers have shown

The fit of the events to a stated hint or limit was extended without bound. After limits of 100 to 1,050 tokens, a request with a limit of 1,000,000 was expected to have 100,000 events and was refused. As refused streams tell no length, this did not correct itself.

Stated numbers above the highest one seen count as that one, and a stream is not expected to have more events than its limit has tokens. The new test failed before with 100,000 expected events.

--- a/pimentospool/policy/_stream_lengths.py
+++ b/pimentospool/policy/_stream_lengths.py
@@ -53,11 +53,14 @@
     slope: float
     residuals: tuple[float, ...]
     """Sorted differences of the answers from the estimate."""
+    highest: float
+    """Highest logarithm of the stated number that was seen. Beyond it the line is not
+    known to hold, and streams that are refused can't show that it doesn't."""
 
     def log_events(self, stated: int) -> float:
         if not self.slope:
             return self.offset
-        return self.offset + self.slope * math.log(stated)
+        return self.offset + self.slope * min(math.log(stated), self.highest)
 
 
 class _Route:
@@ -144,6 +147,9 @@
         fit, value = min(usable, key=lambda item: _spread(item[0]))
         center = fit.log_events(value)
         lengths = [math.exp(center + residual) for residual in fit.residuals]
+        if stated.max_output:
+            # Each event has a token at least.
+            lengths = [min(length, stated.max_output) for length in lengths]
         rest = [length - sent for length in lengths if length > sent]
         if not rest:
             return LengthEstimate(1.0, 1.0)
@@ -174,7 +180,7 @@
     slope = min(1.0, max(0.0, covariance / variance)) if variance > 1e-9 else 0.0
     offset = median(y - slope * x for x, y in points)
     residuals = sorted(y - slope * x - offset for x, y in points)
-    return _Fit(offset, slope, tuple(residuals))
+    return _Fit(offset, slope, tuple(residuals), max(x for x, _ in points))
 
 
 def _spread(fit: _Fit) -> float:
--- a/tests/policy/test_completion.py
+++ b/tests/policy/test_completion.py
@@ -109,6 +109,18 @@
     assert none.median < 36 < none.high < 119
 
 
+def test_stated_lengths_beyond_those_seen_tell_no_more():
+    """Against refusals by a default limit that is far above those of other requests."""
+    lengths = StreamLengths(clock=Clock())
+    for events in range(10, 106):
+        lengths.record(KEY, events, StatedLength(events * 8, events * 10))
+    seen = lengths.estimate(KEY, StatedLength(840, 1050))
+    assert seen.median == pytest.approx(105, rel=0.1)
+    far = lengths.estimate(KEY, StatedLength(0, 1_000_000))
+    assert far.median <= seen.median * 1.1
+    assert lengths.estimate(KEY, StatedLength(0, 5)).median <= 5
+
+
 def test_stream_that_is_taken_up_has_less_to_do():
     """Against a resumed stream that is judged as if it began."""
     lengths = make_lengths()
