--- a/pimentospool/gateway/_attempt_sender.py
+++ b/pimentospool/gateway/_attempt_sender.py
@@ -168,9 +168,15 @@
         start = attempt.registration = state.registration
         attempt.version = version
 
+        observer = deps.placement.streams.observe(self._route, start)
+
         def record_event() -> None:
             assignment.first_event()
             self._record_stream(attempt.version)
+            if observer is not None and deps.placement.counts(start):
+                observer.record(
+                    self._progress.events_sent, self._progress.write_seconds
+                )
             exposure.record_event()
 
         def record_head(head: AnswerHead) -> None:
@@ -214,6 +220,8 @@
                     raise _unsent_failure("the target may have started again")
                 self._check_caller()
                 self._check_time(candidate)
+                if not deps.placement.confirm_cold_start(candidate):
+                    raise _unsent_failure("the cold target was just sent another one")
                 encoded = self._encode_for_target(state, hold)
                 self._record_send()
                 sent_at = deps.clock()
--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -17,6 +17,7 @@
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.gateway._region_contact import RegionContact
 from pimentospool.gateway._routing_state import RoutingState, TargetState
+from pimentospool.gateway._stream_placement import StreamPlacement
 from pimentospool.ids import EntryId, RegionId, ServiceId, SoftwareVersion, TargetId
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
@@ -34,8 +35,10 @@
     RegionChoice,
     RemoteRegion,
     ServicePace,
+    StreamPlan,
     TargetChoice,
     TargetHealth,
+    WarmUp,
     choose_destination,
     neighbour_use,
     preferred_target,
@@ -119,6 +122,10 @@
         )
         self._health: dict[TargetId, TargetHealth] = {}
         self._paces: dict[ServiceId, ServicePace] = {}
+        self._warm_ups: dict[TargetId, WarmUp] = {}
+        self.streams = StreamPlacement(
+            region=region, routing_state=routing_state, book=book, clock=clock
+        )
         self._starts = KnownStarts(clock=clock, forget=self._forget_target)
         for target in routing_state.known_targets():
             state = routing_state.target(target)
@@ -137,14 +144,19 @@
         first_byte_timeout_seconds: float,
         may_try_idle: bool = True,
         may_continue: Callable[[TargetState], bool] = lambda state: True,
+        seconds_left: float = math.inf,
+        refuses_late: bool = False,
     ) -> TargetChoice | RegionChoice | NoChoice:
         """Return the target or region for the next attempt of `req`.
 
         `first_byte_timeout_seconds` is the time for which the caller still waits for a
         first byte, `may_try_idle` is that of `choose_destination`. `may_continue` tells
         whether a stream that has begun may go on at a target of its version.
+        `seconds_left` is the time until the deadline of the request, and `refuses_late`
+        whether a stream is refused that would not end by then.
         """
         preferred_region = self._preferred_region(req, route, service)
+        plan = self.streams.plan(req, route, service, progress)
         remotes = []
         if not req.is_hop and progress.targets_left:
             remotes = self._remote_regions(
@@ -170,6 +182,7 @@
                 [state for state in states if not waits.get(state.id)],
                 progress,
                 has_preferred_target=not preferred_elsewhere,
+                plan=plan,
             )
             if not req.is_hop and progress.targets_left:
                 neighbours = self._neighbours(
@@ -183,14 +196,42 @@
                 if neighbours is not None:
                     candidates = []
                     remotes.append(neighbours)
+        if plan is not None:
+            remotes = self.streams.expect(plan, service, remotes)
+        candidates, remotes = self.streams.reserve(route, service, candidates, remotes)
         choose = partial(
             choose_destination,
             remotes=remotes,
+            seconds_left=max(0.0, seconds_left) if plan is not None else math.inf,
+            refuses_late=refuses_late,
             first_byte_timeout_seconds=first_byte_timeout_seconds,
             objective_seconds=route.target_latency_seconds or math.inf,
             min_wait_seconds=min_wait_seconds,
             may_try_idle=may_try_idle,
         )
+        # Targets whose limit is reached are used only if there is no other way.
+        within_limit = [item for item in candidates if not item.over_limit]
+        over_limit = [item for item in candidates if item.over_limit]
+        choice = self._choose_allowed(choose, within_limit, service)
+        if (
+            isinstance(choice, NoChoice)
+            and over_limit
+            and all(item.cold for item in within_limit)
+        ):
+            choice = self._choose_allowed(choose, over_limit, service)
+        if isinstance(choice, TargetChoice):
+            self.named_limits.record_send(choice.candidate.target)
+        elif isinstance(choice, NoChoice) and choice.completion_seconds:
+            self.streams.late_choices += 1
+        return choice
+
+    def _choose_allowed(
+        self,
+        choose: Callable[[list[Candidate]], TargetChoice | RegionChoice | NoChoice],
+        candidates: list[Candidate],
+        service: ServiceSpec,
+    ) -> TargetChoice | RegionChoice | NoChoice:
+        """Return the choice among `candidates`, a cold one only if it is allowed."""
         choice = choose(candidates)
         if (
             isinstance(choice, TargetChoice)
@@ -198,8 +239,6 @@
             and not self._acquire_cold_start(choice.candidate, service)
         ):
             choice = choose([item for item in candidates if not item.cold])
-        if isinstance(choice, TargetChoice):
-            self.named_limits.record_send(choice.candidate.target)
         return choice
 
     def is_cold(self, state: TargetState) -> bool:
@@ -321,9 +360,43 @@
         pace = self.pace(registration.service)
         ratio = seconds / (candidate.reference_seconds + candidate.queue_seconds)
         self.start_health(registration).record_answer(pace.relative(ratio))
+        warm_up = self._warm_ups.get(registration.id)
+        if warm_up is not None and self.counts(registration):
+            warm_up.record_answer(
+                pace.relative(ratio), running=candidate.occupancy.running + 1
+            )
         if not candidate.queue_seconds:
             pace.record(ratio)
 
+    def record_failure(self, registration: Registration) -> None:
+        """Record that a target failed, rejected or did not answer a request."""
+        warm_up = self._warm_ups.get(registration.id)
+        if warm_up is not None and self.counts(registration):
+            warm_up.record_failure()
+
+    def _warm_up(self, state: TargetState) -> WarmUp | None:
+        """Return the limit of a target that has started or recovered, if it has one.
+
+        A doubt begins none: sound targets that end connections are in doubt for
+        moments, and one that has started again is cold by its new registration. Nor
+        does a failed connection to a target at which requests are in progress, as the
+        path to it may have failed alone.
+        """
+        warm_up = self._warm_ups.get(state.id)
+        cold = state.is_cold(self._clock())
+        recovers = (
+            self.health(state.id).last_connect_failed
+            and not self._book.total(state.id).running
+        )
+        if (cold or recovers) and (
+            warm_up is None or (warm_up.over and not warm_up.active)
+        ):
+            warm_up = WarmUp(slots=state.registration.slots, clock=self._clock)
+            self._warm_ups[state.id] = warm_up
+        if warm_up is not None:
+            warm_up.active = cold or recovers
+        return warm_up
+
     def local_loads(self) -> dict[str, ServiceLoad]:
         """Return the load of this region's targets by service."""
         configuration = self._routing_state.configuration
@@ -401,6 +474,7 @@
         progress: RequestProgress,
         *,
         has_preferred_target: bool,
+        plan: StreamPlan | None = None,
     ) -> list[Candidate]:
         """Return those of `states` that the request may be sent to.
 
@@ -416,7 +490,9 @@
         prompt = req.prompt
         if prompt is None or service.engine is None:
             return [
-                self._make_candidate(state, service, prefill_tokens=0, tokens=0)
+                self._make_candidate(
+                    state, service, prefill_tokens=0, tokens=0, plan=plan
+                )
                 for state in states
             ]
         preferred = None
@@ -431,6 +507,7 @@
                 service,
                 prefill_tokens=self._prefill_tokens(req, state.id, preferred=preferred),
                 tokens=tokens,
+                plan=plan,
             )
             for state in states
         ]
@@ -442,13 +519,23 @@
         *,
         prefill_tokens: int,
         tokens: int,
+        plan: StreamPlan | None = None,
     ) -> Candidate:
         health = self.health(state.id)
+        occupancy, slots = self._book.total(state.id), state.registration.slots
+        warm_up = self._warm_up(state)
+        rest_seconds = 0.0
+        if plan is not None:
+            # Requests beyond the slots wait instead of joining the batch.
+            batch_size = min(occupancy.running + 1, max(slots, 1))
+            rest_seconds = self.streams.rest_seconds(
+                plan, running=batch_size, target=state.id
+            )
         return Candidate(
             target=state.id,
             version=state.registration.version,
-            occupancy=self._book.total(state.id),
-            slots=state.registration.slots,
+            occupancy=occupancy,
+            slots=slots,
             cache_tokens=service.engine.cache_tokens if service.engine else 0,
             prefill_tokens=prefill_tokens,
             required_cache_tokens=tokens,
@@ -457,6 +544,9 @@
             failure_rate=health.failure_rate,
             slot_hold_seconds=health.slot_hold_seconds,
             cold=self.is_cold(state),
+            warmed_share=1.0 if warm_up is None else warm_up.share,
+            over_limit=warm_up is not None and not warm_up.allows(occupancy.running),
+            rest_seconds=rest_seconds,
         )
 
     def _prefill_tokens(
@@ -502,7 +592,10 @@
                 wait_seconds=load.wait_seconds,
                 slot_utilisation=load.slot_utilisation,
                 prefill_tokens=self._prefill_tokens_in_region(
-                    req, service, is_preferred=region == preferred_region
+                    req,
+                    service,
+                    is_preferred=region == preferred_region,
+                    slot_utilisation=load.slot_utilisation,
                 ),
                 service_pace=self.pace(service.id).value,
             )
@@ -599,15 +692,25 @@
         return regions[preferred] if preferred is not None else None
 
     def _prefill_tokens_in_region(
-        self, req: InboundRequest, service: ServiceSpec, *, is_preferred: bool
+        self,
+        req: InboundRequest,
+        service: ServiceSpec,
+        *,
+        is_preferred: bool,
+        slot_utilisation: float = 0.0,
     ) -> int:
-        """Return the prompt tokens that a target of another region has to read."""
+        """Return the prompt tokens that a target of another region has to read.
+
+        The load of a region is that of its cheapest target. The busier that is, the
+        less likely is the preferred target, which has the shared parts, the cheapest.
+        """
         prompt = req.prompt
         if prompt is None or service.engine is None:
             return 0
         if not is_preferred or not prompt.parts:
             return prompt.tokens
-        return prompt.parts[-1].tokens
+        own_tokens = prompt.parts[-1].tokens
+        return own_tokens + round((prompt.tokens - own_tokens) * slot_utilisation)
 
     def _acquire_cold_start(self, candidate: Candidate, service: ServiceSpec) -> bool:
         bounds = self._bounds
@@ -618,6 +721,17 @@
             members=self._fleet.known_ids(self._region),
         )
 
+    def confirm_cold_start(self, candidate: Candidate) -> bool:
+        """Whether a request to a target may be sent now, as it isn't cold or allowed.
+
+        The choice has allowed it, but another one may have been sent since.
+        """
+        return not candidate.cold or self._cold_start_limiter.confirm(candidate.target)
+
+    def record_check(self, target: TargetId) -> None:
+        """Count a health check or a report against the limit of a cold target."""
+        self._cold_start_limiter.record(target)
+
     def _cold_seconds(self, service: ServiceId) -> float:
         """Return how long a new start of a target of `service` is cold."""
         configuration = self._routing_state.configuration
@@ -648,6 +762,8 @@
 
     def _forget_target(self, target: TargetId) -> None:
         self._health.pop(target, None)
+        self.streams.forget(target)
+        self._warm_ups.pop(target, None)
         if not self._starts.is_known(target):
             self.doubted_starts.forget(target)
         self.named_limits.forget(target)
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -3,6 +3,12 @@
 from pimentospool.policy._api_keys import KEY_DIGEST_BYTES, KeyTable, key_digest
 from pimentospool.policy._brittle_targets import BrittleTargets
 from pimentospool.policy._cached_parts import CachedParts, preferred_target
+from pimentospool.policy._completion import (
+    StreamExpectations,
+    StreamPlan,
+    is_narrower,
+    reserve_seconds,
+)
 from pimentospool.policy._configuration_age import (
     ConfigurationAge,
     choose_query_receivers,
@@ -101,6 +107,8 @@
 )
 from pimentospool.policy._shares import QuotaShares
 from pimentospool.policy._start_doubt import REGISTRATION_SECONDS, StartDoubt
+from pimentospool.policy._stream_lengths import StatedLength
+from pimentospool.policy._stream_pace import StreamObserver
 from pimentospool.policy._stream_versions import (
     FOLLOWED_SECONDS,
     MAX_STREAM_SECONDS,
@@ -126,6 +134,7 @@
     neighbour_use,
 )
 from pimentospool.policy._target_health import TargetHealth
+from pimentospool.policy._warm_up import WarmUp
 
 __all__ = [
     "FOLLOWED_SECONDS",
@@ -216,7 +225,11 @@
     "SharedRetryBudget",
     "Start",
     "StartDoubt",
+    "StatedLength",
+    "StreamExpectations",
     "StreamKnowledge",
+    "StreamObserver",
+    "StreamPlan",
     "StreamPosition",
     "StreamVersions",
     "SuspectKind",
@@ -226,6 +239,7 @@
     "TargetHealth",
     "TargetRoute",
     "WaitQueue",
+    "WarmUp",
     "answers_within",
     "choose_destination",
     "choose_query_receivers",
@@ -234,6 +248,7 @@
     "ends_in_time",
     "fallback_share",
     "head_cost",
+    "is_narrower",
     "is_newer",
     "key_digest",
     "neighbour_use",
@@ -246,6 +261,7 @@
     "rank_members",
     "region_share",
     "region_weight",
+    "reserve_seconds",
     "responsible_entry",
     "standin_share",
     "startup_share",
--- a/pimentospool/policy/_shared_limits.py
+++ b/pimentospool/policy/_shared_limits.py
@@ -109,7 +109,10 @@
     """Limits the requests that this entry VM sends to targets in their cold start.
 
     Only as many of a region's entry VMs send to one cold target as its rate allows.
-    They are chosen by rendezvous hashing, so all entry VMs agree on them.
+    They are chosen by rendezvous hashing, so all entry VMs agree on them. Those that
+    are not heard keep their places: they may be cut off, frozen, or of an earlier
+    build, and send in their places. Others in these places would be senders beyond
+    those whose delayed requests the limit allows for.
 
     Parameters
     ----------
@@ -124,11 +127,28 @@
         self._clock = clock
         self._ready_at = clock() + STARTUP_DELAY_SECONDS
         self._last_sent_at: dict[TargetId, float] = {}
+        """When requests were last allowed or sent."""
+        self._confirmed_at: dict[TargetId, float] = {}
+        """When requests and checks were last sent."""
 
     def acquire(
-        self, target: TargetId, *, limit_per_second: float, members: Iterable[EntryId]
+        self,
+        target: TargetId,
+        *,
+        limit_per_second: float,
+        members: Iterable[EntryId],
     ) -> bool:
-        """Return whether the cold `target` may get a request, and record it if so."""
+        """Return whether the cold `target` may get a request, and record it if so.
+
+        Parameters
+        ----------
+        target : TargetId
+            The target.
+        limit_per_second : float
+            Requests in a second that it may get from all entry VMs.
+        members : iterable of EntryId
+            Entry VMs of the region that this one has known, itself included.
+        """
         now = self._clock()
         self._drop_old(now)
         if now < self._ready_at or target in self._last_sent_at:
@@ -140,10 +160,31 @@
         self._last_sent_at[target] = now
         return True
 
+    def confirm(self, target: TargetId) -> bool:
+        """Return whether an allowed request may be sent now, and record it if so.
+
+        It may have waited for a connection, and another one for the same.
+        """
+        now = self._clock()
+        self._drop_old(now)
+        if target in self._confirmed_at:
+            return False
+        self._last_sent_at[target] = self._confirmed_at[target] = now
+        return True
+
+    def record(self, target: TargetId) -> None:
+        """Record a health check or another question to `target`.
+
+        The target may be cold, and counts it as a request.
+        """
+        now = self._clock()
+        self._last_sent_at[target] = self._confirmed_at[target] = now
+
     def _drop_old(self, now: float) -> None:
-        for target, sent_at in list(self._last_sent_at.items()):
-            if now - sent_at >= MIN_COLD_INTERVAL_SECONDS:
-                del self._last_sent_at[target]
+        for times in (self._last_sent_at, self._confirmed_at):
+            for target, sent_at in list(times.items()):
+                if now - sent_at >= MIN_COLD_INTERVAL_SECONDS:
+                    del times[target]
 
 
 def responsible_entry(target: TargetId, members: Iterable[EntryId]) -> EntryId | None:
--- a/tests/gateway/test_placement.py
+++ b/tests/gateway/test_placement.py
@@ -28,7 +28,9 @@
 from pimentospool.gateway._progress import RequestProgress
 from pimentospool.policy import (
     DoubtNotice,
+    EntryState,
     NoChoice,
+    Occupancy,
     OccupancyBook,
     RegionChoice,
     TargetChoice,
@@ -53,7 +55,7 @@
 TARGETS = {"g-1": "gulf-a", "g-2": "gulf-a", "d-1": "delta-a", "d-2": "delta-a"}
 
 
-def make_placement(*, wait=0.0):
+def make_placement(*, wait=0.0, utilisation=0.0, own="own"):
     clock = Clock()
     routing_state = RoutingState(clock=clock, zone_regions=ZONES)
     routing_state.adopt(make_configuration(ROUTE, services=[SERVICE]))
@@ -61,9 +63,9 @@
         routing_state.register(
             make_registration(target, service="llm", zone=zone, port=9000 + number)
         )
-    fleet = Fleet(local_record=make_record("own"), clock=clock, rng=random.Random(1))
+    fleet = Fleet(local_record=make_record(own), clock=clock, rng=random.Random(1))
     record = make_record("far", region="delta")
-    announce(fleet, record, loads={"llm": ServiceLoad(wait, 0.0)})
+    announce(fleet, record, loads={"llm": ServiceLoad(wait, utilisation)})
     return Placement(
         region="gulf",
         routing_state=routing_state,
@@ -109,6 +111,18 @@
         assert choose(placement, key).candidate.prefill_tokens == 8000
 
 
+@pytest.mark.parametrize("utilisation", [0.0, 1.0])
+def test_full_region_is_not_preferred_for_shared_parts(utilisation):
+    """Against prompts that leave a region with room for one whose slots are in use."""
+    placement = make_placement(wait=0.05, utilisation=utilisation)
+    for target in ("g-1", "g-2"):
+        slots = placement._routing_state.target(target).registration.slots
+        for _ in range(slots // 2):
+            placement._book.begin(target)
+    for key in keys_preferred_in("delta-a")[:20]:
+        assert isinstance(choose(placement, key), RegionChoice) is (utilisation == 0.0)
+
+
 def test_short_prompts_stay_in_their_region():
     placement = make_placement()
     for key in keys_preferred_in("delta-a")[:20]:
@@ -344,3 +358,147 @@
         assignment = placement.begin_assignment(make_request(), choice.candidate)
         running.append((clock.now + 1.0, choice.candidate, assignment))
     assert most_used <= 7
+
+
+@pytest.mark.parametrize("bound_route", [False, True])
+@pytest.mark.parametrize("running", [2, 5])
+def test_requests_that_may_travel_leave_room_for_those_that_may_not(
+    running, bound_route
+):
+    """Against engines full of work that another region could have done."""
+    placement = make_placement()
+    bound = make_route(
+        "/bound/",
+        services=("llm",),
+        kind=RequestKind.STREAM,
+        home_regions=frozenset({"gulf"}),
+    )
+    routes = (ROUTE, bound) if bound_route else (ROUTE,)
+    placement._routing_state.adopt(
+        make_configuration(*routes, version=2, services=[SERVICE])
+    )
+    for target in ("g-1", "g-2"):
+        for _ in range(running):
+            placement._book.begin(target)
+    for route in routes:
+        choice = placement.choose(
+            make_request(route.prefix, prompt=Prompt(tokens=10, max_output_tokens=9)),
+            route,
+            SERVICE,
+            RequestProgress(route=route, max_targets=1),
+            first_byte_timeout_seconds=3.0,
+        )
+        leaves = running == 5 and bound_route and route is ROUTE
+        assert isinstance(choice, RegionChoice) is leaves
+
+
+def choose_small(placement):
+    req = make_request(ROUTE.prefix, prompt=Prompt(tokens=10, max_output_tokens=9))
+    progress = RequestProgress(route=ROUTE, max_targets=1)
+    return placement.choose(
+        req, ROUTE, SERVICE, progress, first_byte_timeout_seconds=3.0
+    )
+
+
+def recover(placement, *targets):
+    for target in targets:
+        placement.health(target).record_connect_failure()
+    placement._clock.now += 1.0
+
+
+def test_recovered_target_gets_few_requests_until_it_answers_in_time():
+    """Against a target that is flooded as it returns idle."""
+    placement = make_placement()
+    recover(placement, "g-1")
+    targets = []
+    for _ in range(8):
+        choice = choose_small(placement)
+        targets.append(choice.candidate.target)
+        placement.begin_assignment(make_request(), choice.candidate)
+    assert targets.count("g-1") == 4
+    registration = placement._routing_state.target("g-1").registration
+    candidate = choice.candidate
+    for _ in range(4):
+        placement.record_first_byte(registration, candidate, 0.01)
+    assert choose_small(placement).candidate.target == "g-1"
+
+
+def test_recovered_targets_are_used_if_there_is_no_other():
+    """Against refusals as all targets of a service have recovered."""
+    placement = make_placement()
+    placement._fleet._region_loads._reports.clear()
+    recover(placement, "g-1", "g-2")
+    for _ in range(5):
+        for target in ("g-1", "g-2"):
+            placement._book.begin(target)
+    assert isinstance(choose_small(placement), TargetChoice)
+
+
+def test_doubt_that_is_settled_leaves_no_limit():
+    """Against sound targets that end connections and lose their share."""
+    placement = make_placement()
+    spec = make_service("llm", engine=True, cold_seconds=3.0)
+    placement._routing_state.adopt(
+        make_configuration(ROUTE, version=2, services=[spec])
+    )
+    placement.record_loss("g-1")
+    choose_small(placement)
+    assert not placement._warm_ups
+
+
+def cold_senders(names, *, silent):
+    """Return the entry VMs that send to a cold target as they don't hear `silent`."""
+    spec = make_service("llm", engine=True, cold_seconds=9.0)
+    senders = set()
+    for own in names:
+        placement = make_placement(own=own)
+        placement._routing_state.adopt(
+            make_configuration(ROUTE, version=2, services=[spec])
+        )
+        for target in ("g-1", "g-2"):
+            placement._routing_state.receive_cold_report(target, 60.0)
+        others = [name for name in names if name != own]
+        for name in others:
+            announce(placement._fleet, make_record(name))
+            if name in silent:
+                state = EntryState.CLOSED
+                announce(placement._fleet, make_record(name), state=state, heartbeat=2)
+        live = {record.id for record in placement._fleet.live(region="gulf")}
+        assert live == set(others) - set(silent)
+        placement._clock.now += 2.5
+        choice = choose_for(placement, HOME_ROUTE)
+        if isinstance(choice, TargetChoice) and choice.candidate.target == "g-1":
+            senders.add(own)
+    return senders
+
+
+def test_entry_vms_that_are_not_heard_keep_their_places_at_cold_targets():
+    """Against more senders than half of a cold target's limit in differing views.
+
+    Entry VMs that are cut off, frozen, or of an earlier build send in their own places.
+    A link that stalls for half a second doubles what each of them sends in a second.
+    """
+    names = [f"e-{number}" for number in range(12)]
+    in_contact = cold_senders(names, silent=())
+    assert in_contact
+    assert cold_senders(names, silent=in_contact) <= in_contact
+
+
+def test_connection_error_at_a_target_that_others_use_begins_no_warm_up():
+    """Against sound targets that lose their share by one connection that failed."""
+    placement = make_placement()
+    recover(placement, "g-1")
+    load = {target: Occupancy(20) for target in ("g-1", "g-2")}
+    placement._book.receive_report("e-2", load)
+    choose_small(placement)
+    assert not placement._warm_ups
+
+
+def test_target_at_its_limit_is_used_if_the_other_region_is_too_slow():
+    """Against refusals while a recovered target could serve the request."""
+    placement = make_placement(wait=30.0, utilisation=1.0)
+    recover(placement, "g-1", "g-2")
+    for _ in range(5):
+        for target in ("g-1", "g-2"):
+            placement._book.begin(target)
+    assert isinstance(choose_small(placement), TargetChoice)
--- a/tests/policy/test_shared_limits.py
+++ b/tests/policy/test_shared_limits.py
@@ -1,6 +1,7 @@
 """Shares of limits common to all entry VMs, under every partition of the members."""
 
 import itertools
+import random
 
 import pytest
 from hypothesis import given
@@ -163,6 +164,71 @@
     assert all(later - earlier > 1.0 for earlier, later in itertools.pairwise(sent))
 
 
+@given(st.data())
+def test_cold_rate_holds_for_entries_that_restart_in_a_partition(data):
+    """Those that have started in the partition know only their side."""
+    names = [f"edge-{number}" for number in range(data.draw(st.integers(2, 12)))]
+    side = data.draw(st.sets(st.sampled_from(names)))
+    restarted = data.draw(st.sets(st.sampled_from(names)))
+    views = {}
+    for name in names:
+        own_side = [other for other in names if (other in side) == (name in side)]
+        views[name] = own_side if name in restarted else names
+    assert count_senders_to_cold_target(names, views) <= COLD_LIMIT_PER_SECOND
+
+
+@pytest.mark.parametrize("limit", [6.0, COLD_LIMIT_PER_SECOND, 7.2])
+def test_requests_that_a_stalled_link_brings_together_stay_within_the_limit(limit):
+    """Against senders whose requests of 1.5 s arrive in one second."""
+    clock, rng = Clock(), random.Random(1)
+    names = [f"edge-{number}" for number in range(30)]
+    limiters = {name: ColdStartLimiter(entry=name, clock=clock) for name in names}
+    sent = []
+    while clock.now < 40.0:
+        clock.now += 0.02
+        for name, limiter in limiters.items():
+            options = {"limit_per_second": limit, "members": names}
+            if limiter.acquire("i-1", **options) and limiter.confirm("i-1"):
+                sent.append((name, clock.now))
+    assert len({name for name, _ in sent}) == int(limit / 2)
+    for _ in range(50):
+        stalls = [rng.uniform(2.0, 38.0) for _ in range(8)]
+        arrivals = sorted(
+            next((at + 0.5 for at in stalls if at <= time < at + 0.5), time)
+            for _, time in sent
+        )
+        for first in arrivals:
+            assert sum(first <= at < first + 1.0 for at in arrivals) <= limit
+
+
+def test_requests_that_waited_for_a_connection_are_not_sent_together():
+    """Against two of one entry VM that are allowed one after the other."""
+    clock = Clock()
+    limiter = ColdStartLimiter(entry="edge-1", clock=clock)
+    options = {"limit_per_second": COLD_LIMIT_PER_SECOND, "members": ["edge-1"]}
+    clock.now += 2.0
+    assert limiter.acquire("i-1", **options)
+    clock.now += 1.3
+    assert limiter.acquire("i-1", **options)
+    assert limiter.confirm("i-1")
+    clock.now += 0.1
+    assert not limiter.confirm("i-1")
+    clock.now += 1.0
+    assert not limiter.acquire("i-1", **options)
+
+
+def test_health_check_takes_the_place_of_a_request():
+    """Against a target that gets its whole rate, and checks beside it."""
+    clock = Clock()
+    limiter = ColdStartLimiter(entry="edge-1", clock=clock)
+    options = {"limit_per_second": COLD_LIMIT_PER_SECOND, "members": ["edge-1"]}
+    clock.now += 2.0
+    limiter.record("i-1")
+    assert not limiter.acquire("i-1", **options)
+    clock.now += 1.2
+    assert limiter.acquire("i-1", **options)
+
+
 @given(
     st.lists(
         st.tuples(
