Tell other regions of a jump in demand at once

A region reported its demand every 0.25 s only, and the reply that lets it use a higher weight waited for the next round of the other side.

An owner sends a message when its demand has changed by 0.15 of the limit since the last one, and replies at once to such a change, at most every 0.05 s for each tenant. Messages keep their numbers and acknowledgements, so the weights add up as before.

--- a/pimentospool/gateway/_quota_accounts.py
+++ b/pimentospool/gateway/_quota_accounts.py
@@ -36,12 +36,15 @@
     __slots__ = (
         "bucket",
         "debt_from",
+        "has_news",
         "inherited",
         "last_query_at",
         "meter",
         "rank",
         "standin_since",
         "to_answer",
+        "told_at",
+        "told_demand",
         "weights",
     )
 
@@ -71,3 +74,8 @@
         )
         self.bucket: QuotaBucket | None = None
         self.to_answer: set[RegionId] = set()
+        self.told_at = -1e9
+        """When the demand was last told to other regions, and what it was."""
+        self.told_demand = 0.0
+        self.has_news = False
+        """Whether another region's demand has changed much and awaits an answer."""
--- a/pimentospool/gateway/_quota_owner.py
+++ b/pimentospool/gateway/_quota_owner.py
@@ -36,6 +36,12 @@
 """Time without a copy after which the first owner may have failed; three rounds."""
 UNANSWERED_SECONDS = 0.6
 """Time without an acknowledgement after which a second entry VM of a region is told."""
+NEWS_SHARE = 0.15
+"""Change of a demand, in parts of the larger of limit and demand, that is told or
+answered at once. A peak that moves to another region is refused there until the weights
+have followed; smaller changes wait for the next round."""
+NEWS_SECONDS = 0.05
+"""Shortest time between messages outside of rounds, for each tenant."""
 DEBT_FACTOR = 1.1
 """Debts of all regions together, as a multiple of the quota's slack; requests of 25,000
 tokens are served with three regions and a slack of 72,000."""
@@ -147,7 +153,8 @@
             tenant = tenants.get(item.tenant)
             if tenant is not None and self._members.rank(item.tenant) == 0:
                 account = self._account(tenant, item.tenant, now)
-                self._receive_demand(account, item, sender, now)
+                limit = tenant.rate_per_second
+                self._receive_demand(account, item, sender, limit, now)
 
     def next_round(self, tenants: dict[int, Tenant]) -> QuotaMessages:
         """Return the messages to the owners of other regions and to deputies."""
@@ -168,13 +175,7 @@
                 continue
             account = self._account(tenant, key, now)
             bucket = self._bucket(tenant, account, key, now)
-            for region in self._members.counted_regions:
-                item = self._next_demand(account, key, region, now)
-                if item is None:
-                    continue
-                for record in self._receivers(account, key, region, now):
-                    records[record.key] = record
-                    demands.setdefault(record.key, []).append(item)
+            self._collect_demands(account, key, demands, records, now)
             is_active = now - account.last_query_at <= ACTIVE_SECONDS
             if is_active or self._round % IDLE_COPY_ROUNDS == 0:
                 copy = QuotaCopy(
@@ -188,6 +189,39 @@
                     copies.setdefault(record.key, []).append(copy)
         return self._messages(demands, copies, records)
 
+    def news(self, tenant: Tenant, key: int) -> QuotaMessages:
+        """Return messages on a change of demand that can't wait for the next round."""
+        now, account = self._clock(), self._accounts.get(key)
+        if account is None or account.rank or now - account.told_at < NEWS_SECONDS:
+            return []
+        change = abs(account.meter.rate(now) - account.told_demand)
+        least = NEWS_SHARE * max(tenant.rate_per_second, account.told_demand)
+        if change <= least and not account.has_news:
+            return []
+        demands: dict[MemberKey, list[TenantDemand]] = {}
+        records: dict[MemberKey, EntryRecord] = {}
+        self._collect_demands(account, key, demands, records, now)
+        return self._messages(demands, {}, records)
+
+    def _collect_demands(
+        self,
+        account: Account,
+        key: int,
+        demands: dict[MemberKey, list[TenantDemand]],
+        records: dict[MemberKey, EntryRecord],
+        now: float,
+    ) -> None:
+        """Add what the owners of other regions are told of one tenant."""
+        account.has_news = False
+        for region in self._members.counted_regions:
+            item = self._next_demand(account, key, region, now)
+            if item is None:
+                continue
+            for record in self._receivers(account, key, region, now):
+                records[record.key] = record
+                demands.setdefault(record.key, []).append(item)
+                account.told_at, account.told_demand = now, account.meter.rate(now)
+
     def _receive_copy(
         self, copy: QuotaCopy, tenants: dict[int, Tenant], now: float
     ) -> None:
@@ -199,14 +233,22 @@
         self._copies[copy.tenant] = AccountCopy(copy, now)
 
     def _receive_demand(
-        self, account: Account, item: TenantDemand, sender: EntryRecord, now: float
+        self,
+        account: Account,
+        item: TenantDemand,
+        sender: EntryRecord,
+        limit: float,
+        now: float,
     ) -> None:
         region = RegionId(sender.region)
+        known = account.weights.heard_demand(region, now)
         is_new = account.weights.learn(
             region, sender.key, number=item.number, demand=item.demand, now=now
         )
         if is_new:
             account.to_answer.add(region)
+            least = NEWS_SHARE * max(limit, item.demand)
+            account.has_news |= abs(item.demand - known) > least
         if item.heard_sender == self._members.fleet.local_record.key:
             account.weights.acknowledge(region, item.heard_number)
 
--- a/pimentospool/gateway/_quotas.py
+++ b/pimentospool/gateway/_quotas.py
@@ -238,6 +238,7 @@
         decision = self.owner.decide(
             tenant, query.key, cost=query.cost, asker=key, number=number
         )
+        self._send_news(tenant, query.key)
         reply = QuotaReply(
             key, number, decision.admitted, decision.wait_seconds, decision.level
         )
@@ -341,6 +342,7 @@
             decision.level,
         )
         self._send(reply, [sender])
+        self._send_news(tenant, msg.tenant)
 
     def receive_reply(self, msg: QuotaReply, sender: Address) -> None:
         """Pass a reply to its request; return what a late one has charged."""
@@ -366,6 +368,13 @@
         record = self._fleet.record(MemberKey(msg.sender))
         if record is not None and tenants:
             self.owner.receive(msg, tenants, record)
+            for item in msg.demands:
+                if item.tenant in tenants:
+                    self._send_news(tenants[item.tenant], item.tenant)
+
+    def _send_news(self, tenant: Tenant, key: int) -> None:
+        for msg, receivers in self.owner.news(tenant, key):
+            self._send_to(msg, receivers)
 
     def _send_to(self, msg: FleetMessage, receivers: Sequence[EntryRecord]) -> None:
         if self._send is not None:
--- a/pimentospool/policy/_quota_weights.py
+++ b/pimentospool/policy/_quota_weights.py
@@ -206,6 +206,11 @@
         peer.newest = sender
         return True
 
+    def heard_demand(self, region: RegionId, now: float) -> float:
+        """Return the demand of `region`; infinite before it was heard of."""
+        peer = self._peers.get(region)
+        return math.inf if peer is None else peer.heard_demand(now)
+
     def last_heard(self, region: RegionId) -> tuple[MemberKey, int]:
         """Return sender and number of the newest message of `region`, or zeros."""
         peer = self._peers.get(region)
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -297,6 +297,21 @@
     assert found[0] >= 0.9
 
 
+def test_jump_of_demand_is_told_at_once():
+    """Guards against a peak that is refused in its new region until the next rounds."""
+    found = []
+
+    async def steps(site):
+        await load(site, ["delta-0"], rate=1.2 * LARGE, cost=9_200.0, seconds=6)
+        begin = site.now()
+        await load(site, ["gulf-1"], rate=1.2 * LARGE, cost=9_200.0, seconds=1)
+        found.append(site.admitted_between(begin, begin + 1.0) / LARGE)
+
+    for seed in range(4):
+        in_site(steps, rate=LARGE, burst=LARGE, seed=seed)
+    assert sum(found) / 4 >= 0.4, found
+
+
 def test_returns_after_refusals_are_spread():
     """Guards against refused callers that all come back at the same time."""
     refusals = []
