Admit more of a quota soon after all VMs have restarted

For the first 2 s of a process, an owner admitted an eighth of its share, and half of its burst at its start was half of the capacity at that moment: the least weight and an eighth of it. After a restart of all VMs, 0.39 of the limit was admitted from 1 s to 2.5 s (simulated, demand of three limits).

The share in the first 2 s now follows the number of entry VMs of the region that are known, and is whole once no further one has become known for 0.5 s. For 3 s, a new owner without a copy gets half of what its capacity grows by. The sum in docs/design/quotas.md counts half bursts of all owners already; it also has room for those of demand that moves within these 3 s.

The test measures at least 0.8 where 0.39 was admitted before.

--- a/pimentospool/gateway/_quota_members.py
+++ b/pimentospool/gateway/_quota_members.py
@@ -10,7 +10,12 @@
 )
 from pimentospool.gateway._fleet_messages import EntryRecord
 from pimentospool.ids import EntryId, MemberKey, RegionId, TenantId
-from pimentospool.policy import HeardMembers, OwnerRanks, region_share
+from pimentospool.policy import (
+    HeardMembers,
+    OwnerRanks,
+    region_share,
+    startup_share,
+)
 
 QUOTA_PROTOCOL = 1
 """Version of messages since which entry VMs know those of quotas."""
@@ -66,6 +71,8 @@
         self._unknown = 0
         self._share = 1.0
         self._known = 1
+        self._live_near: set[MemberKey] = set()
+        self._joined_at = self.started_at
 
     def owners(
         self,
@@ -145,6 +152,17 @@
         self._refresh()
         return self._share
 
+    @property
+    def startup_share(self) -> float:
+        """Factor on all shares while this process may not know the other owners."""
+        self._refresh()
+        now = self._clock()
+        return startup_share(
+            now - self.started_at,
+            members=len(self._live_near) + 1,
+            unchanged_seconds=now - self._joined_at,
+        )
+
     @property
     def known_count(self) -> int:
         """Known entry VMs of the region, gone ones and this one included."""
@@ -178,6 +196,10 @@
         is_assumed = COMPLETE_VIEW_SECONDS <= age < TOMBSTONE_SECONDS
         self._unknown = len(unknown) if is_assumed else 0
         live = fleet.live()
+        near = {rec.key for rec in live if rec.region == local}
+        if not near <= self._live_near:
+            self._joined_at = now
+        self._live_near = near
         heard = {rec.id for rec in live if rec.region == local} | {fleet.local_id}
         known = fleet.known_ids(local)
         self._known = len(known)
--- a/pimentospool/gateway/_quota_owner.py
+++ b/pimentospool/gateway/_quota_owner.py
@@ -22,7 +22,6 @@
     QuotaBucket,
     RecentDecisions,
     standin_share,
-    startup_share,
 )
 
 ACTIVE_SECONDS = 2.0
@@ -359,7 +358,9 @@
                     # The predecessor goes on until now, with a level that is known.
                     level = copy.state.level
             account.bucket = QuotaBucket(level=level, now=now)
+            account.granted = limits.capacity
         account.bucket.set_limits(limits, now)
+        account.grant_burst(limits.capacity, now)
         return account.bucket
 
     def _limits(
@@ -373,7 +374,7 @@
             silent = copy is None or now - copy.at > SILENT_COPY_SECONDS
             seconds = now - account.standin_since
             share = min(share, standin_share(seconds, first_is_silent=silent))
-        share *= startup_share(now - members.started_at)
+        share *= members.startup_share
         weight = self._weight(account, now) * share
         expected = share * account.weights.expected_weight(
             account.meter.rate(now),
--- a/pimentospool/policy/_quota_owners.py
+++ b/pimentospool/policy/_quota_owners.py
@@ -27,6 +27,11 @@
 """Share of the region's rate that entry VMs without an owner admit together."""
 STARTUP_SECONDS = 2.0
 """Time in which a process may not know the other entry VMs yet."""
+COMPLETE_SECONDS = 0.5
+"""Time without a new entry VM of the region after which all of them count as known.
+While a process learns of them, each of its rounds of 0.2 s brings some."""
+FULL_REGION_MEMBERS = 32
+"""Entry VMs of the largest region for which quotas are made."""
 MAX_REMEMBERED_ORDERS = 1_000
 
 
@@ -100,12 +105,26 @@
     return LONG_STANDIN_SHARE
 
 
-def startup_share(seconds: float) -> float:
+def startup_share(seconds: float, *, members: int, unchanged_seconds: float) -> float:
     """Return the factor on all shares of a process that runs for `seconds`.
 
-    It may not know the other entry VMs yet, which then believe to be owners too.
+    It may not know the other entry VMs yet, which then believe to be owners too. Of N
+    that each know some `members`, N / members believe so, and their shares add up to
+    N / `FULL_REGION_MEMBERS`.
+
+    Parameters
+    ----------
+    seconds : float
+        Time since the start of the process.
+    members : int
+        Entry VMs of the region that it knows, itself included.
+    unchanged_seconds : float
+        Time since the last of them became known.
     """
-    return 1.0 if seconds >= STARTUP_SECONDS else 1.0 / MIN_MEMBER_COUNT
+    is_complete = members > 1 and unchanged_seconds >= COMPLETE_SECONDS
+    if is_complete or seconds >= STARTUP_SECONDS:
+        return 1.0
+    return min(1.0, max(1.0 / MIN_MEMBER_COUNT, members / FULL_REGION_MEMBERS))
 
 
 def fallback_share(*, regions: int, known: int) -> float:
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -199,7 +199,7 @@
 
 def full_bursts_after_restarts(patch):
     patch.setattr(_quota_owner, "START_SHARE", 1.0)
-    patch.setattr(_quota_owner, "startup_share", lambda seconds: 1.0)
+    patch.setattr(_quota_members, "startup_share", lambda *args, **options: 1.0)
     limits = _quota_owner.BucketLimits
 
     def indulgent(**options):
@@ -312,6 +312,28 @@
     assert sum(found) / 4 >= 0.4, found
 
 
+def test_limit_is_admitted_soon_after_all_vms_have_restarted():
+    """Guards against owners that refuse nearly all requests for 2 s after their start,
+    and start without the half bursts that the bound has room for."""
+    found = []
+
+    async def steps(site):
+        demand = asyncio.ensure_future(
+            load(site, list(site.vms), rate=3 * LARGE, cost=9_200.0, seconds=6)
+        )
+        await asyncio.sleep(2.0)
+        begin = site.now()
+        for name in list(site.vms):
+            site.restart(name)
+        await demand
+        # VMs of the simulation hear of each other 1 s after their start.
+        found.append(site.admitted_between(begin + 1.0, begin + 2.5) / 1.5 / LARGE)
+        assert site.highest_window() <= allowed(LARGE, LARGE)
+
+    in_site(steps, rate=LARGE, burst=LARGE, per_region=5)
+    assert found[0] >= 0.8
+
+
 def test_returns_after_refusals_are_spread():
     """Guards against refused callers that all come back at the same time."""
     refusals = []
@@ -405,7 +427,7 @@
 
 def test_entry_vms_ask_each_other_over_loopback(runner, monkeypatch):
     """Guards against messages that the loops of heartbeats don't carry."""
-    monkeypatch.setattr(_quota_owner, "startup_share", lambda seconds: 1.0)
+    monkeypatch.setattr(_quota_members, "startup_share", lambda *args, **options: 1.0)
 
     async def main():
         tenant = Tenant(
--- a/tests/policy/test_quota_buckets.py
+++ b/tests/policy/test_quota_buckets.py
@@ -12,6 +12,7 @@
     RecentDecisions,
     RegionWeights,
     region_share,
+    startup_share,
 )
 from pimentospool.policy._quota_weights import _Peer
 from tests.policy._seeded import check_seeds
@@ -199,3 +200,29 @@
     left = [entry for entry in order if entry != order[0]]
     assert ranks.order(7, left) == order[1:]
     assert ranks.order(8, members) != ranks.order(7, members)
+
+
+@pytest.mark.parametrize("members", [4, 8, 20, 30])
+def test_owners_that_start_together_share_the_rate_of_their_region(members):
+    """Guards against full rates of VMs that each know some of 30, of which about
+    30 / `members` take themselves for the owner."""
+    share = startup_share(0.4, members=members, unchanged_seconds=0.1)
+    assert 30 / members * share <= 1.0
+
+
+@pytest.mark.parametrize(
+    ("seconds", "members", "unchanged_seconds", "is_full"),
+    [
+        (0.4, 3, 0.4, False),
+        (0.9, 3, 0.5, True),
+        (1.9, 1, 1.9, False),
+        (2.0, 1, 2.0, True),
+    ],
+)
+def test_owner_has_its_share_once_it_knows_the_others(
+    seconds, members, unchanged_seconds, is_full
+):
+    """Guards against a process that knows no other VM and takes itself for the owner,
+    and against refusals once it knows them all."""
+    share = startup_share(seconds, members=members, unchanged_seconds=unchanged_seconds)
+    assert (share == 1.0) is is_full
