Keep absurd token counts out of demand and waits

A client may name up to 10^15 tokens for each request. Waits of later refusals also queued behind the request that can't be admitted.

The demand counts at most the allowed debt and the burst of a request, and a refused request that exceeds what the bucket can hold takes no turn.

--- a/pimentospool/gateway/_quota_owner.py
+++ b/pimentospool/gateway/_quota_owner.py
@@ -118,7 +118,8 @@
         if now - account.last_query_at > ACTIVE_SECONDS and account.rank:
             account.standin_since = now
         account.last_query_at = now
-        account.meter.record(cost, now)
+        # What no bucket can admit is no demand; it would take all of the weight.
+        account.meter.record(min(cost, self._max_debt + tenant.burst), now)
         bucket = self._bucket(tenant, account, key, now)
         decision = bucket.charge(cost, now, uniform=self._uniform)
         self._decisions.add((asker, number), decision, now)
@@ -152,8 +153,7 @@
             tenant = tenants.get(item.tenant)
             if tenant is not None and self._members.rank(item.tenant) == 0:
                 account = self._account(tenant, item.tenant, now)
-                limit = tenant.rate_per_second
-                self._receive_demand(account, item, sender, limit, now)
+                self._receive_demand(account, item, sender, tenant, now)
 
     def next_round(self, tenants: dict[int, Tenant]) -> QuotaMessages:
         """Return the messages to the owners of other regions and to deputies."""
@@ -236,7 +236,7 @@
         account: Account,
         item: TenantDemand,
         sender: EntryRecord,
-        limit: float,
+        tenant: Tenant,
         now: float,
     ) -> None:
         region = RegionId(sender.region)
@@ -246,7 +246,7 @@
         )
         if is_new:
             account.to_answer.add(region)
-            least = NEWS_SHARE * max(limit, item.demand)
+            least = NEWS_SHARE * max(tenant.rate_per_second, item.demand)
             account.has_news |= abs(item.demand - known) > least
         if item.heard_sender == self._members.fleet.local_record.key:
             account.weights.acknowledge(region, item.heard_number)
--- a/pimentospool/policy/_quota_buckets.py
+++ b/pimentospool/policy/_quota_buckets.py
@@ -173,6 +173,9 @@
         if rate <= 0.0:
             return MAX_WAIT_SECONDS
         earliest = deficit / rate
+        if self._level + deficit > max(limits.capacity, self._saved_for):
+            # The bucket never holds this much, so the request takes no turn.
+            return max(earliest, MAX_WAIT_SECONDS)
         self._free_at = max(self._free_at, now + earliest)
         wait = self._free_at - now
         if wait > max(earliest, MAX_WAIT_SECONDS):
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -399,6 +399,28 @@
     in_site(steps)
 
 
+def test_absurd_cost_harms_no_other_request():
+    """Guards against a request of 10^15 tokens that takes the weights of other regions
+    for minutes, and makes all later refusals name long waits."""
+    waits = []
+
+    async def steps(site):
+        refusal = await site.vms["delta-0"].request(1e15)
+        assert refusal is not None
+        await asyncio.sleep(5.0)
+        await load(site, ["gulf-1"], rate=0.8 * LARGE, cost=9_200.0, seconds=3)
+        begin = site.now()
+        await load(site, ["gulf-1"], rate=0.8 * LARGE, cost=9_200.0, seconds=5)
+        assert site.admitted_between(begin, begin + 5) >= 0.7 * 5 * LARGE
+        refusals = await load(
+            site, ["delta-0"], rate=0.5 * LARGE, cost=9_200.0, seconds=0.5
+        )
+        waits.extend(refusal.retry_after_seconds for _, refusal in refusals)
+
+    in_site(steps, rate=LARGE, burst=LARGE)
+    assert min(waits, default=0.0) < 0.5
+
+
 def test_nothing_is_sent_or_asked_without_limits():
     """Guards against traffic in deployments without quotas."""
 
