Refund charges whose replies are not used

A charge was kept for a request that doesn't run when the caller left between the arrival of the reply and the next step of the request, and when replies of both owners arrived in between. Numbers of queries began anew at each start, so a late reply to an earlier start could match a query of the present one.

Both charges are refunded, and the first number is random.

--- a/pimentospool/gateway/_quota_charges.py
+++ b/pimentospool/gateway/_quota_charges.py
@@ -1,10 +1,13 @@
 """Costs of requests, and their return."""
 
+import asyncio
 from collections.abc import Callable
 
 import msgspec
 
+from pimentospool.gateway._fleet_messages import QuotaReply
 from pimentospool.gateway._model import InboundRequest, QuotaUnit, Tenant
+from pimentospool.tasks import read_arrived
 
 
 def request_cost(tenant: Tenant, req: InboundRequest) -> float:
@@ -24,6 +27,23 @@
     cost: float
 
 
+class WaitingQuery(msgspec.Struct, frozen=True):
+    """A query, and the first reply to it."""
+
+    query: ChargeQuery
+    reply: asyncio.Future[QuotaReply]
+
+
+async def wait_until(
+    reply: asyncio.Future[QuotaReply], clock: Callable[[], float], until: float
+) -> bool:
+    """Wait for a reply; one that has arrived counts also after a pause."""
+    await asyncio.wait([reply], timeout=max(0.0, until - clock()))
+    if not reply.done():
+        await read_arrived()
+    return reply.done()
+
+
 class OwnedCharge:
     """Cost of an admitted request; implements `QuotaCharge`.
 
--- a/pimentospool/gateway/_quotas.py
+++ b/pimentospool/gateway/_quotas.py
@@ -23,7 +23,14 @@
     InboundRequest,
     Tenant,
 )
-from pimentospool.gateway._quota_charges import ChargeQuery, OwnedCharge, request_cost
+from pimentospool.gateway._quota_charges import (
+    ChargeQuery,
+    OwnedCharge,
+    WaitingQuery,
+    request_cost,
+    wait_until,
+)
+from pimentospool.gateway._quota_fallback import QuotaFallback
 from pimentospool.gateway._quota_members import QuotaMembers, tenant_hash
 from pimentospool.gateway._quota_metrics import QuotaMetrics
 from pimentospool.gateway._quota_owner import QuotaOwner
@@ -31,15 +38,7 @@
 from pimentospool.gateway._settings import QuotaBounds
 from pimentospool.ids import MemberKey, RegionId
 from pimentospool.log import Event, log_event
-from pimentospool.policy import (
-    START_SHARE,
-    BucketDecision,
-    BucketLimits,
-    QuotaBucket,
-    RecentDecisions,
-    fallback_share,
-)
-from pimentospool.tasks import read_arrived
+from pimentospool.policy import RecentDecisions
 from pimentospool.verdicts import Verdict
 
 REPEAT_SECONDS = 0.04
@@ -51,12 +50,9 @@
 """Time for which an owner is not asked that did not reply."""
 ROUND_SECONDS = 0.25
 """Time between messages to the owners of other regions."""
-UNKNOWN_RETRY_SECONDS = 0.2
-"""Retry-After without an owner; by then other owners are asked."""
 LATE_REPLY_SECONDS = 5.0
 """Time in which a late reply returns what it charged."""
-FALLBACK_LOG_SECONDS = 1.0
-"""Shortest time between two log lines on requests of a tenant without an owner."""
+_NUMBER_BITS = 62
 
 
 class FleetQuotas:
@@ -113,14 +109,14 @@
         self._send: Callable[[FleetMessage, Sequence[Address]], None] | None = None
         self._tenants: dict[int, Tenant] = {}
         self._tenants_of: Configuration | None = None
-        self._number = 0
-        self._waiting: dict[int, asyncio.Future[QuotaReply]] = {}
+        # A late reply to an earlier start of this process must match no query of this.
+        self._number = rng.getrandbits(_NUMBER_BITS)
+        self._waiting: dict[int, WaitingQuery] = {}
         self._unanswered: RecentDecisions[tuple[int, int], ChargeQuery] = (
             RecentDecisions(seconds=LATE_REPLY_SECONDS)
         )
         self._skipped_until: dict[int, float] = {}
-        self._fallbacks: dict[int, QuotaBucket] = {}
-        self._fallback_logged_at: dict[int, float] = {}
+        self._fallback = QuotaFallback(members=self._members, clock=clock)
 
     def connect(self, heartbeats: HeartbeatLoop) -> None:
         """Exchange messages with other entry VMs over `heartbeats`."""
@@ -159,7 +155,8 @@
         query = ChargeQuery(tenant_hash(tenant.id), cost)
         charge = await self._ask(tenant, req, query, self._number, within_seconds)
         if charge is None:
-            return self._fall_back(tenant, req, query)
+            self._metrics.fallbacks.inc()
+            return self._fallback.charge(tenant, query)
         return charge
 
     async def _ask(
@@ -177,17 +174,21 @@
             return self._decide_here(tenant, req, query, number)
         reply: asyncio.Future[QuotaReply]
         reply = asyncio.get_running_loop().create_future()
-        self._waiting[number] = reply
+        self._waiting[number] = WaitingQuery(query, reply)
         started_at, asked = self._clock(), [first]
         limit = min(FALLBACK_SECONDS, within_seconds)
         msg = QuotaQuery(local.key, number, query.key, query.cost)
         self._metrics.asks.inc()
         try:
             self._send_to(msg, [first])
-            if not await self._wait(reply, started_at + min(REPEAT_SECONDS, limit)):
+            if not await wait_until(
+                reply, self._clock, started_at + min(REPEAT_SECONDS, limit)
+            ):
                 self._metrics.repeats.inc()
                 self._send_to(msg, [first])
-                await self._wait(reply, started_at + min(SECOND_OWNER_SECONDS, limit))
+                await wait_until(
+                    reply, self._clock, started_at + min(SECOND_OWNER_SECONDS, limit)
+                )
             if not reply.done() and limit > SECOND_OWNER_SECONDS:
                 self._skip(first)
                 second = others[0] if others else None
@@ -196,8 +197,15 @@
                 if second is not None:
                     asked.append(second)
                     self._send_to(msg, [second])
-                if not await self._wait(reply, started_at + limit) and second:
+                if (
+                    not await wait_until(reply, self._clock, started_at + limit)
+                    and second
+                ):
                     self._skip(second)
+        except asyncio.CancelledError:
+            if reply.done() and reply.result().admitted:
+                self._refund(MemberKey(reply.result().sender), number, query)
+            raise
         finally:
             del self._waiting[number]
             sender = reply.result().sender if reply.done() else None
@@ -224,13 +232,6 @@
         }
         self._skipped_until[record.key] = now + SKIP_SECONDS
 
-    async def _wait(self, reply: asyncio.Future[QuotaReply], until: float) -> bool:
-        """Wait for a reply; one that has arrived counts also after a pause."""
-        await asyncio.wait([reply], timeout=max(0.0, until - self._clock()))
-        if not reply.done():
-            await read_arrived()
-        return reply.done()
-
     def _decide_here(
         self, tenant: Tenant, req: InboundRequest, query: ChargeQuery, number: int
     ) -> QuotaCharge | Refusal:
@@ -271,50 +272,6 @@
             retry_after_seconds=reply.wait_seconds,
         )
 
-    def _fall_back(
-        self, tenant: Tenant, req: InboundRequest, query: ChargeQuery
-    ) -> QuotaCharge | Refusal:
-        """Admit a request from the small part that needs no owner, or refuse it."""
-        now = self._clock()
-        share = fallback_share(
-            regions=self._members.region_count, known=self._members.known_count
-        )
-        limits = BucketLimits(
-            rate=share * tenant.rate_per_second,
-            capacity=share * tenant.burst,
-            max_debt=0.0,
-            allows_debt=False,
-        )
-        bucket = self._fallbacks.get(query.key)
-        if bucket is None:
-            bucket = QuotaBucket(level=limits.capacity * START_SHARE, now=now)
-            self._fallbacks[query.key] = bucket
-        bucket.set_limits(limits, now)
-        decision = bucket.charge(query.cost, now, uniform=lambda: 0.0)
-        self._metrics.fallbacks.inc()
-        self._log_fallback(tenant, query, decision, now)
-        if decision.admitted:
-            return OwnedCharge(lambda: bucket.refund(query.cost, self._clock()))
-        return Refusal(
-            reason=RefusalReason.QUOTA_UNKNOWN,
-            verdict=Verdict.NOT_RUN,
-            retry_after_seconds=UNKNOWN_RETRY_SECONDS,
-        )
-
-    def _log_fallback(
-        self, tenant: Tenant, query: ChargeQuery, decision: BucketDecision, now: float
-    ) -> None:
-        if now - self._fallback_logged_at.get(query.key, -1e9) < FALLBACK_LOG_SECONDS:
-            return
-        self._fallback_logged_at[query.key] = now
-        log_event(
-            Event.QUOTA_FALLBACK,
-            tenant=tenant.id,
-            cost=query.cost,
-            admitted=decision.admitted,
-            owner=self._members.owners(query.key)[0].id,
-        )
-
     def _refund(self, owner: MemberKey, number: int, query: ChargeQuery) -> None:
         local = self._fleet.local_record.key
         if owner == local:
@@ -352,9 +309,13 @@
             if msg.admitted:
                 self._refund(MemberKey(msg.sender), msg.number, query)
             return
-        reply = self._waiting.get(msg.number)
-        if reply is not None and not reply.done():
-            reply.set_result(msg)
+        waiting = self._waiting.get(msg.number)
+        if waiting is None:
+            return
+        if not waiting.reply.done():
+            waiting.reply.set_result(msg)
+        elif msg.admitted and waiting.reply.result().sender != msg.sender:
+            self._refund(MemberKey(msg.sender), msg.number, waiting.query)
 
     def receive_refund(self, msg: QuotaRefund, sender: Address) -> None:
         """Return the cost of a request that did not run."""
@@ -391,7 +352,5 @@
                 for tenant in tenants
                 if tenant.rate_per_second > 0.0 and self._bounds.window_seconds > 0.0
             }
-            for kept in (self._fallbacks, self._fallback_logged_at):
-                for key in kept.keys() - self._tenants.keys():
-                    del kept[key]
+            self._fallback.keep_only(self._tenants)
         return self._tenants
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -399,6 +399,55 @@
     in_site(steps)
 
 
+def test_replies_of_two_owners_at_once_leave_one_charge():
+    """Guards against charges by an owner whose reply arrives together with that of the
+    other one, before the request goes on."""
+
+    async def steps(site):
+        owners = site.vms["delta-0"].quotas._members.owners(ACME)
+        first, second, asker = (site.vms[owner.id] for owner in owners[:3])
+        second.quotas.owner.decide(site.tenant, ACME, cost=1.0, asker=1, number=1)
+        await asyncio.sleep(1.0)
+        assert await first.request(3_000.0) is None
+        held, receive = [], asker.quotas.receive_reply
+        asker.quotas.receive_reply = lambda msg, sender: held.append((msg, sender))
+        task = asyncio.ensure_future(asker.request(200.0))
+        await asyncio.sleep(0.1)
+        assert {msg.sender for msg, _ in held} == {owner.key for owner in owners[:2]}
+        charged = first.quotas.owner._accounts[ACME].bucket.level(site.now())
+        for msg, sender in reversed(held):
+            receive(msg, sender)
+        assert await task is None
+        await asyncio.sleep(0.01)
+        refunded = first.quotas.owner._accounts[ACME].bucket.level(site.now())
+        assert refunded - charged >= 200.0
+
+    in_site(steps)
+
+
+def test_request_cancelled_after_the_reply_is_refunded():
+    """Guards against charges of callers that leave while the reply arrives."""
+
+    async def steps(site):
+        owners = site.vms["delta-0"].quotas._members.owners(ACME)
+        owner, asker = site.vms[owners[0].id], site.vms[owners[2].id]
+        receive = asker.quotas.receive_reply
+        task = asyncio.ensure_future(asker.request(5_000.0))
+
+        def receive_and_cancel(msg, sender):
+            receive(msg, sender)
+            task.cancel()
+
+        asker.quotas.receive_reply = receive_and_cancel
+        await asyncio.wait([task])
+        assert task.cancelled()
+        await asyncio.sleep(0.01)
+        level = owner.quotas.owner._accounts[ACME].bucket.level(site.now())
+        assert level >= 5_000.0
+
+    in_site(steps)
+
+
 def test_absurd_cost_harms_no_other_request():
     """Guards against a request of 10^15 tokens that takes the weights of other regions
     for minutes, and makes all later refusals name long waits."""
