Send copies of quota owners to three deputies

Only the second owner had copies. When the first two failed together, the next one began with the least weight, and the survivors admitted 0.03 of the limit until the loss was known and the regions had exchanged their demand.

The first owner sends its copy to the next three.

--- a/pimentospool/gateway/_quota_members.py
+++ b/pimentospool/gateway/_quota_members.py
@@ -26,6 +26,10 @@
 """Time after which a process that has met no other entry VM takes itself for the only
 one. It sends to all seeds every 0.2 s until then; cut off from all of them, it would
 most likely not have got a configuration either."""
+COPY_RANKS = 4
+"""Owners, with the first, that have copies of its state. If half of all VMs fail at
+once, the first two have failed for a quarter of the tenants, and all four for a
+sixteenth."""
 CACHE_SECONDS = 0.05
 """Time for which a view of the membership is reused; heartbeats come every 0.2 s."""
 _HASH_BYTES = 8
@@ -119,6 +123,14 @@
             or self._first_seen[record.key] <= latest
         ]
 
+    def deputies(self, tenant: int) -> list[EntryRecord]:
+        """Return the owners that would go on, also one that has just joined."""
+        settled = self.owners(tenant)[:COPY_RANKS]
+        joined = self.owners(tenant, settled=False)[:COPY_RANKS]
+        local = self.fleet.local_record
+        records = {rec.key: rec for rec in (*settled, *joined) if rec != local}
+        return list(records.values())
+
     def rank(self, tenant: int) -> int:
         """Return the place of this entry VM among the owners, 0 for the first."""
         owners = self.owners(tenant)
--- a/pimentospool/gateway/_quota_owner.py
+++ b/pimentospool/gateway/_quota_owner.py
@@ -1,7 +1,7 @@
 """Counts the quotas of tenants for the region of this entry VM."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 
 from pimentospool.gateway._fleet_messages import (
     EntryRecord,
@@ -30,7 +30,7 @@
 IDLE_COPY_ROUNDS = 8
 """Rounds between copies of an idle tenant's state: 2 s."""
 COPY_SECONDS = 10.0
-"""Age up to which a copy of another owner's state is used."""
+"""Age up to which a copy is used."""
 SILENT_COPY_SECONDS = 0.75
 """Time without a copy after which the first owner may have failed; three rounds."""
 UNANSWERED_SECONDS = 0.6
@@ -183,7 +183,7 @@
                     self._weight(account, now),
                     account.meter.rate(now),
                 )
-                for record in self._deputies(key):
+                for record in self._members.deputies(key):
                     records[record.key] = record
                     copies.setdefault(record.key, []).append(copy)
         return self._messages(demands, copies, records)
@@ -277,14 +277,6 @@
         unanswered = account.weights.is_unanswered(region, now, UNANSWERED_SECONDS)
         return owners[: 2 if unanswered else 1]
 
-    def _deputies(self, key: int) -> Iterable[EntryRecord]:
-        """Return the owners that would go on, also one that has just joined."""
-        local = self._members.fleet.local_record
-        settled = self._members.owners(key)
-        joined = self._members.owners(key, settled=False)
-        deputies = {rec.key: rec for rec in (*settled[:2], *joined[:2]) if rec != local}
-        return deputies.values()
-
     def _messages(
         self,
         demands: dict[MemberKey, list[TenantDemand]],
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -372,6 +372,27 @@
     assert admitted_after[0] < 1.0
 
 
+def test_survivors_admit_when_most_vms_fail_at_once():
+    """Guards against owners of lower ranks that know neither weight nor level when the
+    first two have failed together."""
+    found = []
+
+    async def steps(site):
+        names = list(site.vms)
+        await load(site, names, rate=0.7 * LARGE, cost=9_200.0, seconds=3)
+        for name in names:
+            if not name.endswith("-3"):
+                site.stop(name)
+        begin = site.now()
+        survivors = [name for name in names if name.endswith("-3")]
+        await load(site, survivors, rate=0.7 * LARGE, cost=9_200.0, seconds=2.5)
+        found.append(site.admitted_between(begin, begin + 2.5) / 2.5 / LARGE)
+
+    for seed in range(3):
+        in_site(steps, rate=LARGE, burst=LARGE, per_region=4, seed=seed)
+    assert sum(found) / 3 >= 0.2, found
+
+
 def test_late_reply_is_refunded_once():
     """Guards against charges of which the asking VM never made use, and of refunds
     that are counted twice."""
