Keep refunds for 30 s against late copies

A copy of a refund that came more than 1 s after it was counted again, since refunds were kept as long as decisions; the constant for them was not used.

Refunds are kept for REFUND_SECONDS. The test failed before: 100 tokens were given back twice.

--- a/pimentospool/gateway/_quota_owner.py
+++ b/pimentospool/gateway/_quota_owner.py
@@ -16,6 +16,7 @@
 from pimentospool.ids import MemberKey, RegionId, TenantId
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
+    REFUND_SECONDS,
     START_SHARE,
     BucketDecision,
     BucketLimits,
@@ -84,7 +85,9 @@
         self._decisions: RecentDecisions[tuple[int, int], BucketDecision] = (
             RecentDecisions()
         )
-        self._refunds: RecentDecisions[tuple[int, int], bool] = RecentDecisions()
+        self._refunds: RecentDecisions[tuple[int, int], bool] = RecentDecisions(
+            seconds=REFUND_SECONDS
+        )
         self._number = 0
         self._round = 0
         self.admitted_cost: Counter[TenantId] = Counter()
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -53,6 +53,7 @@
 )
 from pimentospool.policy._queue import QueueRefusal, QueueTicket, WaitQueue
 from pimentospool.policy._quota_buckets import (
+    REFUND_SECONDS,
     START_SHARE,
     BucketDecision,
     BucketLimits,
@@ -128,6 +129,7 @@
     "MAX_LAPSED_STARTS",
     "MAX_STREAM_SECONDS",
     "OVERCOMMIT_SHARE",
+    "REFUND_SECONDS",
     "REGISTRATION_SECONDS",
     "START_SHARE",
     "SURVIVAL_SECONDS",
--- a/pimentospool/policy/_quota_buckets.py
+++ b/pimentospool/policy/_quota_buckets.py
@@ -23,7 +23,7 @@
 DECISION_SECONDS = 1.0
 """Time for which decisions are kept for repeated queries, which end after 160 ms."""
 REFUND_SECONDS = 30.0
-"""Time for which a charge can be refunded; longer than the deadlines of requests."""
+"""Time for which a refund is known, so that a late copy of it gives nothing back."""
 MAX_DECISIONS = 20_000
 """Decisions kept; beyond it a repeated query is charged again, which admits less."""
 
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -393,6 +393,23 @@
     assert sum(found) / 3 >= 0.2, found
 
 
+def test_late_copy_of_a_refund_gives_nothing_back():
+    """Guards against a refund that is counted again when its copy is seconds late."""
+
+    async def steps(site):
+        owner = site.vms["delta-0"].quotas._members.owners(ACME)[0]
+        vm = site.vms[owner.id]
+        for number in (1, 2, 1):
+            assert await vm.request(12_000.0) is None
+            before = vm.quotas.owner._accounts[ACME].bucket.level(site.now())
+            vm.quotas.owner.refund(ACME, cost=100.0, asker=7, number=number)
+            after = vm.quotas.owner._accounts[ACME].bucket.level(site.now())
+            await asyncio.sleep(1.1)
+        assert after == before
+
+    in_site(steps)
+
+
 def test_late_reply_is_refunded_once():
     """Guards against charges of which the asking VM never made use, and of refunds
     that are counted twice."""
