--- a/pimentospool/gateway/_quota_members.py
+++ b/pimentospool/gateway/_quota_members.py
@@ -10,7 +10,12 @@
 )
 from pimentospool.gateway._fleet_messages import EntryRecord
 from pimentospool.ids import EntryId, MemberKey, RegionId, TenantId
-from pimentospool.policy import HeardMembers, OwnerRanks, region_share
+from pimentospool.policy import (
+    HeardMembers,
+    OwnerRanks,
+    region_share,
+    startup_share,
+)
 
 QUOTA_PROTOCOL = 1
 """Version of messages since which entry VMs know those of quotas."""
@@ -21,6 +26,10 @@
 """Time after which a process that has met no other entry VM takes itself for the only
 one. It sends to all seeds every 0.2 s until then; cut off from all of them, it would
 most likely not have got a configuration either."""
+COPY_RANKS = 4
+"""Owners, with the first, that have copies of its state. If half of all VMs fail at
+once, the first two have failed for a quarter of the tenants, and all four for a
+sixteenth."""
 CACHE_SECONDS = 0.05
 """Time for which a view of the membership is reused; heartbeats come every 0.2 s."""
 _HASH_BYTES = 8
@@ -66,6 +75,8 @@
         self._unknown = 0
         self._share = 1.0
         self._known = 1
+        self._live_near: set[MemberKey] = set()
+        self._joined_at = self.started_at
 
     def owners(
         self,
@@ -112,6 +123,14 @@
             or self._first_seen[record.key] <= latest
         ]
 
+    def deputies(self, tenant: int) -> list[EntryRecord]:
+        """Return the owners that would go on, also one that has just joined."""
+        settled = self.owners(tenant)[:COPY_RANKS]
+        joined = self.owners(tenant, settled=False)[:COPY_RANKS]
+        local = self.fleet.local_record
+        records = {rec.key: rec for rec in (*settled, *joined) if rec != local}
+        return list(records.values())
+
     def rank(self, tenant: int) -> int:
         """Return the place of this entry VM among the owners, 0 for the first."""
         owners = self.owners(tenant)
@@ -145,6 +164,17 @@
         self._refresh()
         return self._share
 
+    @property
+    def startup_share(self) -> float:
+        """Factor on all shares while this process may not know the other owners."""
+        self._refresh()
+        now = self._clock()
+        return startup_share(
+            now - self.started_at,
+            members=len(self._live_near) + 1,
+            unchanged_seconds=now - self._joined_at,
+        )
+
     @property
     def known_count(self) -> int:
         """Known entry VMs of the region, gone ones and this one included."""
@@ -178,6 +208,10 @@
         is_assumed = COMPLETE_VIEW_SECONDS <= age < TOMBSTONE_SECONDS
         self._unknown = len(unknown) if is_assumed else 0
         live = fleet.live()
+        near = {rec.key for rec in live if rec.region == local}
+        if not near <= self._live_near:
+            self._joined_at = now
+        self._live_near = near
         heard = {rec.id for rec in live if rec.region == local} | {fleet.local_id}
         known = fleet.known_ids(local)
         self._known = len(known)
--- a/pimentospool/gateway/_quota_owner.py
+++ b/pimentospool/gateway/_quota_owner.py
@@ -1,7 +1,7 @@
 """Counts the quotas of tenants for the region of this entry VM."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 
 from pimentospool.gateway._fleet_messages import (
     EntryRecord,
@@ -16,13 +16,13 @@
 from pimentospool.ids import MemberKey, RegionId, TenantId
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
+    REFUND_SECONDS,
     START_SHARE,
     BucketDecision,
     BucketLimits,
     QuotaBucket,
     RecentDecisions,
     standin_share,
-    startup_share,
 )
 
 ACTIVE_SECONDS = 2.0
@@ -31,11 +31,17 @@
 IDLE_COPY_ROUNDS = 8
 """Rounds between copies of an idle tenant's state: 2 s."""
 COPY_SECONDS = 10.0
-"""Age up to which a copy of another owner's state is used."""
+"""Age up to which a copy is used."""
 SILENT_COPY_SECONDS = 0.75
 """Time without a copy after which the first owner may have failed; three rounds."""
 UNANSWERED_SECONDS = 0.6
 """Time without an acknowledgement after which a second entry VM of a region is told."""
+NEWS_SHARE = 0.15
+"""Change of a demand, in parts of the larger of limit and demand, that is told or
+answered at once. A peak that moves to another region is refused there until the weights
+have followed; smaller changes wait for the next round."""
+NEWS_SECONDS = 0.05
+"""Shortest time between messages outside of rounds, for each tenant."""
 DEBT_FACTOR = 1.1
 """Debts of all regions together, as a multiple of the quota's slack; requests of 25,000
 tokens are served with three regions and a slack of 72,000."""
@@ -79,7 +85,9 @@
         self._decisions: RecentDecisions[tuple[int, int], BucketDecision] = (
             RecentDecisions()
         )
-        self._refunds: RecentDecisions[tuple[int, int], bool] = RecentDecisions()
+        self._refunds: RecentDecisions[tuple[int, int], bool] = RecentDecisions(
+            seconds=REFUND_SECONDS
+        )
         self._number = 0
         self._round = 0
         self.admitted_cost: Counter[TenantId] = Counter()
@@ -113,7 +121,8 @@
         if now - account.last_query_at > ACTIVE_SECONDS and account.rank:
             account.standin_since = now
         account.last_query_at = now
-        account.meter.record(cost, now)
+        # What no bucket can admit is no demand; it would take all of the weight.
+        account.meter.record(min(cost, self._max_debt + tenant.burst), now)
         bucket = self._bucket(tenant, account, key, now)
         decision = bucket.charge(cost, now, uniform=self._uniform)
         self._decisions.add((asker, number), decision, now)
@@ -147,7 +156,7 @@
             tenant = tenants.get(item.tenant)
             if tenant is not None and self._members.rank(item.tenant) == 0:
                 account = self._account(tenant, item.tenant, now)
-                self._receive_demand(account, item, sender, now)
+                self._receive_demand(account, item, sender, tenant, now)
 
     def next_round(self, tenants: dict[int, Tenant]) -> QuotaMessages:
         """Return the messages to the owners of other regions and to deputies."""
@@ -168,13 +177,7 @@
                 continue
             account = self._account(tenant, key, now)
             bucket = self._bucket(tenant, account, key, now)
-            for region in self._members.counted_regions:
-                item = self._next_demand(account, key, region, now)
-                if item is None:
-                    continue
-                for record in self._receivers(account, key, region, now):
-                    records[record.key] = record
-                    demands.setdefault(record.key, []).append(item)
+            self._collect_demands(account, key, demands, records, now)
             is_active = now - account.last_query_at <= ACTIVE_SECONDS
             if is_active or self._round % IDLE_COPY_ROUNDS == 0:
                 copy = QuotaCopy(
@@ -183,11 +186,44 @@
                     self._weight(account, now),
                     account.meter.rate(now),
                 )
-                for record in self._deputies(key):
+                for record in self._members.deputies(key):
                     records[record.key] = record
                     copies.setdefault(record.key, []).append(copy)
         return self._messages(demands, copies, records)
 
+    def news(self, tenant: Tenant, key: int) -> QuotaMessages:
+        """Return messages on a change of demand that can't wait for the next round."""
+        now, account = self._clock(), self._accounts.get(key)
+        if account is None or account.rank or now - account.told_at < NEWS_SECONDS:
+            return []
+        change = abs(account.meter.rate(now) - account.told_demand)
+        least = NEWS_SHARE * max(tenant.rate_per_second, account.told_demand)
+        if change <= least and not account.has_news:
+            return []
+        demands: dict[MemberKey, list[TenantDemand]] = {}
+        records: dict[MemberKey, EntryRecord] = {}
+        self._collect_demands(account, key, demands, records, now)
+        return self._messages(demands, {}, records)
+
+    def _collect_demands(
+        self,
+        account: Account,
+        key: int,
+        demands: dict[MemberKey, list[TenantDemand]],
+        records: dict[MemberKey, EntryRecord],
+        now: float,
+    ) -> None:
+        """Add what the owners of other regions are told of one tenant."""
+        account.has_news = False
+        for region in self._members.counted_regions:
+            item = self._next_demand(account, key, region, now)
+            if item is None:
+                continue
+            for record in self._receivers(account, key, region, now):
+                records[record.key] = record
+                demands.setdefault(record.key, []).append(item)
+                account.told_at, account.told_demand = now, account.meter.rate(now)
+
     def _receive_copy(
         self, copy: QuotaCopy, tenants: dict[int, Tenant], now: float
     ) -> None:
@@ -199,14 +235,22 @@
         self._copies[copy.tenant] = AccountCopy(copy, now)
 
     def _receive_demand(
-        self, account: Account, item: TenantDemand, sender: EntryRecord, now: float
+        self,
+        account: Account,
+        item: TenantDemand,
+        sender: EntryRecord,
+        tenant: Tenant,
+        now: float,
     ) -> None:
         region = RegionId(sender.region)
+        known = account.weights.heard_demand(region, now)
         is_new = account.weights.learn(
             region, sender.key, number=item.number, demand=item.demand, now=now
         )
         if is_new:
             account.to_answer.add(region)
+            least = NEWS_SHARE * max(tenant.rate_per_second, item.demand)
+            account.has_news |= abs(item.demand - known) > least
         if item.heard_sender == self._members.fleet.local_record.key:
             account.weights.acknowledge(region, item.heard_number)
 
@@ -236,14 +280,6 @@
         unanswered = account.weights.is_unanswered(region, now, UNANSWERED_SECONDS)
         return owners[: 2 if unanswered else 1]
 
-    def _deputies(self, key: int) -> Iterable[EntryRecord]:
-        """Return the owners that would go on, also one that has just joined."""
-        local = self._members.fleet.local_record
-        settled = self._members.owners(key)
-        joined = self._members.owners(key, settled=False)
-        deputies = {rec.key: rec for rec in (*settled[:2], *joined[:2]) if rec != local}
-        return deputies.values()
-
     def _messages(
         self,
         demands: dict[MemberKey, list[TenantDemand]],
@@ -317,7 +353,9 @@
                     # The predecessor goes on until now, with a level that is known.
                     level = copy.state.level
             account.bucket = QuotaBucket(level=level, now=now)
+            account.granted = limits.capacity
         account.bucket.set_limits(limits, now)
+        account.grant_burst(limits.capacity, now)
         return account.bucket
 
     def _limits(
@@ -331,7 +369,7 @@
             silent = copy is None or now - copy.at > SILENT_COPY_SECONDS
             seconds = now - account.standin_since
             share = min(share, standin_share(seconds, first_is_silent=silent))
-        share *= startup_share(now - members.started_at)
+        share *= members.startup_share
         weight = self._weight(account, now) * share
         expected = share * account.weights.expected_weight(
             account.meter.rate(now),
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -65,6 +65,7 @@
 )
 from pimentospool.policy._queue import QueueRefusal, QueueTicket, WaitQueue
 from pimentospool.policy._quota_buckets import (
+    REFUND_SECONDS,
     START_SHARE,
     BucketDecision,
     BucketLimits,
@@ -144,6 +145,7 @@
     "MAX_STREAM_SECONDS",
     "ORDINARY_HEAD_BYTES",
     "OVERCOMMIT_SHARE",
+    "REFUND_SECONDS",
     "REGISTRATION_SECONDS",
     "START_SHARE",
     "SURVIVAL_SECONDS",
--- a/pimentospool/policy/_quota_buckets.py
+++ b/pimentospool/policy/_quota_buckets.py
@@ -23,7 +23,7 @@
 DECISION_SECONDS = 1.0
 """Time for which decisions are kept for repeated queries, which end after 160 ms."""
 REFUND_SECONDS = 30.0
-"""Time for which a charge can be refunded; longer than the deadlines of requests."""
+"""Time for which a refund is known, so that a late copy of it gives nothing back."""
 MAX_DECISIONS = 20_000
 """Decisions kept; beyond it a repeated query is charged again, which admits less."""
 
@@ -173,6 +173,9 @@
         if rate <= 0.0:
             return MAX_WAIT_SECONDS
         earliest = deficit / rate
+        if self._level + deficit > max(limits.capacity, self._saved_for):
+            # The bucket never holds this much, so the request takes no turn.
+            return max(earliest, MAX_WAIT_SECONDS)
         self._free_at = max(self._free_at, now + earliest)
         wait = self._free_at - now
         if wait > max(earliest, MAX_WAIT_SECONDS):
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -199,7 +199,7 @@
 
 def full_bursts_after_restarts(patch):
     patch.setattr(_quota_owner, "START_SHARE", 1.0)
-    patch.setattr(_quota_owner, "startup_share", lambda seconds: 1.0)
+    patch.setattr(_quota_members, "startup_share", lambda *args, **options: 1.0)
     limits = _quota_owner.BucketLimits
 
     def indulgent(**options):
@@ -297,6 +297,43 @@
     assert found[0] >= 0.9
 
 
+def test_jump_of_demand_is_told_at_once():
+    """Guards against a peak that is refused in its new region until the next rounds."""
+    found = []
+
+    async def steps(site):
+        await load(site, ["delta-0"], rate=1.2 * LARGE, cost=9_200.0, seconds=6)
+        begin = site.now()
+        await load(site, ["gulf-1"], rate=1.2 * LARGE, cost=9_200.0, seconds=1)
+        found.append(site.admitted_between(begin, begin + 1.0) / LARGE)
+
+    for seed in range(4):
+        in_site(steps, rate=LARGE, burst=LARGE, seed=seed)
+    assert sum(found) / 4 >= 0.4, found
+
+
+def test_limit_is_admitted_soon_after_all_vms_have_restarted():
+    """Guards against owners that refuse nearly all requests for 2 s after their start,
+    and start without the half bursts that the bound has room for."""
+    found = []
+
+    async def steps(site):
+        demand = asyncio.ensure_future(
+            load(site, list(site.vms), rate=3 * LARGE, cost=9_200.0, seconds=6)
+        )
+        await asyncio.sleep(2.0)
+        begin = site.now()
+        for name in list(site.vms):
+            site.restart(name)
+        await demand
+        # VMs of the simulation hear of each other 1 s after their start.
+        found.append(site.admitted_between(begin + 1.0, begin + 2.5) / 1.5 / LARGE)
+        assert site.highest_window() <= allowed(LARGE, LARGE)
+
+    in_site(steps, rate=LARGE, burst=LARGE, per_region=5)
+    assert found[0] >= 0.8
+
+
 def test_returns_after_refusals_are_spread():
     """Guards against refused callers that all come back at the same time."""
     refusals = []
@@ -335,6 +372,44 @@
     assert admitted_after[0] < 1.0
 
 
+def test_survivors_admit_when_most_vms_fail_at_once():
+    """Guards against owners of lower ranks that know neither weight nor level when the
+    first two have failed together."""
+    found = []
+
+    async def steps(site):
+        names = list(site.vms)
+        await load(site, names, rate=0.7 * LARGE, cost=9_200.0, seconds=3)
+        for name in names:
+            if not name.endswith("-3"):
+                site.stop(name)
+        begin = site.now()
+        survivors = [name for name in names if name.endswith("-3")]
+        await load(site, survivors, rate=0.7 * LARGE, cost=9_200.0, seconds=2.5)
+        found.append(site.admitted_between(begin, begin + 2.5) / 2.5 / LARGE)
+
+    for seed in range(3):
+        in_site(steps, rate=LARGE, burst=LARGE, per_region=4, seed=seed)
+    assert sum(found) / 3 >= 0.2, found
+
+
+def test_late_copy_of_a_refund_gives_nothing_back():
+    """Guards against a refund that is counted again when its copy is seconds late."""
+
+    async def steps(site):
+        owner = site.vms["delta-0"].quotas._members.owners(ACME)[0]
+        vm = site.vms[owner.id]
+        for number in (1, 2, 1):
+            assert await vm.request(12_000.0) is None
+            before = vm.quotas.owner._accounts[ACME].bucket.level(site.now())
+            vm.quotas.owner.refund(ACME, cost=100.0, asker=7, number=number)
+            after = vm.quotas.owner._accounts[ACME].bucket.level(site.now())
+            await asyncio.sleep(1.1)
+        assert after == before
+
+    in_site(steps)
+
+
 def test_late_reply_is_refunded_once():
     """Guards against charges of which the asking VM never made use, and of refunds
     that are counted twice."""
@@ -362,6 +437,77 @@
     in_site(steps)
 
 
+def test_replies_of_two_owners_at_once_leave_one_charge():
+    """Guards against charges by an owner whose reply arrives together with that of the
+    other one, before the request goes on."""
+
+    async def steps(site):
+        owners = site.vms["delta-0"].quotas._members.owners(ACME)
+        first, second, asker = (site.vms[owner.id] for owner in owners[:3])
+        second.quotas.owner.decide(site.tenant, ACME, cost=1.0, asker=1, number=1)
+        await asyncio.sleep(1.0)
+        assert await first.request(3_000.0) is None
+        held, receive = [], asker.quotas.receive_reply
+        asker.quotas.receive_reply = lambda msg, sender: held.append((msg, sender))
+        task = asyncio.ensure_future(asker.request(200.0))
+        await asyncio.sleep(0.1)
+        assert {msg.sender for msg, _ in held} == {owner.key for owner in owners[:2]}
+        charged = first.quotas.owner._accounts[ACME].bucket.level(site.now())
+        for msg, sender in reversed(held):
+            receive(msg, sender)
+        assert await task is None
+        await asyncio.sleep(0.01)
+        refunded = first.quotas.owner._accounts[ACME].bucket.level(site.now())
+        assert refunded - charged >= 200.0
+
+    in_site(steps)
+
+
+def test_request_cancelled_after_the_reply_is_refunded():
+    """Guards against charges of callers that leave while the reply arrives."""
+
+    async def steps(site):
+        owners = site.vms["delta-0"].quotas._members.owners(ACME)
+        owner, asker = site.vms[owners[0].id], site.vms[owners[2].id]
+        receive = asker.quotas.receive_reply
+        task = asyncio.ensure_future(asker.request(5_000.0))
+
+        def receive_and_cancel(msg, sender):
+            receive(msg, sender)
+            task.cancel()
+
+        asker.quotas.receive_reply = receive_and_cancel
+        await asyncio.wait([task])
+        assert task.cancelled()
+        await asyncio.sleep(0.01)
+        level = owner.quotas.owner._accounts[ACME].bucket.level(site.now())
+        assert level >= 5_000.0
+
+    in_site(steps)
+
+
+def test_absurd_cost_harms_no_other_request():
+    """Guards against a request of 10^15 tokens that takes the weights of other regions
+    for minutes, and makes all later refusals name long waits."""
+    waits = []
+
+    async def steps(site):
+        refusal = await site.vms["delta-0"].request(1e15)
+        assert refusal is not None
+        await asyncio.sleep(5.0)
+        await load(site, ["gulf-1"], rate=0.8 * LARGE, cost=9_200.0, seconds=3)
+        begin = site.now()
+        await load(site, ["gulf-1"], rate=0.8 * LARGE, cost=9_200.0, seconds=5)
+        assert site.admitted_between(begin, begin + 5) >= 0.7 * 5 * LARGE
+        refusals = await load(
+            site, ["delta-0"], rate=0.5 * LARGE, cost=9_200.0, seconds=0.5
+        )
+        waits.extend(refusal.retry_after_seconds for _, refusal in refusals)
+
+    in_site(steps, rate=LARGE, burst=LARGE)
+    assert min(waits, default=0.0) < 0.5
+
+
 def test_nothing_is_sent_or_asked_without_limits():
     """Guards against traffic in deployments without quotas."""
 
@@ -390,7 +536,7 @@
 
 def test_entry_vms_ask_each_other_over_loopback(runner, monkeypatch):
     """Guards against messages that the loops of heartbeats don't carry."""
-    monkeypatch.setattr(_quota_owner, "startup_share", lambda seconds: 1.0)
+    monkeypatch.setattr(_quota_members, "startup_share", lambda *args, **options: 1.0)
 
     async def main():
         tenant = Tenant(
