--- a/pimentospool/policy/_target_choice.py
+++ b/pimentospool/policy/_target_choice.py
@@ -359,21 +359,18 @@
         if isinstance(fastest, Candidate)
         else fastest.rest_seconds
     )
-    excess_seconds = completion_seconds - seconds_left
-    wait_seconds = drain_seconds(
-        excess_seconds=excess_seconds,
-        rest_seconds=fastest.rest_seconds,
-        hold_seconds=hold_seconds,
-    )
-    if fastest.known_seconds - fastest.idle_seconds >= excess_seconds:
-        # The wait for the first byte shrinks by the time that passes.
-        wait_seconds = min(wait_seconds, excess_seconds)
     return NoChoice(
         detail=(
             f"the stream is expected to end in {completion_seconds:.2f} s, "
             f"its deadline is in {seconds_left:.2f} s"
         ),
-        retry_after_seconds=_clamp_retry_after(wait_seconds),
+        retry_after_seconds=_clamp_retry_after(
+            drain_seconds(
+                excess_seconds=completion_seconds - seconds_left,
+                rest_seconds=fastest.rest_seconds,
+                hold_seconds=hold_seconds,
+            )
+        ),
         completion_seconds=completion_seconds,
     )
 
