--- a/pimentospool/policy/_stream_lengths.py
+++ b/pimentospool/policy/_stream_lengths.py
@@ -22,7 +22,7 @@
 """Answers below which nothing is known of a route."""
 HIGH_QUANTILE = 0.9
 REFIT_ANSWERS = 4
-"""Answers after which the estimate is made anew, as that takes a pass over all."""
+"""Answers after which the estimate is fitted again, as that takes a pass over all."""
 
 
 class StatedLength(msgspec.Struct, frozen=True):
