Soak: tenants, API keys and the withdrawal of a key

Cause: the randomized soak ran without tenants, so that faults were never combined with API keys, quotas and the revocation bound.

Change: seeds that end in 0, 2, 5 or 8 have a configuration with two tenants, StrictRevoke with RevokeMs 5000 and quotas far above the load. Callers send keys, a few of them unknown or missing, and one key is withdrawn during the run. The checker reports a key or digest at a target, a wrong tenant, a run or an answer other than 401 or 503 for an unknown key, 401 for a key in force, and a run of a call sent more than RevokeMs after its key was withdrawn. Keys are drawn from a generator of their own, and the seeds kept in the tests have no tenants, so that the faults and calls of other seeds are as before.

--- a/pimentospool/soak/_checker.py
+++ b/pimentospool/soak/_checker.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from pimentospool.soak._fault_plan import NODE_FAULTS, SoakFault
+from pimentospool.soak._tenants import SoakTenants
 from pimentospool.standins import (
     RETRY_BUDGET_EXTRA,
     RETRY_BUDGET_RATIO,
@@ -126,9 +127,18 @@
         Routes of the calls.
     record : SoakRecord
         Observations of the soak.
+    tenants : SoakTenants, optional
+        Tenants of the configuration.
     """
 
-    def __init__(self, *, routes: Sequence[SoakRoute], record: SoakRecord) -> None:
+    def __init__(
+        self,
+        *,
+        routes: Sequence[SoakRoute],
+        record: SoakRecord,
+        tenants: SoakTenants | None = None,
+    ) -> None:
+        self._tenants = tenants
         self._routes = {route.prefix: route for route in routes}
         self._record = record
         self._calls = {call.id: call for call in record.calls}
@@ -150,6 +160,7 @@
             "repeats stay within the budget": self._excess_retries(),
             "a limit that a target names is kept": self._excess_of_limits(),
             "a target that says it leaves is left": self._calls_of_leaving_targets(),
+            "keys are checked and stay within": self._credential_faults(),
             "processes end only as asked": iter(self._record.process_errors),
             "all nodes serve after the last fault": iter(self._record.unrecovered),
         }
@@ -338,6 +349,11 @@
                     ):
                         yield f"{call.id} at node {node} ran at {notice.target}"
 
+    def _credential_faults(self) -> Iterable[str]:
+        if self._tenants is not None:
+            requests = [arrival.request for arrival in self._record.arrivals]
+            yield from self._tenants.violations(self._calls, requests)
+
     def _stops(self, start: float, end: float, *, node: int | None = None) -> int:
         """Return how often nodes were paused or stopped shortly before or in a time."""
         return sum(
--- a/pimentospool/soak/_deployment.py
+++ b/pimentospool/soak/_deployment.py
@@ -11,6 +11,7 @@
 from pimentospool.programs import Program
 from pimentospool.sending import open_session
 from pimentospool.soak._checker import Arrival, SoakRoute
+from pimentospool.soak._tenants import TENANT_BOUNDS, SoakTenants
 from pimentospool.standins import (
     CONFIGURATION_KEY,
     GRACE_SECONDS,
@@ -200,9 +201,11 @@
         Number of node processes, spread evenly over the zones.
     folder : Path
         Directory for the settings and logs of the nodes.
+    tenants : SoakTenants
+        Tenants of the configuration, if it has any.
     """
 
-    def __init__(self, *, nodes: int, folder: Path) -> None:
+    def __init__(self, *, nodes: int, folder: Path, tenants: SoakTenants) -> None:
         self.store = StoreStandin()
         self.nodes: list[SoakNode] = []
         self.targets: list[SoakTarget] = []
@@ -210,12 +213,13 @@
         self._node_count = nodes
         self._network = LoopbackNetwork()
         self._folder = folder
+        self._tenants = tenants
         self._store_server: StandinServer
 
     async def start(self) -> list[str]:
         """Start everything; return the names of nodes that were not ready in time."""
         self._store_server = await serve_standin(self.store, "127.0.0.1:0")
-        await self.store.put(CONFIGURATION_KEY, platform_configuration())
+        await self._publish_configuration()
         for zone in ZONES:
             for service, count in _TARGETS_PER_ZONE.items():
                 for number in range(count):
@@ -235,6 +239,7 @@
                 store=store_proxy.address,
                 seeds=ips[:3],
                 ports=ports,
+                bounds=TENANT_BOUNDS if self._tenants.enabled else None,
             )
             settings["Limits"]["MemoryMb"] = NODE_MEMORY_MB
             node = SoakNode(
@@ -287,8 +292,16 @@
         self.configuration_version += 1
         await self._publish_configuration()
 
+    async def withdraw_key(self) -> None:
+        """Publish a configuration without one of the keys."""
+        self._tenants.withdrawn = True
+        await self.change_configuration()
+        self._tenants.record_withdrawal()
+
     async def _publish_configuration(self) -> None:
-        configuration = platform_configuration(version=self.configuration_version)
+        configuration = platform_configuration(
+            version=self.configuration_version, tenants=self._tenants.documents()
+        )
         await self.store.put(CONFIGURATION_KEY, configuration)
 
     async def close(self) -> list[str]:
--- a/pimentospool/soak/_runner.py
+++ b/pimentospool/soak/_runner.py
@@ -29,6 +29,7 @@
     wait_for_exit,
 )
 from pimentospool.soak._fault_plan import PlannedFault, SoakFault, plan_faults
+from pimentospool.soak._tenants import SoakTenants
 from pimentospool.standins import Fault, PlatformCall, PlatformCaller, SigningTarget
 
 CALLERS_PER_NODE = 4
@@ -121,7 +122,10 @@
         self._rng = random.Random(seed)
         self._record = SoakRecord()
         self._call_numbers = itertools.count()
-        self._deployment = SoakDeployment(nodes=nodes, folder=folder)
+        self._tenants = SoakTenants(seed=seed)
+        self._deployment = SoakDeployment(
+            nodes=nodes, folder=folder, tenants=self._tenants
+        )
         self._calls_continue = True
         self._slowest_start_seconds = 0.0
         self._recovery_seconds = 0.0
@@ -176,7 +180,9 @@
             faults=len(self._planned_faults),
             slowest_start_seconds=self._slowest_start_seconds,
             recovery_seconds=self._recovery_seconds,
-            violations=SoakChecker(routes=ROUTES, record=self._record).check(),
+            violations=SoakChecker(
+                routes=ROUTES, record=self._record, tenants=self._tenants
+            ).check(),
         )
 
     async def _run_calls_and_faults(self) -> None:
@@ -187,6 +193,8 @@
         ]
         start = time.monotonic()
         faults = []
+        if self._tenants.enabled:
+            faults.append(asyncio.create_task(self._withdraw_key()))
         for planned in self._planned_faults:
             await asyncio.sleep(start + planned.at_seconds - time.monotonic())
             faults.append(asyncio.create_task(self._inject(planned)))
@@ -196,6 +204,10 @@
         self._calls_continue = False
         await asyncio.gather(*callers)
 
+    async def _withdraw_key(self) -> None:
+        await asyncio.sleep(self._tenants.withdrawal_share * self._seconds)
+        await self._deployment.withdraw_key()
+
     async def _make_calls(self, number: int) -> None:
         """Call one node repeatedly over persistent connections."""
         address = self._deployment.nodes[number].callers_proxy.address
@@ -203,11 +215,14 @@
         try:
             while self._calls_continue:
                 await asyncio.sleep(self._rng.expovariate(1 / MEAN_CALL_PAUSE_SECONDS))
-                await self._call(caller, self._rng.choice(ROUTES))
+                route = self._rng.choice(ROUTES)
+                await self._call(caller, route, self._tenants.draw_key())
         finally:
             await caller.close()
 
-    async def _call(self, caller: PlatformCaller, route: SoakRoute) -> bool:
+    async def _call(
+        self, caller: PlatformCaller, route: SoakRoute, credential: str
+    ) -> bool:
         number = next(self._call_numbers)
         has_body = route.method == "POST"
         call = await caller.call(
@@ -215,6 +230,7 @@
             request_id=f"soak-{self._seed}-{number}",
             method=route.method,
             body=b"%d " % number * self._rng.randint(1, 400) if has_body else b"",
+            credential=credential,
         )
         self._record.calls.append(call)
         return call.succeeded
@@ -241,7 +257,8 @@
                 for route in ROUTES:
                     successes = 0
                     while successes < RECOVERED_SUCCESSES:
-                        done = await self._call(caller, route)
+                        key = self._tenants.draw_key(valid=True)
+                        done = await self._call(caller, route, key)
                         successes = successes + 1 if done else 0
         except TimeoutError:
             return False
@@ -451,6 +468,7 @@
             method="POST",
             body=unit * (LONG_BODY_BYTES // len(unit)),
             pause_seconds=BURST_PAUSE_SECONDS,
+            credential=self._tenants.draw_key(valid=True),
         )
 
     def _shorten_bodies(self, calls: list[PlatformCall]) -> None:
--- a/pimentospool/standins/_platform_caller.py
+++ b/pimentospool/standins/_platform_caller.py
@@ -32,7 +32,8 @@
 
     `node` is the number of the called node. `reason` describes the failure of a call
     without a complete response. `slowly_read_from` is the time at which the
-    head of a response arrived whose body the caller read slowly.
+    head of a response arrived whose body the caller read slowly. `credential` is the
+    API key that it sent, empty without one.
     """
 
     id: str
@@ -41,6 +42,7 @@
     body: bytes
     node: int
     sent_at: float
+    credential: str = ""
     ended_at: float = 0.0
     slowly_read_from: float | None = None
     end: CallEnd = CallEnd.UNANSWERED
@@ -102,6 +104,7 @@
         method: str = "GET",
         body: bytes = b"",
         pause_seconds: float = 0.0,
+        credential: str = "",
     ) -> PlatformCall:
         """Make one call and return its record.
 
@@ -115,8 +118,11 @@
             body=body,
             node=self._node,
             sent_at=time.monotonic(),
+            credential=credential,
         )
         headers = {"Host": HOST, "X-Request-Id": request_id}
+        if credential:
+            headers["X-Credential"] = credential
         data: bytes | AsyncIterator[bytes] | None = body or None
         if pause_seconds:
             headers["Content-Length"] = str(len(body))
--- a/tests/soak/test_checker.py
+++ b/tests/soak/test_checker.py
@@ -13,6 +13,7 @@
     TargetNotice,
     plan_faults,
 )
+from pimentospool.soak._tenants import SoakTenants
 from pimentospool.standins import CallEnd, PlatformCall, ReceivedRequest
 
 ROUTES = (
@@ -239,6 +240,42 @@
     assert found == ["a target that says it leaves is left"] * broken
 
 
+@pytest.mark.parametrize(
+    ("key", "status", "sent_at", "headers", "broken"),
+    [
+        ("soak-key-1", 200, 10.0, {"x-tenant": "alder"}, 0),
+        ("soak-key-1", 200, 10.0, {"x-tenant": "birch"}, 1),
+        ("soak-key-1", 200, 10.0, {}, 1),
+        ("soak-key-1", 200, 10.0, {"x-tenant": "alder", "x-credential": "k"}, 1),
+        (
+            "soak-key-1",
+            200,
+            10.0,
+            {"x-tenant": "alder", "pimentospool-credential": "d"},
+            1,
+        ),
+        ("soak-key-1", 401, 10.0, None, 1),
+        ("", 401, 10.0, None, 0),
+        ("soak-key-unknown", 503, 10.0, None, 0),
+        ("soak-key-unknown", 404, 10.0, None, 1),
+        ("soak-key-unknown", 401, 10.0, {}, 1),
+        ("soak-key-3", 200, 14.9, {"x-tenant": "birch"}, 0),
+        ("soak-key-3", 200, 15.1, {"x-tenant": "birch"}, 1),
+        ("soak-key-3", 401, 15.1, None, 0),
+    ],
+)
+def test_call_with_a_key(key, status, sent_at, headers, broken):
+    """Guards against a check of keys that accepts what it must report."""
+    tenants = SoakTenants(seed=5)
+    tenants.withdrawn, tenants.withdrawn_at = True, 10.0
+    sent = call("/look/", credential=key, status=status, sent_at=sent_at)
+    requests = []
+    if headers is not None:
+        requests.append(arrival(sent).request)
+        requests[0].headers.update(headers)
+    assert len(list(tenants.violations({sent.id: sent}, requests))) == broken
+
+
 def test_fault_plans_cover_every_fault():
     planned_faults = {
         item.fault for seed in range(20) for item in plan_faults(seed, seconds=12)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -47,6 +47,13 @@
         assert result.succeeded > result.calls / 3
 
 
+def test_keys_are_checked_and_withdrawn_under_faults(runner, tmp_path):
+    """Guards against keys at targets, wrong tenants, and runs with a withdrawn key."""
+    result = runner.run(run_soak(tmp_path / "22", seed=22, seconds=5.0, nodes=3))
+    assert result.violations == []
+    assert result.succeeded > result.calls / 3
+
+
 def test_bursts_of_long_bodies_stay_within_the_memory_of_a_node(runner, tmp_path):
     """One burst meets sound targets, the other one targets that are all faulty."""
     folder = tmp_path / "24"
