--- a/pimentospool/gateway/_placement.py
+++ b/pimentospool/gateway/_placement.py
@@ -592,10 +592,7 @@
                 wait_seconds=load.wait_seconds,
                 slot_utilisation=load.slot_utilisation,
                 prefill_tokens=self._prefill_tokens_in_region(
-                    req,
-                    service,
-                    is_preferred=region == preferred_region,
-                    slot_utilisation=load.slot_utilisation,
+                    req, service, is_preferred=region == preferred_region
                 ),
                 service_pace=self.pace(service.id).value,
             )
@@ -692,25 +689,15 @@
         return regions[preferred] if preferred is not None else None
 
     def _prefill_tokens_in_region(
-        self,
-        req: InboundRequest,
-        service: ServiceSpec,
-        *,
-        is_preferred: bool,
-        slot_utilisation: float = 0.0,
+        self, req: InboundRequest, service: ServiceSpec, *, is_preferred: bool
     ) -> int:
-        """Return the prompt tokens that a target of another region has to read.
-
-        The load of a region is that of its cheapest target. The busier that is, the
-        less likely is the preferred target, which has the shared parts, the cheapest.
-        """
+        """Return the prompt tokens that a target of another region has to read."""
         prompt = req.prompt
         if prompt is None or service.engine is None:
             return 0
         if not is_preferred or not prompt.parts:
             return prompt.tokens
-        own_tokens = prompt.parts[-1].tokens
-        return own_tokens + round((prompt.tokens - own_tokens) * slot_utilisation)
+        return prompt.parts[-1].tokens
 
     def _acquire_cold_start(self, candidate: Candidate, service: ServiceSpec) -> bool:
         bounds = self._bounds
