--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -326,7 +326,7 @@
         for name in list(site.vms):
             site.restart(name)
         await demand
-        # VMs of the simulation hear of each other 1 s after their start.
+        # VMs of the simulation learn of each other 1 s after their start.
         found.append(site.admitted_between(begin + 1.0, begin + 2.5) / 1.5 / LARGE)
         assert site.highest_window() <= allowed(LARGE, LARGE)
 
