Show what crowds of clients outside the limits do to a node

In a trial such clients ended a process for its memory. tests/platform/test_client_crowds.py runs one real node with 128 MB and 700 descriptors beside 250 clients (600 silent ones) of one class at a time, 73 cases: heads, empty lines, bodies in all framings, long answers that are read slowly or not at all, pipelined requests, other protocols, silent connections, at each listener, and all at once. Memory counts what the sockets hold unread. Beside the crowd and after it, ordinary requests at all listeners have to be answered, and a new configuration followed.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 DEPLOYMENT ?= magnolia
 
-.PHONY: install test test-platform test-others fuzz lint demo generate binary docs
+.PHONY: install test test-crowds test-parts test-platform test-others fuzz lint demo generate binary docs
 
 install: $(STAMP)
 
@@ -17,12 +17,21 @@
 fuzz: install
 	$(BIN)/python -m pytest tests/fuzz --hypothesis-profile=long --timeout=0
 
-# Two processes at once: most tests wait for timeouts.
+# Crowds fill the memory of a process, and run by themselves.
+CROWDS := tests/platform/test_client_crowds.py
+
 test: install
+	$(MAKE) --keep-going test-crowds test-parts
+
+test-crowds: install
+	$(BIN)/python -m pytest --durations=5 $(CROWDS)
+
+# Two processes at once: most tests wait for timeouts.
+test-parts: install
 	$(MAKE) --jobs=2 --output-sync --keep-going test-platform test-others
 
 test-platform: install
-	$(BIN)/python -m pytest --durations=15 tests/platform
+	$(BIN)/python -m pytest --durations=15 tests/platform $(CROWDS:%=--ignore=%)
 
 test-others: install
 	$(BIN)/python -m pytest --durations=15 tests --ignore=tests/platform
--- a/tests/platform/node_process.py
+++ b/tests/platform/node_process.py
@@ -26,8 +26,9 @@
 class NodeProcess:
     """A running node, whose memory and log can be read."""
 
-    def __init__(self, proc, raw, log_path, settings_path):
+    def __init__(self, proc, raw, log_path, settings_path, store=None):
         self.proc = proc
+        self.store = store
         self.front = raw["ListenAddrs"]["Front"]
         self.ready = raw["ListenAddrs"]["Ready"]
         self.settings_path = settings_path
@@ -121,7 +122,7 @@
     with log_path.open("w") as output:
         command = [sys.executable, "-m", "pimentospool", "node", str(path)]
         proc = subprocess.Popen(command, stdout=output, stderr=output)
-        node = NodeProcess(proc, raw, log_path, path)
+        node = NodeProcess(proc, raw, log_path, path, store)
         try:
             if ready:
                 await node.wait_ready()
