Bound the connections at which entry VMs read the state of others

Callers saw nothing of it, but 250 connections that pipeline requests for the view and read no answer took a node of 128 MB to 129 MB, heads without end there to 125 MB. The listener next to the one for hops was a plain web.Server: it parsed 32 requests ahead and 8 KB lines, and no head was counted.

It is now a listener like Ready, Directory and Control. It still outlives them while a process leaves, as others ask it then.

--- a/pimentospool/gateway/__init__.py
+++ b/pimentospool/gateway/__init__.py
@@ -55,6 +55,7 @@
 )
 from pimentospool.gateway._routing_state import RoutingState
 from pimentospool.gateway._settings import GatewaySettings, QuotaBounds
+from pimentospool.gateway._view_exchange import view_address
 from pimentospool.policy import (
     KEY_DIGEST_BYTES,
     ORDINARY_HEAD_BYTES,
@@ -119,4 +120,5 @@
     "head_cost",
     "key_digest",
     "knows_tenants",
+    "view_address",
 ]
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -37,7 +37,7 @@
 from pimentospool.gateway._stream_origins import StreamOrigins
 from pimentospool.gateway._stream_records import StreamRecordExchange
 from pimentospool.gateway._target_reports import ReportExchange, relay_bytes
-from pimentospool.gateway._view_exchange import ViewExchange, view_address
+from pimentospool.gateway._view_exchange import ViewExchange
 from pimentospool.ids import ServiceId, TargetId
 from pimentospool.log import Event, log_event
 from pimentospool.policy import (
@@ -247,7 +247,6 @@
         self.freshness.add_gauges(self.metrics)
         self.quotas.connect(self.heartbeats)
         self._placement.doubts_changed.connect(self.heartbeats.send_reports_soon)
-        self._view_server: asyncio.Server | None = None
         self.routing_state.configuration_adopted.connect(self._follow_configuration)
         self._tasks: list[asyncio.Task[None]] = []
         self._abort_requests_at = math.inf
@@ -262,11 +261,6 @@
         """Read the published facts and join the other entry VMs."""
         self._start_task("facts", self.feed.run)
         await self.heartbeats.start(self.cfg.peer)
-        server = web.Server(self._view_exchange.handle, access_log=None)
-        address = view_address(self.cfg.peer)
-        self._view_server = await asyncio.get_running_loop().create_server(
-            server, address.host, address.port
-        )
         self._start_task("heartbeats", self.heartbeats.run)
         if self.cfg.quota_bounds.window_seconds > 0.0:
             self._start_task("quotas", self.quotas.run)
@@ -277,6 +271,10 @@
         if self.configuration_age.is_bounded:
             self._start_task("freshness", self.freshness.run)
 
+    async def handle_view(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Respond to another entry VM with what this one knows."""
+        return await self._view_exchange.handle(http)
+
     @property
     def serving(self) -> bool:
         """Whether new requests are still served."""
@@ -311,8 +309,6 @@
 
     async def stop(self) -> None:
         """Cancel the background tasks."""
-        if self._view_server is not None:
-            self._view_server.close()
         await cancel_tasks(self._tasks)
         await self.deps.start_checker.close()
         await self.deps.start_proofs.close()
--- a/pimentospool/platform/_node.py
+++ b/pimentospool/platform/_node.py
@@ -14,6 +14,7 @@
     EntryState,
     Gateway,
     GatewaySettings,
+    view_address,
 )
 from pimentospool.ids import RegionId
 from pimentospool.latencies import CONTENT_TYPE
@@ -58,6 +59,8 @@
             origin_source=StoreClient(address=cfg.store),
         )
         self._servers: list[asyncio.Server] = []
+        self._view_server: asyncio.Server | None = None
+        """Serves other entry VMs until the end, as they ask those that leave, too."""
         self._frontends = [
             HttpFrontend(gateway=self._gateway, is_hop=False),
             HttpFrontend(gateway=self._gateway, is_hop=True),
@@ -97,16 +100,23 @@
             )
         )
         await cancel_tasks(self._tasks)
+        if self._view_server is not None:
+            self._view_server.close()
         await self._gateway.stop()
 
     async def _start(self) -> None:
         cfg = self._cfg
         caller_frontend, hop_frontend = self._frontends
-        await self._listen(caller_frontend.server, cfg.front)
-        await self._listen(hop_frontend.server, cfg.peer)
-        await self._listen_with_handler(self._handle_ready, cfg.ready)
-        await self._listen_with_handler(self._handle_resolve, cfg.directory)
-        await self._listen_with_handler(self._handle_metrics, cfg.control)
+        self._servers = [
+            await self._listen(caller_frontend.server, cfg.front),
+            await self._listen(hop_frontend.server, cfg.peer),
+            await self._listen_with_handler(self._handle_ready, cfg.ready),
+            await self._listen_with_handler(self._handle_resolve, cfg.directory),
+            await self._listen_with_handler(self._handle_metrics, cfg.control),
+        ]
+        self._view_server = await self._listen_with_handler(
+            self._gateway.handle_view, view_address(cfg.peer)
+        )
         # Others send requests here once it is ready, so that it has to listen first.
         await self._gateway.start()
         self._gateway.metrics.add_gauge(
@@ -131,7 +141,7 @@
 
     async def _listen_with_handler(
         self, handler: HttpHandler, address: Address
-    ) -> None:
+    ) -> asyncio.Server:
         server = CallerServer(
             handler,
             heads=self._gateway.deps.memory.heads,
@@ -139,14 +149,12 @@
             logger=null_logger,
         )
         server.limits = lambda: LOCAL_LIMITS
-        await self._listen(server, address)
+        return await self._listen(server, address)
 
-    async def _listen(self, server: web.Server, address: Address) -> None:
+    async def _listen(self, server: web.Server, address: Address) -> asyncio.Server:
         loop = asyncio.get_running_loop()
-        self._servers.append(
-            await loop.create_server(
-                server, address.host, address.port, backlog=LISTEN_BACKLOG_CONNECTIONS
-            )
+        return await loop.create_server(
+            server, address.host, address.port, backlog=LISTEN_BACKLOG_CONNECTIONS
         )
 
     async def _handle_ready(self, http: web.BaseRequest) -> web.StreamResponse:
