Bound the connections of each listener by the descriptors and the memory

Callers saw connections that hang or are reset once 600 clients connect and send nothing: nothing bounded how many a process accepts, Limits.MaxFds of the settings was not read, and idle connections of Ready, Directory, Control and the views were never closed. A process without descriptors can neither accept its readiness check nor connect to a target.

Sockets are now divided among the listeners and the connections to others (policy/_socket_shares.py). A full listener ends the oldest connection without a whole request, else the longest idle one, else it closes the new one unread (policy/_connection_table.py); requests in progress go on. So silent clients only displace each other, and a caller that sends its request at once is served. Pools close their longest idle connection for one to another target, and an attempt without a descriptor fails as not run. CONNECTIONS_ENDED and pimentospool_connections_ended tell who was hit, a line a second at most.

--- a/pimentospool/gateway/_connection_pool.py
+++ b/pimentospool/gateway/_connection_pool.py
@@ -7,6 +7,7 @@
 
 from pimentospool.gateway._connections import Connection
 from pimentospool.gateway._model import Address
+from pimentospool.gateway._open_connections import OpenConnections
 from pimentospool.policy import StartDoubt
 from pimentospool.sockets import SILENCE_SECONDS, open_socket
 from pimentospool.targets import AttemptFailure, FailureCause
@@ -35,6 +36,8 @@
     silence_seconds : float
         Time for which the other side may acknowledge nothing before a connection is
         closed.
+    open_connections : OpenConnections, optional
+        Counts the connections of all pools.
     on_loss : callable
         Called when the other side may have started again, with whether there was a
         connection before.
@@ -49,6 +52,7 @@
         limit: int,
         connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
         silence_seconds: float = SILENCE_SECONDS,
+        open_connections: OpenConnections | None = None,
         on_loss: Callable[[bool], None] = lambda was_connected: None,
         on_reached: Callable[[], None] = lambda: None,
     ) -> None:
@@ -56,6 +60,7 @@
         self.limit = limit
         self._connect_timeout_seconds = connect_timeout_seconds
         self._silence_seconds = silence_seconds
+        self._all_open = open_connections or OpenConnections(limit=math.inf)
         self._idle: list[Connection] = []
         self._idle_timers: dict[Connection, asyncio.TimerHandle] = {}
         self._open_count = 0
@@ -91,13 +96,18 @@
             self._idle_timers.pop(conn).cancel()
             if conn.reusable:
                 return conn
-        if self._open_count >= self.limit and not (unused and self._close_oldest()):
+        if self._open_count >= self.limit and not (unused and self.close_oldest()):
             raise _connect_failure("all connections are in use", FailureCause.REFUSED)
+        if not self._all_open.reserve():
+            raise _connect_failure(
+                "no descriptor is left for a connection", FailureCause.REFUSED
+            )
         self._open_count += 1
         try:
             return await self._open(within_seconds)
         except BaseException:
             self._open_count -= 1
+            self._all_open.release()
             raise
 
     def release(self, conn: Connection) -> None:
@@ -124,7 +134,12 @@
         self._draining = True
         self.close_idle()
 
-    def _close_oldest(self) -> bool:
+    @property
+    def idle_since(self) -> float:
+        """When its longest idle connection was last used; infinite without one."""
+        return self._idle[0].heard_at if self._idle else math.inf
+
+    def close_oldest(self) -> bool:
         """Close the connection that was idle for longest; return whether one was."""
         if not self._idle:
             return False
@@ -139,6 +154,7 @@
 
     def _on_connection_closed(self, conn: Connection) -> None:
         self._open_count -= 1
+        self._all_open.release()
         self._connections.discard(conn)
         if conn in self._idle:
             self._idle.remove(conn)
@@ -169,7 +185,10 @@
 
     async def _open(self, within_seconds: float) -> Connection:
         loop = asyncio.get_running_loop()
-        sock = open_socket(self._silence_seconds)
+        try:
+            sock = open_socket(self._silence_seconds)
+        except OSError as exc:
+            raise _connect_failure(f"no socket: {exc!r}", FailureCause.REFUSED) from exc
         try:
             async with timeout_after_read(
                 min(self._connect_timeout_seconds, within_seconds)
--- a/pimentospool/gateway/_pools.py
+++ b/pimentospool/gateway/_pools.py
@@ -7,6 +7,7 @@
 from pimentospool.gateway._connection_pool import ConnectionPool
 from pimentospool.gateway._fleet import Fleet
 from pimentospool.gateway._model import Address, Registration, ServiceSpec
+from pimentospool.gateway._open_connections import OpenConnections
 from pimentospool.ids import RegionId, TargetId
 
 MAX_PEER_CONNECTIONS = 128
@@ -31,6 +32,8 @@
         Region whose entry VMs share the targets' connections.
     fleet : Fleet
         Membership of the entry VMs.
+    max_connections : float
+        Limit on the connections of all pools together.
     on_loss : callable
         Called with a target that may have started again, and with whether there was a
         connection to it before.
@@ -43,6 +46,7 @@
         *,
         region: RegionId,
         fleet: Fleet,
+        max_connections: float = math.inf,
         on_loss: Callable[[TargetId, bool], None] = lambda target, was_connected: None,
         on_reached: Callable[[TargetId], None] = lambda target: None,
     ) -> None:
@@ -50,6 +54,9 @@
         self._fleet = fleet
         self._on_loss = on_loss
         self._on_reached = on_reached
+        self.open_connections = OpenConnections(
+            limit=max_connections, close_idle=self._close_longest_idle
+        )
         self._target_pools: dict[TargetId, ConnectionPool] = {}
         self._peer_pools: dict[Address, ConnectionPool] = {}
 
@@ -68,6 +75,7 @@
                 address=registration.address,
                 limit=limit,
                 silence_seconds=TARGET_SILENCE_SECONDS,
+                open_connections=self.open_connections,
                 on_loss=partial(self._on_loss, registration.id),
                 on_reached=partial(self._on_reached, registration.id),
             )
@@ -83,10 +91,16 @@
                 address=address,
                 limit=MAX_PEER_CONNECTIONS,
                 connect_timeout_seconds=PEER_CONNECT_TIMEOUT_SECONDS,
+                open_connections=self.open_connections,
             )
             self._peer_pools[address] = pool
         return pool
 
+    def _close_longest_idle(self) -> bool:
+        pools = [*self._target_pools.values(), *self._peer_pools.values()]
+        oldest = min(pools, key=lambda pool: pool.idle_since, default=None)
+        return oldest is not None and oldest.close_oldest()
+
     def close_idle(self, target: TargetId) -> None:
         """Close the idle connections to a target, which may have gone silent, too."""
         pool = self._target_pools.get(target)
--- a/pimentospool/gateway/_process.py
+++ b/pimentospool/gateway/_process.py
@@ -46,6 +46,7 @@
     OccupancyBook,
     StreamVersions,
     SuspectKind,
+    share_sockets,
 )
 from pimentospool.tasks import cancel_tasks, run_supervised
 
@@ -113,9 +114,13 @@
             bounds=cfg.bounds,
             clock=clock,
         )
+        self.sockets = share_sockets(
+            max_descriptors=cfg.max_descriptors, process_bytes=cfg.memory_bytes
+        )
         pools = ConnectionPools(
             region=cfg.region,
             fleet=self.fleet,
+            max_connections=self.sockets.opened,
             on_loss=self._placement.record_loss,
             on_reached=self._placement.record_reached,
         )
--- a/pimentospool/gateway/_settings.py
+++ b/pimentospool/gateway/_settings.py
@@ -57,6 +57,8 @@
     memory_bytes: float
     """Memory that the process may use; it is ended if it uses more."""
     bounds: SharedBounds
+    max_descriptors: float = math.inf
+    """Descriptors that the process may have; infinite if no limit is stated."""
     revocation_seconds: float = math.inf
     """Time after which a withdrawn API key must not be accepted by any entry VM, in
     contact with the store or not; infinite without such a bound."""
--- a/pimentospool/log.py
+++ b/pimentospool/log.py
@@ -38,6 +38,7 @@
     REQUEST_REFUSED = (2001, logbook.INFO, "request refused")
     REQUEST_INVALID = (2010, logbook.INFO, "request that can't be read rejected")
     HEADS_REFUSED = (2016, logbook.WARNING, "heads of a connection found no memory")
+    CONNECTIONS_ENDED = (2017, logbook.WARNING, "connections ended at a limit")
     REQUEST_ERROR = (2003, logbook.ERROR, "unexpected error in a request")
     QUOTA_REFUSED = (2013, logbook.INFO, "request refused by its tenant's quota")
     QUOTA_FALLBACK = (
--- a/pimentospool/platform/_counted_connections.py
+++ b/pimentospool/platform/_counted_connections.py
@@ -6,10 +6,11 @@
 ends its connection if the head has not ended.
 """
 
+import asyncio
 import itertools
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, cast
 
 from aiohttp import web
 from aiohttp.http import HttpRequestParser
@@ -21,6 +22,7 @@
 from pimentospool.gateway import ORDINARY_HEAD_BYTES, HeadBudget, head_cost
 from pimentospool.log import Event, log_event
 from pimentospool.platform._bodies import NoMemoryError
+from pimentospool.platform._connection_guard import ConnectionGuard, caller_address
 from pimentospool.platform._headers import (
     HOP_CONFIGURATION_HEADER,
     HOP_ENTRY_HEADER,
@@ -59,10 +61,12 @@
     """
 
     __slots__ = (
+        "__weakref__",
         "_body",
         "_budget",
         "_costs",
         "_ends",
+        "_guard",
         "_heads",
         "_keeps_read",
         "_loose_bytes",
@@ -85,6 +89,7 @@
             auto_decompress=options.get("auto_decompress", True),
             max_msg_queue_size=MAX_QUEUED_REQUESTS,
         )
+        self._guard = manager.guard
         self._budget = manager.heads
         self._heads = self._budget.begin()
         self._costs: deque[int] = deque()
@@ -110,6 +115,30 @@
         is_large = bool(self._costs) and self._costs[0] > ORDINARY_HEAD_BYTES
         return self._ends or is_large
 
+    @property
+    def caller(self) -> str:
+        """Address of the other side."""
+        return caller_address(self.transport)
+
+    def has_stalled(self) -> bool:
+        """Return whether its caller holds up a request in progress."""
+        return False
+
+    def end(self) -> None:
+        """Close the connection at once; unsent bytes are discarded."""
+        transport = self.transport
+        self.force_close()
+        if transport is not None:
+            transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to serve the connection, or close it if there is no room for it."""
+        if self._guard.admit(self, transport):
+            super().connection_made(transport)
+            return
+        self._force_close = True
+        cast(asyncio.Transport, transport).abort()
+
     def data_received(self, data: bytes) -> None:
         """Count what arrives, and refuse it if it doesn't fit."""
         if self._force_close or self._close:
@@ -127,6 +156,7 @@
             self._end_body()
         new_requests = self._request_count - count_before
         if new_requests:
+            self._guard.begin_request(self)
             self._count_heads(new_requests, data)
         if self._upgraded:
             # Requests after one that asks for another protocol would not be counted.
@@ -138,6 +168,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Free the heads."""
+        self._guard.remove(self)
         super().connection_lost(exc)
         self._costs.clear()
         self._heads.resize(0)
@@ -159,6 +190,8 @@
         if self._costs and not self.must_close:
             self._costs.popleft()
             self._heads.resize(self._cost())
+        if not self._messages:
+            self._guard.end_request(self)
 
     def _end_body(self) -> None:
         """Close the connection later if the parser has kept long trailers."""
@@ -232,14 +265,24 @@
         Serves one request.
     heads : HeadBudget
         Counts the heads of all connections.
+    guard : ConnectionGuard
+        Bounds the connections of the listener.
     **options
         Options of `web.Server`.
     """
 
     connection_class: type[CountedConnection] = CountedConnection
 
-    def __init__(self, handler: Handler, *, heads: HeadBudget, **options: Any) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        heads: HeadBudget,
+        guard: ConnectionGuard,
+        **options: Any,
+    ) -> None:
         super().__init__(self._serve, **options)
+        self.guard = guard
         self.heads = heads
         self._handler = handler
 
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -41,6 +41,7 @@
     CallerServer,
     header_bytes,
 )
+from pimentospool.platform._connection_guard import ConnectionGuard
 from pimentospool.platform._counted_connections import is_refused, must_close
 from pimentospool.platform._credentials import (
     caller_identity,
@@ -138,14 +139,19 @@
         Gateway that handles the requests.
     is_hop : bool
         Whether the requests come from other entry VMs.
+    guard : ConnectionGuard
+        Bounds the connections.
     """
 
-    def __init__(self, *, gateway: Gateway, is_hop: bool) -> None:
+    def __init__(
+        self, *, gateway: Gateway, is_hop: bool, guard: ConnectionGuard
+    ) -> None:
         self._gateway = gateway
         self._is_hop = is_hop
         self.server = CallerServer(
             self._handle,
             heads=gateway.deps.memory.heads,
+            guard=guard,
             handler_cancellation=True,
             keepalive_timeout=KEEP_ALIVE_TIMEOUT_SECONDS,
             max_headers=MAX_HEADERS,
--- a/pimentospool/platform/_node.py
+++ b/pimentospool/platform/_node.py
@@ -14,12 +14,18 @@
     EntryState,
     Gateway,
     GatewaySettings,
+    Listener,
     view_address,
 )
 from pimentospool.ids import RegionId
 from pimentospool.latencies import CONTENT_TYPE
 from pimentospool.log import Event, log_event
 from pimentospool.platform._caller_connections import CallerServer
+from pimentospool.platform._connection_guard import ConnectionGuard
+from pimentospool.platform._connection_report import (
+    ConnectionReport,
+    OpenConnectionsCollector,
+)
 from pimentospool.platform._exchange import PlatformDialect
 from pimentospool.platform._front import MIN_FLUSH_SECONDS, HttpFrontend, null_logger
 from pimentospool.platform._settings import NodeSettingsError, read_node_settings
@@ -59,11 +65,21 @@
             origin_source=StoreClient(address=cfg.store),
         )
         self._servers: list[asyncio.Server] = []
-        self._view_server: asyncio.Server | None = None
+        self._last_servers: list[asyncio.Server] = []
         """Serves other entry VMs until the end, as they ask those that leave, too."""
+        report = ConnectionReport(registry=self._gateway.metrics.registry)
+        self._guards = {
+            listener: ConnectionGuard(listener=listener, limit=limit, report=report)
+            for listener, limit in self._gateway.sockets.accepted.items()
+        }
+        self._gateway.metrics.registry.register(OpenConnectionsCollector(self._guards))
         self._frontends = [
-            HttpFrontend(gateway=self._gateway, is_hop=False),
-            HttpFrontend(gateway=self._gateway, is_hop=True),
+            HttpFrontend(
+                gateway=self._gateway,
+                is_hop=listener is Listener.HOPS,
+                guard=self._guards[listener],
+            )
+            for listener in (Listener.CALLERS, Listener.HOPS)
         ]
         self._tasks: list[asyncio.Task[None]] = []
         self._stopping = asyncio.Event()
@@ -100,23 +116,24 @@
             )
         )
         await cancel_tasks(self._tasks)
-        if self._view_server is not None:
-            self._view_server.close()
+        for server in self._last_servers:
+            server.close()
         await self._gateway.stop()
 
     async def _start(self) -> None:
         cfg = self._cfg
         caller_frontend, hop_frontend = self._frontends
-        self._servers = [
-            await self._listen(caller_frontend.server, cfg.front),
-            await self._listen(hop_frontend.server, cfg.peer),
-            await self._listen_with_handler(self._handle_ready, cfg.ready),
-            await self._listen_with_handler(self._handle_resolve, cfg.directory),
-            await self._listen_with_handler(self._handle_metrics, cfg.control),
-        ]
-        self._view_server = await self._listen_with_handler(
-            self._gateway.handle_view, view_address(cfg.peer)
-        )
+        await self._listen(caller_frontend.server, cfg.front, self._servers)
+        await self._listen(hop_frontend.server, cfg.peer, self._servers)
+        for listener, handler, address in (
+            (Listener.READINESS, self._handle_ready, cfg.ready),
+            (Listener.DIRECTORY, self._handle_resolve, cfg.directory),
+            (Listener.METRICS, self._handle_metrics, cfg.control),
+        ):
+            server = self._create_server(listener, handler)
+            await self._listen(server, address, self._servers)
+        server = self._create_server(Listener.VIEWS, self._gateway.handle_view)
+        await self._listen(server, view_address(cfg.peer), self._last_servers)
         # Others send requests here once it is ready, so that it has to listen first.
         await self._gateway.start()
         self._gateway.metrics.add_gauge(
@@ -129,6 +146,11 @@
             "Store entries that could not be read.",
             lambda: self._store.skipped_entries,
         )
+        self._gateway.metrics.add_gauge(
+            "pimentospool_opened_connections",
+            "Connections to targets and entry VMs.",
+            lambda: self._gateway.deps.pools.open_connections.count,
+        )
         self._tasks.append(asyncio.create_task(self._watch_settings()))
         log_event(
             Event.ENTRY_STARTED,
@@ -139,22 +161,25 @@
             seeds=len(cfg.seeds),
         )
 
-    async def _listen_with_handler(
-        self, handler: HttpHandler, address: Address
-    ) -> asyncio.Server:
+    def _create_server(self, listener: Listener, handler: HttpHandler) -> CallerServer:
         server = CallerServer(
             handler,
             heads=self._gateway.deps.memory.heads,
+            guard=self._guards[listener],
             access_log=None,
             logger=null_logger,
         )
         server.limits = lambda: LOCAL_LIMITS
-        return await self._listen(server, address)
+        return server
 
-    async def _listen(self, server: web.Server, address: Address) -> asyncio.Server:
+    async def _listen(
+        self, server: web.Server, address: Address, servers: list[asyncio.Server]
+    ) -> None:
         loop = asyncio.get_running_loop()
-        return await loop.create_server(
-            server, address.host, address.port, backlog=LISTEN_BACKLOG_CONNECTIONS
+        servers.append(
+            await loop.create_server(
+                server, address.host, address.port, backlog=LISTEN_BACKLOG_CONNECTIONS
+            )
         )
 
     async def _handle_ready(self, http: web.BaseRequest) -> web.StreamResponse:
--- a/pimentospool/platform/_settings.py
+++ b/pimentospool/platform/_settings.py
@@ -59,6 +59,7 @@
 class _Limits(msgspec.Struct, rename="pascal"):
     link_mbps: float = 0.0
     memory_mb: float = 0.0
+    max_fds: float = 0.0
 
 
 class _NodeFile(msgspec.Struct, rename="pascal"):
@@ -155,6 +156,7 @@
         / _MILLISECONDS_PER_SECOND,
         link_mbps=_bandwidth(node.limits.link_mbps),
         memory_bytes=_memory_bytes(node.limits.memory_mb),
+        max_descriptors=node.limits.max_fds if node.limits.max_fds > 0 else math.inf,
         revocation_seconds=(
             bounds.revoke_ms / _MILLISECONDS_PER_SECOND
             if bounds.strict_revoke and bounds.revoke_ms > 0
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -13,6 +13,7 @@
     ConfigurationAge,
     choose_query_receivers,
 )
+from pimentospool.policy._connection_table import Admission, ConnectionTable
 from pimentospool.policy._continuations import StreamPosition, continuation_head_fault
 from pimentospool.policy._crash_evidence import (
     CrashEvidence,
@@ -107,6 +108,7 @@
     responsible_entry,
 )
 from pimentospool.policy._shares import QuotaShares
+from pimentospool.policy._socket_shares import Listener, SocketShares, share_sockets
 from pimentospool.policy._start_doubt import REGISTRATION_SECONDS, StartDoubt
 from pimentospool.policy._stream_lengths import StatedLength
 from pimentospool.policy._stream_pace import StreamObserver
@@ -150,6 +152,7 @@
     "START_SHARE",
     "SURVIVAL_SECONDS",
     "UNPROVED_VERSION",
+    "Admission",
     "AnswerHold",
     "Assignment",
     "BrittleTargets",
@@ -160,6 +163,7 @@
     "ChangeKind",
     "ColdStartLimiter",
     "ConfigurationAge",
+    "ConnectionTable",
     "CrashEvidence",
     "CrashSuspects",
     "CustomerLimiter",
@@ -179,6 +183,7 @@
     "LedgerLimits",
     "LimitNotice",
     "LimitRefusal",
+    "Listener",
     "MemberChange",
     "Membership",
     "MemoryBudget",
@@ -225,6 +230,7 @@
     "Score",
     "ServicePace",
     "SharedRetryBudget",
+    "SocketShares",
     "Start",
     "StartDoubt",
     "StatedLength",
@@ -265,6 +271,7 @@
     "region_weight",
     "reserve_seconds",
     "responsible_entry",
+    "share_sockets",
     "standin_share",
     "startup_share",
     "stream_key",
