Bound the bytes that wait at connections which are not read

Callers that read long answers slowly, or not at all, took a node of 128 MB to 129 to 255 MB, 45 to 102 MB of these in its sockets; 250 bodies without their last byte to 159 MB. A process is ended for that, and all of its callers lose their answers.

A connection that is not read, as its answer waits for its caller or a request ahead, filled the receive buffer that the kernel chose, up to 6 MB, which MemoryMb counts and the process did not. Streams were read ahead by 256 KB, and as much again was in the transport to the caller.

Receive buffers are 16 KB now, set on the listening sockets and on those to targets, and 128 KB only while a body or a whole answer arrives that is counted in its request's memory with 256 KB as before. REQUEST_BYTES covers that to a target, and the heads of a connection that is not read, as requests wait, cover its own. Streams are read ahead by 64 KB. So what waits unread is bounded by the number of connections.

--- a/pimentospool/gateway/_answer_streams.py
+++ b/pimentospool/gateway/_answer_streams.py
@@ -10,11 +10,15 @@
 import msgspec
 
 from pimentospool.policy import AnswerHold, MemoryHold
+from pimentospool.sockets import RECEIVE_BUFFER_BYTES
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.verdicts import Verdict
 
 MAX_BUFFERED_BYTES = 256 * 1024
 """Unread bytes of a response above which the connection stops reading."""
+MAX_STREAMED_BYTES = 64 * 1024
+"""The same of a response that is passed on as its caller takes it. The transport to the
+caller may hold as much again."""
 HEADER_BYTES = 400
 """Memory of a short header until its response is passed on: 22 MB for 60 responses of
 900 headers."""
@@ -73,6 +77,9 @@
     def resume(self) -> None:
         """Go on reading from the peer."""
 
+    def widen(self) -> None:
+        """Read the rest of the response in larger pieces."""
+
     def abort(self) -> None:
         """Close the connection at once."""
 
@@ -95,6 +102,7 @@
         self.without_body = req.without_body
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
+        self._max_buffered_bytes = MAX_STREAMED_BYTES
         self._uncounted_bytes = 0
         """Bytes of the body that the current read has brought."""
         self._hold = req.answer_hold
@@ -161,6 +169,7 @@
         bool
             Whether the response fits.
         """
+        self._max_buffered_bytes = MAX_BUFFERED_BYTES
         if self._hold is not None:
             self._hold.hold_whole()
         if self._hold is None or length is None:
@@ -174,6 +183,8 @@
         self._conn.resume()
         if not self._hold.grow(size_bytes):
             return False
+        if length > RECEIVE_BUFFER_BYTES:
+            self._conn.widen()
         self._hold = None
         return True
 
@@ -235,7 +246,7 @@
 
     def _read_on(self) -> None:
         """Read from the connection only while the response has room for more."""
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and not self.complete:
+        if self._buffered_bytes > self._max_buffered_bytes and not self.complete:
             self._conn.pause()
         elif self.complete or self._hold is None or self._hold.may_read(self._read_on):
             self._conn.resume()
--- a/pimentospool/gateway/_connection_pool.py
+++ b/pimentospool/gateway/_connection_pool.py
@@ -9,7 +9,7 @@
 from pimentospool.gateway._model import Address
 from pimentospool.gateway._open_connections import OpenConnections
 from pimentospool.policy import StartDoubt
-from pimentospool.sockets import SILENCE_SECONDS, open_socket
+from pimentospool.sockets import RECEIVE_BUFFER_BYTES, SILENCE_SECONDS, open_socket
 from pimentospool.targets import AttemptFailure, FailureCause
 from pimentospool.tasks import timeout_after_read
 from pimentospool.verdicts import Verdict
@@ -186,7 +186,9 @@
     async def _open(self, within_seconds: float) -> Connection:
         loop = asyncio.get_running_loop()
         try:
-            sock = open_socket(self._silence_seconds)
+            sock = open_socket(
+                self._silence_seconds, receive_buffer_bytes=RECEIVE_BUFFER_BYTES
+            )
         except OSError as exc:
             raise _connect_failure(f"no socket: {exc!r}", FailureCause.REFUSED) from exc
         try:
--- a/pimentospool/gateway/_connections.py
+++ b/pimentospool/gateway/_connections.py
@@ -23,7 +23,12 @@
     find_body_end,
 )
 from pimentospool.policy import MemoryHold
-from pimentospool.sockets import set_reset_on_close
+from pimentospool.sockets import (
+    LONG_RECEIVE_BUFFER_BYTES,
+    RECEIVE_BUFFER_BYTES,
+    set_receive_buffer,
+    set_reset_on_close,
+)
 
 DEFAULT_IDLE_SECONDS = 4.0
 """Time after which an idle connection is closed if the server states no timeout."""
@@ -84,6 +89,7 @@
         self._was_used = False
         self._peer_closed = False
         self._paused = False
+        self._is_wide = False
         self._received_bytes = 0
         """Bytes received since the last request was sent."""
         self._body_bytes = 0
@@ -199,6 +205,12 @@
             self._paused = False
             self._transport.resume_reading()
 
+    def widen(self) -> None:
+        """Read the rest of the response in larger pieces; its bytes are counted."""
+        if not self.closed and self._transport is not None:
+            self._is_wide = True
+            set_receive_buffer(self._transport, LONG_RECEIVE_BUFFER_BYTES)
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes of the response; unexpected bytes close the connection."""
         if self._closing and self._stream is None:
@@ -271,6 +283,9 @@
         self._parser = None
         if self._must_close:
             self.close()
+        elif self._is_wide:
+            self._is_wide = False
+            set_receive_buffer(self._transport, RECEIVE_BUFFER_BYTES)
 
     # Callbacks called by httptools.
 
--- a/pimentospool/platform/_counted_connections.py
+++ b/pimentospool/platform/_counted_connections.py
@@ -29,12 +29,19 @@
     PROMPT_PREFIX_HEADER,
     REQUEST_ID_HEADER,
 )
+from pimentospool.sockets import (
+    LONG_RECEIVE_BUFFER_BYTES,
+    RECEIVE_BUFFER_BYTES,
+    set_receive_buffer,
+)
 
 UNREADABLE_TEXT = "the request can't be read"
 MAX_QUEUED_REQUESTS = 2
 """Requests of one connection that are parsed before those ahead of them have ended."""
 MIN_LINE_BYTES = 4
 """Size of the shortest header line."""
+UNREAD_BYTES = 2 * RECEIVE_BUFFER_BYTES
+"""Bytes that a connection which is not read may hold unread."""
 KEPT_HEADERS = tuple(
     name.decode()
     for name in (REQUEST_ID_HEADER, HOP_ENTRY_HEADER, HOP_CONFIGURATION_HEADER)
@@ -68,6 +75,7 @@
         "_ends",
         "_guard",
         "_heads",
+        "_is_wide",
         "_keeps_read",
         "_loose_bytes",
         "_loose_lines",
@@ -103,6 +111,7 @@
         """Whether the parser keeps the last read until the body, whose buffer is
         counted with its request, has been taken."""
         self._ends = False
+        self._is_wide = False
         self.is_refused = False
 
     @property
@@ -185,11 +194,20 @@
             message = UNREADABLE_TEXT
         return super().handle_error(request, status, None, message)
 
+    def widen(self) -> None:
+        """Read a long body in larger pieces; it is counted with its request."""
+        if self.transport is not None:
+            self._is_wide = True
+            set_receive_buffer(self.transport, LONG_RECEIVE_BUFFER_BYTES)
+
     def end_request(self) -> None:
         """Count the head of the request that has ended no more, unless it is kept."""
         if self._costs and not self.must_close:
             self._costs.popleft()
             self._heads.resize(self._cost())
+        if self._is_wide and self.transport is not None:
+            self._is_wide = False
+            set_receive_buffer(self.transport, RECEIVE_BUFFER_BYTES)
         if not self._messages:
             self._guard.end_request(self)
 
@@ -228,7 +246,8 @@
         first = 0 if len(self._costs) > len(self._messages) else 1
         queued = itertools.islice(self._messages, first, None)
         queued_bytes = sum(payload.total_bytes for _, payload in queued)
-        return sum(self._costs) + self._loose_cost() + queued_bytes
+        unread_bytes = UNREAD_BYTES if self._buffer_paused else 0
+        return sum(self._costs) + self._loose_cost() + queued_bytes + unread_bytes
 
     def _refuse(self) -> None:
         """Refuse what has not begun; nothing more of the connection is read."""
@@ -304,6 +323,12 @@
     return isinstance(http.protocol, CountedConnection) and http.protocol.must_close
 
 
+def widen(http: web.BaseRequest) -> None:
+    """Read the body of a request that has been counted in larger pieces."""
+    if isinstance(http.protocol, CountedConnection):
+        http.protocol.widen()
+
+
 def is_refused(http: web.BaseRequest) -> bool:
     """Return whether the heads of the connection of a request didn't fit in memory."""
     return isinstance(http.protocol, CountedConnection) and http.protocol.is_refused
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -42,7 +42,7 @@
     header_bytes,
 )
 from pimentospool.platform._connection_guard import ConnectionGuard
-from pimentospool.platform._counted_connections import is_refused, must_close
+from pimentospool.platform._counted_connections import is_refused, must_close, widen
 from pimentospool.platform._credentials import (
     caller_identity,
     decode_hop_digest,
@@ -71,7 +71,11 @@
 )
 from pimentospool.platform._hops import decode_hop_origin, encode_hop_origin
 from pimentospool.platform._numbers import parse_count, parse_duration
-from pimentospool.sockets import peer_has_closed, set_reset_on_close
+from pimentospool.sockets import (
+    RECEIVE_BUFFER_BYTES,
+    peer_has_closed,
+    set_reset_on_close,
+)
 from pimentospool.tasks import timeout_after_read
 from pimentospool.verdicts import Verdict
 
@@ -302,6 +306,8 @@
         hold = self._gateway.deps.memory.begin_request(length)
         if hold is None:
             raise NoMemoryError
+        if length is None or length > RECEIVE_BUFFER_BYTES:
+            widen(http)
         return hold
 
     @property
--- a/pimentospool/platform/_node.py
+++ b/pimentospool/platform/_node.py
@@ -30,6 +30,7 @@
 from pimentospool.platform._front import MIN_FLUSH_SECONDS, HttpFrontend, null_logger
 from pimentospool.platform._settings import NodeSettingsError, read_node_settings
 from pimentospool.platform._store import StoreClient
+from pimentospool.sockets import listening_socket
 from pimentospool.tasks import cancel_tasks
 
 HttpHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -176,9 +177,10 @@
         self, server: web.Server, address: Address, servers: list[asyncio.Server]
     ) -> None:
         loop = asyncio.get_running_loop()
+        sock = listening_socket(address.host, address.port)
         servers.append(
             await loop.create_server(
-                server, address.host, address.port, backlog=LISTEN_BACKLOG_CONNECTIONS
+                server, sock=sock, backlog=LISTEN_BACKLOG_CONNECTIONS
             )
         )
 
--- a/pimentospool/policy/_memory_budget.py
+++ b/pimentospool/policy/_memory_budget.py
@@ -26,9 +26,9 @@
 WHOLE_ANSWER_SHARE = 0.9
 """Share of the limit up to which answers grow that are held until they are whole. The
 rest is for streams, which hold little."""
-REQUEST_BYTES = 32 * 1024
-"""Memory of a request beside its body and its answer; a thousand streams hold 31 to
-33 MB."""
+REQUEST_BYTES = 64 * 1024
+"""Memory of a request beside its body and its answer: a thousand streams hold 31 to
+33 MB, and the receive buffer of a connection to a target up to 32 KB."""
 
 BUFFER_BYTES = 256 * 1024
 """Bytes of a body that wait at its connection to be read; a read takes as much."""
--- a/pimentospool/sockets.py
+++ b/pimentospool/sockets.py
@@ -11,18 +11,30 @@
 neither bytes nor keepalive probes."""
 KEEPALIVE_IDLE_SECONDS = 1
 """Idle time before the first keepalive probe, and time between probes."""
+RECEIVE_BUFFER_BYTES = 16 * 1024
+"""Receive buffer of connections of callers and to targets: the bytes that one which is
+not read may hold count as memory of the process. The kernel doubles it for its own use,
+and payload may take up all of that."""
+LONG_RECEIVE_BUFFER_BYTES = 128 * 1024
+"""The same while a long body arrives that is counted in the memory of its request."""
 _MILLISECONDS = 1000
 
 
-def open_socket(silence_seconds: float = SILENCE_SECONDS) -> socket.socket:
+def open_socket(
+    silence_seconds: float = SILENCE_SECONDS, *, receive_buffer_bytes: int | None = None
+) -> socket.socket:
     """Return a non-blocking TCP socket that detects an unresponsive connection.
 
     Parameters
     ----------
     silence_seconds : float
         Time for which the other side may acknowledge nothing.
+    receive_buffer_bytes : int, optional
+        Size of the receive buffer; the kernel chooses one by default.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    if receive_buffer_bytes is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     # It also decides when keepalive probes give up, whatever their count.
@@ -37,6 +49,31 @@
     return sock
 
 
+def listening_socket(host: str, port: int) -> socket.socket:
+    """Return a bound TCP socket; connections that it accepts have short buffers."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def set_receive_buffer(transport: asyncio.BaseTransport, size_bytes: int) -> None:
+    """Set the size of the receive buffer of a connection that is open."""
+    fileno = transport.get_extra_info("socket").fileno()
+    # With family, type and protocol, the object asks the kernel for nothing.
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=fileno)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
+    finally:
+        sock.detach()
+
+
 def set_reset_on_close(transport: asyncio.BaseTransport, *, enabled: bool) -> None:
     """Set whether a close of the connection resets it and discards unsent bytes."""
     # uvloop exposes no option of the socket; a duplicate shares them.
