Bound the first line of a request by MaxHeaderBytes

A request with a first line of 48 KB, three times MaxHeaderBytes, was passed on to its target: only the names and values of headers were counted, and the parser takes lines of 64 KB.

The method and the path may have MaxHeaderBytes by themselves now, beside the headers, so that no request whose head is within the limit as a whole is refused; above that the answer is 431.

--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -298,8 +298,15 @@
         if is_refused(http):
             raise NoMemoryError
         limit_bytes = self._limits.max_header_bytes
-        if not self._is_hop and 0 < limit_bytes < header_bytes(http):
-            raise InvalidRequestError(status=431, detail="the headers are too large")
+        if not self._is_hop and limit_bytes > 0:
+            if limit_bytes < header_bytes(http):
+                raise InvalidRequestError(
+                    status=431, detail="the headers are too large"
+                )
+            if limit_bytes < len(http.method) + len(http.raw_path):
+                raise InvalidRequestError(
+                    status=431, detail="the first line is too long"
+                )
         length = body_length(http)
         if length is not None and length > self._limits.max_body_bytes:
             raise InvalidRequestError(status=413, detail="the body is too large")
--- a/tests/platform/test_header_limits.py
+++ b/tests/platform/test_header_limits.py
@@ -14,11 +14,11 @@
 """`MaxHeaderBytes` where the configuration states none."""
 
 
-async def send(address, headers, *, end=b"\r\n"):
+async def send(address, headers, *, end=b"\r\n", path=b"/look/1"):
     """Return the status of a request with `headers`, None if there was no answer."""
     reader, writer = await asyncio.open_connection(address.host, address.port)
     try:
-        lines = [b"GET /look/1 HTTP/1.1", b"Host: " + HOST.encode()]
+        lines = [b"GET " + path + b" HTTP/1.1", b"Host: " + HOST.encode()]
         lines += [b"X-Request-Id: r-1", *headers]
         writer.write(b"\r\n".join(lines) + b"\r\n" + end)
         async with asyncio.timeout(5.0):
@@ -57,6 +57,25 @@
     assert runner.run(run()) == (431, [])
 
 
+@pytest.mark.parametrize(("excess_bytes", "expected"), [(0, 200), (1, 431)])
+def test_first_line_is_bounded_like_the_headers(
+    runner, tmp_path, excess_bytes, expected
+):
+    """Guards against first lines that no limit of the configuration bounds."""
+
+    async def run():
+        async with running_site(tmp_path) as site:
+            target = await site.add_target("i-1")
+            await site.wait_until(site.nodes[0].gateway.routing_state.known_targets)
+            path = b"/look/".ljust(MAX_HEADER_BYTES - len(b"GET") + excess_bytes, b"a")
+            status = await send(site.nodes[0].cfg.front, [], path=path)
+            return status, [len(req.path) for req in target.received]
+
+    status, received = runner.run(run())
+    assert status == expected
+    assert received == [MAX_HEADER_BYTES - len(b"GET")] * (expected == 200)
+
+
 def test_header_bytes_without_end_close_the_connection(runner, tmp_path):
     async def run():
         async with running_site(tmp_path) as site:
