Read connections whose reads take long to parse in turns

Beside 250 clients that send bodies in chunks of one byte without end, an ordinary request got no answer within 25 s. A read of such chunks takes some ten milliseconds to parse, and the event loop reads every socket once before it goes on with anything else: one round took seconds.

All other sockets are read between two turns, so that an ordinary request waits for one long read at a time.

--- a/pimentospool/platform/_connection_guard.py
+++ b/pimentospool/platform/_connection_guard.py
@@ -7,6 +7,7 @@
 
 from pimentospool.gateway import Admission, ConnectionTable, Listener
 from pimentospool.platform._connection_report import ConnectionReport, EndReason
+from pimentospool.platform._read_turns import ReadTurns
 
 
 class GuardedConnection(Hashable, Protocol):
@@ -34,12 +35,20 @@
         Limit on its connections.
     report : ConnectionReport
         Told of connections that are ended.
+    turns : ReadTurns
+        Turns of connections whose reads take long, shared by all listeners.
     """
 
     def __init__(
-        self, *, listener: Listener, limit: int, report: ConnectionReport
+        self,
+        *,
+        listener: Listener,
+        limit: int,
+        report: ConnectionReport,
+        turns: ReadTurns,
     ) -> None:
         self.listener = listener
+        self.turns = turns
         self._report = report
         self._table: ConnectionTable[GuardedConnection] = ConnectionTable(
             limit=limit, has_stalled=lambda conn: conn.has_stalled()
--- a/pimentospool/platform/_counted_connections.py
+++ b/pimentospool/platform/_counted_connections.py
@@ -29,6 +29,7 @@
     PROMPT_PREFIX_HEADER,
     REQUEST_ID_HEADER,
 )
+from pimentospool.platform._read_turns import LONG_READ_LINES
 from pimentospool.sockets import (
     LONG_RECEIVE_BUFFER_BYTES,
     RECEIVE_BUFFER_BYTES,
@@ -69,6 +70,7 @@
 
     __slots__ = (
         "__weakref__",
+        "_awaits_turn",
         "_body",
         "_budget",
         "_costs",
@@ -112,6 +114,7 @@
         counted with its request, has been taken."""
         self._ends = False
         self._is_wide = False
+        self._awaits_turn = False
         self.is_refused = False
 
     @property
@@ -160,7 +163,8 @@
             # Trailers come after all of a body; what came before it was its framing.
             self._loose_bytes = self._loose_lines = 0
         self._loose_bytes = max(0, self._loose_bytes + len(data) - body_bytes)
-        self._loose_lines += data.count(b"\n")
+        lines = data.count(b"\n")
+        self._loose_lines += lines
         if in_body and body.is_eof():
             self._end_body()
         new_requests = self._request_count - count_before
@@ -176,6 +180,10 @@
             self._message_tail = b""
             self._ends = self._close = True
         self._keeps_read = self._reading_paused
+        if lines >= LONG_READ_LINES and not self._awaits_turn:
+            self._awaits_turn = True
+            self._pause_transport_reading()
+            self._guard.turns.wait(self)
         if not self._heads.resize(self._cost()):
             self._refuse()
 
@@ -198,6 +206,16 @@
             message = UNREADABLE_TEXT
         return super().handle_error(request, status, None, message)
 
+    def take_turn(self) -> None:
+        """Go on reading after a read that took long."""
+        self._awaits_turn = False
+        if not (self._reading_paused or self._buffer_paused):
+            self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        if not self._awaits_turn:
+            super()._resume_transport_reading()
+
     def widen(self) -> None:
         """Read a long body in larger pieces; it is counted with its request."""
         if self.transport is not None:
@@ -250,7 +268,8 @@
         first = 0 if len(self._costs) > len(self._messages) else 1
         queued = itertools.islice(self._messages, first, None)
         queued_bytes = sum(payload.total_bytes for _, payload in queued)
-        unread_bytes = UNREAD_BYTES if self._buffer_paused else 0
+        is_unread = self._buffer_paused or self._awaits_turn
+        unread_bytes = UNREAD_BYTES if is_unread else 0
         return sum(self._costs) + self._loose_cost() + queued_bytes + unread_bytes
 
     def _refuse(self) -> None:
--- a/pimentospool/platform/_node.py
+++ b/pimentospool/platform/_node.py
@@ -28,6 +28,7 @@
 )
 from pimentospool.platform._exchange import PlatformDialect
 from pimentospool.platform._front import MIN_FLUSH_SECONDS, HttpFrontend, null_logger
+from pimentospool.platform._read_turns import ReadTurns
 from pimentospool.platform._settings import NodeSettingsError, read_node_settings
 from pimentospool.platform._store import StoreClient
 from pimentospool.sockets import listening_socket
@@ -69,8 +70,11 @@
         self._last_servers: list[asyncio.Server] = []
         """Serves other entry VMs until the end, as they ask those that leave, too."""
         report = ConnectionReport(registry=self._gateway.metrics.registry)
+        turns = ReadTurns()
         self._guards = {
-            listener: ConnectionGuard(listener=listener, limit=limit, report=report)
+            listener: ConnectionGuard(
+                listener=listener, limit=limit, report=report, turns=turns
+            )
             for listener, limit in self._gateway.sockets.accepted.items()
         }
         self._gateway.metrics.registry.register(OpenConnectionsCollector(self._guards))
