Cut off callers that hold up their requests or take no answer

Beside 250 clients that send requests without the last byte of their body, an ordinary request got no answer within 25 s, at Front and for hops: each of the clients had a request in progress for up to 30 s, and these had all connections. An answer that nobody takes kept its connection without end at Ready, Directory and Control, and everywhere while the connection was being closed.

The pace of the other side is measured while bytes of it are waited for (policy/_pace.py). While new connections find no room, those that bring or take less than 512 bytes a second for 3 s end, all together; and answers, or the last bytes of a connection that closes, may wait like that for 10 s. The settings have them in the table Pace. A sound caller on a slow link is far above it, and a caller that has taken all of a slow stream so far is not measured.

--- a/pimentospool/gateway/__init__.py
+++ b/pimentospool/gateway/__init__.py
@@ -65,6 +65,8 @@
     HeadBudget,
     Listener,
     MemoryHold,
+    Pace,
+    PaceLimits,
     head_cost,
     key_digest,
 )
@@ -103,6 +105,8 @@
     "InboundRequest",
     "Listener",
     "MemoryHold",
+    "Pace",
+    "PaceLimits",
     "Prompt",
     "PromptPart",
     "QuotaBounds",
--- a/pimentospool/gateway/_settings.py
+++ b/pimentospool/gateway/_settings.py
@@ -7,6 +7,7 @@
 from pimentospool.gateway._model import Address
 from pimentospool.gateway._placement import SharedBounds
 from pimentospool.ids import EntryId, RegionId, ZoneId
+from pimentospool.policy import PaceLimits
 
 
 class QuotaBounds(msgspec.Struct, kw_only=True, frozen=True):
@@ -59,6 +60,8 @@
     bounds: SharedBounds
     max_descriptors: float = math.inf
     """Descriptors that the process may have; infinite if no limit is stated."""
+    pace: PaceLimits = PaceLimits()
+    """Slowest pace at which callers and others may send bodies and take answers."""
     revocation_seconds: float = math.inf
     """Time after which a withdrawn API key must not be accepted by any entry VM, in
     contact with the store or not; infinite without such a bound."""
--- a/pimentospool/platform/_connection_guard.py
+++ b/pimentospool/platform/_connection_guard.py
@@ -5,7 +5,7 @@
 from collections.abc import Hashable
 from typing import Protocol
 
-from pimentospool.gateway import Admission, ConnectionTable, Listener
+from pimentospool.gateway import Admission, ConnectionTable, Listener, PaceLimits
 from pimentospool.platform._connection_report import ConnectionReport, EndReason
 from pimentospool.platform._read_turns import ReadTurns
 
@@ -37,6 +37,8 @@
         Told of connections that are ended.
     turns : ReadTurns
         Turns of connections whose reads take long, shared by all listeners.
+    pace : PaceLimits
+        Slowest pace of the other sides.
     """
 
     def __init__(
@@ -46,8 +48,10 @@
         limit: int,
         report: ConnectionReport,
         turns: ReadTurns,
+        pace: PaceLimits,
     ) -> None:
         self.listener = listener
+        self.pace = pace
         self.turns = turns
         self._report = report
         self._table: ConnectionTable[GuardedConnection] = ConnectionTable(
@@ -59,13 +63,13 @@
 
     def admit(self, conn: GuardedConnection, transport: asyncio.BaseTransport) -> bool:
         """Return whether a new connection may go on; another one may end for it."""
-        admission, victim = self._table.admit(conn, now=time.monotonic())
+        admission, victims = self._table.admit(conn, now=time.monotonic())
         if admission is Admission.REFUSED:
             self._report.record(
                 self.listener, EndReason.REFUSED, caller_address(transport)
             )
             return False
-        if victim is not None:
+        for victim in victims:
             self.end(victim, EndReason.REPLACED)
         return True
 
--- a/pimentospool/platform/_connection_report.py
+++ b/pimentospool/platform/_connection_report.py
@@ -20,8 +20,9 @@
 class EndReason(Enum):
     """Limit at which a connection was ended."""
 
-    REPLACED = "idle, and replaced by a new one"
+    REPLACED = "idle or held up, and replaced by a new one"
     REFUSED = "no room for it"
+    SLOW = "its answer is taken too slowly"
 
 
 class OpenConnectionsCollector(Collector):
--- a/pimentospool/platform/_counted_connections.py
+++ b/pimentospool/platform/_counted_connections.py
@@ -19,10 +19,11 @@
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 from multidict import CIMultiDict, CIMultiDictProxy
 
-from pimentospool.gateway import ORDINARY_HEAD_BYTES, HeadBudget, head_cost
+from pimentospool.gateway import ORDINARY_HEAD_BYTES, HeadBudget, Pace, head_cost
 from pimentospool.log import Event, log_event
 from pimentospool.platform._bodies import NoMemoryError
 from pimentospool.platform._connection_guard import ConnectionGuard, caller_address
+from pimentospool.platform._connection_report import EndReason
 from pimentospool.platform._headers import (
     HOP_CONFIGURATION_HEADER,
     HOP_ENTRY_HEADER,
@@ -81,6 +82,11 @@
         "_keeps_read",
         "_loose_bytes",
         "_loose_lines",
+        "_sending",
+        "_socket",
+        "_taking",
+        "_taking_timer",
+        "_written_bytes",
         "is_refused",
     )
 
@@ -115,6 +121,16 @@
         self._ends = False
         self._is_wide = False
         self._awaits_turn = False
+        self._socket: asyncio.Transport | None = None
+        """The transport, also while the connection is being closed."""
+        pace = manager.guard.pace
+        self._sending = Pace(limits=pace, clock=self._loop.time)
+        """Pace of the body of the request in progress."""
+        self._taking = Pace(limits=pace, clock=self._loop.time)
+        """Pace at which what has been written is taken, while some of it waits."""
+        self._taking_timer: asyncio.TimerHandle | None = None
+        self._written_bytes = 0
+        """Bytes that waited when that pace was last looked at."""
         self.is_refused = False
 
     @property
@@ -134,22 +150,80 @@
 
     def has_stalled(self) -> bool:
         """Return whether its caller holds up a request in progress."""
-        return False
+        self._record_taken()
+        return self._sending.is_too_slow(pressed=True) or self._taking.is_too_slow(
+            pressed=True
+        )
 
     def end(self) -> None:
         """Close the connection at once; unsent bytes are discarded."""
-        transport = self.transport
         self.force_close()
-        if transport is not None:
-            transport.abort()
+        if self._socket is not None:
+            self._socket.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to serve the connection, or close it if there is no room for it."""
+        self._socket = cast(asyncio.Transport, transport)
         if self._guard.admit(self, transport):
             super().connection_made(transport)
             return
         self._force_close = True
-        cast(asyncio.Transport, transport).abort()
+        self._socket.abort()
+
+    async def start(self) -> None:
+        """Serve the requests of the connection until it ends."""
+        try:
+            await super().start()
+        finally:
+            self._watch_taking()
+
+    def force_close(self) -> None:
+        """Close the connection once what has been written is taken."""
+        super().force_close()
+        self._watch_taking()
+
+    def pause_writing(self) -> None:
+        """Watch how the other side takes what has been written."""
+        super().pause_writing()
+        self._watch_taking()
+
+    def resume_writing(self) -> None:
+        """Watch it no longer, unless the connection ends with the rest."""
+        if self._socket is not None and not self._socket.is_closing():
+            self._end_taking()
+        super().resume_writing()
+
+    def _watch_taking(self) -> None:
+        """Begin to watch, if bytes wait to be taken."""
+        if self._taking_timer is None and self._waiting_bytes():
+            self._written_bytes = self._waiting_bytes()
+            self._taking.begin()
+            self._taking_timer = self._loop.call_later(
+                self._guard.pace.window_seconds, self._check_taking
+            )
+
+    def _check_taking(self) -> None:
+        self._taking_timer = None
+        self._record_taken()
+        if self._waiting_bytes() and self._taking.is_too_slow():
+            self._guard.end(self, EndReason.SLOW)
+        else:
+            self._watch_taking()
+
+    def _record_taken(self) -> None:
+        waiting_bytes = self._waiting_bytes()
+        self._taking.move(max(0, self._written_bytes - waiting_bytes))
+        self._written_bytes = waiting_bytes
+
+    def _waiting_bytes(self) -> int:
+        """Return the bytes that have been written and that no buffer takes."""
+        return 0 if self._socket is None else self._socket.get_write_buffer_size()
+
+    def _end_taking(self) -> None:
+        self._taking.end()
+        if self._taking_timer is not None:
+            self._taking_timer.cancel()
+            self._taking_timer = None
 
     def data_received(self, data: bytes) -> None:
         """Count what arrives, and refuse it if it doesn't fit."""
@@ -165,12 +239,16 @@
         self._loose_bytes = max(0, self._loose_bytes + len(data) - body_bytes)
         lines = data.count(b"\n")
         self._loose_lines += lines
+        if in_body:
+            self._sending.move(body_bytes)
         if in_body and body.is_eof():
             self._end_body()
         new_requests = self._request_count - count_before
         if new_requests:
             self._guard.begin_request(self)
             self._count_heads(new_requests, data)
+            if not self._body.is_eof():
+                self._sending.begin()
         if self._messages and not isinstance(self._messages[-1][0], RawRequestMessage):
             # What follows bytes that can't be read can't be read either, and each
             # read of it would queue another error.
@@ -190,6 +268,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Free the heads."""
         self._guard.remove(self)
+        self._end_taking()
+        self._socket = None
         super().connection_lost(exc)
         self._costs.clear()
         self._heads.resize(0)
@@ -235,6 +315,7 @@
 
     def _end_body(self) -> None:
         """Close the connection later if the parser has kept long trailers."""
+        self._sending.end()
         if self._loose_cost() > ORDINARY_HEAD_BYTES:
             self._ends = True
         else:
--- a/pimentospool/platform/_node.py
+++ b/pimentospool/platform/_node.py
@@ -73,7 +73,11 @@
         turns = ReadTurns()
         self._guards = {
             listener: ConnectionGuard(
-                listener=listener, limit=limit, report=report, turns=turns
+                listener=listener,
+                limit=limit,
+                report=report,
+                turns=turns,
+                pace=cfg.pace,
             )
             for listener, limit in self._gateway.sockets.accepted.items()
         }
--- a/pimentospool/platform/_settings.py
+++ b/pimentospool/platform/_settings.py
@@ -4,11 +4,18 @@
 import tomllib
 from ipaddress import IPv4Address
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
 from pimentospool.errors import PimentospoolError
-from pimentospool.gateway import Address, GatewaySettings, QuotaBounds, SharedBounds
+from pimentospool.gateway import (
+    Address,
+    GatewaySettings,
+    PaceLimits,
+    QuotaBounds,
+    SharedBounds,
+)
 from pimentospool.ids import EntryId, RegionId, ZoneId
 from pimentospool.platform._numbers import parse_count
 
@@ -21,6 +28,8 @@
 _MAX_PORT = 65535
 _MILLISECONDS_PER_SECOND = 1000.0
 _BYTES_PER_MEGABYTE = 1_000_000
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+_NonNegative = Annotated[float, msgspec.Meta(ge=0)]
 
 
 class NodeSettingsError(PimentospoolError):
@@ -62,6 +71,14 @@
     max_fds: float = 0.0
 
 
+class _Pace(msgspec.Struct, rename="pascal"):
+    """A table of our own; the platform's settings don't have it."""
+
+    min_bytes_per_s: _NonNegative = PaceLimits().min_bytes_per_second
+    window_s: _Positive = PaceLimits().window_seconds
+    pressed_s: _Positive = PaceLimits().pressed_seconds
+
+
 class _NodeFile(msgspec.Struct, rename="pascal"):
     """The settings file with the platform's names; the suffix of a time is its unit."""
 
@@ -75,6 +92,7 @@
     bootstrap: bool = False
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    pace: _Pace = msgspec.field(default_factory=_Pace)
     zones: dict[str, str] = msgspec.field(default_factory=dict)
     seeds: list[str] = msgspec.field(default_factory=list)
     """Control addresses of other machines; their peer addresses have the peer port."""
@@ -157,6 +175,11 @@
         link_mbps=_bandwidth(node.limits.link_mbps),
         memory_bytes=_memory_bytes(node.limits.memory_mb),
         max_descriptors=node.limits.max_fds if node.limits.max_fds > 0 else math.inf,
+        pace=PaceLimits(
+            min_bytes_per_second=node.pace.min_bytes_per_s,
+            window_seconds=node.pace.window_s,
+            pressed_seconds=node.pace.pressed_s,
+        ),
         revocation_seconds=(
             bounds.revoke_ms / _MILLISECONDS_PER_SECOND
             if bounds.strict_revoke and bounds.revoke_ms > 0
--- a/pimentospool/policy/__init__.py
+++ b/pimentospool/policy/__init__.py
@@ -64,6 +64,7 @@
     Replay,
     Start,
 )
+from pimentospool.policy._pace import Pace, PaceLimits
 from pimentospool.policy._queue import QueueRefusal, QueueTicket, WaitQueue
 from pimentospool.policy._quota_buckets import (
     REFUND_SECONDS,
@@ -200,6 +201,8 @@
     "OperationState",
     "OriginEvidence",
     "OwnerRanks",
+    "Pace",
+    "PaceLimits",
     "ProofNotice",
     "QueueRefusal",
     "QueueTicket",
--- a/pimentospool/policy/_connection_table.py
+++ b/pimentospool/policy/_connection_table.py
@@ -2,8 +2,10 @@
 
 A new connection takes the place of one that serves no request: first of one that has
 not sent a whole request yet, as callers send theirs at once, then of the one that was
-idle for longest. A connection with a request in progress goes on, unless its caller has
-stopped taking the answer. If there is none, the new connection is closed unread.
+idle for longest. A connection with a request in progress goes on, unless its caller
+neither sends the body nor takes the answer. All of these end together: single places
+would be taken by the next ones of a crowd. If there is none, the new connection is
+closed unread.
 """
 
 from collections.abc import Callable, Hashable
@@ -32,7 +34,7 @@
     limit : int
         Limit on the connections.
     has_stalled : callable
-        Returns whether a caller has taken nothing of its answer for some time.
+        Returns whether the caller of a request in progress holds it up.
     """
 
     def __init__(self, *, limit: int, has_stalled: Callable[[C], bool]) -> None:
@@ -49,17 +51,19 @@
     def __len__(self) -> int:
         return len(self._unheard) + len(self._idle) + len(self._busy)
 
-    def admit(self, conn: C, *, now: float) -> tuple[Admission, C | None]:
-        """Decide on a new connection; return also the one that has to end for it."""
-        victim, admission = None, Admission.FREE
+    def admit(self, conn: C, *, now: float) -> tuple[Admission, list[C]]:
+        """Decide on a new connection; return also those that have to end for it."""
+        victims: list[C] = []
+        admission = Admission.FREE
         if len(self) >= self.limit:
-            victim = self._find_victim(now)
-            if victim is None:
-                return Admission.REFUSED, None
-            self.remove(victim)
+            victims = self._find_victims(now)
+            if not victims:
+                return Admission.REFUSED, []
             admission = Admission.REPLACED
+        for victim in victims:
+            self.remove(victim)
         self._unheard[conn] = None
-        return admission, victim
+        return admission, victims
 
     def begin_request(self, conn: C) -> None:
         """Record that a whole request has arrived on a connection."""
@@ -81,11 +85,11 @@
     def __contains__(self, conn: C) -> bool:
         return conn in self._unheard or conn in self._idle or conn in self._busy
 
-    def _find_victim(self, now: float) -> C | None:
+    def _find_victims(self, now: float) -> list[C]:
         for group in (self._unheard, self._idle):
             if group:
-                return next(iter(group))
+                return [next(iter(group))]
         if now - self._scanned_at < SCAN_INTERVAL_SECONDS:
-            return None
+            return []
         self._scanned_at = now
-        return next((conn for conn in self._busy if self._has_stalled(conn)), None)
+        return [conn for conn in self._busy if self._has_stalled(conn)]
