Cut off callers that send on after they were refused

A client that announces 4 GB was refused with 413, and its bytes were read and discarded for 10 s however many came: 100 MB of them in a test that stops there.

As many bytes are read after a refusal as the longest body within the limits has, and 64 KB, so that a caller within the limits can read its refusal instead of a reset; then the connection ends.

test_caller_that_sends_on_after_its_refusal_is_cut_off[length] failed before (100 MB read, 20 MB allowed); it holds now, and a body at the limit that finds no memory still gets its 503.

--- a/pimentospool/platform/_caller_connections.py
+++ b/pimentospool/platform/_caller_connections.py
@@ -11,6 +11,7 @@
 
 from pimentospool.gateway import CallerLimits
 from pimentospool.platform._counted_connections import (
+    READ_ON_BYTES,
     CountedConnection,
     CountedServer,
 )
@@ -53,6 +54,7 @@
     def data_received(self, data: bytes) -> None:
         """Bound the head of a request until it has ended."""
         if self._close or self._force_close:
+            super().data_received(data)
             return
         before, in_body = self._request_count, not self._body.is_eof()
         count = len(CHUNKED_END)
@@ -72,6 +74,10 @@
                 limits.header_timeout_seconds + HEADER_MARGIN_SECONDS, self._close_late
             )
 
+    @property
+    def _max_discarded_bytes(self) -> int:
+        return READ_ON_BYTES + self.limits().max_body_bytes
+
     @property
     def ended_without_trailers(self) -> bool:
         """Whether the last body, of chunks, has ended without trailers, nor more data.
--- a/pimentospool/platform/_connection_report.py
+++ b/pimentospool/platform/_connection_report.py
@@ -23,6 +23,7 @@
     REPLACED = "idle or held up, and replaced by a new one"
     REFUSED = "no room for it"
     SLOW = "its answer is taken too slowly"
+    SENT_ON = "it sent on after it was refused"
 
 
 class OpenConnectionsCollector(Collector):
--- a/pimentospool/platform/_counted_connections.py
+++ b/pimentospool/platform/_counted_connections.py
@@ -40,6 +40,8 @@
 UNREADABLE_TEXT = "the request can't be read"
 MAX_QUEUED_REQUESTS = 2
 """Requests of one connection that are parsed before those ahead of them have ended."""
+READ_ON_BYTES = 64 * 1024
+"""Bytes that are read after a refusal beside the longest body that is allowed."""
 MIN_LINE_BYTES = 4
 """Size of the shortest header line."""
 UNREAD_BYTES = 2 * RECEIVE_BUFFER_BYTES
@@ -75,9 +77,11 @@
         "_body",
         "_budget",
         "_costs",
+        "_discarded_bytes",
         "_ends",
         "_guard",
         "_heads",
+        "_is_answered",
         "_is_wide",
         "_keeps_read",
         "_loose_bytes",
@@ -131,6 +135,9 @@
         self._taking_timer: asyncio.TimerHandle | None = None
         self._written_bytes = 0
         """Bytes that waited when that pace was last looked at."""
+        self._discarded_bytes = 0
+        self._is_answered = False
+        """Whether the last request was answered before the end of its body."""
         self.is_refused = False
 
     @property
@@ -225,9 +232,21 @@
             self._taking_timer.cancel()
             self._taking_timer = None
 
+    @property
+    def _max_discarded_bytes(self) -> int:
+        """Limit on what is discarded after a refusal, so that it can be read."""
+        return READ_ON_BYTES
+
+    def _discard(self, size_bytes: int) -> None:
+        """Count bytes that follow a refusal; end a connection that sends on."""
+        self._discarded_bytes += size_bytes
+        if self._discarded_bytes > self._max_discarded_bytes:
+            self._guard.end(self, EndReason.SENT_ON)
+
     def data_received(self, data: bytes) -> None:
         """Count what arrives, and refuse it if it doesn't fit."""
         if self._force_close or self._close:
+            self._discard(len(data))
             return
         body, count_before = self._body, self._request_count
         in_body, body_before = not body.is_eof(), body.total_bytes
@@ -241,6 +260,8 @@
         self._loose_lines += lines
         if in_body:
             self._sending.move(body_bytes)
+            if self._is_answered:
+                self._discard(body_bytes)
         if in_body and body.is_eof():
             self._end_body()
         new_requests = self._request_count - count_before
@@ -311,11 +332,14 @@
             self._is_wide = False
             set_receive_buffer(self.transport, RECEIVE_BUFFER_BYTES)
         if not self._messages:
+            self._is_answered = not self._body.is_eof()
             self._guard.end_request(self)
 
     def _end_body(self) -> None:
         """Close the connection later if the parser has kept long trailers."""
         self._sending.end()
+        self._is_answered = False
+        self._discarded_bytes = 0
         if self._loose_cost() > ORDINARY_HEAD_BYTES:
             self._ends = True
         else:
