Let clients misbehave in soaks and drills

The soak draws crowds of 40 clients outside the limits at a listener of a node, apart from its other faults, and gives nodes 700 descriptors; a node that passes its memory fails the run.

--- a/pimentospool/_generated/scenario.py
+++ b/pimentospool/_generated/scenario.py
@@ -33,6 +33,7 @@
     ENTRY_PAUSED = "entry-paused"
     ENTRY_REPLACED = "entry-replaced"
     TARGET_LEAVING = "target-leaving"
+    CALLERS_MISBEHAVING = "callers-misbehaving"
 
 
 class Fault(Document, kw_only=True):
--- a/pimentospool/drill/_fault_runner.py
+++ b/pimentospool/drill/_fault_runner.py
@@ -1,6 +1,7 @@
 """Injects faults into a drill's fleet, and undoes them."""
 
 import asyncio
+import random
 import time
 
 import msgspec
@@ -12,10 +13,12 @@
 from pimentospool.drill._processes import EntryProcess
 from pimentospool.drill._publisher import Publisher
 from pimentospool.drill._scenarios import INSTANT_KINDS, PlannedFault
-from pimentospool.faults import Direction, FaultProxy
+from pimentospool.faults import Direction, FaultProxy, MisbehavingClients
 from pimentospool.ids import EntryId, RegionId
 
 _SHUTDOWN_TIMEOUT_SECONDS = 20.0
+MISBEHAVING_CLIENTS = 30
+"""Misbehaving clients at each entry VM of a region."""
 
 
 class FaultRunner:
@@ -33,6 +36,7 @@
         self.windows: list[FaultWindow] = []
         self._fleet = fleet
         self._publisher = publisher
+        self._misbehaving_clients: dict[PlannedFault, list[MisbehavingClients]] = {}
 
     def active_windows(self) -> list[FaultWindow]:
         """Return the windows of the faults that are active now."""
@@ -124,6 +128,8 @@
                 self._set_leaving(window, leaving=True)
                 # Entry VMs can react only once the lagging VM list shows the change.
                 window.start = time.time() + VM_LIST_LAG_SECONDS
+            case FaultKind.CALLERS_MISBEHAVING:
+                self._start_misbehaving_clients(fault)
 
     async def _undo(self, fault: PlannedFault, window: FaultWindow) -> None:
         fleet = self._fleet
@@ -165,6 +171,25 @@
                 await fleet.processes[fault.entry].wait_ready()
             case FaultKind.TARGET_LEAVING:
                 self._set_leaving(window, leaving=False)
+            case FaultKind.CALLERS_MISBEHAVING:
+                for clients in self._misbehaving_clients.pop(fault):
+                    await clients.close()
+
+    def _start_misbehaving_clients(self, fault: PlannedFault) -> None:
+        """Let clients outside the limits connect to the entry VMs of a region."""
+        crowds = [
+            MisbehavingClients(
+                address=self._fleet.processes[entry].cfg.entry.caller_address,
+                path="/v1/chat/completions",
+                headers=b"Host: drill\r\n",
+                count=MISBEHAVING_CLIENTS,
+                rng=random.Random(f"{fault.start} {entry}"),
+            )
+            for entry in self._fleet.entries_of(fault.region)
+        ]
+        self._misbehaving_clients[fault] = crowds
+        for clients in crowds:
+            clients.start()
 
     async def _kill(self, entry: EntryId) -> None:
         process = self._fleet.processes[entry]
--- a/pimentospool/soak/_deployment.py
+++ b/pimentospool/soak/_deployment.py
@@ -39,6 +39,8 @@
 NODE_MEMORY_MB = 150
 """Memory that a node may use. It leaves 60 MB for requests and answers, so that a burst
 reaches the limit."""
+NODE_DESCRIPTORS = 700
+"""Descriptors that a node may have."""
 
 ROUTES = (
     SoakRoute(prefix="/look/", method="GET", idempotent=True, timeout_seconds=2.0),
@@ -82,6 +84,10 @@
         self.settings_path = folder / f"{ip}.toml"
         self.settings_path.write_text(tomli_w.dumps(settings))
         self.front = f"{ip}:{ports.front}"
+        self.other_listeners = [
+            f"{ip}:{port}"
+            for port in (ports.directory, ports.ready, ports.control, ports.peer)
+        ]
         self.callers_proxy = FaultProxy(upstream=self.front)
         self.store_proxy = store_proxy
         self._ready_url = f"http://{ip}:{ports.ready}/ready"
@@ -241,7 +247,10 @@
                 ports=ports,
                 bounds=TENANT_BOUNDS if self._tenants.enabled else None,
             )
-            settings["Limits"]["MemoryMb"] = NODE_MEMORY_MB
+            settings["Limits"] |= {
+                "MemoryMb": NODE_MEMORY_MB,
+                "MaxFds": NODE_DESCRIPTORS,
+            }
             node = SoakNode(
                 ip=ip,
                 settings=settings,
--- a/pimentospool/soak/_fault_plan.py
+++ b/pimentospool/soak/_fault_plan.py
@@ -25,6 +25,8 @@
 """Mean time between notices that targets give. They are drawn by themselves, too."""
 MEAN_BURST_PAUSE_SECONDS = 8.0
 """Mean time between bursts of long bodies, which are drawn likewise."""
+MEAN_CROWD_PAUSE_SECONDS = 8.0
+"""The same between crowds of misbehaving clients."""
 
 
 class SoakFault(Enum):
@@ -53,6 +55,7 @@
     TARGET_LIMITED = "target names a limit"
     TARGET_SAYING_LEAVING = "target says that it leaves, then is replaced"
     LONG_BODIES = "burst of long bodies and answers at a node"
+    CALLERS_MISBEHAVING = "crowd of clients outside the limits at a node"
 
 
 NODE_FAULTS = frozenset(
@@ -72,6 +75,7 @@
     SoakFault.TARGET_LIMITED,
     SoakFault.TARGET_SAYING_LEAVING,
     SoakFault.LONG_BODIES,
+    SoakFault.CALLERS_MISBEHAVING,
 )
 
 
@@ -107,6 +111,7 @@
     planned = _plan_restores(seed, seconds=seconds)
     planned += _plan_notices(seed, seconds=seconds)
     planned += _plan_bursts(seed, seconds=seconds)
+    planned += _plan_crowds(seed, seconds=seconds)
     at_seconds = rng.expovariate(1 / MEAN_PAUSE_SECONDS)
     while at_seconds < seconds:
         fault = rng.choice(other_faults)
@@ -185,3 +190,21 @@
         )
         at_seconds += rng.expovariate(1 / MEAN_BURST_PAUSE_SECONDS)
     return planned
+
+
+def _plan_crowds(seed: int, *, seconds: float) -> list[PlannedFault]:
+    rng = random.Random(f"crowds of {seed}")
+    planned = []
+    at_seconds = rng.expovariate(1 / MEAN_CROWD_PAUSE_SECONDS)
+    while at_seconds < seconds:
+        planned.append(
+            PlannedFault(
+                at_seconds=at_seconds,
+                duration_seconds=rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS),
+                fault=SoakFault.CALLERS_MISBEHAVING,
+                location=rng.randrange(1 << 16),
+                variant=rng.randrange(1 << 16),
+            )
+        )
+        at_seconds += rng.expovariate(1 / MEAN_CROWD_PAUSE_SECONDS)
+    return planned
--- a/pimentospool/soak/_runner.py
+++ b/pimentospool/soak/_runner.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from pimentospool.faults import Direction, LinkState
+from pimentospool.faults import Direction, LinkState, MisbehavingClients
 from pimentospool.soak._checker import (
     Disturbance,
     SoakChecker,
@@ -30,7 +30,13 @@
 )
 from pimentospool.soak._fault_plan import PlannedFault, SoakFault, plan_faults
 from pimentospool.soak._tenants import SoakTenants
-from pimentospool.standins import Fault, PlatformCall, PlatformCaller, SigningTarget
+from pimentospool.standins import (
+    HOST,
+    Fault,
+    PlatformCall,
+    PlatformCaller,
+    SigningTarget,
+)
 
 CALLERS_PER_NODE = 4
 """Number of callers of each node."""
@@ -50,6 +56,8 @@
 """Time from the first SIGTERM to the second one."""
 TARGET_LIMIT = 1.5
 """Requests per second that a limited target takes."""
+CROWD_CLIENTS = 40
+"""Misbehaving clients at a listener of a node."""
 BURST_CALLS = 24
 LONG_BODY_BYTES = 2_000_000
 """Size of a body of a burst; all of them are more than a node may hold."""
@@ -154,6 +162,7 @@
             SoakFault.TARGET_LIMITED: self._limit_target,
             SoakFault.TARGET_SAYING_LEAVING: self._announce_leaving,
             SoakFault.LONG_BODIES: self._send_long_bodies,
+            SoakFault.CALLERS_MISBEHAVING: self._let_clients_misbehave,
         }
 
     async def run(self) -> SoakResult:
@@ -452,6 +461,25 @@
                 standin.faults.clear()
         self._record.calls += calls
         self._shorten_bodies(calls)
+        self._check_memory(node)
+
+    async def _let_clients_misbehave(self, planned: PlannedFault) -> None:
+        """Let clients outside the limits connect to a listener of a node for a time."""
+        node = self._node(planned)
+        listeners = [node.front, *node.other_listeners]
+        clients = MisbehavingClients(
+            address=listeners[planned.variant % len(listeners)],
+            path=BURST_PATH,
+            headers=f"Host: {HOST}\r\nX-Request-Id: crowd\r\n".encode(),
+            count=CROWD_CLIENTS,
+            rng=random.Random(planned.variant),
+        )
+        clients.start()
+        await asyncio.sleep(planned.duration_seconds)
+        self._check_memory(node)
+        await clients.close()
+
+    def _check_memory(self, node: SoakNode) -> None:
         peak_megabytes = node.peak_megabytes()
         if peak_megabytes > NODE_MEMORY_MB:
             self._record.process_errors.append(
