--- a/pimentospool/platform/_counted_connections.py
+++ b/pimentospool/platform/_counted_connections.py
@@ -1,4 +1,4 @@
-"""Connections whose heads are counted against a share of the process's memory.
+"""Connections whose bytes, time and pace are bounded, on all listeners.
 
 The parser keeps the lines of a head that has not ended, and of the last head until the
 next one begins. All that a connection has received and not passed on as a body is
@@ -31,6 +31,7 @@
     REQUEST_ID_HEADER,
 )
 from pimentospool.platform._read_turns import LONG_READ_LINES
+from pimentospool.platform._taking_watch import TakingWatch
 from pimentospool.sockets import (
     LONG_RECEIVE_BUFFER_BYTES,
     RECEIVE_BUFFER_BYTES,
@@ -89,8 +90,6 @@
         "_sending",
         "_socket",
         "_taking",
-        "_taking_timer",
-        "_written_bytes",
         "is_refused",
     )
 
@@ -127,14 +126,9 @@
         self._awaits_turn = False
         self._socket: asyncio.Transport | None = None
         """The transport, also while the connection is being closed."""
-        pace = manager.guard.pace
-        self._sending = Pace(limits=pace, clock=self._loop.time)
+        self._sending = Pace(limits=manager.guard.pace, clock=self._loop.time)
         """Pace of the body of the request in progress."""
-        self._taking = Pace(limits=pace, clock=self._loop.time)
-        """Pace at which what has been written is taken, while some of it waits."""
-        self._taking_timer: asyncio.TimerHandle | None = None
-        self._written_bytes = 0
-        """Bytes that waited when that pace was last looked at."""
+        self._taking: TakingWatch | None = None
         self._discarded_bytes = 0
         self._is_answered = False
         """Whether the last request was answered before the end of its body."""
@@ -157,10 +151,9 @@
 
     def has_stalled(self) -> bool:
         """Return whether its caller holds up a request in progress."""
-        self._record_taken()
-        return self._sending.is_too_slow(pressed=True) or self._taking.is_too_slow(
-            pressed=True
-        )
+        if self._sending.is_too_slow(pressed=True):
+            return True
+        return self._taking is not None and self._taking.is_too_slow(pressed=True)
 
     def end(self) -> None:
         """Close the connection at once; unsent bytes are discarded."""
@@ -171,11 +164,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to serve the connection, or close it if there is no room for it."""
         self._socket = cast(asyncio.Transport, transport)
-        if self._guard.admit(self, transport):
-            super().connection_made(transport)
+        if not self._guard.admit(self, transport):
+            self._force_close = True
+            self._socket.abort()
             return
-        self._force_close = True
-        self._socket.abort()
+        self._taking = TakingWatch(
+            transport=self._socket,
+            limits=self._guard.pace,
+            loop=self._loop,
+            on_slow=lambda: self._guard.end(self, EndReason.SLOW),
+        )
+        super().connection_made(transport)
 
     async def start(self) -> None:
         """Serve the requests of the connection until it ends."""
@@ -196,41 +195,14 @@
 
     def resume_writing(self) -> None:
         """Watch it no longer, unless the connection ends with the rest."""
-        if self._socket is not None and not self._socket.is_closing():
-            self._end_taking()
+        is_closing = self._socket is None or self._socket.is_closing()
+        if self._taking is not None and not is_closing:
+            self._taking.end()
         super().resume_writing()
 
     def _watch_taking(self) -> None:
-        """Begin to watch, if bytes wait to be taken."""
-        if self._taking_timer is None and self._waiting_bytes():
-            self._written_bytes = self._waiting_bytes()
+        if self._taking is not None:
             self._taking.begin()
-            self._taking_timer = self._loop.call_later(
-                self._guard.pace.window_seconds, self._check_taking
-            )
-
-    def _check_taking(self) -> None:
-        self._taking_timer = None
-        self._record_taken()
-        if self._waiting_bytes() and self._taking.is_too_slow():
-            self._guard.end(self, EndReason.SLOW)
-        else:
-            self._watch_taking()
-
-    def _record_taken(self) -> None:
-        waiting_bytes = self._waiting_bytes()
-        self._taking.move(max(0, self._written_bytes - waiting_bytes))
-        self._written_bytes = waiting_bytes
-
-    def _waiting_bytes(self) -> int:
-        """Return the bytes that have been written and that no buffer takes."""
-        return 0 if self._socket is None else self._socket.get_write_buffer_size()
-
-    def _end_taking(self) -> None:
-        self._taking.end()
-        if self._taking_timer is not None:
-            self._taking_timer.cancel()
-            self._taking_timer = None
 
     @property
     def _max_discarded_bytes(self) -> int:
@@ -289,8 +261,9 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Free the heads."""
         self._guard.remove(self)
-        self._end_taking()
-        self._socket = None
+        if self._taking is not None:
+            self._taking.end()
+        self._socket = self._taking = None
         super().connection_lost(exc)
         self._costs.clear()
         self._heads.resize(0)
