Read no text in turns, as only framing takes long to parse

A body with many lines of text counted as one that takes long to parse: each read of it waited 10 ms, behind those of all other callers, so that some hundred prompts a second would have queued.

Bytes of a body count no longer; what counts is 256 lines and 1 KB beside them. As the reader pauses after 4,096 chunks, a read of which little was parsed counts, too, and the rest of it waits for the turn. Bodies of unknown length get the long receive buffer only once they come in large pieces: with it, one read had 43,000 of the smallest chunks.

--- a/pimentospool/platform/_counted_connections.py
+++ b/pimentospool/platform/_counted_connections.py
@@ -30,7 +30,7 @@
     PROMPT_PREFIX_HEADER,
     REQUEST_ID_HEADER,
 )
-from pimentospool.platform._read_turns import LONG_READ_LINES
+from pimentospool.platform._read_turns import is_long_read
 from pimentospool.platform._taking_watch import TakingWatch
 from pimentospool.sockets import (
     LONG_RECEIVE_BUFFER_BYTES,
@@ -87,6 +87,8 @@
         "_keeps_read",
         "_loose_bytes",
         "_loose_lines",
+        "_may_widen",
+        "_resumes_later",
         "_sending",
         "_socket",
         "_taking",
@@ -122,8 +124,8 @@
         """Whether the parser keeps the last read until the body, whose buffer is
         counted with its request, has been taken."""
         self._ends = False
-        self._is_wide = False
-        self._awaits_turn = False
+        self._is_wide = self._may_widen = False
+        self._awaits_turn = self._resumes_later = False
         self._socket: asyncio.Transport | None = None
         """The transport, also while the connection is being closed."""
         self._sending = Pace(limits=manager.guard.pace, clock=self._loop.time)
@@ -251,10 +253,17 @@
             self._message_tail = b""
             self._ends = self._close = True
         self._keeps_read = self._reading_paused
-        if lines >= LONG_READ_LINES and not self._awaits_turn:
-            self._awaits_turn = True
-            self._pause_transport_reading()
-            self._guard.turns.wait(self)
+        if new_requests:
+            body_bytes += self._body.total_bytes
+        if is_long_read(
+            lines=lines,
+            size_bytes=len(data),
+            body_bytes=body_bytes,
+            is_behind=self._reading_paused,
+        ):
+            self._wait_for_turn()
+        elif self._may_widen and 2 * body_bytes > len(data):
+            self.widen()
         if not self._heads.resize(self._cost()):
             self._refuse()
 
@@ -280,30 +289,57 @@
             message = UNREADABLE_TEXT
         return super().handle_error(request, status, None, message)
 
+    def _wait_for_turn(self) -> None:
+        """Read nothing more until the turn of the connection."""
+        self._narrow()
+        if not self._awaits_turn:
+            self._awaits_turn = True
+            self._pause_transport_reading()
+            self._guard.turns.wait(self)
+
     def take_turn(self) -> None:
         """Go on reading after a read that took long."""
         self._awaits_turn = False
-        if not (self._reading_paused or self._buffer_paused):
+        if self._resumes_later:
+            self._resumes_later = False
+            self.resume_reading()
+        elif not (self._reading_paused or self._buffer_paused):
             self._resume_transport_reading()
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Go on once the reader has caught up, at the connection's turn."""
+        if self._awaits_turn:
+            self._resumes_later = True
+        else:
+            super().resume_reading(resume_parser)
+
     def _resume_transport_reading(self) -> None:
         if not self._awaits_turn:
             super()._resume_transport_reading()
 
     def widen(self) -> None:
         """Read a long body in larger pieces; it is counted with its request."""
+        self._may_widen = False
         if self.transport is not None:
             self._is_wide = True
             set_receive_buffer(self.transport, LONG_RECEIVE_BUFFER_BYTES)
 
+    def widen_later(self) -> None:
+        """Do so once a body of unknown length turns out to come in large pieces."""
+        self._may_widen = True
+
+    def _narrow(self) -> None:
+        self._may_widen = False
+        if self._is_wide and self.transport is not None:
+            self._is_wide = False
+            set_receive_buffer(self.transport, RECEIVE_BUFFER_BYTES)
+
     def end_request(self) -> None:
         """Count the head of the request that has ended no more, unless it is kept."""
         if self._costs and not self.must_close:
             self._costs.popleft()
             self._heads.resize(self._cost())
-        if self._is_wide and self.transport is not None:
-            self._is_wide = False
-            set_receive_buffer(self.transport, RECEIVE_BUFFER_BYTES)
+        self._narrow()
         if not self._messages:
             self._is_answered = not self._body.is_eof()
             self._guard.end_request(self)
@@ -424,10 +460,15 @@
     return isinstance(http.protocol, CountedConnection) and http.protocol.must_close
 
 
-def widen(http: web.BaseRequest) -> None:
+def widen(http: web.BaseRequest, length: int | None) -> None:
     """Read the body of a request that has been counted in larger pieces."""
-    if isinstance(http.protocol, CountedConnection):
-        http.protocol.widen()
+    conn = http.protocol
+    if not isinstance(conn, CountedConnection):
+        return
+    if length is None:
+        conn.widen_later()
+    elif length > RECEIVE_BUFFER_BYTES:
+        conn.widen()
 
 
 def is_refused(http: web.BaseRequest) -> bool:
--- a/pimentospool/platform/_front.py
+++ b/pimentospool/platform/_front.py
@@ -72,7 +72,6 @@
 from pimentospool.platform._hops import decode_hop_origin, encode_hop_origin
 from pimentospool.platform._numbers import parse_count, parse_duration
 from pimentospool.sockets import (
-    RECEIVE_BUFFER_BYTES,
     peer_has_closed,
     set_reset_on_close,
 )
@@ -313,8 +312,7 @@
         hold = self._gateway.deps.memory.begin_request(length)
         if hold is None:
             raise NoMemoryError
-        if length is None or length > RECEIVE_BUFFER_BYTES:
-            widen(http)
+        widen(http, length)
         return hold
 
     @property
--- a/pimentospool/platform/_read_turns.py
+++ b/pimentospool/platform/_read_turns.py
@@ -11,10 +11,33 @@
 
 LONG_READ_LINES = 256
 """Lines of one read from which on it counts as long."""
+LONG_READ_BYTES = 1024
+"""Bytes of such a read that are not of a body: lines of text in a body cost nothing."""
 TURN_SECONDS = 0.01
 """Time between two turns, in which all other connections are read."""
 
 
+def is_long_read(
+    *, lines: int, size_bytes: int, body_bytes: int, is_behind: bool
+) -> bool:
+    """Return whether a read has taken long to parse.
+
+    Parameters
+    ----------
+    lines : int
+        Its lines, those in a body included.
+    size_bytes : int
+        Its size.
+    body_bytes : int
+        Bytes of a body that have been parsed of it.
+    is_behind : bool
+        Whether the reader is behind, so that the rest of it was not parsed.
+    """
+    if is_behind and 4 * body_bytes >= size_bytes:
+        return False
+    return lines >= LONG_READ_LINES and size_bytes - body_bytes >= LONG_READ_BYTES
+
+
 class TurnTaker(Protocol):
     """A connection that is not read until its turn."""
 
--- a/pimentospool/sockets.py
+++ b/pimentospool/sockets.py
@@ -64,7 +64,9 @@
 
 
 def set_receive_buffer(transport: asyncio.BaseTransport, size_bytes: int) -> None:
-    """Set the size of the receive buffer of a connection that is open."""
+    """Set the size of the receive buffer of a connection, unless it is being closed."""
+    if transport.is_closing():
+        return
     fileno = transport.get_extra_info("socket").fileno()
     # With family, type and protocol, the object asks the kernel for nothing.
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=fileno)
--- a/tests/platform/test_limits_in_calm.py
+++ b/tests/platform/test_limits_in_calm.py
@@ -9,6 +9,7 @@
 
 from pimentospool.gateway._answers import MAX_WHOLE_BODY_BYTES
 from pimentospool.platform._connection_guard import ConnectionGuard
+from pimentospool.platform._read_turns import ReadTurns
 from pimentospool.standins import platform_configuration, platform_route
 
 MAX_HEADER_BYTES = 16_384
@@ -122,6 +123,31 @@
     assert run_with_node(runner, tmp_path, check) == (200, True)
 
 
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_lines_of_text_are_not_read_in_turns(runner, tmp_path, monkeypatch, framing):
+    """Guards against prompts of many lines that wait for each other."""
+    body, waits = b"text\n" * 100_000, []
+    wait = ReadTurns.wait
+    monkeypatch.setattr(
+        ReadTurns,
+        "wait",
+        lambda self, conn: waits.append(conn) or wait(self, conn),
+    )
+
+    async def check(node, target):
+        if framing == "length":
+            lines, rest = [b"Content-Length: %d" % len(body)], body
+        else:
+            lines = [b"Transfer-Encoding: chunked"]
+            rest = b"%x\r\n%b\r\n" % (5_000, body[:5_000]) * 100 + b"0\r\n\r\n"
+        data = head(b"POST /book/1", b"X-Request-Id: r-1", *lines, b"", b"") + rest
+        status, answer = await ask(node.cfg.front, data)
+        return status, answer.endswith(body)
+
+    assert run_with_node(runner, tmp_path, check) == (200, True)
+    assert waits == []
+
+
 def test_slow_link_is_not_too_slow(runner, tmp_path):
     """Guards against bounds on pace that a caller above them meets."""
     body = b"b" * 400_000
