End connections with queued requests, and slow takers, while there is no room

A connection whose queue always holds a request was never idle, and until the kernel had taken some MB of answers it was not stalled, so that all connections of the listener stayed taken.

While new connections find no room, a connection with requests queued behind the one in progress counts as held up; sound callers wait for an answer first. Answers and bodies have to move at 16 KB a second then (PressedBytesPerS), 512 as before otherwise.

--- a/pimentospool/platform/_counted_connections.py
+++ b/pimentospool/platform/_counted_connections.py
@@ -73,7 +73,6 @@
     """
 
     __slots__ = (
-        "__weakref__",
         "_awaits_turn",
         "_body",
         "_budget",
@@ -153,7 +152,8 @@
 
     def has_stalled(self) -> bool:
         """Return whether its caller holds up a request in progress."""
-        if self._sending.is_too_slow(pressed=True):
+        # Requests that wait behind another one keep the connection from being idle.
+        if self._messages or self._sending.is_too_slow(pressed=True):
             return True
         return self._taking is not None and self._taking.is_too_slow(pressed=True)
 
--- a/pimentospool/platform/_settings.py
+++ b/pimentospool/platform/_settings.py
@@ -76,6 +76,7 @@
 
     min_bytes_per_s: _NonNegative = PaceLimits().min_bytes_per_second
     window_s: _Positive = PaceLimits().window_seconds
+    pressed_bytes_per_s: _NonNegative = PaceLimits().pressed_bytes_per_second
     pressed_s: _Positive = PaceLimits().pressed_seconds
 
 
@@ -178,6 +179,7 @@
         pace=PaceLimits(
             min_bytes_per_second=node.pace.min_bytes_per_s,
             window_seconds=node.pace.window_s,
+            pressed_bytes_per_second=node.pace.pressed_bytes_per_s,
             pressed_seconds=node.pace.pressed_s,
         ),
         revocation_seconds=(
--- a/pimentospool/policy/_pace.py
+++ b/pimentospool/policy/_pace.py
@@ -16,8 +16,10 @@
     """Far below the slowest link of a sound caller."""
     window_seconds: float = 10.0
     """Time over which the pace is measured before a connection ends for it."""
+    pressed_bytes_per_second: float = 16_384.0
+    """Slowest pace while new connections find no room."""
     pressed_seconds: float = 3.0
-    """The same while new connections find no room."""
+    """Time over which that is measured."""
 
 
 class Pace:
@@ -67,6 +69,8 @@
             return False
         limits = self._limits
         seconds = self._clock() - self._began_at
-        needed = limits.pressed_seconds if pressed else limits.window_seconds
-        too_few = self._moved_bytes < limits.min_bytes_per_second * seconds
-        return seconds >= needed and too_few
+        needed_seconds, pace = limits.window_seconds, limits.min_bytes_per_second
+        if pressed:
+            needed_seconds = limits.pressed_seconds
+            pace = max(pace, limits.pressed_bytes_per_second)
+        return seconds >= needed_seconds and self._moved_bytes < pace * seconds
--- a/tests/policy/test_pace.py
+++ b/tests/policy/test_pace.py
@@ -6,7 +6,10 @@
 from pimentospool.policy import Pace, PaceLimits
 
 LIMITS = PaceLimits(
-    min_bytes_per_second=100.0, window_seconds=10.0, pressed_seconds=3.0
+    min_bytes_per_second=100.0,
+    window_seconds=10.0,
+    pressed_bytes_per_second=500.0,
+    pressed_seconds=3.0,
 )
 
 
@@ -49,4 +52,12 @@
         clock.now += seconds
         pace.move(int(100.0 * seconds) + 1)
         assert not pace.is_too_slow()
+
+
+@given(st.lists(st.floats(0.01, 5.0), min_size=1))
+def test_side_at_the_pressed_pace_is_never_too_slow(steps):
+    pace, clock = begun()
+    for seconds in steps:
+        clock.now += seconds
+        pace.move(int(500.0 * seconds) + 1)
         assert not pace.is_too_slow(pressed=True)
